Name the ask of an unsafe request

Cause: a Resolve must cancel one ask for good while the caller may ask anew; an end of an answer must tell its length. Change: Execute.Ask, Resolve.{Ask,Digest,WaitMillis}, ResolveResult; the completed event tells the answer's length.

--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -27,7 +27,7 @@
 	MethodExecute = "engines.execute"
 	// MethodExecuteOnce runs an unsafe request at most once: Execute → stream of ExecuteEvent.
 	MethodExecuteOnce = "requests.execute_once"
-	// MethodResolve settles the outcome of an unsafe request: Resolve → ExecuteEvent with an outcome. A request that was
+	// MethodResolve settles the outcome of an unsafe request: Resolve → ResolveResult. A request that was
 	// never started is cancelled by it and so proven not run.
 	MethodResolve = "requests.resolve"
 	// MethodListEngines tells the engines that a node dispatches for. ListEngines → ListEnginesResult.
@@ -247,6 +247,9 @@
 	Seed      uint64   `msg:"s"`
 	// TimeoutMillis is what is left of the caller's deadline.
 	TimeoutMillis int64 `msg:"t"`
+	// Ask names one ask of a caller for an unsafe request, drawn at random by the gateway. An ask that was answered as not
+	// run is never run later, whereas a new ask of the same request may be.
+	Ask uint64 `msg:"k"`
 }
 
 // Outcome is the closed set of ends of a request; 0 while it goes on.
@@ -263,7 +266,8 @@
 	OutcomeCancelled
 )
 
-// ExecuteEvent is a part of an answer, or its end.
+// ExecuteEvent is a part of an answer, or its end. Of the event with OutcomeCompleted, Index plus the number of its
+// Tokens is the length of the whole answer, resumed tokens included.
 type ExecuteEvent struct {
 	RequestID string   `msg:"r"`
 	Attempt   uint32   `msg:"a"`
@@ -283,6 +287,21 @@
 type Resolve struct {
 	Workload  string `msg:"w"`
 	RequestID string `msg:"r"`
+	// Ask is the ask whose contact was lost, as in Execute.
+	Ask uint64 `msg:"k"`
+	// Digest is the digest of the request's content; a key recorded with another one is a conflict.
+	Digest []byte `msg:"d"`
+	// WaitMillis bounds the wait for a run that is still going on.
+	WaitMillis int64 `msg:"wt"`
+}
+
+// ResolveResult is the settled outcome, with the whole answer where it was completed.
+type ResolveResult struct {
+	Outcome          Outcome  `msg:"o"`
+	Reason           string   `msg:"re"`
+	RetryAfterMillis int64    `msg:"ra"`
+	Tokens           []uint32 `msg:"t"`
+	Spans            []Span   `msg:"s"`
 }
 
 // ListEngines asks for the engines that a node dispatches for.
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -2861,6 +2861,12 @@
 				err = msgp.WrapError(err, "TimeoutMillis")
 				return
 			}
+		case "k":
+			z.Ask, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2874,9 +2880,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Execute) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "w"
-	err = en.Append(0x89, 0xa1, 0x77)
+	err = en.Append(0x8a, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -2979,15 +2985,25 @@
 		err = msgp.WrapError(err, "TimeoutMillis")
 		return
 	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ask)
+	if err != nil {
+		err = msgp.WrapError(err, "Ask")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Execute) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "w"
-	o = append(o, 0x89, 0xa1, 0x77)
+	o = append(o, 0x8a, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Workload)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -3019,6 +3035,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.TimeoutMillis)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Ask)
 	return
 }
 
@@ -3120,6 +3139,12 @@
 				err = msgp.WrapError(err, "TimeoutMillis")
 				return
 			}
+		case "k":
+			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3134,7 +3159,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Execute) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.ArrayHeaderSize + (len(z.Prompt) * (msgp.Uint32Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Resume) * (msgp.Uint32Size)) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.ArrayHeaderSize + (len(z.Prompt) * (msgp.Uint32Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Resume) * (msgp.Uint32Size)) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -6590,6 +6615,24 @@
 				err = msgp.WrapError(err, "RequestID")
 				return
 			}
+		case "k":
+			z.Ask, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "d":
+			z.Digest, err = dc.ReadBytes(z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "wt":
+			z.WaitMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6602,10 +6645,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Resolve) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+func (z *Resolve) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
 	// write "w"
-	err = en.Append(0x82, 0xa1, 0x77)
+	err = en.Append(0x85, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -6624,19 +6667,58 @@
 		err = msgp.WrapError(err, "RequestID")
 		return
 	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ask)
+	if err != nil {
+		err = msgp.WrapError(err, "Ask")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	// write "wt"
+	err = en.Append(0xa2, 0x77, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.WaitMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMillis")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Resolve) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Resolve) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 5
 	// string "w"
-	o = append(o, 0x82, 0xa1, 0x77)
+	o = append(o, 0x85, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Workload)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.RequestID)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Ask)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
+	// string "wt"
+	o = append(o, 0xa2, 0x77, 0x74)
+	o = msgp.AppendInt64(o, z.WaitMillis)
 	return
 }
 
@@ -6670,6 +6752,412 @@
 				err = msgp.WrapError(err, "RequestID")
 				return
 			}
+		case "k":
+			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "wt":
+			z.WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMillis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Resolve) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 3 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ResolveResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			{
+				var zb0002 uint8
+				zb0002, err = dc.ReadUint8()
+				if err != nil {
+					err = msgp.WrapError(err, "Outcome")
+					return
+				}
+				z.Outcome = Outcome(zb0002)
+			}
+		case "re":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "ra":
+			z.RetryAfterMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMillis")
+				return
+			}
+		case "t":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0003) {
+				z.Tokens = (z.Tokens)[:zb0003]
+			} else {
+				z.Tokens = make([]uint32, zb0003)
+			}
+			for za0001 := range z.Tokens {
+				z.Tokens[za0001], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+			}
+		case "s":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Spans")
+				return
+			}
+			if cap(z.Spans) >= int(zb0004) {
+				z.Spans = (z.Spans)[:zb0004]
+			} else {
+				z.Spans = make([]Span, zb0004)
+			}
+			for za0002 := range z.Spans {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Spans", za0002)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Spans", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "f":
+						z.Spans[za0002].From, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "From")
+							return
+						}
+					case "t":
+						z.Spans[za0002].To, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "To")
+							return
+						}
+					case "v":
+						z.Spans[za0002].Version, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "Version")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002)
+							return
+						}
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ResolveResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "o"
+	err = en.Append(0x85, 0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(uint8(z.Outcome))
+	if err != nil {
+		err = msgp.WrapError(err, "Outcome")
+		return
+	}
+	// write "re"
+	err = en.Append(0xa2, 0x72, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	// write "ra"
+	err = en.Append(0xa2, 0x72, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.RetryAfterMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "RetryAfterMillis")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Tokens)))
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	for za0001 := range z.Tokens {
+		err = en.WriteUint32(z.Tokens[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0001)
+			return
+		}
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Spans)))
+	if err != nil {
+		err = msgp.WrapError(err, "Spans")
+		return
+	}
+	for za0002 := range z.Spans {
+		// map header, size 3
+		// write "f"
+		err = en.Append(0x83, 0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Spans[za0002].From)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "From")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Spans[za0002].To)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "To")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Spans[za0002].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "Version")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ResolveResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "o"
+	o = append(o, 0x85, 0xa1, 0x6f)
+	o = msgp.AppendUint8(o, uint8(z.Outcome))
+	// string "re"
+	o = append(o, 0xa2, 0x72, 0x65)
+	o = msgp.AppendString(o, z.Reason)
+	// string "ra"
+	o = append(o, 0xa2, 0x72, 0x61)
+	o = msgp.AppendInt64(o, z.RetryAfterMillis)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tokens)))
+	for za0001 := range z.Tokens {
+		o = msgp.AppendUint32(o, z.Tokens[za0001])
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Spans)))
+	for za0002 := range z.Spans {
+		// map header, size 3
+		// string "f"
+		o = append(o, 0x83, 0xa1, 0x66)
+		o = msgp.AppendInt(o, z.Spans[za0002].From)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.Spans[za0002].To)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.Spans[za0002].Version)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ResolveResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			{
+				var zb0002 uint8
+				zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcome")
+					return
+				}
+				z.Outcome = Outcome(zb0002)
+			}
+		case "re":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "ra":
+			z.RetryAfterMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetryAfterMillis")
+				return
+			}
+		case "t":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0003) {
+				z.Tokens = (z.Tokens)[:zb0003]
+			} else {
+				z.Tokens = make([]uint32, zb0003)
+			}
+			for za0001 := range z.Tokens {
+				z.Tokens[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+			}
+		case "s":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spans")
+				return
+			}
+			if cap(z.Spans) >= int(zb0004) {
+				z.Spans = (z.Spans)[:zb0004]
+			} else {
+				z.Spans = make([]Span, zb0004)
+			}
+			for za0002 := range z.Spans {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Spans", za0002)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Spans", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "f":
+						z.Spans[za0002].From, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "From")
+							return
+						}
+					case "t":
+						z.Spans[za0002].To, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "To")
+							return
+						}
+					case "v":
+						z.Spans[za0002].Version, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6683,8 +7171,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Resolve) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID)
+func (z *ResolveResult) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint8Size + 3 + msgp.StringPrefixSize + len(z.Reason) + 3 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Tokens) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Spans) * (7 + msgp.IntSize + msgp.IntSize + msgp.Uint64Size))
 	return
 }
 
