Judge the nine promises from outside

Cause: no promise can be proved without a judge that does not ask nodes. Change: a recorder of what callers, trainers, engines and the log saw, and one pure checker a promise.

--- /dev/null
+++ b/internal/lab/check/observation.go
@@ -0,0 +1,183 @@
+// Package check judges a run from outside: by what callers, trainers, engines and the log saw, never by a node's own
+// word on itself. Each of the brief's promises has one checker, a pure function over the observations of the run.
+package check
+
+import (
+	"sync"
+	"time"
+)
+
+// Chunk is a run of tokens that an engine produced.
+type Chunk struct {
+	Engine  string
+	Attempt uint32
+	// Index is the position of the first token in the answer.
+	Index   int
+	Count   int
+	Version uint64
+}
+
+// Start is the moment at which an engine began to run an attempt.
+type Start struct {
+	Engine  string
+	Attempt uint32
+	At      time.Time
+}
+
+// Span says that tokens From (inclusive) to To (exclusive) are said to come from Version.
+type Span struct {
+	From    int
+	To      int
+	Version uint64
+}
+
+// Sample is one sample as its trainer received it.
+type Sample struct {
+	ID       string
+	Position int
+	Tokens   []uint32
+	Spans    []Span
+	// Expected is the whole right answer.
+	Expected []uint32
+	// Age is the time since the last token, as told at hand-over.
+	Age time.Duration
+}
+
+// Delivery is one answer to a fetch that reached its trainer.
+type Delivery struct {
+	Workload       string
+	Step           uint64
+	At             time.Time
+	Cursor         int
+	NextCursor     int
+	StepComplete   bool
+	TrainerVersion uint64
+	BundleVersion  uint64
+	Samples        []Sample
+}
+
+// Outcome is the end of a request as its caller saw it.
+type Outcome string
+
+// Outcomes of a request; OutcomeBroken is the loss of contact without any outcome.
+const (
+	OutcomeCompleted Outcome = "completed"
+	OutcomeNotRun    Outcome = "not run"
+	OutcomeUnknown   Outcome = "unknown"
+	OutcomeCancelled Outcome = "cancelled"
+	OutcomeBroken    Outcome = "broken"
+)
+
+// Request is one request as its caller saw it.
+type Request struct {
+	Workload string
+	ID       string
+	// EngineID is the request's id as engines see it.
+	EngineID string
+	Unsafe   bool
+	Node     string
+	SentAt   time.Time
+	EndedAt  time.Time
+	Outcome  Outcome
+	Reason   string
+	Tokens   []uint32
+	Expected []uint32
+	// AnswerIDs are the request ids that the messages of the answer carried.
+	AnswerIDs []string
+}
+
+// Stop is a planned stop of a node or an engine.
+type Stop struct {
+	Name     string
+	IsEngine bool
+	At       time.Time
+}
+
+// BundleAccepted is the acceptance of a bundle, as the log has it.
+type BundleAccepted struct {
+	Version uint64
+	At      time.Time
+	// Bounds are the staleness bounds by workload.
+	Bounds map[string]Bound
+}
+
+// Bound is a workload's staleness bound.
+type Bound struct {
+	MaxVersionsBehind uint64
+	MaxAge            time.Duration
+}
+
+// BundleSeen is an operator's look at the bundle in force on one node.
+type BundleSeen struct {
+	Node string
+	// Incarnation tells one process of the node from the next.
+	Incarnation int
+	Version     uint64
+	At          time.Time
+}
+
+// SubmittedStep is a step whose submission was acknowledged to the trainer.
+type SubmittedStep struct {
+	Workload string
+	Step     uint64
+	Samples  int
+}
+
+// Recorder collects the observations of a run. It is safe for concurrent use.
+type Recorder struct {
+	mu           sync.Mutex
+	observations Observations
+}
+
+// Observations is all that was seen in a run.
+type Observations struct {
+	// Starts and Chunks are by the request id that engines saw.
+	Starts     map[string][]Start
+	Chunks     map[string][]Chunk
+	Deliveries []Delivery
+	Requests   []Request
+	Stops      []Stop
+	Bundles    []BundleAccepted
+	Seen       []BundleSeen
+	Submitted  []SubmittedStep
+	// Unreachable holds, by node, the intervals in which it was cut off, paused or down.
+	Unreachable map[string][]Interval
+	EndedAt     time.Time
+}
+
+// Interval is a span of time; a zero To means that it had not ended.
+type Interval struct {
+	From time.Time
+	To   time.Time
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{observations: Observations{
+		Starts:      make(map[string][]Start),
+		Chunks:      make(map[string][]Chunk),
+		Unreachable: make(map[string][]Interval),
+	}}
+}
+
+// Record changes the observations under the recorder's lock.
+func (r *Recorder) Record(change func(*Observations)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.observations)
+}
+
+// Started records the start of an attempt on an engine.
+func (r *Recorder) Started(engine, requestID string, attempt uint32, at time.Time) {
+	r.Record(func(o *Observations) {
+		o.Starts[requestID] = append(o.Starts[requestID], Start{Engine: engine, Attempt: attempt, At: at})
+	})
+}
+
+// Produced records tokens that an engine produced.
+func (r *Recorder) Produced(engine, requestID string, attempt uint32, index, count int, version uint64) {
+	r.Record(func(o *Observations) {
+		chunk := Chunk{Engine: engine, Attempt: attempt, Index: index, Count: count, Version: version}
+		o.Chunks[requestID] = append(o.Chunks[requestID], chunk)
+	})
+}
