--- /dev/null
+++ b/internal/policy/shares.go
@@ -0,0 +1,145 @@
+package policy
+
+import "math"
+
+// Demand is what one workload asks of an engine.
+type Demand struct {
+	Workload    string
+	Interactive bool
+	// Share is the guaranteed part of the slots, 0 to 1.
+	Share float64
+	// Running is how many streams hold a slot now.
+	Running int
+	// Waiting is how many more would run if they could.
+	Waiting int
+}
+
+func (d Demand) total() int { return d.Running + d.Waiting }
+
+// Allocation is what one workload may have.
+type Allocation struct {
+	Workload string
+	// Guaranteed is how many slots nobody else may keep from the workload.
+	Guaranteed int
+	// Target is how many streams may run, borrowed slots included.
+	Target int
+	// Preempt is how many running streams have to give their slots back at once.
+	Preempt int
+}
+
+// Allocate shares the slots of one engine out. Every workload first gets its guaranteed slots, as far as it has demand.
+// What is left is lent: to interactive work first, then to training, each by weighted max-min. Slots that were lent are
+// reclaimed by preemption of training when a workload below its guarantee, or interactive work below its target, finds
+// no free slot; other workloads get theirs as streams end.
+//
+// seed spreads the rounding of shares: over many engines with different seeds each workload gets its exact share.
+// Allocations come in the order of the demands; the sum of targets never exceeds the slots.
+func Allocate(slots int, seed string, demands []Demand) []Allocation {
+	allocations := guarantees(slots, seed, demands)
+	left := slots
+	for i := range allocations {
+		allocations[i].Target = min(allocations[i].Guaranteed, demands[i].total())
+		left -= allocations[i].Target
+	}
+	left = lend(left, demands, allocations, true)
+	lend(left, demands, allocations, false)
+	reclaim(slots, demands, allocations)
+	return allocations
+}
+
+// guarantees rounds the shares to whole slots by systematic rounding: each is within one of its exact part, the sum
+// never exceeds the slots, and the mean over evenly spread offsets is exact.
+func guarantees(slots int, seed string, demands []Demand) []Allocation {
+	allocations := make([]Allocation, len(demands))
+	offset := unitFraction(hashOf("share", seed))
+	cumulated := offset
+	for i, demand := range demands {
+		before := math.Floor(cumulated)
+		cumulated += math.Max(demand.Share, 0) * float64(slots)
+		// The tolerance keeps sums such as 0.1+0.2+0.7 from losing a slot to binary fractions.
+		cumulated = snap(cumulated, offset)
+		whole := int(math.Floor(cumulated) - before)
+		allocations[i] = Allocation{Workload: demand.Workload, Guaranteed: min(whole, slots)}
+	}
+	return trimGuarantees(slots, allocations)
+}
+
+// snap moves a sum that is a whole number of slots beyond the offset, but for rounding errors, onto it.
+func snap(cumulated, offset float64) float64 {
+	const tolerance = 1e-9
+	whole := math.Round(cumulated - offset)
+	if math.Abs(cumulated-offset-whole) < tolerance {
+		return whole + offset
+	}
+	return cumulated
+}
+
+// trimGuarantees keeps the sum within the slots when the shares add up to more than the whole.
+func trimGuarantees(slots int, allocations []Allocation) []Allocation {
+	left := slots
+	for i := range allocations {
+		allocations[i].Guaranteed = min(allocations[i].Guaranteed, left)
+		left -= allocations[i].Guaranteed
+	}
+	return allocations
+}
+
+// lend gives the slots left, one by one, to the workload of the class that is worst off for its weight.
+func lend(left int, demands []Demand, allocations []Allocation, interactive bool) int {
+	for left > 0 {
+		chosen := -1
+		for i, demand := range demands {
+			if demand.Interactive != interactive || allocations[i].Target >= demand.total() {
+				continue
+			}
+			if chosen < 0 || level(demand, allocations[i]) < level(demands[chosen], allocations[chosen]) {
+				chosen = i
+			}
+		}
+		if chosen < 0 {
+			return left
+		}
+		allocations[chosen].Target++
+		left--
+	}
+	return left
+}
+
+// level is how well off a workload would be with one slot more, for its weight.
+func level(demand Demand, allocation Allocation) float64 {
+	const leastWeight = 0.01
+	return float64(allocation.Target+1) / math.Max(demand.Share, leastWeight)
+}
+
+// reclaim marks the streams that have to give way.
+func reclaim(slots int, demands []Demand, allocations []Allocation) {
+	free := slots
+	urgent := 0
+	for i, demand := range demands {
+		free -= demand.Running
+		entitled := min(allocations[i].Guaranteed, demand.total())
+		if demand.Interactive {
+			entitled = allocations[i].Target
+		}
+		urgent += max(0, entitled-demand.Running)
+	}
+	for missing := urgent - max(free, 0); missing > 0; missing-- {
+		victim := mostOverTarget(demands, allocations)
+		if victim < 0 {
+			return
+		}
+		allocations[victim].Preempt++
+	}
+}
+
+// mostOverTarget finds the training workload furthest above its target; -1 where there is none.
+func mostOverTarget(demands []Demand, allocations []Allocation) int {
+	victim, most := -1, 0
+	for i, demand := range demands {
+		over := demand.Running - allocations[i].Preempt - allocations[i].Target
+		if !demand.Interactive && over > most {
+			victim, most = i, over
+		}
+	}
+	return victim
+}
--- /dev/null
+++ b/internal/policy/shares_test.go
@@ -0,0 +1,91 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestAllocate(t *testing.T) {
+	train := func(name string, share float64, running, waiting int) Demand {
+		return Demand{Workload: name, Share: share, Running: running, Waiting: waiting}
+	}
+	search := func(share float64, running, waiting int) Demand {
+		return Demand{Workload: "search", Interactive: true, Share: share, Running: running, Waiting: waiting}
+	}
+	cases := []struct {
+		name     string
+		demands  []Demand
+		targets  []int
+		preempts []int
+	}{
+		{"idle capacity is lent", []Demand{train("a", .5, 0, 99), train("b", .5, 0, 0)}, []int{8, 0}, []int{0, 0}},
+		{"both busy get their shares", []Demand{train("a", .5, 0, 9), train("b", .5, 0, 9000)}, []int{4, 4}, []int{0, 0}},
+		{"a guarantee is reclaimed", []Demand{train("a", .5, 8, 99), train("b", .5, 0, 2)}, []int{6, 2}, []int{2, 0}},
+		{"free slots go first", []Demand{train("a", .5, 6, 99), train("b", .5, 0, 2)}, []int{6, 2}, []int{0, 0}},
+		{"interactive borrows from training", []Demand{train("a", .5, 8, 9), search(.25, 0, 5)}, []int{4, 4}, []int{4, 0}},
+		{"a flood of requests leaves the guarantee", []Demand{train("a", .75, 6, 9), search(.25, 2, 90)}, []int{6, 2}, []int{0, 0}},
+		{"no share still borrows", []Demand{train("a", 0, 0, 3), train("b", .5, 0, 2)}, []int{3, 2}, []int{0, 0}},
+		{"binary fractions lose no slot", []Demand{train("a", .1, 0, 9), train("b", .2, 0, 9), search(.7, 0, 0)}, []int{3, 5, 0}, []int{0, 0, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for i, allocation := range Allocate(8, "seed-7", c.demands) {
+				is.Equal(allocation.Target, c.targets[i])
+				is.Equal(allocation.Preempt, c.preempts[i])
+			}
+		})
+	}
+}
+
+func TestAllocateRoundsFairlyOverEngines(t *testing.T) {
+	is := is.New(t)
+	demands := []Demand{{Workload: "a", Share: 0.3, Waiting: 9}, {Workload: "b", Share: 0.7, Waiting: 9}}
+	got := 0
+	const engines, slots = 2000, 2
+	for i := range engines {
+		got += Allocate(slots, fmt.Sprint("engine-", i), demands)[0].Target
+	}
+	part := float64(got) / (engines * slots)
+	is.True(math.Abs(part-0.3) < 0.01)
+}
+
+func TestAllocateHoldsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(0, 20).Draw(t, "slots")
+		seed := rapid.StringMatching("[a-z]{1,4}").Draw(t, "seed")
+		left := 1.0
+		var demands []Demand
+		for i := range rapid.IntRange(0, 6).Draw(t, "workloads") {
+			share := rapid.Float64Range(0, left).Draw(t, "share")
+			left -= share
+			demands = append(demands, Demand{
+				Workload: fmt.Sprint(i), Share: share, Interactive: rapid.Bool().Draw(t, "interactive"),
+				Running: rapid.IntRange(0, 8).Draw(t, "running"), Waiting: rapid.IntRange(0, 30).Draw(t, "waiting"),
+			})
+		}
+		targets, demanded := 0, 0
+		for i, allocation := range Allocate(slots, seed, demands) {
+			demand := demands[i]
+			targets += allocation.Target
+			demanded += demand.total()
+			exact := demand.Share * float64(slots)
+			if math.Abs(float64(allocation.Guaranteed)-exact) >= 1.0001 {
+				t.Fatalf("guarantee %d is not within one of %g", allocation.Guaranteed, exact)
+			}
+			if allocation.Target < min(allocation.Guaranteed, demand.total()) || allocation.Target > demand.total() {
+				t.Fatalf("target %d of %+v", allocation.Target, demand)
+			}
+			if allocation.Preempt > 0 && (demand.Interactive || demand.Running-allocation.Preempt < allocation.Target) {
+				t.Fatalf("preempts %d of %+v, target %d", allocation.Preempt, demand, allocation.Target)
+			}
+		}
+		if targets != min(slots, demanded) {
+			t.Fatalf("targets add up to %d of %d slots, %d demanded", targets, slots, demanded)
+		}
+	})
+}
