Give a stream one writer at a time by epochs in the log

Cause: the ledgers and dispatchers need an owner that stays right while answers are lost, owners pause and nodes race, on a log without compare-and-append. Change: the fold of claims, releases and records; an owner with one append in flight, group commit, confirmed reads, retries by (epoch, sequence), a follower and a snapshotter; a Manager that opens, refuses, hands over and releases. Conclusion: go test -race passes on the tests of lost answers, supersession, outage, release and hand-over.

--- /dev/null
+++ b/internal/shard/manager.go
@@ -0,0 +1,202 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+// Config is what a Manager works with. Log, Identity, Placer and NewState are required. Placer, Preference and Alive are
+// called under the Manager's lock and must neither block nor call the Manager.
+type Config struct {
+	Log      platform.Log
+	Identity Identity
+	Placer   placement.Placer
+	// Preference tells where the owner of a stream had best be; nil for no preference.
+	Preference func(stream string) placement.Preference
+	// NewState returns the empty state of a stream.
+	NewState func(stream string) (State, error)
+	// Alive tells whether a process is known to be alive. A shard is not taken from such a process for
+	// Settings.HandoverWait. Nil knows of none.
+	Alive func(node string, incarnation uint64) bool
+	// OnHandover is called before a shard that is placed elsewhere is released; it settles the work in flight. It may
+	// be nil.
+	OnHandover func(ctx context.Context, stream string)
+	// Logger may be nil.
+	Logger   *log.Logger
+	Settings Settings
+}
+
+// Info tells where an owned shard stands.
+type Info struct {
+	Stream string
+	Epoch  uint64
+	// Offset is the next offset to be folded.
+	Offset int64
+}
+
+// Manager opens and hands over the shards of one process. It implements Opener. Lock order: Manager.mu, then owner.mu.
+type Manager struct {
+	config   Config
+	logger   *log.Logger
+	counters Counters
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	// mu guards what follows. It is never held across a call of the log.
+	mu       sync.Mutex
+	owned    map[string]*owner
+	draining map[string]bool
+	opening  map[string]*opening
+	patience patience
+	stopped  bool
+}
+
+// opening is a shard being opened; owner and err are set before done is closed.
+type opening struct {
+	done  chan struct{}
+	owner *owner
+	err   error
+}
+
+// NewManager returns a Manager that owns nothing yet. Close ends it.
+func NewManager(config Config) *Manager {
+	config.Settings = config.Settings.withDefaults()
+	logger := config.Logger
+	if logger == nil {
+		logger = log.New(io.Discard)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{
+		config:   config,
+		logger:   logger,
+		ctx:      ctx,
+		cancel:   cancel,
+		owned:    make(map[string]*owner),
+		draining: make(map[string]bool),
+		opening:  make(map[string]*opening),
+		patience: newPatience(config.Settings),
+	}
+}
+
+// Counters counts the work of the Manager's shards.
+func (m *Manager) Counters() *Counters { return &m.counters }
+
+// List returns the owned shards by name.
+func (m *Manager) List() []Info {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	infos := make([]Info, 0, len(m.owned))
+	for stream, o := range m.owned {
+		if !o.hasEnded() {
+			infos = append(infos, Info{Stream: stream, Epoch: o.epoch, Offset: o.next()})
+		}
+	}
+	slices.SortFunc(infos, func(a, b Info) int { return strings.Compare(a.Stream, b.Stream) })
+	return infos
+}
+
+// Open implements Opener. All errors but the context's are *peer.Error: CodeNotOwner with a hint, or CodeNotReady where
+// the log could not be used or the Manager has stopped. A shard owned here stays open while it is placed elsewhere,
+// until it is handed over.
+func (m *Manager) Open(ctx context.Context, stream string) (Owner, error) {
+	o, call, err := m.find(stream)
+	if err != nil {
+		return nil, err
+	}
+	if o != nil {
+		return o, nil
+	}
+	select {
+	case <-call.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if call.err != nil {
+		return nil, call.err
+	}
+	return call.owner, nil
+}
+
+// find returns the owner of a stream, or the opening to wait for, which it begins if there is none.
+func (m *Manager) find(stream string) (*owner, *opening, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return nil, nil, notReady("node is stopping")
+	}
+	if o := m.owned[stream]; o != nil && !o.hasEnded() && !m.draining[stream] {
+		return o, nil, nil
+	}
+	if call := m.opening[stream]; call != nil {
+		return nil, call, nil
+	}
+	placed, ok := m.placed(stream)
+	if !ok {
+		return nil, nil, notOwner(stream, "")
+	}
+	if placed.Node != m.config.Placer.Self().Node {
+		return nil, nil, notOwner(stream, placed.PeerAddress)
+	}
+	if m.draining[stream] {
+		return nil, nil, notReady("shard is being handed over")
+	}
+	if refusal := m.patience.refusal(stream); refusal != nil {
+		return nil, nil, refusal
+	}
+	call := &opening{done: make(chan struct{})}
+	m.opening[stream] = call
+	m.tasks.Go(func() { m.open(stream, call) })
+	return nil, call, nil
+}
+
+// placed returns the member that placement names for a stream.
+func (m *Manager) placed(stream string) (placement.Member, bool) {
+	var preference placement.Preference
+	if m.config.Preference != nil {
+		preference = m.config.Preference(stream)
+	}
+	return m.config.Placer.Owner(stream, preference)
+}
+
+// Close abandons every shard without a word to the log, as a crash would, and waits for the Manager's goroutines. Call
+// ReleaseAll before it on a planned stop.
+func (m *Manager) Close() {
+	for _, o := range m.stop() {
+		o.abandon()
+	}
+	m.cancel()
+	m.tasks.Wait()
+}
+
+// stop refuses further opens and returns the shards owned.
+func (m *Manager) stop() []*owner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopped = true
+	owners := make([]*owner, 0, len(m.owned))
+	for _, o := range m.owned {
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+// notOwner is the refusal of a shard that another process owns or ought to own.
+func notOwner(stream, hint string) *peer.Error {
+	return &peer.Error{Code: peer.CodeNotOwner, Message: "shard " + stream + " is owned elsewhere", OwnerHint: hint}
+}
+
+// notReady is the refusal of a shard that cannot be opened now.
+func notReady(reason string) *peer.Error {
+	return &peer.Error{Code: peer.CodeNotReady, Message: reason, RetryAfter: openRetryAfter}
+}
--- /dev/null
+++ b/internal/shard/manager_run.go
@@ -0,0 +1,113 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Run hands over owned shards that have been placed elsewhere for Settings.SettleTime, until ctx ends. It neither
+// releases nor closes anything at its end.
+func (m *Manager) Run(ctx context.Context) error {
+	var handovers sync.WaitGroup
+	defer handovers.Wait()
+	misplaced := make(map[string]time.Time)
+	for {
+		changed := m.config.Placer.Changed()
+		due, wait := m.review(misplaced, time.Now())
+		for _, stream := range due {
+			handovers.Go(func() { m.handOver(ctx, stream) })
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// review brings misplaced, which maps a stream to when it was first seen to be placed elsewhere, up to date. It returns
+// the streams that are due to be handed over and the time until the next review.
+func (m *Manager) review(misplaced map[string]time.Time, now time.Time) (due []string, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	settle := m.config.Settings.SettleTime
+	wait = settle
+	for stream := range misplaced {
+		if m.owned[stream] == nil {
+			delete(misplaced, stream)
+		}
+	}
+	for stream := range m.owned {
+		placed, ok := m.placed(stream)
+		if !ok || placed.Node == m.config.Placer.Self().Node || m.draining[stream] {
+			delete(misplaced, stream)
+			continue
+		}
+		since, known := misplaced[stream]
+		if !known {
+			since = now
+			misplaced[stream] = now
+		}
+		if left := settle - now.Sub(since); left > 0 {
+			wait = min(wait, left)
+			continue
+		}
+		delete(misplaced, stream)
+		m.draining[stream] = true
+		due = append(due, stream)
+	}
+	return due, wait
+}
+
+// handOver settles the work of one shard, by the hook, and releases it.
+func (m *Manager) handOver(ctx context.Context, stream string) {
+	defer m.endDrain(stream)
+	m.logger.Info("shard is handed over", "stream", stream)
+	if m.config.OnHandover != nil {
+		drain, cancel := context.WithTimeout(ctx, m.config.Settings.DrainTimeout)
+		m.config.OnHandover(drain, stream)
+		cancel()
+	}
+	m.mu.Lock()
+	o := m.owned[stream]
+	m.mu.Unlock()
+	if o == nil {
+		return
+	}
+	release, cancel := context.WithTimeout(ctx, m.config.Settings.ReleaseTimeout)
+	defer cancel()
+	err := o.Release(release)
+	if err != nil && !errors.Is(err, ErrNotOwner) {
+		m.logger.Warn("shard was given up without a release", "stream", stream, "error", err)
+	}
+}
+
+func (m *Manager) endDrain(stream string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.draining, stream)
+}
+
+// ReleaseAll refuses further opens and releases every shard, for a planned stop. It returns the errors of those that
+// were given up without a release.
+func (m *Manager) ReleaseAll(ctx context.Context) error {
+	owners := m.stop()
+	failures := make([]error, len(owners))
+	var releases sync.WaitGroup
+	for i, o := range owners {
+		releases.Go(func() {
+			err := o.Release(ctx)
+			if !errors.Is(err, ErrNotOwner) {
+				failures[i] = err
+			}
+		})
+	}
+	releases.Wait()
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/shard/manager_test.go
@@ -0,0 +1,117 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/placement"
+)
+
+// refusedWith returns the refusal of an Open.
+func refusedWith(is *is.I, m *Manager) *peer.Error {
+	_, err := m.Open(context.Background(), testStream)
+	var refusal *peer.Error
+	is.True(errors.As(err, &refusal))
+	return refusal
+}
+
+func TestOpenIsSharedByConcurrentCallers(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		m := NewManager(testConfig(log, "a"))
+		defer m.Close()
+		var callers sync.WaitGroup
+		owners := make([]Owner, 8)
+		for i := range owners {
+			callers.Go(func() { owners[i] = open(t, m) })
+		}
+		callers.Wait()
+		for _, o := range owners {
+			is.Equal(o, owners[0])
+		}
+		is.Equal(len(log.contents(testStream)), 1)
+		is.Equal(m.List(), []Info{{Stream: testStream, Epoch: 1, Offset: 1}})
+	})
+}
+
+func TestOpenRefusesWhatIsPlacedElsewhere(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		config := testConfig(log, "a")
+		placer := config.Placer.(*fakePlacer)
+		m := NewManager(config)
+		defer m.Close()
+		placer.place("b")
+		is.Equal(*refusedWith(is, m), *notOwner(testStream, "b:1"))
+		placer.place("")
+		is.Equal(*refusedWith(is, m), *notOwner(testStream, ""))
+		placer.place("a")
+		log.setDown(true)
+		is.Equal(refusedWith(is, m).Code, peer.CodeNotReady)
+		log.setDown(false)
+		is.Equal(open(t, m).Epoch(), uint64(1))
+		is.NoErr(m.ReleaseAll(context.Background()))
+		is.Equal(refusedWith(is, m).Code, peer.CodeNotReady)
+	})
+}
+
+func TestLiveOwnerIsLeftAlone(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		first := NewManager(testConfig(log, "a"))
+		defer first.Close()
+		old := open(t, first)
+		config := testConfig(log, "b")
+		config.Alive = func(node string, incarnation uint64) bool { return node == "a" && incarnation == 1 }
+		second := NewManager(config)
+		defer second.Close()
+		began := time.Now()
+		for time.Since(began) < DefaultSettings().HandoverWait {
+			is.Equal(refusedWith(is, second).OwnerHint, "a:1")
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * DefaultSettings().RefusalTTL)
+		is.Equal(open(t, second).Epoch(), uint64(2))
+		<-old.Done()
+		reads := second.Counters().OpenEntries.Load()
+		refusals := uint64(DefaultSettings().HandoverWait / DefaultSettings().RefusalTTL)
+		is.True(reads <= refusals+2) // callers in quick succession share a read
+	})
+}
+
+func TestMovedShardIsHandedOver(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		config := testConfig(log, "a")
+		placer := config.Placer.(*fakePlacer)
+		var handed []string
+		config.OnHandover = func(_ context.Context, stream string) { handed = append(handed, stream) }
+		m := NewManager(config)
+		defer m.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go m.Run(ctx)
+		o := open(t, m)
+		for range 5 { // flapping faster than the settle time moves nothing
+			placer.place("b")
+			time.Sleep(DefaultSettings().SettleTime / 2)
+			placer.place("a")
+			time.Sleep(DefaultSettings().SettleTime / 2)
+		}
+		is.Equal(len(handed), 0)
+		placer.place("b")
+		began := time.Now()
+		<-o.Done()
+		is.True(time.Since(began) < 2*DefaultSettings().SettleTime)
+		is.Equal(handed, []string{testStream})
+		_, fold := refold(log.contents(testStream))
+		_, owned := fold.Owner()
+		is.True(!owned)
+		is.Equal(refusedWith(is, m).OwnerHint, "b:1")
+		is.Equal(len(m.List()), 0)
+	})
+}
+
+var _ placement.Placer = (*fakePlacer)(nil)
--- /dev/null
+++ b/internal/shard/owner_snapshot.go
@@ -0,0 +1,64 @@
+package shard
+
+import "context"
+
+// snapshotIsDue tells whether enough was folded since the last snapshot; the caller holds mu.
+func (o *owner) snapshotIsDue() bool {
+	r := o.replica
+	enough := r.sinceEntries >= int64(o.settings.SnapshotEvery) || r.sinceBytes >= o.settings.SnapshotBytes
+	return enough && 2*r.sinceBytes >= r.snapshotSize && !o.ended
+}
+
+// snapshot is the snapshotter: it writes a snapshot whenever one is due. A snapshot is a fold of a prefix of the stream,
+// so that even one written by a superseded owner is right, if old.
+func (o *owner) snapshot() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.snapshotDue:
+		}
+		err := o.writeSnapshot()
+		if err == nil || o.ctx.Err() != nil {
+			continue
+		}
+		o.counters.SnapshotFailures.Add(1)
+		o.logger.Warn("snapshot failed", "error", err)
+		if !sleep(o.ctx, o.settings.SnapshotRetry) {
+			return
+		}
+	}
+}
+
+// writeSnapshot encodes the state under the lock and appends it outside.
+func (o *owner) writeSnapshot() error {
+	o.mu.Lock()
+	if !o.snapshotIsDue() {
+		o.mu.Unlock()
+		return nil
+	}
+	encoded, err := encodeSnapshot(o.replica)
+	next := o.replica.fold.Next()
+	entries, bytes := o.replica.sinceEntries, o.replica.sinceBytes
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	payloads, err := splitSnapshot(encoded, next, o.settings.SnapshotChunkBytes)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, o.settings.MaxAttemptTimeout)
+	defer cancel()
+	if err := writeSnapshot(ctx, o.log, o.stream, payloads); err != nil {
+		return err
+	}
+	o.counters.Snapshots.Add(1)
+	o.counters.SnapshotBytes.Add(uint64(len(encoded)))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.replica.sinceEntries -= entries
+	o.replica.sinceBytes -= bytes
+	o.replica.snapshotSize = int64(len(encoded))
+	return nil
+}
--- /dev/null
+++ b/internal/shard/owner_test.go
@@ -0,0 +1,195 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+// open opens the test stream.
+func open(t testing.TB, m *Manager) Owner {
+	t.Helper()
+	o, err := m.Open(context.Background(), testStream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// inBubble runs a test in virtual time, with a log whose round trip is a millisecond.
+func inBubble(t *testing.T, test func(is *is.I, log *fakeLog)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		log.roundTrip = time.Millisecond
+		test(is.New(t), log)
+	})
+}
+
+func TestAppendIsFoldedOnceWhateverBecomesOfTheAnswer(t *testing.T) {
+	cases := map[string][]fault{
+		"no fault":                {faultNone},
+		"not sent":                {faultNotSent, faultNotSent},
+		"lost before the effect":  {faultLostBefore, faultLostBefore},
+		"lost after the effect":   {faultLostAfter},
+		"lost after, then before": {faultLostAfter, faultLostBefore},
+		"effect delayed":          {faultDelayed},
+		"effect delayed twice":    {faultDelayed, faultDelayed, faultLostAfter},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(is *is.I, log *fakeLog) {
+				m := NewManager(testConfig(log, "a"))
+				defer m.Close()
+				o := open(t, m)
+				log.setFaults(faults...)
+				outcomes, err := o.Append(context.Background(), proposal("x"), proposal("y"))
+				is.NoErr(err)
+				is.Equal(outcomes, []any{1, 2})
+				time.Sleep(2 * lateEffect)
+				_, err = o.Append(context.Background(), proposal("z"))
+				is.NoErr(err)
+				folded, _ := refold(log.contents(testStream))
+				is.Equal(folded, []string{"x", "y", "z"})
+				is.Equal(bodies(o), folded)
+			})
+		})
+	}
+}
+
+func TestClaimIsFoldedOnceWhateverBecomesOfTheAnswer(t *testing.T) {
+	for _, kind := range []fault{faultNotSent, faultLostBefore, faultLostAfter, faultDelayed} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			inBubble(t, func(is *is.I, log *fakeLog) {
+				log.setFaults(kind)
+				m := NewManager(testConfig(log, "a"))
+				defer m.Close()
+				o := open(t, m)
+				is.Equal(o.Epoch(), uint64(1))
+				time.Sleep(2 * lateEffect)
+				is.NoErr(o.Confirm(context.Background()))
+			})
+		})
+	}
+}
+
+func TestSupersededOwnerWritesNothing(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		first, second := NewManager(testConfig(log, "a")), NewManager(testConfig(log, "b"))
+		defer first.Close()
+		defer second.Close()
+		old := open(t, first)
+		_, err := old.Append(context.Background(), proposal("1"))
+		is.NoErr(err)
+		successor := open(t, second)
+		is.Equal(bodies(successor), []string{"1"})
+		_, err = old.Append(context.Background(), proposal("2"))
+		is.True(errors.Is(err, ErrNotOwner))
+		is.True(errors.Is(old.Confirm(context.Background()), ErrNotOwner))
+		<-old.Done()
+		_, err = successor.Append(context.Background(), proposal("3"))
+		is.NoErr(err)
+		folded, fold := refold(log.contents(testStream))
+		is.Equal(folded, []string{"1", "3"})
+		is.Equal(fold.Counts().Superseded, uint64(1))
+	})
+}
+
+func TestIdleOwnerLearnsThatItWasSuperseded(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		first, second := NewManager(testConfig(log, "a")), NewManager(testConfig(log, "b"))
+		defer first.Close()
+		defer second.Close()
+		old := open(t, first)
+		time.Sleep(time.Hour)
+		open(t, second)
+		began := time.Now()
+		<-old.Done()
+		is.True(time.Since(began) <= DefaultSettings().FollowAfter+log.roundTrip)
+	})
+}
+
+func TestOutageLeavesTheFateOpenUntilTheLogAnswers(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		m := NewManager(testConfig(log, "a"))
+		defer m.Close()
+		o := open(t, m)
+		log.setDown(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		queued, cancelQueued := context.WithTimeout(context.Background(), time.Second/2)
+		defer cancelQueued()
+		result := make(chan error, 1)
+		go func() {
+			_, err := o.Append(ctx, proposal("sent"))
+			result <- err
+		}()
+		synctest.Wait()
+		_, err := o.Append(queued, proposal("withdrawn"))
+		is.True(errors.Is(err, platform.ErrNotSent))
+		err = <-result
+		is.True(errors.Is(err, ErrUncertain))
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(o.Confirm(context.Background()) != nil)
+		time.Sleep(time.Hour)
+		log.setDown(false)
+		_, err = o.Append(context.Background(), proposal("later"))
+		is.NoErr(err)
+		is.Equal(bodies(o), []string{"sent", "later"})
+	})
+}
+
+func TestAppendRefusesWhatCannotBeWritten(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		config := testConfig(log, "a")
+		config.Settings = Settings{MaxEntryBytes: 4, MaxQueued: 1}
+		m := NewManager(config)
+		defer m.Close()
+		o := open(t, m)
+		var refusal *peer.Error
+		_, err := o.Append(context.Background(), proposal("large"))
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Code, peer.CodeInvalid)
+		for range 2 {
+			go o.Append(context.Background(), proposal("a"))
+			synctest.Wait()
+		}
+		_, err = o.Append(context.Background(), proposal("b"))
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Code, peer.CodeOverloaded)
+	})
+}
+
+func TestReleaseSettlesWhatCameBeforeIt(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		m := NewManager(testConfig(log, "a"))
+		defer m.Close()
+		o := open(t, m)
+		results := make(chan error, 2)
+		for i := range 2 {
+			go func() {
+				_, err := o.Append(context.Background(), proposal(fmt.Sprint(i)))
+				results <- err
+			}()
+		}
+		synctest.Wait()
+		is.NoErr(o.Release(context.Background()))
+		is.NoErr(<-results)
+		is.NoErr(<-results)
+		<-o.Done()
+		_, err := o.Append(context.Background(), proposal("late"))
+		is.True(errors.Is(err, ErrNotOwner))
+		_, fold := refold(log.contents(testStream))
+		_, owned := fold.Owner()
+		is.True(!owned)
+		is.Equal(open(t, m).Epoch(), uint64(2))
+	})
+}
--- /dev/null
+++ b/internal/shard/owner_write.go
@@ -0,0 +1,201 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// Backoff between tries of an append.
+const (
+	initialBackoff = 20 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+// unknownOffset stands for an offset that the log has not told.
+const unknownOffset = -1
+
+// errUnconfirmed says that the log acknowledged an append which its stream then did not show as valid.
+var errUnconfirmed = errors.New("log acknowledged an append that its stream does not show")
+
+// write is the writer: it commits one batch after the other until the owner ends.
+func (o *owner) write() {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.wake:
+		}
+		for {
+			b, err := o.nextBatch()
+			if err != nil {
+				o.logger.Error("records cannot be encoded", "error", err)
+				o.fail(err)
+				return
+			}
+			if b == nil {
+				break
+			}
+			o.commit(b)
+		}
+	}
+}
+
+// fail ends the owner for a fault that leaves the fate of the batch in flight open.
+func (o *owner) fail(cause error) {
+	o.logger.Error("owner gives up", "error", cause)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.end(ErrUncertain)
+}
+
+// nextBatch takes waiters off the queue, within the bounds of a batch; nil when there is none or the owner has ended.
+func (o *owner) nextBatch() (*batch, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended || len(o.queue) == 0 {
+		return nil, nil
+	}
+	b := &batch{first: o.sequence + 1}
+	b.ctx, b.settled = context.WithCancel(o.ctx)
+	for len(o.queue) > 0 && o.fits(b, o.queue[0]) {
+		w := o.queue[0]
+		o.queue = o.queue[1:]
+		b.waiters = append(b.waiters, w)
+		b.bytes += w.bytes
+		if err := o.encode(b, w); err != nil {
+			o.inFlight = b
+			return nil, err
+		}
+	}
+	o.inFlight = b
+	o.lastAppend = time.Now()
+	if o.cancelPoll != nil {
+		o.cancelPoll()
+	}
+	return b, nil
+}
+
+// fits tells whether a waiter may join a batch. A release goes alone; the first waiter always fits.
+func (o *owner) fits(b *batch, w *waiter) bool {
+	if len(b.waiters) == 0 {
+		return true
+	}
+	if w.kind == typeRelease || b.isRelease() {
+		return false
+	}
+	entries := len(b.payloads) + len(w.proposals)
+	return entries <= o.settings.MaxBatchEntries && b.bytes+w.bytes <= o.settings.MaxBatchBytes
+}
+
+// encode adds the entries of a waiter to a batch and numbers them.
+func (o *owner) encode(b *batch, w *waiter) error {
+	if w.kind == typeRelease {
+		return b.encode(&envelope{Type: uint8(typeRelease), Epoch: o.epoch})
+	}
+	for _, proposal := range w.proposals {
+		o.sequence++
+		entry := envelope{
+			Type:     uint8(typeRecord),
+			Epoch:    o.epoch,
+			Sequence: o.sequence,
+			Kind:     proposal.Kind,
+			Body:     proposal.Body,
+		}
+		if err := b.encode(&entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *batch) encode(entry *envelope) error {
+	payload, err := entry.encode()
+	if err != nil {
+		return err
+	}
+	b.payloads = append(b.payloads, payload)
+	return nil
+}
+
+// commit brings a batch to its end: it is sent, and sent again with the same sequence numbers while its fate is unknown,
+// until it is folded or the owner ends.
+func (o *owner) commit(b *batch) {
+	pauses := newBackoff()
+	timeout := o.settings.AppendTimeout
+	end := int64(unknownOffset)
+	for {
+		if end == unknownOffset {
+			end = o.send(b, timeout)
+		}
+		if !b.isSettled() {
+			o.readBack(b, end, timeout)
+		}
+		if b.isSettled() || !sleep(b.ctx, pauses.NextBackOff()) {
+			break
+		}
+		timeout = min(2*timeout, o.settings.MaxAttemptTimeout)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastAppend = time.Now()
+}
+
+// send appends a batch once, and folds it if nothing unknown lies before it. It returns the offset after the batch, or
+// unknownOffset when the log did not acknowledge it.
+func (o *owner) send(b *batch, timeout time.Duration) int64 {
+	ctx, cancel := context.WithTimeout(b.ctx, timeout)
+	defer cancel()
+	o.counters.Appends.Add(1)
+	o.counters.Records.Add(uint64(len(b.payloads)))
+	o.counters.AppendBytes.Add(uint64(b.bytes))
+	first, err := o.log.Append(ctx, o.stream, b.payloads)
+	if err == nil {
+		o.foldOwn(b, first)
+		return first + int64(len(b.payloads))
+	}
+	if !b.isSettled() {
+		o.counters.AppendRetries.Add(1)
+		o.logger.Warn("append failed", "error", err)
+	}
+	return unknownOffset
+}
+
+// readBack reads up to the tail to learn the fate of a batch, which the log put before offset end if it acknowledged it.
+func (o *owner) readBack(b *batch, end int64, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(b.ctx, timeout)
+	defer cancel()
+	err := o.catchUp(ctx)
+	if b.isSettled() {
+		return
+	}
+	if err != nil {
+		o.logger.Warn("read after append failed", "error", err)
+		return
+	}
+	if end != unknownOffset && o.next() >= end {
+		o.fail(errUnconfirmed)
+	}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = initialBackoff
+	pauses.MaxInterval = maxBackoff
+	pauses.Reset()
+	return pauses
+}
+
+// sleep waits; false when the context ended first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/shard/reader.go
@@ -0,0 +1,48 @@
+package shard
+
+import (
+	"context"
+
+	"github.com/samber/oops"
+
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+// reader reads ranges of one stream and counts what it read.
+type reader struct {
+	log        platform.Log
+	stream     string
+	maxEntries int
+	entries    uint64
+	bytes      uint64
+}
+
+// tail returns the offset after the last entry.
+func (r *reader) tail(ctx context.Context) (int64, error) {
+	result, err := r.log.Read(ctx, r.stream, 0, platform.ReadOptions{})
+	if err != nil {
+		return 0, oops.With("stream", r.stream).Wrapf(err, "read tail")
+	}
+	return result.Tail, nil
+}
+
+// read returns entries from offset on, at most limit of them, and the tail.
+func (r *reader) read(ctx context.Context, offset int64, limit int) (platform.ReadResult, error) {
+	options := platform.ReadOptions{MaxEntries: min(limit, r.maxEntries)}
+	result, err := r.log.Read(ctx, r.stream, offset, options)
+	if err != nil {
+		return result, oops.With("stream", r.stream, "offset", offset).Wrapf(err, "read")
+	}
+	r.entries += uint64(len(result.Entries))
+	r.bytes += payloadBytes(result.Entries)
+	return result, nil
+}
+
+// payloadBytes adds up the payloads of entries.
+func payloadBytes(entries []platform.Entry) uint64 {
+	total := 0
+	for _, entry := range entries {
+		total += len(entry.Payload)
+	}
+	return uint64(total)
+}
--- /dev/null
+++ b/internal/shard/recovery.go
@@ -0,0 +1,113 @@
+package shard
+
+import (
+	"context"
+	"errors"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+// recovery builds the replica of a stream from its newest usable snapshot and the entries after it.
+type recovery struct {
+	log      platform.Log
+	stream   string
+	newState func(stream string) (State, error)
+	settings Settings
+	counters *Counters
+	logger   *log.Logger
+}
+
+// run reads the stream up to the tail that it had some time after the call.
+func (r *recovery) run(ctx context.Context) (*replica, error) {
+	main := &reader{log: r.log, stream: r.stream, maxEntries: r.settings.ReadEntries}
+	snapshots := &reader{log: r.log, stream: SnapshotStream(r.stream), maxEntries: r.settings.ReadEntries}
+	defer r.count(main, snapshots)
+	restored, err := r.newestSnapshot(ctx, snapshots)
+	if err != nil {
+		return nil, err
+	}
+	if restored != nil {
+		err = restored.catchUp(ctx, main)
+		if !errors.Is(err, errShortLog) {
+			return restored, err
+		}
+		r.skip(err)
+	}
+	empty, err := r.emptyReplica()
+	if err != nil {
+		return nil, err
+	}
+	return empty, empty.catchUp(ctx, main)
+}
+
+// newestSnapshot searches the snapshot stream from its end; nil when it holds no usable snapshot within the bounds.
+func (r *recovery) newestSnapshot(ctx context.Context, source *reader) (*replica, error) {
+	end, err := source.tail(ctx)
+	if err != nil {
+		return nil, err
+	}
+	search := &snapshotSearch{partial: make(map[snapshotKey]*partialSnapshot)}
+	bad := 0
+	for searched := 0; end > 0 && searched < maxSnapshotWindow; {
+		window := int(min(int64(search.wanted()), end, int64(source.maxEntries)))
+		result, err := source.read(ctx, end-int64(window), window)
+		if err != nil {
+			return nil, err
+		}
+		for i := len(result.Entries) - 1; i >= 0; i-- {
+			restored := r.tryEntry(search, result.Entries[i].Payload, &bad)
+			if restored != nil {
+				return restored, nil
+			}
+		}
+		if bad >= maxBadSnapshots {
+			return nil, nil
+		}
+		end -= int64(window)
+		searched += window
+	}
+	return nil, nil
+}
+
+// tryEntry adds one entry to the search and returns the replica of the snapshot that it completes, if that is usable.
+func (r *recovery) tryEntry(search *snapshotSearch, payload []byte, bad *int) *replica {
+	complete := search.add(payload)
+	if complete == nil {
+		return nil
+	}
+	state, err := r.newState(r.stream)
+	if err != nil {
+		r.skip(err)
+		return nil
+	}
+	restored, err := decodeSnapshot(complete, state)
+	if err != nil {
+		*bad++
+		r.skip(err)
+		return nil
+	}
+	return restored
+}
+
+func (r *recovery) emptyReplica() (*replica, error) {
+	state, err := r.newState(r.stream)
+	if err != nil {
+		return nil, err
+	}
+	return &replica{state: state}, nil
+}
+
+// skip counts and logs a snapshot that cannot be used.
+func (r *recovery) skip(cause error) {
+	r.counters.SnapshotsSkipped.Add(1)
+	r.logger.Warn("snapshot skipped", "stream", r.stream, "error", cause)
+}
+
+func (r *recovery) count(sources ...*reader) {
+	for _, source := range sources {
+		r.counters.OpenEntries.Add(source.entries)
+		r.counters.OpenBytes.Add(source.bytes)
+	}
+}
