Add the step ledger

Cause: samples of training workloads need one owner that commits and delivers them exactly once. Change: pure fold of a shard's records, volatile sessions, submit, publish, pull, report, complete, score, fetch by cursor.

--- /dev/null
+++ b/internal/stepledger/fake_test.go
@@ -0,0 +1,198 @@
+package stepledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/shard"
+)
+
+// memoryLog is a set of streams in memory with at most one owner each.
+type memoryLog struct {
+	mutex   sync.Mutex
+	streams map[string]*memoryStream
+	// beforeRecord is called before each record is written; false stops the owner there.
+	beforeRecord func() bool
+	// afterRecord is called after each record is written; false stops the owner there.
+	afterRecord func() bool
+}
+
+type memoryStream struct {
+	records []shard.Record
+	epoch   uint64
+	owner   *memoryOwner
+}
+
+// memoryOpener opens the streams of a log for one process; once dead, it opens none.
+type memoryOpener struct {
+	log    *memoryLog
+	dead   bool
+	opened map[string]*memoryOwner
+}
+
+type memoryOwner struct {
+	log    *memoryLog
+	stream *memoryStream
+	state  shard.State
+	epoch  uint64
+	done   chan struct{}
+	gone   bool
+	// slow delays each write and proof.
+	slow time.Duration
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{streams: make(map[string]*memoryStream)}
+}
+
+func (l *memoryLog) opener() *memoryOpener {
+	return &memoryOpener{log: l, opened: make(map[string]*memoryOwner)}
+}
+
+func (o *memoryOpener) Open(_ context.Context, name string) (shard.Owner, error) {
+	o.log.mutex.Lock()
+	defer o.log.mutex.Unlock()
+	if owner := o.opened[name]; owner != nil && !owner.gone {
+		return owner, nil
+	}
+	if o.dead {
+		return nil, &peer.Error{Code: peer.CodeNotOwner, Message: "dead"}
+	}
+	stream := o.log.streams[name]
+	if stream == nil {
+		stream = &memoryStream{}
+		o.log.streams[name] = stream
+	}
+	if stream.owner != nil {
+		stream.owner.stop()
+	}
+	stream.epoch++
+	owner := &memoryOwner{log: o.log, stream: stream, state: NewState(), epoch: stream.epoch, done: make(chan struct{})}
+	for _, record := range stream.records {
+		owner.state.Apply(record)
+	}
+	stream.owner = owner
+	o.opened[name] = owner
+	return owner, nil
+}
+
+// die stops every owner of this process. Views still show what they held.
+func (o *memoryOpener) die() {
+	o.log.mutex.Lock()
+	defer o.log.mutex.Unlock()
+	o.dead = true
+	for _, owner := range o.opened {
+		owner.stop()
+	}
+}
+
+func (o *memoryOwner) stop() {
+	if !o.gone {
+		o.gone = true
+		close(o.done)
+	}
+}
+
+func (o *memoryOwner) Append(_ context.Context, proposals ...shard.Proposal) ([]any, error) {
+	time.Sleep(o.slow)
+	o.log.mutex.Lock()
+	defer o.log.mutex.Unlock()
+	var outcomes []any
+	for _, proposal := range proposals {
+		if o.gone {
+			return nil, shard.ErrNotOwner
+		}
+		if o.log.beforeRecord != nil && !o.log.beforeRecord() {
+			o.stop()
+			return nil, shard.ErrUncertain
+		}
+		record := shard.Record{Offset: int64(len(o.stream.records)), Epoch: o.epoch, Kind: proposal.Kind, Body: proposal.Body}
+		o.stream.records = append(o.stream.records, record)
+		outcomes = append(outcomes, o.state.Apply(record))
+		if o.log.afterRecord != nil && !o.log.afterRecord() {
+			o.stop()
+			return nil, shard.ErrUncertain
+		}
+	}
+	return outcomes, nil
+}
+
+func (o *memoryOwner) View(read func(shard.State)) {
+	o.log.mutex.Lock()
+	defer o.log.mutex.Unlock()
+	read(o.state)
+}
+
+func (o *memoryOwner) Confirm(context.Context) error {
+	time.Sleep(o.slow)
+	o.log.mutex.Lock()
+	defer o.log.mutex.Unlock()
+	if o.gone {
+		return shard.ErrNotOwner
+	}
+	return nil
+}
+
+func (o *memoryOwner) Epoch() uint64                 { return o.epoch }
+func (o *memoryOwner) Done() <-chan struct{}         { return o.done }
+func (o *memoryOwner) Release(context.Context) error { return nil }
+
+// memoryBundles holds the bundle in force. Confirm shows confirmed where it is set, as when the node lags behind the log.
+type memoryBundles struct {
+	mutex     sync.Mutex
+	current   *bundle.Accepted
+	confirmed *bundle.Accepted
+	changed   chan struct{}
+}
+
+func newBundles(workload bundle.Workload) *memoryBundles {
+	return &memoryBundles{current: acceptedWith(1, workload), changed: make(chan struct{})}
+}
+
+func acceptedWith(version uint64, workload bundle.Workload) *bundle.Accepted {
+	return &bundle.Accepted{Bundle: bundle.Bundle{Version: version, Workloads: []bundle.Workload{workload}}}
+}
+
+func (b *memoryBundles) Current() *bundle.Accepted {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.current
+}
+
+func (b *memoryBundles) Changed() <-chan struct{} { return b.changed }
+
+func (b *memoryBundles) Confirm(context.Context) (*bundle.Accepted, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.confirmed != nil {
+		return b.confirmed, nil
+	}
+	return b.current, nil
+}
+
+// lengthScorer rewards an answer by its length.
+type lengthScorer struct{ failures int }
+
+func (s *lengthScorer) Score(_ context.Context, _, sampleID string, _, tokens []uint32) (platform.Score, error) {
+	if s.failures > 0 {
+		s.failures--
+		return platform.Score{}, fmt.Errorf("scorer is down")
+	}
+	return platform.Score{SampleID: sampleID, Reward: float64(len(tokens))}, nil
+}
+
+// testWorkload is a workload with a bound of one version and a minute.
+func testWorkload() bundle.Workload {
+	return bundle.Workload{
+		Name:      "drafter",
+		Kind:      bundle.Training,
+		Model:     "draft",
+		Staleness: &bundle.Staleness{MaxVersionsBehind: 1, MaxAge: bundle.Duration(time.Minute)},
+		Limits:    bundle.Limits{MaxPromptTokens: 16, MaxTokens: 64, MaxStepSamples: 32},
+	}
+}
--- /dev/null
+++ b/internal/stepledger/handover.go
@@ -0,0 +1,215 @@
+package stepledger
+
+import (
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/shard"
+)
+
+const (
+	// defaultFetch and maxFetch are the samples of one answer when the trainer names no number, and at most.
+	defaultFetch = 64
+	maxFetch     = 512
+	// maxFetchTokens bounds the tokens of one answer; a single longer sample still goes out.
+	maxFetchTokens = 1 << 18
+)
+
+// fetchLimit is how many samples a fetch may get.
+func fetchLimit(maxSamples int) int {
+	if maxSamples <= 0 {
+		return defaultFetch
+	}
+	return min(maxSamples, maxFetch)
+}
+
+// fetchPlan is what a fetch writes to the log before anything is handed over.
+type fetchPlan struct {
+	proposals []shard.Proposal
+	// version is the trainer's version where the shard did not know it, otherwise 0.
+	version uint64
+	// replaced says that samples need new attempts.
+	replaced bool
+}
+
+// planFetch decides what to write. It reads the state only. A request that will be refused writes nothing.
+func planFetch(state *State, request *peerapi.FetchSamples, workload *bundle.Workload, now time.Time) fetchPlan {
+	var plan fetchPlan
+	step := state.step(request.Step)
+	if step == nil || cursorRefusal(step, request.Cursor) != nil {
+		return plan
+	}
+	if request.TrainerVersion > state.Latest() {
+		plan.version = request.TrainerVersion
+		plan.add(KindVersionPublished, &VersionPublished{Version: request.TrainerVersion})
+	}
+	if request.Cursor > step.Cursor {
+		plan.add(KindCursorAdvanced, &CursorAdvanced{Step: step.Step, Cursor: request.Cursor})
+	}
+	if request.Cursor == len(step.Samples) {
+		plan.add(KindStepRetired, &StepRetired{Step: step.Step})
+		return plan
+	}
+	limits := boundsOf(workload, max(state.Latest(), request.TrainerVersion))
+	plan.replaceOverBound(step, step.Positions[request.Cursor:], limits, now)
+	plan.replaceOverBound(step, step.Ready, limits, now)
+	plan.assignReady(step, request, workload, limits, now)
+	return plan
+}
+
+// add appends a record to the plan.
+func (p *fetchPlan) add(kind uint8, record interface {
+	MarshalMsg([]byte) ([]byte, error)
+}) {
+	p.proposals = append(p.proposals, proposal(kind, record))
+}
+
+// replaceOverBound drops the answers among samples that may no longer be handed over.
+func (p *fetchPlan) replaceOverBound(step *StepImage, samples []int, limits bounds, now time.Time) {
+	for _, index := range samples {
+		sample := &step.Samples[index]
+		if !sample.Complete || limits.accepts(sample, now) {
+			continue
+		}
+		p.replaced = true
+		p.add(KindSampleReplaced, &SampleReplaced{Step: step.Step, Index: index, Attempt: sample.Attempt})
+	}
+}
+
+// assignReady gives the next positions to answers in order of completion, as far as the fetch has room. A position that
+// waits for its answer holds back those after it.
+func (p *fetchPlan) assignReady(
+	step *StepImage,
+	request *peerapi.FetchSamples,
+	workload *bundle.Workload,
+	limits bounds,
+	now time.Time,
+) {
+	for _, index := range step.Positions[request.Cursor:] {
+		if !deliverable(&step.Samples[index], workload, limits, now) {
+			return
+		}
+	}
+	room := fetchLimit(request.MaxSamples) - (len(step.Positions) - request.Cursor)
+	record := &PositionsAssigned{Step: step.Step, First: len(step.Positions)}
+	for _, index := range step.Ready {
+		if len(record.Samples) >= room {
+			break
+		}
+		sample := &step.Samples[index]
+		if deliverable(sample, workload, limits, now) {
+			record.Samples = append(record.Samples, AttemptAt{Index: index, Attempt: sample.Attempt})
+		}
+	}
+	if len(record.Samples) > 0 {
+		p.add(KindPositionsAssigned, record)
+	}
+}
+
+// deliverable reports whether a sample holds an answer in bound, scored where the workload names a scorer.
+func deliverable(sample *SampleImage, workload *bundle.Workload, limits bounds, now time.Time) bool {
+	if !sample.Complete || (workload.Scorer != "" && !sample.Scored) {
+		return false
+	}
+	return limits.accepts(sample, now)
+}
+
+// cursorRefusal refuses a cursor that the trainer cannot have.
+func cursorRefusal(step *StepImage, cursor int) error {
+	if cursor < step.Cursor {
+		return refuse(peer.CodeInvalid, "cursor is below one acknowledged earlier")
+	}
+	if cursor > len(step.Positions) {
+		return refuse(peer.CodeInvalid, "cursor is above what was handed out")
+	}
+	return nil
+}
+
+// retiredRefusal refuses a cursor into a finished step; nil when the trainer holds all of it.
+func retiredRefusal(step *RetiredStep, cursor int) error {
+	switch {
+	case cursor == step.Samples:
+		return nil
+	case cursor >= step.Acknowledged && cursor < step.Samples:
+		return refuse(peer.CodeConflict, "step was dropped with its last samples unacknowledged, long after they were handed over")
+	default:
+		return refuse(peer.CodeInvalid, "cursor is not the end of a finished step")
+	}
+}
+
+// handover is what may be handed over now.
+type handover struct {
+	refusal error
+	found   bool
+	samples []peerapi.DeliveredSample
+	// complete says that the step ends with these samples.
+	complete bool
+	// overBound says that an assigned answer is over the bound and must be replaced.
+	overBound bool
+}
+
+// collect takes the samples from the cursor on that may be handed over now. It only reads the state.
+func collect(state *State, request *peerapi.FetchSamples, workload *bundle.Workload, now time.Time) handover {
+	step := state.step(request.Step)
+	if step == nil {
+		old := state.retired(request.Step)
+		if old == nil {
+			return handover{}
+		}
+		refusal := retiredRefusal(old, request.Cursor)
+		return handover{refusal: refusal, found: true, complete: refusal == nil}
+	}
+	if refusal := cursorRefusal(step, request.Cursor); refusal != nil {
+		return handover{refusal: refusal}
+	}
+	result := handover{found: true}
+	limits := boundsOf(workload, max(state.Latest(), request.TrainerVersion))
+	tokens := 0
+	for position := request.Cursor; position < len(step.Positions); position++ {
+		sample := &step.Samples[step.Positions[position]]
+		if !deliverable(sample, workload, limits, now) {
+			result.overBound = sample.Complete && !limits.accepts(sample, now)
+			break
+		}
+		full := len(result.samples) == fetchLimit(request.MaxSamples) || tokens+sample.Tokens > maxFetchTokens
+		if full && len(result.samples) > 0 {
+			break
+		}
+		tokens += sample.Tokens
+		result.samples = append(result.samples, delivery(step, position, sample))
+	}
+	result.complete = request.Cursor+len(result.samples) == len(step.Samples)
+	return result
+}
+
+// delivery builds the message of one sample.
+func delivery(step *StepImage, position int, sample *SampleImage) peerapi.DeliveredSample {
+	tokens, err := unpackTokens(sample.Payload)
+	if err != nil {
+		panic("step ledger payload does not decode: " + err.Error())
+	}
+	index := step.Positions[position]
+	return peerapi.DeliveredSample{
+		Index:               index,
+		Position:            position,
+		PromptIndex:         step.promptOf(index),
+		Attempt:             sample.Attempt,
+		Tokens:              tokens,
+		Spans:               messageSpans(sample.Spans),
+		Reward:              sample.Reward,
+		Scored:              sample.Scored,
+		CompletedUnixMillis: sample.CompletedUnixMillis,
+	}
+}
+
+// answer builds the answer to the fetch.
+func (h handover) answer(request *peerapi.FetchSamples, accepted *bundle.Accepted) *peerapi.FetchSamplesResult {
+	return &peerapi.FetchSamplesResult{
+		Samples:       h.samples,
+		NextCursor:    request.Cursor + len(h.samples),
+		StepComplete:  h.complete,
+		BundleVersion: accepted.Bundle.Version,
+	}
+}
--- /dev/null
+++ b/internal/stepledger/pull.go
@@ -0,0 +1,215 @@
+package stepledger
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/stepledger/assign"
+)
+
+// maxAssignments bounds the samples given in one answer.
+const maxAssignments = 256
+
+// PullWork gives samples to an engine. Without work for it, the answer is held until there is some, until a version newer
+// than KnownLatest is published, or until WaitMillis are over. FreeSlots 0 waits in the same way and takes nothing.
+func (s *Service) PullWork(ctx context.Context, request *peerapi.PullWork) (*peerapi.PullWorkResult, error) {
+	if _, err := s.workload(request.Workload); err != nil {
+		return nil, err
+	}
+	current, err := s.open(ctx, request.Workload, request.Shard)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(waitTime(request.WaitMillis))
+	defer timer.Stop()
+	for {
+		changed := current.work.changed()
+		bundleChanged := s.config.Bundles.Changed()
+		workload, err := s.workload(request.Workload)
+		if err != nil {
+			return nil, err
+		}
+		result := current.pull(request, workload, time.Now())
+		if answersPull(request, result) {
+			return result, nil
+		}
+		again, err := current.wait(ctx, timer, changed, bundleChanged)
+		if err != nil {
+			return nil, err
+		}
+		if !again {
+			return result, nil
+		}
+	}
+}
+
+// answersPull reports whether a result is worth answering before the wait is over.
+func answersPull(request *peerapi.PullWork, result *peerapi.PullWorkResult) bool {
+	if len(result.Assignments) > 0 || result.Latest > request.KnownLatest {
+		return true
+	}
+	return request.FreeSlots <= 0 && result.Backlog > 0
+}
+
+// pull takes samples for an engine, if there are any for it now.
+func (c *session) pull(request *peerapi.PullWork, workload *bundle.Workload, now time.Time) *peerapi.PullWorkResult {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	result := &peerapi.PullWorkResult{}
+	c.view(func(state *State) {
+		result.Latest = state.Latest()
+		if c.draining {
+			return
+		}
+		limits := boundsOf(workload, state.Latest())
+		snapshot := c.snapshot(state, workload, limits, now)
+		snapshot.ServedVersion = request.ServedVersion
+		snapshot.FreeSlots = min(request.FreeSlots, maxAssignments)
+		for _, choice := range assign.Decide(snapshot) {
+			assignment := c.give(state.step(choice.Step), choice.Index, request, workload, limits, now)
+			result.Assignments = append(result.Assignments, assignment)
+		}
+		result.Backlog = backlog(snapshot) - len(result.Assignments)
+	})
+	return result
+}
+
+// snapshot collects what the assignment decision depends on, the engine aside. The caller holds the mutex and the view.
+func (c *session) snapshot(state *State, workload *bundle.Workload, limits bounds, now time.Time) assign.Snapshot {
+	snapshot := assign.Snapshot{
+		Latest:      state.Latest(),
+		MinVersion:  limits.minVersion,
+		MaxVersion:  limits.maxVersion,
+		InFlight:    len(c.running),
+		MaxInFlight: shardInFlight(workload.Limits.MaxInFlight),
+	}
+	if workload.Staleness != nil {
+		snapshot.Bounded = true
+		snapshot.MaxVersionsBehind = workload.Staleness.MaxVersionsBehind
+	}
+	ahead := 0
+	trainerAt := trainerStep(state)
+	for _, step := range state.image.Steps {
+		if step.Completed < len(step.Samples) {
+			candidates := c.candidates(step, now)
+			snapshot.Steps = append(snapshot.Steps, assign.Step{Number: step.Step, Ahead: ahead, Candidates: candidates})
+		}
+		if step.Step >= trainerAt && !step.handedOver() {
+			ahead += ShardsPerWorkload
+		}
+	}
+	return snapshot
+}
+
+// shardInFlight is one shard's part of a workload's bound on samples running; 0 is no bound.
+func shardInFlight(maxInFlight int) int {
+	if maxInFlight <= 0 {
+		return 0
+	}
+	return max(maxInFlight/ShardsPerWorkload, 1)
+}
+
+// trainerStep is the newest step that the trainer has been given samples of; older steps do not hold it back.
+func trainerStep(state *State) uint64 {
+	for i := len(state.image.Steps) - 1; i >= 0; i-- {
+		if step := state.image.Steps[i]; len(step.Positions) > 0 {
+			return step.Step
+		}
+	}
+	return 0
+}
+
+// candidates lists the assignable samples of a step with their predicted lengths.
+func (c *session) candidates(step *StepImage, now time.Time) []assign.Candidate {
+	var candidates []assign.Candidate
+	mean := c.history.Mean()
+	for first := 0; first < len(step.Samples); first += step.SamplesPerPrompt {
+		predicted := -1
+		for index := first; index < first+step.SamplesPerPrompt; index++ {
+			if !step.waiting(index) || !c.assignable(sampleKey{step: step.Step, index: index}, now) {
+				continue
+			}
+			if predicted < 0 {
+				predicted = assign.Predict(c.siblings(step, first), mean, step.MaxTokens)
+			}
+			candidates = append(candidates, assign.Candidate{Index: index, Predicted: predicted})
+		}
+	}
+	return candidates
+}
+
+// siblings collects what is known of the samples of the prompt whose first sample is first.
+func (c *session) siblings(step *StepImage, first int) assign.Siblings {
+	var known assign.Siblings
+	for index := first; index < first+step.SamplesPerPrompt; index++ {
+		if sample := &step.Samples[index]; sample.Complete && sample.Tokens > 0 {
+			known.Finished++
+			known.Tokens += sample.Tokens
+		}
+		if current := c.running[sampleKey{step: step.Step, index: index}]; current != nil {
+			known.LongestRunning = max(known.LongestRunning, current.tokens)
+		}
+	}
+	return known
+}
+
+// backlog counts the samples that wait.
+func backlog(snapshot assign.Snapshot) int {
+	count := 0
+	for _, step := range snapshot.Steps {
+		count += len(step.Candidates)
+	}
+	return count
+}
+
+// give starts an attempt for an engine. The caller holds the mutex and the view.
+func (c *session) give(
+	step *StepImage,
+	index int,
+	request *peerapi.PullWork,
+	workload *bundle.Workload,
+	limits bounds,
+	now time.Time,
+) peerapi.Assignment {
+	key := sampleKey{step: step.Step, index: index}
+	first := step.promptOf(index) * step.SamplesPerPrompt
+	prompt, err := unpackTokens(step.Prompts[step.promptOf(index)])
+	if err != nil {
+		panic("step ledger prompt does not decode: " + err.Error())
+	}
+	assignment := peerapi.Assignment{
+		Workload:        request.Workload,
+		Step:            step.Step,
+		Index:           index,
+		Model:           workload.Model,
+		Prompt:          prompt,
+		MaxTokens:       step.MaxTokens,
+		Seed:            sampleSeed(request.Workload, key),
+		PredictedTokens: assign.Predict(c.siblings(step, first), c.history.Mean(), step.MaxTokens),
+		MinVersion:      limits.minVersion,
+	}
+	oldest := request.ServedVersion
+	if rest := c.partials[key]; len(rest.tokens) > 0 && limits.acceptsSpans(rest.spans) {
+		assignment.Resume = rest.tokens
+		assignment.ResumeSpans = messageSpans(rest.spans)
+		oldest = min(oldest, oldestVersion(rest.spans))
+	}
+	assignment.Attempt = c.start(key, request.Engine, oldest, now)
+	return assignment
+}
+
+// sampleSeed is the seed of a sample, the same for each of its attempts.
+func sampleSeed(workload string, key sampleKey) uint64 {
+	hash := xxhash.New()
+	var numbers [16]byte
+	binary.BigEndian.PutUint64(numbers[:8], key.step)
+	binary.BigEndian.PutUint64(numbers[8:], uint64(key.index))
+	_, _ = hash.WriteString(workload)
+	_, _ = hash.Write(numbers[:])
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/stepledger/score.go
@@ -0,0 +1,176 @@
+package stepledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+const (
+	// maxScoring bounds the calls to the scorer that run at once for one shard.
+	maxScoring = 16
+	// scoreTimeout bounds one call to the scorer.
+	scoreTimeout = 10 * time.Second
+	// maxScoreInterval bounds the time between two tries.
+	maxScoreInterval = 5 * time.Second
+)
+
+// sampleID is the name under which a sample is scored.
+func sampleID(key sampleKey) string {
+	return fmt.Sprintf("%d/%d", key.step, key.index)
+}
+
+// scoreJob is one answer to be scored.
+type scoreJob struct {
+	key     sampleKey
+	attempt uint32
+	prompt  []byte
+	payload []byte
+}
+
+// score has the answers of the shard scored until the context ends, and waits for the calls that run.
+func (c *session) score(ctx context.Context) {
+	if c.service.config.Scorer == nil {
+		return
+	}
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		bundleChanged := c.service.config.Bundles.Changed()
+		for _, job := range c.scoreJobs() {
+			calls.Go(func() { c.scoreOne(ctx, job) })
+		}
+		select {
+		case <-c.unscored:
+		case <-bundleChanged:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// scoreJobs picks answers to score, as many as may run, and marks them.
+func (c *session) scoreJobs() []scoreJob {
+	workload, err := c.service.workload(c.workload)
+	if err != nil || workload.Scorer == "" {
+		return nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var jobs []scoreJob
+	c.view(func(state *State) {
+		for _, step := range state.image.Steps {
+			jobs = c.stepJobs(jobs, step)
+		}
+	})
+	return jobs
+}
+
+// stepJobs adds the unscored answers of a step to jobs. The caller holds the mutex and the view.
+func (c *session) stepJobs(jobs []scoreJob, step *StepImage) []scoreJob {
+	if step.Cursor == len(step.Samples) {
+		return jobs
+	}
+	for index := range step.Samples {
+		if len(c.scoring) >= maxScoring {
+			return jobs
+		}
+		sample := &step.Samples[index]
+		key := sampleKey{step: step.Step, index: index}
+		if !sample.Complete || sample.Scored || step.delivered(index) || c.scoring[key] {
+			continue
+		}
+		c.scoring[key] = true
+		jobs = append(jobs, scoreJob{
+			key:     key,
+			attempt: sample.Attempt,
+			prompt:  step.Prompts[step.promptOf(index)],
+			payload: sample.Payload,
+		})
+	}
+	return jobs
+}
+
+// scoreOne scores one answer and records the reward, retrying until it is recorded or of no more use.
+func (c *session) scoreOne(ctx context.Context, job scoreJob) {
+	policy := backoff.NewExponentialBackOff()
+	policy.MaxInterval = maxScoreInterval
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		return struct{}{}, c.tryScore(ctx, job)
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	if err != nil && ctx.Err() == nil {
+		c.service.logger.Warn("sample is not scored", "workload", c.workload, "sample", sampleID(job.key), "err", err)
+	}
+	c.mutex.Lock()
+	delete(c.scoring, job.key)
+	c.mutex.Unlock()
+	select {
+	case c.unscored <- struct{}{}:
+	default:
+	}
+}
+
+// tryScore makes one try.
+func (c *session) tryScore(ctx context.Context, job scoreJob) error {
+	workload, err := c.service.workload(c.workload)
+	if err != nil || !c.needsScore(workload, job) {
+		return nil
+	}
+	prompt, err := unpackTokens(job.prompt)
+	if err != nil {
+		return backoff.Permanent(err)
+	}
+	tokens, err := unpackTokens(job.payload)
+	if err != nil {
+		return backoff.Permanent(err)
+	}
+	score, err := c.callScorer(ctx, workload.Scorer, job.key, prompt, tokens)
+	if err != nil {
+		return err
+	}
+	c.service.reach("score.before_append")
+	record := &SampleScored{Step: job.key.step, Index: job.key.index, Attempt: job.attempt, Reward: score.Reward}
+	if _, err := c.append(ctx, proposal(KindSampleScored, record)); err != nil {
+		return err
+	}
+	c.service.reach("score.after_append")
+	c.ready.raise()
+	return nil
+}
+
+// callScorer asks the scorer once. A score for another sample is an error.
+func (c *session) callScorer(ctx context.Context, scorer string, key sampleKey, prompt, tokens []uint32) (platform.Score, error) {
+	ctx, cancel := context.WithTimeout(ctx, scoreTimeout)
+	defer cancel()
+	id := sampleID(key)
+	score, err := c.service.config.Scorer.Score(ctx, scorer, id, prompt, tokens)
+	if err != nil {
+		return platform.Score{}, err
+	}
+	if score.SampleID != id {
+		return platform.Score{}, fmt.Errorf("scorer answered for %q, asked for %q", score.SampleID, id)
+	}
+	return score, nil
+}
+
+// needsScore reports whether the job's answer is still there without a score.
+func (c *session) needsScore(workload *bundle.Workload, job scoreJob) bool {
+	if workload.Scorer == "" {
+		return false
+	}
+	needed := false
+	c.view(func(state *State) {
+		step, sample := state.sample(job.key.step, job.key.index)
+		if sample == nil {
+			return
+		}
+		needed = sample.Complete && !sample.Scored && sample.Attempt == job.attempt && !step.delivered(job.key.index)
+	})
+	return needed
+}
--- /dev/null
+++ b/internal/stepledger/tokens.go
@@ -0,0 +1,56 @@
+package stepledger
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// errTokens says that a packed token sequence is malformed.
+var errTokens = errors.New("packed tokens are malformed")
+
+// packTokens encodes tokens as unsigned varints: 3 bytes for a token of a vocabulary of up to 2 million.
+func packTokens(tokens []uint32) []byte {
+	packed := make([]byte, 0, 3*len(tokens))
+	for _, token := range tokens {
+		packed = binary.AppendUvarint(packed, uint64(token))
+	}
+	return packed
+}
+
+// unpackTokens is the inverse of packTokens.
+func unpackTokens(packed []byte) ([]uint32, error) {
+	tokens := make([]uint32, 0, countTokens(packed))
+	for len(packed) > 0 {
+		token, size := binary.Uvarint(packed)
+		if size <= 0 || token > math.MaxUint32 {
+			return nil, errTokens
+		}
+		tokens = append(tokens, uint32(token))
+		packed = packed[size:]
+	}
+	return tokens, nil
+}
+
+// countTokens counts the tokens of a well-formed packed sequence.
+func countTokens(packed []byte) int {
+	count := 0
+	for _, b := range packed {
+		if b < 0x80 {
+			count++
+		}
+	}
+	return count
+}
+
+// validTokens reports whether packed decodes.
+func validTokens(packed []byte) bool {
+	for len(packed) > 0 {
+		token, size := binary.Uvarint(packed)
+		if size <= 0 || token > math.MaxUint32 {
+			return false
+		}
+		packed = packed[size:]
+	}
+	return true
+}
