Run unsafe requests at most once and meet callers over Connect

Cause: the whole path needs a gateway and an owner of unsafe requests. Change: internal/requestledger (Start, Finish, Cancel by ask; fold, owner, resolve), internal/answer (an answer without gap out of events), internal/gateway (samples, requests, administration; limits, retry budget, drain). Conclusion: owner death at each failpoint is tabled for the ledger; the gateway has no tests yet, they follow.

--- /dev/null
+++ b/internal/gateway/engine_router.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+const (
+	// hintSlots is the number of slots that a load, told as a ratio, is scaled to.
+	hintSlots = 8
+	// hintHalfLife is the time in which a load hint loses half of its weight.
+	hintHalfLife = 2 * time.Second
+	// failurePenalty is the load taken for an engine just after an attempt on it broke.
+	failurePenalty = 4.0
+	// enginePrefix starts the key of an engine's owner.
+	enginePrefix = "engines/"
+)
+
+// Picker chooses an engine; it is pure.
+type Picker interface {
+	Pick(snapshot policy.Snapshot, request policy.Request) (engine string, ok bool)
+}
+
+// PolicyPicker chooses by policy.PickEngine.
+type PolicyPicker struct{}
+
+// Pick chooses an engine; false where no engine may run the request.
+func (PolicyPicker) Pick(snapshot policy.Snapshot, request policy.Request) (string, bool) {
+	return policy.PickEngine(snapshot, request)
+}
+
+// EngineRouter chooses engines for requests and opens streams to their owners. It learns loads from the events that pass.
+type EngineRouter struct {
+	self    placement.Member
+	owners  OwnerCaller
+	engines EngineDirectory
+	bundles bundle.Source
+	picker  Picker
+	hints   *loadHints
+}
+
+func newEngineRouter(config Config) *EngineRouter {
+	return &EngineRouter{
+		self:    config.Self,
+		owners:  config.Owners,
+		engines: config.Engines,
+		bundles: config.Bundles,
+		picker:  config.Picker,
+		hints:   newLoadHints(),
+	}
+}
+
+// pick chooses an engine that is not excluded.
+func (r *EngineRouter) pick(workload *bundle.Workload, prompt []uint32, excluded []string) (platform.Machine, bool) {
+	machines := make(map[string]platform.Machine)
+	snapshot := policy.Snapshot{Zone: r.self.Zone, Region: r.self.Region}
+	now := time.Now()
+	for _, pool := range workload.Pools {
+		for _, machine := range r.engines.Engines(pool) {
+			machines[machine.ID] = machine
+			snapshot.Engines = append(snapshot.Engines, policy.EngineState{
+				ID:       machine.ID,
+				Pool:     machine.Pool,
+				Zone:     machine.Zone,
+				Region:   machine.Region,
+				InFlight: int(math.Round(r.hints.load(machine.ID, now) * hintSlots)),
+				Slots:    hintSlots,
+				Leaving:  machine.State == platform.MachineLeaving,
+			})
+		}
+	}
+	engine, ok := r.picker.Pick(snapshot, policy.Request{
+		Model:      workload.Model,
+		Versions:   policy.VersionBounds{Min: workload.MinVersion, Max: workload.MaxVersion},
+		Pools:      workload.Pools,
+		PrefixHash: policy.PrefixHash(prompt),
+		Exclude:    excluded,
+	})
+	return machines[engine], ok
+}
+
+// open sends the request to the owner of the engine. The stream must be closed.
+func (r *EngineRouter) open(
+	ctx context.Context, engine platform.Machine, request *peerapi.Execute,
+) (peer.ClientStream, error) {
+	request.Engine = engine.ID
+	near := placement.Preference{Zone: engine.Zone, Region: engine.Region}
+	stream, err := r.owners.StreamOwner(ctx, enginePrefix+engine.ID, near, peerapi.MethodExecute, request)
+	if err != nil {
+		return nil, err
+	}
+	r.hints.sent(engine.ID)
+	return &countedStream{ClientStream: stream, done: func() { r.hints.ended(engine.ID) }}, nil
+}
+
+// Dispatch fills requestledger.Dispatcher.
+func (r *EngineRouter) Dispatch(
+	ctx context.Context, request peerapi.Execute, excluded []string,
+) (engine string, stream peer.ClientStream, err error) {
+	accepted := r.bundles.Current()
+	if accepted == nil {
+		return "", nil, &peer.Error{Code: peer.CodeNotReady, Message: "no bundle is in force", RetryAfter: notReadyRetryAfter}
+	}
+	workload := accepted.Bundle.Workload(request.Workload)
+	if workload == nil {
+		return "", nil, &peer.Error{Code: peer.CodeNotFound, Message: "no such workload"}
+	}
+	machine, ok := r.pick(workload, request.Prompt, excluded)
+	if !ok {
+		return "", nil, &peer.Error{Code: peer.CodeNotReady, Message: noEngine, RetryAfter: notReadyRetryAfter}
+	}
+	stream, err = r.open(ctx, machine, &request)
+	return machine.ID, stream, err
+}
+
+// countedStream counts a stream as ended once it is closed.
+type countedStream struct {
+	peer.ClientStream
+	once sync.Once
+	done func()
+}
+
+// Close closes the stream.
+func (s *countedStream) Close() error {
+	s.once.Do(s.done)
+	return s.ClientStream.Close()
+}
--- /dev/null
+++ b/internal/gateway/page.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+
+	v1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
+)
+
+const (
+	defaultPageSize = 100
+	maxPageSize     = 1000
+)
+
+func pageSize(page *v1.Page) (int, error) {
+	size := int(page.GetSize())
+	if size < 0 || size > maxPageSize {
+		return 0, invalidArgument(fmt.Sprintf("page size is %d; allowed are 0 to %d", size, maxPageSize))
+	}
+	if size == 0 {
+		return defaultPageSize, nil
+	}
+	return size, nil
+}
+
+// numberToken reads a page token that is a position; an empty one is 0.
+func numberToken(token string) (int64, error) {
+	if token == "" {
+		return 0, nil
+	}
+	position, err := strconv.ParseInt(token, 10, 64)
+	if err != nil || position < 0 {
+		return 0, invalidArgument("page token is not one that this API gave")
+	}
+	return position, nil
+}
+
+func formatNumberToken(position int64) string {
+	if position <= 0 {
+		return ""
+	}
+	return strconv.FormatInt(position, 10)
+}
+
+// pageAfter returns the items whose key is above the token, at most size, and the token of the next page. Items are in
+// the order of their keys, which are unique.
+func pageAfter[T any](items []T, keyOf func(T) string, token string, size int) (page []T, next string) {
+	for _, item := range items {
+		if token != "" && keyOf(item) <= token {
+			continue
+		}
+		if len(page) == size {
+			return page, keyOf(page[size-1])
+		}
+		page = append(page, item)
+	}
+	return page, ""
+}
--- /dev/null
+++ b/internal/requestledger/fake_test.go
@@ -0,0 +1,332 @@
+package requestledger
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/shard"
+)
+
+// logFault is what becomes of one append.
+type logFault uint8
+
+const (
+	logFine logFault = iota
+	// logLostAnswer appends, but says that it does not know.
+	logLostAnswer
+	// logLostRequest does not append, and says that it does not know.
+	logLostRequest
+	// logLate says that it does not know, and appends once landLate is called.
+	logLate
+)
+
+// fakeLog is one shard's stream: records in order, and the epoch that may write.
+type fakeLog struct {
+	mu      sync.Mutex
+	epoch   uint64
+	records []shard.Record
+	late    []shard.Record
+	// fault is asked for every append; nil is fine.
+	fault func(kind uint8) logFault
+}
+
+func (l *fakeLog) claim() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch++
+	return l.epoch
+}
+
+// write adds a record at the end; it needs the lock.
+func (l *fakeLog) write(record shard.Record) {
+	record.Offset = int64(len(l.records))
+	record.Sequence = uint64(len(l.records) + 1)
+	l.records = append(l.records, record)
+}
+
+// landLate appends what was held back, where its epoch still holds.
+func (l *fakeLog) landLate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, record := range l.late {
+		if record.Epoch == l.epoch {
+			l.write(record)
+		}
+	}
+	l.late = nil
+}
+
+// fakeNode is a process that opens every shard over the same log.
+type fakeNode struct {
+	log   *fakeLog
+	mu    sync.Mutex
+	owner *fakeOwner
+}
+
+func (n *fakeNode) Open(context.Context, string) (shard.Owner, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.owner == nil {
+		n.owner = &fakeOwner{log: n.log, epoch: n.log.claim(), state: NewState()}
+		n.owner.fold()
+	}
+	return n.owner, nil
+}
+
+type fakeOwner struct {
+	log   *fakeLog
+	epoch uint64
+
+	mu     sync.Mutex
+	state  *State
+	folded int
+}
+
+func (o *fakeOwner) fold() (last any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.log.mu.Lock()
+	defer o.log.mu.Unlock()
+	for ; o.folded < len(o.log.records); o.folded++ {
+		last = o.state.Apply(o.log.records[o.folded])
+	}
+	return last
+}
+
+func (o *fakeOwner) Append(_ context.Context, proposals ...shard.Proposal) ([]any, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.log.mu.Lock()
+	defer o.log.mu.Unlock()
+	if o.epoch != o.log.epoch {
+		return nil, shard.ErrNotOwner
+	}
+	var outcomes []any
+	for _, proposal := range proposals {
+		record := shard.Record{Epoch: o.epoch, Kind: proposal.Kind, Body: proposal.Body}
+		fault := logFine
+		if o.log.fault != nil {
+			fault = o.log.fault(proposal.Kind)
+		}
+		if fault == logLate {
+			o.log.late = append(o.log.late, record)
+		}
+		if fault == logLostRequest || fault == logLate {
+			return nil, shard.ErrUncertain
+		}
+		o.log.write(record)
+		if fault == logLostAnswer {
+			return nil, shard.ErrUncertain
+		}
+		for ; o.folded < len(o.log.records); o.folded++ {
+			outcome := o.state.Apply(o.log.records[o.folded])
+			if o.folded == len(o.log.records)-1 {
+				outcomes = append(outcomes, outcome)
+			}
+		}
+	}
+	return outcomes, nil
+}
+
+func (o *fakeOwner) View(read func(shard.State)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	read(o.state)
+}
+
+func (o *fakeOwner) Confirm(context.Context) error { return nil }
+func (o *fakeOwner) Epoch() uint64                 { return o.epoch }
+func (o *fakeOwner) Done() <-chan struct{}         { return nil }
+func (o *fakeOwner) Release(context.Context) error { return nil }
+
+// dispatchFault is what becomes of one dispatch.
+type dispatchFault uint8
+
+const (
+	dispatchFine dispatchFault = iota
+	// dispatchRefused is proven not to have run.
+	dispatchRefused
+	// dispatchNotSent is proven not to have run.
+	dispatchNotSent
+	// dispatchLost runs, but contact is lost.
+	dispatchLost
+	// dispatchBroken runs, and contact is lost after the first tokens.
+	dispatchBroken
+)
+
+// engineAnswer is what every engine answers.
+var engineAnswer = []uint32{7, 8, 9, 10}
+
+// fakeEngines is a Dispatcher that counts how often each run was given to an engine.
+type fakeEngines struct {
+	mu     sync.Mutex
+	starts map[string]int
+	fault  func() dispatchFault
+	// gate, if set, is received from before the last token of an answer.
+	gate chan struct{}
+}
+
+func (e *fakeEngines) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, count := range e.starts {
+		total += count
+	}
+	return total
+}
+
+func (e *fakeEngines) Dispatch(
+	ctx context.Context, request peerapi.Execute, excluded []string,
+) (string, peer.ClientStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fault := dispatchFine
+	if e.fault != nil {
+		fault = e.fault()
+	}
+	engine := string(rune('a' + len(excluded)))
+	switch fault {
+	case dispatchRefused:
+		return engine, nil, &peer.Error{Code: peer.CodeOverloaded, Message: "full"}
+	case dispatchNotSent:
+		return engine, nil, peer.ErrNotSent
+	}
+	if e.starts == nil {
+		e.starts = make(map[string]int)
+	}
+	e.starts[request.RequestID]++
+	if fault == dispatchLost {
+		return engine, nil, peer.ErrLost
+	}
+	return engine, &fakeAnswer{ctx: ctx, request: request, gate: e.gate, broken: fault == dispatchBroken}, nil
+}
+
+// fakeAnswer sends two chunks and the end.
+type fakeAnswer struct {
+	ctx     context.Context
+	request peerapi.Execute
+	gate    chan struct{}
+	broken  bool
+	sent    int
+}
+
+func (a *fakeAnswer) Receive(into peer.Message) error {
+	event := peerapi.ExecuteEvent{RequestID: a.request.RequestID, Attempt: a.request.Attempt, Version: 3}
+	a.sent++
+	switch a.sent {
+	case 1:
+		event.Accepted = true
+		event.Tokens = engineAnswer[:2]
+	case 2:
+		if a.broken {
+			return peer.ErrLost
+		}
+		if a.gate != nil {
+			select {
+			case <-a.gate:
+			case <-a.ctx.Done():
+				return a.ctx.Err()
+			}
+		}
+		event.Index = 2
+		event.Tokens = engineAnswer[2:]
+		event.Version = 4
+	case 3:
+		event.Index = 4
+		event.Outcome = peerapi.OutcomeCompleted
+	default:
+		return io.EOF
+	}
+	*into.(*peerapi.ExecuteEvent) = event
+	return nil
+}
+
+func (a *fakeAnswer) Close() error { return nil }
+
+// fakeBundles holds one interactive workload.
+type fakeBundles struct{}
+
+func (fakeBundles) Current() *bundle.Accepted {
+	return &bundle.Accepted{Bundle: bundle.Bundle{
+		Version:   1,
+		Workloads: []bundle.Workload{{Name: "filing", Kind: bundle.Interactive}},
+	}}
+}
+
+func (fakeBundles) Changed() <-chan struct{} { return nil }
+
+// ended is what an ask came to, as its caller sees it.
+type ended struct {
+	outcome peerapi.Outcome
+	tokens  []uint32
+	// code is that of a refusal, and refused tells that there was one.
+	refused bool
+	code    peer.Code
+}
+
+func request(id string, ask uint64) peerapi.Execute {
+	return peerapi.Execute{
+		Workload: "filing", RequestID: id, Attempt: 1, Prompt: []uint32{1, 2}, MaxTokens: 8, Ask: ask, TimeoutMillis: 20_000,
+	}
+}
+
+// collector is the caller's end of a stream.
+type collector struct{ events []peerapi.ExecuteEvent }
+
+func (c *collector) Send(message peer.Message) error {
+	c.events = append(c.events, *message.(*peerapi.ExecuteEvent))
+	return nil
+}
+
+func refusedBy(err error) ended {
+	var refused *peer.Error
+	if errors.As(err, &refused) {
+		return ended{refused: true, code: refused.Code}
+	}
+	return ended{refused: true, code: peer.CodeInternal}
+}
+
+// execute asks a service to run a request, as the peer server would.
+func execute(ctx context.Context, service *Service, request peerapi.Execute) ended {
+	var caller collector
+	decode := func(into peer.Message) error {
+		*into.(*peerapi.Execute) = request
+		return nil
+	}
+	if err := service.handleExecuteOnce(ctx, decode, &caller); err != nil {
+		return refusedBy(err)
+	}
+	var end ended
+	for _, event := range caller.events {
+		end.tokens = append(end.tokens, event.Tokens...)
+		end.outcome = event.Outcome
+	}
+	return end
+}
+
+// resolve asks a service what became of a request, as the peer server would.
+func resolve(ctx context.Context, service *Service, of peerapi.Execute) ended {
+	question := peerapi.Resolve{
+		Workload:   of.Workload,
+		RequestID:  of.RequestID,
+		Ask:        of.Ask,
+		Digest:     Digest(of.Prompt, of.MaxTokens, of.Seed),
+		WaitMillis: 5_000,
+	}
+	decode := func(into peer.Message) error {
+		*into.(*peerapi.Resolve) = question
+		return nil
+	}
+	message, err := service.handleResolve(ctx, decode)
+	if err != nil {
+		return refusedBy(err)
+	}
+	settled := message.(*peerapi.ResolveResult)
+	return ended{outcome: settled.Outcome, tokens: settled.Tokens}
+}
--- /dev/null
+++ b/internal/requestledger/handlers.go
@@ -0,0 +1,76 @@
+package requestledger
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+)
+
+func (s *Service) handleExecuteOnce(ctx context.Context, decode peer.Decode, stream peer.ServerStream) error {
+	var request peerapi.Execute
+	if err := decode(&request); err != nil {
+		return invalid("request cannot be decoded")
+	}
+	if err := s.check(&request); err != nil {
+		return err
+	}
+	digest := Digest(request.Prompt, request.MaxTokens, request.Seed)
+	wanted := run{key: key{request.Workload, request.RequestID}, ask: request.Ask, digest: digest}
+	budget := time.Duration(request.TimeoutMillis) * time.Millisecond
+	if budget <= 0 {
+		budget = defaultTimeout
+	}
+	ended, err := s.settle(ctx, wanted, budget, s.executeOnce(request))
+	if err != nil {
+		return err
+	}
+	return ended.result.send(request.RequestID, request.Attempt, stream)
+}
+
+func (s *Service) check(request *peerapi.Execute) error {
+	if request.RequestID == "" || len(request.RequestID) > MaxRequestIDBytes {
+		return invalid(fmt.Sprintf("request id must have 1 to %d bytes", MaxRequestIDBytes))
+	}
+	accepted := s.config.Bundles.Current()
+	if accepted == nil {
+		return &peer.Error{Code: peer.CodeNotReady, Message: "no bundle is in force", RetryAfter: overloadedRetryAfter}
+	}
+	workload := accepted.Bundle.Workload(request.Workload)
+	if workload == nil || workload.Kind != bundle.Interactive {
+		return &peer.Error{Code: peer.CodeNotFound, Message: "no such interactive workload"}
+	}
+	return nil
+}
+
+func invalid(message string) *peer.Error {
+	return &peer.Error{Code: peer.CodeInvalid, Message: message}
+}
+
+func (s *Service) handleResolve(ctx context.Context, decode peer.Decode) (peer.Message, error) {
+	var request peerapi.Resolve
+	if err := decode(&request); err != nil {
+		return nil, invalid("request cannot be decoded")
+	}
+	budget := time.Duration(request.WaitMillis) * time.Millisecond
+	if budget <= 0 {
+		budget = settleTimeout
+	}
+	waiting, cancel := context.WithTimeout(ctx, budget)
+	defer cancel()
+	wanted := run{key: key{request.Workload, request.RequestID}, ask: request.Ask, digest: request.Digest}
+	ended, err := s.settle(waiting, wanted, budget, s.resolveAsk)
+	if err != nil {
+		return nil, err
+	}
+	return &peerapi.ResolveResult{
+		Outcome:          ended.result.outcome,
+		Reason:           ended.result.reason,
+		RetryAfterMillis: ended.result.retryAfterMillis,
+		Tokens:           ended.result.tokens,
+		Spans:            ended.result.spans,
+	}, nil
+}
--- /dev/null
+++ b/internal/requestledger/record.go
@@ -0,0 +1,70 @@
+package requestledger
+
+//go:generate go tool msgp -file record.go -tests=false -unexported
+
+import (
+	"github.com/hillfork/hillfork/internal/peerapi"
+)
+
+// Kinds of record. The numbers are part of the stream's format and never change their meaning.
+const (
+	kindStart  uint8 = 1
+	kindFinish uint8 = 2
+	kindCancel uint8 = 3
+)
+
+// startRecord says that the request is about to be given to an engine.
+type startRecord struct {
+	Workload  string `msg:"w"`
+	RequestID string `msg:"r"`
+	Ask       uint64 `msg:"k"`
+	Digest    []byte `msg:"d"`
+	// AtUnixMillis is the owner's clock; it only serves the retention.
+	AtUnixMillis int64 `msg:"at"`
+}
+
+// finishRecord ends a started request, or closes an ask whose Start may not have been recorded.
+type finishRecord struct {
+	Workload         string          `msg:"w"`
+	RequestID        string          `msg:"r"`
+	Ask              uint64          `msg:"k"`
+	Outcome          peerapi.Outcome `msg:"o"`
+	Reason           string          `msg:"re"`
+	RetryAfterMillis int64           `msg:"ra"`
+	Tokens           []uint32        `msg:"t"`
+	Spans            []peerapi.Span  `msg:"s"`
+	AtUnixMillis     int64           `msg:"at"`
+}
+
+// cancelRecord closes an ask that was never started.
+type cancelRecord struct {
+	Workload     string `msg:"w"`
+	RequestID    string `msg:"r"`
+	Ask          uint64 `msg:"k"`
+	AtUnixMillis int64  `msg:"at"`
+}
+
+// entrySnapshot is one key in a snapshot.
+type entrySnapshot struct {
+	Workload         string          `msg:"w"`
+	RequestID        string          `msg:"r"`
+	Running          bool            `msg:"run"`
+	Ask              uint64          `msg:"k"`
+	Epoch            uint64          `msg:"e"`
+	Digest           []byte          `msg:"d"`
+	Outcome          peerapi.Outcome `msg:"o"`
+	Reason           string          `msg:"re"`
+	RetryAfterMillis int64           `msg:"ra"`
+	Tokens           []uint32        `msg:"t"`
+	Spans            []peerapi.Span  `msg:"s"`
+	AnswerDropped    bool            `msg:"x"`
+	Closed           []uint64        `msg:"c"`
+	EndedUnixMillis  int64           `msg:"at"`
+}
+
+// stateSnapshot holds the running keys in the order of their starts, then the ended ones in the order of their ends.
+type stateSnapshot struct {
+	Epoch       uint64          `msg:"e"`
+	ClockMillis int64           `msg:"c"`
+	Entries     []entrySnapshot `msg:"n"`
+}
--- /dev/null
+++ b/internal/requestledger/result.go
@@ -0,0 +1,65 @@
+package requestledger
+
+import (
+	"github.com/hillfork/hillfork/internal/answer"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+)
+
+func (r *result) isNotRun() bool { return r.outcome == peerapi.OutcomeNotRun }
+
+// add takes the next part of an answer.
+func (r *result) add(event peerapi.ExecuteEvent) {
+	from := len(r.tokens)
+	r.tokens = append(r.tokens, event.Tokens...)
+	last := len(r.spans) - 1
+	if last >= 0 && r.spans[last].Version == event.Version {
+		r.spans[last].To = len(r.tokens)
+		return
+	}
+	r.spans = append(r.spans, peerapi.Span{From: from, To: len(r.tokens), Version: event.Version})
+}
+
+// resultOf is what is recorded of a run that ended so. Only a whole answer is kept.
+func resultOf(ending answer.Ending, gathered result) result {
+	switch ending.Kind {
+	case answer.EndWhole:
+		gathered.outcome = peerapi.OutcomeCompleted
+		return gathered
+	case answer.EndNotRun:
+		return result{
+			outcome:          peerapi.OutcomeNotRun,
+			reason:           ending.Reason,
+			retryAfterMillis: ending.RetryAfter.Milliseconds(),
+		}
+	case answer.EndCancelled:
+		return result{outcome: peerapi.OutcomeCancelled, reason: ending.Reason}
+	}
+	return result{outcome: peerapi.OutcomeUnknown, reason: ending.Reason}
+}
+
+// send writes a result as the events of one attempt, the outcome last.
+func (r *result) send(requestID string, attempt uint32, stream peer.ServerStream) error {
+	for _, span := range r.spans {
+		for from := span.From; from < span.To; from += eventTokens {
+			event := peerapi.ExecuteEvent{
+				RequestID: requestID,
+				Attempt:   attempt,
+				Index:     from,
+				Tokens:    r.tokens[from:min(from+eventTokens, span.To)],
+				Version:   span.Version,
+			}
+			if err := stream.Send(&event); err != nil {
+				return err
+			}
+		}
+	}
+	return stream.Send(&peerapi.ExecuteEvent{
+		RequestID:        requestID,
+		Attempt:          attempt,
+		Index:            len(r.tokens),
+		Outcome:          r.outcome,
+		Reason:           r.reason,
+		RetryAfterMillis: r.retryAfterMillis,
+	})
+}
--- /dev/null
+++ b/internal/requestledger/service_test.go
@@ -0,0 +1,272 @@
+package requestledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+)
+
+var (
+	completed = ended{outcome: peerapi.OutcomeCompleted, tokens: engineAnswer}
+	notRun    = ended{outcome: peerapi.OutcomeNotRun}
+	unknown   = ended{outcome: peerapi.OutcomeUnknown}
+	doubtful  = ended{refused: true, code: peer.CodeUncertain}
+	conflict  = ended{refused: true, code: peer.CodeConflict}
+)
+
+// step is one ask of a caller at one of the nodes.
+type step struct {
+	ask     uint64
+	resolve bool
+	// node is the one asked; a node that was not asked before takes the shard over.
+	node int
+	seed uint64
+	want ended
+}
+
+// TestAsks goes through asks of one key, one after the other, with faults in their order.
+func TestAsks(t *testing.T) {
+	cases := []struct {
+		name     string
+		log      []logFault
+		dispatch []dispatchFault
+		steps    []step
+		starts   int
+	}{
+		{"whole answer again to another ask", nil, nil,
+			[]step{{ask: 1, want: completed}, {ask: 2, want: completed}, {ask: 3, resolve: true, want: completed}}, 1},
+		{"whole answer from the next owner", nil, nil,
+			[]step{{ask: 1, want: completed}, {ask: 2, node: 1, want: completed}}, 1},
+		{"other content is a conflict", nil, nil,
+			[]step{{ask: 1, want: completed}, {ask: 2, seed: 5, want: conflict}, {ask: 3, resolve: true, seed: 5, want: conflict}}, 1},
+		{"a refusing engine is replaced by another", nil, []dispatchFault{dispatchRefused, dispatchNotSent},
+			[]step{{ask: 1, want: completed}}, 1},
+		{"all engines refuse; the same ask stays not run, a new one runs", nil,
+			[]dispatchFault{dispatchRefused, dispatchRefused, dispatchRefused},
+			[]step{{ask: 1, want: notRun}, {ask: 1, want: notRun}, {ask: 2, want: completed}, {ask: 1, want: notRun}}, 1},
+		{"a lost dispatch is unknown for ever", nil, []dispatchFault{dispatchLost},
+			[]step{{ask: 1, want: unknown}, {ask: 2, want: unknown}, {ask: 3, node: 1, want: unknown}, {ask: 1, resolve: true, want: unknown}}, 1},
+		{"an answer that broke off is unknown", nil, []dispatchFault{dispatchBroken},
+			[]step{{ask: 1, want: unknown}, {ask: 2, want: unknown}}, 1},
+		{"a refusal after a lost dispatch proves nothing", nil, []dispatchFault{dispatchRefused, dispatchLost},
+			[]step{{ask: 1, want: unknown}}, 1},
+		{"a resolved ask is never run, a new one is", nil, nil,
+			[]step{{ask: 1, resolve: true, want: notRun}, {ask: 1, want: notRun}, {ask: 1, node: 1, want: notRun}, {ask: 2, node: 1, want: completed}, {ask: 1, resolve: true, node: 1, want: notRun}}, 1},
+		{"a Start of which only the answer was lost is closed as not run", []logFault{logLostAnswer}, nil,
+			[]step{{ask: 1, want: doubtful}, {ask: 1, resolve: true, want: notRun}, {ask: 1, want: notRun}, {ask: 2, want: completed}}, 1},
+		{"a Start that was lost is cancelled", []logFault{logLostRequest}, nil,
+			[]step{{ask: 1, want: doubtful}, {ask: 1, resolve: true, want: notRun}, {ask: 2, want: completed}}, 1},
+		{"the next owner cannot tell about a Start whose answer was lost", []logFault{logLostAnswer}, nil,
+			[]step{{ask: 1, want: doubtful}, {ask: 1, resolve: true, node: 1, want: unknown}, {ask: 2, node: 1, want: unknown}}, 0},
+		{"a Finish of which the answer was lost is written again", []logFault{logFine, logLostAnswer}, nil,
+			[]step{{ask: 1, want: completed}, {ask: 2, want: completed}}, 1},
+		{"a Finish that was lost is written again", []logFault{logFine, logLostRequest, logLostRequest}, nil,
+			[]step{{ask: 1, want: completed}, {ask: 2, node: 1, want: completed}}, 1},
+		{"a Cancel of which the answer was lost leaves it open, then holds", []logFault{logLostAnswer}, nil,
+			[]step{{ask: 1, resolve: true, want: doubtful}, {ask: 1, want: notRun}, {ask: 1, resolve: true, want: notRun}}, 0},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := &fakeLog{fault: anyKind(inOrder(tt.log))}
+				engines := &fakeEngines{fault: inOrder(tt.dispatch)}
+				nodes := make(map[int]*Service)
+				for i, step := range tt.steps {
+					if nodes[step.node] == nil {
+						nodes[step.node] = New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+						defer nodes[step.node].Close()
+					}
+					asked := request("key", step.ask)
+					asked.Seed = step.seed
+					got := ended{}
+					if step.resolve {
+						got = resolve(t.Context(), nodes[step.node], asked)
+					} else {
+						got = execute(t.Context(), nodes[step.node], asked)
+					}
+					if !equal(got, step.want) {
+						t.Errorf("step %d: got %+v, want %+v", i, got, step.want)
+					}
+				}
+				is.Equal(engines.total(), tt.starts)
+			})
+		})
+	}
+}
+
+// inOrder hands faults out one by one, and then none.
+func inOrder[F ~uint8](faults []F) func() F {
+	return func() F {
+		if len(faults) == 0 {
+			return 0
+		}
+		next := faults[0]
+		faults = faults[1:]
+		return next
+	}
+}
+
+func anyKind(next func() logFault) func(uint8) logFault {
+	return func(uint8) logFault { return next() }
+}
+
+func equal(a, b ended) bool {
+	if a.outcome != b.outcome || a.refused != b.refused || a.code != b.code || len(a.tokens) != len(b.tokens) {
+		return false
+	}
+	for i := range a.tokens {
+		if a.tokens[i] != b.tokens[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// TestDeathOfTheOwner stops an owner at every failpoint, lets another one take over and answer, and then lets the first
+// one wake up, still believing that it owns the shard.
+func TestDeathOfTheOwner(t *testing.T) {
+	refusing := []dispatchFault{dispatchRefused, dispatchRefused, dispatchRefused}
+	cases := []struct {
+		at       Failpoint
+		resolves bool // the first owner dies in a Resolve
+		dispatch []dispatchFault
+		log      []logFault
+		want     ended // what the second owner answers to a Resolve of the ask
+		starts   int   // engine starts after all, with a new ask at the end
+		again    ended // what the new ask gets
+	}{
+		{at: BeforeStart, want: notRun, starts: 1, again: completed},
+		{at: AfterStart, want: unknown, starts: 1, again: unknown}, // the first owner wakes up and dispatches
+		{at: AfterDispatch, want: unknown, starts: 1, again: unknown},
+		{at: BeforeFinish, want: unknown, starts: 1, again: unknown},
+		{at: AfterFinish, want: completed, starts: 1, again: completed},
+		{at: AfterNotRun, dispatch: refusing, want: unknown, starts: 0, again: unknown},
+		{at: BeforeFinish, dispatch: refusing, want: unknown, starts: 0, again: unknown},
+		{at: AfterFinish, dispatch: refusing, want: notRun, starts: 1, again: completed},
+		{at: BeforeCancel, resolves: true, want: notRun, starts: 1, again: completed},
+		{at: AfterCancel, resolves: true, want: notRun, starts: 1, again: completed},
+	}
+	for _, tt := range cases {
+		t.Run(string(tt.at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := &fakeLog{}
+				engines := &fakeEngines{fault: inOrder(tt.dispatch)}
+				wake := make(chan struct{})
+				reached := false
+				first := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}, Failpoint: func(at Failpoint) {
+					if at == tt.at && !reached {
+						reached = true
+						<-wake
+					}
+				}})
+				defer first.Close()
+				asked := request("key", 1)
+				var firstEnd ended
+				firstDone := make(chan struct{})
+				go func() {
+					defer close(firstDone)
+					if tt.resolves {
+						firstEnd = resolve(t.Context(), first, asked)
+					} else {
+						firstEnd = execute(t.Context(), first, asked)
+					}
+				}()
+				synctest.Wait()
+				is.True(reached)
+
+				second := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+				defer second.Close()
+				if got := resolve(t.Context(), second, asked); !equal(got, tt.want) {
+					t.Errorf("second owner: got %+v, want %+v", got, tt.want)
+				}
+				close(wake)
+				<-firstDone
+				if tt.want.outcome == peerapi.OutcomeNotRun {
+					is.Equal(engines.total(), 0)                           // said not to have run, and never run later
+					is.True(firstEnd.outcome != peerapi.OutcomeCompleted)  // nor answered by the one that woke up
+					is.Equal(execute(t.Context(), second, asked), tt.want) // nor by a late delivery
+				}
+				if tt.want.outcome == peerapi.OutcomeUnknown && firstEnd.outcome == peerapi.OutcomeNotRun {
+					t.Error("the first owner said not run after it was superseded")
+				}
+				if got := execute(t.Context(), second, request("key", 2)); !equal(got, tt.again) {
+					t.Errorf("new ask: got %+v, want %+v", got, tt.again)
+				}
+				is.Equal(engines.total(), tt.starts)
+			})
+		})
+	}
+}
+
+// TestConcurrentAsks lets asks of the same key arrive while it runs; they wait for the one run.
+func TestConcurrentAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &fakeEngines{gate: make(chan struct{})}
+		service := New(Config{Opener: &fakeNode{log: &fakeLog{}}, Dispatcher: engines, Bundles: fakeBundles{}})
+		defer service.Close()
+		ends := make(chan ended, 4)
+		gone, leave := context.WithCancel(t.Context())
+		for ask := range uint64(3) {
+			go func() { ends <- execute(t.Context(), service, request("key", ask+1)) }()
+		}
+		go func() { ends <- execute(gone, service, request("key", 9)) }()
+		synctest.Wait()
+		leave()
+		is.Equal(<-ends, doubtful) // a caller that leaves does not stop the run
+		close(engines.gate)
+		for range 3 {
+			is.True(equal(<-ends, completed))
+		}
+		is.Equal(engines.total(), 1)
+	})
+}
+
+// TestDeadline ends a run whose engine hangs, and tells a caller who waits.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &fakeEngines{gate: make(chan struct{})}
+		service := New(Config{Opener: &fakeNode{log: &fakeLog{}}, Dispatcher: engines, Bundles: fakeBundles{}})
+		defer service.Close()
+		is.True(equal(execute(t.Context(), service, request("key", 1)), unknown))
+		is.True(equal(execute(t.Context(), service, request("key", 2)), unknown))
+		is.Equal(engines.total(), 1)
+	})
+}
+
+// TestLateStart lets a Start whose append was given up reach the log at every later moment.
+func TestLateStart(t *testing.T) {
+	for _, landsBefore := range []int{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			log := &fakeLog{fault: anyKind(inOrder([]logFault{logLate}))}
+			engines := &fakeEngines{}
+			service := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+			defer service.Close()
+			asks := []func() ended{
+				func() ended { return execute(t.Context(), service, request("key", 1)) },
+				func() ended { return resolve(t.Context(), service, request("key", 1)) },
+				func() ended { return execute(t.Context(), service, request("key", 2)) },
+				func() ended { return execute(t.Context(), service, request("key", 1)) },
+			}
+			wants := []ended{doubtful, notRun, completed, notRun}
+			for i, ask := range asks {
+				if i == landsBefore {
+					log.landLate()
+				}
+				if got := ask(); !equal(got, wants[i]) {
+					t.Errorf("landed before %d: ask %d got %+v, want %+v", landsBefore, i, got, wants[i])
+				}
+			}
+			is.Equal(engines.total(), 1)
+		})
+	}
+}
