--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/standin/lag"
 )
 
 // Errors of an engine, besides those of package platform.
@@ -60,7 +61,7 @@
 	nextTick    time.Time
 
 	faults  faults
-	history []timedStatus
+	history *lag.History[platform.EngineStatus]
 }
 
 var _ platform.Engine = (*Engine)(nil)
@@ -96,9 +97,8 @@
 	e.advancedTo = time.Now()
 	e.pausedUntil = time.Time{}
 	e.nextTick = time.Time{}
-	e.history = nil
 	e.faults.leavingSince = time.Time{}
-	e.recordStatus()
+	e.history = lag.NewHistory(e.config.StatusLag, e.status())
 }
 
 // Close ends the engine as Crash does.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -138,7 +138,7 @@
 	defer e.mutex.Unlock()
 	if e.faults.leavingSince.IsZero() {
 		e.faults.leavingSince = time.Now()
-		e.recordStatus()
+		e.history.Record(e.status())
 	}
 }
 
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -132,6 +132,6 @@
 		return err
 	}
 	e.pool = pool
-	e.recordStatus()
+	e.history.Record(e.status())
 	return nil
 }
--- a/internal/standin/engine/schedule.go
+++ b/internal/standin/engine/schedule.go
@@ -63,7 +63,7 @@
 		e.run(next)
 	}
 	e.plan()
-	e.recordStatus()
+	e.history.Record(e.status())
 }
 
 // run gives a stream a slot and works out its prefill.
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -84,10 +84,11 @@
 
 // Read returns entries from offset on, and waits for the first one as long as options say.
 func (s *Service) Read(ctx context.Context, name string, offset int64, options platform.ReadOptions) (platform.ReadResult, error) {
+	down := s.WentDown()
 	if err := s.Pass(ctx); err != nil {
 		return platform.ReadResult{}, err
 	}
-	if err := s.waitFor(ctx, name, offset, options.Wait); err != nil {
+	if err := s.waitFor(ctx, down, name, offset, options.Wait); err != nil {
 		return platform.ReadResult{}, err
 	}
 	result := s.collect(name, offset, options.MaxEntries)
@@ -97,14 +98,13 @@
 	return result, nil
 }
 
-// waitFor returns once the stream reaches beyond offset or wait is over.
-func (s *Service) waitFor(ctx context.Context, name string, offset int64, wait time.Duration) error {
+// waitFor returns once the stream reaches beyond offset or wait is over; down breaks it off.
+func (s *Service) waitFor(ctx context.Context, down <-chan struct{}, name string, offset int64, wait time.Duration) error {
 	if wait <= 0 {
 		return nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	down := s.WentDown()
 	for {
 		grown, reached := s.reaches(name, offset)
 		if reached {
