--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,12 +14,25 @@
 	"github.com/hillfork/hillfork/internal/peerapi"
 )
 
-// adminTimeout bounds one call of an operator.
-const adminTimeout = 30 * time.Second
+const (
+	// adminTimeout bounds one call of an operator.
+	adminTimeout = 30 * time.Second
+	// confirmTimeout bounds the wait for the log in a status call.
+	confirmTimeout = 2 * time.Second
+)
 
 // adminService is the administration API.
 type adminService struct {
 	gateway *Gateway
+	// confirmed is when the bundle stream was last read to its end for an operator; at first, when the gateway began.
+	confirmed atomic.Pointer[time.Time]
+}
+
+func newAdminService(gateway *Gateway) *adminService {
+	service := &adminService{gateway: gateway}
+	began := time.Now()
+	service.confirmed.Store(&began)
+	return service
 }
 
 // ProposeBundle publishes a bundle.
@@ -31,12 +45,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	status, err := bundles.Propose(ctx, request.Msg.GetDocument())
+	proposed, err := bundles.Propose(ctx, request.Msg.GetDocument())
 	if err != nil {
 		return nil, bundleError(err)
 	}
 	return connect.NewResponse(&v1.ProposeBundleResponse{
-		Digest: status.Digest, Version: status.Version, Base: status.Base,
+		Digest: proposed.Digest, Version: proposed.Version, Base: proposed.Base,
 	}), nil
 }
 
@@ -51,8 +65,13 @@
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
 	message := request.Msg
-	signature := bundle.Signature{Partner: message.GetPartner(), Signature: message.GetSignature()}
-	status, err := bundles.Sign(ctx, message.GetDigest(), message.GetVersion(), message.GetBase(), signature)
+	status, err := bundles.SignOff(ctx, bundle.SignOff{
+		Digest:    message.GetDigest(),
+		Version:   message.GetVersion(),
+		Base:      message.GetBase(),
+		Partner:   message.GetPartner(),
+		Signature: message.GetSignature(),
+	})
 	if err != nil {
 		return nil, bundleError(err)
 	}
@@ -67,20 +86,48 @@
 	if err != nil {
 		return nil, err
 	}
-	status, document, err := bundles.Get(ctx, request.Msg.GetDigest())
+	freshness := s.bundleFreshness(ctx, bundles)
+	digest := request.Msg.GetDigest()
+	if digest == "" {
+		digest = s.digestInForce()
+	}
+	status, err := bundles.Status(digest)
+	if err != nil {
+		return nil, bundleError(err)
+	}
+	document, err := bundles.Document(digest)
 	if err != nil {
 		return nil, bundleError(err)
 	}
 	return connect.NewResponse(&v1.GetBundleResponse{
-		Status:    statusMessage(status),
-		Document:  document,
-		Freshness: s.freshness(bundles.Age(), bundles.Age()),
+		Status: statusMessage(status), Document: document, Freshness: freshness,
 	}), nil
 }
 
+func (s *adminService) digestInForce() string {
+	accepted := s.gateway.config.Bundles.Current()
+	if accepted == nil {
+		return ""
+	}
+	return accepted.Digest
+}
+
+// bundleFreshness reads the bundle stream to its end, where the log answers in time, and tells how old what this node
+// knows of it is.
+func (s *adminService) bundleFreshness(ctx context.Context, bundles BundleAdmin) *v1.Freshness {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	began := time.Now()
+	if _, err := bundles.Confirm(ctx); err == nil {
+		s.confirmed.Store(&began)
+	}
+	age := time.Since(*s.confirmed.Load())
+	return s.freshness(age, age)
+}
+
 // ListBundles lists proposals, newest first.
 func (s *adminService) ListBundles(
-	_ context.Context, request *connect.Request[v1.ListBundlesRequest],
+	ctx context.Context, request *connect.Request[v1.ListBundlesRequest],
 ) (*connect.Response[v1.ListBundlesResponse], error) {
 	bundles, err := s.bundles()
 	if err != nil {
@@ -90,15 +137,12 @@
 	if err != nil {
 		return nil, err
 	}
-	position, err := numberToken(request.Msg.GetPage().GetToken())
+	freshness := s.bundleFreshness(ctx, bundles)
+	statuses, next, err := bundles.List(bundle.Page{Size: size, Token: request.Msg.GetPage().GetToken()})
 	if err != nil {
-		return nil, err
-	}
-	statuses, next := bundles.List(position, size)
-	response := &v1.ListBundlesResponse{
-		NextPageToken: formatNumberToken(next),
-		Freshness:     s.freshness(bundles.Age(), bundles.Age()),
+		return nil, bundleError(err)
 	}
+	response := &v1.ListBundlesResponse{NextPageToken: next, Freshness: freshness}
 	for _, status := range statuses {
 		response.Bundles = append(response.Bundles, statusMessage(status))
 	}
@@ -112,26 +156,30 @@
 	return s.gateway.config.BundleAdmin, nil
 }
 
+// bundleError maps the errors of package bundle.
 func bundleError(err error) error {
+	var invalid *bundle.Invalid
 	switch {
-	case errors.Is(err, ErrBundleInvalid):
+	case errors.As(err, &invalid), errors.Is(err, bundle.ErrBadPage):
 		return connect.NewError(connect.CodeInvalidArgument, err)
-	case errors.Is(err, ErrBundleBase):
+	case errors.Is(err, bundle.ErrConflict):
 		return connect.NewError(connect.CodeFailedPrecondition, err)
-	case errors.Is(err, ErrBundleUnknown):
+	case errors.Is(err, bundle.ErrUnknownProposal):
 		return connect.NewError(connect.CodeNotFound, err)
+	case errors.Is(err, bundle.ErrUnknownKey), errors.Is(err, bundle.ErrBadSignature):
+		return connect.NewError(connect.CodePermissionDenied, err)
 	}
 	return connectError(err)
 }
 
-var bundleStates = map[BundleState]v1.BundleState{
-	BundleProposed:   v1.BundleState_BUNDLE_STATE_PROPOSED,
-	BundleInForce:    v1.BundleState_BUNDLE_STATE_IN_FORCE,
-	BundleSuperseded: v1.BundleState_BUNDLE_STATE_SUPERSEDED,
-	BundleConflicted: v1.BundleState_BUNDLE_STATE_CONFLICTED,
+var bundleStates = map[bundle.State]v1.BundleState{
+	bundle.StateProposed:   v1.BundleState_BUNDLE_STATE_PROPOSED,
+	bundle.StateInForce:    v1.BundleState_BUNDLE_STATE_IN_FORCE,
+	bundle.StateSuperseded: v1.BundleState_BUNDLE_STATE_SUPERSEDED,
+	bundle.StateConflicted: v1.BundleState_BUNDLE_STATE_CONFLICTED,
 }
 
-func statusMessage(status BundleStatus) *v1.BundleStatus {
+func statusMessage(status bundle.Status) *v1.BundleStatus {
 	return &v1.BundleStatus{
 		Digest:   status.Digest,
 		Version:  status.Version,
--- a/internal/gateway/admin_lists.go
+++ b/internal/gateway/admin_lists.go
@@ -14,6 +14,7 @@
 	v1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/stepledger"
 )
 
 const (
@@ -248,9 +249,9 @@
 
 func (s *adminService) stepsOf(ctx context.Context, workload string) ([]peerapi.StepInfo, error) {
 	var steps []peerapi.StepInfo
-	for shard := range stepShards {
+	for shard := range stepledger.ShardsPerWorkload {
 		var told peerapi.ListStepsResult
-		err := s.gateway.config.Owners.CallOwner(ctx, stepStream(workload, shard), s.gateway.preference(),
+		err := s.gateway.config.Owners.CallOwner(ctx, stepledger.StreamName(workload, shard), s.gateway.preference(),
 			peerapi.MethodListSteps, &peerapi.ListSteps{Workload: workload, Shard: shard}, &told, true)
 		if err != nil {
 			return nil, connectError(err)
--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	v1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+// script is what one attempt answers: events, then err; io.EOF for nil.
+type script struct {
+	// refuse is the error of opening the stream.
+	refuse error
+	events []peerapi.ExecuteEvent
+	err    error
+	// hang keeps the stream open without an event until its context ends.
+	hang bool
+}
+
+// fakeOwners answers the attempts in their order and keeps the requests. Identifiers left empty in a script are filled
+// with those of the request.
+type fakeOwners struct {
+	mu       sync.Mutex
+	scripts  []script
+	requests []peerapi.Execute
+	// resolve answers MethodResolve and the other calls.
+	resolve func(ctx context.Context, request, response peer.Message) error
+	calls   []string
+}
+
+func (o *fakeOwners) StreamOwner(
+	ctx context.Context, _ string, _ placement.Preference, _ string, request peer.Message,
+) (peer.ClientStream, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	asked := *request.(*peerapi.Execute)
+	asked.Resume = append([]uint32(nil), asked.Resume...)
+	o.requests = append(o.requests, asked)
+	if len(o.scripts) == 0 {
+		return nil, &peer.Error{Code: peer.CodeOverloaded, Message: "nothing left in the script", RetryAfter: time.Minute}
+	}
+	next := o.scripts[0]
+	o.scripts = o.scripts[1:]
+	if next.refuse != nil {
+		return nil, next.refuse
+	}
+	return &scriptStream{ctx: ctx, request: asked, script: next}, nil
+}
+
+func (o *fakeOwners) CallOwner(
+	ctx context.Context, key string, _ placement.Preference, method string, request, response peer.Message, _ bool,
+) error {
+	o.mu.Lock()
+	o.calls = append(o.calls, method+" "+key)
+	o.mu.Unlock()
+	return o.resolve(ctx, request, response)
+}
+
+type scriptStream struct {
+	ctx     context.Context
+	request peerapi.Execute
+	script  script
+}
+
+func (s *scriptStream) Receive(into peer.Message) error {
+	if len(s.script.events) == 0 {
+		if s.script.hang {
+			<-s.ctx.Done()
+			return s.ctx.Err()
+		}
+		if s.script.err != nil {
+			return s.script.err
+		}
+		return io.EOF
+	}
+	event := s.script.events[0]
+	s.script.events = s.script.events[1:]
+	if event.RequestID == "" {
+		event.RequestID = s.request.RequestID
+	}
+	if event.Attempt == 0 {
+		event.Attempt = s.request.Attempt
+	}
+	*into.(*peerapi.ExecuteEvent) = event
+	return nil
+}
+
+func (s *scriptStream) Close() error { return nil }
+
+func tokens(index int, tokens ...uint32) peerapi.ExecuteEvent {
+	return peerapi.ExecuteEvent{Index: index, Tokens: tokens, Version: 5}
+}
+
+func whole(index int) peerapi.ExecuteEvent {
+	return peerapi.ExecuteEvent{Index: index, Outcome: peerapi.OutcomeCompleted}
+}
+
+var accepted = peerapi.ExecuteEvent{Accepted: true}
+
+// fakeEngines lists engines "e0", "e1", … of one pool.
+type fakeEngines int
+
+func (n fakeEngines) Engines(pool string) []platform.Machine {
+	var machines []platform.Machine
+	for i := range int(n) {
+		machines = append(machines, platform.Machine{ID: fmt.Sprintf("e%d", i), Pool: pool, State: platform.MachineLive})
+	}
+	return machines
+}
+
+// fakeBundles holds the bundle in force.
+type fakeBundles struct{ bundle *bundle.Bundle }
+
+func (b fakeBundles) Current() *bundle.Accepted {
+	if b.bundle == nil {
+		return nil
+	}
+	return &bundle.Accepted{Bundle: *b.bundle, Digest: "digest"}
+}
+
+func (b fakeBundles) Changed() <-chan struct{} { return nil }
+
+func testBundle() *bundle.Bundle {
+	return &bundle.Bundle{Version: 7, Workloads: []bundle.Workload{
+		{
+			Name: "search", Kind: bundle.Interactive, Pools: []string{"app"}, Model: "m", MinVersion: 3,
+			Limits: bundle.Limits{
+				MaxPromptTokens: 8, MaxTokens: 64, Timeout: bundle.Duration(20 * time.Second), RetryRatio: 0.5,
+				MaxInFlight: 2, MaxQueue: 1,
+			},
+		},
+		{
+			Name: "training", Kind: bundle.Training, Model: "m",
+			Staleness: &bundle.Staleness{MaxVersionsBehind: 2, MaxAge: bundle.Duration(time.Minute)},
+			Limits:    bundle.Limits{MaxPromptTokens: 8, MaxTokens: 64, MaxStepSamples: 8},
+		},
+	}}
+}
+
+// fakeNodes are members that answer the list methods.
+type fakeNodes int
+
+func (n fakeNodes) Members() []Member {
+	var members []Member
+	for i := range int(n) {
+		name := fmt.Sprintf("n%02d", i)
+		members = append(members, Member{Member: placement.Member{Node: name, PeerAddress: name}, State: "alive"})
+	}
+	return members
+}
+
+func (n fakeNodes) Call(_ context.Context, address, method string, _, response peer.Message) error {
+	if strings.HasSuffix(address, "3") {
+		return peer.ErrLost
+	}
+	switch method {
+	case peerapi.MethodListEngines:
+		response.(*peerapi.ListEnginesResult).Engines = []peerapi.EngineInfo{{ID: address + "/a"}, {ID: address + "/b"}}
+	case peerapi.MethodListShards:
+		response.(*peerapi.ListShardsResult).Shards = []peerapi.ShardInfo{{Name: address + "/s"}}
+	}
+	return nil
+}
+
+func newTestGateway(owners *fakeOwners, engines int) *Gateway {
+	return New(Config{
+		Owners: owners, Engines: fakeEngines(engines), Bundles: fakeBundles{testBundle()}, Members: fakeNodes(40), Nodes: fakeNodes(40),
+	})
+}
+
+func searchRequest() *v1.ExecuteRequest {
+	return &v1.ExecuteRequest{Workload: "search", RequestId: "r", Prompt: []uint32{1}, MaxTokens: 16}
+}
+
+// run executes a request and returns its end with the tokens that its caller got, in order.
+func run(ctx context.Context, gateway *Gateway, request *v1.ExecuteRequest) (end final, got []uint32, err error) {
+	service := &requestService{gateway: gateway}
+	end, err = service.execute(ctx, request, func(part *v1.ExecuteResponse) error {
+		if int(part.GetIndex()) != len(got) {
+			return fmt.Errorf("part at %d after %d tokens", part.GetIndex(), len(got))
+		}
+		got = append(got, part.GetTokens()...)
+		return nil
+	})
+	return end, got, err
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(hillforkv1connect.NewSampleServiceHandler(&sampleService{gateway: g}, options...))
 	mux.Handle(hillforkv1connect.NewRequestServiceHandler(&requestService{gateway: g}, options...))
-	mux.Handle(hillforkv1connect.NewAdminServiceHandler(&adminService{gateway: g}, options...))
+	mux.Handle(hillforkv1connect.NewAdminServiceHandler(newAdminService(g), options...))
 	return mux
 }
 
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
@@ -50,49 +49,12 @@
 	Engines(pool string) []platform.Machine
 }
 
-// BundleState tells how a proposal stands.
-type BundleState uint8
-
-// States of a proposal.
-const (
-	BundleProposed BundleState = iota + 1
-	BundleInForce
-	BundleSuperseded
-	// BundleConflicted says that another proposal on the same base was completed first.
-	BundleConflicted
-)
-
-// BundleStatus tells how a proposal stands, and who signed it.
-type BundleStatus struct {
-	Digest   string
-	Version  uint64
-	Base     uint64
-	State    BundleState
-	SignedBy []string
-	Missing  []string
-}
-
-// Errors of BundleAdmin, wrapped.
-var (
-	// ErrBundleInvalid says that a document or a signature breaks a rule; the message tells line and reason.
-	ErrBundleInvalid = errors.New("bundle is invalid")
-	// ErrBundleBase says that the bundle's base is not the version in force.
-	ErrBundleBase = errors.New("the base of the bundle is not in force")
-	// ErrBundleUnknown says that there is no such proposal.
-	ErrBundleUnknown = errors.New("no such bundle")
-)
-
-// BundleAdmin proposes, signs and lists bundles.
+// BundleAdmin proposes, signs and lists bundles; *bundle.Follower fills it.
 type BundleAdmin interface {
-	// Propose publishes a bundle as the operator wrote it.
-	Propose(ctx context.Context, document []byte) (BundleStatus, error)
-	// Sign publishes one partner's signature.
-	Sign(ctx context.Context, digest string, version, base uint64, signature bundle.Signature) (BundleStatus, error)
-	// Get returns a proposal and its document by digest, the one in force for an empty digest.
-	Get(ctx context.Context, digest string) (BundleStatus, []byte, error)
-	// List returns at most size proposals, newest first, from the position on that an earlier call returned as next; 0
-	// starts at the newest, and a next of 0 is the end.
-	List(position int64, size int) (statuses []BundleStatus, next int64)
-	// Age is how long ago the bundle stream was last read to its end.
-	Age() time.Duration
+	bundle.Confirmer
+	Propose(ctx context.Context, document []byte) (bundle.ProposeResult, error)
+	SignOff(ctx context.Context, signOff bundle.SignOff) (bundle.Status, error)
+	Status(digest string) (bundle.Status, error)
+	Document(digest string) ([]byte, error)
+	List(page bundle.Page) (statuses []bundle.Status, next string, err error)
 }
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,11 +11,10 @@
 	v1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/stepledger"
 )
 
 const (
-	// stepShards is the number of shards of a workload's steps.
-	stepShards = 2
 	// maxFetchWait bounds how long a fetch may wait for samples.
 	maxFetchWait = 30 * time.Second
 	// sampleCallTimeout bounds a trainer's call beyond what a fetch waits.
@@ -32,11 +30,7 @@
 
 // stepShard is the key of the owner of a step.
 func stepShard(workload string, step uint64) string {
-	return stepStream(workload, int(step%stepShards))
-}
-
-func stepStream(workload string, shard int) string {
-	return "steps/" + workload + "/" + strconv.Itoa(shard)
+	return stepledger.StreamName(workload, stepledger.ShardOf(step))
 }
 
 // SubmitStep records a step.
@@ -219,9 +213,9 @@
 		return nil, invalidArgument("version must be at least 1")
 	}
 	publish := peerapi.PublishVersion{Workload: message.GetWorkload(), Version: message.GetVersion()}
-	for shard := range uint64(stepShards) {
+	for shard := range stepledger.ShardsPerWorkload {
 		var result peerapi.PublishVersionResult
-		if err := s.call(ctx, publish.Workload, shard, peerapi.MethodPublishVersion, &publish, &result, 0); err != nil {
+		if err := s.call(ctx, publish.Workload, uint64(shard), peerapi.MethodPublishVersion, &publish, &result, 0); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/requestledger/execute.go
+++ b/internal/requestledger/execute.go
@@ -78,7 +78,7 @@
 	if len(s.undispatched) >= maxRuns {
 		clear(s.undispatched) // those forgotten are answered as unknown
 	}
-	s.undispatched[run.key] = undispatched{ask: run.ask, epoch: owner.Epoch()}
+	s.undispatched[startID{run.key, run.ask, owner.Epoch()}] = struct{}{}
 	s.mu.Unlock()
 	return uncertain("the log could not be asked whether the request was recorded")
 }
--- a/internal/requestledger/resolve.go
+++ b/internal/requestledger/resolve.go
@@ -72,12 +72,13 @@
 func (s *Service) neverDispatched(name key, ask, epoch uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	given, ok := s.undispatched[name]
-	return ok && given == undispatched{ask: ask, epoch: epoch}
+	_, given := s.undispatched[startID{name, ask, epoch}]
+	return given
 }
 
 // closeUndispatched records that a Start whose append was left uncertain, and which this owner never dispatched, did not
-// run. Nobody else can have dispatched it, for only the owner that wrote a Start does. The asks goes on from there.
+// run. Nobody else can have dispatched it, for only the owner that wrote a Start does. The ask at hand goes on from
+// there.
 func (s *Service) closeUndispatched(
 	ctx context.Context, owner shard.Owner, run *run, startedAsk uint64,
 ) (how result, known bool, err error) {
@@ -95,7 +96,7 @@
 		return result{}, false, appendFailed(err)
 	}
 	s.mu.Lock()
-	delete(s.undispatched, run.key)
+	delete(s.undispatched, startID{run.key, startedAsk, owner.Epoch()})
 	s.mu.Unlock()
 	return s.recorded(ctx, owner, run)
 }
--- a/internal/requestledger/service.go
+++ b/internal/requestledger/service.go
@@ -113,11 +113,13 @@
 
 	mu   sync.Mutex
 	runs map[key]*run
-	// undispatched holds the asks whose Start may be recorded and whose run was given up before any dispatch, by epoch.
-	undispatched map[key]undispatched
+	// undispatched holds the Starts that may be recorded and whose run was given up before any dispatch.
+	undispatched map[startID]struct{}
 }
 
-type undispatched struct {
+// startID names a Start that this process wrote.
+type startID struct {
+	key   key
 	ask   uint64
 	epoch uint64
 }
@@ -135,7 +137,7 @@
 		lifetime:     lifetime,
 		close:        closeLifetime,
 		runs:         make(map[key]*run),
-		undispatched: make(map[key]undispatched),
+		undispatched: make(map[startID]struct{}),
 	}
 }
 
