--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -132,6 +132,13 @@
 	e.faults.disorder = disorder
 }
 
+// SetEventLoss loses cache events with probability, 0 to 1, from now on.
+func (e *Engine) SetEventLoss(probability float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cache.loss = probability
+}
+
 // Leave makes the engine say that it is leaving. LeavingGrace later it refuses new work; running work goes on.
 func (e *Engine) Leave() {
 	e.mutex.Lock()
--- a/internal/standin/engine/tokens.go
+++ b/internal/standin/engine/tokens.go
@@ -2,27 +2,49 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// LengthMarker as the second token of a prompt says that the first token is the length of the answer.
-const LengthMarker uint32 = 0x4c454e47
+// Markers, as the second token of a prompt, say that the prompt sets the length of its answers.
+const (
+	// LengthMarker says that the first token is the length of every answer.
+	LengthMarker uint32 = 0x4c454e47
+	// SpreadMarker says that lengths are log-normal over the seeds: the first token is the median, the third the standard
+	// deviation of the natural logarithm in thousandths.
+	SpreadMarker uint32 = 0x53505244
+)
 
-// LengthOf returns how many tokens the whole answer to prompt has. It is the first token of a prompt that carries
-// LengthMarker, else derived from prompt and seed with a long tail; at least 1 and at most maxTokens.
+// LengthOf returns how many tokens the whole answer to prompt has. It is what the prompt's marker says, else derived
+// from prompt and seed with a long tail; at least 1 and at most maxTokens.
 func LengthOf(prompt []uint32, seed uint64, maxTokens int) int {
-	length := derivedLength(promptHash(prompt, seed), maxTokens)
-	if len(prompt) > 1 && prompt[1] == LengthMarker {
-		length = int(prompt[0])
-	}
+	length := wantedLength(prompt, promptHash(prompt, seed), maxTokens)
 	return min(max(length, 1), max(maxTokens, 1))
 }
 
-// derivedLength cubes a uniform number, so that few answers are far longer than the rest.
-func derivedLength(hash uint64, maxTokens int) int {
-	uniform := float64(hash>>11) / (1 << 53)
-	return 1 + int(uniform*uniform*uniform*float64(maxTokens))
+func wantedLength(prompt []uint32, hash uint64, maxTokens int) int {
+	switch {
+	case len(prompt) > 1 && prompt[1] == LengthMarker:
+		return int(prompt[0])
+	case len(prompt) > 2 && prompt[1] == SpreadMarker:
+		sigma := float64(prompt[2]) / 1000
+		return int(min(float64(prompt[0])*math.Exp(sigma*normal(hash)), float64(maxTokens)))
+	default:
+		// Cubing a uniform number makes few answers far longer than the rest.
+		return 1 + int(math.Pow(uniform(hash), 3)*float64(maxTokens))
+	}
+}
+
+// uniform makes a number from 0 to 1 of a hash.
+func uniform(hash uint64) float64 {
+	return float64(hash>>11) / (1 << 53)
+}
+
+// normal makes a standard normal number of a hash, by Box and Muller.
+func normal(hash uint64) float64 {
+	radius := math.Sqrt(-2 * math.Log(1-uniform(hash)))
+	return radius * math.Cos(2*math.Pi*uniform(hash*0x9e3779b97f4a7c15))
 }
 
 // TokenAt returns the token at index of the answer to prompt under seed, whichever engine or version produces it.
--- a/internal/standin/logservice/faults.go
+++ b/internal/standin/logservice/faults.go
@@ -4,11 +4,12 @@
 
 // appendFaults says how the next appends fail.
 type appendFaults struct {
-	afterEffectNext        int
-	afterEffectProbability float64
-	beforeEffectNext       int
-	delayedNext            int
-	delay                  time.Duration
+	afterEffectNext         int
+	afterEffectProbability  float64
+	beforeEffectNext        int
+	beforeEffectProbability float64
+	delayedNext             int
+	delay                   time.Duration
 }
 
 // appendOutcome is how one append fails, if at all.
@@ -39,6 +40,13 @@
 	s.faults.beforeEffectNext = count
 }
 
+// LoseRequestsAtRandom does as LoseRequests to each append with probability. 0 ends it.
+func (s *Service) LoseRequestsAtRandom(probability float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults.beforeEffectProbability = probability
+}
+
 // DelayEffects makes the next count appends answer ErrUnavailable at once and take effect delay later.
 func (s *Service) DelayEffects(count int, delay time.Duration) {
 	s.mutex.Lock()
@@ -62,5 +70,8 @@
 		s.faults.afterEffectNext--
 		return appendOutcome{lostAfterEffect: true}
 	}
-	return appendOutcome{lostAfterEffect: s.random.Float64() < s.faults.afterEffectProbability}
+	return appendOutcome{
+		lostBeforeEffect: s.random.Float64() < s.faults.beforeEffectProbability,
+		lostAfterEffect:  s.random.Float64() < s.faults.afterEffectProbability,
+	}
 }
