Dispatch training samples, requests and weights to engines

Cause: each engine needs one dispatcher that holds the truth on its load and fences its orders. Change: internal/dispatch: owners by placement and shard epoch, slot table with shares and preemption, pulls from step shards, reports and completions, interactive streams, weight waves with verification and quarantine, leaving, drain. Conclusion: both paths are tested in virtual time against the stand-in engine and a fake step ledger.

--- /dev/null
+++ b/internal/dispatch/handover.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
+)
+
+func preferenceOf(machine platform.Machine) placement.Preference {
+	return placement.Preference{Zone: machine.Zone, Region: machine.Region}
+}
+
+// notOwner refuses a call for an engine that is dispatched elsewhere, and tells where, as far as placement knows.
+func (d *Dispatcher) notOwner(engine string) error {
+	refusal := &peer.Error{Code: peer.CodeNotOwner, Message: "engine " + engine + " is dispatched elsewhere"}
+	for _, machine := range d.config.Directory.Engines("") {
+		if machine.ID != engine {
+			continue
+		}
+		member, found := d.config.Placer.Owner(EngineKey(engine), preferenceOf(machine))
+		if found && member.Node != d.config.Placer.Self().Node {
+			refusal.OwnerHint = member.PeerAddress
+		}
+	}
+	return refusal
+}
+
+// Handover settles the work at the engine of a shard stream that is about to be released. Streams of other kinds are
+// none of its business. It returns when nothing is in flight any more, or the context ends.
+func (d *Dispatcher) Handover(ctx context.Context, stream string) {
+	engine, isEngine := strings.CutPrefix(stream, EngineStreamPrefix)
+	if !isEngine {
+		return
+	}
+	if owner := d.owner(engine); owner != nil {
+		if err := owner.settle(ctx); err != nil {
+			owner.logger.Warn("engine is handed over with work in flight", "requests", owner.requestCount(), "error", err)
+		}
+	}
+}
+
+// Drain stops as planned: no engine takes new work here, training samples are handed back, requests in flight finish,
+// finished samples are handed in, and the shards are released. It returns nil once nothing is left; if the context ends
+// before, what is left goes on until Run's context ends, and the error tells how many requests there were.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.mutex.Lock()
+	d.draining = true
+	d.mutex.Unlock()
+	var group sync.WaitGroup
+	for _, owner := range d.allOwners() {
+		group.Go(func() { _ = owner.settle(ctx) })
+	}
+	group.Wait()
+	for ctx.Err() == nil {
+		wake := d.wake.changed()
+		if d.empty() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-wake:
+		}
+	}
+	requests := 0
+	for _, owner := range append(d.allOwners(), d.lingeringOwners()...) {
+		requests += owner.requestCount()
+	}
+	return oops.With("requests", requests).Wrapf(ctx.Err(), "drain engine dispatchers")
+}
--- /dev/null
+++ b/internal/dispatch/loader.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+// errUnverified says that a load was acknowledged, but the engine serves another version.
+var errUnverified = errors.New("engine does not serve what it was ordered to")
+
+// loadWeights keeps the engine on the desired versions until the context ends. Orders are given one at a time, because an
+// engine refuses an order that was overtaken by a newer one.
+func (o *engineOwner) loadWeights(ctx context.Context) {
+	pauses := o.config.Timing.newBackoff()
+	for ctx.Err() == nil {
+		state, versions := o.state.notify.changed(), o.dispatcher.versions.notify.changed()
+		slots := o.slots.notify.changed()
+		plan, delay, due := o.nextLoad()
+		var idle <-chan struct{}
+		if delay < idleLook {
+			idle = slots // a load is pending, which an idle engine need not wait for
+		}
+		if !due {
+			waitFor(ctx, delay, state, versions, idle)
+			continue
+		}
+		err := o.load(ctx, plan)
+		switch {
+		case err == nil:
+			pauses.Reset()
+		case errors.Is(err, platform.ErrStaleOrder):
+			o.stepDown()
+		default:
+			o.countLoadFailure(err)
+			waitFor(ctx, pauses.NextBackOff())
+		}
+	}
+}
+
+func (o *engineOwner) countLoadFailure(err error) {
+	if errors.Is(err, platform.ErrThrottled) {
+		o.dispatcher.counters.LoadsThrottled.Add(1)
+		return
+	}
+	if errors.Is(err, errUnverified) {
+		o.dispatcher.counters.LoadsUnverified.Add(1)
+	} else {
+		o.dispatcher.counters.LoadsFailed.Add(1)
+	}
+	o.logger.Warn("weights were not loaded", "error", err)
+}
+
+// idleLook is how long the loader rests when nothing is due and nothing changes.
+const idleLook = time.Minute
+
+// nextLoad returns the load that is due now, or how long it is until one may be.
+func (o *engineOwner) nextLoad() (plan modelPlan, delay time.Duration, due bool) {
+	accepted := o.config.Bundles.Current()
+	view := o.state.view()
+	if accepted == nil || !view.reachable() {
+		return modelPlan{}, idleLook, false
+	}
+	delay = idleLook
+	for _, candidate := range planModels(&accepted.Bundle, o.machine.Pool, o.dispatcher.versions.latest) {
+		if !needsLoad(candidate, view) {
+			continue
+		}
+		wait := o.untilWave(&accepted.Bundle, candidate, view)
+		if wait <= 0 {
+			return candidate, 0, true
+		}
+		delay = min(delay, wait)
+	}
+	return modelPlan{}, delay, false
+}
+
+// needsLoad tells whether the engine has to be ordered to load, or at least looked at again.
+func needsLoad(plan modelPlan, view engineView) bool {
+	if plan.desired == 0 {
+		return false
+	}
+	return view.served[plan.model] != plan.desired || view.quarantined[plan.model] || view.suspect[plan.model]
+}
+
+// untilWave is how long it is until the engine's wave starts. An engine that serves nothing of use does not wait for it,
+// nor does an idle one in a pool without interactive work.
+func (o *engineOwner) untilWave(current *bundle.Bundle, plan modelPlan, view engineView) time.Duration {
+	served, serves := view.served[plan.model]
+	if !serves || view.quarantined[plan.model] || view.suspect[plan.model] || !o.useful(current, plan.model, served) {
+		return 0
+	}
+	if o.slots.idle() && !hasInteractive(current, o.machine.Pool) {
+		return 0
+	}
+	engines := o.poolEngines()
+	floor := servingFloor(current, o.machine.Pool)
+	wave := policy.WaveOf(engines, o.machine.ID, plan.model, plan.desired, floor)
+	start := plan.since.Add(policy.WaveDelay(wave, policy.WaveCount(len(engines), floor), o.config.Timing.Roll))
+	return time.Until(start)
+}
+
+// useful tells whether any workload of the pool accepts the version that the engine serves.
+func (o *engineOwner) useful(current *bundle.Bundle, model string, version uint64) bool {
+	for _, workload := range poolWorkloads(current, o.machine.Pool) {
+		if workload.Model == model && versionBounds(workload).Accept(version) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasInteractive(current *bundle.Bundle, pool string) bool {
+	for _, workload := range poolWorkloads(current, pool) {
+		if workload.Kind == bundle.Interactive {
+			return true
+		}
+	}
+	return false
+}
+
+func servingFloor(current *bundle.Bundle, pool string) float64 {
+	found := current.Pool(pool)
+	if found == nil {
+		return 0
+	}
+	return found.ServingFloor
+}
+
+// poolEngines names the engines of the pool that are not leaving.
+func (o *engineOwner) poolEngines() []string {
+	var names []string
+	for _, machine := range o.config.Directory.Engines(o.machine.Pool) {
+		if machine.State == platform.MachineLive {
+			names = append(names, machine.ID)
+		}
+	}
+	return names
+}
+
+// load brings the engine to the desired version and returns nil once it was seen to serve it. An engine that was only
+// suspected is looked at first.
+func (o *engineOwner) load(ctx context.Context, plan modelPlan) error {
+	view := o.state.view()
+	if view.suspect[plan.model] && !view.quarantined[plan.model] {
+		o.state.clearSuspicion(plan.model)
+		return o.lookAgain(ctx)
+	}
+	o.state.setLoading(true)
+	defer o.state.setLoading(false)
+	order := platform.LoadOrder{Fence: o.nextFence(), Model: plan.model, Version: plan.desired}
+	o.dispatcher.counters.WeightOrders.Add(1)
+	if err := o.order(ctx, order); err != nil {
+		return err
+	}
+	return o.verify(ctx, order)
+}
+
+func (o *engineOwner) order(ctx context.Context, order platform.LoadOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, o.config.Timing.Load)
+	defer cancel()
+	return oops.With("model", order.Model, "version", order.Version).Wrapf(o.engine.Load(ctx, order), "load weights")
+}
+
+// lookAgain reads the status once it is newer than the tokens that contradicted it.
+func (o *engineOwner) lookAgain(ctx context.Context) error {
+	waitFor(ctx, o.config.Timing.StatusLag)
+	_, err := o.readStatus(ctx)
+	return err
+}
+
+// verify reads the status, once it is newer than the order, and compares.
+func (o *engineOwner) verify(ctx context.Context, order platform.LoadOrder) error {
+	waitFor(ctx, o.config.Timing.StatusLag)
+	status, err := o.readStatus(ctx)
+	if err != nil {
+		return err
+	}
+	served := status.Served[order.Model]
+	if served != order.Version {
+		return oops.With("ordered", order.Version, "served", served).Wrap(errUnverified)
+	}
+	o.state.verified(order.Model, order.Version)
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,358 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/machines"
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/shard"
+	"github.com/hillfork/hillfork/internal/standin/engine"
+)
+
+// world is one dispatcher among stand-in engines and a fake of everything else.
+type world struct {
+	*Dispatcher
+	*fakeLedger
+	t        *testing.T
+	placer   *fakePlacer
+	opener   *fakeOpener
+	machines *machines.Directory
+	list     *fakeList
+	bundles  *fakeBundles
+	engines  map[string]*engine.Engine
+	stop     context.CancelFunc
+}
+
+// Engine implements platform.EngineDialer.
+func (w *world) Engine(address string) platform.Engine { return w.engines[address] }
+
+func newWorld(t *testing.T, current bundle.Bundle, configs ...engine.Config) *world {
+	w := &world{
+		t: t, placer: &fakePlacer{here: true, changed: make(chan struct{})}, opener: &fakeOpener{},
+		bundles: &fakeBundles{accepted: &bundle.Accepted{Bundle: current}}, list: &fakeList{},
+		engines: map[string]*engine.Engine{}, fakeLedger: newFakeLedger(),
+	}
+	for _, config := range configs {
+		w.engines[config.ID] = engine.New(config)
+		w.list.machines = append(w.list.machines, platform.Machine{
+			ID: config.ID, Kind: platform.MachineEngine, Address: config.ID, Pool: config.Pool, State: platform.MachineLive,
+		})
+	}
+	w.machines = machines.New(machines.Config{List: w.list})
+	w.Dispatcher = New(Config{
+		Placer: w.placer, Opener: w.opener, Directory: w.machines, Dialer: w, Bundles: w.bundles, Ledger: w.fakeLedger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = w.machines.Run(ctx) })
+	group.Go(func() { _ = w.Run(ctx) })
+	w.stop = func() {
+		cancel()
+		group.Wait()
+		for _, running := range w.engines {
+			running.Close()
+		}
+	}
+	t.Cleanup(w.stop)
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return w
+}
+
+func engineConfig(id string) engine.Config {
+	return engine.Config{ID: id, Pool: "p", Slots: 4, Served: map[string]uint64{"m": 5}}
+}
+
+func training(name string, share float64) bundle.Workload {
+	return bundle.Workload{
+		Name: name, Kind: bundle.Training, Pools: []string{"p"}, Share: share, Model: "m", Swap: bundle.SwapContinue,
+		Limits: bundle.Limits{MaxPromptTokens: 100, MaxTokens: 100000},
+	}
+}
+
+func interactive(name string, share float64) bundle.Workload {
+	workload := training(name, share)
+	workload.Kind = bundle.Interactive
+	return workload
+}
+
+func bundleOf(workloads ...bundle.Workload) bundle.Bundle {
+	return bundle.Bundle{Version: 1, Pools: []bundle.Pool{{Name: "p", ServingFloor: 0.5}}, Workloads: workloads}
+}
+
+type fakeList struct {
+	mutex    sync.Mutex
+	machines []platform.Machine
+}
+
+func (f *fakeList) List(context.Context) ([]platform.Machine, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]platform.Machine(nil), f.machines...), nil
+}
+
+func (f *fakeList) leave(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.machines[i].State = platform.MachineLeaving
+}
+
+type fakePlacer struct {
+	mutex   sync.Mutex
+	here    bool
+	changed chan struct{}
+}
+
+func (f *fakePlacer) Owner(string, placement.Preference) (placement.Member, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.here {
+		return f.Self(), true
+	}
+	return placement.Member{Node: "other", PeerAddress: "other:1"}, true
+}
+
+func (f *fakePlacer) Self() placement.Member {
+	return placement.Member{Node: "self", PeerAddress: "self:1"}
+}
+
+func (f *fakePlacer) Changed() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.changed
+}
+
+func (f *fakePlacer) move() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.here = false
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// fakeOpener claims the next epoch with each opening.
+type fakeOpener struct {
+	mutex sync.Mutex
+	epoch uint64
+	last  *fakeShard
+}
+
+type fakeShard struct {
+	shard.Owner
+	epoch    uint64
+	done     chan struct{}
+	released bool
+}
+
+func (f *fakeOpener) Open(context.Context, string) (shard.Owner, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.epoch++
+	f.last = &fakeShard{epoch: f.epoch, done: make(chan struct{})}
+	return f.last, nil
+}
+
+func (f *fakeOpener) current() *fakeShard {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.last
+}
+
+func (f *fakeShard) Epoch() uint64         { return f.epoch }
+func (f *fakeShard) Done() <-chan struct{} { return f.done }
+func (f *fakeShard) Release(context.Context) error {
+	f.released = true
+	close(f.done)
+	return nil
+}
+
+type fakeBundles struct{ accepted *bundle.Accepted }
+
+func (f *fakeBundles) Current() *bundle.Accepted { return f.accepted }
+func (f *fakeBundles) Changed() <-chan struct{}  { return nil }
+
+// fakeLedger holds the samples of all step shards. Failed samples wait again, resumed where the attempt ended.
+type fakeLedger struct {
+	mutex     sync.Mutex
+	changed   *notifier
+	down      bool
+	latest    uint64
+	waiting   map[string][]peerapi.Assignment
+	running   map[peerapi.AttemptRef]peerapi.Assignment
+	completed []*peerapi.CompleteSample
+	failures  []peerapi.Progress
+	cancel    []peerapi.AttemptRef
+	calls     map[string]int
+}
+
+func newFakeLedger() *fakeLedger {
+	return &fakeLedger{
+		changed: newNotifier(), waiting: map[string][]peerapi.Assignment{},
+		running: map[peerapi.AttemptRef]peerapi.Assignment{}, calls: map[string]int{},
+	}
+}
+
+// promptOf asks a stand-in engine for an answer of so many tokens.
+func promptOf(length, salt int) []uint32 {
+	return []uint32{uint32(length), engine.LengthMarker, uint32(salt)}
+}
+
+// add makes samples of a step wait.
+func (f *fakeLedger) add(workload string, count, length int, minVersion uint64) {
+	f.mutex.Lock()
+	for i := range count {
+		f.waiting[StepShardKey(workload, 0)] = append(f.waiting[StepShardKey(workload, 0)], peerapi.Assignment{
+			Workload: workload, Index: i, Attempt: 1, Model: "m", Prompt: promptOf(length, i),
+			MaxTokens: 100000, MinVersion: minVersion,
+		})
+	}
+	f.mutex.Unlock()
+	f.changed.notify()
+}
+
+func (f *fakeLedger) set(change func()) {
+	f.mutex.Lock()
+	change()
+	f.mutex.Unlock()
+	f.changed.notify()
+}
+
+func (f *fakeLedger) CallOwner(ctx context.Context, key string, _ placement.Preference, method string, request, response peer.Message, _ bool) error {
+	f.mutex.Lock()
+	f.calls[method]++
+	down := f.down
+	f.mutex.Unlock()
+	if down {
+		return fmt.Errorf("ledger is down: %w", peer.ErrLost)
+	}
+	switch request := request.(type) {
+	case *peerapi.PullWork:
+		return f.pull(ctx, key, request, response.(*peerapi.PullWorkResult))
+	case *peerapi.ReportWork:
+		f.report(key, request, response.(*peerapi.ReportWorkResult))
+	case *peerapi.CompleteSample:
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.completed = append(f.completed, request)
+		delete(f.running, peerapi.AttemptRef{Step: request.Step, Index: request.Index, Attempt: request.Attempt})
+	}
+	return nil
+}
+
+func (f *fakeLedger) pull(ctx context.Context, key string, request *peerapi.PullWork, result *peerapi.PullWorkResult) error {
+	timer := time.NewTimer(time.Duration(request.WaitMillis) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		changed := f.changed.changed()
+		f.mutex.Lock()
+		var left []peerapi.Assignment
+		for _, assignment := range f.waiting[key] {
+			if len(result.Assignments) < request.FreeSlots && request.ServedVersion >= assignment.MinVersion {
+				result.Assignments = append(result.Assignments, assignment)
+				f.running[peerapi.AttemptRef{Index: assignment.Index, Attempt: assignment.Attempt}] = assignment
+				continue
+			}
+			left = append(left, assignment)
+		}
+		f.waiting[key] = left
+		result.Backlog, result.Latest = len(left), f.latest
+		f.mutex.Unlock()
+		if len(result.Assignments) > 0 || request.FreeSlots == 0 && result.Backlog > 0 || result.Latest > request.KnownLatest {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (f *fakeLedger) report(key string, request *peerapi.ReportWork, result *peerapi.ReportWorkResult) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	result.Latest = f.latest
+	result.Cancel = f.cancel
+	for _, progress := range request.Attempts {
+		reference := peerapi.AttemptRef{Index: progress.Index, Attempt: progress.Attempt}
+		assignment, known := f.running[reference]
+		if !progress.Failed || !known {
+			continue
+		}
+		f.failures = append(f.failures, progress)
+		delete(f.running, reference)
+		assignment.Attempt++
+		assignment.Resume, assignment.ResumeSpans = progress.Partial, progress.Spans
+		f.waiting[key] = append(f.waiting[key], assignment)
+		defer f.changed.notify()
+	}
+}
+
+func (f *fakeLedger) callsOf(method string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.calls[method]
+}
+
+// snapshot tells the completions and failures so far.
+func (f *fakeLedger) snapshot() (completed []*peerapi.CompleteSample, failures []peerapi.Progress) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append(completed, f.completed...), append(failures, f.failures...)
+}
+
+// fakeStream collects the events of a request.
+type fakeStream struct {
+	mutex  sync.Mutex
+	events []peerapi.ExecuteEvent
+	err    error
+	done   chan struct{}
+}
+
+func (f *fakeStream) Send(event peer.Message) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.events = append(f.events, *event.(*peerapi.ExecuteEvent))
+	return nil
+}
+
+// request starts an interactive request.
+func (w *world) request(ctx context.Context, request peerapi.Execute) *fakeStream {
+	stream := &fakeStream{done: make(chan struct{})}
+	decode := func(into peer.Message) error {
+		*into.(*peerapi.Execute) = request
+		return nil
+	}
+	go func() {
+		defer close(stream.done)
+		stream.err = w.execute(ctx, decode, stream)
+	}()
+	return stream
+}
+
+// wait returns the answer, resumed tokens included, the last event, and the refusal of a request.
+func (f *fakeStream) wait(resumed []uint32) (tokens []uint32, last peerapi.ExecuteEvent, refusal *peer.Error) {
+	<-f.done
+	tokens = append(tokens, resumed...)
+	for _, event := range f.events {
+		if event.Index != len(tokens) {
+			panic("the answer has a gap or an overlap")
+		}
+		tokens = append(tokens, event.Tokens...)
+		last = event
+	}
+	errors.As(f.err, &refusal)
+	return tokens, last, refusal
+}
