Look up the end of an ask instead of taking another ask's

Change: only the run's own ask takes its end from the run; others read what was recorded. Conclusion: an ask that was told not run stays so.

--- a/internal/requestledger/fake_test.go
+++ b/internal/requestledger/fake_test.go
@@ -71,7 +71,7 @@
 func (n *fakeNode) Open(context.Context, string) (shard.Owner, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.owner == nil {
+	if n.owner == nil || n.owner.knowsBetter() {
 		n.owner = &fakeOwner{log: n.log, epoch: n.log.claim(), state: NewState()}
 		n.owner.fold()
 	}
@@ -85,17 +85,24 @@
 	mu     sync.Mutex
 	state  *State
 	folded int
+	// refused is set once the log has shown that another process owns the shard.
+	refused bool
+}
+
+func (o *fakeOwner) knowsBetter() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.refused
 }
 
-func (o *fakeOwner) fold() (last any) {
+func (o *fakeOwner) fold() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.log.mu.Lock()
 	defer o.log.mu.Unlock()
 	for ; o.folded < len(o.log.records); o.folded++ {
-		last = o.state.Apply(o.log.records[o.folded])
+		o.state.Apply(o.log.records[o.folded])
 	}
-	return last
 }
 
 func (o *fakeOwner) Append(_ context.Context, proposals ...shard.Proposal) ([]any, error) {
@@ -104,6 +111,7 @@
 	o.log.mu.Lock()
 	defer o.log.mu.Unlock()
 	if o.epoch != o.log.epoch {
+		o.refused = true
 		return nil, shard.ErrNotOwner
 	}
 	var outcomes []any
--- a/internal/requestledger/run.go
+++ b/internal/requestledger/run.go
@@ -20,13 +20,10 @@
 	err    error
 }
 
-// answers tells whether the run's end is also the end of another ask. A run that ended as not run, or was refused, says
-// nothing of other asks.
-func (r *run) answers(ask uint64) bool {
-	if r.ask == ask {
-		return true
-	}
-	return r.err == nil && !r.result.isNotRun()
+// answers tells whether the run's end is also the end of another ask's. Others look up anew what the run recorded, for an
+// ask that was said not to have run stays so whatever a later one came to.
+func (r *run) answers(wanted run) bool {
+	return r.ask == wanted.ask && bytes.Equal(r.digest, wanted.digest)
 }
 
 // drive works out the end of a run.
@@ -44,7 +41,7 @@
 		case <-ctx.Done():
 			return nil, uncertain("the request is still under way")
 		}
-		if joined.answers(wanted.ask) && bytes.Equal(joined.digest, wanted.digest) {
+		if joined.answers(wanted) {
 			return joined, joined.err
 		}
 	}
--- a/internal/requestledger/service_test.go
+++ b/internal/requestledger/service_test.go
@@ -270,3 +270,24 @@
 		})
 	}
 }
+
+// TestUnrecordedFinish keeps the log from taking the Finish of a request that ran: it is never said not to have run.
+func TestUnrecordedFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &fakeLog{fault: func(kind uint8) logFault {
+			if kind == kindFinish {
+				return logLostRequest
+			}
+			return logFine
+		}}
+		engines := &fakeEngines{}
+		service := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+		defer service.Close()
+		is.True(equal(execute(t.Context(), service, request("key", 1)), doubtful))
+		log.fault = nil
+		is.True(equal(resolve(t.Context(), service, request("key", 1)), unknown))
+		is.True(equal(execute(t.Context(), service, request("key", 2)), unknown))
+		is.Equal(engines.total(), 1)
+	})
+}
