--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Layout of a datagram: version, checksum of the cluster's name and of all that follows, header, records.
+const (
+	wireVersion    = 1
+	checksumBytes  = 4
+	prefixBytes    = 1 + checksumBytes
+	maxPacketBytes = 1200
+	// urgentPacketBytes bounds a datagram of urgent news.
+	urgentPacketBytes = 400
+	// overheadBytes is what IP and UDP add to a datagram.
+	overheadBytes = 28
+)
+
+var errMalformed = errors.New("datagram is malformed")
+
+// packet is a decoded datagram.
+type packet struct {
+	header header
+	// members, states and facts are the records in order of their kinds.
+	members []memberRecord
+	states  []stateRecord
+	facts   []factRecord
+}
+
+// encoder builds one datagram up to a limit of bytes.
+type encoder struct {
+	buffer []byte
+	limit  int
+}
+
+// newEncoder starts a datagram; headers always fit into maxPacketBytes.
+func newEncoder(head *header) *encoder {
+	buffer := make([]byte, prefixBytes, maxPacketBytes)
+	return &encoder{buffer: mustMarshal(buffer, head), limit: maxPacketBytes}
+}
+
+// add appends an encoded record if it fits.
+func (e *encoder) add(record []byte) bool {
+	if len(e.buffer)+len(record) > e.limit {
+		return false
+	}
+	e.buffer = append(e.buffer, record...)
+	return true
+}
+
+// finish seals the datagram.
+func (e *encoder) finish(cluster string) []byte {
+	e.buffer[0] = wireVersion
+	binary.BigEndian.PutUint32(e.buffer[1:], checksum(cluster, e.buffer[prefixBytes:]))
+	return e.buffer
+}
+
+func checksum(cluster string, body []byte) uint32 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(cluster)
+	_, _ = digest.Write([]byte{wireVersion})
+	_, _ = digest.Write(body)
+	return uint32(digest.Sum64())
+}
+
+// encodeRecord returns a record with its kind in front.
+func encodeRecord(kind recordKind, record msgp.Marshaler) []byte {
+	return mustMarshal([]byte{byte(kind)}, record)
+}
+
+// mustMarshal appends a message. Messages without extensions or interfaces cannot fail to be encoded.
+func mustMarshal(buffer []byte, message msgp.Marshaler) []byte {
+	encoded, err := message.MarshalMsg(buffer)
+	if err != nil {
+		panic("membership: message cannot be encoded: " + err.Error())
+	}
+	return encoded
+}
+
+// decode reads a datagram. Whatever the bytes, it returns either a packet within all bounds or errMalformed.
+func decode(cluster string, datagram []byte) (*packet, error) {
+	if len(datagram) < prefixBytes || len(datagram) > maxPacketBytes || datagram[0] != wireVersion {
+		return nil, errMalformed
+	}
+	body := datagram[prefixBytes:]
+	if binary.BigEndian.Uint32(datagram[1:]) != checksum(cluster, body) {
+		return nil, errMalformed
+	}
+	return decodeBody(body)
+}
+
+func decodeBody(body []byte) (*packet, error) {
+	result := &packet{}
+	rest, err := result.header.UnmarshalMsg(body)
+	if err != nil || !result.header.valid() {
+		return nil, errMalformed
+	}
+	for len(rest) > 0 {
+		rest, err = result.decodeRecord(recordKind(rest[0]), rest[1:])
+		if err != nil {
+			return nil, errMalformed
+		}
+	}
+	return result, nil
+}
+
+func (p *packet) decodeRecord(kind recordKind, body []byte) ([]byte, error) {
+	switch kind {
+	case recordMember:
+		var record memberRecord
+		rest, err := record.UnmarshalMsg(body)
+		if err != nil || !record.valid() {
+			return nil, errMalformed
+		}
+		p.members = append(p.members, record)
+		return rest, nil
+	case recordState:
+		var record stateRecord
+		rest, err := record.UnmarshalMsg(body)
+		if err != nil || !record.valid() {
+			return nil, errMalformed
+		}
+		p.states = append(p.states, record)
+		return rest, nil
+	case recordFact:
+		var record factRecord
+		rest, err := record.UnmarshalMsg(body)
+		if err != nil || !record.valid() {
+			return nil, errMalformed
+		}
+		p.facts = append(p.facts, record)
+		return rest, nil
+	default:
+		return nil, errMalformed
+	}
+}
+
+func (h *header) valid() bool {
+	if h.Kind < packetPing || h.Kind > packetUrgent {
+		return false
+	}
+	if h.Kind == packetPingRequest {
+		if _, err := decodeAddress(h.TargetAddress); err != nil || h.Target == "" {
+			return false
+		}
+	}
+	return h.From != "" && len(h.From) <= maxNodeBytes && len(h.Target) <= maxNodeBytes
+}
+
+func (r *memberRecord) valid() bool {
+	if _, err := decodeAddress(r.GossipAddress); err != nil {
+		return false
+	}
+	if len(r.PeerAddress) > 0 {
+		if _, err := decodeAddress(r.PeerAddress); err != nil {
+			return false
+		}
+	}
+	if len(r.Zone) > maxLocationBytes || len(r.Region) > maxLocationBytes {
+		return false
+	}
+	return validState(r.Node, r.Condition)
+}
+
+func (r *stateRecord) valid() bool { return validState(r.Node, r.Condition) }
+
+func (r *factRecord) valid() bool { return validFact(r.Key, r.Value) }
+
+func validState(node string, seen condition) bool {
+	return node != "" && len(node) <= maxNodeBytes && seen >= conditionAlive && seen <= conditionDead
+}
+
+func validFact(key string, value []byte) bool {
+	return key != "" && len(key) <= maxFactKeyBytes && len(value) <= MaxFactBytes
+}
+
+// encodeAddress returns the bytes of an "ip:port"; none for the empty address.
+func encodeAddress(address string) []byte {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil
+	}
+	encoded, err := parsed.MarshalBinary()
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// decodeAddress is the inverse of encodeAddress; no bytes are an error.
+func decodeAddress(encoded []byte) (netip.AddrPort, error) {
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(encoded); err != nil || !address.IsValid() {
+		return netip.AddrPort{}, errMalformed
+	}
+	return address, nil
+}
+
+// addressText returns the "ip:port" of encoded bytes; empty where there is none.
+func addressText(encoded []byte) string {
+	address, err := decodeAddress(encoded)
+	if err != nil {
+		return ""
+	}
+	return address.String()
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,133 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Prefixes of the keys under which members and facts are queued, sorted and compared.
+const (
+	memberKeyPrefix = "m/"
+	factKeyPrefix   = "f/"
+)
+
+func memberKey(node string) string { return memberKeyPrefix + node }
+func factKey(key string) string    { return factKeyPrefix + key }
+
+// entry is what is known of a member.
+type entry struct {
+	record memberRecord
+	// suspectUntil is when a suspect is declared dead.
+	suspectUntil time.Time
+	// deadSince is when the member was found dead.
+	deadSince time.Time
+}
+
+// member returns the entry as users see it.
+func (e *entry) member() Member {
+	return Member{
+		Node:          e.record.Node,
+		Incarnation:   e.record.Incarnation,
+		GossipAddress: addressText(e.record.GossipAddress),
+		PeerAddress:   addressText(e.record.PeerAddress),
+		Zone:          e.record.Zone,
+		Region:        e.record.Region,
+		State:         e.record.state(),
+	}
+}
+
+// state combines how the member is seen with what it announced. A leaving member under suspicion stays leaving, so that
+// nothing is placed on it again.
+func (r *memberRecord) state() State {
+	switch {
+	case r.Condition == conditionDead:
+		return StateDead
+	case r.Leaving:
+		return StateLeaving
+	case r.Condition == conditionSuspect:
+		return StateSuspect
+	default:
+		return StateAlive
+	}
+}
+
+// short returns the record without what never changes in an incarnation.
+func (r *memberRecord) short() stateRecord {
+	return stateRecord{
+		Node:        r.Node,
+		Incarnation: r.Incarnation,
+		Refutation:  r.Refutation,
+		Condition:   r.Condition,
+		Leaving:     r.Leaving,
+	}
+}
+
+// supersedes tells whether r is newer than other, a record of the same node.
+func (r stateRecord) supersedes(other stateRecord) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	if r.Refutation != other.Refutation {
+		return r.Refutation > other.Refutation
+	}
+	return r.Condition > other.Condition
+}
+
+// digest is the hash by which two nodes compare what they hold of a member. Suspicions are left out, since they pass;
+// so are the dead, since nodes forget them at different times.
+func (r *memberRecord) digest() uint64 {
+	if r.Condition == conditionDead {
+		return 0
+	}
+	buffer := make([]byte, 0, 96)
+	buffer = append(buffer, memberKeyPrefix...)
+	buffer = append(buffer, r.Node...)
+	buffer = binary.BigEndian.AppendUint64(buffer, r.Incarnation)
+	buffer = binary.BigEndian.AppendUint32(buffer, r.Refutation)
+	if r.Leaving {
+		buffer = append(buffer, 1)
+	}
+	return xxhash.Sum64(buffer)
+}
+
+// keyIndex is the sorted list of all keys.
+type keyIndex struct {
+	keys []string
+}
+
+func (k *keyIndex) insert(key string) {
+	position, found := slices.BinarySearch(k.keys, key)
+	if !found {
+		k.keys = slices.Insert(k.keys, position, key)
+	}
+}
+
+func (k *keyIndex) remove(key string) {
+	position, found := slices.BinarySearch(k.keys, key)
+	if found {
+		k.keys = slices.Delete(k.keys, position, position+1)
+	}
+}
+
+// between returns the keys above after and not above end; an empty end has no bound. The result is only valid until the
+// index changes.
+func (k *keyIndex) between(after, end string) []string {
+	first, found := slices.BinarySearch(k.keys, after)
+	if found {
+		first++
+	}
+	last := len(k.keys)
+	if end != "" {
+		last, found = slices.BinarySearch(k.keys, end)
+		if found {
+			last++
+		}
+	}
+	if last <= first {
+		return nil
+	}
+	return k.keys[first:last]
+}
--- /dev/null
+++ b/internal/placement/rendezvous.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hillfork/hillfork/internal/membership"
+)
+
+// Source tells which members there are. *membership.Membership is one.
+type Source interface {
+	Members() []membership.Member
+	Changed() <-chan struct{}
+}
+
+// Rendezvous is a Placer by highest-random-weight hashing. Members that are leaving or dead own nothing. Suspect members
+// keep what they own: most suspicions are refuted, and moving a shard there and back costs two claims and two replays,
+// while a call to a member that is really gone fails and is retried until the suspicion is settled seconds later.
+//
+// It is safe for concurrent use.
+type Rendezvous struct {
+	self   Member
+	source Source
+
+	mutex   sync.Mutex
+	changed <-chan struct{}
+	index   *index
+}
+
+// NewRendezvous returns a Placer for the node self over the members of source.
+func NewRendezvous(self Member, source Source) *Rendezvous {
+	return &Rendezvous{self: self, source: source}
+}
+
+// Owner returns the member placed for key; false when no member is alive.
+func (r *Rendezvous) Owner(key string, preference Preference) (Member, bool) {
+	return r.current().choose(key, preference)
+}
+
+// Self is this node.
+func (r *Rendezvous) Self() Member { return r.self }
+
+// Changed returns a channel that is closed when the members change.
+func (r *Rendezvous) Changed() <-chan struct{} { return r.source.Changed() }
+
+// current returns the index of the members as they are now, built anew only after a change.
+func (r *Rendezvous) current() *index {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.index != nil && !isClosed(r.changed) {
+		return r.index
+	}
+	// The channel is taken before the members, so that a change in between leads to one more build, never to a stale index.
+	r.changed = r.source.Changed()
+	r.index = newIndex(placeable(r.source.Members()))
+	return r.index
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// placeable returns the members that may own keys.
+func placeable(members []membership.Member) []Member {
+	result := make([]Member, 0, len(members))
+	for _, member := range members {
+		if member.State != membership.StateAlive && member.State != membership.StateSuspect {
+			continue
+		}
+		result = append(result, Member{
+			Node:        member.Node,
+			PeerAddress: member.PeerAddress,
+			Zone:        member.Zone,
+			Region:      member.Region,
+		})
+	}
+	return result
+}
+
+// Choose returns the member placed for key among members: the one of the highest weight in the preferred zone, or where
+// that has none in the preferred region, or else of all. It is a pure function and does not depend on the order of
+// members. The result is false when there are no members.
+func Choose(members []Member, key string, preference Preference) (Member, bool) {
+	return newIndex(members).choose(key, preference)
+}
+
+// candidate is a member with the hash of its name.
+type candidate struct {
+	member Member
+	hash   uint64
+}
+
+// location is a zone of a region, or with an empty zone the whole region.
+type location struct {
+	zone   string
+	region string
+}
+
+// index groups members by where they are. It is immutable once built.
+type index struct {
+	all        []candidate
+	byLocation map[location][]candidate
+}
+
+func newIndex(members []Member) *index {
+	result := &index{
+		all:        make([]candidate, 0, len(members)),
+		byLocation: make(map[location][]candidate),
+	}
+	for _, member := range members {
+		entry := candidate{member: member, hash: xxhash.Sum64String(member.Node)}
+		result.all = append(result.all, entry)
+		for _, place := range placesOf(member) {
+			result.byLocation[place] = append(result.byLocation[place], entry)
+		}
+	}
+	return result
+}
+
+// placesOf lists the locations under which a member can be preferred.
+func placesOf(member Member) []location {
+	places := make([]location, 0, 3)
+	if member.Zone != "" {
+		places = append(places, location{zone: member.Zone})
+	}
+	if member.Region != "" {
+		places = append(places, location{region: member.Region})
+	}
+	if member.Zone != "" && member.Region != "" {
+		places = append(places, location{zone: member.Zone, region: member.Region})
+	}
+	return places
+}
+
+func (i *index) choose(key string, preference Preference) (Member, bool) {
+	return heaviest(i.preferred(preference), key)
+}
+
+// preferred returns the nearest group that has any member.
+func (i *index) preferred(preference Preference) []candidate {
+	if preference.Zone != "" {
+		near := i.byLocation[location{zone: preference.Zone, region: preference.Region}]
+		if len(near) > 0 {
+			return near
+		}
+	}
+	if preference.Region != "" {
+		near := i.byLocation[location{region: preference.Region}]
+		if len(near) > 0 {
+			return near
+		}
+	}
+	return i.all
+}
+
+// heaviest returns the candidate of the highest weight for key; equal weights are settled by name.
+func heaviest(candidates []candidate, key string) (Member, bool) {
+	if len(candidates) == 0 {
+		return Member{}, false
+	}
+	keyHash := xxhash.Sum64String(key)
+	best := 0
+	bestWeight := weight(candidates[0].hash, keyHash)
+	for position := 1; position < len(candidates); position++ {
+		candidateWeight := weight(candidates[position].hash, keyHash)
+		heavier := candidateWeight > bestWeight
+		if candidateWeight == bestWeight {
+			heavier = candidates[position].member.Node < candidates[best].member.Node
+		}
+		if heavier {
+			best = position
+			bestWeight = candidateWeight
+		}
+	}
+	return candidates[best].member, true
+}
+
+// Multipliers of the 64-bit finalizer of splitmix64, which spreads every input bit over the whole result.
+const (
+	mixMultiplierFirst  = 0xbf58476d1ce4e5b9
+	mixMultiplierSecond = 0x94d049bb133111eb
+)
+
+// weight combines the hashes of a node and of a key.
+func weight(nodeHash, keyHash uint64) uint64 {
+	mixed := nodeHash ^ keyHash
+	mixed = (mixed ^ (mixed >> 30)) * mixMultiplierFirst
+	mixed = (mixed ^ (mixed >> 27)) * mixMultiplierSecond
+	return mixed ^ (mixed >> 31)
+}
