--- a/internal/platform/connectadapter/adapter_test.go
+++ b/internal/platform/connectadapter/adapter_test.go
@@ -13,9 +13,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hillfork/hillfork/internal/gen/platform/v1/platformv1connect"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/standin/engine"
 	"github.com/hillfork/hillfork/internal/standin/logservice"
+	"github.com/hillfork/hillfork/internal/standin/machinelist"
+	"github.com/hillfork/hillfork/internal/standin/scorer"
+	"github.com/hillfork/hillfork/internal/standin/weightstore"
 )
 
 // pipeNetwork joins dialers to listeners of the same process by net.Pipe.
@@ -152,10 +156,10 @@
 		is.True(errors.Is(err, platform.ErrNotSent))
 
 		log.SetDelay(time.Minute)
-		ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
-		defer cancel()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(40*time.Second, cancel)
 		_, err = adapter.Log(serviceAddress).Append(ctx, "s", [][]byte{[]byte("a")})
-		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(errors.Is(err, context.Canceled))
 		is.True(!errors.Is(err, platform.ErrNotSent))
 		is.Equal(log.Usage()["s"].Entries, int64(1)) // half of the delay came after the effect
 	})
@@ -185,6 +189,18 @@
 		is.True(err != nil && len(tokens) > 0 && len(tokens) < 90) // cut off in the middle
 		is.True(!errors.Is(err, platform.ErrRejected))
 
+		served.Restart()
+		served.Hang()
+		time.AfterFunc(time.Second, served.Crash)
+		_, err = client.Status(t.Context())
+		is.True(err != nil)
+		is.True(!errors.Is(err, platform.ErrNotSent)) // the connection broke under the call
+		// Connect hides some errors of the transport, so ask it as well.
+		url := BaseURL(serviceAddress) + platformv1connect.EngineServiceStatusProcedure
+		_, err = adapter.HTTPClient().Post(url, "application/proto", nil)
+		is.True(errors.Is(err, io.EOF))
+		is.True(!errors.Is(err, platform.ErrNotSent))
+
 		served.Restart()
 		is.NoErr(client.Load(t.Context(), platform.LoadOrder{Fence: platform.Fence{Epoch: 2, Sequence: 1}, Model: "m", Version: 5}))
 		err = client.SetPool(t.Context(), platform.Fence{Epoch: 2, Sequence: 1}, "p")
@@ -193,7 +209,85 @@
 		status, err := client.Status(t.Context())
 		is.NoErr(err)
 		is.Equal(status.Served, map[string]uint64{"m": 5})
-		is.Equal(status.Incarnation, uint64(2))
+		is.Equal(status.Incarnation, uint64(3))
+	})
+}
+
+func TestSmallServicesRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := weightstore.New(weightstore.Config{})
+		list := machinelist.New(machinelist.Config{})
+		adapter, stop := serve(is, store, list, scorer.New(scorer.Config{}))
+		defer stop()
+		ctx := t.Context()
+
+		weights := adapter.WeightStore(serviceAddress)
+		is.NoErr(weights.PutVersion(ctx, "m", 3))
+		latest, err := weights.Latest(ctx, "m")
+		is.NoErr(err)
+		is.Equal(latest, uint64(3))
+		is.NoErr(weights.Read(ctx, "m", 3, "e1"))
+		store.SetThrottled(true)
+		is.True(errors.Is(weights.Read(ctx, "m", 3, "e1"), platform.ErrThrottled))
+
+		machine := platform.Machine{
+			ID: "e1", Kind: platform.MachineEngine, Address: "10.0.0.2:80", Zone: "z", Region: "r", Pool: "p",
+			State: platform.MachineLeaving,
+		}
+		list.Set(machine)
+		machines, err := adapter.MachineList(serviceAddress).List(ctx)
+		is.NoErr(err)
+		is.Equal(machines, []platform.Machine{machine})
+
+		score, err := adapter.Scorer(serviceAddress).Score(ctx, "k", "s", nil, []uint32{1})
+		is.NoErr(err)
+		is.Equal(score, platform.Score{SampleID: "s", Reward: scorer.Reward("k", "s", []uint32{1})})
+	})
+}
+
+func TestEngineMovesAndCacheEventsRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		served := engine.New(engine.Config{ID: "e1", Served: map[string]uint64{"m": 4}})
+		defer served.Close()
+		adapter, stop := serve(is, served)
+		defer stop()
+		client := adapter.Engine(serviceAddress)
+		ctx := t.Context()
+		prompt := make([]uint32, platform.PrefixBlockTokens)
+		prompt[0], prompt[1] = 500, engine.LengthMarker
+		request := platform.GenerateRequest{RequestID: "r", Attempt: 1, Model: "m", Prompt: prompt, MaxTokens: 500}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := collect(client, ctx, request)
+			ended <- err
+		}()
+		time.Sleep(2 * time.Second)
+		events, err := client.CacheEvents(ctx, 0, 0)
+		is.NoErr(err)
+		is.Equal(events, []platform.CacheEvent{{Sequence: 1, Prefix: platform.PrefixHashes(prompt)[0]}})
+		export, err := client.ExportCache(ctx, "r", 1)
+		is.NoErr(err)
+		is.True((<-ended) != nil)
+		is.Equal(export.Spans, []platform.VersionSpan{{From: 0, To: len(export.Tokens), Version: 4}})
+		is.NoErr(client.ImportCache(ctx, export))
+		is.True(errors.Is(client.ImportCache(ctx, platform.CacheExport{State: []byte("x")}), platform.ErrRejected))
+		is.NoErr(client.Cancel(ctx, "unknown", 1))
+
+		request.Attempt = 2
+		ctx, cancel := context.WithCancel(ctx)
+		stream, err := client.Generate(ctx, request)
+		is.NoErr(err)
+		_, err = stream.Receive()
+		is.NoErr(err)
+		cancel()
+		_, err = stream.Receive()
+		is.True(errors.Is(err, context.Canceled))
+		time.Sleep(time.Minute)
+		status, err := client.Status(t.Context())
+		is.NoErr(err)
+		is.Equal(status.Running, 0) // an engine notices a caller that went away
 	})
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -64,13 +64,15 @@
 type answer struct {
 	tokens   []uint32
 	versions []uint64
-	err      error
-	at       time.Time
+	// counts are the tokens by version.
+	counts map[uint64]int
+	err    error
+	at     time.Time
 }
 
 // receive assembles an answer by index until the stream ends.
 func receive(stream platform.ChunkStream, id string) answer {
-	var got answer
+	got := answer{counts: make(map[uint64]int)}
 	placed := make(map[int]uint32)
 	for {
 		chunk, err := stream.Receive()
@@ -85,6 +87,7 @@
 			placed[chunk.Index+i] = token
 		}
 		got.versions = append(got.versions, chunk.Version)
+		got.counts[chunk.Version] += len(chunk.Tokens)
 	}
 	for _, index := range slices.Sorted(maps.Keys(placed)) {
 		got.tokens = append(got.tokens, placed[index])
@@ -167,13 +170,14 @@
 func TestSwapMarksTokensWithTheirVersion(t *testing.T) {
 	run(t, nil, func(t *testing.T, is *is.I, e *Engine, _ *journal) {
 		running := generate(is, e, request("r", 100, 0))
-		time.Sleep(time.Second)
+		time.Sleep(1100 * time.Millisecond) // between two chunks
 		began := time.Now()
 		is.NoErr(e.Load(t.Context(), order(1, 2)))
 		is.Equal(time.Since(began), DefaultSwapPause)
 		got := <-running
 		is.Equal(got.versions, []uint64{1, 2})
-		is.Equal(got.at.Sub(began).Round(time.Millisecond), 2*time.Second) // the pause, then 50 tokens
+		is.Equal(got.counts, map[uint64]int{1: 55, 2: 45})
+		is.Equal(got.at.Sub(began).Round(time.Millisecond), 1900*time.Millisecond) // the pause, then 45 tokens
 		is.True(errors.Is(e.Load(t.Context(), order(1, 3)), platform.ErrStaleOrder))
 	})
 }
@@ -333,6 +337,27 @@
 	})
 }
 
+func TestLostCacheEventsLeaveGaps(t *testing.T) {
+	run(t, nil, func(t *testing.T, is *is.I, e *Engine, _ *journal) {
+		ask := request("r", 1, 0)
+		ask.Prompt = append(ask.Prompt, make([]uint32, 100*platform.PrefixBlockTokens)...)
+		e.SetEventLoss(0.5)
+		<-generate(is, e, ask)
+		time.Sleep(DefaultEventLag)
+		events, err := e.CacheEvents(t.Context(), 0, 0)
+		is.NoErr(err)
+		is.True(len(events) > 20 && len(events) < 80)
+		last := events[len(events)-1].Sequence
+		is.True(last > uint64(len(events))) // the sequence jumps where events are lost
+		e.SetEventLoss(0)
+		e.Restart()
+		<-generate(is, e, ask)
+		events, err = e.CacheEvents(t.Context(), last, time.Minute)
+		is.NoErr(err)
+		is.True(events[0].Sequence > last+100) // the loss of the whole cache is a gap
+	})
+}
+
 func TestSpreadLengthsHaveTheirMedian(t *testing.T) {
 	is := is.New(t)
 	below := 0
