Add the peer client and server

Cause: nodes need calls and streams between each other. Change: frames with a msgp header over one connection per address, coalesced writes, per-stream windows, keep-alive, cancellation, deadlines, go-away, a limit of calls in flight, and byte accounting. The doc of ErrNotSent now says that a call above a go-away counts as not sent.

--- /dev/null
+++ b/internal/peer/connection.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+const readBufferBytes = 16 << 10
+
+// errKeepAlive says that pings were not answered.
+var errKeepAlive = errors.New("peer answers no pings")
+
+// errIdle says that the connection was closed for want of calls.
+var errIdle = errors.New("connection is idle")
+
+// counters are the live values of Stats.
+type counters struct {
+	protocolErrors  atomic.Uint64
+	lostConnections atomic.Uint64
+	overloaded      atomic.Uint64
+}
+
+func (c *counters) snapshot() Stats {
+	return Stats{
+		ProtocolErrors:  c.protocolErrors.Load(),
+		LostConnections: c.lostConnections.Load(),
+		Overloaded:      c.overloaded.Load(),
+	}
+}
+
+// connection is what both ends of a connection have in common: a reader, a writer and a keep-alive.
+type connection struct {
+	socket    net.Conn
+	writer    *frameWriter
+	keepAlive *keepAlive
+	observer  Observer
+	counters  *counters
+	// onClose is called once, after the writer has stopped taking frames.
+	onClose   func(cause error)
+	closeOnce sync.Once
+}
+
+func newConnection(socket net.Conn, settings KeepAlive, observer Observer, counters *counters) *connection {
+	c := &connection{
+		socket:   socket,
+		writer:   newFrameWriter(),
+		observer: observer,
+		counters: counters,
+	}
+	c.keepAlive = &keepAlive{
+		settings: settings,
+		ping:     func() { c.sendControl(frameHeader{Kind: kindPing}, ControlMethod) },
+		lost:     func() { c.fail(errKeepAlive) },
+	}
+	return c
+}
+
+// run starts reader and writer; handle gets each frame but pings and pongs, must not block and owns the frame.
+func (c *connection) run(group *sync.WaitGroup, handle func(*frame) error) {
+	c.keepAlive.start()
+	group.Go(func() {
+		if err := c.writer.run(c.socket); err != nil {
+			c.fail(err)
+		}
+	})
+	group.Go(func() { c.fail(c.readLoop(handle)) })
+}
+
+func (c *connection) readLoop(handle func(*frame) error) error {
+	reader := bufio.NewReaderSize(heardReader{c.socket, &c.keepAlive.heard}, readBufferBytes)
+	for {
+		received, err := readFrame(reader)
+		if err != nil {
+			return err
+		}
+		switch received.header.Kind {
+		case kindPing:
+			c.observer.PeerBytes(ControlMethod, 0, received.size)
+			received.release()
+			c.sendControl(frameHeader{Kind: kindPong}, ControlMethod)
+		case kindPong:
+			c.observer.PeerBytes(ControlMethod, 0, received.size)
+			received.release()
+		default:
+			if err := handle(received); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// send queues a frame, waiting for room; see frameWriter.enqueue.
+func (c *connection) send(ctx context.Context, header frameHeader, method string, body Message, mark *atomic.Bool) error {
+	encoder := newEncoder()
+	defer encoder.release()
+	wireMethod := ""
+	if header.Kind == kindRequest {
+		wireMethod = method
+	}
+	encoded, err := encoder.encode(header, wireMethod, body)
+	if err != nil {
+		return err
+	}
+	if err := c.writer.enqueue(ctx, encoded, mark); err != nil {
+		return err
+	}
+	c.observer.PeerBytes(method, len(encoded), 0)
+	return nil
+}
+
+// sendControl queues a frame without a body at once; the method is only for the accounts.
+func (c *connection) sendControl(header frameHeader, method string) {
+	c.sendNow(header, method, nil)
+}
+
+// sendNow queues a frame at once, or fails the connection when its queue is beyond all bounds.
+func (c *connection) sendNow(header frameHeader, method string, body Message) {
+	encoder := newEncoder()
+	defer encoder.release()
+	encoded, err := encoder.encode(header, "", body)
+	if err == nil {
+		err = c.writer.enqueueControl(encoded)
+	}
+	switch {
+	case err == nil:
+		c.observer.PeerBytes(method, len(encoded), 0)
+	case !errors.Is(err, errQueueStopped):
+		// Not from here: the caller may hold what onClose needs.
+		go c.fail(err)
+	}
+}
+
+// fail closes the connection for a cause; only the first cause counts.
+func (c *connection) fail(cause error) {
+	c.closeOnce.Do(func() {
+		c.writer.stop()
+		c.keepAlive.stop()
+		// The peer learns of the end from its own reads; nothing is left to do about a failing close.
+		_ = c.socket.Close()
+		if errors.Is(cause, errProtocol) {
+			c.counters.protocolErrors.Add(1)
+		}
+		if errors.Is(cause, errKeepAlive) {
+			c.counters.lostConnections.Add(1)
+		}
+		c.onClose(cause)
+	})
+}
+
+// heardReader notes that bytes arrived.
+type heardReader struct {
+	socket net.Conn
+	heard  *atomic.Bool
+}
+
+func (r heardReader) Read(into []byte) (int, error) {
+	n, err := r.socket.Read(into)
+	if n > 0 && !r.heard.Load() {
+		r.heard.Store(true)
+	}
+	return n, err
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,7 +53,8 @@
 
 // Errors of the transport, wrapped by what Caller returns.
 var (
-	// ErrNotSent says that no byte of the request left this process.
+	// ErrNotSent says that the request had no effect: no byte of it left this process, or the server had said before that
+	// it takes no further calls.
 	ErrNotSent = errors.New("peer call was not sent")
 	// ErrLost says that contact was lost after the request may have left.
 	ErrLost = errors.New("peer call was lost")
--- /dev/null
+++ b/internal/peer/server_connection.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// serverConnection is the answering end of a connection. Lock order: Server.mu, then serverConnection.mu, then
+// keepAlive.mu and frameWriter.mu.
+type serverConnection struct {
+	*connection
+	server  *Server
+	context context.Context
+	cancel  context.CancelFunc
+
+	mu sync.Mutex
+	// goneAway says that a go-away was sent and later calls are refused.
+	goneAway bool
+	// lastID is the highest number of a call taken.
+	lastID uint64
+	calls  map[uint64]*serverCall
+}
+
+// serverCall is one call in flight.
+type serverCall struct {
+	id         uint64
+	entry      *handlerEntry
+	connection *serverConnection
+	context    context.Context
+	cancel     context.CancelFunc
+	// window is nil for a unary call.
+	window *sendWindow
+}
+
+func newServerConnection(server *Server, socket net.Conn) *serverConnection {
+	options := server.options
+	c := &serverConnection{
+		connection: newConnection(socket, options.KeepAlive, options.Observer, &server.counters),
+		server:     server,
+		calls:      make(map[uint64]*serverCall),
+	}
+	c.context, c.cancel = context.WithCancel(server.context)
+	c.onClose = c.closed
+	c.keepAlive.idle = c.closeIdle
+	return c
+}
+
+func (c *serverConnection) closed(cause error) {
+	c.cancel()
+	if errors.Is(cause, errProtocol) {
+		c.server.options.Logger.Warn("peer connection closed", "remote", c.socket.RemoteAddr(), "error", cause)
+	}
+	c.server.removeConnection(c)
+}
+
+func (c *serverConnection) handle(received *frame) error {
+	switch received.header.Kind {
+	case kindRequest:
+		return c.request(received)
+	case kindCancel, kindCredit:
+		c.control(received)
+		return nil
+	default:
+		received.release()
+		return fmt.Errorf("%w: frame of kind %d from a client", errProtocol, received.header.Kind)
+	}
+}
+
+func (c *serverConnection) control(received *frame) {
+	defer received.release()
+	method := ControlMethod
+	call := c.find(received.header.Stream)
+	if call != nil {
+		method = call.entry.method
+	}
+	c.observer.PeerBytes(method, 0, received.size)
+	switch {
+	case call == nil:
+		// The call ended while the frame was on its way.
+	case received.header.Kind == kindCancel:
+		call.cancel()
+	case call.window != nil:
+		call.window.grant(received.header.Credit)
+	}
+}
+
+func (c *serverConnection) find(id uint64) *serverCall {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[id]
+}
+
+// request starts a call or refuses it.
+func (c *serverConnection) request(received *frame) error {
+	header := &received.header
+	entry := c.server.handlers[string(header.Method)]
+	method := ControlMethod
+	if entry != nil {
+		method = entry.method
+	}
+	c.observer.PeerBytes(method, 0, received.size)
+	taken, err := c.takeID(header.Stream)
+	if err != nil {
+		received.release()
+		return err
+	}
+	if refusal := c.refuse(entry, header, taken); refusal != nil {
+		c.sendNow(frameHeader{Stream: header.Stream, Kind: kindError}, method, toWire(refusal))
+		received.release()
+		if taken {
+			c.server.callEnded()
+		}
+		return nil
+	}
+	call := c.beginCall(entry, header)
+	c.server.group.Go(func() { call.run(received) })
+	return nil
+}
+
+// takeID notes the number of a call and reports whether it came before the go-away. Such a call counts as in flight
+// from here on, so that a shutdown that has sent the go-away waits for it.
+func (c *serverConnection) takeID(id uint64) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.goneAway {
+		return false, nil
+	}
+	if _, twice := c.calls[id]; twice || id == 0 {
+		return false, fmt.Errorf("%w: call %d is in flight already", errProtocol, id)
+	}
+	// Calls are numbered before they are queued, so they may come a little out of order.
+	c.lastID = max(c.lastID, id)
+	c.server.inFlight.Add(1)
+	return true, nil
+}
+
+// refuse tells why a call is not run, or returns nil.
+func (c *serverConnection) refuse(entry *handlerEntry, header *frameHeader, taken bool) *Error {
+	switch {
+	case !taken:
+		return &Error{Code: CodeNotReady, Message: "server is shutting down"}
+	case entry == nil:
+		return &Error{Code: CodeUnknownMethod, Message: fmt.Sprintf("no method %q", header.Method)}
+	case (entry.stream != nil) != (header.Credit > 0):
+		return &Error{Code: CodeInvalid, Message: fmt.Sprintf("method %q is called in the wrong way", header.Method)}
+	case c.server.inFlight.Load() > int64(c.server.options.MaxInFlight):
+		c.server.counters.overloaded.Add(1)
+		return &Error{
+			Code:       CodeOverloaded,
+			Message:    "server is at its limit of calls in flight",
+			RetryAfter: c.server.options.RetryAfter,
+		}
+	default:
+		return nil
+	}
+}
+
+func (c *serverConnection) beginCall(entry *handlerEntry, header *frameHeader) *serverCall {
+	call := &serverCall{id: header.Stream, entry: entry, connection: c}
+	if header.TimeoutMillis > 0 {
+		call.context, call.cancel = context.WithTimeout(c.context, timeout(header.TimeoutMillis))
+	} else {
+		call.context, call.cancel = context.WithCancel(c.context)
+	}
+	if entry.stream != nil {
+		call.window = newSendWindow(header.Credit)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[call.id] = call
+	c.keepAlive.begin()
+	return call
+}
+
+// maxTimeoutMillis keeps a duration from overflowing.
+const maxTimeoutMillis = int64(365 * 24 * time.Hour / time.Millisecond)
+
+func timeout(millis int64) time.Duration {
+	return time.Duration(min(millis, maxTimeoutMillis)) * time.Millisecond
+}
+
+func (c *serverConnection) endCall(call *serverCall) {
+	call.cancel()
+	c.mu.Lock()
+	delete(c.calls, call.id)
+	c.keepAlive.end()
+	c.mu.Unlock()
+	c.server.callEnded()
+}
+
+// announceGoAway tells the client which call is the last one taken.
+func (c *serverConnection) announceGoAway() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.goneAway {
+		return
+	}
+	c.goneAway = true
+	c.sendControl(frameHeader{Stream: c.lastID, Kind: kindGoAway}, ControlMethod)
+}
+
+// closeIdle closes a connection that its client forgot; the client's own idle time is shorter.
+func (c *serverConnection) closeIdle() {
+	c.announceGoAway()
+	c.mu.Lock()
+	unused := len(c.calls) == 0
+	c.mu.Unlock()
+	if unused {
+		c.fail(errIdle)
+	}
+}
