Run the whole path on real sockets

Cause: the parts existed alone; nothing went from a bundle to a trainer. Change: internal/node puts the roles of a process together; hillforkd runs one; hillfork-lab replay stands up a trace's platform, engines, nodes, trainers and callers over loopback and judges its stated outcomes. traces/thin-path: three nodes, three engines, one bundle accepted from two signatures, three steps of 16 samples, interactive requests by streaming. examples/shared-pool: both deployments of the users as one system.

--- /dev/null
+++ b/cmd/hillforkd/main.go
@@ -0,0 +1,54 @@
+// Command hillforkd is a node of hillfork. See docs/operators for its settings.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/logging"
+	"github.com/hillfork/hillfork/internal/network"
+	"github.com/hillfork/hillfork/internal/node"
+	"github.com/hillfork/hillfork/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parsed, err := settings.Parse("hillforkd", args, os.Stdout)
+	if errors.Is(err, settings.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	logger := logging.New(os.Stderr, parsed.LogLevel, parsed.LogFormat)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	process, err := node.New(node.Config{
+		Settings: parsed, Network: network.System{}, Incarnation: uint64(time.Now().UnixNano()), Logger: logger,
+	})
+	if err != nil {
+		logger.Error("node did not start", "error", err)
+		return exitFailed
+	}
+	if err := process.Run(ctx); err != nil {
+		logger.Error("node ended", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/lab/cluster/nodes.go
@@ -0,0 +1,192 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/lab/check"
+	"github.com/hillfork/hillfork/internal/lab/trace"
+	"github.com/hillfork/hillfork/internal/node"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/settings"
+)
+
+// Ports of a node.
+const (
+	apiPort     = "7400"
+	peerPort    = "7401"
+	gossipPort  = "7402"
+	metricsPort = "7403"
+)
+
+// labDrainTimeout is how long a planned stop may take in the lab.
+const labDrainTimeout = 10 * time.Minute
+
+// nodeProcess is one node's host, with the process that runs on it, if any.
+type nodeProcess struct {
+	cluster *Cluster
+	name    string
+	zone    string
+	host    Host
+
+	mu          sync.Mutex
+	running     *node.Node
+	ended       chan struct{}
+	incarnation int
+}
+
+func (c *Cluster) startNodes(context.Context) error {
+	for _, region := range c.topology.Regions {
+		for _, zone := range region.Zones {
+			for number := 1; number <= zone.Nodes; number++ {
+				c.nodes = append(c.nodes, &nodeProcess{
+					cluster: c, name: trace.NodeName(zone.Name, number), zone: zone.Name, host: c.newHost(zone.Name, false),
+				})
+			}
+		}
+	}
+	for _, process := range c.nodes {
+		c.platform.Machines.Set(process.machine(platform.MachineLive))
+	}
+	for _, process := range c.nodes {
+		if err := process.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *nodeProcess) machine(state platform.MachineState) platform.Machine {
+	return platform.Machine{
+		ID: p.name, Kind: platform.MachineNode, Address: p.address(gossipPort), Zone: p.zone,
+		Region: p.cluster.regions[p.zone], State: state,
+	}
+}
+
+func (p *nodeProcess) address(port string) string { return net.JoinHostPort(p.host.IP, port) }
+
+// start runs a new process on the host.
+func (p *nodeProcess) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running != nil {
+		return nil
+	}
+	started, err := node.New(node.Config{
+		Settings:    p.settings(),
+		Network:     p.host.Network,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Logger:      p.cluster.config.Logger,
+	})
+	if err != nil {
+		return fmt.Errorf("node %s: %w", p.name, err)
+	}
+	p.running = started
+	p.incarnation++
+	ended := make(chan struct{})
+	p.ended = ended
+	p.cluster.running.Go(func() {
+		defer close(ended)
+		err := started.Run(context.Background())
+		p.mu.Lock()
+		p.running = nil
+		p.mu.Unlock()
+		p.cluster.noteNodeEnd(p, err)
+	})
+	p.reachable()
+	return nil
+}
+
+func (p *nodeProcess) settings() *settings.Settings {
+	platformAddress := p.cluster.platform.Address
+	var seeds []string
+	for _, other := range p.cluster.nodes {
+		if other != p && len(seeds) < maxSeeds {
+			seeds = append(seeds, other.address(gossipPort))
+		}
+	}
+	return &settings.Settings{
+		Node: p.name, Zone: p.zone, Region: p.cluster.regions[p.zone],
+		APIListen: p.address(apiPort), PeerListen: p.address(peerPort),
+		GossipListen: p.address(gossipPort), MetricsListen: p.address(metricsPort),
+		PeerAdvertise: p.address(peerPort), GossipAdvertise: p.address(gossipPort),
+		LogAddress: platformAddress, WeightsAddress: platformAddress, MachinesAddress: platformAddress,
+		ScorerAddress: platformAddress,
+		Seeds:         seeds,
+		TrustedKeys:   p.cluster.keys.Trusted(),
+		DrainTimeout:  labDrainTimeout,
+	}
+}
+
+// maxSeeds is how many other nodes each node is told of at its start.
+const maxSeeds = 3
+
+// kill ends the process as a crash would, and waits for it.
+func (p *nodeProcess) kill() {
+	p.mu.Lock()
+	running, ended := p.running, p.ended
+	p.mu.Unlock()
+	if running == nil {
+		return
+	}
+	running.Kill()
+	<-ended
+}
+
+// crash cuts the host off first, so that nothing of the process's end can be seen, then ends the process.
+func (p *nodeProcess) crash() error {
+	p.unreachable()
+	if err := p.cluster.config.Fabric.Crash(p.host.IP); err != nil {
+		return err
+	}
+	p.kill()
+	return nil
+}
+
+func (p *nodeProcess) restart() error {
+	if err := p.cluster.config.Fabric.Restart(p.host.IP); err != nil {
+		return err
+	}
+	p.cluster.platform.Machines.Set(p.machine(platform.MachineLive))
+	return p.start()
+}
+
+// stop begins a planned stop and returns at once.
+func (p *nodeProcess) stop() {
+	p.cluster.platform.Machines.MarkLeaving(p.name)
+	p.cluster.config.Recorder.Record(func(o *check.Observations) {
+		o.Stops = append(o.Stops, check.Stop{Name: p.name, At: time.Now()})
+	})
+	p.mu.Lock()
+	running := p.running
+	p.mu.Unlock()
+	if running != nil {
+		running.Stop()
+	}
+}
+
+// unreachable notes that what the node says or does not say from now on is no fault of its.
+func (p *nodeProcess) unreachable() {
+	p.cluster.config.Recorder.Record(func(o *check.Observations) {
+		o.Unreachable[p.name] = append(o.Unreachable[p.name], check.Interval{From: time.Now()})
+	})
+}
+
+// reachable ends what unreachable began.
+func (p *nodeProcess) reachable() {
+	p.cluster.config.Recorder.Record(func(o *check.Observations) {
+		intervals := o.Unreachable[p.name]
+		if last := len(intervals) - 1; last >= 0 && intervals[last].To.IsZero() {
+			intervals[last].To = time.Now()
+		}
+	})
+}
+
+func (c *Cluster) noteNodeEnd(p *nodeProcess, err error) {
+	if c.config.Logger != nil && err != nil {
+		c.config.Logger.Warn("node ended", "node", p.name, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/cluster/run.go
@@ -0,0 +1,67 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/lab/check"
+	"github.com/hillfork/hillfork/internal/standin/trainer"
+)
+
+// Run sets trainers, callers, operators and events going and returns when the trace's duration and settling time have
+// passed, or all trainers and callers are done before.
+func (c *Cluster) Run(ctx context.Context) error {
+	c.started = time.Now()
+	duration := time.Duration(c.topology.Duration)
+	settle := time.Duration(c.topology.Settle)
+	ctx, cancel := context.WithDeadline(ctx, c.started.Add(duration+settle))
+	defer cancel()
+	if err := c.startTrainers(ctx); err != nil {
+		return err
+	}
+	c.startCallers(ctx)
+	c.watchBundles(ctx)
+	err := c.runEvents(ctx)
+	c.waitForTrainers(ctx, duration)
+	cancel()
+	c.config.Recorder.Record(func(o *check.Observations) { o.EndedAt = time.Now() })
+	return err
+}
+
+// waitForTrainers returns when ctx ends, or when the duration has passed and every trainer with a bound on its steps is
+// done.
+func (c *Cluster) waitForTrainers(ctx context.Context, duration time.Duration) {
+	sleepUntil(ctx, c.started.Add(duration))
+	for _, process := range c.client.trainers {
+		select {
+		case <-process.done:
+		case <-ctx.Done():
+		}
+	}
+	sleepUntil(ctx, time.Now().Add(drainCallers))
+}
+
+// drainCallers is the time in which requests that are under way at the end may still be answered.
+const drainCallers = 5 * time.Second
+
+// TrainerReport is what one workload's trainer measured.
+type TrainerReport struct {
+	Workload string
+	Report   trainer.Report
+}
+
+// TrainerReports returns what the trainers have measured so far, in order of name.
+func (c *Cluster) TrainerReports() []TrainerReport {
+	var reports []TrainerReport
+	for name, process := range c.client.trainers {
+		reports = append(reports, TrainerReport{Workload: name, Report: process.trainer.Report()})
+	}
+	slices.SortFunc(reports, func(a, b TrainerReport) int {
+		if a.Workload < b.Workload {
+			return -1
+		}
+		return 1
+	})
+	return reports
+}
--- a/internal/lab/trace/events.go
+++ b/internal/lab/trace/events.go
@@ -64,10 +64,12 @@
 	Node   string   `yaml:"node,omitempty"`
 	Engine string   `yaml:"engine,omitempty"`
 	// Zone applies the action to every node (node actions) or engine (engine actions) of the zone.
-	Zone        string   `yaml:"zone,omitempty"`
-	File        string   `yaml:"file,omitempty"`
-	SignAs      []string `yaml:"sign_as,omitempty"`
-	Mode        string   `yaml:"mode,omitempty"`
+	Zone   string   `yaml:"zone,omitempty"`
+	File   string   `yaml:"file,omitempty"`
+	SignAs []string `yaml:"sign_as,omitempty"`
+	Mode   string   `yaml:"mode,omitempty"`
+	// Version is the version that a load with mode unasked ends on.
+	Version     uint64   `yaml:"version,omitempty"`
 	Factor      float64  `yaml:"factor,omitempty"`
 	Probability float64  `yaml:"probability,omitempty"`
 	Delay       Duration `yaml:"delay,omitempty"`
@@ -97,7 +99,7 @@
 }
 
 var eventKeys = []string{
-	"at", "do", "node", "engine", "zone", "file", "sign_as", "mode", "factor", "probability", "delay", "for", "a", "b",
+	"at", "do", "node", "engine", "zone", "file", "sign_as", "mode", "version", "factor", "probability", "delay", "for", "a", "b",
 	"one_way", "failpoint",
 }
 
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,24 @@
+// Package logging makes the structured logger of a process.
+package logging
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/settings"
+)
+
+// New returns a logger that writes lines of a level or above, as text or JSON. Level and format have been checked by
+// package settings; an unknown level counts as info.
+func New(output io.Writer, level, format string) *log.Logger {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	options := log.Options{Level: parsed, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}
+	if format == settings.FormatJSON {
+		options.Formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(output, options)
+}
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/samber/oops"
+)
+
+// ErrDrainCut says that a planned stop reached its time limit and cut work off.
+var ErrDrainCut = errors.New("drain timeout reached; work in flight was cut off")
+
+// leaveTimeout bounds the announcement of a planned stop; the stop goes on without it.
+const leaveTimeout = 5 * time.Second
+
+// Run serves until ctx ends or a drain is asked for, then stops as planned: ready turns false, members are told, work in
+// flight is finished, owned shards are released. It returns nil after a clean stop and ErrDrainCut when the drain
+// timeout of the settings cut work off.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	n.cancel = cancel
+	defer n.close()
+	n.start(background)
+	n.logger.Info("node runs", "api", n.APIAddress(), "peer", n.PeerAddress(), "zone", n.config.Settings.Zone)
+	select {
+	case <-ctx.Done():
+	case <-n.stopAsked:
+	case err := <-n.failed:
+		return err
+	}
+	return n.drain(background)
+}
+
+// Stop asks for a planned stop; Run then returns. It may be called more than once.
+func (n *Node) Stop() {
+	n.stopOnce.Do(func() { close(n.stopAsked) })
+}
+
+// Kill ends the node at once, as a crash would: nothing is announced, finished or released. Experiments use it.
+func (n *Node) Kill() {
+	select {
+	case n.failed <- errKilled:
+	default:
+	}
+}
+
+var errKilled = errors.New("node was killed")
+
+func (n *Node) start(ctx context.Context) {
+	n.spawn(ctx, "membership", n.membership.Run)
+	n.spawn(ctx, "machines", n.directory.Run)
+	n.spawn(ctx, "bundle", n.follower.Run)
+	n.spawn(ctx, "bundle exchange", func(ctx context.Context) error {
+		n.exchange.run(ctx)
+		return nil
+	})
+	n.spawn(ctx, "shards", n.shards.Run)
+	n.spawn(ctx, "dispatch", n.dispatcher.Run)
+	n.spawn(ctx, "peer server", func(context.Context) error { return n.peerServer.Serve(n.listeners.peer) })
+	n.spawn(ctx, "api server", func(context.Context) error { return n.apiServer.Serve(n.listeners.api) })
+	n.spawn(ctx, "metrics server", func(context.Context) error { return n.metrics.Serve(n.listeners.metrics) })
+}
+
+// spawn runs one role. A role that ends by itself with an error ends the node: all its roles are needed.
+func (n *Node) spawn(ctx context.Context, role string, run func(context.Context) error) {
+	n.running.Go(func() {
+		err := run(ctx)
+		ended := ctx.Err() != nil || n.stopping.Load()
+		if ended || err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, peer.ErrClosed) {
+			return
+		}
+		n.logger.Error("role ended", "role", role, "error", err)
+		select {
+		case n.failed <- oops.With("role", role).Wrap(err):
+		default:
+		}
+	})
+}
+
+// drain is the planned stop. The order matters: first no new work arrives, then what is in flight ends, then the shards
+// are released, and only then are the connections closed.
+func (n *Node) drain(ctx context.Context) error {
+	n.stopping.Store(true)
+	n.logger.Info("planned stop begins")
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, n.config.Settings.DrainTimeout)
+	defer cancel()
+	n.announceLeaving(ctx)
+	steps := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"gateway", n.gateway.Drain},
+		{"requests", n.requests.Drain},
+		{"dispatch", n.dispatcher.Drain},
+		{"shards", n.shards.ReleaseAll},
+		{"peer server", n.peerServer.Shutdown},
+		{"api server", n.apiServer.Shutdown},
+	}
+	var cut []error
+	for _, step := range steps {
+		if err := step.run(ctx); err != nil {
+			n.logger.Error("planned stop cut work off", "role", step.name, "error", err)
+			cut = append(cut, oops.With("role", step.name).Wrap(errors.Join(ErrDrainCut, err)))
+		}
+	}
+	n.logger.Info("planned stop done", "took", time.Since(started), "cut", len(cut))
+	return errors.Join(cut...)
+}
+
+func (n *Node) announceLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.membership.Leave(ctx); err != nil {
+		n.logger.Warn("leaving was not announced in full", "error", err)
+	}
+}
+
+// close ends whatever still runs. After a drain nothing does.
+func (n *Node) close() {
+	n.stopping.Store(true)
+	n.cancel()
+	_ = n.apiServer.Close()
+	_ = n.metrics.Close()
+	_ = n.peerServer.Close()
+	n.steps.Close()
+	n.requests.Close()
+	n.shards.Close()
+	n.peerClient.Close()
+	n.adapter.Close()
+	n.running.Wait()
+}
+
+// APIAddress is where callers, trainers and operators reach the node.
+func (n *Node) APIAddress() string { return n.listeners.api.Addr().String() }
+
+// PeerAddress is where other nodes call.
+func (n *Node) PeerAddress() string { return n.listeners.peer.Addr().String() }
+
+// MetricsAddress is where /metrics, /healthz and /readyz are.
+func (n *Node) MetricsAddress() string { return n.listeners.metrics.Addr().String() }
+
+// seeds are the gossip addresses of the settings, and where there are none those of the nodes on the machine list. The
+// list names a node by its gossip address.
+func (n *Node) seeds(context.Context) []string {
+	if configured := n.config.Settings.Seeds; len(configured) > 0 {
+		return configured
+	}
+	var addresses []string
+	for _, machine := range n.directory.Machines() {
+		if machine.Kind != platform.MachineNode {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(machine.Address); err == nil {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"github.com/hillfork/hillfork/internal/gateway"
+	"github.com/hillfork/hillfork/internal/membership"
+	"github.com/hillfork/hillfork/internal/placement"
+)
+
+// memberDirectory shows the members to the administration API.
+type memberDirectory struct {
+	membership *membership.Membership
+}
+
+func (d memberDirectory) Members() []gateway.Member {
+	members := d.membership.Members()
+	result := make([]gateway.Member, 0, len(members))
+	for _, member := range members {
+		result = append(result, gateway.Member{
+			Member: placement.Member{
+				Node: member.Node, PeerAddress: member.PeerAddress, Zone: member.Zone, Region: member.Region,
+			},
+			State:       member.State.String(),
+			Incarnation: member.Incarnation,
+		})
+	}
+	return result
+}
+
+// factSource fills machines.FactSource by the membership's facts.
+type factSource struct {
+	membership *membership.Membership
+}
+
+func (s factSource) SetFact(key string, version uint64, value []byte) {
+	s.membership.SetFact(key, version, value)
+}
+
+func (s factSource) Fact(key string) (uint64, []byte, bool) {
+	fact, known := s.membership.Fact(key)
+	return fact.Version, fact.Value, known
+}
+
+func (s factSource) FactsChanged() <-chan struct{} { return s.membership.FactsChanged() }
+
+// aliveIn tells whether a process is known to be alive; a leaving one still hands its shards over itself.
+func aliveIn(m *membership.Membership) func(node string, incarnation uint64) bool {
+	return func(node string, incarnation uint64) bool {
+		for _, member := range m.Members() {
+			if member.Node == node && member.Incarnation == incarnation {
+				return member.State == membership.StateAlive || member.State == membership.StateLeaving
+			}
+		}
+		return false
+	}
+}
--- /dev/null
+++ b/internal/node/streams.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/dispatch"
+	"github.com/hillfork/hillfork/internal/machines"
+	"github.com/hillfork/hillfork/internal/membership"
+	"github.com/hillfork/hillfork/internal/requestledger"
+	"github.com/hillfork/hillfork/internal/shard"
+	"github.com/hillfork/hillfork/internal/stepledger"
+	"github.com/samber/oops"
+)
+
+// leavingFactTTL is how long the word that a machine leaves is kept after it was last given.
+const leavingFactTTL = time.Hour
+
+// factClasses tells how the facts of each mechanism spread.
+var factClasses = []membership.FactClass{
+	{Prefix: bundleFactKey, Urgent: true},
+	{Prefix: dispatch.WeightFactKey(""), Urgent: true},
+	{Prefix: machines.LeavingFactKey(""), TimeToLive: leavingFactTTL, Urgent: true},
+}
+
+// engineOfStream returns the engine whose epochs a stream holds.
+func engineOfStream(stream string) (string, bool) {
+	return strings.CutPrefix(stream, dispatch.EngineKey(""))
+}
+
+// requestStreamPrefix starts the names of the request ledger's streams.
+const requestStreamPrefix = "requests/"
+
+// newState returns the empty state of a stream, by the role that owns it.
+func newState(stream string) (shard.State, error) {
+	if _, isEngine := engineOfStream(stream); isEngine {
+		return dispatch.State{}, nil
+	}
+	if strings.HasPrefix(stream, requestStreamPrefix) {
+		return requestledger.NewState(), nil
+	}
+	if _, _, isSteps := stepledger.ParseStream(stream); isSteps {
+		return stepledger.NewState(), nil
+	}
+	return nil, oops.With("stream", stream).Errorf("no role owns the stream")
+}
+
+func discardLogger() *log.Logger { return log.New(io.Discard) }
