Add an in-memory network for virtual time

Cause: nodes and stand-ins must run in testing/synctest, under faults. Change: simnet with streams, datagrams, delays by place, rules (cuts, loss, extra delay), crash, restart, pause and resume, and byte counts per host. Conclusion: net/http serves a streaming response over it in a bubble.

--- /dev/null
+++ b/internal/network/simnet/stream.go
@@ -0,0 +1,168 @@
+package simnet
+
+import (
+	"io"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// link is a stream connection between two ends. Its mutex guards both ends and both directions.
+type link struct {
+	network *Network
+	mu      sync.Mutex
+}
+
+// segmentKind tells what a segment carries.
+type segmentKind uint8
+
+const (
+	segmentData segmentKind = iota
+	// segmentEnd says that no more data follows.
+	segmentEnd
+	// segmentReset says that the sender's end is gone.
+	segmentReset
+)
+
+// segment is one transmission.
+type segment struct {
+	kind segmentKind
+	data []byte
+	// at is when it arrives, if nothing holds it up.
+	at time.Time
+	// held says that its sender was paused when it was written.
+	held bool
+}
+
+// pipe is one direction of a link.
+type pipe struct {
+	link     *link
+	from, to *host
+	// receiver is the end that reads, sender the one that writes.
+	receiver, sender *conn
+	// queue is on its way, received waits for the reader.
+	queue       []segment
+	queuedBytes int
+	received    []byte
+	// end is what the reader gets after received; nil while the stream goes on.
+	end error
+	// lastArrival keeps segments in order.
+	lastArrival time.Time
+	timer       *time.Timer
+	// changed wakes the reader and the writer of this direction.
+	changed *sync.Cond
+}
+
+func newPipe(l *link, from, to *host) *pipe {
+	return &pipe{link: l, from: from, to: to, changed: sync.NewCond(&l.mu)}
+}
+
+// room is how many bytes may be written now.
+func (p *pipe) room() int {
+	return p.link.network.options.BufferBytes - p.queuedBytes - len(p.received)
+}
+
+// push sends a segment; link.mu is held.
+func (p *pipe) push(kind segmentKind, data []byte) {
+	n := p.link.network
+	at := time.Now().Add(n.transitDelay(p.from, p.to))
+	if at.Before(p.lastArrival) {
+		at = p.lastArrival
+	}
+	p.lastArrival = at
+	p.queue = append(p.queue, segment{kind: kind, data: data, at: at, held: n.isPaused(p.from)})
+	p.queuedBytes += len(data)
+	if len(p.queue) == 1 {
+		p.pump()
+	}
+}
+
+// restart goes on after a change of faults: what was held up arrives one delay from now at the earliest.
+func (p *pipe) restart() {
+	p.link.mu.Lock()
+	defer p.link.mu.Unlock()
+	n := p.link.network
+	earliest := time.Now().Add(n.transitDelay(p.from, p.to))
+	paused := n.isPaused(p.from)
+	for i := range p.queue {
+		each := &p.queue[i]
+		each.held = each.held && paused
+		if each.at.Before(earliest) {
+			each.at = earliest
+		}
+	}
+	if p.lastArrival.Before(earliest) {
+		p.lastArrival = earliest
+	}
+	p.pump()
+}
+
+// pump delivers what has arrived and sets the timer for the next segment; link.mu is held.
+func (p *pipe) pump() {
+	now := time.Now()
+	delivered := false
+	for len(p.queue) > 0 {
+		next := p.queue[0]
+		if next.at.After(now) {
+			p.schedule(next.at.Sub(now))
+			break
+		}
+		if p.link.network.stall(p, next.held) {
+			break
+		}
+		p.queue[0] = segment{}
+		p.queue = p.queue[1:]
+		p.deliver(next)
+		delivered = true
+	}
+	if delivered {
+		p.changed.Broadcast()
+	}
+}
+
+func (p *pipe) schedule(after time.Duration) {
+	if p.timer == nil {
+		p.timer = time.AfterFunc(after, p.onTimer)
+		return
+	}
+	p.timer.Reset(after)
+}
+
+func (p *pipe) onTimer() {
+	p.link.mu.Lock()
+	defer p.link.mu.Unlock()
+	p.pump()
+}
+
+func (p *pipe) deliver(arrived segment) {
+	p.queuedBytes -= len(arrived.data)
+	switch arrived.kind {
+	case segmentData:
+		p.to.traffic.streamReceived.Add(uint64(len(arrived.data)))
+		if p.receiver.closed {
+			p.receiver.refuseData()
+			return
+		}
+		p.received = append(p.received, arrived.data...)
+	case segmentEnd:
+		p.finish(io.EOF)
+	case segmentReset:
+		p.finish(syscall.ECONNRESET)
+		p.receiver.failWrites(syscall.ECONNRESET)
+	}
+}
+
+func (p *pipe) finish(end error) {
+	if p.end == nil {
+		p.end = end
+	}
+}
+
+// discard drops everything on its way; link.mu is held.
+func (p *pipe) discard() {
+	p.queue = nil
+	p.queuedBytes = 0
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+}
