Keep work away from engines that leave, fail it or contradict themselves

Change: work is checked again when it gets its slot; refused samples cool the engine down; tokens that contradict the status quarantine; the queue of a leaving or dead engine is refused; bursts of requests keep headroom; shares are rounded by evenly spread offsets; a hand-over waits for the pull under way; a workload that is gone owes nothing.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -119,19 +119,32 @@
 	owner := a.link.owner
 	defer a.drop()
 	if !reserved && !owner.slots.await(a.alive, a.assignment.Workload) {
-		a.end(context.Cause(a.alive))
-		a.settle(context.Cause(a.alive), 0)
+		cause := context.Cause(a.alive)
+		a.end(cause)
+		a.settle(cause, 0)
 		return
 	}
 	a.takeSlot()
 	incarnation := owner.state.view().incarnation
-	err := a.generate()
+	err := a.startable()
+	if err == nil {
+		err = a.generate()
+	}
 	preempted := a.end(err)
 	owner.cooling.note(err, a.alive)
 	owner.slots.release(a.assignment.Workload, 1, preempted)
 	a.settle(err, incarnation)
 }
 
+// startable refuses to start work at an engine that stopped to take it after the sample was pulled.
+func (a *attempt) startable() error {
+	if _, ok := a.link.ready(); !ok || a.link.owner.intake.Err() != nil {
+		a.cancel(errHandBack)
+		return errHandBack
+	}
+	return nil
+}
+
 func (a *attempt) takeSlot() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -250,6 +263,7 @@
 		return err
 	}
 	if chunk.Version < a.assignment.MinVersion {
+		owner.doubtStatus(a.assignment.Model, chunk.Version)
 		return errWrongVersion
 	}
 	a.mutex.Lock()
@@ -286,17 +300,28 @@
 	workload := o.workload(workloadName)
 	if workload != nil && !versionBounds(*workload).Accept(version) {
 		o.dispatcher.counters.ChunksWrongVersion.Add(1)
-		if o.state.quarantine(model) {
-			o.dispatcher.counters.Quarantines.Add(1)
-			o.logger.Warn("engine is quarantined: its tokens come from a version that is not accepted",
-				"model", model, "version", version)
-		}
+		o.quarantine(model, version)
 		return errWrongVersion
 	}
-	o.state.observeToken(model, version)
 	return nil
 }
 
+// doubtStatus quarantines the engine when its tokens are too old for a sample that suits the version it claims to serve:
+// it would be given such samples for ever.
+func (o *engineOwner) doubtStatus(model string, version uint64) {
+	if o.state.contradicts(model, version) {
+		o.quarantine(model, version)
+	}
+}
+
+// quarantine keeps new work of a model away until the engine was ordered to load, and was seen to have done so.
+func (o *engineOwner) quarantine(model string, version uint64) {
+	if o.state.quarantine(model) {
+		o.dispatcher.counters.Quarantines.Add(1)
+		o.logger.Warn("engine is quarantined for the version of its tokens", "model", model, "version", version)
+	}
+}
+
 // cancelUnlessProvenUnsent cancels work that the engine may have although the call failed.
 func (o *engineOwner) cancelUnlessProvenUnsent(err error, requestID string, attempt uint32) {
 	if !provenNotRun(err) {
--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -49,18 +49,21 @@
 		return true
 	}
 	owner.logger.Warn("finished sample was not taken yet", "request", a.requestID, "error", err)
-	return refusedForGood(err)
+	return a.link.refusedForGood(err)
 }
 
-// refusedForGood tells whether a call will be refused each time.
-func refusedForGood(err error) bool {
+// refusedForGood tells whether the step shard will refuse a call each time. A ledger that does not know the workload may
+// only be behind with the bundle, so this node's bundle has to agree.
+func (l *workLink) refusedForGood(err error) bool {
 	var refusal *peer.Error
 	if !errors.As(err, &refusal) {
 		return false
 	}
 	switch refusal.Code {
-	case peer.CodeInvalid, peer.CodeNotFound, peer.CodeConflict:
+	case peer.CodeInvalid, peer.CodeConflict:
 		return true
+	case peer.CodeNotFound:
+		return l.owner.workload(l.key.workload) == nil
 	default:
 		return false
 	}
--- a/internal/dispatch/cooldown.go
+++ b/internal/dispatch/cooldown.go
@@ -24,7 +24,7 @@
 		c.until = time.Time{}
 		return
 	}
-	if alive.Err() == nil && time.Now().After(c.until) {
+	if alive.Err() == nil && !time.Now().Before(c.until) {
 		c.until = time.Now().Add(c.pauses.NextBackOff())
 	}
 }
--- a/internal/dispatch/engine_state.go
+++ b/internal/dispatch/engine_state.go
@@ -32,8 +32,6 @@
 	failures    int
 	loading     bool
 	quarantined map[string]bool
-	// suspect names models whose tokens contradicted the status; the loader reads the status again.
-	suspect map[string]bool
 }
 
 func newEngineState() *engineState {
@@ -41,7 +39,6 @@
 		notify:      newNotifier(),
 		served:      map[string]uint64{},
 		quarantined: map[string]bool{},
-		suspect:     map[string]bool{},
 	}
 }
 
@@ -58,7 +55,6 @@
 		restarted = e.seen && status.Incarnation != e.incarnation
 		if restarted {
 			clear(e.quarantined)
-			clear(e.suspect)
 		}
 		e.seen = true
 		e.failures = 0
@@ -78,17 +74,11 @@
 	return down
 }
 
-// observeToken compares the version of a token with what the engine is thought to serve.
-func (e *engineState) observeToken(model string, version uint64) {
+// contradicts tells whether a version is another than the one that the engine is thought to serve.
+func (e *engineState) contradicts(model string, version uint64) bool {
 	e.mutex.Lock()
-	differs := e.served[model] != version && !e.suspect[model]
-	if differs {
-		e.suspect[model] = true
-	}
-	e.mutex.Unlock()
-	if differs {
-		e.notify.notify()
-	}
+	defer e.mutex.Unlock()
+	return e.served[model] != version
 }
 
 // quarantine keeps new work of a model away until a load order was seen to succeed. It tells whether that is news.
@@ -105,14 +95,9 @@
 	e.update(func() {
 		e.served[model] = version
 		delete(e.quarantined, model)
-		delete(e.suspect, model)
 	})
 }
 
-func (e *engineState) clearSuspicion(model string) {
-	e.update(func() { delete(e.suspect, model) })
-}
-
 func (e *engineState) setLoading(loading bool) {
 	e.update(func() { e.loading = loading })
 }
@@ -126,7 +111,6 @@
 	incarnation uint64
 	served      map[string]uint64
 	quarantined map[string]bool
-	suspect     map[string]bool
 }
 
 func (e *engineState) view() engineView {
@@ -140,7 +124,6 @@
 		incarnation: e.incarnation,
 		served:      maps.Clone(e.served),
 		quarantined: maps.Clone(e.quarantined),
-		suspect:     maps.Clone(e.suspect),
 	}
 }
 
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -106,6 +106,10 @@
 	}
 	began := time.Now()
 	defer func() { r.owner.slots.finish(r.request.Workload, time.Since(began)) }()
+	if _, ok := r.owner.takesWork(r.workload); !ok {
+		r.owner.dispatcher.counters.RequestsRefused.Add(1)
+		return notReady("engine stopped to take work of this workload")
+	}
 	r.owner.dispatcher.counters.RequestsAdmitted.Add(1)
 	return r.generate(ctx)
 }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -24,9 +24,12 @@
 			continue
 		}
 		member, found := d.config.Placer.Owner(EngineKey(engine), preferenceOf(machine))
-		if found && member.Node != d.config.Placer.Self().Node {
-			refusal.OwnerHint = member.PeerAddress
+		if found && member.Node == d.config.Placer.Self().Node {
+			return &peer.Error{
+				Code: peer.CodeNotReady, Message: "engine is being taken over", RetryAfter: d.config.Timing.RetryMin,
+			}
 		}
+		refusal.OwnerHint = member.PeerAddress
 	}
 	return refusal
 }
--- a/internal/dispatch/loader.go
+++ b/internal/dispatch/loader.go
@@ -81,19 +81,19 @@
 	return modelPlan{}, delay, false
 }
 
-// needsLoad tells whether the engine has to be ordered to load, or at least looked at again.
+// needsLoad tells whether the engine has to be ordered to load.
 func needsLoad(plan modelPlan, view engineView) bool {
 	if plan.desired == 0 {
 		return false
 	}
-	return view.served[plan.model] != plan.desired || view.quarantined[plan.model] || view.suspect[plan.model]
+	return view.served[plan.model] != plan.desired || view.quarantined[plan.model]
 }
 
 // untilWave is how long it is until the engine's wave starts. An engine that serves nothing of use does not wait for it,
 // nor does an idle one in a pool without interactive work.
 func (o *engineOwner) untilWave(current *bundle.Bundle, plan modelPlan, view engineView) time.Duration {
 	served, serves := view.served[plan.model]
-	if !serves || view.quarantined[plan.model] || view.suspect[plan.model] || !o.useful(current, plan.model, served) {
+	if !serves || view.quarantined[plan.model] || !o.useful(current, plan.model, served) {
 		return 0
 	}
 	if o.slots.idle() && !hasInteractive(current, o.machine.Pool) {
@@ -144,14 +144,8 @@
 	return names
 }
 
-// load brings the engine to the desired version and returns nil once it was seen to serve it. An engine that was only
-// suspected is looked at first.
+// load brings the engine to the desired version and returns nil once it was seen to serve it.
 func (o *engineOwner) load(ctx context.Context, plan modelPlan) error {
-	view := o.state.view()
-	if view.suspect[plan.model] && !view.quarantined[plan.model] {
-		o.state.clearSuspicion(plan.model)
-		return o.lookAgain(ctx)
-	}
 	o.state.setLoading(true)
 	defer o.state.setLoading(false)
 	order := platform.LoadOrder{Fence: o.nextFence(), Model: plan.model, Version: plan.desired}
@@ -168,13 +162,6 @@
 	return oops.With("model", order.Model, "version", order.Version).Wrapf(o.engine.Load(ctx, order), "load weights")
 }
 
-// lookAgain reads the status once it is newer than the tokens that contradicted it.
-func (o *engineOwner) lookAgain(ctx context.Context) error {
-	waitFor(ctx, o.config.Timing.StatusLag)
-	_, err := o.readStatus(ctx)
-	return err
-}
-
 // verify reads the status, once it is newer than the order, and compares.
 func (o *engineOwner) verify(ctx context.Context, order platform.LoadOrder) error {
 	waitFor(ctx, o.config.Timing.StatusLag)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/hillfork/hillfork/internal/bundle"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
@@ -67,7 +69,7 @@
 		requests:   map[requestKey]context.CancelCauseFunc{},
 	}
 	owner.cooling.pauses = d.config.Timing.newBackoff()
-	owner.slots = newSlotTable(machine.ID, owner.preempt)
+	owner.slots = newSlotTable(owner.preempt)
 	return owner
 }
 
@@ -134,13 +136,14 @@
 // followBundle follows the workloads of the bundle in force.
 func (o *engineOwner) followBundle(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := o.config.Bundles.Changed()
+		changed, machines := o.config.Bundles.Changed(), o.config.Directory.Changed()
 		if accepted := o.config.Bundles.Current(); accepted != nil {
 			o.applyBundle(ctx, &accepted.Bundle)
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-machines:
 		}
 	}
 }
@@ -157,11 +160,20 @@
 			pulled[linkKey{workload: workload.Name, shard: step}] = true
 		}
 	}
-	o.slots.configure(settings)
+	o.slots.configure(settings, policy.ShareOffset(o.rank()))
 	o.startLinks(ctx, pulled)
 	o.state.notify.notify()
 }
 
+// rank is the engine's place among those of its pool.
+func (o *engineOwner) rank() int {
+	engines := o.config.Directory.Engines(o.machine.Pool)
+	rank, _ := slices.BinarySearchFunc(engines, o.machine.ID, func(machine platform.Machine, id string) int {
+		return strings.Compare(machine.ID, id)
+	})
+	return rank
+}
+
 func settingsOf(workload bundle.Workload) workloadSettings {
 	settings := workloadSettings{
 		name:        workload.Name,
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -70,12 +70,23 @@
 	response := &peerapi.ReportWorkResult{}
 	if err := l.callLedger(ctx, peerapi.MethodReportWork, request, response, true); err != nil {
 		l.owner.logger.Debug("report was not taken", "workload", l.key.workload, "shard", l.key.shard, "error", err)
+		if l.refusedForGood(err) {
+			l.abandon(request.Attempts)
+		}
 		return
 	}
 	l.acknowledge(request.Attempts)
 	l.obey(response)
 }
 
+// abandon drops attempts that no step shard will take back, as their workload is gone.
+func (l *workLink) abandon(reported []peerapi.Progress) {
+	l.acknowledge(reported)
+	for _, progress := range reported {
+		l.drop(peerapi.AttemptRef{Step: progress.Step, Index: progress.Index, Attempt: progress.Attempt})
+	}
+}
+
 // progress describes all attempts, in order.
 func (l *workLink) progress() []peerapi.Progress {
 	l.mutex.Lock()
@@ -112,13 +123,18 @@
 		l.owner.dispatcher.versions.learn(workload.Model, response.Latest)
 	}
 	for _, reference := range response.Cancel {
-		l.mutex.Lock()
-		useless := l.attempts[reference]
-		l.mutex.Unlock()
-		if useless != nil {
-			l.owner.dispatcher.counters.AttemptsUseless.Add(1)
-			useless.drop()
-		}
+		l.drop(reference)
+	}
+}
+
+// drop cuts an attempt off that is of no use.
+func (l *workLink) drop(reference peerapi.AttemptRef) {
+	l.mutex.Lock()
+	useless := l.attempts[reference]
+	l.mutex.Unlock()
+	if useless != nil {
+		l.owner.dispatcher.counters.AttemptsUseless.Add(1)
+		useless.drop()
 	}
 }
 
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -30,10 +30,20 @@
 	// backlog counts the samples that wait at each step shard.
 	backlog []int
 	queue   []*ticket
+	recent  recentPeak
 	// typical is the usual time a request holds its slot.
 	typical time.Duration
 }
 
+// headroom is how many more requests are to be expected, going by the last seconds.
+func (w *workloadLoad) headroom() int {
+	if !w.settings.interactive {
+		return 0
+	}
+	present := w.held + len(w.queue)
+	return max(0, w.recent.observe(time.Now(), present)-present)
+}
+
 func (w *workloadLoad) waiting() int {
 	if !w.settings.interactive {
 		total := w.awaiting
@@ -59,20 +69,20 @@
 
 // slotTable is the truth on the slots of one engine: who holds them, who waits, and who gets the next one.
 type slotTable struct {
-	seed string
 	// preempt is called, without the lock, to make streams of a training workload give way.
 	preempt func(workload string, count int)
 	notify  *notifier
 
 	mutex     sync.Mutex
 	slots     int
+	offset    float64
 	closed    bool
 	order     []string
 	workloads map[string]*workloadLoad
 }
 
-func newSlotTable(seed string, preempt func(string, int)) *slotTable {
-	return &slotTable{seed: seed, preempt: preempt, notify: newNotifier(), workloads: map[string]*workloadLoad{}}
+func newSlotTable(preempt func(string, int)) *slotTable {
+	return &slotTable{preempt: preempt, notify: newNotifier(), workloads: map[string]*workloadLoad{}}
 }
 
 // victims counts streams that have to give way, by workload.
@@ -91,8 +101,9 @@
 }
 
 // configure takes the settings of the bundle in force over. Workloads that are gone keep what they hold.
-func (s *slotTable) configure(settings []workloadSettings) {
+func (s *slotTable) configure(settings []workloadSettings, offset float64) {
 	s.update(func() {
+		s.offset = offset
 		wanted := make(map[string]bool, len(settings))
 		s.order = s.order[:0]
 		for _, setting := range settings {
@@ -140,8 +151,13 @@
 
 // close refuses everybody who waits and all who come later.
 func (s *slotTable) close() {
+	s.update(func() { s.closed = true })
+	s.refuseWaiting()
+}
+
+// refuseWaiting refuses everybody who waits.
+func (s *slotTable) refuseWaiting() {
 	s.update(func() {
-		s.closed = true
 		for _, load := range s.workloads {
 			refuseAll(load)
 		}
@@ -189,9 +205,10 @@
 			Share:       load.settings.share,
 			Running:     load.held,
 			Waiting:     load.waiting(),
+			Headroom:    load.headroom(),
 		})
 	}
-	return policy.Allocate(s.slots, s.seed, demands)
+	return policy.Allocate(s.slots, s.offset, demands)
 }
 
 func (s *slotTable) freeLocked() int {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -42,6 +42,7 @@
 // engineDown cuts what runs at an engine that answers no more.
 func (o *engineOwner) engineDown(err error) {
 	o.logger.Warn("engine does not answer", "error", err)
+	o.slots.refuseWaiting()
 	o.cancelAttempts(errEngineDown)
 	o.cancelRequests(errEngineDown)
 }
@@ -70,6 +71,7 @@
 			continue
 		}
 		o.state.notify.notify()
+		o.slots.refuseWaiting()
 		waitFor(ctx, o.config.Timing.LeaveGrace)
 		if ctx.Err() == nil && o.config.Directory.Leaving(o.machine.ID) {
 			o.cancelAttempts(errHandBack)
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -51,12 +51,14 @@
 type Directory struct {
 	config Config
 
-	mutex    sync.Mutex
-	listed   map[string]platform.Machine
-	leaving  map[string]bool
-	loaded   bool
-	bytes    int
-	changed  chan struct{}
+	mutex   sync.Mutex
+	listed  map[string]platform.Machine
+	leaving map[string]bool
+	loaded  bool
+	bytes   int
+	changed chan struct{}
+	// views holds the sorted engines of each pool until the next change.
+	views    map[string][]platform.Machine
 	reads    uint64
 	failures uint64
 }
@@ -77,6 +79,7 @@
 		listed:  map[string]platform.Machine{},
 		leaving: map[string]bool{},
 		changed: make(chan struct{}),
+		views:   map[string][]platform.Machine{},
 	}
 }
 
@@ -211,6 +214,7 @@
 func (d *Directory) notifyLocked() {
 	close(d.changed)
 	d.changed = make(chan struct{})
+	clear(d.views)
 }
 
 // Changed returns a channel that is closed at the next change of the view.
@@ -229,19 +233,27 @@
 
 // Machines returns all machines by ID, in order; State is MachineLeaving from the first sign on.
 func (d *Directory) Machines() []platform.Machine {
-	return d.selectMachines(func(platform.Machine) bool { return true })
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.selectLocked(func(platform.Machine) bool { return true })
 }
 
-// Engines returns the engines of a pool by ID, in order; all pools' where pool is empty.
+// Engines returns the engines of a pool by ID, in order; all pools' where pool is empty. The slice is shared and must
+// not be changed.
 func (d *Directory) Engines(pool string) []platform.Machine {
-	return d.selectMachines(func(machine platform.Machine) bool {
-		return machine.Kind == platform.MachineEngine && (pool == "" || machine.Pool == pool)
-	})
-}
-
-func (d *Directory) selectMachines(wanted func(platform.Machine) bool) []platform.Machine {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	view, known := d.views[pool]
+	if !known {
+		view = d.selectLocked(func(machine platform.Machine) bool {
+			return machine.Kind == platform.MachineEngine && (pool == "" || machine.Pool == pool)
+		})
+		d.views[pool] = view
+	}
+	return view
+}
+
+func (d *Directory) selectLocked(wanted func(platform.Machine) bool) []platform.Machine {
 	selected := make([]platform.Machine, 0, len(d.listed))
 	for _, machine := range d.listed {
 		if wanted(machine) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -14,9 +14,3 @@
 	}
 	return digest.Sum64()
 }
-
-// unitFraction maps a hash to [0, 1).
-func unitFraction(hash uint64) float64 {
-	const mantissaBits = 53
-	return float64(hash>>(64-mantissaBits)) / (1 << mantissaBits)
-}
--- a/internal/policy/shares.go
+++ b/internal/policy/shares.go
@@ -12,9 +12,15 @@
 	Running int
 	// Waiting is how many more would run if they could.
 	Waiting int
+	// Headroom is how many more are expected to come soon. Slots for them are not lent to others, but nobody has to give
+	// way for them.
+	Headroom int
 }
 
-func (d Demand) total() int { return d.Running + d.Waiting }
+func (d Demand) total() int { return d.Running + d.Waiting + d.Headroom }
+
+// present is the demand that is there now.
+func (d Demand) present() int { return d.Running + d.Waiting }
 
 // Allocation is what one workload may have.
 type Allocation struct {
@@ -32,10 +38,11 @@
 // reclaimed by preemption of training when a workload below its guarantee, or interactive work below its target, finds
 // no free slot; other workloads get theirs as streams end.
 //
-// seed spreads the rounding of shares: over many engines with different seeds each workload gets its exact share.
+// offset, from 0 to below 1, spreads the rounding of shares: over engines with evenly spread offsets (see ShareOffset)
+// each workload gets its exact share.
 // Allocations come in the order of the demands; the sum of targets never exceeds the slots.
-func Allocate(slots int, seed string, demands []Demand) []Allocation {
-	allocations := guarantees(slots, seed, demands)
+func Allocate(slots int, offset float64, demands []Demand) []Allocation {
+	allocations := guarantees(slots, offset, demands)
 	left := slots
 	for i := range allocations {
 		allocations[i].Target = min(allocations[i].Guaranteed, demands[i].total())
@@ -47,11 +54,17 @@
 	return allocations
 }
 
+// ShareOffset is the offset of the engine at a rank of its pool. The multiples of the golden ratio stay evenly spread,
+// however many engines there are.
+func ShareOffset(rank int) float64 {
+	_, fraction := math.Modf(float64(rank) / math.Phi)
+	return fraction
+}
+
 // guarantees rounds the shares to whole slots by systematic rounding: each is within one of its exact part, the sum
 // never exceeds the slots, and the mean over evenly spread offsets is exact.
-func guarantees(slots int, seed string, demands []Demand) []Allocation {
+func guarantees(slots int, offset float64, demands []Demand) []Allocation {
 	allocations := make([]Allocation, len(demands))
-	offset := unitFraction(hashOf("share", seed))
 	cumulated := offset
 	for i, demand := range demands {
 		before := math.Floor(cumulated)
@@ -117,10 +130,11 @@
 	urgent := 0
 	for i, demand := range demands {
 		free -= demand.Running
-		entitled := min(allocations[i].Guaranteed, demand.total())
+		entitled := allocations[i].Guaranteed
 		if demand.Interactive {
 			entitled = allocations[i].Target
 		}
+		entitled = min(entitled, demand.present())
 		urgent += max(0, entitled-demand.Running)
 	}
 	for missing := urgent - max(free, 0); missing > 0; missing-- {
