Replay traces in virtual time over the in-memory network

Cause: faults of the network and hours of time cannot be had on loopback sockets, and tests may not sleep. Conclusion: the same nodes run over sockets and in virtual time.

--- a/internal/lab/cluster/fabric.go
+++ b/internal/lab/cluster/fabric.go
@@ -33,8 +33,8 @@
 	NewHost(place Place) Host
 	// Crash cuts a host off for good: its connections are reset.
 	Crash(ip string) error
-	// Restart lets a crashed host on again.
-	Restart(ip string) error
+	// Restart returns the network of a new process on a crashed host.
+	Restart(ip string) (network.Network, error)
 	// Pause freezes a host until Resume.
 	Pause(ip string) error
 	Resume(ip string) error
--- a/internal/lab/cluster/loopback.go
+++ b/internal/lab/cluster/loopback.go
@@ -40,8 +40,8 @@
 // Crash has nothing to do: the sockets of a process that is gone are closed.
 func (l *Loopback) Crash(string) error { return nil }
 
-// Restart has nothing to do.
-func (l *Loopback) Restart(string) error { return nil }
+// Restart returns the one network there is.
+func (l *Loopback) Restart(string) (network.Network, error) { return network.System{}, nil }
 
 // Pause is not supported within one process.
 func (l *Loopback) Pause(string) error { return ErrUnsupported }
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -147,9 +147,11 @@
 }
 
 func (p *nodeProcess) restart() error {
-	if err := p.cluster.config.Fabric.Restart(p.host.IP); err != nil {
+	restarted, err := p.cluster.config.Fabric.Restart(p.host.IP)
+	if err != nil {
 		return err
 	}
+	p.host.Network = restarted
 	p.cluster.platform.Machines.Set(p.machine(platform.MachineLive))
 	return p.start()
 }
--- a/internal/lab/command/replay.go
+++ b/internal/lab/command/replay.go
@@ -21,15 +21,17 @@
 )
 
 type replayFlags struct {
-	report *string
-	logs   *string
+	report  *string
+	logs    *string
+	virtual *bool
 }
 
 func replayCommand(to output) *ff.Command {
 	flags := ff.NewFlagSet("replay")
 	parsed := replayFlags{
-		report: flags.StringLong("report", "", "write a JSON report to this file"),
-		logs:   flags.StringLong("log-level", "none", "show the nodes' logs of this level: debug, info, warn, error or none"),
+		report:  flags.StringLong("report", "", "write a JSON report to this file"),
+		logs:    flags.StringLong("log-level", "none", "show the nodes' logs of this level: debug, info, warn, error or none"),
+		virtual: flags.BoolLong("virtual", "run in virtual time over an in-memory network"),
 	}
 	return &ff.Command{
 		Name:      "replay",
@@ -53,7 +55,7 @@
 		if err != nil {
 			return err
 		}
-		report, err := replay.Run(ctx, recorded, cluster.NewLoopback(), nodeLogger(to.errors, *flags.logs))
+		report, err := replayOne(ctx, recorded, *flags.virtual, nodeLogger(to.errors, *flags.logs))
 		if err != nil {
 			return fmt.Errorf("%s: %w", directory, err)
 		}
@@ -70,6 +72,13 @@
 	return nil
 }
 
+func replayOne(ctx context.Context, recorded *trace.Trace, virtual bool, logger *log.Logger) (*replay.Report, error) {
+	if virtual {
+		return replay.RunVirtual(recorded, logger)
+	}
+	return replay.Run(ctx, recorded, cluster.NewLoopback(), logger)
+}
+
 // nodeLogger returns the logger of the nodes, nil for level none.
 func nodeLogger(to io.Writer, level string) *log.Logger {
 	if level == "none" {
--- /dev/null
+++ b/internal/lab/replay/virtual.go
@@ -0,0 +1,29 @@
+package replay
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/lab/bubble"
+	"github.com/hillfork/hillfork/internal/lab/cluster"
+	"github.com/hillfork/hillfork/internal/lab/trace"
+)
+
+// RunSimulated replays a trace over an in-memory network with the trace's delays. It must be called in a bubble of
+// testing/synctest; the run then takes virtual time only.
+func RunSimulated(ctx context.Context, recorded *trace.Trace, logger *log.Logger) (*Report, error) {
+	return Run(ctx, recorded, cluster.NewSimulated(&recorded.Topology), logger)
+}
+
+// RunVirtual does the same outside of tests.
+func RunVirtual(recorded *trace.Trace, logger *log.Logger) (*Report, error) {
+	var report *Report
+	var runError error
+	err := bubble.Run(func() {
+		report, runError = RunSimulated(context.Background(), recorded, logger)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return report, runError
+}
