Move unsafe requests with their shard and refuse at once elsewhere

Cause: a shard handed over, or a node stopped, while an unsafe request ran would have left it unknown; a caller's short deadline cut its unsafe request off for good; an overloaded engine was asked again after its retry-after although another engine stood by; choosing among 300 engines took most of a request's time. Change: requestledger.OnHandover and a refusing Drain, wired into the node; runs last as long as the workload allows and the gateway keeps a part of the deadline to resolve; route.Policy.FollowOnly and the patient flag of StreamOwner; the choice of an engine copies less.

--- a/internal/gateway/engine_router.go
+++ b/internal/gateway/engine_router.go
@@ -61,22 +61,18 @@
 
 // pick chooses an engine that is not excluded.
 func (r *EngineRouter) pick(workload *bundle.Workload, prompt []uint32, excluded []string) (platform.Machine, bool) {
-	machines := make(map[string]platform.Machine)
-	snapshot := policy.Snapshot{Zone: r.self.Zone, Region: r.self.Region}
-	now := time.Now()
+	var machines []platform.Machine
 	for _, pool := range workload.Pools {
-		for _, machine := range r.engines.Engines(pool) {
-			machines[machine.ID] = machine
-			snapshot.Engines = append(snapshot.Engines, policy.EngineState{
-				ID:       machine.ID,
-				Pool:     machine.Pool,
-				Zone:     machine.Zone,
-				Region:   machine.Region,
-				InFlight: int(math.Round(r.hints.load(machine.ID, now) * hintSlots)),
-				Slots:    hintSlots,
-				Leaving:  machine.State == platform.MachineLeaving,
-			})
-		}
+		machines = append(machines, r.engines.Engines(pool)...)
+	}
+	snapshot := policy.Snapshot{
+		Engines: make([]policy.EngineState, len(machines)),
+		Zone:    r.self.Zone,
+		Region:  r.self.Region,
+	}
+	loads := r.hints.loads(machines, time.Now())
+	for i := range machines {
+		snapshot.Engines[i] = engineState(&machines[i], loads[i])
 	}
 	engine, ok := r.picker.Pick(snapshot, policy.Request{
 		Model:      workload.Model,
@@ -85,7 +81,27 @@
 		PrefixHash: policy.PrefixHash(prompt),
 		Exclude:    excluded,
 	})
-	return machines[engine], ok
+	if !ok {
+		return platform.Machine{}, false
+	}
+	for i := range machines {
+		if machines[i].ID == engine {
+			return machines[i], true
+		}
+	}
+	return platform.Machine{}, false
+}
+
+func engineState(machine *platform.Machine, load float64) policy.EngineState {
+	return policy.EngineState{
+		ID:       machine.ID,
+		Pool:     machine.Pool,
+		Zone:     machine.Zone,
+		Region:   machine.Region,
+		InFlight: int(math.Round(load * hintSlots)),
+		Slots:    hintSlots,
+		Leaving:  machine.State == platform.MachineLeaving,
+	}
 }
 
 // open sends the request to the owner of the engine. The stream must be closed.
@@ -94,7 +110,7 @@
 ) (peer.ClientStream, error) {
 	request.Engine = engine.ID
 	near := placement.Preference{Zone: engine.Zone, Region: engine.Region}
-	stream, err := r.owners.StreamOwner(ctx, enginePrefix+engine.ID, near, peerapi.MethodExecute, request)
+	stream, err := r.owners.StreamOwner(ctx, enginePrefix+engine.ID, near, peerapi.MethodExecute, request, false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/execute_unsafe.go
+++ b/internal/gateway/execute_unsafe.go
@@ -17,8 +17,11 @@
 const (
 	// resolveTimeout bounds the time to find out what became of a request whose owner was lost.
 	resolveTimeout = 10 * time.Second
-	// minResolveTimeout is given to it even when the request's own deadline has passed.
-	minResolveTimeout = time.Second
+	// minResolveTimeout is given to it even when the request's own deadline is near.
+	minResolveTimeout = 50 * time.Millisecond
+	// resolveReserve is kept of the caller's deadline to find out what became of the request; a short deadline is shared.
+	resolveReserve = time.Second
+	reserveShare   = 4
 )
 
 // unsafeExecution is one unsafe request under way. It is sent to the request ledger once; what became of it after contact
@@ -64,16 +67,19 @@
 		return notRun(ending)
 	case ending.Settled:
 		return final{outcome: v1.Outcome_OUTCOME_UNKNOWN, reason: ending.Reason}, nil
+	case errors.Is(ctx.Err(), context.Canceled):
+		return final{}, ctx.Err() // nobody waits for the answer any more; the ledger keeps it
 	}
 	return u.resolve(ctx, ending)
 }
 
 // ask sends the request to the ledger and relays its answer. The error is the caller's connection's.
 func (u *unsafeExecution) ask(ctx context.Context) (answer.Ending, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	remaining := time.Duration(remainingMillis(ctx)) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, remaining-min(resolveReserve, remaining/reserveShare))
 	defer cancel()
 	stream, err := u.gateway.config.Owners.StreamOwner(
-		ctx, u.stream, u.gateway.preference(), peerapi.MethodExecuteOnce, &u.request)
+		ctx, u.stream, u.gateway.preference(), peerapi.MethodExecuteOnce, &u.request, true)
 	if err != nil {
 		return answer.FromError(err), nil
 	}
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -16,10 +16,11 @@
 	// peer.Caller; a *peer.Error or peer.ErrNotSent holds for all attempts together.
 	CallOwner(ctx context.Context, key string, preference placement.Preference, method string,
 		request, response peer.Message, idempotent bool) error
-	// StreamOwner opens a stream to the owner of key. It follows the hints of peers that do not own the key, but does not
-	// wait for a refusal to pass, and never sends again what may have taken effect.
+	// StreamOwner opens a stream to the owner of key. It follows the hints of peers that do not own the key, and never
+	// sends again what may have taken effect. A patient call may wait a little for a refusal to pass, for example while the
+	// key moves to another owner; any other gets the refusal at once.
 	StreamOwner(ctx context.Context, key string, preference placement.Preference, method string,
-		request peer.Message) (peer.ClientStream, error)
+		request peer.Message, patient bool) (peer.ClientStream, error)
 }
 
 // NodeCaller calls a process by its peer address; peer.Caller fills it.
--- a/internal/gateway/load_hints.go
+++ b/internal/gateway/load_hints.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/platform"
 )
 
 // maxHints bounds the engines that hints are kept of.
@@ -28,12 +30,18 @@
 	return &loadHints{hints: make(map[string]hint)}
 }
 
-// load estimates an engine's streams over slots now.
-func (h *loadHints) load(engine string, now time.Time) float64 {
+// loads estimates the engines' streams over slots now, in their order.
+func (h *loadHints) loads(engines []platform.Machine, now time.Time) []float64 {
+	estimates := make([]float64, len(engines))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	known := h.hints[engine]
-	return known.decayed(now) + float64(known.open)/hintSlots
+	for i := range engines {
+		known, exists := h.hints[engines[i].ID]
+		if exists {
+			estimates[i] = known.decayed(now) + float64(known.open)/hintSlots
+		}
+	}
+	return estimates
 }
 
 func (h hint) decayed(now time.Time) float64 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -286,6 +286,7 @@
 		return
 	}
 	n.steps.OnHandover(ctx, stream)
+	n.requests.OnHandover(ctx, stream)
 }
 
 // readHeaderTimeout bounds the time in which a client must send its request's header.
--- a/internal/node/owner_caller.go
+++ b/internal/node/owner_caller.go
@@ -9,9 +9,9 @@
 	"github.com/hillfork/hillfork/internal/route"
 )
 
-// maxStreamAttempts bounds the owners that one stream call is offered to; a stream that no owner takes is for its caller
-// to place elsewhere.
-const maxStreamAttempts = 3
+// maxStreamAttempts bounds the attempts at opening one stream whose owner nobody can stand in for. Any other stream that
+// its owner refuses is for its caller to place elsewhere, at once.
+const maxStreamAttempts = 4
 
 // lostCallTimeout bounds one attempt of a call that may be repeated, long polls included, so that a call to an owner that
 // has died goes on to the next owner in time.
@@ -31,8 +31,11 @@
 }
 
 func (c ownerCaller) StreamOwner(
-	ctx context.Context, key string, preference placement.Preference, method string, request peer.Message,
+	ctx context.Context, key string, preference placement.Preference, method string, request peer.Message, patient bool,
 ) (peer.ClientStream, error) {
-	policy := route.Policy{MaxAttempts: maxStreamAttempts}
+	policy := route.Policy{FollowOnly: true}
+	if patient {
+		policy = route.Policy{MaxAttempts: maxStreamAttempts}
+	}
 	return c.router.StreamOwner(ctx, key, preference, method, request, policy)
 }
--- a/internal/requestledger/execute.go
+++ b/internal/requestledger/execute.go
@@ -17,7 +17,7 @@
 // executeOnce is the drive of an unsafe request.
 func (s *Service) executeOnce(request peerapi.Execute) drive {
 	return func(ctx context.Context, run *run) (result, error) {
-		owner, err := s.open(ctx, run.key)
+		owner, err := s.open(ctx, run)
 		if err != nil {
 			return result{}, err
 		}
@@ -56,10 +56,6 @@
 	}
 }
 
-func (s *Service) open(ctx context.Context, name key) (shard.Owner, error) {
-	return s.config.Opener.Open(ctx, StreamName(ShardOf(name.workload, name.requestID)))
-}
-
 func full() *peer.Error {
 	return &peer.Error{
 		Code:       peer.CodeOverloaded,
--- a/internal/requestledger/handlers.go
+++ b/internal/requestledger/handlers.go
@@ -15,35 +15,42 @@
 	if err := decode(&request); err != nil {
 		return invalid("request cannot be decoded")
 	}
-	if err := s.check(&request); err != nil {
+	workload, err := s.check(&request)
+	if err != nil {
 		return err
 	}
 	digest := Digest(request.Prompt, request.MaxTokens, request.Seed)
 	wanted := run{key: key{request.Workload, request.RequestID}, ask: request.Ask, digest: digest}
-	budget := time.Duration(request.TimeoutMillis) * time.Millisecond
-	if budget <= 0 {
-		budget = defaultTimeout
-	}
-	ended, err := s.settle(ctx, wanted, budget, s.executeOnce(request))
+	ended, err := s.settle(ctx, wanted, runBudget(workload, &request), s.executeOnce(request))
 	if err != nil {
 		return err
 	}
 	return ended.result.send(request.RequestID, request.Attempt, stream)
 }
 
-func (s *Service) check(request *peerapi.Execute) error {
+// runBudget bounds a run. A caller that waits less than the workload allows does not cut its request off: it can ask again
+// for the answer, whereas a run that was cut off would stay unknown.
+func runBudget(workload *bundle.Workload, request *peerapi.Execute) time.Duration {
+	longest := time.Duration(workload.Limits.Timeout)
+	if longest <= 0 {
+		longest = defaultTimeout
+	}
+	return max(longest, time.Duration(request.TimeoutMillis)*time.Millisecond)
+}
+
+func (s *Service) check(request *peerapi.Execute) (*bundle.Workload, error) {
 	if request.RequestID == "" || len(request.RequestID) > MaxRequestIDBytes {
-		return invalid(fmt.Sprintf("request id must have 1 to %d bytes", MaxRequestIDBytes))
+		return nil, invalid(fmt.Sprintf("request id must have 1 to %d bytes", MaxRequestIDBytes))
 	}
 	accepted := s.config.Bundles.Current()
 	if accepted == nil {
-		return &peer.Error{Code: peer.CodeNotReady, Message: "no bundle is in force", RetryAfter: overloadedRetryAfter}
+		return nil, &peer.Error{Code: peer.CodeNotReady, Message: "no bundle is in force", RetryAfter: overloadedRetryAfter}
 	}
 	workload := accepted.Bundle.Workload(request.Workload)
 	if workload == nil || workload.Kind != bundle.Interactive {
-		return &peer.Error{Code: peer.CodeNotFound, Message: "no such interactive workload"}
+		return nil, &peer.Error{Code: peer.CodeNotFound, Message: "no such interactive workload"}
 	}
-	return nil
+	return workload, nil
 }
 
 func invalid(message string) *peer.Error {
--- /dev/null
+++ b/internal/requestledger/handover.go
@@ -0,0 +1,82 @@
+package requestledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/shard"
+)
+
+// handoverRetryAfter is told to callers while a shard moves to another owner.
+const handoverRetryAfter = 100 * time.Millisecond
+
+// OnHandover settles the runs of a shard that is about to be released, and lets no new one begin in its epoch. A run that
+// was cut off would be answered as unknown. Streams of other kinds are ignored. It has the form of
+// shard.Config.OnHandover, and returns early when the context ends.
+func (s *Service) OnHandover(ctx context.Context, stream string) {
+	for index := range Shards {
+		if StreamName(index) == stream {
+			s.handOver(ctx, index)
+		}
+	}
+}
+
+func (s *Service) handOver(ctx context.Context, index int) {
+	s.mu.Lock()
+	s.handedOver[index] = s.epochs[index]
+	s.mu.Unlock()
+	_ = s.wait(ctx, func(run *run) bool { return run.shard() == index })
+}
+
+// Drain refuses new runs and waits until those under way have ended, or the context ends.
+func (s *Service) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	return s.wait(ctx, func(*run) bool { return true })
+}
+
+// wait returns when every run that is under way now, and is one of those, has ended.
+func (s *Service) wait(ctx context.Context, isOneOf func(*run) bool) error {
+	for _, run := range s.underWay(isOneOf) {
+		select {
+		case <-run.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Service) underWay(isOneOf func(*run) bool) []*run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*run
+	for _, run := range s.runs {
+		if isOneOf(run) {
+			found = append(found, run)
+		}
+	}
+	return found
+}
+
+// open opens the shard of a run, unless its epoch is being given up.
+func (s *Service) open(ctx context.Context, run *run) (shard.Owner, error) {
+	index := run.shard()
+	owner, err := s.config.Opener.Open(ctx, StreamName(index))
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if owner.Epoch() <= s.handedOver[index] {
+		return nil, &peer.Error{
+			Code:       peer.CodeNotReady,
+			Message:    "the shard of the request is moving to another owner",
+			RetryAfter: handoverRetryAfter,
+		}
+	}
+	s.epochs[index] = max(s.epochs[index], owner.Epoch())
+	return owner, nil
+}
--- a/internal/requestledger/resolve.go
+++ b/internal/requestledger/resolve.go
@@ -111,7 +111,7 @@
 
 // resolveAsk is the drive that settles an ask whose contact was lost: it tells the recorded end, or closes the ask.
 func (s *Service) resolveAsk(ctx context.Context, run *run) (result, error) {
-	owner, err := s.open(ctx, run.key)
+	owner, err := s.open(ctx, run)
 	if err != nil {
 		return result{}, err
 	}
--- a/internal/requestledger/run.go
+++ b/internal/requestledger/run.go
@@ -20,6 +20,8 @@
 	err    error
 }
 
+func (r *run) shard() int { return ShardOf(r.key.workload, r.key.requestID) }
+
 // answers tells whether the run's end is also the end of another ask's. Others look up anew what the run recorded, for an
 // ask that was said not to have run stays so whatever a later one came to.
 func (r *run) answers(wanted run) bool {
@@ -57,6 +59,9 @@
 	if known := s.runs[wanted.key]; known != nil {
 		return known, nil
 	}
+	if s.draining {
+		return nil, &peer.Error{Code: peer.CodeNotReady, Message: "the node is stopping", RetryAfter: handoverRetryAfter}
+	}
 	if len(s.runs) >= maxRuns {
 		return nil, &peer.Error{
 			Code:       peer.CodeOverloaded,
--- a/internal/requestledger/service.go
+++ b/internal/requestledger/service.go
@@ -32,7 +32,7 @@
 	maxRuns = 1024
 	// maxDispatches bounds the engines that may refuse one request before it ends as not run.
 	maxDispatches = 3
-	// defaultTimeout bounds a run whose request names no deadline.
+	// defaultTimeout bounds a run whose workload has no timeout.
 	defaultTimeout = time.Minute
 	// settleTimeout bounds the time to record the end of a run beyond the request's own deadline.
 	settleTimeout = 30 * time.Second
@@ -111,8 +111,13 @@
 	close    context.CancelFunc
 	running  sync.WaitGroup
 
-	mu   sync.Mutex
-	runs map[key]*run
+	mu sync.Mutex
+	// draining refuses new runs.
+	draining bool
+	runs     map[key]*run
+	// epochs holds the newest epoch in which a run began, and handedOver the one that is being given up, by shard.
+	epochs     map[int]uint64
+	handedOver map[int]uint64
 	// undispatched holds the Starts that may be recorded and whose run was given up before any dispatch.
 	undispatched map[startID]struct{}
 }
@@ -137,6 +142,8 @@
 		lifetime:     lifetime,
 		close:        closeLifetime,
 		runs:         make(map[key]*run),
+		epochs:       make(map[int]uint64),
+		handedOver:   make(map[int]uint64),
 		undispatched: make(map[startID]struct{}),
 	}
 }
@@ -147,21 +154,6 @@
 	registrar.HandleUnary(peerapi.MethodResolve, s.handleResolve)
 }
 
-// Drain waits until no run is under way or the context ends. The caller has stopped the flow of requests before.
-func (s *Service) Drain(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Close abandons the runs under way and waits for their goroutines. Their requests will be answered as unknown by the
 // next owner.
 func (s *Service) Close() {
--- /dev/null
+++ b/internal/route/follow_only_test.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hillfork/hillfork/internal/peer"
+	"github.com/hillfork/hillfork/internal/placement"
+)
+
+// refusingCaller refuses streams by address.
+type refusingCaller struct {
+	peer.Caller
+	refusals map[string]error
+	asked    []string
+}
+
+func (c *refusingCaller) Stream(_ context.Context, address, _ string, _ peer.Message) (peer.ClientStream, error) {
+	c.asked = append(c.asked, address)
+	return nil, c.refusals[address]
+}
+
+// fixedPlacer places every key at one address.
+type fixedPlacer struct{ placement.Placer }
+
+func (fixedPlacer) Owner(string, placement.Preference) (placement.Member, bool) {
+	return placement.Member{PeerAddress: "a"}, true
+}
+
+// TestFollowOnly checks that a hint is followed, and that every other refusal is the caller's at once.
+func TestFollowOnly(t *testing.T) {
+	hint := &peer.Error{Code: peer.CodeNotOwner, OwnerHint: "b"}
+	cases := map[string]struct {
+		refusals map[string]error
+		asked    int
+		want     error
+	}{
+		"overloaded":             {map[string]error{"a": &peer.Error{Code: peer.CodeOverloaded, RetryAfter: time.Minute}}, 1, nil},
+		"not ready":              {map[string]error{"a": &peer.Error{Code: peer.CodeNotReady}}, 1, nil},
+		"not sent":               {map[string]error{"a": peer.ErrNotSent}, 1, peer.ErrNotSent},
+		"not the owner, no hint": {map[string]error{"a": &peer.Error{Code: peer.CodeNotOwner}}, 1, nil},
+		"hint, then overloaded":  {map[string]error{"a": hint, "b": &peer.Error{Code: peer.CodeOverloaded}}, 2, nil},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				caller := &refusingCaller{refusals: tt.refusals}
+				router := New(Config{Caller: caller, Placer: fixedPlacer{}})
+				began := time.Now()
+				_, err := router.StreamOwner(t.Context(), "k", placement.Preference{}, "m", nil, Policy{FollowOnly: true})
+				is.True(err != nil)
+				is.True(tt.want == nil || errors.Is(err, tt.want))
+				is.Equal(len(caller.asked), tt.asked)
+				is.Equal(time.Since(began), time.Duration(0))
+			})
+		})
+	}
+}
--- a/internal/route/policy.go
+++ b/internal/route/policy.go
@@ -25,6 +25,9 @@
 	// AttemptTimeout bounds one attempt of CallOwner; 0 leaves the bound to the context. An attempt that times out may
 	// have had effect.
 	AttemptTimeout time.Duration
+	// FollowOnly gives every refusal but a hint at the owner to the caller at once, for a caller that has somewhere else to
+	// go.
+	FollowOnly bool
 }
 
 // UncertainError says that a call may have had effect at some attempt, although no answer tells so. It wraps
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -202,6 +202,9 @@
 	if outcome.action == actionFollow && outcome.hint != address && c.hints < c.router.config.MaxHints {
 		return c.follow(ctx, outcome.hint)
 	}
+	if c.policy.FollowOnly {
+		return false
+	}
 	c.hints = 0
 	return c.pause(ctx, outcome)
 }
