Hold what operators are told against the bundle stream

Cause: trials that broke the fold on a scratch copy showed two faults that no test saw: a stale base taken as open, and a chain of falling versions. A log that names a tail but returns no entries was asked in a loop. The fold decodes canonical forms as JSON and compares them instead of going through YAML. Conclusion: the broken folds now fail; no fault was found in the fold itself.

--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -29,10 +29,17 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// DecodeCanonical is the strict inverse of Canonical: it refuses every other encoding of the same bundle.
+// DecodeCanonical is the strict inverse of Canonical: it refuses every other encoding of the same bundle, and so also
+// unknown, repeated and missing keys. It costs far less than Decode, but names no lines.
 func DecodeCanonical(canonical []byte) (*Bundle, error) {
-	decoded, err := Decode(canonical)
-	if err != nil {
+	if len(canonical) > MaxDocumentBytes {
+		return nil, oops.Wrapf(ErrNotCanonical, "it has %d bytes", len(canonical))
+	}
+	decoded := &Bundle{}
+	if err := json.Unmarshal(canonical, decoded); err != nil {
+		return nil, oops.Wrapf(ErrNotCanonical, "%v", err)
+	}
+	if err := Validate(decoded); err != nil {
 		return nil, oops.Wrap(err)
 	}
 	if !bytes.Equal(Canonical(decoded), canonical) {
--- a/internal/bundle/confirm.go
+++ b/internal/bundle/confirm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"github.com/samber/oops"
 )
 
 // confirmation lets concurrent calls of Confirm share one read.
@@ -76,8 +78,13 @@
 	if err := f.start(ctx); err != nil {
 		return err
 	}
+	before := f.reached()
 	tail, err := f.advance(ctx, 0)
 	for err == nil && f.reached() < tail {
+		if f.reached() == before {
+			return oops.With("offset", before, "tail", tail).Errorf("log returned no entry below its tail")
+		}
+		before = f.reached()
 		_, err = f.advance(ctx, 0)
 	}
 	return err
--- a/internal/bundle/fold.go
+++ b/internal/bundle/fold.go
@@ -10,6 +10,8 @@
 	MaxEndedProposals = 256
 	// MaxEndedDocuments is how many of those are kept with their documents.
 	MaxEndedDocuments = 64
+	// MaxEndedDocumentBytes bounds the sum of those documents.
+	MaxEndedDocumentBytes = 1 << 20
 	// MaxOpenProposals is how many proposals wait for sign-offs at once; the oldest with the fewest signatures gives way.
 	MaxOpenProposals = 64
 )
--- a/internal/bundle/fold_test.go
+++ b/internal/bundle/fold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -88,6 +89,11 @@
 	is.Equal(fold.Version(), uint64(2))
 	status, _ := fold.Status(digestOf(fast))
 	is.Equal(status.State, StateSuperseded)
+	stale := testBundle(1, 0.4, "ann", "bob")
+	apply(fold, next, acceptRecords(stale, "ann", "bob")...)
+	is.Equal(fold.Current().Digest, digestOf(early)) // whole, but on a base of the past
+	status, _ = fold.Status(digestOf(stale))
+	is.Equal(status.State, StateConflicted)
 }
 
 func TestFoldIsBounded(t *testing.T) {
@@ -113,19 +119,25 @@
 	is.Equal(documents, MaxEndedDocuments+1)
 }
 
-// drawRecord makes a record of some bundle on a version near the one in force, honest or not.
-func drawRecord(t *rapid.T, version uint64) []byte {
+// drawRecords makes records of some bundle on a version near the one in force, honest or not: one of them, or all that
+// would bring it into force.
+func drawRecords(t *rapid.T, version uint64) [][]byte {
 	partners := rapid.SampledFrom([][]string{{"ann"}, {"ann", "bob"}, {"ann", "bob", "eve"}}).Draw(t, "partners")
 	target := max(1, version+rapid.Uint64Range(0, 2).Draw(t, "version"))
 	b := testBundle(target, rapid.SampledFrom([]float64{0.1, 0.2}).Draw(t, "share"), partners...)
 	if rapid.IntRange(0, 4).Draw(t, "rotated") == 0 {
 		withKey(b, "ann", "ann's new")
 	}
-	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
-		return proposalRecord(b)
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return [][]byte{proposalRecord(b)}
+	case 1:
+		return append(acceptRecords(b, "ann", "bob", "eve"), signOffRecord(b, "ann", "ann's new"))
+	default:
+		signer := rapid.SampledFrom([][2]string{{"ann", "ann"}, {"ann", "ann's new"}, {"bob", "bob"}, {"eve", "eve"}, {"bob", "eve"}})
+		signed := signer.Draw(t, "signer")
+		return [][]byte{signOffRecord(b, signed[0], signed[1])}
 	}
-	signer := rapid.SampledFrom([][2]string{{"ann", "ann"}, {"ann", "ann's new"}, {"bob", "bob"}, {"eve", "eve"}, {"bob", "eve"}}).Draw(t, "signer")
-	return signOffRecord(b, signer[0], signer[1])
 }
 
 // encoded is the state of a fold without what depends on offsets and garbage.
@@ -150,25 +162,20 @@
 	rapid.Check(t, func(t *rapid.T) {
 		trusted := testTrusted("ann", "bob")
 		plain, noisy, restored := NewFold(trusted), NewFold(trusted), NewFold(trusted)
-		noise := int64(0)
-		for offset := range int64(rapid.IntRange(1, 30).Draw(t, "records")) {
-			record := drawRecord(t, plain.Version())
-			before := plain.Version()
-			plain.Apply(offset, record)
-			restored.Apply(offset, record)
-			noise = apply(noisy, noise, record)
-			noise = apply(noisy, noise, rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "garbage"))
-			noise = apply(noisy, noise, record) // a repeat
-
-			if plain.Version() < before || plain.Version() > before+1 {
-				t.Fatalf("version went from %d to %d", before, plain.Version())
-			}
-			accepted += int(plain.Version() - before)
-			if current := plain.Current(); current != nil && plain.proposals[current.Digest].State != StateInForce {
-				t.Fatalf("state of the bundle in force is %v", plain.proposals[current.Digest].State)
+		offset, noise := int64(0), int64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "draws") {
+			for _, record := range drawRecords(t, plain.Version()) {
+				before := plain.Version()
+				plain.Apply(offset, record)
+				restored.Apply(offset, record)
+				offset++
+				noise = apply(noisy, noise, record)
+				noise = apply(noisy, noise, rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "garbage"), record)
+				checkStep(t, plain, before)
+				accepted += int(plain.Version() - before)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
-				restored = restart(t, restored, trusted, offset+1)
+				restored = restart(t, restored, trusted, offset)
 			}
 		}
 		if !bytes.Equal(encoded(t, plain), encoded(t, noisy)) {
@@ -183,6 +190,22 @@
 	}
 }
 
+// checkStep checks what must hold after every record.
+func checkStep(t *rapid.T, fold *Fold, before uint64) {
+	if fold.Version() < before || fold.Version() > before+1 {
+		t.Fatalf("version went from %d to %d", before, fold.Version())
+	}
+	for _, proposal := range fold.proposals {
+		isInForce := fold.Current() != nil && fold.Current().Digest == proposal.Digest
+		if isInForce != (proposal.State == StateInForce) {
+			t.Fatalf("proposal %s is %v", proposal.Digest, proposal.State)
+		}
+		if proposal.State == StateProposed && proposal.Base != fold.Version() {
+			t.Fatalf("proposal %s is open on base %d under version %d", proposal.Digest, proposal.Base, fold.Version())
+		}
+	}
+}
+
 func restart(t *rapid.T, fold *Fold, trusted TrustedKeys, next int64) *Fold {
 	payload, err := fold.snapshot(next)
 	if err != nil {
@@ -217,5 +240,53 @@
 	is.NoErr(err) // settings that name later keys prove the end of the chain
 	is.Equal(accepted.Bundle.Version, uint64(6))
 	_, err = verifyChain(testTrusted("eve"), 0, chainOf(fold.links, fold.Current()))
-	is.True(err != nil)
+	is.True(errors.Is(err, ErrUnproven))
+}
+
+func TestChainsThatDoNotRiseProveNothing(t *testing.T) {
+	is := is.New(t)
+	var links []linkState
+	fold := NewFold(testTrusted("ann"))
+	for version := uint64(1); version <= 2; version++ {
+		apply(fold, int64(2*version), acceptRecords(testBundle(version, 0.1, "ann"), "ann")...)
+		links = append(links, linkOf(fold.Current()))
+	}
+	_, err := verifyChain(testTrusted("ann"), 0, []linkState{links[1], links[0]})
+	is.True(errors.Is(err, ErrUnproven))
+	_, err = verifyChain(testTrusted("ann"), 2, links)
+	is.True(errors.Is(err, ErrUnproven)) // nothing of it is newer
+}
+
+func TestSnapshotsAreNotTrusted(t *testing.T) {
+	first, open := testBundle(1, 0.1, "ann", "bob"), testBundle(2, 0.2, "ann", "bob")
+	fold := NewFold(testTrusted("ann", "bob"))
+	next := apply(fold, 0, acceptRecords(first, "ann", "bob")...)
+	next = apply(fold, next, proposalRecord(open), signOffRecord(open, "ann", "ann"))
+	payload, err := fold.snapshot(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*snapshotState){
+		"forged signature":      func(s *snapshotState) { s.Proposals[1].Signatures[0].Signature = signOff(open, "ann", "eve").Signature },
+		"signature of another":  func(s *snapshotState) { s.Proposals[1].Signatures[0].Partner = "bob" },
+		"bundle without proof":  func(s *snapshotState) { s.Links[0].Signatures = s.Links[0].Signatures[:1] },
+		"another in force":      func(s *snapshotState) { s.InForce = s.Proposals[1].Digest },
+		"none in force":         func(s *snapshotState) { s.InForce = "" },
+		"open on another base":  func(s *snapshotState) { s.Proposals[1].Base = 0 },
+		"proposal given twice":  func(s *snapshotState) { s.Proposals = append(s.Proposals, s.Proposals[0]) },
+		"unknown state":         func(s *snapshotState) { s.Proposals[1].State = 9 },
+		"offset after the tail": func(s *snapshotState) { s.NextOffset = next + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state, err := decodeSnapshot(payload)
+			is.NoErr(err)
+			spoil(state)
+			_, _, err = openSnapshot(testTrusted("ann", "bob"), mustRecord(kindSnapshot, state), next)
+			is.True(err != nil)
+		})
+	}
+	if _, _, err := openSnapshot(testTrusted("ann", "bob"), payload, next); err != nil {
+		t.Fatal(err)
+	}
 }
--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -17,6 +17,8 @@
 const (
 	// pollWait is how long one read may wait for the next record.
 	pollWait = 20 * time.Second
+	// minPoll is the least time between two reads that bring nothing.
+	minPoll = 200 * time.Millisecond
 	// readBatch bounds the entries of one read.
 	readBatch = 256
 	// readTimeout bounds a read that does not wait; a long poll gets pollWait more.
@@ -120,13 +122,20 @@
 	return oops.Wrap(ctx.Err())
 }
 
-// poll waits for the next records and folds them.
+// poll waits for the next records and folds them. It takes at least minPoll when none came, also with a log that does
+// not hold reads open.
 func (f *Follower) poll(ctx context.Context) error {
 	if err := f.start(ctx); err != nil {
 		return err
 	}
-	_, err := f.advance(ctx, pollWait)
-	return err
+	before, began := f.reached(), time.Now()
+	if _, err := f.advance(ctx, pollWait); err != nil {
+		return err
+	}
+	if f.reached() == before {
+		sleep(ctx, minPoll-time.Since(began))
+	}
+	return nil
 }
 
 // advance reads once from the place reached, folds what it gets, and returns the tail that the read saw.
--- a/internal/bundle/fuzz_test.go
+++ b/internal/bundle/fuzz_test.go
@@ -1,7 +1,7 @@
 package bundle
 
 import (
-	"bytes"
+	"reflect"
 	"testing"
 )
 
@@ -16,9 +16,12 @@
 		}
 		canonical := Canonical(decoded)
 		again, err := DecodeCanonical(canonical)
-		if err != nil || !bytes.Equal(Canonical(again), canonical) {
+		if err != nil || !reflect.DeepEqual(again, decoded) {
 			t.Fatalf("canonical form does not come back: %v", err)
 		}
+		if strict, err := Decode(canonical); err != nil || !reflect.DeepEqual(strict, decoded) {
+			t.Fatalf("the two decoders do not agree: %v", err)
+		}
 	})
 }
 
--- a/internal/bundle/helpers_test.go
+++ b/internal/bundle/helpers_test.go
@@ -98,8 +98,10 @@
 	down    bool
 	// appendFault decides the fate of the nth append, counted from 1.
 	appendFault func(n int) (takesEffect bool, err error)
-	appends     int
-	reads       int
+	// late, if set, is how much later than its answer an append that did not take effect still does.
+	late    time.Duration
+	appends int
+	reads   int
 	// readGate, if set, is received from before a read that does not wait.
 	readGate chan struct{}
 }
@@ -120,14 +122,27 @@
 		return 0, platform.ErrNotSent
 	}
 	first := int64(len(l.streams[stream]))
-	for i, payload := range payloads {
-		if takesEffect {
-			l.streams[stream] = append(l.streams[stream], platform.Entry{Offset: first + int64(i), Payload: payload})
-		}
+	switch {
+	case takesEffect:
+		l.write(stream, payloads)
+	case l.late > 0:
+		time.AfterFunc(l.late, func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.write(stream, payloads)
+		})
+	}
+	return first, err
+}
+
+// write is called with the lock held.
+func (l *memoryLog) write(stream string, payloads [][]byte) {
+	for _, payload := range payloads {
+		offset := int64(len(l.streams[stream]))
+		l.streams[stream] = append(l.streams[stream], platform.Entry{Offset: offset, Payload: payload})
 	}
 	close(l.changed)
 	l.changed = make(chan struct{})
-	return first, err
 }
 
 func (l *memoryLog) Read(ctx context.Context, stream string, offset int64, options platform.ReadOptions) (platform.ReadResult, error) {
@@ -204,3 +219,16 @@
 	})
 	return follower
 }
+
+// holdingLog names a tail of the bundle stream but returns no entries of it, and never waits.
+type holdingLog struct {
+	*memoryLog
+}
+
+func (l *holdingLog) Read(ctx context.Context, stream string, offset int64, options platform.ReadOptions) (platform.ReadResult, error) {
+	if stream != Stream {
+		return l.memoryLog.Read(ctx, stream, offset, options)
+	}
+	l.count()
+	return platform.ReadResult{Tail: 5}, nil
+}
--- a/internal/bundle/proposals.go
+++ b/internal/bundle/proposals.go
@@ -72,16 +72,17 @@
 }
 
 // boundEnded forgets the oldest ended proposals beyond MaxEndedProposals, and the documents of those beyond
-// MaxEndedDocuments.
+// MaxEndedDocuments or MaxEndedDocumentBytes.
 func (f *Fold) boundEnded() {
-	ended := 0
+	ended, bytes := 0, 0
 	for i := len(f.order) - 1; i >= 0; i-- {
 		proposal := f.proposals[f.order[i]]
 		if !proposal.ended() {
 			continue
 		}
 		ended++
-		if ended > MaxEndedDocuments {
+		bytes += len(proposal.Canonical)
+		if ended > MaxEndedDocuments || bytes > MaxEndedDocumentBytes {
 			proposal.Canonical = nil
 			proposal.Signatures = withoutBytes(proposal.Signatures)
 		}
