--- a/internal/stepledger/fake_test.go
+++ b/internal/stepledger/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
@@ -41,7 +42,10 @@
 	state  shard.State
 	epoch  uint64
 	done   chan struct{}
-	gone   bool
+	// superseded says that the stream has another owner; this one finds out when it next asks the log.
+	superseded bool
+	// gone says that done is closed.
+	gone bool
 	// slow delays each write and proof.
 	slow time.Duration
 }
@@ -69,7 +73,7 @@
 		o.log.streams[name] = stream
 	}
 	if stream.owner != nil {
-		stream.owner.stop()
+		stream.owner.superseded = true
 	}
 	stream.epoch++
 	owner := &memoryOwner{log: o.log, stream: stream, state: NewState(), epoch: stream.epoch, done: make(chan struct{})}
@@ -104,7 +108,7 @@
 	defer o.log.mutex.Unlock()
 	var outcomes []any
 	for _, proposal := range proposals {
-		if o.gone {
+		if !o.owns() {
 			return nil, shard.ErrNotOwner
 		}
 		if o.log.beforeRecord != nil && !o.log.beforeRecord() {
@@ -132,12 +136,20 @@
 	time.Sleep(o.slow)
 	o.log.mutex.Lock()
 	defer o.log.mutex.Unlock()
-	if o.gone {
+	if !o.owns() {
 		return shard.ErrNotOwner
 	}
 	return nil
 }
 
+// owns asks the log whether this owner is still the stream's.
+func (o *memoryOwner) owns() bool {
+	if o.superseded {
+		o.stop()
+	}
+	return !o.gone
+}
+
 func (o *memoryOwner) Epoch() uint64                 { return o.epoch }
 func (o *memoryOwner) Done() <-chan struct{}         { return o.done }
 func (o *memoryOwner) Release(context.Context) error { return nil }
@@ -164,6 +176,16 @@
 	return b.current
 }
 
+// set puts a bundle in force, at first for the log alone and, where known, for this node too.
+func (b *memoryBundles) set(accepted *bundle.Accepted, known bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.confirmed = accepted
+	if known {
+		b.current = accepted
+	}
+}
+
 func (b *memoryBundles) Changed() <-chan struct{} { return b.changed }
 
 func (b *memoryBundles) Confirm(context.Context) (*bundle.Accepted, error) {
@@ -176,11 +198,10 @@
 }
 
 // lengthScorer rewards an answer by its length.
-type lengthScorer struct{ failures int }
+type lengthScorer struct{ failures atomic.Int32 }
 
 func (s *lengthScorer) Score(_ context.Context, _, sampleID string, _, tokens []uint32) (platform.Score, error) {
-	if s.failures > 0 {
-		s.failures--
+	if s.failures.Add(-1) >= 0 {
 		return platform.Score{}, fmt.Errorf("scorer is down")
 	}
 	return platform.Score{SampleID: sampleID, Reward: float64(len(tokens))}, nil
--- a/internal/stepledger/fetch.go
+++ b/internal/stepledger/fetch.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
+	current.noteFetch(request.Step)
 	timer := time.NewTimer(waitTime(request.WaitMillis))
 	defer timer.Stop()
 	accepted := s.config.Bundles.Current()
@@ -55,6 +56,17 @@
 	}
 }
 
+// noteFetch notes the step that the trainer wants.
+func (c *session) noteFetch(step uint64) {
+	c.mutex.Lock()
+	newer := step > c.fetching
+	c.fetching = max(c.fetching, step)
+	c.mutex.Unlock()
+	if newer {
+		c.work.raise()
+	}
+}
+
 // fetchRound is what one pass of FetchSamples came to.
 type fetchRound struct {
 	// result is the answer; nil when there is nothing to hand over yet.
--- a/internal/stepledger/pull.go
+++ b/internal/stepledger/pull.go
@@ -93,7 +93,7 @@
 		snapshot.MaxVersionsBehind = workload.Staleness.MaxVersionsBehind
 	}
 	ahead := 0
-	trainerAt := trainerStep(state)
+	trainerAt := max(trainerStep(state), c.fetching)
 	for _, step := range state.image.Steps {
 		if step.Completed < len(step.Samples) {
 			candidates := c.candidates(step, now)
@@ -114,7 +114,8 @@
 	return max(maxInFlight/ShardsPerWorkload, 1)
 }
 
-// trainerStep is the newest step that the trainer has been given samples of; older steps do not hold it back.
+// trainerStep is the newest step that the trainer has been given samples of. Older steps do not hold it back, so that a step
+// that the trainer skips does not stop those after it.
 func trainerStep(state *State) uint64 {
 	for i := len(state.image.Steps) - 1; i >= 0; i-- {
 		if step := state.image.Steps[i]; len(step.Positions) > 0 {
--- a/internal/stepledger/service_test.go
+++ b/internal/stepledger/service_test.go
@@ -80,7 +80,7 @@
 				w.t.Errorf("%s: got %v, want code %d", name, err, c.code)
 			}
 		}
-		w.bundles.current = nil
+		w.bundles.set(nil, true)
 		expectCode(is, w.step(1, 1), peer.CodeNotReady)
 	})
 }
