--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -33,7 +33,6 @@
 			cluster: c, described: described, number: number,
 			adapter: c.adapterFrom(described.Zone), gateways: c.gatewaysNear(described.Zone),
 		}
-		c.client.callers = append(c.client.callers, process)
 		c.running.Go(func() { process.run(ctx) })
 	}
 }
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -38,9 +38,10 @@
 
 // clientSide is the operators' and callers' view of the cluster, from hosts outside the machine rooms.
 type clientSide struct {
+	// mu guards adapters; trainers does not change after New.
+	mu       sync.Mutex
 	adapters map[string]*connectadapter.Adapter
 	trainers map[string]*trainerProcess
-	callers  []*callerProcess
 }
 
 // New stands the platform, engines and nodes up. Start sets the work going; Close ends everything.
@@ -55,7 +56,7 @@
 	}
 	c.client.adapters = make(map[string]*connectadapter.Adapter)
 	c.client.trainers = make(map[string]*trainerProcess)
-	steps := []func(context.Context) error{c.startPlatform, c.startEngines, c.startNodes}
+	steps := []func(context.Context) error{c.startPlatform, c.startEngines, c.startNodes, c.makeTrainers}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			c.Close()
@@ -105,6 +106,8 @@
 
 // adapterFrom returns the HTTP side of a client host in a zone; one host a zone serves all its clients.
 func (c *Cluster) adapterFrom(zone string) *connectadapter.Adapter {
+	c.client.mu.Lock()
+	defer c.client.mu.Unlock()
 	adapter, found := c.client.adapters[zone]
 	if !found {
 		adapter = connectadapter.New(c.newHost(zone, true).Network, connectadapter.Options{})
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -146,7 +146,24 @@
 	return nil
 }
 
+// restart starts a new process on the host, once an earlier one that is stopping as planned has ended.
 func (p *nodeProcess) restart() error {
+	p.mu.Lock()
+	running, ended := p.running, p.ended
+	p.mu.Unlock()
+	if running == nil {
+		return p.startAnew()
+	}
+	p.cluster.running.Go(func() {
+		<-ended
+		if err := p.startAnew(); err != nil {
+			p.cluster.noteNodeEnd(p, err)
+		}
+	})
+	return nil
+}
+
+func (p *nodeProcess) startAnew() error {
 	restarted, err := p.cluster.config.Fabric.Restart(p.host.IP)
 	if err != nil {
 		return err
--- a/internal/lab/cluster/run.go
+++ b/internal/lab/cluster/run.go
@@ -17,9 +17,7 @@
 	settle := time.Duration(c.topology.Settle)
 	ctx, cancel := context.WithDeadline(ctx, c.started.Add(duration+settle))
 	defer cancel()
-	if err := c.startTrainers(ctx); err != nil {
-		return err
-	}
+	c.startTrainers(ctx)
 	c.startCallers(ctx)
 	c.watchBundles(ctx)
 	err := c.runEvents(ctx)
@@ -34,6 +32,9 @@
 func (c *Cluster) waitForTrainers(ctx context.Context, duration time.Duration) {
 	sleepUntil(ctx, c.started.Add(duration))
 	for _, process := range c.client.trainers {
+		if !process.bounded {
+			continue
+		}
 		select {
 		case <-process.done:
 		case <-ctx.Done():
--- a/internal/lab/cluster/trainers.go
+++ b/internal/lab/cluster/trainers.go
@@ -22,28 +22,40 @@
 type trainerProcess struct {
 	trainer *trainer.Trainer
 	done    chan struct{}
+	// bounded says that the trainer ends after its steps.
+	bounded bool
 }
 
-// startTrainers sets a trainer going for each of the topology, until ctx ends.
-func (c *Cluster) startTrainers(ctx context.Context) error {
+// makeTrainers makes a trainer for each of the topology; startTrainers sets them going.
+func (c *Cluster) makeTrainers(context.Context) error {
 	for _, described := range c.topology.Trainers {
 		model, err := c.modelOf(described.Workload)
 		if err != nil {
 			return err
 		}
-		c.startTrainer(ctx, described, model)
+		c.makeTrainer(described, model)
 	}
 	return nil
 }
 
-func (c *Cluster) startTrainer(ctx context.Context, described trace.Trainer, model string) {
+// startTrainers lets the trainers run until ctx ends.
+func (c *Cluster) startTrainers(ctx context.Context) {
+	for _, process := range c.client.trainers {
+		c.running.Go(func() {
+			defer close(process.done)
+			_ = process.trainer.Run(ctx)
+		})
+	}
+}
+
+func (c *Cluster) makeTrainer(described trace.Trainer, model string) {
 	adapter := c.adapterFrom(described.Zone)
 	steps := workload.NewSteps(described, c.topology.Seed)
 	var gateways []string
 	for _, process := range c.gatewaysNear(described.Zone) {
 		gateways = append(gateways, process.address(apiPort))
 	}
-	process := &trainerProcess{done: make(chan struct{})}
+	process := &trainerProcess{done: make(chan struct{}), bounded: described.Steps > 0}
 	process.trainer = trainer.New(adapter.HTTPClient(), trainer.Config{
 		Workload:         described.Workload,
 		Model:            model,
@@ -59,10 +71,6 @@
 		Observer:         &trainerObserver{recorder: c.config.Recorder, described: described, steps: steps},
 	}, adapter.ClientOptions()...)
 	c.client.trainers[described.Workload] = process
-	c.running.Go(func() {
-		defer close(process.done)
-		_ = process.trainer.Run(ctx)
-	})
 }
 
 // modelOf finds a workload's model in the bundles of the trace, the first by name that has the workload.
--- a/internal/lab/command/replay.go
+++ b/internal/lab/command/replay.go
@@ -74,9 +74,9 @@
 
 func replayOne(ctx context.Context, recorded *trace.Trace, virtual bool, logger *log.Logger) (*replay.Report, error) {
 	if virtual {
-		return replay.RunVirtual(recorded, logger)
+		return replay.RunVirtual(recorded, replay.Options{Logger: logger})
 	}
-	return replay.Run(ctx, recorded, cluster.NewLoopback(), logger)
+	return replay.Run(ctx, recorded, cluster.NewLoopback(), replay.Options{Logger: logger})
 }
 
 // nodeLogger returns the logger of the nodes, nil for level none.
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -39,14 +39,36 @@
 	LatencyP99 float64               `json:"latency_p99_seconds,omitempty"`
 }
 
+// Options says how a run is shown.
+type Options struct {
+	// Logger gets the nodes' logs; nil discards them.
+	Logger *log.Logger
+	// Watch, if set, runs beside the run until its context ends. It may ask for the progress at any time.
+	Watch func(ctx context.Context, progress func() Progress)
+}
+
+// Progress is how far a run is.
+type Progress struct {
+	Elapsed       time.Duration
+	Steps         int
+	Samples       int
+	Requests      int
+	Completed     int
+	BundleVersion uint64
+}
+
 // Run replays a trace over a fabric. An error says that the trace could not be run, and nothing of its outcomes.
-func Run(ctx context.Context, recorded *trace.Trace, fabric cluster.Fabric, logger *log.Logger) (*Report, error) {
+func Run(ctx context.Context, recorded *trace.Trace, fabric cluster.Fabric, options Options) (*Report, error) {
 	recorder := check.NewRecorder()
-	stood, err := cluster.New(ctx, cluster.Config{Trace: recorded, Fabric: fabric, Recorder: recorder, Logger: logger})
+	stood, err := cluster.New(ctx, cluster.Config{
+		Trace: recorded, Fabric: fabric, Recorder: recorder, Logger: options.Logger,
+	})
 	if err != nil {
 		return nil, err
 	}
+	stopWatching := watch(ctx, options, stood, recorder)
 	runError := stood.Run(ctx)
+	stopWatching()
 	measures := measure(stood.TrainerReports(), recorder)
 	stood.Close()
 	if runError != nil {
@@ -60,6 +82,44 @@
 	return report, nil
 }
 
+// watch runs the watcher beside the run. The function returned ends it and waits for it.
+func watch(ctx context.Context, options Options, stood *cluster.Cluster, recorder *check.Recorder) (stop func()) {
+	if options.Watch == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	began := time.Now()
+	go func() {
+		defer close(ended)
+		options.Watch(ctx, func() Progress { return progressOf(stood, recorder, time.Since(began)) })
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+func progressOf(stood *cluster.Cluster, recorder *check.Recorder, elapsed time.Duration) Progress {
+	progress := Progress{Elapsed: elapsed}
+	for _, item := range stood.TrainerReports() {
+		progress.Steps += item.Report.StepsFetched
+		progress.Samples += item.Report.Samples
+	}
+	recorder.Record(func(o *check.Observations) {
+		progress.Requests = len(o.Requests)
+		for _, request := range o.Requests {
+			if request.Outcome == check.OutcomeCompleted {
+				progress.Completed++
+			}
+		}
+		if last := len(o.Bundles) - 1; last >= 0 {
+			progress.BundleVersion = o.Bundles[last].Version
+		}
+	})
+	return progress
+}
+
 func measure(trainers []cluster.TrainerReport, recorder *check.Recorder) map[string]Measures {
 	measures := make(map[string]Measures)
 	for _, item := range trainers {
--- a/internal/lab/replay/traces_test.go
+++ b/internal/lab/replay/traces_test.go
@@ -34,7 +34,7 @@
 }
 
 func replayTrace(t *testing.T, recorded *trace.Trace) {
-	report, err := RunSimulated(t.Context(), recorded, nil)
+	report, err := RunSimulated(t.Context(), recorded, Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/replay/virtual.go
+++ b/internal/lab/replay/virtual.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/lab/bubble"
 	"github.com/hillfork/hillfork/internal/lab/cluster"
 	"github.com/hillfork/hillfork/internal/lab/trace"
@@ -11,16 +10,16 @@
 
 // RunSimulated replays a trace over an in-memory network with the trace's delays. It must be called in a bubble of
 // testing/synctest; the run then takes virtual time only.
-func RunSimulated(ctx context.Context, recorded *trace.Trace, logger *log.Logger) (*Report, error) {
-	return Run(ctx, recorded, cluster.NewSimulated(&recorded.Topology), logger)
+func RunSimulated(ctx context.Context, recorded *trace.Trace, options Options) (*Report, error) {
+	return Run(ctx, recorded, cluster.NewSimulated(&recorded.Topology), options)
 }
 
 // RunVirtual does the same outside of tests.
-func RunVirtual(recorded *trace.Trace, logger *log.Logger) (*Report, error) {
+func RunVirtual(recorded *trace.Trace, options Options) (*Report, error) {
 	var report *Report
 	var runError error
 	err := bubble.Run(func() {
-		report, runError = RunSimulated(context.Background(), recorded, logger)
+		report, runError = RunSimulated(context.Background(), recorded, options)
 	})
 	if err != nil {
 		return nil, err
