--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -298,16 +298,25 @@
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	if f.current == nil || accepted.Bundle.Version > f.current.Bundle.Version {
-		f.learned, f.learnedChain = accepted, chain
-		f.refresh()
+	if f.adopt(accepted, chain) {
+		f.logger.Info("bundle learned from a peer", "version", accepted.Bundle.Version, "digest", accepted.Digest)
+		f.notify()
 	}
-	f.mu.Unlock()
-	f.notify()
 	return nil
 }
 
+// adopt puts a proven bundle in force, unless a bundle as new has come into force meanwhile.
+func (f *Follower) adopt(accepted *Accepted, chain []linkState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && accepted.Bundle.Version <= f.current.Bundle.Version {
+		return false
+	}
+	f.learned, f.learnedChain = accepted, chain
+	f.refresh()
+	return true
+}
+
 // knownKeys returns the keys in force here and the version they belong to.
 func (f *Follower) knownKeys() (TrustedKeys, uint64) {
 	current := f.Current()
--- a/internal/bundle/follower_test.go
+++ b/internal/bundle/follower_test.go
@@ -234,6 +234,9 @@
 		is.Equal(behind.Current().Bundle.Version, uint64(3))
 		handed, _ := behind.Proof()
 		is.Equal(handed, proof)
+		status, err := behind.Status(digestOf(third))
+		is.NoErr(err)
+		is.Equal(status.State, StateInForce) // though the fold does not know it
 
 		forged := proof
 		forged.Links = nil
@@ -245,6 +248,9 @@
 		_, err = behind.Confirm(t.Context())
 		is.NoErr(err)
 		is.Equal(behind.Current().Bundle.Version, uint64(3)) // the log's older version does not come back
+		status, err = behind.Status(digestOf(testBundle(1, 0.1, "ann")))
+		is.NoErr(err)
+		is.Equal(status.State, StateSuperseded)
 		cut.streams[Stream] = log.streams[Stream]
 		_, err = behind.Confirm(t.Context())
 		is.NoErr(err)
--- a/internal/bundle/helpers_test.go
+++ b/internal/bundle/helpers_test.go
@@ -102,6 +102,8 @@
 	late    time.Duration
 	appends int
 	reads   int
+	// readDelay, if set, tells how long the answer of a read takes to come back.
+	readDelay func() time.Duration
 	// readGate, if set, is received from before a read that does not wait.
 	readGate chan struct{}
 }
@@ -156,6 +158,9 @@
 	for {
 		result, changed, err := l.readNow(stream, offset, options)
 		if err != nil || waited || len(result.Entries) > 0 {
+			if l.readDelay != nil {
+				time.Sleep(l.readDelay())
+			}
 			return result, err
 		}
 		select {
--- a/internal/bundle/propose.go
+++ b/internal/bundle/propose.go
@@ -260,15 +260,26 @@
 	return oops.Wrapf(err, "append to log")
 }
 
-// Status tells how a proposal stands as far as the stream has been read; ErrUnknownProposal where it is not known.
+// Status tells how a proposal stands as far as is known here; ErrUnknownProposal where it is not.
 func (f *Follower) Status(digest string) (Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.learned != nil && f.learned.Digest == digest {
+		return f.learned.status(), nil
+	}
 	status, found := f.fold.Status(digest)
 	if !found {
 		return Status{}, oops.With("digest", digest).Wrap(ErrUnknownProposal)
 	}
-	return status, nil
+	return f.withLearned(status), nil
+}
+
+// withLearned corrects a status of the fold by what was learned from a peer. It is called with the lock held.
+func (f *Follower) withLearned(status Status) Status {
+	if f.learned != nil && status.State == StateInForce {
+		status.State = StateSuperseded
+	}
+	return status
 }
 
 // Document returns the canonical form of a proposal that is still kept: the bundle in force, every open proposal and
@@ -294,7 +305,8 @@
 	Token string
 }
 
-// List returns proposals that are still kept, newest first, and the token of the next page, empty at the end.
+// List returns proposals that are still kept, newest first, and the token of the next page, empty at the end. A bundle
+// learned from a peer is listed once the log has been read as far.
 func (f *Follower) List(page Page) ([]Status, string, error) {
 	before := int64(math.MaxInt64)
 	if page.Token != "" {
@@ -311,6 +323,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list, next := f.fold.list(before, size)
+	for i := range list {
+		list[i] = f.withLearned(list[i])
+	}
 	if next == 0 {
 		return list, "", nil
 	}
--- a/internal/bundle/status.go
+++ b/internal/bundle/status.go
@@ -1,5 +1,7 @@
 package bundle
 
+import "sort"
+
 // String names the state.
 func (s State) String() string {
 	switch s {
@@ -29,6 +31,16 @@
 	Reason string
 }
 
+// status is that of a bundle in force.
+func (a *Accepted) status() Status {
+	status := Status{Digest: a.Digest, Version: a.Bundle.Version, Base: a.Bundle.Base, State: StateInForce}
+	for _, signature := range a.Signatures {
+		status.SignedBy = append(status.SignedBy, signature.Partner)
+	}
+	sort.Strings(status.SignedBy)
+	return status
+}
+
 // EventKind says what a record did.
 type EventKind uint8
 
