Hand the answer of a run in to the owner that took its shard over

Cause: a shard that moves while an unsafe request runs (a planned stop beyond the hand-over wait, a move, a paused owner) left the request unknown although its answer was known to the earlier owner. Change: requests.finish and Finish.StartEpoch; the fold turns the unknown end of that very Start into completed. The node gives the ledger its owner caller.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,7 @@
 	n.requests = requestledger.New(requestledger.Config{
 		Opener:     n.shards,
 		Dispatcher: n.gateway.Router(),
+		Owners:     owners,
 		Bundles:    n.follower,
 		Logger:     n.logger.With("role", "requests"),
 		Failpoint:  n.requestFailpoint(),
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -30,6 +30,9 @@
 	// MethodResolve settles the outcome of an unsafe request: Resolve → ResolveResult. A request that was
 	// never started is cancelled by it and so proven not run.
 	MethodResolve = "requests.resolve"
+	// MethodFinishRequest hands the answer of a run in to the owner that took the shard over while it went on.
+	// FinishRequest → FinishRequestResult.
+	MethodFinishRequest = "requests.finish"
 	// MethodListEngines tells the engines that a node dispatches for. ListEngines → ListEnginesResult.
 	MethodListEngines = "engines.list"
 	// MethodListShards tells the shards that a node owns. ListShards → ListShardsResult.
@@ -304,6 +307,21 @@
 	Spans            []Span   `msg:"s"`
 }
 
+// FinishRequest is the whole answer of an unsafe request that an earlier owner started in Epoch.
+type FinishRequest struct {
+	Workload  string   `msg:"w"`
+	RequestID string   `msg:"r"`
+	Ask       uint64   `msg:"k"`
+	Epoch     uint64   `msg:"e"`
+	Tokens    []uint32 `msg:"t"`
+	Spans     []Span   `msg:"s"`
+}
+
+// FinishRequestResult tells whether the answer is recorded as the request's; it is durable then.
+type FinishRequestResult struct {
+	Recorded bool `msg:"r"`
+}
+
 // ListEngines asks for the engines that a node dispatches for.
 type ListEngines struct{}
 
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -4496,6 +4496,514 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *FinishRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.Workload, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workload")
+				return
+			}
+		case "r":
+			z.RequestID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "k":
+			z.Ask, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "e":
+			z.Epoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "t":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0002) {
+				z.Tokens = (z.Tokens)[:zb0002]
+			} else {
+				z.Tokens = make([]uint32, zb0002)
+			}
+			for za0001 := range z.Tokens {
+				z.Tokens[za0001], err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+			}
+		case "s":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Spans")
+				return
+			}
+			if cap(z.Spans) >= int(zb0003) {
+				z.Spans = (z.Spans)[:zb0003]
+			} else {
+				z.Spans = make([]Span, zb0003)
+			}
+			for za0002 := range z.Spans {
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Spans", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Spans", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "f":
+						z.Spans[za0002].From, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "From")
+							return
+						}
+					case "t":
+						z.Spans[za0002].To, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "To")
+							return
+						}
+					case "v":
+						z.Spans[za0002].Version, err = dc.ReadUint64()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "Version")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002)
+							return
+						}
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *FinishRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "w"
+	err = en.Append(0x86, 0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Workload)
+	if err != nil {
+		err = msgp.WrapError(err, "Workload")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.RequestID)
+	if err != nil {
+		err = msgp.WrapError(err, "RequestID")
+		return
+	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Ask)
+	if err != nil {
+		err = msgp.WrapError(err, "Ask")
+		return
+	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Tokens)))
+	if err != nil {
+		err = msgp.WrapError(err, "Tokens")
+		return
+	}
+	for za0001 := range z.Tokens {
+		err = en.WriteUint32(z.Tokens[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Tokens", za0001)
+			return
+		}
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Spans)))
+	if err != nil {
+		err = msgp.WrapError(err, "Spans")
+		return
+	}
+	for za0002 := range z.Spans {
+		// map header, size 3
+		// write "f"
+		err = en.Append(0x83, 0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Spans[za0002].From)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "From")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Spans[za0002].To)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "To")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Spans[za0002].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Spans", za0002, "Version")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FinishRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "w"
+	o = append(o, 0x86, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Workload)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.RequestID)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Ask)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tokens)))
+	for za0001 := range z.Tokens {
+		o = msgp.AppendUint32(o, z.Tokens[za0001])
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Spans)))
+	for za0002 := range z.Spans {
+		// map header, size 3
+		// string "f"
+		o = append(o, 0x83, 0xa1, 0x66)
+		o = msgp.AppendInt(o, z.Spans[za0002].From)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt(o, z.Spans[za0002].To)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.Spans[za0002].Version)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FinishRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.Workload, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workload")
+				return
+			}
+		case "r":
+			z.RequestID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RequestID")
+				return
+			}
+		case "k":
+			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "t":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+			if cap(z.Tokens) >= int(zb0002) {
+				z.Tokens = (z.Tokens)[:zb0002]
+			} else {
+				z.Tokens = make([]uint32, zb0002)
+			}
+			for za0001 := range z.Tokens {
+				z.Tokens[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tokens", za0001)
+					return
+				}
+			}
+		case "s":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spans")
+				return
+			}
+			if cap(z.Spans) >= int(zb0003) {
+				z.Spans = (z.Spans)[:zb0003]
+			} else {
+				z.Spans = make([]Span, zb0003)
+			}
+			for za0002 := range z.Spans {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Spans", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Spans", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "f":
+						z.Spans[za0002].From, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "From")
+							return
+						}
+					case "t":
+						z.Spans[za0002].To, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "To")
+							return
+						}
+					case "v":
+						z.Spans[za0002].Version, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Spans", za0002)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FinishRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Tokens) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Spans) * (7 + msgp.IntSize + msgp.IntSize + msgp.Uint64Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *FinishRequestResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Recorded, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Recorded")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z FinishRequestResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "r"
+	err = en.Append(0x81, 0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Recorded)
+	if err != nil {
+		err = msgp.WrapError(err, "Recorded")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z FinishRequestResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Recorded)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FinishRequestResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Recorded, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recorded")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FinishRequestResult) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *GetBundle) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/internal/requestledger/execute.go
+++ b/internal/requestledger/execute.go
@@ -166,7 +166,7 @@
 	}
 	err := appendUntilKnown(settle, owner, kindFinish, &body)
 	if errors.Is(err, shard.ErrNotOwner) {
-		return ownerLost(), nil
+		return s.handIn(settle, owner.Epoch(), run, how), nil
 	}
 	if err != nil {
 		return result{}, uncertain("the end of the request could not be recorded")
--- a/internal/requestledger/fake_test.go
+++ b/internal/requestledger/fake_test.go
@@ -9,6 +9,7 @@
 	"github.com/hillfork/hillfork/internal/bundle"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
@@ -257,6 +258,23 @@
 
 func (a *fakeAnswer) Close() error { return nil }
 
+// fakeOwners hands answers in to the service that choose names.
+type fakeOwners struct{ choose func() *Service }
+
+func (o fakeOwners) CallOwner(
+	ctx context.Context, _ string, _ placement.Preference, _ string, request, response peer.Message, _ bool,
+) error {
+	decode := func(into peer.Message) error {
+		*into.(*peerapi.FinishRequest) = *request.(*peerapi.FinishRequest)
+		return nil
+	}
+	message, err := o.choose().handleFinishRequest(ctx, decode)
+	if err == nil {
+		*response.(*peerapi.FinishRequestResult) = *message.(*peerapi.FinishRequestResult)
+	}
+	return err
+}
+
 // fakeBundles holds one interactive workload.
 type fakeBundles struct{}
 
--- a/internal/requestledger/linearizable_test.go
+++ b/internal/requestledger/linearizable_test.go
@@ -151,6 +151,7 @@
 	for range historyNodes {
 		node := New(Config{
 			Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{},
+			Owners:    fakeOwners{func() *Service { return nodes[random.intN(historyNodes)] }},
 			Failpoint: func(Failpoint) { time.Sleep(time.Duration(random.intN(50)) * time.Millisecond) },
 		})
 		defer node.Close()
--- a/internal/requestledger/record.go
+++ b/internal/requestledger/record.go
@@ -34,6 +34,8 @@
 	Tokens           []uint32        `msg:"t"`
 	Spans            []peerapi.Span  `msg:"s"`
 	AtUnixMillis     int64           `msg:"at"`
+	// StartEpoch is the epoch of the Start where that was another owner's; 0 for the epoch of the record.
+	StartEpoch uint64 `msg:"se"`
 }
 
 // cancelRecord closes an ask that was never started.
@@ -58,6 +60,7 @@
 	Tokens           []uint32        `msg:"t"`
 	Spans            []peerapi.Span  `msg:"s"`
 	AnswerDropped    bool            `msg:"x"`
+	OwnerLost        bool            `msg:"l"`
 	Closed           []uint64        `msg:"c"`
 	EndedUnixMillis  int64           `msg:"at"`
 }
--- a/internal/requestledger/record_gen.go
+++ b/internal/requestledger/record_gen.go
@@ -301,6 +301,12 @@
 				err = msgp.WrapError(err, "AnswerDropped")
 				return
 			}
+		case "l":
+			z.OwnerLost, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "OwnerLost")
+				return
+			}
 		case "c":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -339,9 +345,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *entrySnapshot) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 14
+	// map header, size 15
 	// write "w"
-	err = en.Append(0x8e, 0xa1, 0x77)
+	err = en.Append(0x8f, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -474,6 +480,16 @@
 		err = msgp.WrapError(err, "AnswerDropped")
 		return
 	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.OwnerLost)
+	if err != nil {
+		err = msgp.WrapError(err, "OwnerLost")
+		return
+	}
 	// write "c"
 	err = en.Append(0xa1, 0x63)
 	if err != nil {
@@ -507,9 +523,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *entrySnapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "w"
-	o = append(o, 0x8e, 0xa1, 0x77)
+	o = append(o, 0x8f, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Workload)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -558,6 +574,9 @@
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.AnswerDropped)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.OwnerLost)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Closed)))
@@ -686,6 +705,12 @@
 				err = msgp.WrapError(err, "AnswerDropped")
 				return
 			}
+		case "l":
+			z.OwnerLost, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OwnerLost")
+				return
+			}
 		case "c":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -729,7 +754,7 @@
 	for za0002 := range z.Spans {
 		s += z.Spans[za0002].Msgsize()
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Closed) * (msgp.Uint64Size)) + 3 + msgp.Int64Size
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Closed) * (msgp.Uint64Size)) + 3 + msgp.Int64Size
 	return
 }
 
@@ -831,6 +856,12 @@
 				err = msgp.WrapError(err, "AtUnixMillis")
 				return
 			}
+		case "se":
+			z.StartEpoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "StartEpoch")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -844,9 +875,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *finishRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "w"
-	err = en.Append(0x89, 0xa1, 0x77)
+	err = en.Append(0x8a, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -949,15 +980,25 @@
 		err = msgp.WrapError(err, "AtUnixMillis")
 		return
 	}
+	// write "se"
+	err = en.Append(0xa2, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.StartEpoch)
+	if err != nil {
+		err = msgp.WrapError(err, "StartEpoch")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *finishRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "w"
-	o = append(o, 0x89, 0xa1, 0x77)
+	o = append(o, 0x8a, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Workload)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -997,6 +1038,9 @@
 	// string "at"
 	o = append(o, 0xa2, 0x61, 0x74)
 	o = msgp.AppendInt64(o, z.AtUnixMillis)
+	// string "se"
+	o = append(o, 0xa2, 0x73, 0x65)
+	o = msgp.AppendUint64(o, z.StartEpoch)
 	return
 }
 
@@ -1098,6 +1142,12 @@
 				err = msgp.WrapError(err, "AtUnixMillis")
 				return
 			}
+		case "se":
+			z.StartEpoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StartEpoch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1116,7 +1166,7 @@
 	for za0002 := range z.Spans {
 		s += z.Spans[za0002].Msgsize()
 	}
-	s += 3 + msgp.Int64Size
+	s += 3 + msgp.Int64Size + 3 + msgp.Uint64Size
 	return
 }
 
--- a/internal/requestledger/service.go
+++ b/internal/requestledger/service.go
@@ -96,6 +96,8 @@
 	Opener     shard.Opener
 	Dispatcher Dispatcher
 	Bundles    bundle.Source
+	// Owners reaches the owner that took a shard over; nil leaves requests that ran then unknown.
+	Owners OwnerCaller
 	// Logger may be nil.
 	Logger *log.Logger
 	// Failpoint is called at each Failpoint; it may be nil.
@@ -152,6 +154,7 @@
 func (s *Service) Register(registrar peer.Registrar) {
 	registrar.HandleStream(peerapi.MethodExecuteOnce, s.handleExecuteOnce)
 	registrar.HandleUnary(peerapi.MethodResolve, s.handleResolve)
+	registrar.HandleUnary(peerapi.MethodFinishRequest, s.handleFinishRequest)
 }
 
 // Close abandons the runs under way and waits for their goroutines. Their requests will be answered as unknown by the
--- a/internal/requestledger/service_test.go
+++ b/internal/requestledger/service_test.go
@@ -353,3 +353,49 @@
 		})
 	}
 }
+
+// TestAnswerHandedIn lets another owner take the shard over while a request runs. Its answer is not lost with the epoch:
+// the first owner hands it in.
+func TestAnswerHandedIn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		dispatch dispatchFault
+		first    ended
+		after    ended
+	}{
+		"whole answer":       {dispatchFine, completed, completed},
+		"broken answer":      {dispatchBroken, unknown, unknown},
+		"all engines refuse": {dispatchRefused, unknown, unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := &fakeLog{}
+				engines := &fakeEngines{fault: func() dispatchFault { return tt.dispatch }}
+				second := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+				defer second.Close()
+				wake := make(chan struct{})
+				first := New(Config{
+					Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{},
+					Owners: fakeOwners{func() *Service { return second }},
+					Failpoint: func(at Failpoint) {
+						if at == BeforeFinish {
+							<-wake
+						}
+					},
+				})
+				defer first.Close()
+				firstEnd := make(chan ended, 1)
+				go func() { firstEnd <- execute(t.Context(), first, request("key", 1)) }()
+				synctest.Wait()
+				is.True(equal(resolve(t.Context(), second, request("key", 1)), unknown))
+				close(wake)
+				is.True(equal(<-firstEnd, tt.first))
+				is.True(equal(execute(t.Context(), second, request("key", 2)), tt.after))
+				third := New(Config{Opener: &fakeNode{log: log}, Dispatcher: engines, Bundles: fakeBundles{}})
+				defer third.Close()
+				is.True(equal(execute(t.Context(), third, request("key", 3)), tt.after))
+				is.True(engines.total() <= 1)
+			})
+		})
+	}
+}
--- a/internal/requestledger/snapshot.go
+++ b/internal/requestledger/snapshot.go
@@ -35,6 +35,7 @@
 		Tokens:           e.result.tokens,
 		Spans:            e.result.spans,
 		AnswerDropped:    e.answerDropped,
+		OwnerLost:        e.ownerLost,
 		Closed:           e.closed,
 		EndedUnixMillis:  e.endedAt,
 	}
@@ -70,6 +71,7 @@
 			spans:            encoded.Spans,
 		},
 		answerDropped: encoded.AnswerDropped,
+		ownerLost:     encoded.OwnerLost,
 		closed:        encoded.Closed,
 		endedAt:       encoded.EndedUnixMillis,
 	}
--- a/internal/requestledger/state.go
+++ b/internal/requestledger/state.go
@@ -64,6 +64,8 @@
 	result result
 	// answerDropped says that the answer was completed but its tokens are no longer kept.
 	answerDropped bool
+	// ownerLost says that the shard was taken over while the request ran; its answer may still be handed in.
+	ownerLost bool
 	// closed are the asks proven not run.
 	closed  []uint64
 	endedAt int64
@@ -137,7 +139,9 @@
 	}
 	s.epoch = epoch
 	for place := s.running.Front(); place != nil; place = s.running.Front() {
-		s.end(place.Value.(*entry), ownerLost())
+		left := place.Value.(*entry)
+		s.end(left, ownerLost())
+		left.ownerLost = true
 	}
 }
 
@@ -197,9 +201,13 @@
 
 func (s *State) finish(epoch uint64, body finishRecord) Verdict {
 	s.advance(body.AtUnixMillis)
+	how := result{body.Outcome, body.Reason, body.RetryAfterMillis, body.Tokens, body.Spans}
 	known := s.entries[key{body.Workload, body.RequestID}]
+	if body.StartEpoch != 0 {
+		return s.finishLost(known, &body, how)
+	}
 	if known != nil && known.running && known.ask == body.Ask && known.epoch == epoch {
-		s.end(known, result{body.Outcome, body.Reason, body.RetryAfterMillis, body.Tokens, body.Spans})
+		s.end(known, how)
 		return VerdictApplied
 	}
 	if body.Outcome != peerapi.OutcomeNotRun {
@@ -208,6 +216,21 @@
 	return s.cancel(cancelRecord{body.Workload, body.RequestID, body.Ask, body.AtUnixMillis})
 }
 
+// finishLost takes the answer of a request whose owner was superseded while it ran. That owner alone knows it, and nobody
+// was told more than that the request may have run.
+func (s *State) finishLost(known *entry, body *finishRecord, how result) Verdict {
+	if known == nil || known.ask != body.Ask || known.epoch != body.StartEpoch {
+		return VerdictNotStarted
+	}
+	if !known.ownerLost || body.Outcome != peerapi.OutcomeCompleted {
+		return VerdictExists
+	}
+	known.ownerLost = false
+	s.ended.Remove(known.place)
+	s.end(known, how)
+	return VerdictApplied
+}
+
 func (s *State) cancel(body cancelRecord) Verdict {
 	s.advance(body.AtUnixMillis)
 	name := key{body.Workload, body.RequestID}
--- a/internal/requestledger/state_test.go
+++ b/internal/requestledger/state_test.go
@@ -69,6 +69,21 @@
 	is.Equal(state.ended.Len(), 1)
 	is.Equal(fold(state, 2, kindFinish, finishOf("a", 1, 0, 1)), VerdictNotStarted)
 	is.Equal(state.look(key{"filing", "a"}, 1, []byte("d"), 2).result.outcome, peerapi.OutcomeUnknown)
+
+	// Only the answer of that very run may still be handed in, once.
+	handed := finishOf("a", 1, 0, 1)
+	handed.StartEpoch = 2
+	is.Equal(fold(state, 2, kindFinish, handed), VerdictNotStarted)
+	handed.StartEpoch = 1
+	handed.Ask = 2
+	is.Equal(fold(state, 2, kindFinish, handed), VerdictNotStarted)
+	handed.Ask = 1
+	is.Equal(fold(state, 2, kindFinish, handed), VerdictApplied)
+	is.Equal(fold(state, 2, kindFinish, handed), VerdictExists)
+	is.Equal(state.look(key{"filing", "a"}, 1, []byte("d"), 2).result.outcome, peerapi.OutcomeCompleted)
+	handed.RequestID = "b"
+	handed.StartEpoch = 2
+	is.Equal(fold(state, 2, kindFinish, handed), VerdictExists) // its owner is not lost
 }
 
 func TestClosedAsksAreBounded(t *testing.T) {
@@ -141,6 +156,7 @@
 		if rapid.Bool().Draw(t, "not run") {
 			finish = &finishRecord{Workload: "filing", RequestID: id, Ask: ask, Outcome: peerapi.OutcomeNotRun, AtUnixMillis: at}
 		}
+		finish.StartEpoch = uint64(rapid.IntRange(0, 2).Draw(t, "start epoch"))
 		body = finish
 	case kindCancel:
 		body = &cancelRecord{Workload: "filing", RequestID: id, Ask: ask, AtUnixMillis: at}
