Examine every request in flight during a planned stop

Change: a run without unplanned faults examines every request in flight from the beginning of a planned stop to its end; others as before. Conclusion: the check is stricter.

--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -91,6 +91,8 @@
 	Name     string
 	IsEngine bool
 	At       time.Time
+	// EndedAt is when the process had ended; zero if it had not by the end of the run.
+	EndedAt time.Time
 }
 
 // BundleAccepted is the acceptance of a bundle, as the log has it.
@@ -140,6 +142,8 @@
 	Bundles    []BundleAccepted
 	Seen       []BundleSeen
 	Submitted  []SubmittedStep
+	// Unplanned says that something besides planned stops was done to nodes, engines, network or platform.
+	Unplanned bool
 	// Unreachable holds, by node, the intervals in which it was cut off, paused or down.
 	Unreachable map[string][]Interval
 	EndedAt     time.Time
--- a/internal/lab/check/promises.go
+++ b/internal/lab/check/promises.go
@@ -287,14 +287,14 @@
 	return verdict
 }
 
-// checkPlannedStop: a request that was in flight at the planned stop of its node, or running on the engine stopped, was
-// neither cut off nor left unknown.
+// checkPlannedStop: a request that was in flight while its node stopped as planned, or that was running on an engine when
+// that began to leave, was neither cut off nor left unknown. In a run without unplanned faults this holds for every
+// request in flight during a stop, whatever node it came through: nothing else can have cut it off.
 func checkPlannedStop(o *Observations, _ Limits) Verdict {
 	var verdict Verdict
 	for _, stop := range o.Stops {
 		for _, request := range o.Requests {
-			inFlight := request.SentAt.Before(stop.At) && request.EndedAt.After(stop.At)
-			if !inFlight || !touches(o, request, stop) {
+			if !inFlight(request, stop) || (o.Unplanned && !touches(o, request, stop)) {
 				continue
 			}
 			cut := request.Outcome == OutcomeBroken || request.Outcome == OutcomeUnknown
@@ -305,9 +305,18 @@
 	return verdict
 }
 
+// inFlight tells whether the request was under way at some moment of the stop.
+func inFlight(request Request, stop Stop) bool {
+	endsBefore := request.EndedAt.Before(stop.At)
+	beginsAfter := !stop.EndedAt.IsZero() && request.SentAt.After(stop.EndedAt)
+	return !endsBefore && !beginsAfter
+}
+
+// touches tells whether the request went through the node that stopped, from before the stop, or was started before on
+// the engine that left.
 func touches(o *Observations, request Request, stop Stop) bool {
 	if !stop.IsEngine {
-		return request.Node == stop.Name
+		return request.Node == stop.Name && request.SentAt.Before(stop.At)
 	}
 	return slices.ContainsFunc(o.Starts[request.EngineID], func(start Start) bool {
 		return start.Engine == stop.Name && start.At.Before(stop.At)
--- a/internal/lab/check/promises_test.go
+++ b/internal/lab/check/promises_test.go
@@ -99,9 +99,14 @@
 		}},
 		{"cut off by a node's stop", PlannedStopSafe, func(o *Observations) { o.Requests[0].Outcome = OutcomeBroken }},
 		{"left unknown by an engine's stop", PlannedStopSafe, func(o *Observations) {
+			o.Unplanned = true
 			o.Requests[0].Node = "n3"
 			o.Requests[0].Outcome = OutcomeUnknown
 		}},
+		{"left unknown by the stop of another node", PlannedStopSafe, func(o *Observations) {
+			o.Stops = []Stop{{Name: "n9", At: at(3), EndedAt: at(3.5)}}
+			o.Requests[0].Outcome = OutcomeUnknown
+		}},
 		{"bundle falls", BundleInForce, func(o *Observations) {
 			o.Seen = append(o.Seen, BundleSeen{Node: "n1", Version: 0, At: at(9.5)})
 		}},
--- a/internal/lab/cluster/events.go
+++ b/internal/lab/cluster/events.go
@@ -25,7 +25,15 @@
 	return nil
 }
 
+// plannedActions are those that may cut nothing off.
+var plannedActions = map[trace.Action]bool{
+	trace.RollBundle: true, trace.NodeStop: true, trace.NodeStart: true, trace.EngineLeave: true, trace.EngineStart: true,
+}
+
 func (c *Cluster) carryOut(ctx context.Context, event *trace.Event) error {
+	if !plannedActions[event.Do] {
+		c.config.Recorder.Record(func(o *check.Observations) { o.Unplanned = true })
+	}
 	if event.Do == trace.RollBundle {
 		c.running.Go(func() {
 			state, err := c.RollBundle(ctx, event.File, event.SignAs)
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -94,6 +94,7 @@
 		p.mu.Lock()
 		p.running = nil
 		p.mu.Unlock()
+		p.stopEnded()
 		p.cluster.noteNodeEnd(p, err)
 	})
 	p.reachable()
@@ -187,6 +188,17 @@
 	}
 }
 
+// stopEnded notes the end of the planned stop under way, if there is one.
+func (p *nodeProcess) stopEnded() {
+	p.cluster.config.Recorder.Record(func(o *check.Observations) {
+		for i := range o.Stops {
+			if o.Stops[i].Name == p.name && o.Stops[i].EndedAt.IsZero() {
+				o.Stops[i].EndedAt = time.Now()
+			}
+		}
+	})
+}
+
 // unreachable notes that what the node says or does not say from now on is no fault of its.
 func (p *nodeProcess) unreachable() {
 	p.cluster.config.Recorder.Record(func(o *check.Observations) {
