Split the prompts of a large step over several records

Cause: a record holds at most 1 MiB, so a step of 2,048 long prompts could not be submitted; a fetch could write more records at once than a batch holds. Change: PromptsAdded records; a step gives no work until it is whole. A fetch replaces at most 256 answers a pass. Conclusion: steps are bounded by the bundle and the peer protocol's frame, not by a record.

--- a/internal/stepledger/fold.go
+++ b/internal/stepledger/fold.go
@@ -14,6 +14,8 @@
 	switch record.Kind {
 	case KindStepSubmitted:
 		return fold(record.Body, s.submit)
+	case KindPromptsAdded:
+		return fold(record.Body, s.addPrompts)
 	case KindVersionPublished:
 		return fold(record.Body, s.publish)
 	case KindSampleCompleted:
@@ -48,15 +50,10 @@
 
 // submit adds a step, unless it is known with the same (duplicate) or another (conflict) content.
 func (s *State) submit(body *StepSubmitted) Outcome {
-	count, ok := sampleCount(len(body.Prompts), body.SamplesPerPrompt)
-	if !ok || body.MaxTokens <= 0 {
+	count, ok := sampleCount(body.PromptCount, body.SamplesPerPrompt)
+	if !ok || body.MaxTokens <= 0 || len(body.Prompts) > body.PromptCount || !validPrompts(body.Prompts) {
 		return OutcomeMalformed
 	}
-	for _, prompt := range body.Prompts {
-		if !validTokens(prompt) {
-			return OutcomeMalformed
-		}
-	}
 	if known, digest := s.knownDigest(body.Step); known {
 		if bytes.Equal(digest, body.Digest) {
 			return OutcomeDuplicate
@@ -70,6 +67,7 @@
 		Step:             body.Step,
 		Digest:           body.Digest,
 		Prompts:          body.Prompts,
+		PromptCount:      body.PromptCount,
 		SamplesPerPrompt: body.SamplesPerPrompt,
 		MaxTokens:        body.MaxTokens,
 		Samples:          make([]SampleImage, count),
@@ -79,6 +77,39 @@
 	return OutcomeRecorded
 }
 
+// addPrompts adds prompts to a step that is not whole yet.
+func (s *State) addPrompts(body *PromptsAdded) Outcome {
+	if !validPrompts(body.Prompts) {
+		return OutcomeMalformed
+	}
+	known, digest := s.knownDigest(body.Step)
+	if !known {
+		return OutcomeUnknown
+	}
+	if !bytes.Equal(digest, body.Digest) {
+		return OutcomeConflict
+	}
+	step := s.step(body.Step)
+	if step == nil || body.First < len(step.Prompts) {
+		return OutcomeDuplicate
+	}
+	if body.First > len(step.Prompts) || len(body.Prompts) > step.PromptCount-body.First || len(body.Prompts) == 0 {
+		return OutcomeConflict
+	}
+	step.Prompts = append(step.Prompts, body.Prompts...)
+	return OutcomeRecorded
+}
+
+// validPrompts reports whether every prompt decodes.
+func validPrompts(prompts [][]byte) bool {
+	for _, prompt := range prompts {
+		if !validTokens(prompt) {
+			return false
+		}
+	}
+	return true
+}
+
 // knownDigest finds the digest of a step, finished or not.
 func (s *State) knownDigest(number uint64) (bool, []byte) {
 	if step := s.step(number); step != nil {
--- a/internal/stepledger/fold_test.go
+++ b/internal/stepledger/fold_test.go
@@ -15,7 +15,7 @@
 var recordKinds = []uint8{
 	KindSampleCompleted, KindSampleCompleted, KindSampleCompleted, KindPositionsAssigned, KindPositionsAssigned,
 	KindCursorAdvanced, KindCursorAdvanced, KindSampleReplaced, KindSampleScored, KindVersionPublished,
-	KindStepRetired, KindStepSubmitted,
+	KindStepRetired, KindStepSubmitted, KindPromptsAdded,
 }
 
 // drawBody draws a record about one of two steps, often one that contradicts the state.
@@ -30,7 +30,9 @@
 	switch kind := rapid.SampledFrom(recordKinds).Draw(t, "kind"); kind {
 	case KindStepSubmitted:
 		prompts := [][]byte{packTokens([]uint32{1}), packTokens([]uint32{2})}
-		return kind, &StepSubmitted{Step: step, Digest: []byte{byte(attempt)}, Prompts: prompts, SamplesPerPrompt: 2, MaxTokens: 9}
+		return kind, &StepSubmitted{Step: step, Digest: []byte{byte(attempt)}, Prompts: prompts[:index&1+1], PromptCount: 2, SamplesPerPrompt: 2, MaxTokens: 9}
+	case KindPromptsAdded:
+		return kind, &PromptsAdded{Step: step, Digest: []byte{byte(attempt)}, First: index, Prompts: [][]byte{{7}}}
 	case KindVersionPublished:
 		return kind, &VersionPublished{Version: step}
 	case KindSampleCompleted:
@@ -149,7 +151,7 @@
 	is := is.New(t)
 	state := &State{}
 	submit := func(number uint64) Outcome {
-		return state.submit(&StepSubmitted{Step: number, Prompts: [][]byte{{1}}, SamplesPerPrompt: 1, MaxTokens: 1})
+		return state.submit(&StepSubmitted{Step: number, PromptCount: 1, Prompts: [][]byte{{1}}, SamplesPerPrompt: 1, MaxTokens: 1})
 	}
 	for number := uint64(1); number <= maxRetired+1; number++ {
 		is.Equal(submit(number), OutcomeRecorded)
@@ -175,7 +177,7 @@
 
 func FuzzRestore(f *testing.F) {
 	state := &State{}
-	state.submit(&StepSubmitted{Step: 1, Prompts: [][]byte{{1}}, SamplesPerPrompt: 2, MaxTokens: 1})
+	state.submit(&StepSubmitted{Step: 1, PromptCount: 1, Prompts: [][]byte{{1}}, SamplesPerPrompt: 2, MaxTokens: 1})
 	snapshot, _ := state.Snapshot()
 	f.Add(snapshot, uint8(KindSampleCompleted))
 	f.Fuzz(func(t *testing.T, body []byte, kind uint8) {
--- a/internal/stepledger/handover.go
+++ b/internal/stepledger/handover.go
@@ -15,6 +15,8 @@
 	maxFetch     = 512
 	// maxFetchTokens bounds the tokens of one answer; a single longer sample still goes out.
 	maxFetchTokens = 1 << 18
+	// maxFetchRecords bounds the answers replaced by one pass of a fetch; further passes do the rest.
+	maxFetchRecords = 256
 )
 
 // fetchLimit is how many samples a fetch may get.
@@ -73,6 +75,9 @@
 		if !sample.Complete || limits.accepts(sample, now) {
 			continue
 		}
+		if len(p.proposals) >= maxFetchRecords {
+			return
+		}
 		p.replaced = true
 		p.add(KindSampleReplaced, &SampleReplaced{Step: step.Step, Index: index, Attempt: sample.Attempt})
 	}
--- a/internal/stepledger/records.go
+++ b/internal/stepledger/records.go
@@ -13,17 +13,29 @@
 	KindSampleReplaced
 	KindCursorAdvanced
 	KindStepRetired
+	KindPromptsAdded
 )
 
-// StepSubmitted records a step. Prompts are packed tokens; Digest is the SHA-256 of the content.
+// StepSubmitted records a step and the first of its prompts, as packed tokens. Digest is the SHA-256 of the whole content.
+// Where the prompts are too large for one record, PromptsAdded records bring the rest.
 type StepSubmitted struct {
-	Step             uint64   `msg:"s"`
-	Digest           []byte   `msg:"d"`
+	Step   uint64 `msg:"s"`
+	Digest []byte `msg:"d"`
+	// PromptCount is the number of all prompts.
+	PromptCount      int      `msg:"pc"`
 	Prompts          [][]byte `msg:"p"`
 	SamplesPerPrompt int      `msg:"n"`
 	MaxTokens        int      `msg:"m"`
 }
 
+// PromptsAdded records the prompts of a step from number First on. The step is whole once it has all.
+type PromptsAdded struct {
+	Step    uint64   `msg:"s"`
+	Digest  []byte   `msg:"d"`
+	First   int      `msg:"f"`
+	Prompts [][]byte `msg:"p"`
+}
+
 // VersionPublished records that the weight store holds a version of the workload's model.
 type VersionPublished struct {
 	Version uint64 `msg:"v"`
@@ -106,9 +118,11 @@
 
 // StepImage is the durable state of one step.
 type StepImage struct {
-	Step             uint64   `msg:"s"`
-	Digest           []byte   `msg:"d"`
+	Step   uint64 `msg:"s"`
+	Digest []byte `msg:"d"`
+	// Prompts holds the prompts recorded so far, of PromptCount.
 	Prompts          [][]byte `msg:"p"`
+	PromptCount      int      `msg:"pc"`
 	SamplesPerPrompt int      `msg:"n"`
 	MaxTokens        int      `msg:"m"`
 	// Samples is indexed by prompt index × SamplesPerPrompt + number within the prompt.
--- a/internal/stepledger/records_gen.go
+++ b/internal/stepledger/records_gen.go
@@ -863,6 +863,269 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PromptsAdded) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Step, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "d":
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, z0b4f9ce8limitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "f":
+			z.First, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Prompts")
+				return
+			}
+			if zb0002 > z0b4f9ce8limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Prompts) >= int(zb0002) {
+				z.Prompts = (z.Prompts)[:zb0002]
+			} else {
+				z.Prompts = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Prompts {
+				z.Prompts[za0001], err = dc.ReadBytesLimit(z.Prompts[za0001], z0b4f9ce8limitArrays)
+				if err == nil && z.Prompts[za0001] == nil {
+					z.Prompts[za0001] = []byte{}
+				}
+				if err != nil {
+					err = msgp.WrapError(err, "Prompts", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PromptsAdded) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Step)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.First)
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Prompts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Prompts")
+		return
+	}
+	for za0001 := range z.Prompts {
+		err = en.WriteBytes(z.Prompts[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Prompts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PromptsAdded) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Step)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.First)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
+	for za0001 := range z.Prompts {
+		o = msgp.AppendBytes(o, z.Prompts[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PromptsAdded) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Step, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "d":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+			if zb0002 > z0b4f9ce8limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "f":
+			z.First, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
+		case "p":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prompts")
+				return
+			}
+			if zb0003 > z0b4f9ce8limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Prompts) >= int(zb0003) {
+				z.Prompts = (z.Prompts)[:zb0003]
+			} else {
+				z.Prompts = make([][]byte, zb0003)
+			}
+			for za0001 := range z.Prompts {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Prompts", za0001)
+					return
+				}
+				if zb0004 > z0b4f9ce8limitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.Prompts[za0001] == nil || uint32(cap(z.Prompts[za0001])) < zb0004 {
+					z.Prompts[za0001] = make([]byte, zb0004)
+				} else {
+					z.Prompts[za0001] = z.Prompts[za0001][:zb0004]
+				}
+				if uint32(len(bts)) < zb0004 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.Prompts[za0001], bts[:zb0004])
+				bts = bts[zb0004:]
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PromptsAdded) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Prompts {
+		s += msgp.BytesPrefixSize + len(z.Prompts[za0001])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RetiredStep) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -2392,6 +2655,12 @@
 					return
 				}
 			}
+		case "pc":
+			z.PromptCount, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "PromptCount")
+				return
+			}
 		case "n":
 			z.SamplesPerPrompt, err = dc.ReadInt()
 			if err != nil {
@@ -2498,9 +2767,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StepImage) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "s"
-	err = en.Append(0x8a, 0xa1, 0x73)
+	err = en.Append(0x8b, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -2536,6 +2805,16 @@
 			return
 		}
 	}
+	// write "pc"
+	err = en.Append(0xa2, 0x70, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.PromptCount)
+	if err != nil {
+		err = msgp.WrapError(err, "PromptCount")
+		return
+	}
 	// write "n"
 	err = en.Append(0xa1, 0x6e)
 	if err != nil {
@@ -2633,9 +2912,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StepImage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "s"
-	o = append(o, 0x8a, 0xa1, 0x73)
+	o = append(o, 0x8b, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Step)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -2646,6 +2925,9 @@
 	for za0001 := range z.Prompts {
 		o = msgp.AppendBytes(o, z.Prompts[za0001])
 	}
+	// string "pc"
+	o = append(o, 0xa2, 0x70, 0x63)
+	o = msgp.AppendInt(o, z.PromptCount)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendInt(o, z.SamplesPerPrompt)
@@ -2768,6 +3050,12 @@
 				copy(z.Prompts[za0001], bts[:zb0004])
 				bts = bts[zb0004:]
 			}
+		case "pc":
+			z.PromptCount, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PromptCount")
+				return
+			}
 		case "n":
 			z.SamplesPerPrompt, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -2879,7 +3167,7 @@
 	for za0001 := range z.Prompts {
 		s += msgp.BytesPrefixSize + len(z.Prompts[za0001])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	s += 3 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Samples {
 		s += z.Samples[za0002].Msgsize()
 	}
@@ -3023,6 +3311,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "pc":
+			z.PromptCount, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "PromptCount")
+				return
+			}
 		case "p":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -3074,9 +3368,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StepSubmitted) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "s"
-	err = en.Append(0x85, 0xa1, 0x73)
+	err = en.Append(0x86, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -3095,6 +3389,16 @@
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	// write "pc"
+	err = en.Append(0xa2, 0x70, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.PromptCount)
+	if err != nil {
+		err = msgp.WrapError(err, "PromptCount")
+		return
+	}
 	// write "p"
 	err = en.Append(0xa1, 0x70)
 	if err != nil {
@@ -3138,13 +3442,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StepSubmitted) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "s"
-	o = append(o, 0x85, 0xa1, 0x73)
+	o = append(o, 0x86, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Step)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Digest)
+	// string "pc"
+	o = append(o, 0xa2, 0x70, 0x63)
+	o = msgp.AppendInt(o, z.PromptCount)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Prompts)))
@@ -3206,6 +3513,12 @@
 			}
 			copy(z.Digest, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "pc":
+			z.PromptCount, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PromptCount")
+				return
+			}
 		case "p":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3271,7 +3584,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StepSubmitted) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Digest) + 3 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Prompts {
 		s += msgp.BytesPrefixSize + len(z.Prompts[za0001])
 	}
--- a/internal/stepledger/service_test.go
+++ b/internal/stepledger/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,25 @@
 				w.t.Errorf("%s: got %v, want code %d", name, err, c.code)
 			}
 		}
+		long := peerapi.SubmitStep{Workload: testName, Step: 8, SamplesPerPrompt: 1, MaxTokens: 1}
+		for range 30 {
+			long.Prompts = append(long.Prompts, slices.Repeat([]uint32{1 << 30}, 10000))
+		}
+		limits := testWorkload()
+		limits.Limits.MaxPromptTokens = 10000
+		w.bundles.set(acceptedWith(2, limits), true)
+		is.Equal(len(stepRecords(&long)), 3) // 1.5 MB of prompts
+		w.log.afterRecord = func() bool { return false }
+		_, err := w.service.SubmitStep(context.Background(), &long)
+		expectCode(is, err, peer.CodeUncertain)
+		w.log.afterRecord = nil
+		w.restart()
+		is.Equal(len(w.pull(8, "e1", 1, 40)), 0) // not whole yet
+		_, err = w.service.SubmitStep(context.Background(), &long)
+		is.NoErr(err)
+		given := w.pull(8, "e1", 1, 40)
+		is.Equal(len(given), 30)
+		is.Equal(given[29].Prompt, long.Prompts[29])
 		w.bundles.set(nil, true)
 		expectCode(is, w.step(1, 1), peer.CodeNotReady)
 	})
--- a/internal/stepledger/state.go
+++ b/internal/stepledger/state.go
@@ -110,8 +110,8 @@
 
 // consistent reports whether positions and ready list refer to samples, each at most once.
 func (t *StepImage) consistent() bool {
-	count, ok := sampleCount(len(t.Prompts), t.SamplesPerPrompt)
-	if !ok || count != len(t.Samples) || t.Cursor < 0 || t.Cursor > len(t.Positions) {
+	count, ok := sampleCount(t.PromptCount, t.SamplesPerPrompt)
+	if !ok || len(t.Prompts) > t.PromptCount || count != len(t.Samples) || t.Cursor < 0 || t.Cursor > len(t.Positions) {
 		return false
 	}
 	seen := make([]bool, count)
@@ -154,12 +154,8 @@
 			return false
 		}
 	}
-	for _, prompt := range t.Prompts {
-		if !validTokens(prompt) {
-			return false
-		}
-	}
-	return assigned == len(t.Positions) && ready == len(t.Ready) && completed == t.Completed
+	counted := assigned == len(t.Positions) && ready == len(t.Ready) && completed == t.Completed
+	return counted && validPrompts(t.Prompts)
 }
 
 // sampleCount multiplies within maxSamples; false when there are none or too many.
@@ -177,9 +173,9 @@
 	return sample.Assigned && sample.Position < t.Cursor
 }
 
-// waiting reports whether the sample needs an attempt.
+// waiting reports whether the sample needs an attempt. The samples of a step that is not whole do not.
 func (t *StepImage) waiting(index int) bool {
-	return !t.Samples[index].Complete && !t.delivered(index)
+	return len(t.Prompts) == t.PromptCount && !t.Samples[index].Complete && !t.delivered(index)
 }
 
 // handedOver reports whether every sample has a position and an answer.
--- a/internal/stepledger/submit.go
+++ b/internal/stepledger/submit.go
@@ -14,9 +14,22 @@
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
+// maxPromptTokens and maxAnswerTokens bound a prompt and an answer whatever the bundle says, so that each fits one record
+// of the log at up to 5 bytes a token.
+const (
+	maxPromptTokens = 200_000
+	maxAnswerTokens = 200_000
+)
+
 // maxOpenSteps bounds the steps of a shard that are not retired.
 const maxOpenSteps = 256
 
+// maxPromptBytes bounds the packed prompts of one record, and promptOverhead is what a prompt takes besides.
+const (
+	maxPromptBytes = 512 << 10
+	promptOverhead = 5
+)
+
 // SubmitStep records a step; it is durable when the answer is sent. The same step again is the same answer, and with
 // other content CodeConflict. What breaks the bundle's limits is CodeInvalid.
 func (s *Service) SubmitStep(ctx context.Context, request *peerapi.SubmitStep) (*peerapi.SubmitStepResult, error) {
@@ -35,22 +48,31 @@
 	if err := current.admitStep(request.Step); err != nil {
 		return nil, err
 	}
-	record := proposal(KindStepSubmitted, stepRecord(request))
-	s.reach("submit.before_append")
-	outcomes, err := current.append(ctx, record)
-	if err != nil {
-		return nil, err
+	for _, record := range stepRecords(request) {
+		s.reach("submit.before_append")
+		outcomes, err := current.append(ctx, record)
+		if err != nil {
+			return nil, err
+		}
+		s.reach("submit.after_append")
+		if err := submitRefusal(outcomes[0], request.Step); err != nil {
+			return nil, err
+		}
 	}
-	s.reach("submit.after_append")
-	switch outcomes[0] {
+	current.work.raise()
+	current.ready.raise()
+	return &peerapi.SubmitStepResult{Samples: count}, nil
+}
+
+// submitRefusal is the refusal that an outcome stands for; nil when the record took effect, now or earlier.
+func submitRefusal(outcome Outcome, step uint64) error {
+	switch outcome {
 	case OutcomeRecorded, OutcomeDuplicate:
-		current.work.raise()
-		current.ready.raise()
-		return &peerapi.SubmitStepResult{Samples: count}, nil
+		return nil
 	case OutcomeConflict:
-		return nil, refuse(peer.CodeConflict, fmt.Sprintf("step %d was submitted with other content, or is long finished", request.Step))
+		return refuse(peer.CodeConflict, fmt.Sprintf("step %d was submitted with other content, or is long finished", step))
 	default:
-		return nil, refuse(peer.CodeInternal, "step record was not accepted")
+		return refuse(peer.CodeInternal, "step record was not accepted")
 	}
 }
 
@@ -78,22 +100,24 @@
 	if limits.MaxStepSamples > 0 && count > limits.MaxStepSamples {
 		return 0, refuse(peer.CodeInvalid, fmt.Sprintf("step has %d samples, allowed are %d", count, limits.MaxStepSamples))
 	}
-	if request.MaxTokens <= 0 || request.MaxTokens > limits.MaxTokens {
-		return 0, refuse(peer.CodeInvalid, fmt.Sprintf("max tokens is %d, allowed are 1 to %d", request.MaxTokens, limits.MaxTokens))
+	allowed := min(limits.MaxTokens, maxAnswerTokens)
+	if request.MaxTokens <= 0 || request.MaxTokens > allowed {
+		return 0, refuse(peer.CodeInvalid, fmt.Sprintf("max tokens is %d, allowed are 1 to %d", request.MaxTokens, allowed))
 	}
 	for i, prompt := range request.Prompts {
-		if len(prompt) == 0 || len(prompt) > limits.MaxPromptTokens {
+		if len(prompt) == 0 || len(prompt) > min(limits.MaxPromptTokens, maxPromptTokens) {
 			return 0, refuse(peer.CodeInvalid,
-				fmt.Sprintf("prompt %d has %d tokens, allowed are 1 to %d", i, len(prompt), limits.MaxPromptTokens))
+				fmt.Sprintf("prompt %d has %d tokens, allowed are 1 to %d", i, len(prompt), min(limits.MaxPromptTokens, maxPromptTokens)))
 		}
 	}
 	return count, nil
 }
 
-// stepRecord builds the record of a step.
-func stepRecord(request *peerapi.SubmitStep) *StepSubmitted {
+// stepRecords builds the records of a step: usually one, more where the prompts are too large for it.
+func stepRecords(request *peerapi.SubmitStep) []shard.Proposal {
 	record := &StepSubmitted{
 		Step:             request.Step,
+		PromptCount:      len(request.Prompts),
 		SamplesPerPrompt: request.SamplesPerPrompt,
 		MaxTokens:        request.MaxTokens,
 	}
@@ -101,7 +125,29 @@
 		record.Prompts = append(record.Prompts, packTokens(prompt))
 	}
 	record.Digest = stepDigest(record)
-	return record
+	all := record.Prompts
+	first := promptsThatFit(all)
+	record.Prompts = all[:first]
+	proposals := []shard.Proposal{proposal(KindStepSubmitted, record)}
+	for first < len(all) {
+		count := promptsThatFit(all[first:])
+		part := &PromptsAdded{Step: record.Step, Digest: record.Digest, First: first, Prompts: all[first : first+count]}
+		proposals = append(proposals, proposal(KindPromptsAdded, part))
+		first += count
+	}
+	return proposals
+}
+
+// promptsThatFit counts the leading prompts that go into one record, at least one.
+func promptsThatFit(prompts [][]byte) int {
+	size := 0
+	for i, prompt := range prompts {
+		size += len(prompt) + promptOverhead
+		if size > maxPromptBytes && i > 0 {
+			return i
+		}
+	}
+	return len(prompts)
 }
 
 // stepDigest is the SHA-256 of a step's content, each part preceded by its length.
