--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -146,7 +146,9 @@
 	Unplanned bool
 	// Unreachable holds, by node, the intervals in which it was cut off, paused or down.
 	Unreachable map[string][]Interval
-	EndedAt     time.Time
+	// Partitions holds the intervals in which some places were cut off from others.
+	Partitions []Interval
+	EndedAt    time.Time
 }
 
 // Interval is a span of time; a zero To means that it had not ended.
--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,25 +27,36 @@
 	gateways  []*nodeProcess
 }
 
-// startCallers sends the requests of every caller at their times. It returns at once.
-func (c *Cluster) startCallers(ctx context.Context) {
+// startCallers sends the requests of every caller at their times. It returns at once; the channel is closed when every
+// request has ended.
+func (c *Cluster) startCallers(ctx context.Context) <-chan struct{} {
+	var sending sync.WaitGroup
+	done := make(chan struct{})
 	for number, described := range c.topology.Callers {
 		process := &callerProcess{
 			cluster: c, described: described, number: number,
 			adapter: c.adapterFrom(described.Zone), gateways: c.gatewaysNear(described.Zone),
 		}
-		c.running.Go(func() { process.run(ctx) })
+		sending.Go(func() { process.run(ctx) })
 	}
+	c.running.Go(func() {
+		sending.Wait()
+		close(done)
+	})
+	return done
 }
 
+// run sends the requests and returns when all of them have ended.
 func (p *callerProcess) run(ctx context.Context) {
+	var sending sync.WaitGroup
+	defer sending.Wait()
 	requests := workload.Requests(p.described, p.number, p.cluster.topology.Seed, time.Duration(p.cluster.topology.Duration))
 	for i, request := range requests {
 		if !sleepUntil(ctx, p.cluster.started.Add(request.At)) {
 			return
 		}
 		id := fmt.Sprintf("caller-%d-%d", p.number, i)
-		p.cluster.running.Go(func() { p.send(ctx, id, i, request) })
+		sending.Go(func() { p.send(ctx, id, i, request) })
 	}
 }
 
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -98,10 +98,10 @@
 	if c.platform != nil {
 		c.platform.close()
 	}
+	c.running.Wait()
 	for _, adapter := range c.client.adapters {
 		adapter.Close()
 	}
-	c.running.Wait()
 }
 
 // adapterFrom returns the HTTP side of a client host in a zone; one host a zone serves all its clients.
--- a/internal/lab/cluster/events.go
+++ b/internal/lab/cluster/events.go
@@ -43,6 +43,9 @@
 		})
 		return nil
 	}
+	if event.Do == trace.NodeStart {
+		return eachNode(c, event, func(process *nodeProcess) error { return process.replace(ctx) })
+	}
 	if act, found := nodeActions[event.Do]; found {
 		return eachNode(c, event, act)
 	}
@@ -54,7 +57,6 @@
 
 var nodeActions = map[trace.Action]func(*nodeProcess) error{
 	trace.NodeCrash:  (*nodeProcess).crash,
-	trace.NodeStart:  (*nodeProcess).restart,
 	trace.NodePause:  (*nodeProcess).pause,
 	trace.NodeResume: (*nodeProcess).resume,
 	trace.NodeStop: func(p *nodeProcess) error {
@@ -203,6 +205,10 @@
 		}
 	}
 	c.cutOffFromLog(cut, event)
+	c.config.Recorder.Record(func(o *check.Observations) {
+		now := time.Now()
+		o.Partitions = append(o.Partitions, check.Interval{From: now, To: now.Add(time.Duration(event.For))})
+	})
 	c.after(ctx, time.Duration(event.For), func() {
 		heal()
 		for _, process := range cut {
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -147,16 +147,20 @@
 	return nil
 }
 
-// restart starts a new process on the host, once an earlier one that is stopping as planned has ended.
-func (p *nodeProcess) restart() error {
+// replace starts a new process under the node's name. One that still drains is waited for, since a host runs one process.
+func (p *nodeProcess) replace(ctx context.Context) error {
 	p.mu.Lock()
-	running, ended := p.running, p.ended
+	draining, ended := p.running != nil, p.ended
 	p.mu.Unlock()
-	if running == nil {
+	if !draining {
 		return p.startAnew()
 	}
 	p.cluster.running.Go(func() {
-		<-ended
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return
+		}
 		if err := p.startAnew(); err != nil {
 			p.cluster.noteNodeEnd(p, err)
 		}
--- a/internal/lab/cluster/run.go
+++ b/internal/lab/cluster/run.go
@@ -18,10 +18,14 @@
 	ctx, cancel := context.WithDeadline(ctx, c.started.Add(duration+settle))
 	defer cancel()
 	c.startTrainers(ctx)
-	c.startCallers(ctx)
+	callersDone := c.startCallers(ctx)
 	c.watchBundles(ctx)
 	err := c.runEvents(ctx)
 	c.waitForTrainers(ctx, duration)
+	select {
+	case <-callersDone:
+	case <-ctx.Done():
+	}
 	cancel()
 	c.config.Recorder.Record(func(o *check.Observations) { o.EndedAt = time.Now() })
 	return err
@@ -40,12 +44,8 @@
 		case <-ctx.Done():
 		}
 	}
-	sleepUntil(ctx, time.Now().Add(drainCallers))
 }
 
-// drainCallers is the time in which requests that are under way at the end may still be answered.
-const drainCallers = 5 * time.Second
-
 // TrainerReport is what one workload's trainer measured.
 type TrainerReport struct {
 	Workload string
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -33,10 +33,12 @@
 	MeanAgeSeconds     float64 `json:"mean_age_seconds,omitempty"`
 	MaxAgeSeconds      float64 `json:"max_age_seconds,omitempty"`
 
-	Requests   int                   `json:"requests,omitempty"`
-	Outcomes   map[check.Outcome]int `json:"outcomes,omitempty"`
-	LatencyP50 float64               `json:"latency_p50_seconds,omitempty"`
-	LatencyP99 float64               `json:"latency_p99_seconds,omitempty"`
+	Requests int                   `json:"requests,omitempty"`
+	Outcomes map[check.Outcome]int `json:"outcomes,omitempty"`
+	// Unanswered counts the requests that ended without any outcome although nothing stood between them and their node.
+	Unanswered int     `json:"unanswered,omitempty"`
+	LatencyP50 float64 `json:"latency_p50_seconds,omitempty"`
+	LatencyP99 float64 `json:"latency_p99_seconds,omitempty"`
 }
 
 // Options says how a run is shown.
@@ -130,7 +132,14 @@
 			MaxAgeSeconds: report.MaxAge.Seconds(),
 		}
 	}
-	recorder.Record(func(o *check.Observations) { measureRequests(o.Requests, measures) })
+	recorder.Record(func(o *check.Observations) {
+		measureRequests(o.Requests, measures)
+		for _, request := range o.Unanswered() {
+			m := measures[request.Workload]
+			m.Unanswered++
+			measures[request.Workload] = m
+		}
+	})
 	return measures
 }
 
@@ -213,6 +222,9 @@
 	atMost("latency p99 seconds", m.LatencyP99, time.Duration(bounds.MaxLatency99).Seconds(), completed)
 	atMost("share not run", share(m, check.OutcomeNotRun), bounds.MaxNotRunShare, m.Requests)
 	atMost("share unknown", share(m, check.OutcomeUnknown)+share(m, check.OutcomeBroken), bounds.MaxUnknownShare, m.Requests)
+	if bounds.EveryAnswered && (m.Unanswered > 0 || m.Requests == 0) {
+		broken = append(broken, fmt.Sprintf("%d of %d requests ended without an outcome", m.Unanswered, m.Requests))
+	}
 	return broken
 }
 
--- a/internal/lab/replay/virtual.go
+++ b/internal/lab/replay/virtual.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hillfork/hillfork/internal/lab/bubble"
 	"github.com/hillfork/hillfork/internal/lab/cluster"
@@ -11,9 +12,14 @@
 // RunSimulated replays a trace over an in-memory network with the trace's delays. It must be called in a bubble of
 // testing/synctest; the run then takes virtual time only.
 func RunSimulated(ctx context.Context, recorded *trace.Trace, options Options) (*Report, error) {
-	return Run(ctx, recorded, cluster.NewSimulated(&recorded.Topology), options)
+	report, err := Run(ctx, recorded, cluster.NewSimulated(&recorded.Topology), options)
+	time.Sleep(linger)
+	return report, err
 }
 
+// linger is how long the network goes on after a run: connections end when the last segment has arrived.
+const linger = time.Minute
+
 // RunVirtual does the same outside of tests.
 func RunVirtual(recorded *trace.Trace, options Options) (*Report, error) {
 	var report *Report
--- a/internal/lab/trace/events.go
+++ b/internal/lab/trace/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"gopkg.in/yaml.v3"
@@ -164,3 +165,6 @@
 	}
 	return ""
 }
+
+// Actions lists all actions, in order of name.
+func Actions() []Action { return slices.Sorted(maps.Keys(rules)) }
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -161,6 +161,8 @@
 	MaxNotRunShare  float64  `yaml:"max_not_run_share"`
 	MaxUnknownShare float64  `yaml:"max_unknown_share"`
 	MaxLatency99    Duration `yaml:"max_latency_p99"`
+	// EveryAnswered wants an outcome for each request whose node could be reached throughout.
+	EveryAnswered bool `yaml:"every_answered"`
 }
 
 // Problem is one fault of a trace.
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -132,8 +132,8 @@
 	n.requests.Close()
 	n.shards.Close()
 	n.peerClient.Close()
-	n.adapter.Close()
 	n.running.Wait()
+	n.adapter.Close()
 }
 
 // APIAddress is where callers, trainers and operators reach the node.
