--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,8 +58,12 @@
 }
 
 // startAttempt runs an assignment, on a reserved slot or on the next one that the workload gets. It is false for one that
-// is running already.
+// is running already, or that belongs to another workload.
 func (l *workLink) startAttempt(assignment peerapi.Assignment, reserved bool) bool {
+	if assignment.Workload != l.key.workload {
+		l.owner.logger.Error("step shard gave a sample of another workload", "workload", assignment.Workload, "shard", l.key)
+		return false
+	}
 	useful, forgo := context.WithCancel(l.owner.work)
 	alive, cancel := context.WithCancelCause(useful)
 	started := &attempt{
--- a/internal/dispatch/training_test.go
+++ b/internal/dispatch/training_test.go
@@ -404,3 +404,16 @@
 		is.Equal(w.Counters().AttemptsStarted.Load(), uint64(100))
 	})
 }
+
+func TestSampleOfAnotherWorkloadIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, bundleOf(training("a", 0.5), training("b", 0.5)), engineConfig("e1"))
+		w.set(func() {
+			w.waiting[StepShardKey("a", 0)] = []peerapi.Assignment{{Workload: "b", Model: "m", Prompt: promptOf(5, 1), MaxTokens: 9}}
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(w.Counters().AttemptsStarted.Load(), uint64(0))
+		is.True(w.owner("e1").slots.idle())
+	})
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -81,13 +81,7 @@
 		bundles: &fakeBundles{accepted: &bundle.Accepted{Bundle: current}, notify: newNotifier()}, list: &fakeList{},
 		engines: map[string]*engine.Engine{}, probes: map[string]*probe{}, fakeLedger: newFakeLedger(),
 	}
-	for _, config := range configs {
-		w.engines[config.ID] = engine.New(config)
-		w.probes[config.ID] = &probe{Engine: w.engines[config.ID], cancels: map[string]int{}}
-		w.list.machines = append(w.list.machines, platform.Machine{
-			ID: config.ID, Kind: platform.MachineEngine, Address: config.ID, Pool: config.Pool, State: platform.MachineLive,
-		})
-	}
+	w.addEngines(configs...)
 	w.machines = machines.New(machines.Config{List: w.list})
 	w.Dispatcher = New(Config{
 		Placer: w.placer, Opener: w.opener, Directory: w.machines, Dialer: w, Bundles: w.bundles, Ledger: w.fakeLedger,
@@ -109,6 +103,19 @@
 	return w
 }
 
+// addEngines starts engines and lists them.
+func (w *world) addEngines(configs ...engine.Config) {
+	w.list.mutex.Lock()
+	defer w.list.mutex.Unlock()
+	for _, config := range configs {
+		w.engines[config.ID] = engine.New(config)
+		w.probes[config.ID] = &probe{Engine: w.engines[config.ID], cancels: map[string]int{}}
+		w.list.machines = append(w.list.machines, platform.Machine{
+			ID: config.ID, Kind: platform.MachineEngine, Address: config.ID, Pool: config.Pool, State: platform.MachineLive,
+		})
+	}
+}
+
 func engineConfig(id string) engine.Config {
 	return engine.Config{ID: id, Pool: "p", Slots: 4, Served: map[string]uint64{"m": 5}}
 }
@@ -251,17 +258,24 @@
 	careless  bool
 	latest    uint64
 	waiting   map[string][]peerapi.Assignment
-	running   map[peerapi.AttemptRef]peerapi.Assignment
+	running   map[runningKey]peerapi.Assignment
 	completed []*peerapi.CompleteSample
 	failures  []peerapi.Progress
 	cancel    []peerapi.AttemptRef
 	calls     map[string]int
 }
 
+// runningKey names an attempt at a sample of the only step.
+type runningKey struct {
+	workload string
+	index    int
+	attempt  uint32
+}
+
 func newFakeLedger() *fakeLedger {
 	return &fakeLedger{
 		changed: newNotifier(), waiting: map[string][]peerapi.Assignment{},
-		running: map[peerapi.AttemptRef]peerapi.Assignment{}, calls: map[string]int{},
+		running: map[runningKey]peerapi.Assignment{}, calls: map[string]int{},
 	}
 }
 
@@ -313,7 +327,7 @@
 			return f.completeFailure
 		}
 		f.completed = append(f.completed, request)
-		delete(f.running, peerapi.AttemptRef{Step: request.Step, Index: request.Index, Attempt: request.Attempt})
+		delete(f.running, runningKey{request.Workload, request.Index, request.Attempt})
 	}
 	return nil
 }
@@ -328,7 +342,7 @@
 		for _, assignment := range f.waiting[key] {
 			if len(result.Assignments) < request.FreeSlots && (f.careless || request.ServedVersion >= assignment.MinVersion) {
 				result.Assignments = append(result.Assignments, assignment)
-				f.running[peerapi.AttemptRef{Index: assignment.Index, Attempt: assignment.Attempt}] = assignment
+				f.running[runningKey{assignment.Workload, assignment.Index, assignment.Attempt}] = assignment
 				continue
 			}
 			left = append(left, assignment)
@@ -355,7 +369,7 @@
 	result.Latest = f.latest
 	result.Cancel = f.cancel
 	for _, progress := range request.Attempts {
-		reference := peerapi.AttemptRef{Index: progress.Index, Attempt: progress.Attempt}
+		reference := runningKey{request.Workload, progress.Index, progress.Attempt}
 		assignment, known := f.running[reference]
 		if !progress.Failed || !known {
 			continue
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -68,11 +68,9 @@
 
 // candidate is an engine that may run a request.
 type candidate struct {
-	engine EngineState
+	engine *EngineState
 	// distance is the cost of the way from the gateway to the engine.
 	distance float64
-	// affinity ranks the engines for the request's prefix, by rendezvous hashing.
-	affinity uint64
 }
 
 // PickEngine chooses the engine for a request: filter, score, pick the best. ok is false where no engine may run it.
@@ -85,11 +83,12 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
-	home := affineEngine(candidates)
+	prefix := strconv.FormatUint(request.PrefixHash, 16)
+	home := affineEngine(candidates, prefix)
 	best, bestScore := candidates[0], scoreEngine(request, candidates[0], home)
 	for _, other := range candidates[1:] {
 		score := scoreEngine(request, other, home)
-		if score > bestScore || score == bestScore && other.beats(best) {
+		if score > bestScore || score == bestScore && other.beats(best, prefix) {
 			best, bestScore = other, score
 		}
 	}
@@ -98,22 +97,17 @@
 
 // filterEngines keeps the engines that may run the request.
 func filterEngines(snapshot Snapshot, request Request) []candidate {
-	prefix := strconv.FormatUint(request.PrefixHash, 16)
-	var kept []candidate
-	for _, engine := range snapshot.Engines {
-		if !mayRun(engine, request) {
-			continue
+	kept := make([]candidate, 0, len(snapshot.Engines))
+	for i := range snapshot.Engines {
+		engine := &snapshot.Engines[i]
+		if mayRun(engine, request) {
+			kept = append(kept, candidate{engine: engine, distance: distance(snapshot, engine)})
 		}
-		kept = append(kept, candidate{
-			engine:   engine,
-			distance: distance(snapshot, engine),
-			affinity: hashOf("prefix", prefix, engine.ID),
-		})
 	}
 	return kept
 }
 
-func mayRun(engine EngineState, request Request) bool {
+func mayRun(engine *EngineState, request Request) bool {
 	if engine.Leaving || engine.Quarantined || indexOf(request.Pools, engine.Pool) < 0 {
 		return false
 	}
@@ -134,7 +128,7 @@
 }
 
 // load is streams in flight over slots.
-func load(engine EngineState) float64 {
+func load(engine *EngineState) float64 {
 	slots := engine.Slots
 	if slots <= 0 {
 		slots = assumedSlots
@@ -142,16 +136,17 @@
 	return float64(engine.InFlight) / float64(slots)
 }
 
-// beats orders engines by their affinity to the prefix.
-func (c candidate) beats(other candidate) bool {
-	return c.affinity > other.affinity || c.affinity == other.affinity && c.engine.ID < other.engine.ID
+// beats orders engines by rendezvous hashing with the prefix.
+func (c candidate) beats(other candidate, prefix string) bool {
+	own, others := hashOf("prefix", prefix, c.engine.ID), hashOf("prefix", prefix, other.engine.ID)
+	return own > others || own == others && c.engine.ID < other.engine.ID
 }
 
 // affineEngine is the first of the nearest engines in the prefix's rendezvous order.
-func affineEngine(candidates []candidate) string {
+func affineEngine(candidates []candidate, prefix string) string {
 	home := candidates[0]
 	for _, other := range candidates[1:] {
-		if other.distance < home.distance || other.distance == home.distance && other.beats(home) {
+		if other.distance < home.distance || other.distance == home.distance && other.beats(home, prefix) {
 			home = other
 		}
 	}
@@ -167,7 +162,7 @@
 	return score
 }
 
-func distance(snapshot Snapshot, engine EngineState) float64 {
+func distance(snapshot Snapshot, engine *EngineState) float64 {
 	if snapshot.Region != engine.Region {
 		return regionWeight
 	}
--- a/internal/policy/shares_test.go
+++ b/internal/policy/shares_test.go
@@ -60,7 +60,7 @@
 	for rank := range 50 {
 		for slots := range 65 {
 			guaranteed := 0
-			for _, allocation := range Allocate(slots, ShareOffset(rank), []Demand{{Share: 0.1}, {Share: 0.2}, {Share: 0.7}}) {
+			for _, allocation := range Allocate(slots, ShareOffset(rank), []Demand{{Share: 0.2}, {Share: 0.7}, {Share: 0.1}}) {
 				guaranteed += allocation.Guaranteed
 			}
 			is.Equal(guaranteed, slots) // binary fractions lose no slot
