--- a/internal/network/simnet/simnet_test.go
+++ b/internal/network/simnet/simnet_test.go
@@ -209,6 +209,18 @@
 		p.network.Crash(serverIP)
 		p.is.True(errors.Is(p.readError(dialed), syscall.ECONNRESET))
 	})
+	run(t, "jitter keeps a stream in order", func(p *pair) {
+		p.network.SetDelay(func(_, _ simnet.Place) (base, jitter time.Duration) { return 0, time.Second })
+		dialed, accepted := p.connect()
+		var sent strings.Builder
+		for range 100 {
+			p.write(dialed, string(rune('a'+sent.Len()%26)))
+			sent.WriteByte(byte('a' + sent.Len()%26))
+		}
+		start := time.Now()
+		p.read(accepted, sent.String())
+		p.is.True(time.Since(start) > 500*time.Millisecond && time.Since(start) < time.Second)
+	})
 	run(t, "extra delay", func(p *pair) {
 		dialed, accepted := p.connect()
 		p.network.Apply(simnet.Rule{From: simnet.ByRegion("r"), To: simnet.ByIP(serverIP), ExtraDelay: time.Second})
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const readBufferBytes = 16 << 10
@@ -53,6 +54,7 @@
 	}
 	c.keepAlive = &keepAlive{
 		settings: settings,
+		created:  time.Now(),
 		ping:     func() { c.sendControl(frameHeader{Kind: kindPing}, ControlMethod) },
 		lost:     func() { c.fail(errKeepAlive) },
 	}
@@ -71,7 +73,7 @@
 }
 
 func (c *connection) readLoop(handle func(*frame) error) error {
-	reader := bufio.NewReaderSize(heardReader{c.socket, &c.keepAlive.heard}, readBufferBytes)
+	reader := bufio.NewReaderSize(heardReader{c.socket, c.keepAlive}, readBufferBytes)
 	for {
 		received, err := readFrame(reader)
 		if err != nil {
@@ -153,14 +155,14 @@
 
 // heardReader notes that bytes arrived.
 type heardReader struct {
-	socket net.Conn
-	heard  *atomic.Bool
+	socket    net.Conn
+	keepAlive *keepAlive
 }
 
 func (r heardReader) Read(into []byte) (int, error) {
 	n, err := r.socket.Read(into)
-	if n > 0 && !r.heard.Load() {
-		r.heard.Store(true)
+	if n > 0 {
+		r.keepAlive.hear()
 	}
 	return n, err
 }
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -10,22 +10,31 @@
 // without an answer it declares the connection lost. Without calls it declares the connection idle after a while.
 type keepAlive struct {
 	settings KeepAlive
-	// heard is set by the reader whenever bytes arrive.
-	heard atomic.Bool
-	ping  func()
-	lost  func()
-	idle  func()
+	// created is the origin of heardAt.
+	created time.Time
+	// heardAt is when bytes arrived last, in nanoseconds since created; the reader sets it.
+	heardAt atomic.Int64
+	ping    func()
+	lost    func()
+	idle    func()
 
 	mu          sync.Mutex
 	timer       *time.Timer
 	stopped     bool
 	outstanding int
-	missed      int
-	idleSince   time.Time
+	// missed counts the pings since anything was heard, pingedAt is when the last one was sent.
+	missed    int
+	pingedAt  time.Time
+	idleSince time.Time
 	// waitsForIdle says that the timer runs for the idle time, not for the ping interval.
 	waitsForIdle bool
 }
 
+// hear notes that bytes arrived.
+func (k *keepAlive) hear() {
+	k.heardAt.Store(int64(time.Since(k.created)))
+}
+
 func (k *keepAlive) start() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -81,15 +90,20 @@
 		return k.decideIdle()
 	}
 	k.waitsForIdle = false
-	k.timer.Reset(k.settings.Interval)
-	if k.heard.Swap(false) {
+	heardAt := k.created.Add(time.Duration(k.heardAt.Load()))
+	if heardAt.After(k.pingedAt) {
 		k.missed = 0
+	}
+	if left := k.settings.Interval - time.Since(heardAt); left > 0 {
+		k.timer.Reset(left)
 		return nil
 	}
+	k.timer.Reset(k.settings.Interval)
 	if k.missed >= k.settings.Misses {
 		return k.lost
 	}
 	k.missed++
+	k.pingedAt = time.Now()
 	return k.ping
 }
 
