Mend what a run of the programs showed

Cause: the command line was run against a node on loopback, with the stand-ins for log, weights and machines. A node that stopped logged its cancelled read with a stack; steps without a workload got an answer nobody can use. A record that the log acknowledged but never showed was logged through a nil error, which panicked.

--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -111,8 +111,12 @@
 		MaxInterval:         retryMost,
 	}
 	for ctx.Err() == nil {
-		if err := f.poll(ctx); err != nil {
-			f.logger.Warn("bundle stream cannot be read", "error", err)
+		err := f.poll(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			f.logger.Warn("bundle stream cannot be read", "error", err.Error())
 			sleep(ctx, pause.NextBackOff())
 			continue
 		}
--- a/internal/bundle/follower_test.go
+++ b/internal/bundle/follower_test.go
@@ -94,6 +94,12 @@
 		log.appendFault = func(int) (bool, error) { return false, errLost }
 		_, err = follower.Propose(t.Context(), Canonical(testBundle(1, 0.5, "ann")))
 		is.True(errors.Is(err, ErrUncertain))
+
+		log.appendFault = func(int) (bool, error) { return false, nil }
+		log.appends = 0
+		_, err = follower.Propose(t.Context(), Canonical(testBundle(1, 0.5, "ann")))
+		is.True(errors.Is(err, ErrUncertain)) // an acknowledged record that the stream never shows
+		is.True(log.appends < 30)
 	})
 }
 
--- a/internal/bundle/propose.go
+++ b/internal/bundle/propose.go
@@ -228,7 +228,7 @@
 			written = true
 			continue
 		}
-		f.logger.Warn("bundle record not settled yet", "error", errors.Join(readError, appendError))
+		f.logger.Warn("bundle record not settled yet", "error", fmt.Sprint(errors.Join(readError, appendError)))
 		sleep(ctx, pause.NextBackOff())
 		if ctx.Err() != nil {
 			return unsettled(maybeWritten, errors.Join(readError, appendError))
--- a/internal/bundle/snapshots.go
+++ b/internal/bundle/snapshots.go
@@ -61,7 +61,7 @@
 		if err == nil {
 			return fold, next, nil
 		}
-		f.logger.Warn("bundle snapshot skipped", "offset", offset, "error", err)
+		f.logger.Warn("bundle snapshot skipped", "offset", offset, "error", err.Error())
 	}
 	return nil, 0, nil
 }
@@ -96,7 +96,7 @@
 		return
 	}
 	if err := f.refreshSnapshotted(ctx); err != nil {
-		f.logger.Warn("bundle snapshots cannot be read", "error", err)
+		f.logger.Warn("bundle snapshots cannot be read", "error", err.Error())
 		return
 	}
 	payload, next, err := f.encodeSnapshot()
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	if _, err := f.config.Log.Append(ctx, SnapshotStream, [][]byte{payload}); err != nil {
-		f.logger.Warn("bundle snapshot may not have been written", "error", err)
+		f.logger.Warn("bundle snapshot may not have been written", "error", err.Error())
 		return
 	}
 	f.mu.Lock()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -191,7 +191,7 @@
 		{"keys", "new"}, {"request", "--workload", "desk", "--prompt", "one"},
 		{"request", "--workload", "desk", "--prompt", "1", "--unsafe"},
 		{"request", "--workload", "desk", "--prompt", "1", "--max-tokens", "4294967297"},
-		{"sample", "submit", "--workload", "desk"}, {"sample", "fetch"},
+		{"sample", "submit", "--workload", "desk"}, {"sample", "fetch"}, {"steps"},
 		{"bundle", "sign", "--partner", "a", "--key", "k", "--file", "f", "--digest", "d"},
 	} {
 		t.Run(strings.Join(arguments, " "), func(t *testing.T) {
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -91,12 +91,15 @@
 
 func (a *application) stepsCommand(parent *ff.FlagSet) *ff.Command {
 	flags := child("steps", parent)
-	workload := flags.StringLong("workload", "", "only the steps of this workload")
+	workload := flags.StringLong("workload", "", "training workload whose steps are listed")
 	list := func(ctx context.Context, _ []string) error { return a.listSteps(ctx, *workload) }
-	return a.command(flags, "hillfork steps [--workload NAME]", "list the training steps", nil, list)
+	return a.command(flags, "hillfork steps --workload NAME", "list the training steps of a workload", nil, list)
 }
 
 func (a *application) listSteps(ctx context.Context, workload string) error {
+	if workload == "" {
+		return usageError("--workload is needed")
+	}
 	all := &v1.ListStepsResponse{}
 	request := func(page *v1.Page) *v1.ListStepsRequest { return &v1.ListStepsRequest{Workload: workload, Page: page} }
 	err := readPages(ctx, a.admin().ListSteps, request, func(page *v1.ListStepsResponse) {
