--- a/internal/stepledger/assign/assign.go
+++ b/internal/stepledger/assign/assign.go
@@ -65,10 +65,7 @@
 		if !snapshot.inBoundWhenDelivered(step) {
 			continue
 		}
-		for _, candidate := range longestFirst(step.Candidates) {
-			if len(choices) == room {
-				return choices
-			}
+		for _, candidate := range longest(step.Candidates, room-len(choices)) {
 			choices = append(choices, Choice{Step: step.Number, Index: candidate.Index})
 		}
 	}
@@ -97,12 +94,25 @@
 	return expected <= s.ServedVersion+s.MaxVersionsBehind
 }
 
-// longestFirst orders candidates by falling prediction, then by index.
-func longestFirst(candidates []Candidate) []Candidate {
-	return slices.SortedFunc(slices.Values(candidates), func(a, b Candidate) int {
-		if order := cmp.Compare(b.Predicted, a.Predicted); order != 0 {
-			return order
+// longest returns the first count candidates by falling prediction, then by index. It keeps them ordered in one pass, since
+// few of many are wanted.
+func longest(candidates []Candidate, count int) []Candidate {
+	kept := make([]Candidate, 0, min(count, len(candidates))+1)
+	for _, candidate := range candidates {
+		if len(kept) == count && (count == 0 || compare(candidate, kept[count-1]) > 0) {
+			continue
 		}
-		return cmp.Compare(a.Index, b.Index)
-	})
+		at, _ := slices.BinarySearchFunc(kept, candidate, compare)
+		kept = slices.Insert(kept, at, candidate)
+		kept = kept[:min(len(kept), count)]
+	}
+	return kept
+}
+
+// compare orders candidates by falling prediction, then by index.
+func compare(a, b Candidate) int {
+	if order := cmp.Compare(b.Predicted, a.Predicted); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Index, b.Index)
 }
--- a/internal/stepledger/attempts.go
+++ b/internal/stepledger/attempts.go
@@ -66,15 +66,12 @@
 	c.failures[key] = failure{count: past.count + 1, notBefore: now.Add(delay)}
 }
 
-// assignable reports whether a waiting sample may be given to an engine now. The caller holds the mutex.
+// assignable reports whether a waiting sample neither runs nor waits after a failure. The caller holds the mutex.
 func (c *session) assignable(key sampleKey, now time.Time) bool {
 	if c.running[key] != nil {
 		return false
 	}
-	if now.Before(c.failures[key].notBefore) {
-		return false
-	}
-	return !c.inherited[key.step] || !now.Before(c.graceEnds)
+	return len(c.failures) == 0 || !now.Before(c.failures[key].notBefore)
 }
 
 // keepPartial keeps the longest usable rest of a failed attempt. The caller holds the mutex.
--- a/internal/stepledger/pull.go
+++ b/internal/stepledger/pull.go
@@ -127,18 +127,24 @@
 
 // candidates lists the assignable samples of a step with their predicted lengths.
 func (c *session) candidates(step *StepImage, now time.Time) []assign.Candidate {
-	var candidates []assign.Candidate
+	if c.inherited[step.Step] && now.Before(c.graceEnds) {
+		return nil
+	}
+	candidates := make([]assign.Candidate, 0, len(step.Samples)-step.Completed)
 	mean := c.history.Mean()
 	for first := 0; first < len(step.Samples); first += step.SamplesPerPrompt {
-		predicted := -1
+		group := len(candidates)
 		for index := first; index < first+step.SamplesPerPrompt; index++ {
-			if !step.waiting(index) || !c.assignable(sampleKey{step: step.Step, index: index}, now) {
-				continue
-			}
-			if predicted < 0 {
-				predicted = assign.Predict(c.siblings(step, first), mean, step.MaxTokens)
+			if step.waiting(index) && c.assignable(sampleKey{step: step.Step, index: index}, now) {
+				candidates = append(candidates, assign.Candidate{Index: index})
 			}
-			candidates = append(candidates, assign.Candidate{Index: index, Predicted: predicted})
+		}
+		if len(candidates) == group {
+			continue
+		}
+		predicted := assign.Predict(c.siblings(step, first), mean, step.MaxTokens)
+		for i := range candidates[group:] {
+			candidates[group+i].Predicted = predicted
 		}
 	}
 	return candidates
@@ -148,9 +154,10 @@
 func (c *session) siblings(step *StepImage, first int) assign.Siblings {
 	var known assign.Siblings
 	for index := first; index < first+step.SamplesPerPrompt; index++ {
-		if sample := &step.Samples[index]; sample.Complete && sample.Tokens > 0 {
+		if sample := &step.Samples[index]; sample.Tokens > 0 {
 			known.Finished++
 			known.Tokens += sample.Tokens
+			continue
 		}
 		if current := c.running[sampleKey{step: step.Step, index: index}]; current != nil {
 			known.LongestRunning = max(known.LongestRunning, current.tokens)
