--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -3,6 +3,10 @@
 
 //go:generate go tool msgp -file peerapi.go -tests=false
 
+// A decoder allocates what an array or map claims to hold before it reads it, so a message of a few bytes could take all
+// memory without a bound.
+//msgp:limit arrays:262144 maps:4096
+
 // Methods of the step ledger.
 const (
 	// MethodSubmitStep records a step. SubmitStep → SubmitStepResult.
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zb0b0701climitArrays = 262144
+	zb0b0701climitMaps   = 4096
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Assignment) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -61,6 +71,10 @@
 				err = msgp.WrapError(err, "Prompt")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompt) >= int(zb0002) {
 				z.Prompt = (z.Prompt)[:zb0002]
 			} else {
@@ -92,6 +106,10 @@
 				err = msgp.WrapError(err, "Resume")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Resume) >= int(zb0003) {
 				z.Resume = (z.Resume)[:zb0003]
 			} else {
@@ -111,6 +129,10 @@
 				err = msgp.WrapError(err, "ResumeSpans")
 				return
 			}
+			if zb0004 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ResumeSpans) >= int(zb0004) {
 				z.ResumeSpans = (z.ResumeSpans)[:zb0004]
 			} else {
@@ -123,6 +145,10 @@
 					err = msgp.WrapError(err, "ResumeSpans", za0003)
 					return
 				}
+				if zb0005 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, err = dc.ReadMapKeyPtr()
@@ -425,6 +451,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -470,6 +500,10 @@
 				err = msgp.WrapError(err, "Prompt")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompt) >= int(zb0002) {
 				z.Prompt = (z.Prompt)[:zb0002]
 			} else {
@@ -501,6 +535,10 @@
 				err = msgp.WrapError(err, "Resume")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Resume) >= int(zb0003) {
 				z.Resume = (z.Resume)[:zb0003]
 			} else {
@@ -520,6 +558,10 @@
 				err = msgp.WrapError(err, "ResumeSpans")
 				return
 			}
+			if zb0004 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.ResumeSpans) >= int(zb0004) {
 				z.ResumeSpans = (z.ResumeSpans)[:zb0004]
 			} else {
@@ -532,6 +574,10 @@
 					err = msgp.WrapError(err, "ResumeSpans", za0003)
 					return
 				}
+				if zb0005 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -607,6 +653,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -706,6 +756,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -760,6 +814,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -769,7 +827,10 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "c":
-			z.Canonical, err = dc.ReadBytes(z.Canonical)
+			z.Canonical, err = dc.ReadBytesLimit(z.Canonical, zb0b0701climitArrays)
+			if err == nil && z.Canonical == nil {
+				z.Canonical = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Canonical")
 				return
@@ -781,6 +842,10 @@
 				err = msgp.WrapError(err, "Signatures")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Signatures) >= int(zb0002) {
 				z.Signatures = (z.Signatures)[:zb0002]
 			} else {
@@ -793,6 +858,10 @@
 					err = msgp.WrapError(err, "Signatures", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -808,7 +877,10 @@
 							return
 						}
 					case "s":
-						z.Signatures[za0001].Signature, err = dc.ReadBytes(z.Signatures[za0001].Signature)
+						z.Signatures[za0001].Signature, err = dc.ReadBytesLimit(z.Signatures[za0001].Signature, zb0b0701climitArrays)
+						if err == nil && z.Signatures[za0001].Signature == nil {
+							z.Signatures[za0001].Signature = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Signatures", za0001, "Signature")
 							return
@@ -914,6 +986,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -923,32 +999,56 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "c":
-			z.Canonical, bts, err = msgp.ReadBytesBytes(bts, z.Canonical)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Canonical")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Canonical == nil || uint32(cap(z.Canonical)) < zb0002 {
+				z.Canonical = make([]byte, zb0002)
+			} else {
+				z.Canonical = z.Canonical[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Canonical, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "s":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Signatures")
 				return
 			}
-			if cap(z.Signatures) >= int(zb0002) {
-				z.Signatures = (z.Signatures)[:zb0002]
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Signatures) >= int(zb0003) {
+				z.Signatures = (z.Signatures)[:zb0003]
 			} else {
-				z.Signatures = make([]BundleSignature, zb0002)
+				z.Signatures = make([]BundleSignature, zb0003)
 			}
 			for za0001 := range z.Signatures {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Signatures", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Signatures", za0001)
@@ -962,11 +1062,27 @@
 							return
 						}
 					case "s":
-						z.Signatures[za0001].Signature, bts, err = msgp.ReadBytesBytes(bts, z.Signatures[za0001].Signature)
+						var zb0005 uint32
+						zb0005, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Signatures", za0001, "Signature")
 							return
 						}
+						if zb0005 > zb0b0701climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Signatures[za0001].Signature == nil || uint32(cap(z.Signatures[za0001].Signature)) < zb0005 {
+							z.Signatures[za0001].Signature = make([]byte, zb0005)
+						} else {
+							z.Signatures[za0001].Signature = z.Signatures[za0001].Signature[:zb0005]
+						}
+						if uint32(len(bts)) < zb0005 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Signatures[za0001].Signature, bts[:zb0005])
+						bts = bts[zb0005:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1007,6 +1123,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1016,7 +1136,10 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "c":
-			z.Canonical, err = dc.ReadBytes(z.Canonical)
+			z.Canonical, err = dc.ReadBytesLimit(z.Canonical, zb0b0701climitArrays)
+			if err == nil && z.Canonical == nil {
+				z.Canonical = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Canonical")
 				return
@@ -1028,6 +1151,10 @@
 				err = msgp.WrapError(err, "Signatures")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Signatures) >= int(zb0002) {
 				z.Signatures = (z.Signatures)[:zb0002]
 			} else {
@@ -1040,6 +1167,10 @@
 					err = msgp.WrapError(err, "Signatures", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -1055,7 +1186,10 @@
 							return
 						}
 					case "s":
-						z.Signatures[za0001].Signature, err = dc.ReadBytes(z.Signatures[za0001].Signature)
+						z.Signatures[za0001].Signature, err = dc.ReadBytesLimit(z.Signatures[za0001].Signature, zb0b0701climitArrays)
+						if err == nil && z.Signatures[za0001].Signature == nil {
+							z.Signatures[za0001].Signature = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Signatures", za0001, "Signature")
 							return
@@ -1076,6 +1210,10 @@
 				err = msgp.WrapError(err, "Links")
 				return
 			}
+			if zb0004 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Links) >= int(zb0004) {
 				z.Links = (z.Links)[:zb0004]
 			} else {
@@ -1088,6 +1226,10 @@
 					err = msgp.WrapError(err, "Links", za0002)
 					return
 				}
+				if zb0005 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, err = dc.ReadMapKeyPtr()
@@ -1097,7 +1239,10 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "c":
-						z.Links[za0002].Canonical, err = dc.ReadBytes(z.Links[za0002].Canonical)
+						z.Links[za0002].Canonical, err = dc.ReadBytesLimit(z.Links[za0002].Canonical, zb0b0701climitArrays)
+						if err == nil && z.Links[za0002].Canonical == nil {
+							z.Links[za0002].Canonical = []byte{}
+						}
 						if err != nil {
 							err = msgp.WrapError(err, "Links", za0002, "Canonical")
 							return
@@ -1109,6 +1254,10 @@
 							err = msgp.WrapError(err, "Links", za0002, "Signatures")
 							return
 						}
+						if zb0006 > zb0b0701climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Links[za0002].Signatures) >= int(zb0006) {
 							z.Links[za0002].Signatures = (z.Links[za0002].Signatures)[:zb0006]
 						} else {
@@ -1121,6 +1270,10 @@
 								err = msgp.WrapError(err, "Links", za0002, "Signatures", za0003)
 								return
 							}
+							if zb0007 > zb0b0701climitMaps {
+								err = msgp.ErrLimitExceeded
+								return
+							}
 							for zb0007 > 0 {
 								zb0007--
 								field, err = dc.ReadMapKeyPtr()
@@ -1136,7 +1289,10 @@
 										return
 									}
 								case "s":
-									z.Links[za0002].Signatures[za0003].Signature, err = dc.ReadBytes(z.Links[za0002].Signatures[za0003].Signature)
+									z.Links[za0002].Signatures[za0003].Signature, err = dc.ReadBytesLimit(z.Links[za0002].Signatures[za0003].Signature, zb0b0701climitArrays)
+									if err == nil && z.Links[za0002].Signatures[za0003].Signature == nil {
+										z.Links[za0002].Signatures[za0003].Signature = []byte{}
+									}
 									if err != nil {
 										err = msgp.WrapError(err, "Links", za0002, "Signatures", za0003, "Signature")
 										return
@@ -1328,6 +1484,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1337,32 +1497,56 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "c":
-			z.Canonical, bts, err = msgp.ReadBytesBytes(bts, z.Canonical)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Canonical")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Canonical == nil || uint32(cap(z.Canonical)) < zb0002 {
+				z.Canonical = make([]byte, zb0002)
+			} else {
+				z.Canonical = z.Canonical[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Canonical, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "s":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Signatures")
 				return
 			}
-			if cap(z.Signatures) >= int(zb0002) {
-				z.Signatures = (z.Signatures)[:zb0002]
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Signatures) >= int(zb0003) {
+				z.Signatures = (z.Signatures)[:zb0003]
 			} else {
-				z.Signatures = make([]BundleSignature, zb0002)
+				z.Signatures = make([]BundleSignature, zb0003)
 			}
 			for za0001 := range z.Signatures {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Signatures", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Signatures", za0001)
@@ -1376,11 +1560,27 @@
 							return
 						}
 					case "s":
-						z.Signatures[za0001].Signature, bts, err = msgp.ReadBytesBytes(bts, z.Signatures[za0001].Signature)
+						var zb0005 uint32
+						zb0005, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Signatures", za0001, "Signature")
 							return
 						}
+						if zb0005 > zb0b0701climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Signatures[za0001].Signature == nil || uint32(cap(z.Signatures[za0001].Signature)) < zb0005 {
+							z.Signatures[za0001].Signature = make([]byte, zb0005)
+						} else {
+							z.Signatures[za0001].Signature = z.Signatures[za0001].Signature[:zb0005]
+						}
+						if uint32(len(bts)) < zb0005 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Signatures[za0001].Signature, bts[:zb0005])
+						bts = bts[zb0005:]
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -1391,26 +1591,34 @@
 				}
 			}
 		case "l":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Links")
 				return
 			}
-			if cap(z.Links) >= int(zb0004) {
-				z.Links = (z.Links)[:zb0004]
+			if zb0006 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Links) >= int(zb0006) {
+				z.Links = (z.Links)[:zb0006]
 			} else {
-				z.Links = make([]BundleLink, zb0004)
+				z.Links = make([]BundleLink, zb0006)
 			}
 			for za0002 := range z.Links {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Links", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				if zb0007 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Links", za0002)
@@ -1418,32 +1626,56 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "c":
-						z.Links[za0002].Canonical, bts, err = msgp.ReadBytesBytes(bts, z.Links[za0002].Canonical)
+						var zb0008 uint32
+						zb0008, bts, err = msgp.ReadBytesHeader(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Links", za0002, "Canonical")
 							return
 						}
+						if zb0008 > zb0b0701climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if z.Links[za0002].Canonical == nil || uint32(cap(z.Links[za0002].Canonical)) < zb0008 {
+							z.Links[za0002].Canonical = make([]byte, zb0008)
+						} else {
+							z.Links[za0002].Canonical = z.Links[za0002].Canonical[:zb0008]
+						}
+						if uint32(len(bts)) < zb0008 {
+							err = msgp.ErrShortBytes
+							return
+						}
+						copy(z.Links[za0002].Canonical, bts[:zb0008])
+						bts = bts[zb0008:]
 					case "s":
-						var zb0006 uint32
-						zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Links", za0002, "Signatures")
 							return
 						}
-						if cap(z.Links[za0002].Signatures) >= int(zb0006) {
-							z.Links[za0002].Signatures = (z.Links[za0002].Signatures)[:zb0006]
+						if zb0009 > zb0b0701climitArrays {
+							err = msgp.ErrLimitExceeded
+							return
+						}
+						if cap(z.Links[za0002].Signatures) >= int(zb0009) {
+							z.Links[za0002].Signatures = (z.Links[za0002].Signatures)[:zb0009]
 						} else {
-							z.Links[za0002].Signatures = make([]BundleSignature, zb0006)
+							z.Links[za0002].Signatures = make([]BundleSignature, zb0009)
 						}
 						for za0003 := range z.Links[za0002].Signatures {
-							var zb0007 uint32
-							zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+							var zb0010 uint32
+							zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 							if err != nil {
 								err = msgp.WrapError(err, "Links", za0002, "Signatures", za0003)
 								return
 							}
-							for zb0007 > 0 {
-								zb0007--
+							if zb0010 > zb0b0701climitMaps {
+								err = msgp.ErrLimitExceeded
+								return
+							}
+							for zb0010 > 0 {
+								zb0010--
 								field, bts, err = msgp.ReadMapKeyZC(bts)
 								if err != nil {
 									err = msgp.WrapError(err, "Links", za0002, "Signatures", za0003)
@@ -1457,11 +1689,27 @@
 										return
 									}
 								case "s":
-									z.Links[za0002].Signatures[za0003].Signature, bts, err = msgp.ReadBytesBytes(bts, z.Links[za0002].Signatures[za0003].Signature)
+									var zb0011 uint32
+									zb0011, bts, err = msgp.ReadBytesHeader(bts)
 									if err != nil {
 										err = msgp.WrapError(err, "Links", za0002, "Signatures", za0003, "Signature")
 										return
 									}
+									if zb0011 > zb0b0701climitArrays {
+										err = msgp.ErrLimitExceeded
+										return
+									}
+									if z.Links[za0002].Signatures[za0003].Signature == nil || uint32(cap(z.Links[za0002].Signatures[za0003].Signature)) < zb0011 {
+										z.Links[za0002].Signatures[za0003].Signature = make([]byte, zb0011)
+									} else {
+										z.Links[za0002].Signatures[za0003].Signature = z.Links[za0002].Signatures[za0003].Signature[:zb0011]
+									}
+									if uint32(len(bts)) < zb0011 {
+										err = msgp.ErrShortBytes
+										return
+									}
+									copy(z.Links[za0002].Signatures[za0003].Signature, bts[:zb0011])
+									bts = bts[zb0011:]
 								default:
 									bts, err = msgp.Skip(bts)
 									if err != nil {
@@ -1518,6 +1766,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1533,7 +1785,10 @@
 				return
 			}
 		case "s":
-			z.Signature, err = dc.ReadBytes(z.Signature)
+			z.Signature, err = dc.ReadBytesLimit(z.Signature, zb0b0701climitArrays)
+			if err == nil && z.Signature == nil {
+				z.Signature = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Signature")
 				return
@@ -1598,6 +1853,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1613,11 +1872,27 @@
 				return
 			}
 		case "s":
-			z.Signature, bts, err = msgp.ReadBytesBytes(bts, z.Signature)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Signature")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Signature == nil || uint32(cap(z.Signature)) < zb0002 {
+				z.Signature = make([]byte, zb0002)
+			} else {
+				z.Signature = z.Signature[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Signature, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1698,6 +1973,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1749,6 +2028,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -1768,6 +2051,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -1780,6 +2067,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -2027,6 +2318,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2078,6 +2373,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -2097,6 +2396,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -2109,6 +2412,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2178,6 +2485,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2243,6 +2554,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2289,6 +2604,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2328,6 +2647,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -2347,6 +2670,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -2359,6 +2686,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -2618,6 +2949,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2657,6 +2992,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -2676,6 +3015,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -2688,6 +3031,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2769,6 +3116,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2818,6 +3169,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2854,6 +3209,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2903,6 +3262,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2939,6 +3302,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2978,6 +3345,10 @@
 				err = msgp.WrapError(err, "Served")
 				return
 			}
+			if zb0002 > zb0b0701climitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Served == nil {
 				z.Served = make(map[string]uint64, zb0002)
 			} else if len(z.Served) > 0 {
@@ -3171,6 +3542,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3210,6 +3585,10 @@
 				err = msgp.WrapError(err, "Served")
 				return
 			}
+			if zb0002 > zb0b0701climitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Served == nil {
 				z.Served = make(map[string]uint64, zb0002)
 			} else if len(z.Served) > 0 {
@@ -3284,6 +3663,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3323,6 +3706,10 @@
 				err = msgp.WrapError(err, "Prompt")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompt) >= int(zb0002) {
 				z.Prompt = (z.Prompt)[:zb0002]
 			} else {
@@ -3342,6 +3729,10 @@
 				err = msgp.WrapError(err, "Resume")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Resume) >= int(zb0003) {
 				z.Resume = (z.Resume)[:zb0003]
 			} else {
@@ -3562,6 +3953,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3601,6 +3996,10 @@
 				err = msgp.WrapError(err, "Prompt")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompt) >= int(zb0002) {
 				z.Prompt = (z.Prompt)[:zb0002]
 			} else {
@@ -3620,6 +4019,10 @@
 				err = msgp.WrapError(err, "Resume")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Resume) >= int(zb0003) {
 				z.Resume = (z.Resume)[:zb0003]
 			} else {
@@ -3684,6 +4087,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3717,6 +4124,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -3943,6 +4354,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3976,6 +4391,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -4056,6 +4475,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4212,6 +4635,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4284,6 +4711,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4299,6 +4730,10 @@
 				err = msgp.WrapError(err, "Samples")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Samples) >= int(zb0002) {
 				z.Samples = (z.Samples)[:zb0002]
 			} else {
@@ -4429,6 +4864,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4444,6 +4883,10 @@
 				err = msgp.WrapError(err, "Samples")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Samples) >= int(zb0002) {
 				z.Samples = (z.Samples)[:zb0002]
 			} else {
@@ -4506,6 +4949,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4545,6 +4992,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -4564,6 +5015,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -4576,6 +5031,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -4778,6 +5237,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4817,6 +5280,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -4836,6 +5303,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -4848,6 +5319,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4911,6 +5386,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4972,6 +5451,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5014,6 +5497,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5063,6 +5550,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5099,6 +5590,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5148,6 +5643,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5184,6 +5683,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5199,6 +5702,10 @@
 				err = msgp.WrapError(err, "Engines")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Engines) >= int(zb0002) {
 				z.Engines = (z.Engines)[:zb0002]
 			} else {
@@ -5272,6 +5779,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5287,6 +5798,10 @@
 				err = msgp.WrapError(err, "Engines")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Engines) >= int(zb0002) {
 				z.Engines = (z.Engines)[:zb0002]
 			} else {
@@ -5330,6 +5845,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5379,6 +5898,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5415,6 +5938,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5430,6 +5957,10 @@
 				err = msgp.WrapError(err, "Shards")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Shards) >= int(zb0002) {
 				z.Shards = (z.Shards)[:zb0002]
 			} else {
@@ -5442,6 +5973,10 @@
 					err = msgp.WrapError(err, "Shards", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -5569,6 +6104,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5584,6 +6123,10 @@
 				err = msgp.WrapError(err, "Shards")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Shards) >= int(zb0002) {
 				z.Shards = (z.Shards)[:zb0002]
 			} else {
@@ -5596,6 +6139,10 @@
 					err = msgp.WrapError(err, "Shards", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5662,6 +6209,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5742,6 +6293,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5790,6 +6345,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5805,6 +6364,10 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Steps) >= int(zb0002) {
 				z.Steps = (z.Steps)[:zb0002]
 			} else {
@@ -5878,6 +6441,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5893,6 +6460,10 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Steps) >= int(zb0002) {
 				z.Steps = (z.Steps)[:zb0002]
 			} else {
@@ -5988,6 +6559,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6033,6 +6608,10 @@
 				err = msgp.WrapError(err, "Partial")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Partial) >= int(zb0002) {
 				z.Partial = (z.Partial)[:zb0002]
 			} else {
@@ -6052,6 +6631,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -6064,6 +6647,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -6279,6 +6866,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6324,6 +6915,10 @@
 				err = msgp.WrapError(err, "Partial")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Partial) >= int(zb0002) {
 				z.Partial = (z.Partial)[:zb0002]
 			} else {
@@ -6343,6 +6938,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -6355,6 +6954,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0004 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6418,6 +7021,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6498,6 +7105,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6546,6 +7157,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6607,6 +7222,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6649,6 +7268,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6843,6 +7466,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6927,6 +7554,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6942,6 +7573,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -7053,6 +7688,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7068,6 +7707,10 @@
 				err = msgp.WrapError(err, "Assignments")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Assignments) >= int(zb0002) {
 				z.Assignments = (z.Assignments)[:zb0002]
 			} else {
@@ -7124,6 +7767,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7157,6 +7804,10 @@
 				err = msgp.WrapError(err, "Attempts")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Attempts) >= int(zb0002) {
 				z.Attempts = (z.Attempts)[:zb0002]
 			} else {
@@ -7269,6 +7920,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7302,6 +7957,10 @@
 				err = msgp.WrapError(err, "Attempts")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Attempts) >= int(zb0002) {
 				z.Attempts = (z.Attempts)[:zb0002]
 			} else {
@@ -7345,6 +8004,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7360,6 +8023,10 @@
 				err = msgp.WrapError(err, "Cancel")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancel) >= int(zb0002) {
 				z.Cancel = (z.Cancel)[:zb0002]
 			} else {
@@ -7372,6 +8039,10 @@
 					err = msgp.WrapError(err, "Cancel", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -7518,6 +8189,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7533,6 +8208,10 @@
 				err = msgp.WrapError(err, "Cancel")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancel) >= int(zb0002) {
 				z.Cancel = (z.Cancel)[:zb0002]
 			} else {
@@ -7545,6 +8224,10 @@
 					err = msgp.WrapError(err, "Cancel", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7614,6 +8297,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7641,7 +8328,10 @@
 				return
 			}
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, zb0b0701climitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -7751,6 +8441,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7778,11 +8472,27 @@
 				return
 			}
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "wt":
 			z.WaitMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -7817,6 +8527,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7854,6 +8568,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0003) {
 				z.Tokens = (z.Tokens)[:zb0003]
 			} else {
@@ -7873,6 +8591,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0004 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0004) {
 				z.Spans = (z.Spans)[:zb0004]
 			} else {
@@ -7885,6 +8607,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0005 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, err = dc.ReadMapKeyPtr()
@@ -8074,6 +8800,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8111,6 +8841,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0003 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0003) {
 				z.Tokens = (z.Tokens)[:zb0003]
 			} else {
@@ -8130,6 +8864,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0004 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0004) {
 				z.Spans = (z.Spans)[:zb0004]
 			} else {
@@ -8142,6 +8880,10 @@
 					err = msgp.WrapError(err, "Spans", za0002)
 					return
 				}
+				if zb0005 > zb0b0701climitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8205,6 +8947,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -8304,6 +9050,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8358,6 +9108,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -8457,6 +9211,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8511,6 +9269,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -8667,6 +9429,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8739,6 +9505,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -8766,6 +9536,10 @@
 				err = msgp.WrapError(err, "Prompts")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompts) >= int(zb0002) {
 				z.Prompts = (z.Prompts)[:zb0002]
 			} else {
@@ -8778,6 +9552,10 @@
 					err = msgp.WrapError(err, "Prompts", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				if cap(z.Prompts[za0001]) >= int(zb0003) {
 					z.Prompts[za0001] = (z.Prompts[za0001])[:zb0003]
 				} else {
@@ -8922,6 +9700,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -8949,6 +9731,10 @@
 				err = msgp.WrapError(err, "Prompts")
 				return
 			}
+			if zb0002 > zb0b0701climitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Prompts) >= int(zb0002) {
 				z.Prompts = (z.Prompts)[:zb0002]
 			} else {
@@ -8961,6 +9747,10 @@
 					err = msgp.WrapError(err, "Prompts", za0001)
 					return
 				}
+				if zb0003 > zb0b0701climitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				if cap(z.Prompts[za0001]) >= int(zb0003) {
 					z.Prompts[za0001] = (z.Prompts[za0001])[:zb0003]
 				} else {
@@ -9018,6 +9808,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -9079,6 +9873,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/requestledger/execute.go
+++ b/internal/requestledger/execute.go
@@ -14,6 +14,9 @@
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
+// errUnreadable says that a record that was written cannot be read back.
+var errUnreadable = errors.New("the record cannot be read back")
+
 // executeOnce is the drive of an unsafe request.
 func (s *Service) executeOnce(request peerapi.Execute) drive {
 	return func(ctx context.Context, run *run) (result, error) {
@@ -183,6 +186,9 @@
 		if errors.Is(err, shard.ErrNotOwner) {
 			return verdict, backoff.Permanent(err)
 		}
+		if err == nil && verdict == VerdictUnreadable {
+			return verdict, backoff.Permanent(errUnreadable)
+		}
 		return verdict, err
 	}
 	_, err := backoff.Retry(ctx, appendOnce, backoff.WithBackOff(backoff.NewConstantBackOff(recordRetryDelay)))
--- a/internal/requestledger/handlers.go
+++ b/internal/requestledger/handlers.go
@@ -42,6 +42,9 @@
 	if request.RequestID == "" || len(request.RequestID) > MaxRequestIDBytes {
 		return nil, invalid(fmt.Sprintf("request id must have 1 to %d bytes", MaxRequestIDBytes))
 	}
+	if request.MaxTokens < 1 || request.MaxTokens > MaxRecordedTokens {
+		return nil, invalid(fmt.Sprintf("an unsafe request may ask for 1 to %d tokens", MaxRecordedTokens))
+	}
 	accepted := s.config.Bundles.Current()
 	if accepted == nil {
 		return nil, &peer.Error{Code: peer.CodeNotReady, Message: "no bundle is in force", RetryAfter: overloadedRetryAfter}
--- a/internal/requestledger/record.go
+++ b/internal/requestledger/record.go
@@ -2,6 +2,10 @@
 
 //go:generate go tool msgp -file record.go -tests=false -unexported
 
+// A decoder allocates what an array claims to hold before it reads it, so every array is bounded: most by
+// MaxRecordedTokens, others by their fields' tags.
+//msgp:limit arrays:131072
+
 import (
 	"github.com/hillfork/hillfork/internal/peerapi"
 )
@@ -61,7 +65,7 @@
 	Spans            []peerapi.Span  `msg:"s"`
 	AnswerDropped    bool            `msg:"x"`
 	OwnerLost        bool            `msg:"l"`
-	Closed           []uint64        `msg:"c"`
+	Closed           []uint64        `msg:"c,limit=64"`
 	EndedUnixMillis  int64           `msg:"at"`
 }
 
@@ -69,5 +73,5 @@
 type stateSnapshot struct {
 	Epoch       uint64          `msg:"e"`
 	ClockMillis int64           `msg:"c"`
-	Entries     []entrySnapshot `msg:"n"`
+	Entries     []entrySnapshot `msg:"n,limit=16384"`
 }
--- a/internal/requestledger/record_gen.go
+++ b/internal/requestledger/record_gen.go
@@ -7,6 +7,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z89264a71limitArrays = 131072
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *cancelRecord) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -234,7 +239,10 @@
 				return
 			}
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, z89264a71limitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -264,6 +272,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -283,6 +295,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -314,6 +330,10 @@
 				err = msgp.WrapError(err, "Closed")
 				return
 			}
+			if zb0004 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Closed) >= int(zb0004) {
 				z.Closed = (z.Closed)[:zb0004]
 			} else {
@@ -638,11 +658,27 @@
 				return
 			}
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0002 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "o":
 			bts, err = z.Outcome.UnmarshalMsg(bts)
 			if err != nil {
@@ -662,16 +698,20 @@
 				return
 			}
 		case "t":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
-			if cap(z.Tokens) >= int(zb0002) {
-				z.Tokens = (z.Tokens)[:zb0002]
+			if zb0003 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tokens) >= int(zb0003) {
+				z.Tokens = (z.Tokens)[:zb0003]
 			} else {
-				z.Tokens = make([]uint32, zb0002)
+				z.Tokens = make([]uint32, zb0003)
 			}
 			for za0001 := range z.Tokens {
 				z.Tokens[za0001], bts, err = msgp.ReadUint32Bytes(bts)
@@ -681,16 +721,20 @@
 				}
 			}
 		case "s":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
-			if cap(z.Spans) >= int(zb0003) {
-				z.Spans = (z.Spans)[:zb0003]
+			if zb0004 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Spans) >= int(zb0004) {
+				z.Spans = (z.Spans)[:zb0004]
 			} else {
-				z.Spans = make([]peerapi.Span, zb0003)
+				z.Spans = make([]peerapi.Span, zb0004)
 			}
 			for za0002 := range z.Spans {
 				bts, err = z.Spans[za0002].UnmarshalMsg(bts)
@@ -712,16 +756,20 @@
 				return
 			}
 		case "c":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Closed")
 				return
 			}
-			if cap(z.Closed) >= int(zb0004) {
-				z.Closed = (z.Closed)[:zb0004]
+			if zb0005 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Closed) >= int(zb0005) {
+				z.Closed = (z.Closed)[:zb0005]
 			} else {
-				z.Closed = make([]uint64, zb0004)
+				z.Closed = make([]uint64, zb0005)
 			}
 			for za0003 := range z.Closed {
 				z.Closed[za0003], bts, err = msgp.ReadUint64Bytes(bts)
@@ -819,6 +867,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -838,6 +890,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -1105,6 +1161,10 @@
 				err = msgp.WrapError(err, "Tokens")
 				return
 			}
+			if zb0002 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Tokens) >= int(zb0002) {
 				z.Tokens = (z.Tokens)[:zb0002]
 			} else {
@@ -1124,6 +1184,10 @@
 				err = msgp.WrapError(err, "Spans")
 				return
 			}
+			if zb0003 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Spans) >= int(zb0003) {
 				z.Spans = (z.Spans)[:zb0003]
 			} else {
@@ -1207,7 +1271,10 @@
 				return
 			}
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, z89264a71limitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -1344,11 +1411,27 @@
 				return
 			}
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0002 > z89264a71limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "at":
 			z.AtUnixMillis, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1410,6 +1493,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0002) {
 				z.Entries = (z.Entries)[:zb0002]
 			} else {
@@ -1536,6 +1623,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0002) {
 				z.Entries = (z.Entries)[:zb0002]
 			} else {
--- a/internal/requestledger/result.go
+++ b/internal/requestledger/result.go
@@ -24,6 +24,9 @@
 func resultOf(ending answer.Ending, gathered result) result {
 	switch ending.Kind {
 	case answer.EndWhole:
+		if len(gathered.tokens) > MaxRecordedTokens {
+			return result{outcome: peerapi.OutcomeUnknown, reason: "the engine answered more than can be recorded"}
+		}
 		gathered.outcome = peerapi.OutcomeCompleted
 		return gathered
 	case answer.EndNotRun:
--- a/internal/requestledger/service.go
+++ b/internal/requestledger/service.go
@@ -28,6 +28,9 @@
 	Shards = 16
 	// MaxRequestIDBytes bounds the key that a caller chooses.
 	MaxRequestIDBytes = 256
+	// MaxRecordedTokens bounds the answer of an unsafe request. It fits into one record of the log, and record.go bounds
+	// the arrays of records by it.
+	MaxRecordedTokens = 131072
 	// maxRuns bounds the requests under way on one node.
 	maxRuns = 1024
 	// maxDispatches bounds the engines that may refuse one request before it ends as not run.
--- a/internal/requestledger/service_test.go
+++ b/internal/requestledger/service_test.go
@@ -399,3 +399,14 @@
 		})
 	}
 }
+
+func TestTooLongToRecord(t *testing.T) {
+	is := is.New(t)
+	engines := &fakeEngines{}
+	service := New(Config{Opener: &fakeNode{log: &fakeLog{}}, Dispatcher: engines, Bundles: fakeBundles{}})
+	defer service.Close()
+	long := request("key", 1)
+	long.MaxTokens = MaxRecordedTokens + 1
+	is.Equal(execute(t.Context(), service, long), ended{refused: true, code: peer.CodeInvalid})
+	is.Equal(engines.total(), 0)
+}
