--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -192,13 +193,14 @@
 	mutex sync.Mutex
 	epoch uint64
 	last  *fakeShard
+	all   []*fakeShard
 }
 
 type fakeShard struct {
 	shard.Owner
-	epoch    uint64
-	done     chan struct{}
-	released bool
+	epoch uint64
+	done  chan struct{}
+	once  sync.Once
 }
 
 func (f *fakeOpener) Open(context.Context, string) (shard.Owner, error) {
@@ -206,9 +208,17 @@
 	defer f.mutex.Unlock()
 	f.epoch++
 	f.last = &fakeShard{epoch: f.epoch, done: make(chan struct{})}
+	f.all = append(f.all, f.last)
 	return f.last, nil
 }
 
+// loseOne supersedes a random owner.
+func (f *fakeOpener) loseOne(random *rand.Rand) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.all[random.IntN(len(f.all))].end()
+}
+
 func (f *fakeOpener) current() *fakeShard {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -218,11 +228,12 @@
 func (f *fakeShard) Epoch() uint64         { return f.epoch }
 func (f *fakeShard) Done() <-chan struct{} { return f.done }
 func (f *fakeShard) Release(context.Context) error {
-	f.released = true
-	close(f.done)
+	f.end()
 	return nil
 }
 
+func (f *fakeShard) end() { f.once.Do(func() { close(f.done) }) }
+
 type fakeBundles struct {
 	mutex    sync.Mutex
 	accepted *bundle.Accepted
