Start waves no later than loads need, and believe a status that proves a load

Cause: a pool of three engines took as long to roll as one of sixteen; a load was known a status lag after it was done. Change: the time between waves is bounded by what a load takes; a status that shows the ordered version where the last one showed another is taken at once; a process that ends without a drain does not wait for releases.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -54,6 +54,8 @@
 	RetryMax time.Duration
 	// Roll is the time over which the waves of a weight roll are spread.
 	Roll time.Duration
+	// Wave is the longest time between two waves: what a load usually takes.
+	Wave time.Duration
 	// Load bounds one weight order.
 	Load time.Duration
 	// LeaveGrace is how long training work may go on at an engine that leaves.
@@ -75,6 +77,7 @@
 	RetryMin:      200 * time.Millisecond,
 	RetryMax:      5 * time.Second,
 	Roll:          8 * time.Second,
+	Wave:          2 * time.Second,
 	Load:          60 * time.Second,
 	LeaveGrace:    10 * time.Second,
 	Settle:        20 * time.Second,
@@ -119,6 +122,7 @@
 	setDefault(&c.Timing.RetryMin, defaultTiming.RetryMin)
 	setDefault(&c.Timing.RetryMax, defaultTiming.RetryMax)
 	setDefault(&c.Timing.Roll, defaultTiming.Roll)
+	setDefault(&c.Timing.Wave, defaultTiming.Wave)
 	setDefault(&c.Timing.Load, defaultTiming.Load)
 	setDefault(&c.Timing.LeaveGrace, defaultTiming.LeaveGrace)
 	setDefault(&c.Timing.Settle, defaultTiming.Settle)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -157,7 +157,7 @@
 		owner.stopIntake()
 	}
 	superseded := isClosed(owner.shard.Done())
-	if !superseded {
+	if !superseded && ctx.Err() == nil {
 		d.release(ctx, owner)
 	}
 	d.disown(owner)
--- a/internal/dispatch/loader.go
+++ b/internal/dispatch/loader.go
@@ -102,8 +102,9 @@
 	engines := o.poolEngines()
 	floor := servingFloor(current, o.machine.Pool)
 	wave := policy.WaveOf(engines, o.machine.ID, plan.model, plan.desired, floor)
-	start := plan.since.Add(policy.WaveDelay(wave, policy.WaveCount(len(engines), floor), o.config.Timing.Roll))
-	return time.Until(start)
+	waves := policy.WaveCount(len(engines), floor)
+	delay := policy.WaveDelay(wave, waves, o.config.Timing.Roll, o.config.Timing.Wave)
+	return time.Until(plan.since.Add(delay))
 }
 
 // useful tells whether any workload of the pool accepts the version that the engine serves.
@@ -146,6 +147,7 @@
 
 // load brings the engine to the desired version and returns nil once it was seen to serve it.
 func (o *engineOwner) load(ctx context.Context, plan modelPlan) error {
+	before := o.state.view()
 	o.state.setLoading(true)
 	defer o.state.setLoading(false)
 	order := platform.LoadOrder{Fence: o.nextFence(), Model: plan.model, Version: plan.desired}
@@ -153,7 +155,9 @@
 	if err := o.order(ctx, order); err != nil {
 		return err
 	}
-	return o.verify(ctx, order)
+	// A status that shows the ordered version proves the load, if the last one showed another.
+	shows := before.served[order.Model] != order.Version && !before.quarantined[order.Model]
+	return o.verify(ctx, order, shows)
 }
 
 func (o *engineOwner) order(ctx context.Context, order platform.LoadOrder) error {
@@ -162,17 +166,25 @@
 	return oops.With("model", order.Model, "version", order.Version).Wrapf(o.engine.Load(ctx, order), "load weights")
 }
 
-// verify reads the status, once it is newer than the order, and compares.
-func (o *engineOwner) verify(ctx context.Context, order platform.LoadOrder) error {
-	waitFor(ctx, o.config.Timing.StatusLag)
-	status, err := o.readStatus(ctx)
-	if err != nil {
-		return err
-	}
-	served := status.Served[order.Model]
-	if served != order.Version {
-		return oops.With("ordered", order.Version, "served", served).Wrap(errUnverified)
+// verifySteps is how many times the status is read within its lag.
+const verifySteps = 5
+
+// verify reads the status until it is newer than the order, and compares. early accepts the first status that shows the
+// ordered version.
+func (o *engineOwner) verify(ctx context.Context, order platform.LoadOrder, early bool) error {
+	for step := 1; step <= verifySteps; step++ {
+		waitFor(ctx, o.config.Timing.StatusLag/verifySteps)
+		if !early && step < verifySteps {
+			continue
+		}
+		status, err := o.readStatus(ctx)
+		if err != nil {
+			return err
+		}
+		if status.Served[order.Model] == order.Version {
+			o.state.verified(order.Model, order.Version)
+			return nil
+		}
 	}
-	o.state.verified(order.Model, order.Version)
-	return nil
+	return oops.With("ordered", order.Version).Wrap(errUnverified)
 }
--- a/internal/dispatch/size_test.go
+++ b/internal/dispatch/size_test.go
@@ -49,7 +49,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				var configs = poolOf(2, nil)
+				configs := poolOf(2, nil)
 				for i := range configs {
 					configs[i].Weights = nil
 					configs[i].Slots = 16
--- a/internal/policy/pick_test.go
+++ b/internal/policy/pick_test.go
@@ -138,8 +138,9 @@
 		is.Equal(inWave, map[int]int{0: 6, 1: 6, 2: 6, 3: 2})
 	}
 	is.True(len(last) > 15) // the last wave rotates
-	is.Equal(WaveDelay(2, 4, 12*time.Second), 6*time.Second)
-	is.Equal(WaveDelay(0, 1, 12*time.Second), time.Duration(0))
+	is.Equal(WaveDelay(2, 4, 12*time.Second, time.Minute), 6*time.Second)
+	is.Equal(WaveDelay(2, 4, 12*time.Second, time.Second), 2*time.Second) // no longer than the loads need
+	is.Equal(WaveDelay(0, 1, 12*time.Second, time.Second), time.Duration(0))
 }
 
 func TestDesiredVersion(t *testing.T) {
--- a/internal/policy/waves.go
+++ b/internal/policy/waves.go
@@ -37,12 +37,14 @@
 	return hashOf("wave", engine, model, strconv.FormatUint(version, 10))
 }
 
-// WaveDelay is how long after a version became known the wave starts, so that all waves start within the roll time.
-func WaveDelay(wave, waves int, rollTime time.Duration) time.Duration {
+// WaveDelay is how long after a version became known the wave starts: so that all waves start within the roll time, and
+// one follows the other no later than a load takes.
+func WaveDelay(wave, waves int, rollTime, loadTime time.Duration) time.Duration {
 	if waves <= 1 {
 		return 0
 	}
-	return rollTime * time.Duration(wave) / time.Duration(waves)
+	interval := min(rollTime/time.Duration(waves), loadTime)
+	return interval * time.Duration(wave)
 }
 
 // VersionBounds is a range of weight versions; Max 0 is no upper bound.
