Start a sample afresh when it cannot resume

The lab counted a caller's second refused node as the loss of an answer, took a partition's end for the end of a crash, and expected a process that replaced a planned stop to know the bundle at once. Change: a failed current attempt without tokens drops the partial answer. The lab forgets an earlier node's refusal, and keeps apart why a node cannot be reached; the excuse after a planned stop's end is that after a crash.

--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -148,7 +148,9 @@
 	Unreachable map[string][]Interval
 	// Partitions holds the intervals in which some places were cut off from others.
 	Partitions []Interval
-	EndedAt    time.Time
+	// BeganAt and EndedAt bound the run.
+	BeganAt time.Time
+	EndedAt time.Time
 }
 
 // Interval is a span of time; a zero To means that it had not ended.
--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -109,6 +109,7 @@
 
 // sendTo sends the request to one node. True says that the node provably did not get it.
 func (p *callerProcess) sendTo(ctx context.Context, gateway *nodeProcess, message *hillforkv1.ExecuteRequest, record *check.Request) bool {
+	record.Outcome, record.Reason = "", ""
 	client := hillforkv1connect.NewRequestServiceClient(p.adapter.HTTPClient(),
 		connectadapter.BaseURL(gateway.address(apiPort)), p.adapter.ClientOptions()...)
 	stream, err := client.Execute(ctx, connect.NewRequest(message))
--- a/internal/lab/cluster/events.go
+++ b/internal/lab/cluster/events.go
@@ -66,12 +66,12 @@
 }
 
 func (p *nodeProcess) pause() error {
-	p.unreachable()
+	p.unreachable(processPaused)
 	return p.cluster.config.Fabric.Pause(p.host.IP)
 }
 
 func (p *nodeProcess) resume() error {
-	defer p.reachable()
+	defer p.reachable(processPaused)
 	return p.cluster.config.Fabric.Resume(p.host.IP)
 }
 
@@ -198,13 +198,10 @@
 	if err != nil {
 		return err
 	}
-	var cut []*nodeProcess
-	for _, process := range c.nodes {
-		if c.standsIn(process.zone, event.A) || c.standsIn(process.zone, event.B) {
-			cut = append(cut, process)
-		}
+	cut := c.cutOffFromLog(event)
+	for _, process := range cut {
+		process.unreachable(partitioned)
 	}
-	c.cutOffFromLog(cut, event)
 	c.config.Recorder.Record(func(o *check.Observations) {
 		now := time.Now()
 		o.Partitions = append(o.Partitions, check.Interval{From: now, To: now.Add(time.Duration(event.For))})
@@ -212,23 +209,25 @@
 	c.after(ctx, time.Duration(event.For), func() {
 		heal()
 		for _, process := range cut {
-			process.reachable()
+			process.reachable(partitioned)
 		}
 	})
 	return nil
 }
 
-// cutOffFromLog notes the nodes that stand on another side of the cut than the log. Peers on the log's side of a zone
+// cutOffFromLog lists the nodes that stand on another side of the cut than the log. Peers on the log's side of a zone
 // that is cut off wholly cannot help them.
-func (c *Cluster) cutOffFromLog(nodes []*nodeProcess, event *trace.Event) {
+func (c *Cluster) cutOffFromLog(event *trace.Event) []*nodeProcess {
 	logInA := c.standsIn(c.topology.PlatformZone, event.A)
 	logInB := c.standsIn(c.topology.PlatformZone, event.B)
-	for _, process := range nodes {
+	var cut []*nodeProcess
+	for _, process := range c.nodes {
 		crossed := (logInA && c.standsIn(process.zone, event.B)) || (logInB && c.standsIn(process.zone, event.A))
 		if crossed {
-			process.unreachable()
+			cut = append(cut, process)
 		}
 	}
+	return cut
 }
 
 func (c *Cluster) standsIn(zone string, places []string) bool {
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -36,6 +36,9 @@
 	running     *node.Node
 	ended       chan struct{}
 	incarnation int
+
+	// hindrances is guarded by the recorder.
+	hindrances map[hindrance]int
 }
 
 func (c *Cluster) startNodes(context.Context) error {
@@ -44,6 +47,7 @@
 			for number := 1; number <= zone.Nodes; number++ {
 				c.nodes = append(c.nodes, &nodeProcess{
 					cluster: c, name: trace.NodeName(zone.Name, number), zone: zone.Name, host: c.newHost(zone.Name, false),
+					hindrances: make(map[hindrance]int),
 				})
 			}
 		}
@@ -95,9 +99,10 @@
 		p.running = nil
 		p.mu.Unlock()
 		p.stopEnded()
+		p.unreachable(processDown)
 		p.cluster.noteNodeEnd(p, err)
 	})
-	p.reachable()
+	p.reachable(processDown)
 	return nil
 }
 
@@ -139,7 +144,8 @@
 
 // crash cuts the host off first, so that nothing of the process's end can be seen, then ends the process.
 func (p *nodeProcess) crash() error {
-	p.unreachable()
+	p.unreachable(processDown)
+	p.reachable(processPaused)
 	if err := p.cluster.config.Fabric.Crash(p.host.IP); err != nil {
 		return err
 	}
@@ -203,19 +209,44 @@
 	})
 }
 
+// hindrance is why a node cannot be reached, or cannot reach the log.
+type hindrance string
+
+const (
+	processDown   hindrance = "process down"
+	processPaused hindrance = "process paused"
+	// partitioned may be in force several times at once.
+	partitioned hindrance = "partitioned"
+)
+
 // unreachable notes that what the node says or does not say from now on is no fault of its.
-func (p *nodeProcess) unreachable() {
+func (p *nodeProcess) unreachable(why hindrance) {
 	p.cluster.config.Recorder.Record(func(o *check.Observations) {
-		o.Unreachable[p.name] = append(o.Unreachable[p.name], check.Interval{From: time.Now()})
+		if len(p.hindrances) == 0 {
+			o.Unreachable[p.name] = append(o.Unreachable[p.name], check.Interval{From: time.Now()})
+		}
+		if why == partitioned {
+			p.hindrances[why]++
+			return
+		}
+		p.hindrances[why] = 1
 	})
 }
 
-// reachable ends what unreachable began.
-func (p *nodeProcess) reachable() {
+// reachable ends one hindrance; the node can be reached again when none is left.
+func (p *nodeProcess) reachable(why hindrance) {
 	p.cluster.config.Recorder.Record(func(o *check.Observations) {
+		if p.hindrances[why] == 0 {
+			return
+		}
+		p.hindrances[why]--
+		if p.hindrances[why] > 0 {
+			return
+		}
+		delete(p.hindrances, why)
 		intervals := o.Unreachable[p.name]
-		if last := len(intervals) - 1; last >= 0 && intervals[last].To.IsZero() {
-			intervals[last].To = time.Now()
+		if len(p.hindrances) == 0 {
+			intervals[len(intervals)-1].To = time.Now()
 		}
 	})
 }
--- a/internal/lab/cluster/run.go
+++ b/internal/lab/cluster/run.go
@@ -13,6 +13,7 @@
 // passed, or all trainers and callers are done before.
 func (c *Cluster) Run(ctx context.Context) error {
 	c.started = time.Now()
+	c.config.Recorder.Record(func(o *check.Observations) { o.BeganAt = c.started })
 	duration := time.Duration(c.topology.Duration)
 	settle := time.Duration(c.topology.Settle)
 	ctx, cancel := context.WithDeadline(ctx, c.started.Add(duration+settle))
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -36,9 +36,11 @@
 	Requests int                   `json:"requests,omitempty"`
 	Outcomes map[check.Outcome]int `json:"outcomes,omitempty"`
 	// Unanswered counts the requests that ended without any outcome although nothing stood between them and their node.
-	Unanswered int     `json:"unanswered,omitempty"`
-	LatencyP50 float64 `json:"latency_p50_seconds,omitempty"`
-	LatencyP99 float64 `json:"latency_p99_seconds,omitempty"`
+	Unanswered int `json:"unanswered,omitempty"`
+	// FirstUnanswered describes the first of them.
+	FirstUnanswered string  `json:"first_unanswered,omitempty"`
+	LatencyP50      float64 `json:"latency_p50_seconds,omitempty"`
+	LatencyP99      float64 `json:"latency_p99_seconds,omitempty"`
 }
 
 // Options says how a run is shown.
@@ -137,6 +139,10 @@
 		for _, request := range o.Unanswered() {
 			m := measures[request.Workload]
 			m.Unanswered++
+			if m.FirstUnanswered == "" {
+				m.FirstUnanswered = fmt.Sprintf("%s sent to %s at %v, after %v: %s", request.ID, request.Node,
+					request.SentAt.Sub(o.BeganAt), request.EndedAt.Sub(request.SentAt), request.Reason)
+			}
 			measures[request.Workload] = m
 		}
 	})
@@ -223,7 +229,8 @@
 	atMost("share not run", share(m, check.OutcomeNotRun), bounds.MaxNotRunShare, m.Requests)
 	atMost("share unknown", share(m, check.OutcomeUnknown)+share(m, check.OutcomeBroken), bounds.MaxUnknownShare, m.Requests)
 	if bounds.EveryAnswered && (m.Unanswered > 0 || m.Requests == 0) {
-		broken = append(broken, fmt.Sprintf("%d of %d requests ended without an outcome", m.Unanswered, m.Requests))
+		broken = append(broken, fmt.Sprintf("%d of %d requests ended without an outcome, first: %s", m.Unanswered,
+			m.Requests, m.FirstUnanswered))
 	}
 	return broken
 }
--- a/internal/stepledger/behaviour_test.go
+++ b/internal/stepledger/behaviour_test.go
@@ -84,6 +84,31 @@
 	})
 }
 
+func TestSampleStartsAfreshWhenItCannotResume(t *testing.T) {
+	inWorld(t, testWorkload(), func(is *is.I, w *world) {
+		is.NoErr(w.publish(5))
+		is.NoErr(w.step(2, 1))
+		given := w.pull(2, "e1", 5, 2)
+		is.Equal(len(given), 2)
+		failed := progressOf(given[0])
+		failed.Failed = true
+		failed.Partial = []uint32{7, 8}
+		failed.Spans = []peerapi.Span{{From: 0, To: 2, Version: 5}}
+		w.report("e1", failed)
+		time.Sleep(time.Second)
+		resumed := w.pull(2, "e2", 6, 1)
+		is.Equal(len(resumed), 1)
+		is.Equal(resumed[0].Resume, failed.Partial)
+		refused := progressOf(resumed[0])
+		refused.Failed = true
+		w.report("e2", refused) // as when weights were swapped under a workload that restarts then
+		time.Sleep(time.Second)
+		afresh := w.pull(2, "e2", 6, 1)
+		is.Equal(len(afresh), 1)
+		is.Equal(len(afresh[0].Resume), 0)
+	})
+}
+
 func TestWorkOutOfBoundIsCancelledEarly(t *testing.T) {
 	inWorld(t, testWorkload(), func(is *is.I, w *world) {
 		is.NoErr(w.publish(5))
--- a/internal/stepledger/report.go
+++ b/internal/stepledger/report.go
@@ -51,7 +51,8 @@
 	return result
 }
 
-// renew folds one report and tells whether the attempt goes on. The caller holds the mutex and the view.
+// renew folds one report and tells whether the attempt goes on. A failed attempt hands back at least the tokens that it
+// resumed; one that hands back none could not go on from them, and the next attempt starts afresh. The caller holds the mutex and the view.
 func (c *session) renew(state *State, engine string, progress peerapi.Progress, limits bounds, now time.Time) bool {
 	key := sampleKey{step: progress.Step, index: progress.Index}
 	step, sample := state.sample(key.step, key.index)
@@ -61,8 +62,12 @@
 	rest := partial{tokens: progress.Partial, spans: recordSpans(progress.Spans)}
 	current := c.running[key]
 	if progress.Failed {
+		isCurrent := current != nil && current.number == progress.Attempt
+		if isCurrent && len(rest.tokens) == 0 {
+			delete(c.partials, key)
+		}
 		c.keepPartial(key, rest, step.MaxTokens, limits)
-		if current != nil && current.number == progress.Attempt {
+		if isCurrent {
 			c.service.counters.Failed.Add(1)
 			c.fail(key, now)
 		}
