Let a waiting fetch cost the log nothing

Cause: each completion woke the trainer's waiting fetch, which read the bundle stream and proved its ownership also when there was nothing to hand over. Change: a pass of a fetch that has nothing to write, hand over or refuse ends before it asks the log. Conclusion: proofs are only made for what needs them.

--- a/internal/stepledger/behaviour_test.go
+++ b/internal/stepledger/behaviour_test.go
@@ -334,6 +334,7 @@
 			}
 			held = result.NextCursor
 		}
+		is.True(w.bundles.confirms <= 4) // the version, a cursor and two hand-overs; waiting for scores asked nobody
 	})
 }
 
--- a/internal/stepledger/fake_test.go
+++ b/internal/stepledger/fake_test.go
@@ -160,6 +160,7 @@
 	current   *bundle.Accepted
 	confirmed *bundle.Accepted
 	changed   chan struct{}
+	confirms  int
 }
 
 func newBundles(workload bundle.Workload) *memoryBundles {
@@ -191,6 +192,7 @@
 func (b *memoryBundles) Confirm(context.Context) (*bundle.Accepted, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.confirms++
 	if b.confirmed != nil {
 		return b.confirmed, nil
 	}
--- a/internal/stepledger/fetch.go
+++ b/internal/stepledger/fetch.go
@@ -89,7 +89,8 @@
 	return &peerapi.FetchSamplesResult{NextCursor: request.Cursor, BundleVersion: r.accepted.Bundle.Version}, nil
 }
 
-// fetchRound plans, writes the plan while the bundle is confirmed, and collects what may be handed over after that.
+// fetchRound plans, and where there is nothing to do ends there, so that a waiting fetch costs the log nothing. Otherwise it
+// writes the plan while the bundle is confirmed, and collects what may be handed over after that.
 func (c *session) fetchRound(ctx context.Context, request *peerapi.FetchSamples, accepted *bundle.Accepted) (fetchRound, error) {
 	workload, err := trainingWorkload(accepted, request.Workload)
 	if err != nil {
@@ -97,6 +98,9 @@
 	}
 	var plan fetchPlan
 	c.view(func(state *State) { plan = planFetch(state, request, workload, time.Now()) })
+	if plan.idle {
+		return fetchRound{accepted: accepted, found: true, proven: time.Now()}, nil
+	}
 	c.service.reach("fetch.before_append")
 	conflict, confirmed, err := c.commitFetch(ctx, plan.proposals)
 	if err != nil {
--- a/internal/stepledger/handover.go
+++ b/internal/stepledger/handover.go
@@ -34,6 +34,8 @@
 	version uint64
 	// replaced says that answers are dropped and their samples need new attempts.
 	replaced bool
+	// idle says that there is neither anything to write nor anything to hand over or refuse, so that no proof is needed.
+	idle bool
 }
 
 // planFetch decides what to write. It reads the state only. A request that will be refused writes nothing.
@@ -58,9 +60,18 @@
 	plan.replaceOverBound(step, step.Positions[request.Cursor:], limits, now)
 	plan.replaceOverBound(step, step.Ready, limits, now)
 	plan.assignReady(step, request, workload, limits, now)
+	plan.idle = len(plan.proposals) == 0 && !nextDeliverable(step, request.Cursor, workload, limits, now)
 	return plan
 }
 
+// nextDeliverable reports whether the position at the cursor holds an answer that may be handed over.
+func nextDeliverable(step *StepImage, cursor int, workload *bundle.Workload, limits bounds, now time.Time) bool {
+	if cursor >= len(step.Positions) {
+		return false
+	}
+	return deliverable(&step.Samples[step.Positions[cursor]], workload, limits, now)
+}
+
 // add appends a record to the plan.
 func (p *fetchPlan) add(kind uint8, record interface {
 	MarshalMsg([]byte) ([]byte, error)
