--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,58 +14,29 @@
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
-// crashPoint says at which call of the log a process dies, and what becomes of that call.
-type crashPoint struct {
-	call int
-	// effect is whether, and when, the call takes effect: faultLostBefore, faultLostAfter or faultDelayed.
-	effect fault
-}
-
-// dyingLog is a process's way to the log that is cut off at its crash point.
-type dyingLog struct {
-	*fakeLog
-	point   crashPoint
-	mu      sync.Mutex
-	appends int
-	crashed chan struct{}
-}
-
-// arrive counts an append; it tells whether the process is dead, or dies in it.
-func (l *dyingLog) arrive() (dead, dying bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.appends++
-	dying = l.appends-1 == l.point.call
-	if dying {
-		close(l.crashed)
-	}
-	return l.appends-1 > l.point.call, dying
-}
-
-func (l *dyingLog) Append(ctx context.Context, stream string, payloads [][]byte) (int64, error) {
-	dead, dying := l.arrive()
-	if !dead && !dying {
-		return l.fakeLog.Append(ctx, stream, payloads)
-	}
-	if dying && l.point.effect == faultLostAfter {
-		l.apply(stream, payloads)
-	}
-	if dying && l.point.effect == faultDelayed {
-		time.AfterFunc(lateEffect, func() { l.apply(stream, payloads) })
-	}
-	<-ctx.Done()
-	return 0, ctx.Err()
-}
-
-func (l *dyingLog) apply(stream string, payloads [][]byte) {
-	l.fakeLog.mu.Lock()
-	defer l.fakeLog.mu.Unlock()
-	l.put(stream, payloads)
+// crashAt has a process die in a call of the log, counted from 0, with that effect of the call. The channel is closed when
+// it dies.
+func crashAt(log *fakeLog, call int, effect fault) <-chan struct{} {
+	crashed := make(chan struct{})
+	count := 0
+	log.setFault(func(string) fault {
+		count++
+		switch {
+		case count-1 < call:
+			return faultNone
+		case count-1 == call:
+			close(crashed)
+			return effect
+		default:
+			return faultLostBefore
+		}
+	})
+	return crashed
 }
 
 // live has a process claim the stream, write, snapshot and release, until it dies. It returns what was acknowledged and
 // what was refused, and whether it lived to the end.
-func live(log *dyingLog) (acknowledged, refused []string, survived bool) {
+func live(log *fakeLog, crashed <-chan struct{}) (acknowledged, refused []string, survived bool) {
 	config := testConfig(log, "a")
 	config.Settings = Settings{SnapshotEvery: 2}
 	m := NewManager(config)
@@ -75,7 +45,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-log.crashed:
+		case <-crashed:
 			cancel()
 		case <-ctx.Done():
 		}
@@ -127,9 +97,9 @@
 			name := fmt.Sprintf("call %d, effect %d", call, effect)
 			t.Run(name, func(t *testing.T) {
 				inBubble(t, func(is *is.I, log *fakeLog) {
-					dying := &dyingLog{fakeLog: log, point: crashPoint{call, effect}, crashed: make(chan struct{})}
 					var acknowledged, refused []string
-					acknowledged, refused, survived = live(dying)
+					acknowledged, refused, survived = live(log, crashAt(log, call, effect))
+					log.setFault(nil)
 					succeed(is, t, log, acknowledged, refused)
 				})
 			})
--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/standin/logservice"
 )
 
 var errLost = errors.New("contact lost")
@@ -29,121 +30,84 @@
 
 const lateEffect = 200 * time.Millisecond
 
-// fakeLog is a log in memory whose answers take roundTrip and whose appends fail as fault says.
+// roundTrip is the time of a call of the log in virtual time.
+const roundTrip = time.Millisecond
+
+// fakeLog is the stand-in of the log with appends that fail as fault says.
 type fakeLog struct {
-	mu        sync.Mutex
-	streams   map[string][][]byte
-	changed   chan struct{}
-	roundTrip time.Duration
-	down      bool
-	fault     func(stream string) fault
+	*logservice.Service
+	mu      sync.Mutex
+	fault   func(stream string) fault
+	streams map[string][][]byte
 	// fromStart says that the first entry of the test stream was read.
 	fromStart bool
 }
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{streams: make(map[string][][]byte), changed: make(chan struct{})}
+	log := &fakeLog{streams: make(map[string][][]byte)}
+	log.Service = logservice.New(logservice.Config{Observer: log.observe})
+	return log
 }
 
-func (l *fakeLog) setDown(down bool) {
+// observe keeps every entry that takes effect.
+func (l *fakeLog) observe(stream string, _ int64, payload []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down = down
+	l.streams[stream] = append(l.streams[stream], payload)
 }
 
-// setFaults makes the next appends to the main stream fail in this order.
-func (l *fakeLog) setFaults(faults ...fault) {
+// setFault has fault called for every append, one at a time; nil ends the faults.
+func (l *fakeLog) setFault(fault func(stream string) fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fault = func(stream string) fault {
+	l.fault = fault
+}
+
+// setFaults makes the next appends to the main stream fail in this order.
+func (l *fakeLog) setFaults(faults ...fault) {
+	l.setFault(func(stream string) fault {
 		if stream != testStream || len(faults) == 0 {
 			return faultNone
 		}
 		next := faults[0]
 		faults = faults[1:]
 		return next
-	}
+	})
 }
 
-func (l *fakeLog) Append(ctx context.Context, stream string, payloads [][]byte) (int64, error) {
-	if !sleep(ctx, l.roundTrip/2) {
-		return 0, ctx.Err()
-	}
+func (l *fakeLog) nextFault(stream string) fault {
 	l.mu.Lock()
-	kind := faultNone
-	if l.fault != nil {
-		kind = l.fault(stream)
-	}
-	if l.down {
-		kind = faultLostBefore
-	}
-	first := int64(len(l.streams[stream]))
-	if kind == faultNone || kind == faultLostAfter {
-		l.put(stream, payloads)
+	defer l.mu.Unlock()
+	if l.fault == nil {
+		return faultNone
 	}
-	l.mu.Unlock()
+	return l.fault(stream)
+}
+
+func (l *fakeLog) Append(ctx context.Context, stream string, payloads [][]byte) (int64, error) {
+	kind := l.nextFault(stream)
 	switch kind {
 	case faultNotSent:
 		return 0, platform.ErrNotSent
-	case faultDelayed:
-		time.AfterFunc(lateEffect, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.put(stream, payloads)
-		})
+	case faultLostBefore:
 		return 0, errLost
-	case faultLostBefore, faultLostAfter:
+	case faultDelayed:
+		time.AfterFunc(lateEffect, func() { _, _ = l.Service.Append(context.Background(), stream, payloads) })
 		return 0, errLost
 	}
-	if !sleep(ctx, l.roundTrip/2) {
-		return 0, ctx.Err()
-	}
-	return first, nil
-}
-
-func (l *fakeLog) put(stream string, payloads [][]byte) {
-	for _, payload := range payloads {
-		l.streams[stream] = append(l.streams[stream], slices.Clone(payload))
+	first, err := l.Service.Append(ctx, stream, payloads)
+	if kind == faultLostAfter {
+		return 0, errLost
 	}
-	close(l.changed)
-	l.changed = make(chan struct{})
+	return first, err
 }
 
 func (l *fakeLog) Read(ctx context.Context, stream string, offset int64, options platform.ReadOptions) (platform.ReadResult, error) {
-	if !sleep(ctx, l.roundTrip) {
-		return platform.ReadResult{}, ctx.Err()
-	}
-	deadline := time.After(options.Wait)
-	for {
-		l.mu.Lock()
-		if l.down {
-			l.mu.Unlock()
-			return platform.ReadResult{}, errLost
-		}
-		changed := l.changed
-		result := l.entries(stream, offset, options.MaxEntries)
-		l.mu.Unlock()
-		if result.Tail > offset || options.Wait == 0 {
-			return result, nil
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			return result, nil
-		case <-ctx.Done():
-			return platform.ReadResult{}, ctx.Err()
-		}
-	}
-}
-
-func (l *fakeLog) entries(stream string, offset int64, limit int) platform.ReadResult {
-	payloads := l.streams[stream]
-	result := platform.ReadResult{Tail: int64(len(payloads))}
-	for i := offset; i < result.Tail && len(result.Entries) < limit; i++ {
-		result.Entries = append(result.Entries, platform.Entry{Offset: i, Payload: payloads[i]})
-		l.fromStart = l.fromStart || (stream == testStream && i == 0)
-	}
-	return result
+	result, err := l.Service.Read(ctx, stream, offset, options)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fromStart = l.fromStart || (stream == testStream && offset == 0 && len(result.Entries) > 0)
+	return result, err
 }
 
 // contents returns the payloads of a stream.
--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -107,7 +107,7 @@
 }
 
 // Open implements Opener. All errors but the context's are *peer.Error: CodeNotOwner with a hint, or CodeNotReady where
-// the log could not be used or the Manager has stopped. A shard owned here stays open while it is placed elsewhere,
+// the log could not be used, the shard is just being handed over, or the Manager has stopped. A shard owned here stays open while it is placed elsewhere,
 // until it is handed over.
 func (m *Manager) Open(ctx context.Context, stream string) (Owner, error) {
 	o, call, err := m.find(stream)
@@ -141,6 +141,9 @@
 	if call := m.opening[stream]; call != nil {
 		return nil, call, nil
 	}
+	if m.draining[stream] {
+		return nil, nil, notReady("shard is being handed over")
+	}
 	placed, ok := m.placed(stream)
 	if !ok {
 		return nil, nil, notOwner(stream, "")
@@ -148,9 +151,6 @@
 	if placed.Node != m.config.Placer.Self().Node {
 		return nil, nil, notOwner(stream, placed.PeerAddress)
 	}
-	if m.draining[stream] {
-		return nil, nil, notReady("shard is being handed over")
-	}
 	if refusal := m.patience.refusal(stream); refusal != nil {
 		return nil, nil, refusal
 	}
--- a/internal/shard/manager_test.go
+++ b/internal/shard/manager_test.go
@@ -50,9 +50,9 @@
 		placer.place("")
 		is.Equal(*refusedWith(is, m), *notOwner(testStream, ""))
 		placer.place("a")
-		log.setDown(true)
+		log.Down()
 		is.Equal(refusedWith(is, m).Code, peer.CodeNotReady)
-		log.setDown(false)
+		log.Up()
 		is.Equal(open(t, m).Epoch(), uint64(1))
 		is.NoErr(m.ReleaseAll(context.Background()))
 		is.Equal(refusedWith(is, m).Code, peer.CodeNotReady)
@@ -87,8 +87,12 @@
 		config := testConfig(log, "a")
 		placer := config.Placer.(*fakePlacer)
 		var handed []string
-		config.OnHandover = func(_ context.Context, stream string) { handed = append(handed, stream) }
-		m := NewManager(config)
+		var m *Manager
+		config.OnHandover = func(_ context.Context, stream string) {
+			handed = append(handed, stream)
+			is.Equal(refusedWith(is, m).Code, peer.CodeNotReady) // takes no new work any more
+		}
+		m = NewManager(config)
 		defer m.Close()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -66,6 +66,9 @@
 		sequence:    replica.fold.LastSequence(),
 		lastAppend:  time.Now(),
 	}
+	if o.snapshotIsDue() {
+		signal(o.snapshotDue)
+	}
 	o.tasks.Go(o.write)
 	o.tasks.Go(o.follow)
 	o.tasks.Go(o.snapshot)
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -29,12 +29,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := newFakeLog()
-		log.roundTrip = time.Millisecond
+		log.SetDelay(roundTrip)
 		test(is.New(t), log)
 	})
 }
 
-func TestAppendIsFoldedOnceWhateverBecomesOfTheAnswer(t *testing.T) {
+func TestClaimsAndRecordsAreFoldedOnceWhateverBecomesOfTheAnswer(t *testing.T) {
 	cases := map[string][]fault{
 		"no fault":                {faultNone},
 		"not sent":                {faultNotSent, faultNotSent},
@@ -49,7 +49,9 @@
 			inBubble(t, func(is *is.I, log *fakeLog) {
 				m := NewManager(testConfig(log, "a"))
 				defer m.Close()
+				log.setFaults(faults...)
 				o := open(t, m)
+				is.Equal(o.Epoch(), uint64(1))
 				log.setFaults(faults...)
 				outcomes, err := o.Append(context.Background(), proposal("x"), proposal("y"))
 				is.NoErr(err)
@@ -60,21 +62,6 @@
 				folded, _ := refold(log.contents(testStream))
 				is.Equal(folded, []string{"x", "y", "z"})
 				is.Equal(bodies(o), folded)
-			})
-		})
-	}
-}
-
-func TestClaimIsFoldedOnceWhateverBecomesOfTheAnswer(t *testing.T) {
-	for _, kind := range []fault{faultNotSent, faultLostBefore, faultLostAfter, faultDelayed} {
-		t.Run(fmt.Sprint(kind), func(t *testing.T) {
-			inBubble(t, func(is *is.I, log *fakeLog) {
-				log.setFaults(kind)
-				m := NewManager(testConfig(log, "a"))
-				defer m.Close()
-				o := open(t, m)
-				is.Equal(o.Epoch(), uint64(1))
-				time.Sleep(2 * lateEffect)
 				is.NoErr(o.Confirm(context.Background()))
 			})
 		})
@@ -110,10 +97,36 @@
 		defer second.Close()
 		old := open(t, first)
 		time.Sleep(time.Hour)
+		_, err := old.Append(context.Background(), proposal("x"))
+		is.NoErr(err)
+		is.Equal(first.Counters().ReadBytes.Load(), uint64(0)) // the append ends the poll, which does not return it
+		time.Sleep(time.Hour)
+		is.Equal(first.Counters().ReadBytes.Load(), uint64(0))
 		open(t, second)
 		began := time.Now()
 		<-old.Done()
-		is.True(time.Since(began) <= DefaultSettings().FollowAfter+log.roundTrip)
+		is.True(time.Since(began) <= DefaultSettings().FollowAfter+roundTrip)
+	})
+}
+
+func TestConfirmDoesNotRestOnAReadBegunBeforeIt(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		link := &pausableLog{fakeLog: log}
+		first, second := NewManager(testConfig(link, "a")), NewManager(testConfig(log, "b"))
+		defer first.Close()
+		defer second.Close()
+		old := open(t, first)
+		early := make(chan error, 2)
+		go func() { early <- old.Confirm(context.Background()) }()
+		synctest.Wait()
+		link.pause(time.Second) // holds the answer of the read that is on its way
+		time.Sleep(10 * roundTrip)
+		go func() { early <- old.Confirm(context.Background()) }() // a round of its own, which waits for the first
+		synctest.Wait()
+		open(t, second)
+		is.True(errors.Is(old.Confirm(context.Background()), ErrNotOwner))
+		is.NoErr(<-early)
+		is.True(errors.Is(<-early, ErrNotOwner))
 	})
 }
 
@@ -122,7 +135,7 @@
 		m := NewManager(testConfig(log, "a"))
 		defer m.Close()
 		o := open(t, m)
-		log.setDown(true)
+		log.Down()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		queued, cancelQueued := context.WithTimeout(context.Background(), time.Second/2)
@@ -140,7 +153,7 @@
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.True(o.Confirm(context.Background()) != nil)
 		time.Sleep(time.Hour)
-		log.setDown(false)
+		log.Up()
 		_, err = o.Append(context.Background(), proposal("later"))
 		is.NoErr(err)
 		is.Equal(bodies(o), []string{"sent", "later"})
@@ -181,11 +194,17 @@
 			}()
 		}
 		synctest.Wait()
-		is.NoErr(o.Release(context.Background()))
+		released := make(chan error, 1)
+		go func() { released <- o.Release(context.Background()) }()
+		synctest.Wait()
+		_, err := o.Append(context.Background(), proposal("after the release began"))
+		is.True(errors.Is(err, ErrNotOwner))
+		is.True(!o.(*owner).hasEnded()) // it was refused at once
+		is.NoErr(<-released)
 		is.NoErr(<-results)
 		is.NoErr(<-results)
 		<-o.Done()
-		_, err := o.Append(context.Background(), proposal("late"))
+		_, err = o.Append(context.Background(), proposal("late"))
 		is.True(errors.Is(err, ErrNotOwner))
 		_, fold := refold(log.contents(testStream))
 		_, owned := fold.Owner()
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -121,14 +121,14 @@
 
 func newWorld(s script) *world {
 	w := &world{log: newFakeLog()}
-	w.log.roundTrip = time.Millisecond
+	w.log.SetDelay(roundTrip)
 	random := rand.New(rand.NewPCG(s.Seed, 0))
-	w.log.fault = func(string) fault { // called under the log's lock
+	w.log.setFault(func(string) fault {
 		if random.IntN(100) >= s.Faults {
 			return faultNone
 		}
 		return faultNotSent + fault(random.IntN(4))
-	}
+	})
 	for i := range 3 {
 		link := &pausableLog{fakeLog: w.log}
 		w.links = append(w.links, link)
@@ -163,8 +163,7 @@
 	case actPause:
 		w.links[e.Node].pause(300 * time.Millisecond)
 	case actOutage:
-		w.log.setDown(true)
-		time.AfterFunc(100*time.Millisecond, func() { w.log.setDown(false) })
+		w.log.DownFor(100 * time.Millisecond)
 	}
 }
 
@@ -222,9 +221,8 @@
 func (w *world) finish() {
 	w.calls.Wait()
 	time.Sleep(10 * time.Second)
-	w.log.mu.Lock()
-	w.log.fault = nil
-	w.log.mu.Unlock()
+	w.log.setFault(nil)
+	time.Sleep(10 * time.Second) // ends the retries and the late effects
 	folded, _ := refold(w.log.contents(testStream))
 	for _, m := range w.nodes {
 		w.checkOwner(m, folded)
--- a/internal/shard/reader.go
+++ b/internal/shard/reader.go
@@ -38,6 +38,23 @@
 	return result, nil
 }
 
+// readRange returns the entries from offset on up to end, by as many reads as the log needs for them.
+func (r *reader) readRange(ctx context.Context, offset, end int64) ([]platform.Entry, error) {
+	var entries []platform.Entry
+	for offset < end {
+		result, err := r.read(ctx, offset, int(min(end-offset, int64(r.maxEntries))))
+		if err != nil {
+			return nil, err
+		}
+		if len(result.Entries) == 0 {
+			return nil, oops.With("stream", r.stream, "offset", offset).Wrap(errNoProgress)
+		}
+		entries = append(entries, result.Entries...)
+		offset += int64(len(result.Entries))
+	}
+	return entries, nil
+}
+
 // payloadBytes adds up the payloads of entries.
 func payloadBytes(entries []platform.Entry) uint64 {
 	total := 0
--- a/internal/shard/recovery.go
+++ b/internal/shard/recovery.go
@@ -57,14 +57,14 @@
 	}
 	search := &snapshotSearch{partial: make(map[snapshotKey]*partialSnapshot)}
 	bad := 0
-	for searched := 0; end > 0 && searched < maxSnapshotWindow; {
-		window := int(min(int64(search.wanted()), end, int64(source.maxEntries)))
-		result, err := source.read(ctx, end-int64(window), window)
+	for searched := int64(0); end > 0 && searched < maxSnapshotWindow; {
+		window := min(int64(search.wanted()), end)
+		entries, err := source.readRange(ctx, end-window, end)
 		if err != nil {
 			return nil, err
 		}
-		for i := len(result.Entries) - 1; i >= 0; i-- {
-			restored := r.tryEntry(search, result.Entries[i].Payload, &bad)
+		for i := len(entries) - 1; i >= 0; i-- {
+			restored := r.tryEntry(search, entries[i].Payload, &bad)
 			if restored != nil {
 				return restored, nil
 			}
@@ -72,7 +72,7 @@
 		if bad >= maxBadSnapshots {
 			return nil, nil
 		}
-		end -= int64(window)
+		end -= window
 		searched += window
 	}
 	return nil, nil
--- a/internal/shard/snapshot_test.go
+++ b/internal/shard/snapshot_test.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"slices"
@@ -43,37 +42,34 @@
 
 func TestRecoveryReadsFromTheNewestUsableSnapshot(t *testing.T) {
 	const records = 40
-	drop := func(count int) func(*fakeLog) {
-		return func(log *fakeLog) {
-			stream := SnapshotStream(testStream)
-			log.streams[stream] = log.streams[stream][:len(log.streams[stream])-count]
-		}
-	}
+	snapshots := SnapshotStream(testStream)
 	cases := map[string]struct {
-		damage func(log *fakeLog)
+		damage func(streams map[string][][]byte)
 		// skipped is how many snapshots are found unusable; fromStart says that the whole stream must be read.
 		skipped   uint64
 		fromStart bool
 	}{
-		"whole":             {damage: func(*fakeLog) {}},
-		"last chunk absent": {damage: drop(1)},
-		"chunks doubled and out of order": {damage: func(log *fakeLog) {
-			stream := SnapshotStream(testStream)
-			last := len(log.streams[stream]) - 1
-			log.streams[stream][last-1], log.streams[stream][last] = log.streams[stream][last], log.streams[stream][last-1]
-			log.put(stream, [][]byte{log.streams[stream][last], []byte("noise")})
+		"whole": {damage: func(map[string][][]byte) {}},
+		"last chunk absent": {damage: func(streams map[string][][]byte) {
+			streams[snapshots] = streams[snapshots][:len(streams[snapshots])-1]
+		}},
+		"chunks doubled and out of order": {damage: func(streams map[string][][]byte) {
+			last := len(streams[snapshots]) - 1
+			slices.Reverse(streams[snapshots][last-1:])
+			streams[snapshots] = append(streams[snapshots], streams[snapshots][last], []byte("noise"))
 		}},
-		"a byte flipped": {skipped: 1, damage: func(log *fakeLog) {
-			newest := log.streams[SnapshotStream(testStream)]
-			newest[len(newest)-1][len(newest[len(newest)-1])-1] ^= 1
+		"a byte flipped": {skipped: 1, damage: func(streams map[string][][]byte) {
+			newest := slices.Clone(streams[snapshots][len(streams[snapshots])-1])
+			newest[len(newest)-1] ^= 1
+			streams[snapshots][len(streams[snapshots])-1] = newest
 		}},
-		"none": {fromStart: true, damage: func(log *fakeLog) { delete(log.streams, SnapshotStream(testStream)) }},
-		"ahead of the stream": {skipped: 1, fromStart: true, damage: func(log *fakeLog) {
-			log.streams[testStream] = log.streams[testStream][:5]
+		"none": {fromStart: true, damage: func(streams map[string][][]byte) { delete(streams, snapshots) }},
+		"ahead of the stream": {skipped: 1, fromStart: true, damage: func(streams map[string][][]byte) {
+			streams[testStream] = streams[testStream][:5]
 		}},
-		"nothing but noise": {fromStart: true, damage: func(log *fakeLog) {
-			for _, payload := range log.streams[SnapshotStream(testStream)] {
-				copy(payload, bytes.Repeat([]byte{0xff}, len(payload)))
+		"nothing but noise": {fromStart: true, damage: func(streams map[string][][]byte) {
+			for i := range streams[snapshots] {
+				streams[snapshots][i] = []byte("noise")
 			}
 		}},
 	}
@@ -81,12 +77,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				log := newFakeLog()
-				log.roundTrip = time.Millisecond
-				fillStream(t, log, records)
-				is.True(len(log.streams[SnapshotStream(testStream)]) > 8) // several snapshots of several chunks
-				test.damage(log)
-				log.fromStart = false
+				original := newFakeLog()
+				fillStream(t, original, records)
+				is.True(len(original.streams[snapshots]) > 8) // several snapshots of several chunks
+				test.damage(original.streams)
+				log := copyLog(original.streams)
 				want, _ := refold(log.contents(testStream))
 				o, m := reopen(t, log)
 				defer m.Close()
@@ -99,6 +94,27 @@
 	}
 }
 
+func TestLargeSnapshotIsReadInSeveralReads(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		config := testConfig(log, "a")
+		config.Settings = Settings{SnapshotEvery: 11, SnapshotBytes: 1 << 30}
+		m := NewManager(config)
+		defer m.Close()
+		o := open(t, m)
+		for range 10 { // 10 MB, which the log does not return in one read
+			_, err := o.Append(context.Background(), proposal(strings.Repeat("x", 1<<20)))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		is.Equal(m.Counters().Snapshots.Load(), uint64(1))
+		log.fromStart = false
+		second, other := reopen(t, log)
+		defer other.Close()
+		is.Equal(len(bodies(second)), 10)
+		is.True(!log.fromStart)
+	})
+}
+
 func TestSnapshotOfASupersededOwnerIsStillRight(t *testing.T) {
 	inBubble(t, func(is *is.I, log *fakeLog) {
 		written := fillStream(t, log, 30)
@@ -122,6 +138,19 @@
 	})
 }
 
+func TestClaimsAloneBringASnapshotAbout(t *testing.T) {
+	inBubble(t, func(is *is.I, log *fakeLog) {
+		for range 5 * snapshotSettings.SnapshotEvery {
+			_, m := reopen(t, log)
+			time.Sleep(time.Second)
+			m.Close()
+		}
+		_, m := reopen(t, log)
+		defer m.Close()
+		is.True(m.Counters().OpenEntries.Load() <= uint64(snapshotSettings.SnapshotEvery)+8)
+	})
+}
+
 func TestSnapshotsCostNoMoreThanThreeTimesTheRecords(t *testing.T) {
 	inBubble(t, func(is *is.I, log *fakeLog) {
 		config := testConfig(log, "a")
@@ -139,3 +168,12 @@
 		is.True(counters.SnapshotBytes.Load() <= 3*counters.AppendBytes.Load())
 	})
 }
+
+// copyLog returns a log that holds these streams.
+func copyLog(streams map[string][][]byte) *fakeLog {
+	log := newFakeLog()
+	for stream, payloads := range streams {
+		_, _ = log.Service.Append(context.Background(), stream, payloads)
+	}
+	return log
+}
