--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -256,3 +256,20 @@
 		c.config.Logger.Warn("node ended", "node", p.name, "error", err)
 	}
 }
+
+// Metrics returns the sums over all nodes of the counters of network traffic, by name, mechanism and direction.
+func (c *Cluster) Metrics() map[string]float64 {
+	totals := make(map[string]float64)
+	for _, process := range c.nodes {
+		process.mu.Lock()
+		running := process.running
+		process.mu.Unlock()
+		if running == nil {
+			continue
+		}
+		for _, sample := range running.Traffic() {
+			totals[sample.Name] += sample.Value
+		}
+	}
+	return totals
+}
--- a/internal/standin/engine/status.go
+++ b/internal/standin/engine/status.go
@@ -17,6 +17,13 @@
 	return e.history.Lagging(), nil
 }
 
+// Serves returns the version that new tokens of a model come from, without lag; 0 for a model that is not loaded.
+func (e *Engine) Serves(model string) uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.served[model]
+}
+
 // status is the state as of now. The caller holds the lock, or is New.
 func (e *Engine) status() platform.EngineStatus {
 	status := platform.EngineStatus{
