Let the hostile server flood a stream that exists

The server began to write at once; frames that came before the client had entered its call belong to no stream, are dropped and rightly fill no window, so the count of flooded bytes depended on which goroutine ran first. Change: the server reads the request first, and the bytes that the client took in for the stream are bounded as well (the window and two messages), which is stricter.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -402,6 +402,8 @@
 		flooded := make(chan int, 1)
 		go func() {
 			socket, _ := listener.Accept()
+			// The stream has to exist: what comes for an unknown one is dropped and fills no window.
+			_, _ = socket.Read(make([]byte, 1))
 			sent := 0
 			for {
 				n, err := socket.Write(message)
@@ -415,6 +417,8 @@
 		_, err = f.client.Stream(f.t.Context(), clientIP+":1", "count", newText(""))
 		f.is.NoErr(err)
 		f.is.True(<-flooded < 2*DefaultWindowBytes)
+		_, received := f.clientAccounts.of("count")
+		f.is.True(received >= DefaultWindowBytes && received <= DefaultWindowBytes+2*len(message))
 		f.is.Equal(f.client.Stats().ProtocolErrors, uint64(1))
 	})
 }
