--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -113,7 +113,7 @@
 		return loss{}, err
 	}
 	began := time.Now()
-	result := loss{known: r.until("death known everywhere", r.allKnow(r.nodes-count))}
+	result := loss{known: r.until("death known everywhere", r.allHoldDead(count))}
 	result.recovered = r.until("engines owned again", r.enginesOwned)
 	if result.recovered != notReached {
 		result.recovered = time.Since(began).Seconds()
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -55,7 +55,8 @@
 	// LeavingSeconds is the time from an engine's first sign of leaving until every node knows.
 	LeavingSeconds float64 `json:"leaving_seconds"`
 
-	// One node dies; then a zone; then a region is cut off for a minute and comes back.
+	// One node dies; then a zone; then a region is cut off for a minute and comes back. Death is known where the node is
+	// held dead, no longer only suspect.
 	NodeDeathSeconds    float64 `json:"node_death_seconds"`
 	NodeRecoverySeconds float64 `json:"node_recovery_seconds"`
 	ZoneDeathSeconds    float64 `json:"zone_death_seconds"`
@@ -156,6 +157,18 @@
 	}
 }
 
+// allHoldDead tells whether every running node holds a number of members dead.
+func (r *run) allHoldDead(dead int) func() bool {
+	return func() bool {
+		for _, running := range r.cluster.RunningNodes() {
+			if running.View().DeadMembers < dead {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // ownedEngines returns the engines that some running node owns, with the newest epoch of each.
 func (r *run) ownedEngines() map[string]uint64 {
 	owned := make(map[string]uint64)
