Drop the part of a sample that restarts under other weights

Cause: with swap: restart, an attempt was given the tokens of other weights to resume, ended at its first token, and was given the same tokens again, for ever: the step ledger keeps the longest part it was handed. Change: such a part is dropped when the attempt starts; the fake keeps the longest part.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -129,6 +129,7 @@
 		return
 	}
 	a.takeSlot()
+	a.dropForeignResume()
 	incarnation := owner.state.view().incarnation
 	err := a.startable()
 	if err == nil {
@@ -140,6 +141,24 @@
 	a.settle(err, incarnation)
 }
 
+// dropForeignResume starts from the beginning where the workload's bundle lets no sample go on under other weights than
+// it began with, and the tokens to resume came from other weights than the engine serves. The step ledger keeps the
+// longest part that it was ever handed, so it offers that part again and again.
+func (a *attempt) dropForeignResume() {
+	owner := a.link.owner
+	workload := owner.workload(a.assignment.Workload)
+	if workload == nil || workload.Swap != bundle.SwapRestart {
+		return
+	}
+	foreign := func(span peerapi.Span) bool { return owner.state.contradicts(a.assignment.Model, span.Version) }
+	if slices.ContainsFunc(a.assignment.ResumeSpans, foreign) {
+		a.assignment.Resume, a.assignment.ResumeSpans = nil, nil
+		a.mutex.Lock()
+		a.tokens, a.spans = nil, nil
+		a.mutex.Unlock()
+	}
+}
+
 // startable refuses to start work at an engine that stopped to take it after the sample was pulled.
 func (a *attempt) startable() error {
 	if _, ok := a.link.ready(); !ok || a.link.owner.intake.Err() != nil {
--- a/internal/dispatch/training_test.go
+++ b/internal/dispatch/training_test.go
@@ -417,3 +417,19 @@
 		is.True(w.owner("e1").slots.idle())
 	})
 }
+
+func TestRestartedSampleDropsThePartOfOtherWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workload := training("a", 1)
+		workload.Swap = bundle.SwapRestart
+		w := newWorld(t, bundleOf(workload), engineConfig("e1"))
+		w.set(func() {
+			w.waiting[StepShardKey("a", 0)] = []peerapi.Assignment{{
+				Workload: "a", Attempt: 1, Model: "m", Prompt: promptOf(50, 0), MaxTokens: 100000,
+				Resume: []uint32{1, 2}, ResumeSpans: []peerapi.Span{{From: 0, To: 2, Version: 4}},
+			}}
+		})
+		time.Sleep(10 * time.Second)
+		is.New(t).Equal(checkWhole(t, w, 1, 50)[0].Spans, []peerapi.Span{{From: 0, To: 50, Version: 5}})
+	})
+}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -388,7 +388,9 @@
 		f.failures = append(f.failures, progress)
 		delete(f.running, reference)
 		assignment.Attempt++
-		assignment.Resume, assignment.ResumeSpans = progress.Partial, progress.Spans
+		if len(progress.Partial) > len(assignment.Resume) { // like the real one, it keeps the longest part
+			assignment.Resume, assignment.ResumeSpans = progress.Partial, progress.Spans
+		}
 		f.waiting[key] = append(f.waiting[key], assignment)
 		defer f.changed.notify()
 	}
