Place the shards of a workload where its work is

Cause: step and request shards were placed over all regions, and gateways looked for their owners by their own zone, so that the first call went to a node that was not the owner, and calls crossed regions. Change: one function, used by callers and owners alike, prefers the region in which most engines of the workload's first pool stand; request shards are per workload.

--- a/internal/gateway/execute_unsafe.go
+++ b/internal/gateway/execute_unsafe.go
@@ -42,7 +42,7 @@
 		gateway: s.gateway,
 		message: message,
 		send:    send,
-		stream:  requestledger.StreamName(requestledger.ShardOf(workload.Name, message.GetRequestId())),
+		stream:  requestledger.StreamOf(workload.Name, message.GetRequestId()),
 		request: executeMessage(message, message.GetRequestId()),
 	}
 	running.request.Attempt = 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	membership *membership.Membership
 	directory  *machines.Directory
 	follower   *bundle.Follower
+	homes      *workloadHomes
 	exchange   *bundleExchange
 	peerClient *peer.Client
 	peerServer *peer.Server
@@ -148,10 +149,14 @@
 	n.peerClient = peer.NewClient(n.config.Network, peer.ClientOptions{Observer: counters, Logger: n.logger.With("role", "peer")})
 	n.peerServer = peer.NewServer(peer.ServerOptions{Observer: counters, Logger: n.logger.With("role", "peer")})
 	n.follow(platformLog)
+	n.homes = newWorkloadHomes(n.follower, n.directory)
 
 	placer := placement.NewRendezvous(n.self(), n.membership)
 	n.shards = n.newShardManager(platformLog, placer)
-	owners := ownerCaller{route.New(route.Config{Caller: n.peerClient, Placer: placer})}
+	owners := ownerCaller{
+		router:       route.New(route.Config{Caller: n.peerClient, Placer: placer}),
+		preferenceOf: n.preferenceOfStream,
+	}
 	n.assembleLedgersAndDispatch(owners, placer, facts, counters)
 	n.gateway = gateway.New(gateway.Config{
 		Self:        n.self(),
@@ -273,11 +278,14 @@
 	return placement.Member{Node: s.Node, PeerAddress: s.PeerAdvertise, Zone: s.Zone, Region: s.Region}
 }
 
-// preferenceOfStream places an engine's stream near the engine; other streams may be anywhere.
+// preferenceOfStream places an engine's stream near the engine, and the streams of a workload in the region of its work.
 func (n *Node) preferenceOfStream(stream string) placement.Preference {
 	if engine, isEngine := engineOfStream(stream); isEngine {
 		return n.directory.Preference(engine)
 	}
+	if workload, isWorkload := workloadOfStream(stream); isWorkload {
+		return n.homes.of(workload)
+	}
 	return placement.Preference{}
 }
 
--- a/internal/node/owner_caller.go
+++ b/internal/node/owner_caller.go
@@ -17,25 +17,28 @@
 // has died goes on to the next owner in time.
 const lostCallTimeout = 30 * time.Second
 
-// ownerCaller fills the OwnerCaller and LedgerCaller interfaces of the roles by the router.
+// ownerCaller fills the OwnerCaller and LedgerCaller interfaces of the roles by the router. Where a shard had best be is
+// decided by preferenceOf alone, for callers as for owners: were callers to go by their own place, each would first ask a
+// node that is not the owner.
 type ownerCaller struct {
-	router *route.Router
+	router       *route.Router
+	preferenceOf func(stream string) placement.Preference
 }
 
 func (c ownerCaller) CallOwner(
-	ctx context.Context, key string, preference placement.Preference, method string,
+	ctx context.Context, key string, _ placement.Preference, method string,
 	request, response peer.Message, idempotent bool,
 ) error {
 	policy := route.Policy{Idempotent: idempotent, AttemptTimeout: lostCallTimeout}
-	return c.router.CallOwner(ctx, key, preference, method, request, response, policy)
+	return c.router.CallOwner(ctx, key, c.preferenceOf(key), method, request, response, policy)
 }
 
 func (c ownerCaller) StreamOwner(
-	ctx context.Context, key string, preference placement.Preference, method string, request peer.Message, patient bool,
+	ctx context.Context, key string, _ placement.Preference, method string, request peer.Message, patient bool,
 ) (peer.ClientStream, error) {
 	policy := route.Policy{FollowOnly: true}
 	if patient {
 		policy = route.Policy{MaxAttempts: maxStreamAttempts}
 	}
-	return c.router.StreamOwner(ctx, key, preference, method, request, policy)
+	return c.router.StreamOwner(ctx, key, c.preferenceOf(key), method, request, policy)
 }
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -30,15 +30,12 @@
 	return strings.CutPrefix(stream, dispatch.EngineKey(""))
 }
 
-// requestStreamPrefix starts the names of the request ledger's streams.
-const requestStreamPrefix = "requests/"
-
 // newState returns the empty state of a stream, by the role that owns it.
 func newState(stream string) (shard.State, error) {
 	if _, isEngine := engineOfStream(stream); isEngine {
 		return dispatch.State{}, nil
 	}
-	if strings.HasPrefix(stream, requestStreamPrefix) {
+	if _, _, isRequests := requestledger.ParseStream(stream); isRequests {
 		return requestledger.NewState(), nil
 	}
 	if _, _, isSteps := stepledger.ParseStream(stream); isSteps {
@@ -48,3 +45,12 @@
 }
 
 func discardLogger() *log.Logger { return log.New(io.Discard) }
+
+// workloadOfStream returns the workload whose steps or requests a stream holds.
+func workloadOfStream(stream string) (string, bool) {
+	if workload, _, isSteps := stepledger.ParseStream(stream); isSteps {
+		return workload, true
+	}
+	workload, _, isRequests := requestledger.ParseStream(stream)
+	return workload, isRequests
+}
--- a/internal/requestledger/handover.go
+++ b/internal/requestledger/handover.go
@@ -15,18 +15,13 @@
 // was cut off would be answered as unknown. Streams of other kinds are ignored. It has the form of
 // shard.Config.OnHandover, and returns early when the context ends.
 func (s *Service) OnHandover(ctx context.Context, stream string) {
-	for index := range Shards {
-		if StreamName(index) == stream {
-			s.handOver(ctx, index)
-		}
+	if _, _, ours := ParseStream(stream); !ours {
+		return
 	}
-}
-
-func (s *Service) handOver(ctx context.Context, index int) {
 	s.mu.Lock()
-	s.handedOver[index] = s.epochs[index]
+	s.handedOver[stream] = s.epochs[stream]
 	s.mu.Unlock()
-	_ = s.wait(ctx, func(run *run) bool { return run.shard() == index })
+	_ = s.wait(ctx, func(run *run) bool { return run.stream() == stream })
 }
 
 // Drain refuses new runs and waits until those under way have ended, or the context ends.
@@ -63,20 +58,20 @@
 
 // open opens the shard of a run, unless its epoch is being given up.
 func (s *Service) open(ctx context.Context, run *run) (shard.Owner, error) {
-	index := run.shard()
-	owner, err := s.config.Opener.Open(ctx, StreamName(index))
+	stream := run.stream()
+	owner, err := s.config.Opener.Open(ctx, stream)
 	if err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if owner.Epoch() <= s.handedOver[index] {
+	if owner.Epoch() <= s.handedOver[stream] {
 		return nil, &peer.Error{
 			Code:       peer.CodeNotReady,
 			Message:    "the shard of the request is moving to another owner",
 			RetryAfter: handoverRetryAfter,
 		}
 	}
-	s.epochs[index] = max(s.epochs[index], owner.Epoch())
+	s.epochs[stream] = max(s.epochs[stream], owner.Epoch())
 	return owner, nil
 }
--- a/internal/requestledger/run.go
+++ b/internal/requestledger/run.go
@@ -20,7 +20,7 @@
 	err    error
 }
 
-func (r *run) shard() int { return ShardOf(r.key.workload, r.key.requestID) }
+func (r *run) stream() string { return StreamOf(r.key.workload, r.key.requestID) }
 
 // answers tells whether the run's end is also the end of another ask's. Others look up anew what the run recorded, for an
 // ask that was said not to have run stays so whatever a later one came to.
--- a/internal/requestledger/service.go
+++ b/internal/requestledger/service.go
@@ -11,6 +11,7 @@
 	"encoding/binary"
 	"io"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 )
 
 const (
-	// Shards is the number of shards of the request ledger.
+	// Shards is the number of shards of each workload's requests.
 	Shards = 16
 	// MaxRequestIDBytes bounds the key that a caller chooses.
 	MaxRequestIDBytes = 256
@@ -47,16 +48,28 @@
 	eventTokens = 4096
 )
 
-// StreamName is the log stream of a shard, and the key that its owner is placed by.
-func StreamName(shard int) string { return "requests/" + strconv.Itoa(shard) }
+// streamPrefix starts the names of the streams of all shards.
+const streamPrefix = "requests/"
 
-// ShardOf maps a request to its shard.
-func ShardOf(workload, requestID string) int {
-	hash := xxhash.New()
-	_, _ = hash.WriteString(workload)
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.WriteString(requestID)
-	return int(hash.Sum64() % Shards)
+// StreamName names the stream of a workload's shard.
+func StreamName(workload string, shard int) string {
+	return streamPrefix + workload + "/" + strconv.Itoa(shard)
+}
+
+// ParseStream is the inverse of StreamName; ok is false for any other stream.
+func ParseStream(stream string) (workload string, shard int, ok bool) {
+	rest, isRequests := strings.CutPrefix(stream, streamPrefix)
+	cut := strings.LastIndexByte(rest, '/')
+	if !isRequests || cut < 1 {
+		return "", 0, false
+	}
+	shard, err := strconv.Atoi(rest[cut+1:])
+	return rest[:cut], shard, err == nil && shard >= 0 && shard < Shards
+}
+
+// StreamOf names the stream that holds a request.
+func StreamOf(workload, requestID string) string {
+	return StreamName(workload, int(xxhash.Sum64String(requestID)%Shards))
 }
 
 // Digest is the digest of what a request asks for: its prompt, bound and seed.
@@ -120,9 +133,9 @@
 	// draining refuses new runs.
 	draining bool
 	runs     map[key]*run
-	// epochs holds the newest epoch in which a run began, and handedOver the one that is being given up, by shard.
-	epochs     map[int]uint64
-	handedOver map[int]uint64
+	// epochs holds the newest epoch in which a run began, and handedOver the one that is being given up, by stream.
+	epochs     map[string]uint64
+	handedOver map[string]uint64
 	// undispatched holds the Starts that may be recorded and whose run was given up before any dispatch.
 	undispatched map[startID]struct{}
 }
@@ -147,8 +160,8 @@
 		lifetime:     lifetime,
 		close:        closeLifetime,
 		runs:         make(map[key]*run),
-		epochs:       make(map[int]uint64),
-		handedOver:   make(map[int]uint64),
+		epochs:       make(map[string]uint64),
+		handedOver:   make(map[string]uint64),
 		undispatched: make(map[startID]struct{}),
 	}
 }
--- a/internal/requestledger/service_test.go
+++ b/internal/requestledger/service_test.go
@@ -325,7 +325,7 @@
 					return
 				}
 				for index := range Shards {
-					service.OnHandover(t.Context(), StreamName(index))
+					service.OnHandover(t.Context(), StreamName("filing", index))
 				}
 			}()
 			synctest.Wait()
@@ -336,7 +336,7 @@
 			}
 			// A request of the same shard, whose shard is known by name.
 			other := request("key", 1)
-			for i := 0; ShardOf("filing", other.RequestID) != ShardOf("filing", "key") || other.RequestID == "key"; i++ {
+			for i := 0; StreamOf("filing", other.RequestID) != StreamOf("filing", "key") || other.RequestID == "key"; i++ {
 				other.RequestID = strconv.Itoa(i)
 			}
 			is.Equal(execute(t.Context(), service, other), ended{refused: true, code: peer.CodeNotReady})
--- a/internal/requestledger/takeover.go
+++ b/internal/requestledger/takeover.go
@@ -33,7 +33,7 @@
 	}
 	var answered peerapi.FinishRequestResult
 	err := s.config.Owners.CallOwner(
-		ctx, StreamName(run.shard()), placement.Preference{}, peerapi.MethodFinishRequest, &request, &answered, true)
+		ctx, run.stream(), placement.Preference{}, peerapi.MethodFinishRequest, &request, &answered, true)
 	if err != nil || !answered.Recorded {
 		s.logger.Warn("answer could not be handed in", "request", run.key.requestID, "error", err)
 		return ownerLost()
