--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -12,6 +12,7 @@
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
@@ -102,7 +103,9 @@
 	// StepShards is how many shards the steps of a workload are spread over; 0 is DefaultStepShards.
 	StepShards int
 	Timing     Timing
-	Logger     *log.Logger
+	// Policy chooses how engines load weights.
+	Policy policy.Settings
+	Logger *log.Logger
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/dispatch/loader.go
+++ b/internal/dispatch/loader.go
@@ -99,6 +99,9 @@
 	if o.slots.idle() && !hasInteractive(current, o.machine.Pool) {
 		return 0
 	}
+	if o.config.Policy.WholePoolSwap {
+		return 0
+	}
 	engines := o.poolEngines()
 	floor := servingFloor(current, o.machine.Pool)
 	wave := policy.WaveOf(engines, o.machine.ID, plan.model, plan.desired, floor)
--- a/internal/gateway/engine_router.go
+++ b/internal/gateway/engine_router.go
@@ -31,10 +31,16 @@
 }
 
 // PolicyPicker chooses by policy.PickEngine.
-type PolicyPicker struct{}
+type PolicyPicker struct {
+	// LeastLoaded ignores what prompts have in common.
+	LeastLoaded bool
+}
 
 // Pick chooses an engine; false where no engine may run the request.
-func (PolicyPicker) Pick(snapshot policy.Snapshot, request policy.Request) (string, bool) {
+func (p PolicyPicker) Pick(snapshot policy.Snapshot, request policy.Request) (string, bool) {
+	if p.LeastLoaded {
+		request.PrefixHash = 0
+	}
 	return policy.PickEngine(snapshot, request)
 }
 
--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -15,6 +15,7 @@
 	Index   int
 	Count   int
 	Version uint64
+	At      time.Time
 }
 
 // Start is the moment at which an engine began to run an attempt.
@@ -185,7 +186,7 @@
 // Produced records tokens that an engine produced.
 func (r *Recorder) Produced(engine, requestID string, attempt uint32, index, count int, version uint64) {
 	r.Record(func(o *Observations) {
-		chunk := Chunk{Engine: engine, Attempt: attempt, Index: index, Count: count, Version: version}
+		chunk := Chunk{Engine: engine, Attempt: attempt, Index: index, Count: count, Version: version, At: time.Now()}
 		o.Chunks[requestID] = append(o.Chunks[requestID], chunk)
 	})
 }
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/hillfork/hillfork/internal/lab/check"
 	"github.com/hillfork/hillfork/internal/lab/trace"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Config is what a cluster is stood up from.
@@ -16,6 +17,8 @@
 	Trace    *trace.Trace
 	Fabric   Fabric
 	Recorder *check.Recorder
+	// Policy chooses how the nodes hand work out.
+	Policy policy.Settings
 	// Logger gets the nodes' logs; nil discards them.
 	Logger *log.Logger
 }
--- a/internal/lab/cluster/engines.go
+++ b/internal/lab/cluster/engines.go
@@ -62,6 +62,8 @@
 		PerStreamStep:   time.Duration(group.StreamTime),
 		PrefillPerToken: time.Duration(group.PrefillTime),
 		StatusLag:       time.Duration(group.StatusLag),
+		ChunkInterval:   time.Duration(group.ChunkInterval),
+		SwapPause:       time.Duration(group.SwapPause),
 		Weights:         weights.WeightStore(c.platform.Address),
 		Observer:        engineObserver{c.config.Recorder},
 		Seed:            c.topology.Seed + number,
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -84,6 +84,7 @@
 		Network:     p.host.Network,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Logger:      p.cluster.config.Logger,
+		Policy:      p.cluster.config.Policy,
 	})
 	if err != nil {
 		return fmt.Errorf("node %s: %w", p.name, err)
--- a/internal/lab/cluster/trainers.go
+++ b/internal/lab/cluster/trainers.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hillfork/hillfork/internal/bundle"
 	hillforkv1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
 	"github.com/hillfork/hillfork/internal/lab/check"
@@ -135,7 +133,7 @@
 	if err != nil || prompt >= len(prompts) || prompt != int(sample.PromptIndex) {
 		return recorded
 	}
-	seed := sampleSeed(request.Workload, request.Step, index)
+	seed := workload.SampleSeed(request.Workload, request.Step, index)
 	recorded.Expected = engine.ExpectedTokens(prompts[prompt], seed, o.described.Lengths.Max)
 	return recorded
 }
@@ -148,15 +146,3 @@
 	}
 	return strconv.Atoi(number)
 }
-
-// sampleSeed is the seed under which a sample is to be generated, as docs/notes/0004-step-ledger.md lays it down: the
-// xxhash of the workload's name, the step and the index, the numbers as big-endian 64-bit words. It stands here a second
-// time so that a change in the ledger does not go unseen.
-func sampleSeed(name string, step uint64, index int) uint64 {
-	hash := xxhash.New()
-	_, _ = hash.WriteString(name)
-	numbers := binary.BigEndian.AppendUint64(nil, step)
-	numbers = binary.BigEndian.AppendUint64(numbers, uint64(index))
-	_, _ = hash.Write(numbers)
-	return hash.Sum64()
-}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -38,7 +38,7 @@
 		Name:        "hillfork-lab",
 		Usage:       "hillfork-lab SUBCOMMAND ...",
 		ShortHelp:   "stand-ins, trace replay and experiments",
-		Subcommands: []*ff.Command{demoCommand(to), replayCommand(to), scaleCommand(to), searchCommand(to)},
+		Subcommands: []*ff.Command{demoCommand(to), replayCommand(to), scaleCommand(to), searchCommand(to), experimentCommand(to)},
 	}
 	err := root.ParseAndRun(ctx, args)
 	var problem *trace.Problem
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -12,6 +12,7 @@
 	"github.com/hillfork/hillfork/internal/lab/check"
 	"github.com/hillfork/hillfork/internal/lab/cluster"
 	"github.com/hillfork/hillfork/internal/lab/trace"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Report is what came of a run.
@@ -26,12 +27,13 @@
 
 // Measures is what was measured of one workload. Times are in seconds.
 type Measures struct {
-	Steps              int     `json:"steps,omitempty"`
-	Samples            int     `json:"samples,omitempty"`
-	IdleSeconds        float64 `json:"idle_seconds,omitempty"`
-	MeanVersionsBehind float64 `json:"mean_versions_behind,omitempty"`
-	MeanAgeSeconds     float64 `json:"mean_age_seconds,omitempty"`
-	MaxAgeSeconds      float64 `json:"max_age_seconds,omitempty"`
+	Steps              int       `json:"steps,omitempty"`
+	Samples            int       `json:"samples,omitempty"`
+	IdleSeconds        float64   `json:"idle_seconds,omitempty"`
+	StepIdleSeconds    []float64 `json:"step_idle_seconds,omitempty"`
+	MeanVersionsBehind float64   `json:"mean_versions_behind,omitempty"`
+	MeanAgeSeconds     float64   `json:"mean_age_seconds,omitempty"`
+	MaxAgeSeconds      float64   `json:"max_age_seconds,omitempty"`
 
 	Requests int                   `json:"requests,omitempty"`
 	Outcomes map[check.Outcome]int `json:"outcomes,omitempty"`
@@ -47,6 +49,10 @@
 type Options struct {
 	// Logger gets the nodes' logs; nil discards them.
 	Logger *log.Logger
+	// Policy chooses how the nodes hand work out.
+	Policy policy.Settings
+	// Inspect, if set, is shown what was observed once the run is over.
+	Inspect func(*check.Observations)
 	// Watch, if set, runs beside the run until its context ends. It may ask for the progress at any time.
 	Watch func(ctx context.Context, progress func() Progress)
 }
@@ -65,7 +71,7 @@
 func Run(ctx context.Context, recorded *trace.Trace, fabric cluster.Fabric, options Options) (*Report, error) {
 	recorder := check.NewRecorder()
 	stood, err := cluster.New(ctx, cluster.Config{
-		Trace: recorded, Fabric: fabric, Recorder: recorder, Logger: options.Logger,
+		Trace: recorded, Fabric: fabric, Recorder: recorder, Logger: options.Logger, Policy: options.Policy,
 	})
 	if err != nil {
 		return nil, err
@@ -78,6 +84,9 @@
 	if runError != nil {
 		return nil, runError
 	}
+	if options.Inspect != nil {
+		recorder.Record(options.Inspect)
+	}
 	report := &Report{
 		Trace: recorded.Name, Promises: check.Judge(recorder, check.DefaultLimits()), Measures: measures,
 	}
@@ -131,7 +140,7 @@
 		measures[item.Workload] = Measures{
 			Steps: report.StepsFetched, Samples: report.Samples, IdleSeconds: report.Idle.Seconds(),
 			MeanVersionsBehind: report.MeanVersionsBehind(), MeanAgeSeconds: report.MeanAge().Seconds(),
-			MaxAgeSeconds: report.MaxAge.Seconds(),
+			MaxAgeSeconds: report.MaxAge.Seconds(), StepIdleSeconds: secondsOf(report.StepIdle),
 		}
 	}
 	recorder.Record(func(o *check.Observations) {
@@ -149,6 +158,14 @@
 	return measures
 }
 
+func secondsOf(durations []time.Duration) []float64 {
+	seconds := make([]float64, len(durations))
+	for i, duration := range durations {
+		seconds[i] = duration.Seconds()
+	}
+	return seconds
+}
+
 // Bounds of the latency histogram, in microseconds, and its precision in decimal digits.
 const (
 	leastLatency     = 1
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -91,6 +91,10 @@
 	PrefillTime Duration `yaml:"prefill_time"`
 	CacheTokens int      `yaml:"cache_tokens"`
 	StatusLag   Duration `yaml:"status_lag"`
+	// ChunkInterval is how often an engine sends tokens, SwapPause how long it stands still for new weights; 0 takes the
+	// stand-in's defaults.
+	ChunkInterval Duration `yaml:"chunk_interval,omitempty"`
+	SwapPause     Duration `yaml:"swap_pause,omitempty"`
 	// Models maps each model that the engines start with to its version.
 	Models map[string]uint64 `yaml:"models"`
 }
--- a/internal/lab/workload/workload.go
+++ b/internal/lab/workload/workload.go
@@ -4,6 +4,7 @@
 package workload
 
 import (
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -44,6 +45,19 @@
 	return prompts
 }
 
+// Lengths returns the lengths of all answers of a step, in tokens, by sample.
+func (s *Steps) Lengths(step uint64) []int {
+	var lengths []int
+	for prompt, tokens := range s.Prompts(step) {
+		for sample := range s.trainer.SamplesPerPrompt {
+			index := prompt*s.trainer.SamplesPerPrompt + sample
+			seed := SampleSeed(s.trainer.Workload, step, index)
+			lengths = append(lengths, engine.LengthOf(tokens, seed, s.trainer.Lengths.Max))
+		}
+	}
+	return lengths
+}
+
 // Request is one interactive request.
 type Request struct {
 	// At is the time since the start of the trace.
@@ -114,3 +128,15 @@
 func stream(seed uint64, name string, number uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed^xxhash.Sum64String(name), number))
 }
+
+// SampleSeed is the seed under which a sample is to be generated, as docs/notes/0004-step-ledger.md lays it down: the
+// xxhash of the workload's name, the step and the index, the numbers as big-endian 64-bit words. It stands here a second
+// time so that a change in the ledger does not go unseen.
+func SampleSeed(name string, step uint64, index int) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(name)
+	numbers := binary.BigEndian.AppendUint64(nil, step)
+	numbers = binary.BigEndian.AppendUint64(numbers, uint64(index))
+	_, _ = hash.Write(numbers)
+	return hash.Sum64()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/requestledger"
 	"github.com/hillfork/hillfork/internal/route"
 	"github.com/hillfork/hillfork/internal/settings"
@@ -39,6 +40,8 @@
 	Incarnation uint64
 	// Logger may be nil.
 	Logger *log.Logger
+	// Policy chooses how work is handed out; the zero value is what runs in production.
+	Policy policy.Settings
 	// Failpoint, if set, is called with the name of each point between two steps of a ledger. Tests stop the process there.
 	Failpoint func(name string)
 }
@@ -166,6 +169,7 @@
 		Engines:     n.directory,
 		Bundles:     n.follower,
 		BundleAdmin: n.follower,
+		Picker:      gateway.PolicyPicker{LeastLoaded: n.config.Policy.LeastLoaded},
 		Logger:      n.logger.With("role", "gateway"),
 		Metrics:     n.registry,
 	})
@@ -250,6 +254,7 @@
 		Scorer:    scorer,
 		Logger:    n.logger.With("role", "steps"),
 		OnVersion: func(workload string, version uint64) { facts.SetFact(dispatch.WeightFactKey(workload), version, nil) },
+		Policy:    n.config.Policy,
 		Failpoint: n.config.Failpoint,
 	})
 	n.dispatcher = dispatch.New(dispatch.Config{
@@ -261,6 +266,7 @@
 		Ledger:    owners,
 		Weights:   n.adapter.WeightStore(s.WeightsAddress),
 		Facts:     facts,
+		Policy:    n.config.Policy,
 		Logger:    n.logger.With("role", "dispatch"),
 	})
 }
--- a/internal/stepledger/assign/assign.go
+++ b/internal/stepledger/assign/assign.go
@@ -37,6 +37,13 @@
 	Bounded           bool
 	// FreeSlots is how many samples the engine can take.
 	FreeSlots int
+	// MaxAhead bounds how many steps ahead of the trainer are worked on; it counts when AheadBounded.
+	// PositionUnknown says that the trainer was not seen yet; it may be one step before the first.
+	MaxAhead        int
+	AheadBounded    bool
+	PositionUnknown bool
+	// ArrivalOrder takes samples by index, whatever their predicted length.
+	ArrivalOrder bool
 	// InFlight is how many samples run now, and MaxInFlight bounds them; 0 is no bound.
 	InFlight    int
 	MaxInFlight int
@@ -62,16 +69,38 @@
 	})
 	var choices []Choice
 	for _, step := range steps {
-		if !snapshot.inBoundWhenDelivered(step) {
+		if !snapshot.mayStart(step) {
 			continue
 		}
-		for _, candidate := range longest(step.Candidates, room-len(choices)) {
+		for _, candidate := range snapshot.order(step.Candidates, room-len(choices)) {
 			choices = append(choices, Choice{Step: step.Number, Index: candidate.Index})
 		}
 	}
 	return choices
 }
 
+// mayStart reports whether a step may be worked on by the engine now.
+func (s Snapshot) mayStart(step Step) bool {
+	return !s.TooFarAhead(step) && s.inBoundWhenDelivered(step)
+}
+
+// TooFarAhead reports whether no engine may work on a step yet.
+func (s Snapshot) TooFarAhead(step Step) bool {
+	ahead := step.Ahead
+	if s.PositionUnknown {
+		ahead++
+	}
+	return s.AheadBounded && ahead > s.MaxAhead
+}
+
+// order returns the first count candidates to take.
+func (s Snapshot) order(candidates []Candidate, count int) []Candidate {
+	if s.ArrivalOrder {
+		return candidates[:min(count, len(candidates))]
+	}
+	return longest(candidates, count)
+}
+
 // room is how many samples the engine may take.
 func (s Snapshot) room() int {
 	if s.MaxInFlight <= 0 {
--- a/internal/stepledger/fetch.go
+++ b/internal/stepledger/fetch.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	current.noteFetch(request.Step)
+	current.noteFetch(request.Step, request.TrainerVersion)
 	timer := time.NewTimer(waitTime(request.WaitMillis))
 	defer timer.Stop()
 	accepted := s.config.Bundles.Current()
@@ -57,11 +57,13 @@
 	}
 }
 
-// noteFetch notes the step that the trainer wants.
-func (c *session) noteFetch(step uint64) {
+// noteFetch notes the step that the trainer wants, and its version.
+func (c *session) noteFetch(step, trainerVersion uint64) {
 	c.mutex.Lock()
 	newer := step > c.fetching
-	c.fetching = max(c.fetching, step)
+	if newer {
+		c.fetching, c.fetchVersion = step, trainerVersion
+	}
 	c.mutex.Unlock()
 	if newer {
 		c.work.raise()
--- a/internal/stepledger/pull.go
+++ b/internal/stepledger/pull.go
@@ -92,20 +92,56 @@
 		snapshot.Bounded = true
 		snapshot.MaxVersionsBehind = workload.Staleness.MaxVersionsBehind
 	}
-	ahead := 0
-	trainerAt := max(trainerStep(state), c.fetching)
+	settings := c.service.config.Policy
+	snapshot.ArrivalOrder = settings.ArrivalOrder
+	if settings.LookAhead != nil {
+		snapshot.AheadBounded = true
+		snapshot.MaxAhead = *settings.LookAhead
+	}
+	position, known := c.trainerPosition(state)
+	snapshot.PositionUnknown = !known
+	most := ShardsPerWorkload - 1
+	if !known {
+		most = 0
+	}
 	for _, step := range state.image.Steps {
 		if step.Completed < len(step.Samples) {
-			candidates := c.candidates(step, now)
-			snapshot.Steps = append(snapshot.Steps, assign.Step{Number: step.Step, Ahead: ahead, Candidates: candidates})
+			snapshot.Steps = append(snapshot.Steps, assign.Step{
+				Number: step.Step, Ahead: stepsAhead(step.Step, position, most), Candidates: c.candidates(step, now),
+			})
 		}
-		if step.Step >= trainerAt && !step.handedOver() {
-			ahead += ShardsPerWorkload
+		if step.Step >= position && !step.handedOver() {
+			most += ShardsPerWorkload
 		}
 	}
 	return snapshot
 }
 
+// stepsAhead is how many steps the trainer is expected to take before a step, at most most: numbers may have gaps.
+func stepsAhead(step, position uint64, most int) int {
+	if step <= position {
+		return 0
+	}
+	return int(min(step-position, uint64(most)))
+}
+
+// trainerPosition estimates the step that the trainer wants or trains on now. A shard sees every second step only; in
+// between, each version published stands for a step. Where the shard has seen no fetch the oldest open step is taken, and
+// known is false.
+func (c *session) trainerPosition(state *State) (position uint64, known bool) {
+	if c.fetching > 0 {
+		position := c.fetching
+		if latest := state.Latest(); latest > c.fetchVersion {
+			position += latest - c.fetchVersion
+		}
+		return position, true
+	}
+	if given := trainerStep(state); given > 0 || len(state.image.Steps) == 0 {
+		return given, given > 0
+	}
+	return state.image.Steps[0].Step, false
+}
+
 // shardInFlight is one shard's part of a workload's bound on samples running; 0 is no bound.
 func shardInFlight(maxInFlight int) int {
 	if maxInFlight <= 0 {
@@ -166,11 +202,13 @@
 	return known
 }
 
-// backlog counts the samples that wait.
+// backlog counts the samples that wait, those too far ahead of the trainer aside.
 func backlog(snapshot assign.Snapshot) int {
 	count := 0
 	for _, step := range snapshot.Steps {
-		count += len(step.Candidates)
+		if !snapshot.TooFarAhead(step) {
+			count += len(step.Candidates)
+		}
 	}
 	return count
 }
--- a/internal/stepledger/service.go
+++ b/internal/stepledger/service.go
@@ -12,6 +12,7 @@
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
@@ -29,6 +30,8 @@
 	Logger *log.Logger
 	// OnVersion, if set, is called after a version is durable in a shard of this process. It must not block.
 	OnVersion func(workload string, version uint64)
+	// Policy chooses how samples are handed out to engines.
+	Policy policy.Settings
 	// Failpoint, if set, is called between the steps of each operation with the step's name. Tests use it to stop an owner
 	// there; it is nil in production.
 	Failpoint func(name string)
--- a/internal/stepledger/session.go
+++ b/internal/stepledger/session.go
@@ -54,12 +54,13 @@
 	inherited map[uint64]bool
 	graceEnds time.Time
 	draining  bool
-	// fetching is the newest step that the trainer has asked for.
-	fetching uint64
-	running  map[sampleKey]*attempt
-	partials map[sampleKey]partial
-	failures map[sampleKey]failure
-	numbers  map[sampleKey]uint32
+	// fetching is the newest step that the trainer has asked for, and fetchVersion the trainer's version then.
+	fetching     uint64
+	fetchVersion uint64
+	running      map[sampleKey]*attempt
+	partials     map[sampleKey]partial
+	failures     map[sampleKey]failure
+	numbers      map[sampleKey]uint32
 	// voided is the last attempt of a sample that was given up because its tokens are over the bound; a report does not
 	// bring it back.
 	voided  map[sampleKey]uint32
