Benchmark processor time a request and a sample

Change: BenchmarkRequest reports processor time a request; BenchmarkTraining runs whole steps through one node and one engine.

--- a/internal/lab/cluster/bench_test.go
+++ b/internal/lab/cluster/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,11 +26,22 @@
 pools:
   - {name: pool, serving_floor: 0.5}
 workloads:
+  - name: training
+    partner: first
+    kind: training
+    pools: [pool]
+    share: 0.5
+    model: model
+    min_version: 1
+    staleness: {max_versions_behind: 100, max_age: 1h}
+    objective: {idle_weight: 1, staleness_weight: 1}
+    swap: continue
+    limits: {max_prompt_tokens: 4096, max_tokens: 4096, max_step_samples: 4096}
   - name: search
     partner: first
     kind: interactive
     pools: [pool]
-    share: 1
+    share: 0.5
     model: model
     min_version: 1
     limits: {max_prompt_tokens: 4096, max_tokens: 4096, max_in_flight: 4096, max_queue: 4096, timeout: 60s, retry_ratio: 0.2}
@@ -136,6 +148,7 @@
 	}
 	close(work)
 	b.ResetTimer()
+	used := processorTime(b)
 	for range parallel {
 		go func() {
 			for range work {
@@ -151,7 +164,54 @@
 		_ = latencies.RecordValue(max(1, <-results))
 	}
 	b.StopTimer()
+	b.ReportMetric(float64((processorTime(b)-used).Microseconds())/float64(b.N), "cpu-µs/request")
 	b.ReportMetric(float64(latencies.ValueAtPercentile(50)), "p50-µs")
 	b.ReportMetric(float64(latencies.ValueAtPercentile(99)), "p99-µs")
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 }
+
+// processorTime is what this process has used so far: client, node, engine and platform together.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Size of a training step of the benchmark, and how many are run.
+const (
+	benchPrompts          = 64
+	benchSamplesPerPrompt = 8
+	benchLength           = 500
+	benchSteps            = 4
+)
+
+// BenchmarkTraining runs training steps through one node and one engine over loopback sockets, and reports samples a
+// second, processor time a sample and the bytes that a sample leaves in the log.
+func BenchmarkTraining(b *testing.B) {
+	for b.Loop() {
+		stood := benchCluster(b)
+		described := trace.Trainer{
+			Workload: "training", Zone: "z", Prompts: benchPrompts, SamplesPerPrompt: benchSamplesPerPrompt, PromptTokens: 64,
+			Lengths: trace.Lengths{Median: benchLength, Max: benchLength}, Steps: benchSteps, StepsAhead: 1,
+		}
+		stood.makeTrainer(described, "model")
+		began, used := time.Now(), processorTime(b)
+		stood.startTrainers(b.Context())
+		<-stood.client.trainers["training"].done
+		samples := float64(stood.TrainerReports()[0].Report.Samples)
+		if samples != benchPrompts*benchSamplesPerPrompt*benchSteps {
+			b.Fatalf("%v samples arrived", samples)
+		}
+		logBytes := int64(0)
+		for _, usage := range stood.platform.Log.Usage() {
+			logBytes += usage.Bytes
+		}
+		b.ReportMetric(samples/time.Since(began).Seconds(), "samples/s")
+		b.ReportMetric(float64((processorTime(b)-used).Microseconds())/samples, "cpu-µs/sample")
+		b.ReportMetric(float64(logBytes)/samples, "log-bytes/sample")
+		stood.Close()
+	}
+}
