--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -141,6 +141,8 @@
 	// earlierMayHaveRun is mayHaveRun as of before the last attempt.
 	earlierMayHaveRun bool
 	last              error
+	// changed was taken before the owner of the last attempt was looked up.
+	changed <-chan struct{}
 }
 
 func (r *Router) newCall(key string, preference placement.Preference, method string, policy Policy) *call {
@@ -156,6 +158,7 @@
 // begin starts an attempt and returns the address to call.
 func (c *call) begin(ctx context.Context) (string, error) {
 	c.attempts++
+	c.changed = c.router.config.Placer.Changed()
 	if err := ctx.Err(); err != nil {
 		return "", fmt.Errorf("%w: %w", peer.ErrNotSent, err)
 	}
@@ -206,7 +209,7 @@
 		return false
 	}
 	c.hints = 0
-	return c.pause(ctx, outcome)
+	return c.pause(ctx, address, outcome)
 }
 
 // follow goes on to the hinted owner at once. The first hint of a call is free of the retry budget, since a redirect is
@@ -220,31 +223,57 @@
 	return c.router.budget.Wait(ctx) == nil
 }
 
-// pause waits for the backoff, or for a change of the members where that may name another owner, and then for the retry
-// budget. It does not wait when the context would end first.
-func (c *call) pause(ctx context.Context, outcome verdict) bool {
-	wait := c.pauses.NextBackOff()
-	if outcome.wait > 0 {
-		wait = max(wait, jitterAbove(outcome.wait))
-	}
-	if deadline, bounded := ctx.Deadline(); bounded && time.Until(deadline) <= wait {
+// pause waits for the backoff, and then for the retry budget. A new owner of the key ends the backoff, unless the peer
+// has told when to come back. pause does not wait when the context would end first.
+func (c *call) pause(ctx context.Context, failed string, outcome verdict) bool {
+	wait, worthwhile := c.nextWait(ctx, outcome.wait)
+	if !worthwhile {
 		return false
 	}
-	var changed <-chan struct{}
-	if outcome.forget && outcome.wait == 0 {
-		changed = c.router.config.Placer.Changed()
+	changed := c.changed
+	if !outcome.forget || outcome.wait > 0 {
+		changed = nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-changed:
+	for waiting := true; waiting; {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			waiting = false
+		case <-changed:
+			changed = c.router.config.Placer.Changed()
+			waiting = !c.movedFrom(failed)
+		}
 	}
 	return c.router.budget.Wait(ctx) == nil
 }
 
+// nextWait returns the next pause: at least told, and otherwise no more than half of the time left, so that some is left
+// for the attempt. The result is false when there is too little time.
+func (c *call) nextWait(ctx context.Context, told time.Duration) (time.Duration, bool) {
+	wait := c.pauses.NextBackOff()
+	if told > 0 {
+		wait = max(wait, jitterAbove(told))
+	}
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return wait, true
+	}
+	left := time.Until(deadline)
+	if told == 0 && left > c.router.config.InitialBackoff {
+		wait = min(wait, left/2)
+	}
+	return wait, wait < left
+}
+
+// movedFrom tells whether placement names an owner at another address than the one that failed.
+func (c *call) movedFrom(failed string) bool {
+	member, found := c.router.config.Placer.Owner(c.key, c.preference)
+	return found && member.PeerAddress != failed
+}
+
 // result is the error of the whole call.
 func (c *call) result(ctx context.Context) error {
 	last := c.last
