--- a/internal/membership/budget.go
+++ b/internal/membership/budget.go
@@ -42,7 +42,7 @@
 	case packetUrgent:
 	case packetGossip:
 		b.news.tokens -= float64(bytes)
-	case packetAck:
+	case packetAck, packetIntroduction:
 		b.answers.tokens -= float64(bytes - newsBytes)
 		b.news.tokens -= float64(newsBytes)
 	default:
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -141,7 +141,7 @@
 }
 
 func (h *header) valid() bool {
-	if h.Kind < packetPing || h.Kind > packetUrgent {
+	if h.Kind < packetPing || h.Kind > packetSyncPush {
 		return false
 	}
 	if h.Kind == packetPingRequest {
@@ -167,7 +167,9 @@
 	return validState(r.Node, r.Condition)
 }
 
-func (r *stateRecord) valid() bool { return validState(r.Node, r.Condition) }
+func (r *stateRecord) valid() bool {
+	return len(r.Suspecter) <= maxNodeBytes && validState(r.Node, r.Condition)
+}
 
 func (r *factRecord) valid() bool { return validFact(r.Key, r.Value) }
 
--- a/internal/membership/fabric_test.go
+++ b/internal/membership/fabric_test.go
@@ -157,6 +157,9 @@
 type node struct {
 	*Membership
 	stop func()
+	// done is closed when Run has returned err.
+	done chan struct{}
+	err  error
 
 	mutex   sync.Mutex
 	sent    int
@@ -180,7 +183,7 @@
 // startAs runs a node of any name at the address of number.
 func (c *cluster) startAs(name string, number int, incarnation uint64) *node {
 	c.t.Helper()
-	started := &node{dropped: make(map[DropReason]int)}
+	started := &node{done: make(chan struct{}), dropped: make(map[DropReason]int)}
 	config := Config{
 		Self: Member{
 			Node:        name,
@@ -205,14 +208,13 @@
 	is.New(c.t).NoErr(err)
 	started.Membership = membership
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
 	go func() {
-		defer close(done)
-		_ = membership.Run(ctx)
+		defer close(started.done)
+		started.err = membership.Run(ctx)
 	}()
 	started.stop = func() {
 		cancel()
-		<-done
+		<-started.done
 	}
 	c.nodes[name] = started
 	return started
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -22,6 +22,8 @@
 type factEntry struct {
 	fact  Fact
 	setAt time.Time
+	// expiresAt is when the fact is dropped; zero where it stays.
+	expiresAt time.Time
 }
 
 func (f Fact) supersedes(other Fact) bool {
@@ -55,7 +57,11 @@
 		p.config.Observer.dropped(DropTooManyFacts)
 		return false
 	}
-	p.facts[fact.Key] = &factEntry{fact: fact, setAt: now.Add(-age)}
+	entered := &factEntry{fact: fact, setAt: now.Add(-age)}
+	if class.TimeToLive > 0 {
+		entered.expiresAt = entered.setAt.Add(class.TimeToLive)
+	}
+	p.facts[fact.Key] = entered
 	key := factKey(fact.Key)
 	p.keys.insert(key)
 	p.queue.add(key, true)
@@ -70,8 +76,7 @@
 // again.
 func (p *protocol) expireFacts(now time.Time) {
 	for key, held := range p.facts {
-		timeToLive := p.config.factClass(key).TimeToLive
-		if timeToLive == 0 || now.Sub(held.setAt) < timeToLive {
+		if held.expiresAt.IsZero() || now.Before(held.expiresAt) {
 			continue
 		}
 		delete(p.facts, key)
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -92,5 +92,9 @@
 		return encodeRecord(recordMember, &held.record)
 	}
 	short := held.record.short()
+	if short.Condition == conditionSuspect && len(held.suspicion.suspecters) > 0 {
+		// Whichever of those known; the others have been or will be sent by others.
+		short.Suspecter = held.suspicion.suspecters[p.random.IntN(len(held.suspicion.suspecters))]
+	}
 	return encodeRecord(recordState, &short)
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -61,7 +61,7 @@
 	if config.Self.GossipAddress == "" {
 		config.Self.GossipAddress = connection.LocalAddr().String()
 	}
-	if _, err := netip.ParseAddrPort(config.Self.GossipAddress); err != nil {
+	if err := checkReachable(config.Self.GossipAddress); err != nil {
 		return nil, oops.In("membership").Wrap(errors.Join(err, connection.Close()))
 	}
 	m := &Membership{
@@ -75,6 +75,18 @@
 	return m, nil
 }
 
+// checkReachable refuses an address that others could not send to.
+func checkReachable(text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return err
+	}
+	if address.Addr().IsUnspecified() || address.Port() == 0 {
+		return oops.Errorf("gossip address %s cannot be reached by others", text)
+	}
+	return nil
+}
+
 // Self returns this process as others know it.
 func (m *Membership) Self() Member {
 	m.mutex.Lock()
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -20,6 +20,10 @@
 	packetSyncReply
 	// packetUrgent carries records like packetGossip, outside the share of the budget that news has.
 	packetUrgent
+	// packetIntroduction carries the sender's own record to one who does not have it.
+	packetIntroduction
+	// packetSyncPush carries records that the sender of a sync reply lacks.
+	packetSyncPush
 )
 
 //msgp:tuple header
@@ -81,6 +85,8 @@
 	Refutation  uint32
 	Condition   condition
 	Leaving     bool
+	// Suspecter is who found that the member does not answer; empty unless it is suspect.
+	Suspecter string
 }
 
 // factRecord tells a fact.
--- a/internal/membership/message_gen.go
+++ b/internal/membership/message_gen.go
@@ -347,13 +347,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *stateRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Node)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendUint32(o, z.Refutation)
 	o = msgp.AppendUint8(o, uint8(z.Condition))
 	o = msgp.AppendBool(o, z.Leaving)
+	o = msgp.AppendString(o, z.Suspecter)
 	return
 }
 
@@ -365,8 +366,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Node, bts, err = msgp.ReadStringBytes(bts)
@@ -398,12 +399,17 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	z.Suspecter, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspecter")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *stateRecord) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.StringPrefixSize + len(z.Suspecter)
 	return
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -151,15 +151,16 @@
 // suspect puts a member under suspicion, unless it has said something newer since the probe.
 func (p *protocol) suspect(now time.Time, failed *probe) {
 	held := p.members[failed.target]
-	if held == nil || held.record.Condition != conditionAlive {
+	if held == nil || held.record.Condition == conditionDead {
 		return
 	}
 	if held.record.Incarnation != failed.incarnation || held.record.Refutation != failed.refutation {
 		return
 	}
-	suspicion := held.record.short()
-	suspicion.Condition = conditionSuspect
-	p.mergeState(now, suspicion)
+	found := held.record.short()
+	found.Condition = conditionSuspect
+	found.Suspecter = p.config.Self.Node
+	p.mergeState(now, found)
 }
 
 // receivePing answers a ping. One that was meant for another node at this address is answered too: the ack names who is
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -156,43 +156,12 @@
 	p.config.Logger.Warn("process stood still; rejoining", "gap", gap)
 	clear(p.probes)
 	clear(p.relays)
-	for _, held := range p.members {
-		if held.record.Condition == conditionSuspect {
-			held.suspectUntil = held.suspectUntil.Add(gap)
-		}
-	}
+	p.postponeSuspicions(gap)
 	p.refute(now, p.selfEntry().record.Refutation)
 	p.sync = syncState{nextAt: now}
 	p.nextProbe = now
 }
 
-// checkSuspects declares suspects dead that have not refuted in time, and forgets the long dead.
-func (p *protocol) checkSuspects(now time.Time) {
-	for _, key := range slices.Clone(p.keys.between(memberKeyPrefix, "")) {
-		node := key[len(memberKeyPrefix):]
-		held := p.members[node]
-		switch held.record.Condition {
-		case conditionSuspect:
-			if !now.Before(held.suspectUntil) {
-				declared := held.record.short()
-				declared.Condition = conditionDead
-				p.mergeState(now, declared)
-			}
-		case conditionDead:
-			if now.Sub(held.deadSince) >= p.config.Timing.ReapAfter && node != p.config.Self.Node {
-				p.remove(node)
-			}
-		}
-	}
-}
-
-// suspicionTime is how long a suspect may take to refute.
-func (p *protocol) suspicionTime() time.Duration {
-	scale := math.Max(1, math.Log10(float64(p.currentPeers().count()+1)))
-	unit := float64(p.config.Timing.ProbeInterval) * float64(p.config.Timing.SuspicionMultiplier)
-	return time.Duration(scale * unit)
-}
-
 // retransmitLimit is how often each piece of news is sent.
 func (p *protocol) retransmitLimit() int {
 	scale := math.Ceil(math.Log10(float64(p.currentPeers().count() + 2)))
@@ -201,9 +170,13 @@
 
 // insert adds a member that was not known.
 func (p *protocol) insert(now time.Time, record memberRecord) {
-	p.members[record.Node] = &entry{}
+	held := &entry{}
+	p.members[record.Node] = held
 	p.keys.insert(memberKey(record.Node))
 	p.set(now, record, true)
+	if record.Condition == conditionSuspect {
+		p.beginSuspicion(now, held, "")
+	}
 }
 
 // insertQuietly adds a member that was not known and does not spread it: it was found by comparing records, not as news.
@@ -225,9 +198,6 @@
 	held := p.members[record.Node]
 	before := held.record
 	held.record = record
-	if record.Condition == conditionSuspect {
-		held.suspectUntil = now.Add(p.suspicionTime())
-	}
 	if record.Condition == conditionDead && before.Condition != conditionDead {
 		held.deadSince = now
 	}
@@ -266,6 +236,9 @@
 		return false
 	}
 	p.set(now, record, !sameIdentity(&held.record, &record))
+	if record.Condition == conditionSuspect {
+		p.beginSuspicion(now, held, "")
+	}
 	p.hurryFor(now, record.Leaving)
 	return true
 }
@@ -286,7 +259,11 @@
 		return false
 	}
 	held := p.members[short.Node]
-	if held == nil || short.Incarnation != held.record.Incarnation || !short.supersedes(held.record.short()) {
+	if held == nil || short.Incarnation != held.record.Incarnation {
+		return false
+	}
+	if !short.supersedes(held.record.short()) {
+		p.confirmSuspicion(now, held, short)
 		return false
 	}
 	record := held.record
@@ -295,6 +272,9 @@
 	record.Condition = short.Condition
 	record.Leaving = short.Leaving
 	p.set(now, record, false)
+	if short.Condition == conditionSuspect {
+		p.beginSuspicion(now, held, short.Suspecter)
+	}
 	p.hurryFor(now, becameLeaving)
 	return true
 }
@@ -363,7 +343,7 @@
 	record.Condition = conditionDead
 	p.set(now, record, false)
 	p.budget.refill(now)
-	p.gossip(now)
+	p.gossipUrgently(now)
 }
 
 // snapshot returns the members sorted by node.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -33,7 +33,7 @@
 		p.receiveSyncRequest(now, from, head)
 	case packetSyncReply:
 		p.receiveSyncReply(now, received)
-	case packetGossip, packetUrgent:
+	case packetGossip, packetUrgent, packetIntroduction, packetSyncPush:
 	}
 	if alone && p.currentPeers().count() > 0 {
 		p.sync = syncState{nextAt: now}
@@ -85,8 +85,8 @@
 
 // introduce sends this node's own record, and asks for the other's where that is needed.
 func (p *protocol) introduce(now time.Time, to netip.AddrPort, ask bool) {
-	if !p.budget.allowsOptional() {
+	if !p.budget.allowsAnswer() {
 		return
 	}
-	p.send(now, to, &header{Kind: packetGossip, Introduce: ask}, p.encodeMember(p.config.Self.Node, true))
+	p.send(now, to, &header{Kind: packetIntroduction, Introduce: ask}, p.encodeMember(p.config.Self.Node, true))
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -121,11 +121,21 @@
 	p.answer(now, from, request.From, reply, records...)
 }
 
+// replyOverhead is the most bytes that a reply may need besides its page: its header, whose Next may become any key, and
+// a word on the receiver itself.
+func (p *protocol) replyOverhead(request *header) int {
+	const (
+		fixedBytes  = 64
+		stateBytes  = 48
+		memberNames = 3
+	)
+	names := memberNames*maxNodeBytes + stateBytes
+	return prefixBytes + fixedBytes + names + len(request.Cursor) + len(factKeyPrefix) + maxFactKeyBytes
+}
+
 // pageRecords returns the records of the range that fit into one datagram, and sets reply.Next where not all do.
 func (p *protocol) pageRecords(now time.Time, request, reply *header) [][]byte {
-	// Room for the header, whose Next may become any key, and for a word on the receiver itself.
-	const headRoom = 512
-	room := maxPacketBytes - headRoom - len(request.Cursor)
+	room := maxPacketBytes - p.replyOverhead(request)
 	var records [][]byte
 	last := request.Cursor
 	for _, key := range p.keys.between(request.Cursor, request.End) {
@@ -198,7 +208,7 @@
 	if len(records) == 0 || !p.budget.allowsOptional() || p.members[p.sync.peer] == nil {
 		return
 	}
-	p.sendTo(now, p.sync.peer, &header{Kind: packetGossip}, records...)
+	p.sendTo(now, p.sync.peer, &header{Kind: packetSyncPush}, records...)
 }
 
 // theirRecords are what a reply told, by key.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,8 +20,8 @@
 // entry is what is known of a member.
 type entry struct {
 	record memberRecord
-	// suspectUntil is when a suspect is declared dead.
-	suspectUntil time.Time
+	// suspicion is that of a suspect.
+	suspicion suspicion
 	// deadSince is when the member was found dead.
 	deadSince time.Time
 }
