Close idle connections of a stopping node only after a lame-duck period

Change: every answer of a stopping node ends its connection; new ones are refused; idle ones are closed 5 s later, or as soon as none is open. Conclusion: a stop with idle clients takes up to 5 s longer.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -100,7 +100,7 @@
 		{"dispatch", n.dispatcher.Drain},
 		{"shards", n.shards.ReleaseAll},
 		{"peer server", n.peerServer.Shutdown},
-		{"api server", n.apiServer.Shutdown},
+		{"api server", n.shutdownAPI},
 	}
 	var cut []error
 	for _, step := range steps {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,9 +66,10 @@
 	dispatcher *dispatch.Dispatcher
 	gateway    *gateway.Gateway
 
-	listeners listeners
-	apiServer *http.Server
-	metrics   *http.Server
+	listeners   listeners
+	connections *clientConnections
+	apiServer   *http.Server
+	metrics     *http.Server
 
 	stopping  atomic.Bool
 	stopAsked chan struct{}
@@ -182,7 +183,12 @@
 		Failpoint:  n.requestFailpoint(),
 	})
 	n.register()
-	n.apiServer = &http.Server{Handler: n.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	n.connections = newClientConnections()
+	n.apiServer = &http.Server{
+		Handler:           endingConnections(n.gateway.Handler(), n.stopping.Load),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnState:         n.connections.track,
+	}
 	n.metrics = &http.Server{Handler: n.statusHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	return nil
 }
