Judge planned stops by the faults that were in force

Change: faults that may cut work off are recorded with their times. A request that none of them overlaps is checked at every stop, whatever node it went through, also in runs with other faults; one that some overlap is checked for lost contact with the stopping node unless one came between the two. Conclusion: stricter on all requests but those that another fault explains.

--- a/internal/lab/check/answered.go
+++ b/internal/lab/check/answered.go
@@ -1,10 +1,5 @@
 package check
 
-import (
-	"slices"
-	"time"
-)
-
 // Unanswered lists the requests that ended without an outcome although their node could be reached, and no place was cut
 // off from another, while they were under way, and the run had not ended.
 func (o *Observations) Unanswered() []Request {
@@ -14,16 +9,10 @@
 		if request.Outcome != OutcomeBroken || endedWithRun {
 			continue
 		}
-		if o.cutOff(request.Node, request.SentAt, request.EndedAt) || o.partitioned(request.SentAt, request.EndedAt) {
+		if o.cutOff(request.Node, request.SentAt, request.EndedAt) || o.lostContact(request) {
 			continue
 		}
 		found = append(found, request)
 	}
 	return found
 }
-
-func (o *Observations) partitioned(from, to time.Time) bool {
-	return slices.ContainsFunc(o.Partitions, func(interval Interval) bool {
-		return interval.From.Before(to) && interval.To.After(from)
-	})
-}
--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -143,12 +143,10 @@
 	Bundles    []BundleAccepted
 	Seen       []BundleSeen
 	Submitted  []SubmittedStep
-	// Unplanned says that something besides planned stops was done to nodes, engines, network or platform.
-	Unplanned bool
+	// Disturbances are the unplanned faults that may cut work off.
+	Disturbances []Disturbance
 	// Unreachable holds, by node, the intervals in which it was cut off, paused or down.
 	Unreachable map[string][]Interval
-	// Partitions holds the intervals in which some places were cut off from others.
-	Partitions []Interval
 	// BeganAt and EndedAt bound the run.
 	BeganAt time.Time
 	EndedAt time.Time
--- a/internal/lab/check/promises.go
+++ b/internal/lab/check/promises.go
@@ -287,17 +287,23 @@
 	return verdict
 }
 
-// checkPlannedStop: a request that was in flight while its node stopped as planned, or that was running on an engine when
-// that began to leave, was neither cut off nor left unknown. In a run without unplanned faults this holds for every
-// request in flight during a stop, whatever node it came through: nothing else can have cut it off.
+// checkPlannedStop: a request that was in flight during the planned stop of any node or engine was neither cut off nor left
+// unknown, unless an unplanned fault that may have done so was in force meanwhile. One that went through the node that
+// stopped did not lose contact, unless such a fault came between it and that node.
 func checkPlannedStop(o *Observations, _ Limits) Verdict {
 	var verdict Verdict
 	for _, stop := range o.Stops {
 		for _, request := range o.Requests {
-			if !inFlight(request, stop) || (o.Unplanned && !touches(o, request, stop)) {
+			if !inFlight(request, stop) {
 				continue
 			}
 			cut := request.Outcome == OutcomeBroken || request.Outcome == OutcomeUnknown
+			if o.disturbed(request) {
+				if !touches(o, request, stop) || o.lostContact(request) {
+					continue
+				}
+				cut = request.Outcome == OutcomeBroken
+			}
 			verdict.expect(!cut, "request %s was in flight at the planned stop of %s and ended %q (%s)", request.ID, stop.Name,
 				request.Outcome, request.Reason)
 		}
--- a/internal/lab/check/promises_test.go
+++ b/internal/lab/check/promises_test.go
@@ -98,8 +98,12 @@
 			o.Starts["w/1/0"] = append(o.Starts["w/1/0"], Start{Engine: "e1", At: at(6.5)})
 		}},
 		{"cut off by a node's stop", PlannedStopSafe, func(o *Observations) { o.Requests[0].Outcome = OutcomeBroken }},
+		{"cut off by a node's stop while another node is down", PlannedStopSafe, func(o *Observations) {
+			o.Disturbances = []Disturbance{{Target: "n9", During: Interval{From: at(0), To: at(9)}}}
+			o.Requests[0].Outcome = OutcomeBroken
+		}},
 		{"left unknown by an engine's stop", PlannedStopSafe, func(o *Observations) {
-			o.Unplanned = true
+			o.Disturbances = []Disturbance{{Target: "n9", During: Interval{From: at(20), To: at(30)}}}
 			o.Requests[0].Node = "n3"
 			o.Requests[0].Outcome = OutcomeUnknown
 		}},
@@ -125,6 +129,16 @@
 	}
 }
 
+func TestAPlannedStopIsNotBlamedForOtherFaults(t *testing.T) {
+	is := is.New(t)
+	recorder := goodRun()
+	recorder.Record(func(o *Observations) {
+		o.Requests[0].Outcome = OutcomeUnknown
+		o.Disturbances = []Disturbance{{CutsNetwork: true, During: Interval{From: at(0)}}}
+	})
+	is.Equal(Judge(recorder, DefaultLimits())[PlannedStopSafe].Violations, 0)
+}
+
 func TestANodeCutOffIsNotBlamedForAnOldBundle(t *testing.T) {
 	is := is.New(t)
 	recorder := goodRun()
--- a/internal/lab/cluster/events.go
+++ b/internal/lab/cluster/events.go
@@ -25,15 +25,8 @@
 	return nil
 }
 
-// plannedActions are those that may cut nothing off.
-var plannedActions = map[trace.Action]bool{
-	trace.RollBundle: true, trace.NodeStop: true, trace.NodeStart: true, trace.EngineLeave: true, trace.EngineStart: true,
-}
-
 func (c *Cluster) carryOut(ctx context.Context, event *trace.Event) error {
-	if !plannedActions[event.Do] {
-		c.config.Recorder.Record(func(o *check.Observations) { o.Unplanned = true })
-	}
+	c.noteDisturbance(event)
 	if event.Do == trace.RollBundle {
 		c.running.Go(func() {
 			state, err := c.RollBundle(ctx, event.File, event.SignAs)
@@ -136,7 +129,7 @@
 func eachNode(c *Cluster, event *trace.Event, act func(*nodeProcess) error) error {
 	var failures []error
 	for _, process := range c.nodes {
-		if process.name == event.Node || process.zone == event.Zone {
+		if event.IsDoneTo(process.name, process.zone) {
 			failures = append(failures, act(process))
 		}
 	}
@@ -146,7 +139,7 @@
 func eachEngine(c *Cluster, event *trace.Event, act engineAction) error {
 	var failures []error
 	for _, process := range c.engines {
-		if process.name == event.Engine || process.zone == event.Zone {
+		if event.IsDoneTo(process.name, process.zone) {
 			failures = append(failures, act(c, process, event))
 		}
 	}
@@ -202,10 +195,6 @@
 	for _, process := range cut {
 		process.unreachable(partitioned)
 	}
-	c.config.Recorder.Record(func(o *check.Observations) {
-		now := time.Now()
-		o.Partitions = append(o.Partitions, check.Interval{From: now, To: now.Add(time.Duration(event.For))})
-	})
 	c.after(ctx, time.Duration(event.For), func() {
 		heal()
 		for _, process := range cut {
--- a/internal/lab/trace/events.go
+++ b/internal/lab/trace/events.go
@@ -168,3 +168,8 @@
 
 // Actions lists all actions, in order of name.
 func Actions() []Action { return slices.Sorted(maps.Keys(rules)) }
+
+// IsDoneTo tells whether the event names a node or an engine, or the zone that it stands in.
+func (e *Event) IsDoneTo(name, zone string) bool {
+	return e.Node == name || e.Engine == name || e.Zone == zone
+}
