Run every program by hand

Cause: the stand-ins ran only inside replay and demo, so that nobody could start the programs one by one, and 'hillfork nodes' told bundle 0 for all.

--- a/internal/accounting/accounting.go
+++ b/internal/accounting/accounting.go
@@ -82,6 +82,7 @@
 	peerapi.MethodListEngines: Admin,
 	peerapi.MethodListShards:  Admin,
 	peerapi.MethodListSteps:   Admin,
+	peerapi.MethodNodeStatus:  Admin,
 	peerapi.MethodDrain:       Admin,
 }
 
--- a/internal/gateway/admin_lists.go
+++ b/internal/gateway/admin_lists.go
@@ -22,11 +22,14 @@
 	fanOut = 16
 	// nodeListTimeout bounds the answer of one node; one that takes longer is left out.
 	nodeListTimeout = 2 * time.Second
+	// stateDead is the state of members that are not asked.
+	stateDead = "dead"
 )
 
-// ListNodes lists the members as this node sees them.
+// ListNodes lists the members as this node sees them, each with the bundle version that it says is in force at it: 0 where
+// it did not answer.
 func (s *adminService) ListNodes(
-	_ context.Context, request *connect.Request[v1.ListNodesRequest],
+	ctx context.Context, request *connect.Request[v1.ListNodesRequest],
 ) (*connect.Response[v1.ListNodesResponse], error) {
 	size, err := pageSize(request.Msg.GetPage())
 	if err != nil {
@@ -34,8 +37,10 @@
 	}
 	members := s.sortedMembers()
 	page, next := pageAfter(members, nodeOf, request.Msg.GetPage().GetToken(), size)
+	began := time.Now()
+	versions := s.bundleVersions(ctx, page)
 	newest, oldest := heardAges(page, time.Now())
-	response := &v1.ListNodesResponse{NextPageToken: next, Freshness: s.freshness(newest, oldest)}
+	response := &v1.ListNodesResponse{NextPageToken: next, Freshness: s.freshness(newest, max(oldest, time.Since(began)))}
 	for _, member := range page {
 		response.Nodes = append(response.Nodes, &v1.NodeStatus{
 			Id:            member.Node,
@@ -44,12 +49,31 @@
 			Region:        member.Region,
 			State:         member.State,
 			Incarnation:   member.Incarnation,
-			BundleVersion: member.BundleVersion,
+			BundleVersion: versions[member.Node],
 		})
 	}
 	return connect.NewResponse(response), nil
 }
 
+// bundleVersions asks members that are not dead for the version in force at them, a bounded number at once.
+func (s *adminService) bundleVersions(ctx context.Context, members []Member) map[string]uint64 {
+	ask := askList(s, peerapi.MethodNodeStatus, &peerapi.NodeStatus{}, func() (peer.Message, func() uint64) {
+		response := &peerapi.NodeStatusResult{}
+		return response, func() uint64 { return response.BundleVersion }
+	})
+	versions := make(map[string]uint64, len(members))
+	for batch := range slices.Chunk(withoutDead(members), fanOut) {
+		for _, answer := range askBatch(ctx, batch, ask) {
+			versions[answer.node] = answer.told
+		}
+	}
+	return versions
+}
+
+func withoutDead(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.State == stateDead })
+}
+
 func nodeOf(member Member) string { return member.Node }
 
 func (s *adminService) sortedMembers() []Member {
@@ -87,9 +111,7 @@
 	ask func(ctx context.Context, address string) (T, error), enough func(answers []nodeAnswer[T]) bool,
 ) (answers []nodeAnswer[T], next string, took time.Duration) {
 	began := time.Now()
-	remaining := slices.DeleteFunc(s.sortedMembers(), func(member Member) bool {
-		return member.Node <= token || member.State == "dead"
-	})
+	remaining := slices.DeleteFunc(withoutDead(s.sortedMembers()), func(member Member) bool { return member.Node <= token })
 	for len(remaining) > 0 && ctx.Err() == nil {
 		batch := remaining[:min(fanOut, len(remaining))]
 		remaining = remaining[len(batch):]
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -172,6 +172,8 @@
 	switch method {
 	case peerapi.MethodListEngines:
 		response.(*peerapi.ListEnginesResult).Engines = []peerapi.EngineInfo{{ID: address + "/a"}, {ID: address + "/b"}}
+	case peerapi.MethodNodeStatus:
+		response.(*peerapi.NodeStatusResult).BundleVersion = 7
 	case peerapi.MethodListShards:
 		response.(*peerapi.ListShardsResult).Shards = []peerapi.ShardInfo{{Name: address + "/s"}}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -219,15 +219,19 @@
 	}
 	is.Equal(len(seen), 2*36) // 4 of 40 nodes do not answer
 
-	nodes := 0
+	nodes, informed := 0, 0
 	page = &v1.Page{Size: 7}
 	for pages := 0; pages == 0 || page.Token != ""; pages++ {
 		response, err := admin.ListNodes(t.Context(), connect.NewRequest(&v1.ListNodesRequest{Page: page}))
 		is.NoErr(err)
 		nodes += len(response.Msg.GetNodes())
+		for _, node := range response.Msg.GetNodes() {
+			informed += int(node.GetBundleVersion()) / 7
+		}
 		page.Token = response.Msg.GetNextPageToken()
 	}
 	is.Equal(nodes, 40)
+	is.Equal(informed, 36)
 
 	_, err := admin.DrainNode(t.Context(), connect.NewRequest(&v1.DrainNodeRequest{Node: "n99"}))
 	is.Equal(connect.CodeOf(err), connect.CodeNotFound)
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -32,9 +32,8 @@
 type Member struct {
 	placement.Member
 	// State is alive, suspect, leaving or dead.
-	State         string
-	Incarnation   uint64
-	BundleVersion uint64
+	State       string
+	Incarnation uint64
 	// Heard is when the state was last confirmed; zero where that is not known.
 	Heard time.Time
 }
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -35,10 +35,13 @@
 	defer stop()
 	to := output{out: out, errors: errorOutput}
 	root := &ff.Command{
-		Name:        "hillfork-lab",
-		Usage:       "hillfork-lab SUBCOMMAND ...",
-		ShortHelp:   "stand-ins, trace replay and experiments",
-		Subcommands: []*ff.Command{demoCommand(to), replayCommand(to), scaleCommand(to), searchCommand(to), experimentCommand(to)},
+		Name:      "hillfork-lab",
+		Usage:     "hillfork-lab SUBCOMMAND ...",
+		ShortHelp: "stand-ins, trace replay and experiments",
+		Subcommands: []*ff.Command{
+			demoCommand(to), replayCommand(to), scaleCommand(to), searchCommand(to), experimentCommand(to),
+			platformCommand(to), enginesCommand(to), trainerCommand(to),
+		},
 	}
 	err := root.ParseAndRun(ctx, args)
 	var problem *trace.Problem
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -54,6 +54,9 @@
 		}
 		return result, nil
 	})
+	registrar.HandleUnary(peerapi.MethodNodeStatus, func(context.Context, peer.Decode) (peer.Message, error) {
+		return &peerapi.NodeStatusResult{BundleVersion: n.follower.Stats().Version}, nil
+	})
 	registrar.HandleUnary(peerapi.MethodDrain, func(context.Context, peer.Decode) (peer.Message, error) {
 		n.Stop()
 		return &peerapi.DrainResult{}, nil
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -41,6 +41,8 @@
 	MethodListEngines = "engines.list"
 	// MethodListShards tells the shards that a node owns. ListShards → ListShardsResult.
 	MethodListShards = "shards.list"
+	// MethodNodeStatus tells what a node says of itself. NodeStatus → NodeStatusResult.
+	MethodNodeStatus = "node.status"
 	// MethodGetBundle fetches the bundle in force from a peer. GetBundle → BundleProof.
 	MethodGetBundle = "bundle.get"
 	// MethodDrain asks a node to stop as planned. Drain → DrainResult.
@@ -361,6 +363,15 @@
 	Shards []ShardInfo `msg:"s"`
 }
 
+// NodeStatus asks a node for its own word.
+type NodeStatus struct{}
+
+// NodeStatusResult is what a node says of itself.
+type NodeStatusResult struct {
+	// BundleVersion is the version in force at the node; 0 before the first.
+	BundleVersion uint64 `msg:"b"`
+}
+
 // GetBundle asks a peer for the bundle in force.
 type GetBundle struct{}
 
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -6497,6 +6497,210 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *NodeStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z NodeStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 0
+	_ = z
+	err = en.Append(0x80)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z NodeStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NodeStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z NodeStatus) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *NodeStatusResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.BundleVersion, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "BundleVersion")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z NodeStatusResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "b"
+	err = en.Append(0x81, 0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.BundleVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "BundleVersion")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z NodeStatusResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "b"
+	o = append(o, 0x81, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.BundleVersion)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *NodeStatusResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb0b0701climitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.BundleVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BundleVersion")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z NodeStatusResult) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Outcome) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
