--- a/internal/shard/manager.go
+++ b/internal/shard/manager.go
@@ -135,29 +135,37 @@
 	if m.stopped {
 		return nil, nil, notReady("node is stopping")
 	}
-	if o := m.owned[stream]; o != nil && !o.hasEnded() && !m.draining[stream] {
+	if o := m.owned[stream]; o != nil && !o.hasEnded() {
+		if m.draining[stream] {
+			return nil, nil, notReady("shard is being handed over")
+		}
 		return o, nil, nil
 	}
 	if call := m.opening[stream]; call != nil {
 		return nil, call, nil
 	}
-	if m.draining[stream] {
-		return nil, nil, notReady("shard is being handed over")
+	if refusal := m.refusal(stream); refusal != nil {
+		return nil, nil, refusal
 	}
+	call := &opening{done: make(chan struct{})}
+	m.opening[stream] = call
+	m.tasks.Go(func() { m.open(stream, call) })
+	return nil, call, nil
+}
+
+// refusal tells why a shard that is not owned must not be opened now; nil when it may be. The caller holds mu.
+func (m *Manager) refusal(stream string) *peer.Error {
 	placed, ok := m.placed(stream)
 	if !ok {
-		return nil, nil, notOwner(stream, "")
+		return notOwner(stream, "")
 	}
 	if placed.Node != m.config.Placer.Self().Node {
-		return nil, nil, notOwner(stream, placed.PeerAddress)
+		return notOwner(stream, placed.PeerAddress)
 	}
-	if refusal := m.patience.refusal(stream); refusal != nil {
-		return nil, nil, refusal
+	if m.draining[stream] {
+		return notReady("shard has just been handed over")
 	}
-	call := &opening{done: make(chan struct{})}
-	m.opening[stream] = call
-	m.tasks.Go(func() { m.open(stream, call) })
-	return nil, call, nil
+	return m.patience.refusal(stream)
 }
 
 // placed returns the member that placement names for a stream.
