Tell callers that a request never left the queue before their time is up

Change: the inner side of each call is told a shorter timeout; Execute has queue_millis, which bounds the wait for a slot by the caller's patience; no further engine is tried when too little time is left to hear of it. Contract: peerapi.Execute gains QueueMillis, 0 as before.

--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -128,8 +128,22 @@
 	return max(0, remaining)
 }
 
+// queueTime is how long the request may wait for a slot; 0 is no limit.
+func (r *requestRun) queueTime(remaining time.Duration) time.Duration {
+	limit := time.Duration(r.request.QueueMillis) * time.Millisecond
+	if limit > 0 && (remaining <= 0 || limit < remaining) {
+		return limit
+	}
+	return remaining
+}
+
 // admit waits for a slot. Errors prove that nothing ran.
 func (r *requestRun) admit(ctx context.Context, remaining time.Duration) error {
+	remaining = r.queueTime(remaining)
+	var ended <-chan time.Time
+	if remaining > 0 {
+		ended = time.After(remaining)
+	}
 	waiting, err := r.owner.slots.enqueue(r.request.Workload, remaining)
 	if err != nil {
 		return err
@@ -139,6 +153,9 @@
 		return nil
 	case <-waiting.refused:
 		return notReady("engine takes no more work")
+	case <-ended:
+		r.owner.slots.abandon(waiting)
+		return notReady("request ended in the queue: " + errDeadline.Error())
 	case <-ctx.Done():
 		r.owner.slots.abandon(waiting)
 		return notReady("request ended in the queue: " + context.Cause(ctx).Error())
--- a/internal/dispatch/execute_test.go
+++ b/internal/dispatch/execute_test.go
@@ -255,3 +255,24 @@
 		is.Equal(generations, 4)
 	})
 }
+
+func TestWorkThatNobodyWaitsForDoesNotLeaveTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, bundleOf(interactive("search", 1)), engineConfig("e1"))
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.request(t.Context(), ask(id, 3000))
+		}
+		synctest.Wait()
+		impatient := ask("e", 100)
+		impatient.TimeoutMillis = time.Hour.Milliseconds()
+		impatient.QueueMillis = 700
+		began := time.Now()
+		_, _, refusal := w.request(t.Context(), impatient).wait(nil)
+		is.True(refusal != nil) // refused, so proven not run
+		is.Equal(time.Since(began), 700*time.Millisecond)
+		time.Sleep(time.Hour)
+		generations, _ := w.probes["e1"].counts("")
+		is.Equal(generations, 4)
+	})
+}
--- a/internal/gateway/execute_safe.go
+++ b/internal/gateway/execute_safe.go
@@ -116,6 +116,9 @@
 	if ctx.Err() != nil {
 		return engine, "the deadline has passed", false
 	}
+	if e.history.attempts > 0 && !answer.AllowsRetry(remainingTime(ctx)) {
+		return engine, "the deadline is too near for another engine", false
+	}
 	if e.history.attempts >= maxAttempts {
 		return engine, fmt.Sprintf("%d engines were tried", maxAttempts), false
 	}
@@ -137,7 +140,7 @@
 	request := e.request
 	request.Attempt = uint32(e.history.attempts + 1)
 	request.Resume = e.delivered
-	request.TimeoutMillis = remainingMillis(ctx)
+	request.TimeoutMillis = max(1, answer.InnerTimeout(remainingTime(ctx)).Milliseconds())
 	stream, err := e.gateway.router.open(ctx, engine, &request)
 	if err != nil {
 		return answer.FromError(err), nil
--- a/internal/gateway/execute_test.go
+++ b/internal/gateway/execute_test.go
@@ -139,6 +139,29 @@
 	})
 }
 
+// TestQueuedUntilTheDeadlineIsNotRun checks that a request which never left the queue is said not to have run, in time.
+func TestQueuedUntilTheDeadlineIsNotRun(t *testing.T) {
+	for _, unsafe := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			began := time.Now()
+			request := searchRequest()
+			request.UnsafeToRepeat = unsafe
+			request.TimeoutMillis = 4000
+			owners := &fakeOwners{scripts: []script{{queued: true}}}
+			owners.resolve = func(_ context.Context, _, response peer.Message) error {
+				time.Sleep(travelTime)
+				response.(*peerapi.ResolveResult).Outcome = peerapi.OutcomeNotRun
+				return nil
+			}
+			end, _, err := run(t.Context(), newTestGateway(owners, 1), request)
+			is.NoErr(err)
+			is.Equal(end.outcome, notRunEnd)
+			is.True(time.Since(began) < 4*time.Second)
+		})
+	}
+}
+
 // TestRetryBudget lets every attempt fail, and bounds the retries by the workload's ratio.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/execute_unsafe.go
+++ b/internal/gateway/execute_unsafe.go
@@ -47,7 +47,7 @@
 	}
 	running.request.Attempt = 1
 	running.request.Ask = rand.Uint64()
-	running.request.TimeoutMillis = remainingMillis(ctx)
+	running.request.TimeoutMillis = max(1, askTimeout(ctx).Milliseconds())
 	end, err := running.run(ctx)
 	end.tokens = running.delivered
 	return end, err
@@ -75,8 +75,7 @@
 
 // ask sends the request to the ledger and relays its answer. The error is the caller's connection's.
 func (u *unsafeExecution) ask(ctx context.Context) (answer.Ending, error) {
-	remaining := time.Duration(remainingMillis(ctx)) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, remaining-min(resolveReserve, remaining/reserveShare))
+	ctx, cancel := context.WithTimeout(ctx, askTimeout(ctx))
 	defer cancel()
 	stream, err := u.gateway.config.Owners.StreamOwner(
 		ctx, u.stream, u.gateway.preference(), peerapi.MethodExecuteOnce, &u.request, true)
@@ -90,6 +89,13 @@
 	return ending, err
 }
 
+// askTimeout is the part of the caller's time in which the ledger may answer. It is told to the ledger, so that what became
+// of the request is settled while it can still be asked.
+func askTimeout(ctx context.Context) time.Duration {
+	remaining := remainingTime(ctx)
+	return remaining - min(resolveReserve, remaining/reserveShare)
+}
+
 func (u *unsafeExecution) deliver(event peerapi.ExecuteEvent) error {
 	if err := u.send(part(u.message, event)); err != nil {
 		return err
@@ -143,14 +149,14 @@
 		return final{}, refusalError(refused)
 	}
 	if err != nil {
+		u.gateway.logger.Debug("request could not be resolved", "request", u.request.RequestID, "lost", lost.Reason, "error", err)
 		return unresolved(lost), nil
 	}
 	return u.finish(&settled)
 }
 
 func resolveBudget(ctx context.Context) time.Duration {
-	remaining := time.Duration(remainingMillis(ctx)) * time.Millisecond
-	return max(minResolveTimeout, min(resolveTimeout, remaining))
+	return max(minResolveTimeout, min(resolveTimeout, remainingTime(ctx)))
 }
 
 // unresolved is the end of a request of which nothing could be found out in time. Asking again under the same id is safe
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -24,6 +24,20 @@
 	err    error
 	// hang keeps the stream open without an event until its context ends.
 	hang bool
+	// queued refuses once the timeout that the request names has passed in the queue, and the refusal has travelled.
+	queued bool
+}
+
+// travelTime is how long a refusal from the queue is under way.
+const travelTime = 50 * time.Millisecond
+
+func (s *scriptStream) waitInQueue() error {
+	select {
+	case <-time.After(time.Duration(s.request.TimeoutMillis)*time.Millisecond + travelTime):
+		return &peer.Error{Code: peer.CodeNotReady, Message: "the deadline passed in the queue"}
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
 }
 
 // fakeOwners answers the attempts in their order and keeps the requests. Identifiers left empty in a script are filled
@@ -72,6 +86,9 @@
 }
 
 func (s *scriptStream) Receive(into peer.Message) error {
+	if s.script.queued {
+		return s.waitInQueue()
+	}
 	if len(s.script.events) == 0 {
 		if s.script.hang {
 			<-s.ctx.Done()
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -169,11 +169,11 @@
 	}
 }
 
-// remainingMillis is what is left of the context's deadline, at least 1.
-func remainingMillis(ctx context.Context) int64 {
+// remainingTime is what is left of the context's deadline, at least a millisecond.
+func remainingTime(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return defaultTimeout.Milliseconds()
+		return defaultTimeout
 	}
-	return max(1, time.Until(deadline).Milliseconds())
+	return max(time.Millisecond, time.Until(deadline))
 }
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -256,6 +256,9 @@
 	Seed      uint64   `msg:"s"`
 	// TimeoutMillis is what is left of the caller's deadline.
 	TimeoutMillis int64 `msg:"t"`
+	// QueueMillis bounds the wait for a slot of the engine; 0 leaves that to TimeoutMillis. A run may outlast the caller's
+	// patience, so that its answer can be asked for again, but work that nobody waits for must not begin.
+	QueueMillis int64 `msg:"q"`
 	// Ask names one ask of a caller for an unsafe request, drawn at random by the gateway. An ask that was answered as not
 	// run is never run later, whereas a new ask of the same request may be.
 	Ask uint64 `msg:"k"`
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -3763,6 +3763,12 @@
 				err = msgp.WrapError(err, "TimeoutMillis")
 				return
 			}
+		case "q":
+			z.QueueMillis, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "QueueMillis")
+				return
+			}
 		case "k":
 			z.Ask, err = dc.ReadUint64()
 			if err != nil {
@@ -3782,9 +3788,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Execute) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "w"
-	err = en.Append(0x8a, 0xa1, 0x77)
+	err = en.Append(0x8b, 0xa1, 0x77)
 	if err != nil {
 		return
 	}
@@ -3887,6 +3893,16 @@
 		err = msgp.WrapError(err, "TimeoutMillis")
 		return
 	}
+	// write "q"
+	err = en.Append(0xa1, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.QueueMillis)
+	if err != nil {
+		err = msgp.WrapError(err, "QueueMillis")
+		return
+	}
 	// write "k"
 	err = en.Append(0xa1, 0x6b)
 	if err != nil {
@@ -3903,9 +3919,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Execute) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "w"
-	o = append(o, 0x8a, 0xa1, 0x77)
+	o = append(o, 0x8b, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Workload)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -3937,6 +3953,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.TimeoutMillis)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.QueueMillis)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendUint64(o, z.Ask)
@@ -4053,6 +4072,12 @@
 				err = msgp.WrapError(err, "TimeoutMillis")
 				return
 			}
+		case "q":
+			z.QueueMillis, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "QueueMillis")
+				return
+			}
 		case "k":
 			z.Ask, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -4073,7 +4098,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Execute) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.ArrayHeaderSize + (len(z.Prompt) * (msgp.Uint32Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Resume) * (msgp.Uint32Size)) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Workload) + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Engine) + 2 + msgp.ArrayHeaderSize + (len(z.Prompt) * (msgp.Uint32Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Resume) * (msgp.Uint32Size)) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/requestledger/execute.go
+++ b/internal/requestledger/execute.go
@@ -19,6 +19,7 @@
 
 // executeOnce is the drive of an unsafe request.
 func (s *Service) executeOnce(request peerapi.Execute) drive {
+	patience := patienceOf(&request, time.Now())
 	return func(ctx context.Context, run *run) (result, error) {
 		owner, err := s.open(ctx, run)
 		if err != nil {
@@ -28,7 +29,7 @@
 		if !started || err != nil {
 			return how, err
 		}
-		return s.recordFinish(ctx, owner, run, s.dispatch(ctx, run, request))
+		return s.recordFinish(ctx, owner, run, s.dispatch(ctx, run, request, patience))
 	}
 }
 
@@ -88,20 +89,21 @@
 
 // dispatch gives the started request to an engine. Another engine is tried under the same Start only after a refusal that
 // proves that no engine was given the request, so at most one engine ever runs it.
-func (s *Service) dispatch(ctx context.Context, run *run, request peerapi.Execute) result {
+func (s *Service) dispatch(ctx context.Context, run *run, request peerapi.Execute, patience patience) result {
 	var excluded []string
 	last := answer.Ending{Kind: answer.EndNotRun, Reason: "the deadline passed before an engine was asked"}
 	for attempt := uint32(1); attempt <= maxDispatches && ctx.Err() == nil; attempt++ {
 		request.RequestID = dispatchID(run)
 		request.Attempt = attempt
 		request.TimeoutMillis = remainingMillis(ctx)
+		request.QueueMillis = patience.queueMillis()
 		engine, ending, how := s.attempt(ctx, request, excluded)
 		if ending.Kind != answer.EndNotRun {
 			return how
 		}
 		last = ending
 		s.failpoint(AfterNotRun)
-		if engine == "" {
+		if engine == "" || !patience.allowsRetry() {
 			break
 		}
 		excluded = append(excluded, engine)
@@ -118,12 +120,35 @@
 	return fmt.Sprintf("unsafe/%s/%s/%016x", run.key.workload, run.key.requestID, run.ask)
 }
 
+// patience is until when the caller of a request waits for its answer; zero when that is unbounded.
+type patience struct{ until time.Time }
+
+func patienceOf(request *peerapi.Execute, now time.Time) patience {
+	if request.TimeoutMillis <= 0 {
+		return patience{}
+	}
+	return patience{now.Add(time.Duration(request.TimeoutMillis) * time.Millisecond)}
+}
+
+// queueMillis is how long an engine may let the request wait before it runs: the caller must still hear that it did not.
+func (p patience) queueMillis() int64 {
+	if p.until.IsZero() {
+		return 0
+	}
+	return max(1, answer.InnerTimeout(time.Until(p.until)).Milliseconds())
+}
+
+func (p patience) allowsRetry() bool {
+	return p.until.IsZero() || answer.AllowsRetry(time.Until(p.until))
+}
+
+// remainingMillis is the timeout that an engine's owner is told; 0 is none.
 func remainingMillis(ctx context.Context) int64 {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return 0
 	}
-	return max(1, time.Until(deadline).Milliseconds())
+	return max(1, answer.InnerTimeout(time.Until(deadline)).Milliseconds())
 }
 
 // attempt dispatches once and gathers the answer.
--- a/internal/requestledger/fake_test.go
+++ b/internal/requestledger/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
 	"github.com/hillfork/hillfork/internal/peer"
@@ -166,6 +167,8 @@
 	dispatchLost
 	// dispatchBroken runs, and contact is lost after the first tokens.
 	dispatchBroken
+	// dispatchQueued waits in a queue until the timeout that the engine was told, and is proven not to have run.
+	dispatchQueued
 )
 
 // engineAnswer is what every engine answers.
@@ -205,6 +208,8 @@
 		return engine, nil, &peer.Error{Code: peer.CodeOverloaded, Message: "full"}
 	case dispatchNotSent:
 		return engine, nil, peer.ErrNotSent
+	case dispatchQueued:
+		return engine, &fakeQueue{ctx: ctx, timeout: time.Duration(request.QueueMillis) * time.Millisecond}, nil
 	}
 	if e.starts == nil {
 		e.starts = make(map[string]int)
@@ -216,6 +221,23 @@
 	return engine, &fakeAnswer{ctx: ctx, request: request, gate: e.gate, broken: fault == dispatchBroken}, nil
 }
 
+// fakeQueue refuses when the timeout has passed; the refusal takes a while to arrive.
+type fakeQueue struct {
+	ctx     context.Context
+	timeout time.Duration
+}
+
+func (q *fakeQueue) Receive(peer.Message) error {
+	select {
+	case <-time.After(q.timeout + 50*time.Millisecond):
+		return &peer.Error{Code: peer.CodeNotReady, Message: "the deadline passed in the queue"}
+	case <-q.ctx.Done():
+		return q.ctx.Err()
+	}
+}
+
+func (q *fakeQueue) Close() error { return nil }
+
 // fakeAnswer sends two chunks and the end.
 type fakeAnswer struct {
 	ctx     context.Context
--- a/internal/requestledger/service_test.go
+++ b/internal/requestledger/service_test.go
@@ -255,6 +255,21 @@
 	}
 }
 
+// TestQueuedUntilTheDeadline lets a request wait in an engine's queue for all of its time.
+func TestQueuedUntilTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &fakeEngines{fault: func() dispatchFault { return dispatchQueued }}
+		service := New(Config{Opener: &fakeNode{log: &fakeLog{}}, Dispatcher: engines, Bundles: fakeBundles{}})
+		defer service.Close()
+		impatient := request("key", 1)
+		impatient.TimeoutMillis = 4000 // the workload allows a run more
+		hurried, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		is.Equal(execute(hurried, service, impatient).outcome, peerapi.OutcomeNotRun)
+	})
+}
+
 // TestLateStart lets a Start whose append was given up reach the log at every later moment.
 func TestLateStart(t *testing.T) {
 	for _, landsBefore := range []int{1, 2, 3} {
