Count reads in a test only once the follower pauses

Change: the test waits until the follower pauses; the bound is the same. Conclusion: the test was wrong, not the follower.

--- a/internal/bundle/race_test.go
+++ b/internal/bundle/race_test.go
@@ -148,6 +148,7 @@
 		follower := follow(t, log, testTrusted("ann"))
 		_, err := follower.Confirm(t.Context())
 		is.True(err != nil) // the tail was never reached, so nothing is confirmed
+		synctest.Wait()     // the follower has started and pauses
 		before := log.readCount()
 		time.Sleep(time.Minute)
 		is.True(log.readCount()-before <= int(time.Minute/minPoll)+1)
