Log errors in one line, and export what the roles count

Cause: warnings printed the traces of wrapped errors over many lines, with paths of source files; counters of ledgers, shards, dispatch, bundle follower, membership and peers were kept but not exported. Change: package errorlog writes an error's plain text and its context as keys; errors of cancelled contexts are no warnings. internal/node registers the counters as hillfork_<role>_<what>_total, with gauges for readiness, bundle, members and what the node owns. The step ledger's steps_total is now submissions_total. Operators' pages of settings and metrics, each with a test that compares it with the code. Conclusion: TestOneLinePerError, TestMetricsPageIsWhole, TestReferencePage.

--- a/cmd/hillforkd/main.go
+++ b/cmd/hillforkd/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/logging"
 	"github.com/hillfork/hillfork/internal/network"
 	"github.com/hillfork/hillfork/internal/node"
@@ -43,11 +44,11 @@
 		Settings: parsed, Network: network.System{}, Incarnation: uint64(time.Now().UnixNano()), Logger: logger,
 	})
 	if err != nil {
-		logger.Error("node did not start", "error", err)
+		errorlog.Error(logger, "node did not start", err)
 		return exitFailed
 	}
 	if err := process.Run(ctx); err != nil {
-		logger.Error("node ended", "error", err)
+		errorlog.Error(logger, "node ended", err)
 		return exitFailed
 	}
 	return exitOK
--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
@@ -116,7 +117,7 @@
 			break
 		}
 		if err != nil {
-			f.logger.Warn("bundle stream cannot be read", "error", err.Error())
+			errorlog.Warn(f.logger, "bundle stream cannot be read", err)
 			sleep(ctx, pause.NextBackOff())
 			continue
 		}
--- a/internal/bundle/propose.go
+++ b/internal/bundle/propose.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
 )
@@ -228,7 +229,7 @@
 			written = true
 			continue
 		}
-		f.logger.Warn("bundle record not settled yet", "error", fmt.Sprint(errors.Join(readError, appendError)))
+		errorlog.Warn(f.logger, "bundle record not settled yet", errors.Join(readError, appendError))
 		sleep(ctx, pause.NextBackOff())
 		if ctx.Err() != nil {
 			return unsettled(maybeWritten, errors.Join(readError, appendError))
--- a/internal/bundle/snapshots.go
+++ b/internal/bundle/snapshots.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
 )
@@ -61,7 +62,7 @@
 		if err == nil {
 			return fold, next, nil
 		}
-		f.logger.Warn("bundle snapshot skipped", "offset", offset, "error", err.Error())
+		errorlog.Warn(f.logger, "bundle snapshot skipped", err, "offset", offset)
 	}
 	return nil, 0, nil
 }
@@ -107,7 +108,7 @@
 		return
 	}
 	if err := f.refreshSnapshotted(ctx); err != nil {
-		f.logger.Warn("bundle snapshots cannot be read", "error", err.Error())
+		errorlog.Warn(f.logger, "bundle snapshots cannot be read", err)
 		return
 	}
 	payload, next, err := f.encodeSnapshot()
@@ -117,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	if _, err := f.config.Log.Append(ctx, SnapshotStream, [][]byte{payload}); err != nil {
-		f.logger.Warn("bundle snapshot may not have been written", "error", err.Error())
+		errorlog.Warn(f.logger, "bundle snapshot may not have been written", err)
 		return
 	}
 	f.mu.Lock()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
 )
@@ -185,7 +186,7 @@
 		a.link.forget(a.reference())
 	default:
 		owner.dispatcher.counters.AttemptsFailed.Add(1)
-		owner.logger.Debug("attempt ended early", "request", a.requestID, "attempt", a.assignment.Attempt, "error", err)
+		errorlog.Debug(owner.logger, "attempt ended early", err, "request", a.requestID, "attempt", a.assignment.Attempt)
 		a.link.urgent.notify()
 	}
 }
@@ -362,7 +363,7 @@
 	ctx, cancel := context.WithTimeout(o.work, o.config.Timing.StatusTimeout)
 	defer cancel()
 	if err := o.engine.Cancel(ctx, requestID, attempt); err != nil {
-		o.logger.Debug("stream could not be cancelled", "request", requestID, "error", err)
+		errorlog.Debug(o.logger, "stream could not be cancelled", err, "request", requestID)
 	}
 }
 
--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 )
@@ -48,7 +49,7 @@
 	if err == nil {
 		return true
 	}
-	owner.logger.Warn("finished sample was not taken yet", "request", a.requestID, "error", err)
+	errorlog.Warn(owner.logger, "finished sample was not taken yet", err, "request", a.requestID)
 	return a.link.refusedForGood(err)
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
@@ -145,7 +146,7 @@
 	defer d.wake.notify()
 	claimed, err := d.config.Opener.Open(ctx, EngineKey(machine.ID))
 	if err != nil {
-		d.config.Logger.Debug("engine could not be taken over", "engine", machine.ID, "error", err)
+		errorlog.Debug(d.config.Logger, "engine could not be taken over", err, "engine", machine.ID)
 		waitFor(ctx, jittered(d.config.Timing.Reconcile))
 		d.endOpening(machine.ID)
 		return
@@ -227,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.config.Timing.Call)
 	defer cancel()
 	if err := owner.shard.Release(ctx); err != nil {
-		owner.logger.Warn("shard was not released", "error", err)
+		errorlog.Warn(owner.logger, "shard was not released", err)
 	}
 }
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
@@ -43,7 +44,7 @@
 	}
 	if owner := d.owner(engine); owner != nil {
 		if err := owner.settle(ctx); err != nil {
-			owner.logger.Warn("engine is handed over with work in flight", "requests", owner.requestCount(), "error", err)
+			errorlog.Warn(owner.logger, "engine is handed over with work in flight", err, "requests", owner.requestCount())
 		}
 	}
 }
--- a/internal/dispatch/loader.go
+++ b/internal/dispatch/loader.go
@@ -8,6 +8,7 @@
 	"github.com/samber/oops"
 
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/policy"
 )
@@ -54,7 +55,7 @@
 	} else {
 		o.dispatcher.counters.LoadsFailed.Add(1)
 	}
-	o.logger.Warn("weights were not loaded", "error", err)
+	errorlog.Warn(o.logger, "weights were not loaded", err)
 }
 
 // idleLook is how long the loader rests when nothing is due and nothing changes.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/policy"
@@ -89,7 +90,7 @@
 	settling, cancel := context.WithTimeout(o.work, o.config.Timing.Settle)
 	defer cancel()
 	if err := o.settle(settling); err != nil {
-		o.logger.Warn("engine is given up with work in flight", "requests", o.requestCount(), "error", err)
+		errorlog.Warn(o.logger, "engine is given up with work in flight", err, "requests", o.requestCount())
 	}
 	o.loops.Wait()
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 )
@@ -69,7 +70,7 @@
 	l.owner.dispatcher.counters.Reports.Add(1)
 	response := &peerapi.ReportWorkResult{}
 	if err := l.callLedger(ctx, peerapi.MethodReportWork, request, response, true); err != nil {
-		l.owner.logger.Debug("report was not taken", "workload", l.key.workload, "shard", l.key.shard, "error", err)
+		errorlog.Debug(l.owner.logger, "report was not taken", err, "workload", l.key.workload, "shard", l.key.shard)
 		if l.refusedForGood(err) {
 			l.abandon(request.Attempts)
 		}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -41,7 +42,7 @@
 
 // engineDown cuts what runs at an engine that answers no more.
 func (o *engineOwner) engineDown(err error) {
-	o.logger.Warn("engine does not answer", "error", err)
+	errorlog.Warn(o.logger, "engine does not answer", err)
 	o.slots.refuseWaiting()
 	o.cancelAttempts(errEngineDown)
 	o.cancelRequests(errEngineDown)
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/lab/check"
 	"github.com/hillfork/hillfork/internal/lab/trace"
 	"github.com/hillfork/hillfork/internal/node"
@@ -254,7 +255,7 @@
 
 func (c *Cluster) noteNodeEnd(p *nodeProcess, err error) {
 	if c.config.Logger != nil && err != nil {
-		c.config.Logger.Warn("node ended", "node", p.name, "error", err)
+		errorlog.Warn(c.config.Logger, "node ended", err, "node", p.name)
 	}
 }
 
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/oops"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
 )
@@ -152,7 +153,7 @@
 		d.mutex.Lock()
 		d.failures++
 		d.mutex.Unlock()
-		d.config.Logger.Warn("machine list is unavailable, keeping the last one", "error", oops.Wrapf(err, "read machine list"))
+		errorlog.Warn(d.config.Logger, "machine list is unavailable, keeping the last one", oops.Wrapf(err, "read machine list"))
 		return
 	}
 	leavers, returned := d.replaceList(machines)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 )
@@ -270,7 +271,7 @@
 	address := net.UDPAddrFromAddrPort(datagram.address)
 	if _, err := m.connection.WriteTo(datagram.payload, address); err != nil {
 		m.config.Observer.dropped(DropSendFailed)
-		m.config.Logger.Debug("datagram was not sent", "to", datagram.address, "error", err)
+		errorlog.Debug(m.config.Logger, "datagram was not sent", err, "to", datagram.address)
 		return
 	}
 	m.config.Observer.sent(len(datagram.payload))
--- a/internal/node/bundle_exchange.go
+++ b/internal/node/bundle_exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/membership"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
@@ -100,11 +101,11 @@
 		if address == "" {
 			continue
 		}
-		if err := e.fetchFrom(ctx, address); err == nil {
+		err := e.fetchFrom(ctx, address)
+		if err == nil {
 			return
-		} else if e.logger != nil {
-			e.logger.Warn("bundle not fetched from peer", "peer", address, "error", err)
 		}
+		errorlog.Warn(e.logger, "bundle not fetched from peer", err, "peer", address)
 	}
 }
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
@@ -74,7 +75,7 @@
 		if ended || err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, peer.ErrClosed) {
 			return
 		}
-		n.logger.Error("role ended", "role", role, "error", err)
+		errorlog.Error(n.logger, "role ended", err, "role", role)
 		select {
 		case n.failed <- oops.With("role", role).Wrap(err):
 		default:
@@ -105,7 +106,7 @@
 	var cut []error
 	for _, step := range steps {
 		if err := step.run(ctx); err != nil {
-			n.logger.Error("planned stop cut work off", "role", step.name, "error", err)
+			errorlog.Error(n.logger, "planned stop cut work off", err, "role", step.name)
 			cut = append(cut, oops.With("role", step.name).Wrap(errors.Join(ErrDrainCut, err)))
 		}
 	}
@@ -117,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := n.membership.Leave(ctx); err != nil {
-		n.logger.Warn("leaving was not announced in full", "error", err)
+		errorlog.Warn(n.logger, "leaving was not announced in full", err)
 	}
 }
 
--- /dev/null
+++ b/internal/node/metrics_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/hillfork/hillfork/internal/network"
+	"github.com/hillfork/hillfork/internal/settings"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metricsPage is the operators' page of metrics.
+const metricsPage = "../../docs/operators/metrics.md"
+
+var (
+	describedName = regexp.MustCompile(`fqName: "(hillfork_[a-z_]+)", help: "([^"]*)"`)
+	pageName      = regexp.MustCompile("(?m)^\\| `(hillfork_[a-z_]+)")
+)
+
+// registered returns the metrics of a node that has just been made, with the help of each.
+func registered(t *testing.T) map[string]string {
+	t.Helper()
+	is := is.New(t)
+	const anyPort = "127.0.0.1:0"
+	made, err := New(Config{
+		Network: network.System{}, Incarnation: 1,
+		Settings: &settings.Settings{
+			Node: "n1", Zone: "z1", Region: "r1", APIListen: anyPort, PeerListen: anyPort, GossipListen: anyPort, MetricsListen: anyPort,
+			PeerAdvertise: "127.0.0.1:1", GossipAdvertise: "127.0.0.1:2",
+			LogAddress: "127.0.0.1:3", WeightsAddress: "127.0.0.1:3", MachinesAddress: "127.0.0.1:3",
+		},
+	})
+	is.NoErr(err)
+	made.Kill()
+	is.Equal(made.Run(t.Context()), errKilled)
+	_, err = made.registry.Gather()
+	is.NoErr(err)
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		made.registry.Describe(descriptions)
+		close(descriptions)
+	}()
+	names := make(map[string]string)
+	for description := range descriptions {
+		if match := describedName.FindStringSubmatch(description.String()); match != nil {
+			names[match[1]] = match[2]
+		}
+	}
+	return names
+}
+
+// TestMetricsPageIsWhole compares the operators' page with what a node registers, both ways.
+func TestMetricsPageIsWhole(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(metricsPage)
+	is.NoErr(err)
+	names := registered(t)
+	is.True(len(names) > 60) // all roles are there
+	described := make(map[string]bool)
+	for _, match := range pageName.FindAllStringSubmatch(string(page), -1) {
+		described[match[1]] = true
+	}
+	for name, help := range names {
+		if !described[name] {
+			t.Errorf("%s is not on the page", name)
+		}
+		if !strings.HasSuffix(help, ".") {
+			t.Errorf("%s has no help in a sentence: %q", name, help)
+		}
+	}
+	for name := range described {
+		if _, found := names[name]; !found {
+			t.Errorf("the page describes %s, which no node registers", name)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,6 +183,7 @@
 		Failpoint:  n.requestFailpoint(),
 	})
 	n.register()
+	n.registerMetrics()
 	n.connections = newClientConnections()
 	n.apiServer = &http.Server{
 		Handler:           endingConnections(n.gateway.Handler(), n.stopping.Load),
@@ -209,6 +210,7 @@
 		Observer: membership.Observer{
 			Sent:     func(bytes int) { counters.Sent(accounting.Membership, bytes) },
 			Received: func(bytes int) { counters.Received(accounting.Membership, bytes) },
+			Dropped:  newDropCounter(n.registry),
 		},
 	})
 	return oops.Wrapf(err, "join the cluster")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/errorlog"
 )
 
 const (
@@ -96,7 +98,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		default:
-			s.options.Logger.Warn("peer accept failed", "error", err)
+			errorlog.Warn(s.options.Logger, "peer accept failed", err)
 			s.pause()
 		}
 	}
--- a/internal/peer/server_connection.go
+++ b/internal/peer/server_connection.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/errorlog"
 )
 
 // serverConnection is the answering end of a connection. Lock order: Server.mu, then serverConnection.mu, then
@@ -52,7 +54,7 @@
 func (c *serverConnection) closed(cause error) {
 	c.cancel()
 	if errors.Is(cause, errProtocol) {
-		c.server.options.Logger.Warn("peer connection closed", "remote", c.socket.RemoteAddr(), "error", cause)
+		errorlog.Warn(c.server.options.Logger, "peer connection closed", cause, "remote", c.socket.RemoteAddr())
 	}
 	c.server.removeConnection(c)
 }
--- a/internal/requestledger/takeover.go
+++ b/internal/requestledger/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/placement"
@@ -35,7 +36,7 @@
 	err := s.config.Owners.CallOwner(
 		ctx, run.stream(), placement.Preference{}, peerapi.MethodFinishRequest, &request, &answered, true)
 	if err != nil || !answered.Recorded {
-		s.logger.Warn("answer could not be handed in", "request", run.key.requestID, "error", err)
+		errorlog.Warn(s.logger, "answer could not be handed in", err, "request", run.key.requestID)
 		return ownerLost()
 	}
 	return how
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/oops"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -51,7 +52,7 @@
 			return errClaimLost
 		}
 		if err != nil {
-			c.logger.Warn("claim failed", "stream", c.stream, "error", err)
+			errorlog.Warn(c.logger, "claim failed", err, "stream", c.stream)
 		}
 		if !sleep(ctx, pauses.NextBackOff()) {
 			return oops.With("stream", c.stream).Wrapf(errors.Join(ctx.Err(), err), "claim")
--- a/internal/shard/manager_open.go
+++ b/internal/shard/manager_open.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 )
 
@@ -107,7 +108,7 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	m.logger.Warn("shard cannot be opened", "stream", stream, "error", err)
+	errorlog.Warn(m.logger, "shard cannot be opened", err, "stream", stream)
 	return notReady("shard " + stream + " cannot be opened: " + err.Error())
 }
 
--- a/internal/shard/manager_run.go
+++ b/internal/shard/manager_run.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/errorlog"
 )
 
 // Run hands over owned shards that have been placed elsewhere for Settings.SettleTime, until ctx ends. Hand-overs
@@ -85,7 +87,7 @@
 	defer cancel()
 	err := o.Release(release)
 	if err != nil && !errors.Is(err, ErrNotOwner) {
-		m.logger.Warn("shard was given up without a release", "stream", stream, "error", err)
+		errorlog.Warn(m.logger, "shard was given up without a release", err, "stream", stream)
 	}
 }
 
--- a/internal/shard/owner_follow.go
+++ b/internal/shard/owner_follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -18,7 +19,7 @@
 		options := platform.ReadOptions{MaxEntries: o.settings.ReadEntries, Wait: o.settings.FollowWait}
 		_, err := o.read(ctx, options)
 		if err != nil && ctx.Err() == nil {
-			o.logger.Debug("poll of the tail failed", "error", err)
+			errorlog.Debug(o.logger, "poll of the tail failed", err)
 		}
 		cancel()
 	}
--- a/internal/shard/owner_snapshot.go
+++ b/internal/shard/owner_snapshot.go
@@ -1,6 +1,10 @@
 package shard
 
-import "context"
+import (
+	"context"
+
+	"github.com/hillfork/hillfork/internal/errorlog"
+)
 
 // snapshotIsDue tells whether enough was folded since the last snapshot; the caller holds mu.
 func (o *owner) snapshotIsDue() bool {
@@ -23,7 +27,7 @@
 			continue
 		}
 		o.counters.SnapshotFailures.Add(1)
-		o.logger.Warn("snapshot failed", "error", err)
+		errorlog.Warn(o.logger, "snapshot failed", err)
 		if !sleep(o.ctx, o.settings.SnapshotRetry) {
 			return
 		}
--- a/internal/shard/owner_write.go
+++ b/internal/shard/owner_write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/hillfork/hillfork/internal/errorlog"
 )
 
 // Backoff between tries of an append.
@@ -31,7 +32,7 @@
 		for {
 			b, err := o.nextBatch()
 			if err != nil {
-				o.logger.Error("records cannot be encoded", "error", err)
+				errorlog.Error(o.logger, "records cannot be encoded", err)
 				o.fail(err)
 				return
 			}
@@ -45,7 +46,7 @@
 
 // fail ends the owner for a fault that leaves the fate of the batch in flight open.
 func (o *owner) fail(cause error) {
-	o.logger.Error("owner gives up", "error", cause)
+	errorlog.Error(o.logger, "owner gives up", cause)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.end(ErrUncertain)
@@ -158,7 +159,7 @@
 	}
 	if !b.isSettled() {
 		o.counters.AppendRetries.Add(1)
-		o.logger.Warn("append failed", "error", err)
+		errorlog.Warn(o.logger, "append failed", err)
 	}
 	return unknownOffset
 }
@@ -172,7 +173,7 @@
 		return
 	}
 	if err != nil {
-		o.logger.Warn("read after append failed", "error", err)
+		errorlog.Warn(o.logger, "read after append failed", err)
 		return
 	}
 	if end != unknownOffset && o.next() >= end {
--- a/internal/shard/recovery.go
+++ b/internal/shard/recovery.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -109,7 +110,7 @@
 // skip counts and logs a snapshot that cannot be used.
 func (r *recovery) skip(cause error) {
 	r.counters.SnapshotsSkipped.Add(1)
-	r.logger.Warn("snapshot skipped", "stream", r.stream, "error", cause)
+	errorlog.Warn(r.logger, "snapshot skipped", cause, "stream", r.stream)
 }
 
 func (r *recovery) count(sources ...*reader) {
--- a/internal/stepledger/counters.go
+++ b/internal/stepledger/counters.go
@@ -43,7 +43,7 @@
 // Metrics returns the counters as they stand.
 func (c *Counters) Metrics() []Metric {
 	return []Metric{
-		{"steps_total", "Submissions of steps acknowledged, repeats included.", c.Steps.Load()},
+		{"submissions_total", "Submissions of steps acknowledged, repeats included.", c.Steps.Load()},
 		{"attempts_assigned_total", "Attempts given to engines.", c.Assigned.Load()},
 		{"attempts_resumed_total", "Attempts that go on from a partial answer.", c.Resumed.Load()},
 		{"samples_completed_total", "Answers recorded.", c.Completed.Load()},
