Compare membership records with peers of any zone

Ruled out: budget (never exhausted), paging of large replies (every page arrived). Change: a comparison goes to a random peer of any zone. Conclusion: ignorance shared by a zone no longer lasts.

--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -57,9 +57,14 @@
 
 // introduceAll makes the nodes know each other from the start.
 func (s *simulation) introduceAll() {
-	for _, node := range s.nodes {
-		for _, other := range s.nodes {
-			if other != node {
+	s.introduce(func(int, int) bool { return true })
+}
+
+// introduce makes nodes know those others for which knows holds, by their numbers.
+func (s *simulation) introduce(knows func(node, other int) bool) {
+	for number, node := range s.nodes {
+		for otherNumber, other := range s.nodes {
+			if other != node && knows(number, otherNumber) {
 				node.insertQuietly(s.now, other.selfEntry().record)
 			}
 		}
@@ -194,3 +199,13 @@
 		is.Equal(s.count(s.seesAllAlive), size)
 	}
 }
+
+// TestZoneThatKnowsLittleLearnsFromOthers: the nodes of one zone lack the same members, as after they started together.
+// Were they to compare their records among themselves alone, they would not miss them.
+func TestZoneThatKnowsLittleLearnsFromOthers(t *testing.T) {
+	const size, zones, ignorant = 60, 6, 5
+	s := newSimulation(t, size, zones, nil)
+	s.introduce(func(node, other int) bool { return node%zones != ignorant || other%zones != 0 })
+	s.run(30 * time.Second)
+	is.New(t).Equal(s.count(s.seesAllAlive), size)
+}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -84,16 +84,17 @@
 	if !p.budget.allowsSync() {
 		return
 	}
-	peers := p.pickPeers(2, p.sync.peer)
-	if len(peers) == 0 {
-		peers = p.pickPeers(1)
+	// Peers of any zone: those of a zone that started together know as little as this node does.
+	peer, found := p.pickAnywhere([]string{p.sync.peer})
+	if !found {
+		peer, found = p.pickAnywhere(nil)
 	}
-	if len(peers) == 0 {
+	if !found {
 		p.endSync(now)
 		return
 	}
 	state := &p.sync
-	state.peer = peers[len(peers)-1]
+	state.peer = peer
 	state.sequence = p.nextSequence()
 	state.waiting = true
 	state.timeoutAt = now.Add(syncTimeoutProbes * p.config.Timing.ProbeInterval)
