Score answers whose append was given up

Change: the session's maintenance lets the scoring look again; an answer handed in once more wakes the fetches that wait for it.

--- a/internal/stepledger/behaviour_test.go
+++ b/internal/stepledger/behaviour_test.go
@@ -338,6 +338,30 @@
 	})
 }
 
+// TestAnswerIsScoredThoughItsAppendWasGivenUp lets the last answer of a step reach the log after its call has failed, and
+// nobody hand it in again.
+func TestAnswerIsScoredThoughItsAppendWasGivenUp(t *testing.T) {
+	workload := testWorkload()
+	workload.Scorer = "judge"
+	inWorld(t, workload, func(is *is.I, w *world) {
+		is.NoErr(w.step(2, 1))
+		given := w.pull(2, "e1", 1, 2)
+		is.Equal(len(given), 2)
+		_, err := w.complete(2, given[0].Index, given[0].Attempt, 1)
+		is.NoErr(err)
+		time.Sleep(time.Second) // the first is scored
+		w.log.mutex.Lock()
+		w.log.lostAnswers = 1
+		w.log.mutex.Unlock()
+		_, err = w.complete(2, given[1].Index, given[1].Attempt, 1)
+		is.True(err != nil)
+		time.Sleep(5 * time.Second)
+		result, err := w.fetch(2, 0, 1, 2)
+		is.NoErr(err)
+		is.Equal(len(result.Samples), 2)
+	})
+}
+
 func TestUnacknowledgedStepsAreBounded(t *testing.T) {
 	inWorld(t, testWorkload(), func(is *is.I, w *world) {
 		const steps = keepHandedOver + 2
--- a/internal/stepledger/complete.go
+++ b/internal/stepledger/complete.go
@@ -41,6 +41,7 @@
 	}
 	if !waiting {
 		s.counters.Duplicates.Add(1)
+		current.ready.raise() // the answer may be in the log since a call that did not learn of it
 		return &peerapi.CompleteSampleResult{Outcome: peerapi.CompleteDuplicate}, nil
 	}
 	if len(request.Tokens) > maxTokens || !spansCover(spans, len(request.Tokens)) {
@@ -95,6 +96,11 @@
 	c.history.Add(tokens)
 	c.mutex.Unlock()
 	c.ready.raise()
+	c.lookForUnscored()
+}
+
+// lookForUnscored makes the scoring look for answers without a score.
+func (c *session) lookForUnscored() {
 	select {
 	case c.unscored <- struct{}{}:
 	default:
--- a/internal/stepledger/fake_test.go
+++ b/internal/stepledger/fake_test.go
@@ -21,6 +21,8 @@
 	beforeRecord func() bool
 	// afterRecord is called after each record is written; false stops the owner there.
 	afterRecord func() bool
+	// lostAnswers is how many of the next writes take effect while their owner does not learn of it.
+	lostAnswers int
 }
 
 type memoryStream struct {
@@ -118,6 +120,10 @@
 		record := shard.Record{Offset: int64(len(o.stream.records)), Epoch: o.epoch, Kind: proposal.Kind, Body: proposal.Body}
 		o.stream.records = append(o.stream.records, record)
 		outcomes = append(outcomes, o.state.Apply(record))
+		if o.log.lostAnswers > 0 {
+			o.log.lostAnswers--
+			return nil, shard.ErrUncertain
+		}
 		if o.log.afterRecord != nil && !o.log.afterRecord() {
 			o.stop()
 			return nil, shard.ErrUncertain
--- a/internal/stepledger/maintain.go
+++ b/internal/stepledger/maintain.go
@@ -54,6 +54,8 @@
 	if freed || len(records) > 0 {
 		c.work.raise()
 	}
+	// An answer whose append was given up may have been folded since.
+	c.lookForUnscored()
 }
 
 // countReplaced counts the answers that records have dropped.
--- a/internal/stepledger/score.go
+++ b/internal/stepledger/score.go
@@ -110,10 +110,7 @@
 	c.mutex.Lock()
 	delete(c.scoring, job.key)
 	c.mutex.Unlock()
-	select {
-	case c.unscored <- struct{}{}:
-	default:
-	}
+	c.lookForUnscored()
 }
 
 // tryScore makes one try.
