--- a/internal/lab/cluster/fabric.go
+++ b/internal/lab/cluster/fabric.go
@@ -33,6 +33,8 @@
 	NewHost(place Place) Host
 	// Crash cuts a host off for good: its connections are reset.
 	Crash(ip string) error
+	// CrashCutsOff says that nothing of the process on a host gets out once Crash was called, although it still runs.
+	CrashCutsOff() bool
 	// Restart returns the network of a new process on a crashed host.
 	Restart(ip string) (network.Network, error)
 	// Pause freezes a host until Resume.
--- a/internal/lab/cluster/loopback.go
+++ b/internal/lab/cluster/loopback.go
@@ -40,6 +40,9 @@
 // Crash has nothing to do: the sockets of a process that is gone are closed.
 func (l *Loopback) Crash(string) error { return nil }
 
+// CrashCutsOff is false: the process itself has to end.
+func (l *Loopback) CrashCutsOff() bool { return false }
+
 // Restart returns the one network there is.
 func (l *Loopback) Restart(string) (network.Network, error) { return network.System{}, nil }
 
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -37,6 +37,8 @@
 	running     *node.Node
 	ended       chan struct{}
 	incarnation int
+	// armed names the failpoint at which the process crashes next; empty for none.
+	armed string
 
 	// hindrances is guarded by the recorder.
 	hindrances map[hindrance]int
@@ -86,6 +88,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Logger:      p.cluster.config.Logger,
 		Policy:      p.cluster.config.Policy,
+		Failpoint:   p.reach,
 	})
 	if err != nil {
 		return fmt.Errorf("node %s: %w", p.name, err)
--- a/internal/lab/cluster/run.go
+++ b/internal/lab/cluster/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 	}
 	cancel()
 	c.config.Recorder.Record(func(o *check.Observations) { o.EndedAt = time.Now() })
-	return err
+	return errors.Join(err, c.unreached())
 }
 
 // waitForTrainers returns when ctx ends, or when the duration has passed and every trainer with a bound on its steps is
--- a/internal/lab/cluster/simulated.go
+++ b/internal/lab/cluster/simulated.go
@@ -90,6 +90,9 @@
 	return nil
 }
 
+// CrashCutsOff is true.
+func (s *Simulated) CrashCutsOff() bool { return true }
+
 // Restart starts a new process on a host.
 func (s *Simulated) Restart(ip string) (network.Network, error) {
 	return s.network.Restart(ip), nil
--- a/internal/lab/trace/events.go
+++ b/internal/lab/trace/events.go
@@ -160,6 +160,8 @@
 		return fmt.Sprintf("%s needs a probability from 0 to 1", e.Do)
 	case rule.needsSides && !(names.hasPlaces(e.A) && names.hasPlaces(e.B)):
 		return fmt.Sprintf("%s needs zones or regions in a and b", e.Do)
+	case e.Failpoint != "" && e.Do != NodeCrash:
+		return fmt.Sprintf("%s takes no failpoint", e.Do)
 	case rule.modes != nil && !slices.Contains(rule.modes, e.Mode):
 		return fmt.Sprintf("%s needs a mode of %v", e.Do, rule.modes)
 	}
