Show bundles without reading the log

Cause: GetBundle and ListBundles read the bundle stream to its end, so that watching a node's bundle refreshed what was watched, and every look of every operator cost the log a read. Change: the follower notes when it last read to the tail, and the freshness of the answer is the time since. Contract: gateway.BundleAdmin has CaughtUpAt in place of Confirm. Conclusion: a bundle that a node learns late is now seen late by the checker.

--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -62,6 +62,8 @@
 	learnedChain []linkState
 	current      *Accepted
 	changed      chan struct{}
+	// caughtUp is when the last read that reached the tail was answered.
+	caughtUp time.Time
 	// snapshotted is the offset of the newest snapshot known; snapshotDue is when to write another, zero if not.
 	snapshotted int64
 	snapshotDue time.Time
@@ -153,9 +155,27 @@
 		return 0, err
 	}
 	f.absorb(result.Entries)
+	f.noteTail(result.Tail)
 	return result.Tail, nil
 }
 
+// noteTail notes the time when everything below the tail that a read saw is folded.
+func (f *Follower) noteTail(tail int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next >= tail {
+		f.caughtUp = time.Now()
+	}
+}
+
+// CaughtUpAt is when the last read that reached the tail of the stream was answered; zero before the first. A poll waits
+// up to pollWait for news, so this may be as long ago while all is well.
+func (f *Follower) CaughtUpAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.caughtUp
+}
+
 // read calls the log with a deadline and counts the traffic.
 func (f *Follower) read(ctx context.Context, stream string, offset int64, options platform.ReadOptions) (platform.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout+options.Wait)
--- a/internal/bundle/follower_test.go
+++ b/internal/bundle/follower_test.go
@@ -333,3 +333,25 @@
 	state.InForce = last.Digest
 	return mustRecord(kindSnapshot, state)
 }
+
+// TestLookingAtAFollowerReadsNothing checks that the age of what a node knows is told without asking the log, and grows
+// while the log is down.
+func TestLookingAtAFollowerReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory := newMemoryLog()
+		follower := follow(t, memory, testTrusted("p"))
+		is.True(!follower.CaughtUpAt().After(time.Now()))
+		time.Sleep(time.Minute)
+		is.True(time.Since(follower.CaughtUpAt()) <= pollWait) // polls that bring nothing count
+		memory.setDown(true)
+		time.Sleep(2 * pollWait)
+		reads, knownAt := memory.readCount(), follower.CaughtUpAt()
+		is.True(time.Since(knownAt) >= pollWait) // failed reads do not
+		_, _, err := follower.List(Page{Size: 10})
+		is.NoErr(err)
+		_, _ = follower.Status("")
+		is.Equal(follower.CaughtUpAt(), knownAt)
+		is.Equal(memory.readCount(), reads)
+	})
+}
--- a/internal/gateway/admin.go
+++ b/internal/gateway/admin.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,22 +16,17 @@
 const (
 	// adminTimeout bounds one call of an operator.
 	adminTimeout = 30 * time.Second
-	// confirmTimeout bounds the wait for the log in a status call.
-	confirmTimeout = 2 * time.Second
 )
 
 // adminService is the administration API.
 type adminService struct {
 	gateway *Gateway
-	// confirmed is when the bundle stream was last read to its end for an operator; at first, when the gateway began.
-	confirmed atomic.Pointer[time.Time]
+	// began is when the gateway began, the bound of what it can know.
+	began time.Time
 }
 
 func newAdminService(gateway *Gateway) *adminService {
-	service := &adminService{gateway: gateway}
-	began := time.Now()
-	service.confirmed.Store(&began)
-	return service
+	return &adminService{gateway: gateway, began: time.Now()}
 }
 
 // ProposeBundle publishes a bundle.
@@ -86,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	freshness := s.bundleFreshness(ctx, bundles)
+	freshness := s.bundleFreshness(bundles)
 	digest := request.Msg.GetDigest()
 	if digest == "" {
 		digest = s.digestInForce()
@@ -112,16 +106,14 @@
 	return accepted.Digest
 }
 
-// bundleFreshness reads the bundle stream to its end, where the log answers in time, and tells how old what this node
-// knows of it is.
-func (s *adminService) bundleFreshness(ctx context.Context, bundles BundleAdmin) *v1.Freshness {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	began := time.Now()
-	if _, err := bundles.Confirm(ctx); err == nil {
-		s.confirmed.Store(&began)
+// bundleFreshness tells how long ago this node's follower read the bundle stream to its tail. Nothing is read for it: to
+// watch a node does not change what it knows.
+func (s *adminService) bundleFreshness(bundles BundleAdmin) *v1.Freshness {
+	caughtUp := bundles.CaughtUpAt()
+	if caughtUp.IsZero() {
+		caughtUp = s.began
 	}
-	age := time.Since(*s.confirmed.Load())
+	age := time.Since(caughtUp)
 	return s.freshness(age, age)
 }
 
@@ -137,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	freshness := s.bundleFreshness(ctx, bundles)
+	freshness := s.bundleFreshness(bundles)
 	statuses, next, err := bundles.List(bundle.Page{Size: size, Token: request.Msg.GetPage().GetToken()})
 	if err != nil {
 		return nil, bundleError(err)
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -51,7 +51,8 @@
 
 // BundleAdmin proposes, signs and lists bundles; *bundle.Follower fills it.
 type BundleAdmin interface {
-	bundle.Confirmer
+	// CaughtUpAt is when the bundle stream was last read to its tail; zero before the first time.
+	CaughtUpAt() time.Time
 	Propose(ctx context.Context, document []byte) (bundle.ProposeResult, error)
 	SignOff(ctx context.Context, signOff bundle.SignOff) (bundle.Status, error)
 	Status(digest string) (bundle.Status, error)
