--- a/internal/route/follow_only_test.go
+++ b/internal/route/follow_only_test.go
@@ -32,6 +32,9 @@
 	return placement.Member{PeerAddress: "a"}, true
 }
 
+// Changed returns a channel that is never closed: the placement stays.
+func (fixedPlacer) Changed() <-chan struct{} { return nil }
+
 // TestFollowOnly checks that a hint is followed, and that every other refusal is the caller's at once.
 func TestFollowOnly(t *testing.T) {
 	hint := &peer.Error{Code: peer.CodeNotOwner, OwnerHint: "b"}
