--- a/internal/stepledger/maintain.go
+++ b/internal/stepledger/maintain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/shard"
 )
 
@@ -47,7 +48,7 @@
 	if len(records) > 0 {
 		outcomes, err := c.append(ctx, records...)
 		if err != nil && ctx.Err() == nil {
-			c.service.logger.Warn("maintenance records are not written", "workload", c.workload, "err", err)
+			errorlog.Warn(c.service.logger, "maintenance records are not written", err, "workload", c.workload)
 		}
 		c.countReplaced(records, outcomes)
 	}
--- a/internal/stepledger/score.go
+++ b/internal/stepledger/score.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -105,7 +106,7 @@
 		return struct{}{}, c.tryScore(ctx, job)
 	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
 	if err != nil && ctx.Err() == nil {
-		c.service.logger.Warn("sample is not scored", "workload", c.workload, "sample", sampleID(job.key), "err", err)
+		errorlog.Warn(c.service.logger, "sample is not scored", err, "workload", c.workload, "sample", sampleID(job.key))
 	}
 	c.mutex.Lock()
 	delete(c.scoring, job.key)
