Abandon shards first when a node is killed

Cause: a node's end cancelled its roles before it abandoned its shards, so that only the dispatcher's own look at its context kept a killed process from releasing them.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -122,16 +122,17 @@
 	}
 }
 
-// close ends whatever still runs. After a drain nothing does.
+// close ends whatever still runs. After a drain nothing does. Otherwise the process dies, and shards are abandoned before
+// anything that might release them learns of it.
 func (n *Node) close() {
 	n.stopping.Store(true)
+	n.shards.Close()
 	n.cancel()
 	_ = n.apiServer.Close()
 	_ = n.metrics.Close()
 	_ = n.peerServer.Close()
 	n.steps.Close()
 	n.requests.Close()
-	n.shards.Close()
 	n.peerClient.Close()
 	n.running.Wait()
 	n.adapter.Close()
