--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/hillfork/hillfork/internal/answer"
+	v1 "github.com/hillfork/hillfork/internal/gen/hillfork/v1"
 )
 
 // metrics counts what became of the requests.
@@ -44,3 +47,8 @@
 	m.dropped.WithLabelValues("duplicate").Add(float64(drops.Duplicate))
 	m.dropped.WithLabelValues("overflow").Add(float64(drops.Overflow))
 }
+
+// outcomeLabel writes OUTCOME_NOT_RUN as "not_run".
+func outcomeLabel(outcome v1.Outcome) string {
+	return strings.ToLower(strings.TrimPrefix(outcome.String(), "OUTCOME_"))
+}
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	s.gateway.metrics.outcomes.WithLabelValues(message.GetWorkload(), end.outcome.String()).Inc()
+	s.gateway.metrics.outcomes.WithLabelValues(message.GetWorkload(), outcomeLabel(end.outcome)).Inc()
 	return stream.Send(&v1.ExecuteResponse{
 		RequestId:        message.GetRequestId(),
 		Index:            int32(end.tokens),
