--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -65,6 +65,10 @@
 	Settle time.Duration
 	// Reconcile is the time between two attempts to open the shards of engines placed here.
 	Reconcile time.Duration
+	// SteadyQuiet is how long the members must be the same before engines are claimed by them; SteadyLimit bounds the wait
+	// while they keep changing.
+	SteadyQuiet time.Duration
+	SteadyLimit time.Duration
 }
 
 // defaultTiming holds the default of each duration.
@@ -83,6 +87,8 @@
 	LeaveGrace:    10 * time.Second,
 	Settle:        20 * time.Second,
 	Reconcile:     2 * time.Second,
+	SteadyQuiet:   time.Second,
+	SteadyLimit:   15 * time.Second,
 }
 
 // Config sets a Dispatcher up. All fields but Weights, Facts, StepPreference, Logger, StepShards and Timing are required.
@@ -130,6 +136,8 @@
 	setDefault(&c.Timing.LeaveGrace, defaultTiming.LeaveGrace)
 	setDefault(&c.Timing.Settle, defaultTiming.Settle)
 	setDefault(&c.Timing.Reconcile, defaultTiming.Reconcile)
+	setDefault(&c.Timing.SteadyQuiet, defaultTiming.SteadyQuiet)
+	setDefault(&c.Timing.SteadyLimit, defaultTiming.SteadyLimit)
 	return c
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,10 +72,16 @@
 // context's error.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.tasks.Go(func() { d.followFacts(ctx) })
+	steady := newSteadiness(d.config.Timing.SteadyQuiet, d.config.Timing.SteadyLimit, time.Now())
 	for ctx.Err() == nil {
 		machines, members, wake := d.config.Directory.Changed(), d.config.Placer.Changed(), d.wake.changed()
+		unsteady := steady.observe(members, time.Now())
+		placed := d.giveUpMisplaced()
 		delay := d.config.Timing.Reconcile
-		if d.reconcile(ctx) {
+		switch {
+		case unsteady > 0:
+			delay = unsteady
+		case d.openPlaced(ctx, placed):
 			delay = idleLook
 		}
 		d.waitForChange(ctx, delay, machines, members, wake)
@@ -101,8 +107,8 @@
 	waitFor(ctx, burst)
 }
 
-// reconcile opens the engines that are placed here and gives up those that are not. It tells whether all is in place.
-func (d *Dispatcher) reconcile(ctx context.Context) bool {
+// giveUpMisplaced stops the intake of owned engines that are not placed here any more, and returns those that are.
+func (d *Dispatcher) giveUpMisplaced() map[string]platform.Machine {
 	placed := map[string]platform.Machine{}
 	for _, machine := range d.config.Directory.Engines("") {
 		if d.placedHere(machine) {
@@ -115,6 +121,11 @@
 			owner.stopIntake()
 		}
 	}
+	return placed
+}
+
+// openPlaced opens the engines that are placed here. It tells whether all are open.
+func (d *Dispatcher) openPlaced(ctx context.Context, placed map[string]platform.Machine) bool {
 	inPlace := true
 	for id, machine := range placed {
 		if d.startOpening(id) {
--- /dev/null
+++ b/internal/dispatch/steadiness.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import "time"
+
+// steadiness tells whether the view of the members has been the same for long enough to claim engines by it. While a
+// cluster starts, or a zone dies, every node's view changes for some seconds; were each to claim at once what its view of
+// the moment gives it, every engine would be claimed by many nodes one after the other: nodes times engines claims.
+type steadiness struct {
+	// quiet is how long the members must be the same; limit bounds the wait of a view that keeps changing.
+	quiet time.Duration
+	limit time.Duration
+
+	// changed is closed at the next change of the members.
+	changed    <-chan struct{}
+	lastChange time.Time
+	// unsteadySince is when the changes began; zero while the view is steady.
+	unsteadySince time.Time
+}
+
+// newSteadiness begins unsteady: a process that has just started knows nobody.
+func newSteadiness(quiet, limit time.Duration, now time.Time) *steadiness {
+	return &steadiness{quiet: quiet, limit: limit, lastChange: now, unsteadySince: now}
+}
+
+// observe notes whether the members have changed since it was last called; changed is closed at their next change. It
+// returns how long to wait before engines may be claimed, 0 for no wait.
+func (s *steadiness) observe(changed <-chan struct{}, now time.Time) time.Duration {
+	if s.changed != nil && isClosed(s.changed) {
+		s.lastChange = now
+		if s.unsteadySince.IsZero() {
+			s.unsteadySince = now
+		}
+	}
+	s.changed = changed
+	wait := s.quiet - now.Sub(s.lastChange)
+	if wait <= 0 {
+		s.unsteadySince = time.Time{}
+		return 0
+	}
+	return max(0, min(wait, s.limit-now.Sub(s.unsteadySince)))
+}
--- a/internal/lab/scale/faults.go
+++ b/internal/lab/scale/faults.go
@@ -113,10 +113,10 @@
 		return loss{}, err
 	}
 	began := time.Now()
-	result := loss{known: r.until("death known everywhere", r.allHoldDead(count))}
-	result.recovered = r.until("engines owned again", r.enginesOwned)
-	if result.recovered != notReached {
-		result.recovered = time.Since(began).Seconds()
+	result := loss{recovered: r.until("engines owned again", r.enginesOwned)}
+	result.known = r.until("death known everywhere", r.allHoldDead(count))
+	if result.known != notReached {
+		result.known = time.Since(began).Seconds()
 	}
 	for engine, epoch := range r.ownedEngines() {
 		if epoch > before[engine] {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,3 +72,14 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "nodee"))
 }
+
+func TestYAMLReadsBack(t *testing.T) {
+	is := is.New(t)
+	want, err := parse(required("--seeds", "127.0.0.1:1,127.0.0.1:2", "--drain-timeout", "90s", "--log-format", "json")...)
+	is.NoErr(err)
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	is.NoErr(os.WriteFile(file, []byte(want.YAML()), 0o600))
+	got, err := parse("--config", file)
+	is.NoErr(err)
+	is.Equal(got, want)
+}
