Find an engine's runs of a request by its content

Cause: the checkers of not_run_is_true, unsafe_at_most_once and, for engines, planned_stop_cuts_nothing looked for a request's starts under <workload>/<request id>. Gateways and the request ledger give engines ids of their own (a random one, or unsafe/<workload>/<id>/<ask>), so nothing was ever found there: the three checks examined nothing and could not fail. And leaving_no_new_work could not fail either: the engine stand-in itself refused work 3 s after it began to leave, which is the checker's window. Change: engines tell their observer the hash of prompt and seed, which is a request's own; checkers look starts up by it. An unsafe request that was completed must have been started exactly once, so that a check that looks in the wrong place fails. In the lab leaving engines take work for an hour, so that keeping it from them is hillfork's part. The planted violations of promises_test trip.

--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -17,7 +17,7 @@
 	started []time.Time
 }
 
-func (s *startRecorder) Started(_, _ string, _ uint32, at time.Time) {
+func (s *startRecorder) Started(_, _ string, _ uint32, _ uint64, at time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.started = append(s.started, at)
--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -73,8 +73,8 @@
 type Request struct {
 	Workload string
 	ID       string
-	// EngineID is the request's id as engines see it.
-	EngineID string
+	// Content identifies the request to the engines' observers, whatever id it runs under there.
+	Content  uint64
 	Unsafe   bool
 	Node     string
 	SentAt   time.Time
@@ -135,7 +135,9 @@
 // Observations is all that was seen in a run.
 type Observations struct {
 	// Starts and Chunks are by the request id that engines saw.
-	Starts     map[string][]Start
+	Starts map[string][]Start
+	// Runs holds the same starts by the content of the request.
+	Runs       map[uint64][]Start
 	Chunks     map[string][]Chunk
 	Deliveries []Delivery
 	Requests   []Request
@@ -162,6 +164,7 @@
 func NewRecorder() *Recorder {
 	return &Recorder{observations: Observations{
 		Starts:      make(map[string][]Start),
+		Runs:        make(map[uint64][]Start),
 		Chunks:      make(map[string][]Chunk),
 		Unreachable: make(map[string][]Interval),
 	}}
@@ -175,9 +178,11 @@
 }
 
 // Started records the start of an attempt on an engine.
-func (r *Recorder) Started(engine, requestID string, attempt uint32, at time.Time) {
+func (r *Recorder) Started(engine, requestID string, attempt uint32, content uint64, at time.Time) {
 	r.Record(func(o *Observations) {
-		o.Starts[requestID] = append(o.Starts[requestID], Start{Engine: engine, Attempt: attempt, At: at})
+		start := Start{Engine: engine, Attempt: attempt, At: at}
+		o.Starts[requestID] = append(o.Starts[requestID], start)
+		o.Runs[content] = append(o.Runs[content], start)
 	})
 }
 
--- a/internal/lab/check/promises.go
+++ b/internal/lab/check/promises.go
@@ -245,23 +245,25 @@
 		if request.Outcome != OutcomeNotRun {
 			continue
 		}
-		starts := o.Starts[request.EngineID]
+		starts := o.Runs[request.Content]
 		verdict.expect(len(starts) == 0, "request %s was said not to be run and was started %d times", request.ID, len(starts))
 	}
 	return verdict
 }
 
-// checkUnsafeOnce: an unsafe request was started at most once over all engines.
+// checkUnsafeOnce: an unsafe request was started at most once over all engines; one that was completed exactly once, for
+// otherwise the check looks in the wrong place.
 func checkUnsafeOnce(o *Observations, _ Limits) Verdict {
 	var verdict Verdict
-	counted := make(map[string]bool)
+	counted := make(map[uint64]bool)
 	for _, request := range o.Requests {
-		if !request.Unsafe || counted[request.EngineID] {
+		if !request.Unsafe || counted[request.Content] {
 			continue
 		}
-		counted[request.EngineID] = true
-		starts := o.Starts[request.EngineID]
-		verdict.expect(len(starts) <= 1, "unsafe request %s was started %d times", request.ID, len(starts))
+		counted[request.Content] = true
+		starts := o.Runs[request.Content]
+		holds := len(starts) == 1 || (len(starts) == 0 && request.Outcome != OutcomeCompleted)
+		verdict.expect(holds, "unsafe request %s was started %d times and ended %q", request.ID, len(starts), request.Outcome)
 	}
 	return verdict
 }
@@ -324,7 +326,7 @@
 	if !stop.IsEngine {
 		return request.Node == stop.Name && request.SentAt.Before(stop.At)
 	}
-	return slices.ContainsFunc(o.Starts[request.EngineID], func(start Start) bool {
+	return slices.ContainsFunc(o.Runs[request.Content], func(start Start) bool {
 		return start.Engine == stop.Name && start.At.Before(stop.At)
 	})
 }
--- a/internal/lab/check/promises_test.go
+++ b/internal/lab/check/promises_test.go
@@ -17,10 +17,10 @@
 func goodRun() *Recorder {
 	recorder := NewRecorder()
 	tokens := []uint32{1, 2, 3, 4}
-	recorder.Started("e1", "w/1/0", 1, at(1))
+	recorder.Started("e1", "w/1/0", 1, 10, at(1))
 	recorder.Produced("e1", "w/1/0", 1, 0, 2, 5)
 	recorder.Produced("e1", "w/1/0", 1, 2, 2, 6)
-	recorder.Started("e1", "r/unsafe", 1, at(2))
+	recorder.Started("e1", "r/another-id", 1, 11, at(2))
 	recorder.Record(func(o *Observations) {
 		o.Submitted = []SubmittedStep{{Workload: "w", Step: 1, Samples: 1}}
 		o.Bundles = []BundleAccepted{
@@ -34,9 +34,9 @@
 			}},
 		}}
 		o.Requests = []Request{
-			{ID: "unsafe", EngineID: "r/unsafe", Unsafe: true, Node: "n1", SentAt: at(2), EndedAt: at(4),
+			{ID: "unsafe", Content: 11, Unsafe: true, Node: "n1", SentAt: at(2), EndedAt: at(4),
 				Outcome: OutcomeCompleted, Tokens: tokens, Expected: tokens, AnswerIDs: []string{"unsafe"}},
-			{ID: "refused", EngineID: "r/refused", Node: "n2", SentAt: at(2), EndedAt: at(3), Outcome: OutcomeNotRun},
+			{ID: "refused", Content: 12, Node: "n2", SentAt: at(2), EndedAt: at(3), Outcome: OutcomeNotRun},
 		}
 		o.Stops = []Stop{{Name: "n1", At: at(3)}, {Name: "e1", IsEngine: true, At: at(3)}}
 		o.Seen = []BundleSeen{{Node: "n1", Version: 1, At: at(9)}}
@@ -89,11 +89,12 @@
 		{"answer of another", OwnAnswer, func(o *Observations) { o.Requests[0].AnswerIDs = []string{"refused"} }},
 		{"beginning of another answer", OwnAnswer, func(o *Observations) { o.Requests[1].Tokens = []uint32{9} }},
 		{"not run, but started", NotRunTruth, func(o *Observations) {
-			o.Starts["r/refused"] = []Start{{Engine: "e1", At: at(2)}}
+			o.Runs[12] = []Start{{Engine: "e1", At: at(2)}}
 		}},
 		{"unsafe twice", UnsafeOnce, func(o *Observations) {
-			o.Starts["r/unsafe"] = append(o.Starts["r/unsafe"], Start{Engine: "e2", At: at(3)})
+			o.Runs[11] = append(o.Runs[11], Start{Engine: "e2", At: at(3)})
 		}},
+		{"unsafe completed by no engine", UnsafeOnce, func(o *Observations) { delete(o.Runs, 11) }},
 		{"work for an engine that left", LeavingNoWork, func(o *Observations) {
 			o.Starts["w/1/0"] = append(o.Starts["w/1/0"], Start{Engine: "e1", At: at(6.5)})
 		}},
--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -68,7 +68,7 @@
 		defer cancel()
 	}
 	record := check.Request{
-		Workload: p.described.Workload, ID: id, EngineID: p.described.Workload + "/" + id, Unsafe: request.Unsafe,
+		Workload: p.described.Workload, ID: id, Content: engine.ContentOf(request.Prompt, request.Seed), Unsafe: request.Unsafe,
 		SentAt: time.Now(), Expected: engine.ExpectedTokens(request.Prompt, request.Seed, p.described.Lengths.Max),
 	}
 	message := &hillforkv1.ExecuteRequest{
--- a/internal/lab/cluster/engines.go
+++ b/internal/lab/cluster/engines.go
@@ -16,6 +16,10 @@
 
 const enginePort = "7600"
 
+// leavingGrace is how long a leaving engine still takes what it is given. It is long, so that the promise that it is given
+// nothing is hillfork's to keep and not the engine's.
+const leavingGrace = time.Hour
+
 // engineProcess is one engine on its host.
 type engineProcess struct {
 	name    string
@@ -62,6 +66,7 @@
 		PerStreamStep:   time.Duration(group.StreamTime),
 		PrefillPerToken: time.Duration(group.PrefillTime),
 		StatusLag:       time.Duration(group.StatusLag),
+		LeavingGrace:    leavingGrace,
 		ChunkInterval:   time.Duration(group.ChunkInterval),
 		SwapPause:       time.Duration(group.SwapPause),
 		Weights:         weights.WeightStore(c.platform.Address),
@@ -119,8 +124,8 @@
 	recorder *check.Recorder
 }
 
-func (o engineObserver) Started(engine, requestID string, attempt uint32, at time.Time) {
-	o.recorder.Started(engine, requestID, attempt, at)
+func (o engineObserver) Started(engine, requestID string, attempt uint32, content uint64, at time.Time) {
+	o.recorder.Started(engine, requestID, attempt, content, at)
 }
 
 func (o engineObserver) Produced(engine, requestID string, attempt uint32, index, count int, version uint64) {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -24,7 +24,7 @@
 	produced map[string]int
 }
 
-func (j *journal) Started(_, requestID string, _ uint32, _ time.Time) {
+func (j *journal) Started(_, requestID string, _ uint32, _ uint64, _ time.Time) {
 	j.started = append(j.started, requestID)
 }
 
--- a/internal/standin/engine/schedule.go
+++ b/internal/standin/engine/schedule.go
@@ -71,7 +71,7 @@
 	if !next.started {
 		next.started = true
 		if e.config.Observer != nil {
-			e.config.Observer.Started(e.config.ID, next.key.requestID, next.key.attempt, time.Now())
+			e.config.Observer.Started(e.config.ID, next.key.requestID, next.key.attempt, next.hash, time.Now())
 		}
 	}
 	uncached := e.cache.admit(next.prompt) + next.produced
--- a/internal/standin/engine/tokens.go
+++ b/internal/standin/engine/tokens.go
@@ -58,6 +58,9 @@
 	return tokensBetween(hash, 0, LengthOf(prompt, seed, maxTokens))
 }
 
+// ContentOf identifies a request by what it asks for, whatever ids it goes by.
+func ContentOf(prompt []uint32, seed uint64) uint64 { return promptHash(prompt, seed) }
+
 func promptHash(prompt []uint32, seed uint64) uint64 {
 	encoded := make([]byte, 0, 8+4*len(prompt))
 	encoded = binary.LittleEndian.AppendUint64(encoded, seed)
