Let engines take older steps first across shards

Cause: a workload's steps lie on two shards in turn, and an engine pulled from both alike, so the next step took half of the slots from the one that the trainer waited for. Only within a shard did the older step go first. Change: PullWorkResult names the first step that waits; a link leaves the slots to another link of the workload with an older one, as long as it heard of it lately.

--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -32,6 +32,8 @@
 	stop    context.CancelFunc
 	backlog int
 	asked   time.Time
+	// oldest is the first step of the backlog.
+	oldest uint64
 	// unsuited is set while samples wait of which none suits the engine, say for its version or the look-ahead.
 	unsuited bool
 	// pulling is set while an answer may bring attempts.
--- a/internal/dispatch/pull.go
+++ b/internal/dispatch/pull.go
@@ -40,6 +40,9 @@
 	case unsuited:
 		return l.hold(ctx, version)
 	}
+	if l.olderElsewhere() {
+		return l.waitForSlots(ctx, version, slots)
+	}
 	reserved := l.owner.slots.reserve(l.key.workload, l.wanted(backlog))
 	if reserved == 0 {
 		return l.waitForSlots(ctx, version, slots)
@@ -92,10 +95,48 @@
 	return (backlog + engines - 1) / engines
 }
 
+// backlogLife is how long a backlog counts as fresh.
+const backlogLife = 5 * time.Second
+
+// olderElsewhere tells whether another shard of the workload has samples of an older step for the engine, which the
+// trainer wants first. What has not been heard lately does not count, so that a shard without an owner holds up none.
+func (l *workLink) olderElsewhere() bool {
+	own, _ := l.firstWaiting()
+	for _, other := range l.owner.linksOf(l.key.workload) {
+		oldest, heard := other.firstWaiting()
+		if other != l && oldest > 0 && oldest < own && time.Since(heard) < 2*backlogLife {
+			return true
+		}
+	}
+	return false
+}
+
+// firstWaiting is the first step with samples that suit the engine, 0 where none is known, and when that was heard.
+func (l *workLink) firstWaiting() (step uint64, heard time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.backlog == 0 || l.unsuited {
+		return 0, l.asked
+	}
+	return l.oldest, l.asked
+}
+
+// linksOf returns the links to a workload's shards.
+func (o *engineOwner) linksOf(workload string) []*workLink {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var found []*workLink
+	for key, link := range o.links {
+		if key.workload == workload {
+			found = append(found, link)
+		}
+	}
+	return found
+}
+
 // waitForSlots waits for a slot to become free, and refreshes an old backlog: it counts as demand when shares are
 // reckoned, so it must not be long out of date.
 func (l *workLink) waitForSlots(ctx context.Context, version uint64, slots <-chan struct{}) error {
-	const backlogLife = 5 * time.Second
 	l.mutex.Lock()
 	age := time.Since(l.asked)
 	l.mutex.Unlock()
@@ -113,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	l.noteBacklog(result.Backlog, false)
+	l.noteBacklog(result, false)
 	return nil
 }
 
@@ -139,7 +180,7 @@
 			started++
 		}
 	}
-	l.noteBacklog(result.Backlog, len(assignments) == 0)
+	l.noteBacklog(result, len(assignments) == 0)
 	l.owner.slots.release(l.key.workload, max(0, reserved-started), false)
 	return nil
 }
@@ -159,7 +200,7 @@
 	result, err := l.call(holding, version, 1, l.owner.config.Timing.LongPoll)
 	if err != nil {
 		if holding.Err() != nil && ctx.Err() == nil {
-			l.noteBacklog(1, false)
+			l.noteBacklog(&peerapi.PullWorkResult{Backlog: 1}, false)
 			return nil
 		}
 		return err
@@ -167,7 +208,7 @@
 	for _, assignment := range result.Assignments {
 		l.startAttempt(assignment, false)
 	}
-	l.noteBacklog(result.Backlog, len(result.Assignments) == 0)
+	l.noteBacklog(result, len(result.Assignments) == 0)
 	return nil
 }
 
@@ -216,13 +257,14 @@
 }
 
 // noteBacklog takes over how many samples wait. Those that do not suit the engine are no demand for its slots.
-func (l *workLink) noteBacklog(backlog int, unsuited bool) {
+func (l *workLink) noteBacklog(result *peerapi.PullWorkResult, unsuited bool) {
 	l.mutex.Lock()
-	l.backlog = backlog
+	l.backlog = result.Backlog
+	l.oldest = result.Oldest
 	l.unsuited = unsuited
 	l.asked = time.Now()
 	l.mutex.Unlock()
-	demand := backlog
+	demand := result.Backlog
 	if unsuited {
 		demand = 0
 	}
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -154,8 +154,9 @@
 	Assignments []Assignment `msg:"a"`
 	// Latest is the newest version published for the workload.
 	Latest uint64 `msg:"l"`
-	// Backlog is how many samples still wait.
-	Backlog int `msg:"b"`
+	// Backlog is how many samples still wait, and Oldest the first step that they belong to; 0 where none waits.
+	Backlog int    `msg:"b"`
+	Oldest  uint64 `msg:"o"`
 }
 
 // Progress tells how far an attempt is.
--- a/internal/peerapi/peerapi_gen.go
+++ b/internal/peerapi/peerapi_gen.go
@@ -7830,6 +7830,12 @@
 				err = msgp.WrapError(err, "Backlog")
 				return
 			}
+		case "o":
+			z.Oldest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Oldest")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -7843,9 +7849,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PullWorkResult) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "a"
-	err = en.Append(0x83, 0xa1, 0x61)
+	err = en.Append(0x84, 0xa1, 0x61)
 	if err != nil {
 		return
 	}
@@ -7881,15 +7887,25 @@
 		err = msgp.WrapError(err, "Backlog")
 		return
 	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Oldest)
+	if err != nil {
+		err = msgp.WrapError(err, "Oldest")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *PullWorkResult) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "a"
-	o = append(o, 0x83, 0xa1, 0x61)
+	o = append(o, 0x84, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Assignments)))
 	for za0001 := range z.Assignments {
 		o, err = z.Assignments[za0001].MarshalMsg(o)
@@ -7904,6 +7920,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendInt(o, z.Backlog)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.Oldest)
 	return
 }
 
@@ -7964,6 +7983,12 @@
 				err = msgp.WrapError(err, "Backlog")
 				return
 			}
+		case "o":
+			z.Oldest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Oldest")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7982,7 +8007,7 @@
 	for za0001 := range z.Assignments {
 		s += z.Assignments[za0001].Msgsize()
 	}
-	s += 2 + msgp.Uint64Size + 2 + msgp.IntSize
+	s += 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/stepledger/pull.go
+++ b/internal/stepledger/pull.go
@@ -74,7 +74,8 @@
 			assignment := c.give(state.step(choice.Step), choice.Index, request, workload, limits, now)
 			result.Assignments = append(result.Assignments, assignment)
 		}
-		result.Backlog = backlog(snapshot) - len(result.Assignments)
+		waiting, oldest := backlog(snapshot, len(result.Assignments))
+		result.Backlog, result.Oldest = waiting, oldest
 	})
 	return result
 }
@@ -202,15 +203,19 @@
 	return known
 }
 
-// backlog counts the samples that wait, those too far ahead of the trainer aside.
-func backlog(snapshot assign.Snapshot) int {
-	count := 0
+// backlog counts the samples that wait, those too far ahead of the trainer aside, once the first given have been taken
+// away. oldest is the first step that has any; 0 where none waits.
+func backlog(snapshot assign.Snapshot, given int) (count int, oldest uint64) {
 	for _, step := range snapshot.Steps {
-		if !snapshot.TooFarAhead(step) {
-			count += len(step.Candidates)
+		if snapshot.TooFarAhead(step) {
+			continue
+		}
+		count += len(step.Candidates)
+		if count > given && oldest == 0 {
+			oldest = step.Number
 		}
 	}
-	return count
+	return count - given, oldest
 }
 
 // give starts an attempt for an engine. The caller holds the mutex and the view.
