Set the look-ahead by the objective, and wait for fresh weights

Cause: every workload was worked on as far ahead as its staleness bound let it, whatever its objective; and a step was begun on the old weights the moment that the trainer wanted it, so that half of its samples were a version behind. The part of a step may begin with one sample of each prompt, then those predicted long, because these are what the trainer would wait for. Where staleness weighs more than idle time, samples wait up to 30 s for an engine with the newest version. Among equal predictions one sample of each prompt goes first. A step that is handed over counts as the trainer's until its version is published.

--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -33,8 +33,10 @@
 	IdleSeconds        float64   `json:"idle_seconds,omitempty"`
 	StepIdleSeconds    []float64 `json:"step_idle_seconds,omitempty"`
 	MeanVersionsBehind float64   `json:"mean_versions_behind,omitempty"`
-	MeanAgeSeconds     float64   `json:"mean_age_seconds,omitempty"`
-	MaxAgeSeconds      float64   `json:"max_age_seconds,omitempty"`
+	// VersionsBehind counts samples by staleness at receipt.
+	VersionsBehind map[uint64]int `json:"versions_behind,omitempty"`
+	MeanAgeSeconds float64        `json:"mean_age_seconds,omitempty"`
+	MaxAgeSeconds  float64        `json:"max_age_seconds,omitempty"`
 
 	Requests int                   `json:"requests,omitempty"`
 	Outcomes map[check.Outcome]int `json:"outcomes,omitempty"`
@@ -145,6 +147,7 @@
 			Steps: report.StepsFetched, Samples: report.Samples, IdleSeconds: report.Idle.Seconds(),
 			MeanVersionsBehind: report.MeanVersionsBehind(), MeanAgeSeconds: report.MeanAge().Seconds(),
 			MaxAgeSeconds: report.MaxAge.Seconds(), StepIdleSeconds: secondsOf(report.StepIdle),
+			VersionsBehind: report.VersionsBehind,
 		}
 	}
 	recorder.Record(func(o *check.Observations) {
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -11,13 +11,15 @@
 	// LeastLoaded chooses engines for requests by load alone.
 	LeastLoaded bool `yaml:"least_loaded" json:"least_loaded,omitempty"`
 	// LookAhead, if set, bounds how many steps beyond the one that the trainer fetches are worked on; unset leaves it to
-	// the bundle's objective.
-	LookAhead *int `yaml:"look_ahead" json:"look_ahead,omitempty"`
+	// the bundle's objective. 0.25 is a quarter of the samples of the next step.
+	LookAhead *float64 `yaml:"look_ahead" json:"look_ahead,omitempty"`
+	// AnyVersion begins samples on engines with an old version although their workload prefers fresh ones.
+	AnyVersion bool `yaml:"any_version" json:"any_version,omitempty"`
 }
 
 // Baseline is the way against which the others are measured: first in first out, least loaded, whole-pool swaps, no
 // look-ahead.
 func Baseline() Settings {
-	none := 0
-	return Settings{ArrivalOrder: true, WholePoolSwap: true, LeastLoaded: true, LookAhead: &none}
+	none := 0.0
+	return Settings{ArrivalOrder: true, WholePoolSwap: true, LeastLoaded: true, LookAhead: &none, AnyVersion: true}
 }
--- a/internal/stepledger/assign/assign.go
+++ b/internal/stepledger/assign/assign.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Candidate is one waiting sample.
@@ -12,6 +14,8 @@
 	Index int
 	// Predicted is the expected length of the whole answer in tokens.
 	Predicted int
+	// Sibling counts the samples of the same prompt that come before this one.
+	Sibling int
 }
 
 // Step is the waiting samples of one step.
@@ -19,7 +23,12 @@
 	Number uint64
 	// Ahead is how many steps the trainer is expected to finish before it takes this one. One version is expected to be
 	// published per step.
-	Ahead      int
+	Ahead int
+	// Distance is the same, but takes a step that was handed over as not finished, since the trainer may train on it still.
+	// Ahead decides what may turn out of bound, Distance what is begun by choice.
+	Distance int
+	// Samples counts all samples of the step, waiting or not.
+	Samples    int
 	Candidates []Candidate
 }
 
@@ -37,11 +46,15 @@
 	Bounded           bool
 	// FreeSlots is how many samples the engine can take.
 	FreeSlots int
-	// MaxAhead bounds how many steps ahead of the trainer are worked on; it counts when AheadBounded.
+	// LookAhead bounds how far ahead of the trainer samples are begun; it counts when AheadBounded.
+	LookAhead    policy.LookAhead
+	AheadBounded bool
 	// PositionUnknown says that the trainer was not seen yet; it may be one step before the first.
-	MaxAhead        int
-	AheadBounded    bool
 	PositionUnknown bool
+	// LongTokens is the length from which on a sample counts as long.
+	LongTokens int
+	// FreshOnly gives samples to engines with the newest version only.
+	FreshOnly bool
 	// ArrivalOrder takes samples by index, whatever their predicted length.
 	ArrivalOrder bool
 	// InFlight is how many samples run now, and MaxInFlight bounds them; 0 is no bound.
@@ -61,7 +74,8 @@
 // far ahead that the engine's version would be out of bound when it is delivered gives none.
 func Decide(snapshot Snapshot) []Choice {
 	room := snapshot.room()
-	if room <= 0 || !snapshot.accepts() {
+	stale := snapshot.FreshOnly && snapshot.ServedVersion < snapshot.Latest
+	if room <= 0 || stale || !snapshot.accepts() {
 		return nil
 	}
 	steps := slices.SortedFunc(slices.Values(snapshot.Steps), func(a, b Step) int {
@@ -69,28 +83,39 @@
 	})
 	var choices []Choice
 	for _, step := range steps {
-		if !snapshot.mayStart(step) {
+		if !snapshot.inBoundWhenDelivered(step) {
 			continue
 		}
-		for _, candidate := range snapshot.order(step.Candidates, room-len(choices)) {
+		for _, candidate := range snapshot.order(snapshot.Startable(step), room-len(choices)) {
 			choices = append(choices, Choice{Step: step.Number, Index: candidate.Index})
 		}
 	}
 	return choices
 }
 
-// mayStart reports whether a step may be worked on by the engine now.
-func (s Snapshot) mayStart(step Step) bool {
-	return !s.TooFarAhead(step) && s.inBoundWhenDelivered(step)
-}
-
-// TooFarAhead reports whether no engine may work on a step yet.
-func (s Snapshot) TooFarAhead(step Step) bool {
-	ahead := step.Ahead
+// Startable lists the samples of a step that may be begun, whatever the engine: all within the look-ahead, a part of those
+// of the step after it. That part begins with one sample of each prompt, which shows how long its siblings will be, and
+// goes on with those predicted long, because these are what the trainer would wait for.
+func (s Snapshot) Startable(step Step) []Candidate {
+	ahead := step.Distance
 	if s.PositionUnknown {
 		ahead++
 	}
-	return s.AheadBounded && ahead > s.MaxAhead
+	switch {
+	case !s.AheadBounded || ahead <= s.LookAhead.Steps:
+		return step.Candidates
+	case ahead > s.LookAhead.Steps+1 || s.LookAhead.Part <= 0:
+		return nil
+	}
+	begun := step.Samples - len(step.Candidates)
+	allowed := int(s.LookAhead.Part*float64(step.Samples)) - begun
+	var telling []Candidate
+	for _, candidate := range step.Candidates {
+		if candidate.Sibling == 0 || candidate.Predicted >= s.LongTokens {
+			telling = append(telling, candidate)
+		}
+	}
+	return longest(telling, max(allowed, 0))
 }
 
 // order returns the first count candidates to take.
@@ -138,10 +163,14 @@
 	return kept
 }
 
-// compare orders candidates by falling prediction, then by index.
+// compare orders candidates by falling prediction. Among equals one sample of each prompt goes before the second of any,
+// because its length tells about those of its siblings; then the index decides.
 func compare(a, b Candidate) int {
 	if order := cmp.Compare(b.Predicted, a.Predicted); order != 0 {
 		return order
 	}
+	if order := cmp.Compare(a.Sibling, b.Sibling); order != 0 {
+		return order
+	}
 	return cmp.Compare(a.Index, b.Index)
 }
--- a/internal/stepledger/assign/assign_test.go
+++ b/internal/stepledger/assign/assign_test.go
@@ -8,8 +8,8 @@
 
 func TestDecide(t *testing.T) {
 	steps := []Step{
-		{Number: 4, Ahead: 2, Candidates: []Candidate{{Index: 0, Predicted: 99}}},
-		{Number: 2, Candidates: []Candidate{{Index: 0, Predicted: 5}, {Index: 1, Predicted: 9}, {Index: 2, Predicted: 9}}},
+		{Number: 4, Ahead: 2, Distance: 2, Samples: 1, Candidates: []Candidate{{Index: 0, Predicted: 99}}},
+		{Number: 2, Samples: 3, Candidates: []Candidate{{Index: 0, Predicted: 5}, {Index: 1, Predicted: 9}, {Index: 2, Predicted: 9}}},
 	}
 	cases := []struct {
 		name     string
--- a/internal/stepledger/maintain.go
+++ b/internal/stepledger/maintain.go
@@ -52,13 +52,27 @@
 		}
 		c.countReplaced(records, outcomes)
 	}
-	if freed || len(records) > 0 {
+	if c.becameStartable(workload, now) || freed || len(records) > 0 {
 		c.work.raise()
 	}
 	// An answer whose append was given up may have been folded since.
 	c.lookForUnscored()
 }
 
+// becameStartable tells whether samples that were held back may be begun now, because of what was learned of their
+// siblings or because the wait for fresh weights is over.
+func (c *session) becameStartable(workload *bundle.Workload, now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.startable
+	c.view(func(state *State) {
+		snapshot := c.snapshot(state, workload, boundsOf(workload, state.Latest()), now)
+		count, _ := backlog(snapshot, 0)
+		c.startable = count > 0 && !snapshot.FreshOnly
+	})
+	return c.startable && !before
+}
+
 // countReplaced counts the answers that records have dropped.
 func (c *session) countReplaced(records []shard.Proposal, outcomes []Outcome) {
 	for i, outcome := range outcomes {
--- a/internal/stepledger/publish.go
+++ b/internal/stepledger/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
@@ -58,6 +59,9 @@
 
 // versionChanged wakes those who wait for a newer version.
 func (c *session) versionChanged(version uint64) {
+	c.mutex.Lock()
+	c.publishedAt = time.Now()
+	c.mutex.Unlock()
 	c.work.raise()
 	c.ready.raise()
 	if c.service.config.OnVersion != nil {
--- a/internal/stepledger/pull.go
+++ b/internal/stepledger/pull.go
@@ -9,6 +9,7 @@
 
 	"github.com/hillfork/hillfork/internal/bundle"
 	"github.com/hillfork/hillfork/internal/peerapi"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/stepledger/assign"
 )
 
@@ -93,31 +94,59 @@
 		snapshot.Bounded = true
 		snapshot.MaxVersionsBehind = workload.Staleness.MaxVersionsBehind
 	}
-	settings := c.service.config.Policy
-	snapshot.ArrivalOrder = settings.ArrivalOrder
-	if settings.LookAhead != nil {
-		snapshot.AheadBounded = true
-		snapshot.MaxAhead = *settings.LookAhead
-	}
+	c.applyPolicy(&snapshot, workload, now)
 	position, known := c.trainerPosition(state)
 	snapshot.PositionUnknown = !known
 	most := ShardsPerWorkload - 1
 	if !known {
 		most = 0
 	}
+	farthest := most
 	for _, step := range state.image.Steps {
 		if step.Completed < len(step.Samples) {
 			snapshot.Steps = append(snapshot.Steps, assign.Step{
-				Number: step.Step, Ahead: stepsAhead(step.Step, position, most), Candidates: c.candidates(step, now),
+				Number: step.Step, Ahead: stepsAhead(step.Step, position, most), Distance: stepsAhead(step.Step, position, farthest),
+				Samples: len(step.Samples), Candidates: c.candidates(step, now),
 			})
 		}
-		if step.Step >= position && !step.handedOver() {
+		if step.Step < position {
+			continue
+		}
+		farthest += ShardsPerWorkload
+		if !step.handedOver() {
 			most += ShardsPerWorkload
 		}
 	}
 	return snapshot
 }
 
+// longFactor is how many times the workload's mean length makes a sample a long one.
+const longFactor = 1.5
+
+// freshPatience is how long samples wait for engines to load a new version before they are begun on an older one.
+const freshPatience = 30 * time.Second
+
+// applyPolicy sets what the workload's objective and the process's settings ask for. The caller holds the mutex.
+func (c *session) applyPolicy(snapshot *assign.Snapshot, workload *bundle.Workload, now time.Time) {
+	settings := c.service.config.Policy
+	snapshot.ArrivalOrder = settings.ArrivalOrder
+	snapshot.LongTokens = int(longFactor * float64(c.history.Mean()))
+	objective := workload.Objective
+	switch {
+	case settings.LookAhead != nil:
+		snapshot.AheadBounded = true
+		snapshot.LookAhead = policy.LookAheadOf(*settings.LookAhead)
+	case objective != nil && workload.Staleness != nil:
+		behind := workload.Staleness.MaxVersionsBehind
+		snapshot.AheadBounded = true
+		snapshot.LookAhead = policy.LookAheadFor(objective.IdleWeight, objective.StalenessWeight, behind)
+	}
+	if objective != nil && !settings.AnyVersion {
+		waiting := now.Sub(c.publishedAt) < freshPatience
+		snapshot.FreshOnly = waiting && policy.PrefersFresh(objective.IdleWeight, objective.StalenessWeight)
+	}
+}
+
 // stepsAhead is how many steps the trainer is expected to take before a step, at most most: numbers may have gaps.
 func stepsAhead(step, position uint64, most int) int {
 	if step <= position {
@@ -173,7 +202,7 @@
 		group := len(candidates)
 		for index := first; index < first+step.SamplesPerPrompt; index++ {
 			if step.waiting(index) && c.assignable(sampleKey{step: step.Step, index: index}, now) {
-				candidates = append(candidates, assign.Candidate{Index: index})
+				candidates = append(candidates, assign.Candidate{Index: index, Sibling: index - first})
 			}
 		}
 		if len(candidates) == group {
@@ -207,10 +236,7 @@
 // away. oldest is the first step that has any; 0 where none waits.
 func backlog(snapshot assign.Snapshot, given int) (count int, oldest uint64) {
 	for _, step := range snapshot.Steps {
-		if snapshot.TooFarAhead(step) {
-			continue
-		}
-		count += len(step.Candidates)
+		count += len(snapshot.Startable(step))
 		if count > given && oldest == 0 {
 			oldest = step.Number
 		}
--- a/internal/stepledger/session.go
+++ b/internal/stepledger/session.go
@@ -57,10 +57,14 @@
 	// fetching is the newest step that the trainer has asked for, and fetchVersion the trainer's version then.
 	fetching     uint64
 	fetchVersion uint64
-	running      map[sampleKey]*attempt
-	partials     map[sampleKey]partial
-	failures     map[sampleKey]failure
-	numbers      map[sampleKey]uint32
+	// publishedAt is when this process learned of the newest version.
+	publishedAt time.Time
+	// startable tells whether samples could be begun at the last look.
+	startable bool
+	running   map[sampleKey]*attempt
+	partials  map[sampleKey]partial
+	failures  map[sampleKey]failure
+	numbers   map[sampleKey]uint32
 	// voided is the last attempt of a sample that was given up because its tokens are over the bound; a report does not
 	// bring it back.
 	voided  map[sampleKey]uint32
