--- a/internal/lab/byhand/byhand_test.go
+++ b/internal/lab/byhand/byhand_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -259,15 +260,17 @@
 	h.Equal(code, cli.ExitFailed) // another body under a used id
 }
 
-// train runs a trainer for two steps and looks at what the nodes tell of them.
+// train runs two trainers, one after the other, for a step each and looks at what the nodes tell of them.
 func (h *hand) train() {
-	var printed bytes.Buffer
-	err := RunTrainer(h.ctx, TrainerConfig{
-		Workload: "drafting", Model: "customs", Gateways: h.addresses, Platform: h.platform.Address(),
-		Prompts: 2, SamplesPerPrompt: 4, Length: 20, MaxTokens: 60, TrainTime: time.Millisecond, Steps: 2, Seed: 1,
-	}, &printed)
-	h.NoErr(err)
-	h.True(strings.Contains(printed.String(), "drafting step 2: received, 8 samples, under bundle 1"))
+	for step := uint64(1); step <= 2; step++ {
+		var printed bytes.Buffer
+		err := RunTrainer(h.ctx, TrainerConfig{
+			Workload: "drafting", Model: "customs", Gateways: h.addresses, Platform: h.platform.Address(), FirstStep: step,
+			Prompts: 2, SamplesPerPrompt: 4, Length: 20, MaxTokens: 60, TrainTime: time.Millisecond, Steps: 1, Seed: 1,
+		}, &printed)
+		h.NoErr(err)
+		h.True(strings.Contains(printed.String(), fmt.Sprintf("drafting step %d: received, 8 samples, under bundle 1", step)))
+	}
 	var listed struct {
 		Steps []struct{ Samples, Completed int }
 	}
--- a/internal/lab/byhand/trainer.go
+++ b/internal/lab/byhand/trainer.go
@@ -28,6 +28,8 @@
 	Length    int
 	MaxTokens int
 	TrainTime time.Duration
+	// FirstStep is the number of the first step, from 1 on.
+	FirstStep uint64
 	// Steps is how many steps are trained; 0 goes on until the context ends.
 	Steps int
 	// Seed sets the prompts; the same seed gives the same steps.
@@ -61,6 +63,7 @@
 		SamplesPerPrompt: config.SamplesPerPrompt,
 		MaxTokens:        config.MaxTokens,
 		TrainTime:        config.TrainTime,
+		FirstStep:        config.FirstStep,
 		Steps:            uint64(config.Steps),
 		StartVersion:     newest,
 		Weights:          store,
@@ -68,8 +71,9 @@
 	}, adapter.ClientOptions()...)
 	err = training.Run(ctx)
 	report := training.Report()
-	fmt.Fprintf(out, "steps %d  samples %d  idle %.1fs  versions behind %.2f  newest version %d\n", report.StepsFetched,
-		report.Samples, report.Idle.Seconds(), report.MeanVersionsBehind(), max(newest, report.Version))
+	failed := report.SubmitErrors + report.FetchErrors + report.PublishErrors
+	fmt.Fprintf(out, "steps %d  samples %d  idle %.1fs  versions behind %.2f  newest version %d  failed calls %d\n",
+		report.StepsFetched, report.Samples, report.Idle.Seconds(), report.MeanVersionsBehind(), max(newest, report.Version), failed)
 	return err
 }
 
--- a/internal/lab/command/byhand.go
+++ b/internal/lab/command/byhand.go
@@ -179,12 +179,13 @@
 	flags.IntVar(&config.Length, 0, "length", 80, "median length of an answer, in tokens")
 	flags.IntVar(&config.MaxTokens, 0, "max-tokens", 400, "longest answer, in tokens")
 	flags.DurationVar(&config.TrainTime, 0, "train-time", 2*time.Second, "time that training on a step takes")
+	flags.Uint64Var(&config.FirstStep, 0, "first-step", 1, "number of the first step; a trainer that starts anew goes on after the last one's steps")
 	flags.IntVar(&config.Steps, 0, "steps", 0, "steps to train; 0 goes on until a signal")
 	flags.Uint64Var(&config.Seed, 0, "seed", 1, "seed of the prompts")
 	return &ff.Command{
 		Name:      "trainer",
 		Usage:     "hillfork-lab trainer --workload NAME --model NAME [FLAGS]",
-		ShortHelp: "stand in for the trainer of a workload, from step 1 on",
+		ShortHelp: "stand in for the trainer of a workload",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			config.Gateways = strings.Split(*gateways, ",")
@@ -208,6 +209,9 @@
 		checkPositive("length", config.Length), checkPositive("max-tokens", config.MaxTokens),
 		checkDuration("train-time", config.TrainTime, 0),
 	}
+	if config.FirstStep == 0 {
+		problems = append(problems, flagError("first-step", "0", "a number from 1 on"))
+	}
 	if config.Steps < 0 {
 		problems = append(problems, flagError("steps", strconv.Itoa(config.Steps), "a number from 0 on"))
 	}
--- a/internal/lab/command/byhand_test.go
+++ b/internal/lab/command/byhand_test.go
@@ -23,6 +23,7 @@
 		{engines + " --platform example.org:1", "--platform"},
 		{training + " --gateways 127.0.0.1:1,x", "--gateways"},
 		{training + " --steps -1", "--steps"},
+		{training + " --first-step 0", "--first-step"},
 		{"trainer --workload w", "--model"},
 	} {
 		t.Run(test.line, func(t *testing.T) {
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -62,6 +62,9 @@
 	SamplesPerPrompt int
 	MaxTokens        int
 	TrainTime        time.Duration
+	// FirstStep is the number of the first step; 0 is 1. A trainer that starts anew goes on after the steps of the last one,
+	// whose samples were delivered and are not delivered again.
+	FirstStep uint64
 	// Steps is how many steps are trained; 0 goes on until the context ends.
 	Steps uint64
 	// StepsAhead is how many steps are submitted beyond the one that is fetched.
@@ -79,6 +82,9 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.FirstStep == 0 {
+		c.FirstStep = 1
+	}
 	if c.FetchSize == 0 {
 		c.FetchSize = DefaultFetchSize
 	}
@@ -112,6 +118,7 @@
 // New returns a trainer that calls its gateways through client.
 func New(client connect.HTTPClient, config Config, options ...connect.ClientOption) *Trainer {
 	t := &Trainer{config: config.withDefaults(), version: config.StartVersion}
+	t.submitted = t.config.FirstStep - 1
 	for _, address := range config.Gateways {
 		t.clients = append(t.clients, hillforkv1connect.NewSampleServiceClient(client, "http://"+address, options...))
 	}
@@ -119,9 +126,9 @@
 	return t
 }
 
-// Run trains until all steps are done, which is nil, or the context ends. Steps count from 1.
+// Run trains until all steps are done, which is nil, or the context ends. Steps count from FirstStep.
 func (t *Trainer) Run(ctx context.Context) error {
-	for step := uint64(1); t.config.Steps == 0 || step <= t.config.Steps; step++ {
+	for step := t.config.FirstStep; t.config.Steps == 0 || step <= t.lastStep(); step++ {
 		if err := t.runStep(ctx, step); err != nil {
 			return err
 		}
@@ -164,11 +171,16 @@
 func (t *Trainer) lastAhead(step uint64) uint64 {
 	last := step + t.config.StepsAhead
 	if t.config.Steps > 0 {
-		last = min(last, t.config.Steps)
+		last = min(last, t.lastStep())
 	}
 	return last
 }
 
+// lastStep is the number of the last step, where there is one.
+func (t *Trainer) lastStep() uint64 {
+	return t.config.FirstStep + t.config.Steps - 1
+}
+
 func (t *Trainer) submit(ctx context.Context, step uint64) error {
 	request := &hillforkv1.SubmitStepRequest{
 		Workload:         t.config.Workload,
