Search harder faults, and tell a slow request from one cut off

A caller asks again, under its id, for what was left unknown: a planned stop is blamed for what stays unknown, for a request that nobody cancelled, and no more for one whose caller did not wait. A request that no node could take was sent to none, and is not broken. A look at a node that may have been answered by its next process counts for neither, and no node is blamed for a bundle when all processes are new and the log is down.

--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -60,13 +60,15 @@
 // Outcome is the end of a request as its caller saw it.
 type Outcome string
 
-// Outcomes of a request; OutcomeBroken is the loss of contact without any outcome.
+// Outcomes of a request. OutcomeBroken is the loss of contact without any outcome.
 const (
 	OutcomeCompleted Outcome = "completed"
 	OutcomeNotRun    Outcome = "not run"
 	OutcomeUnknown   Outcome = "unknown"
 	OutcomeCancelled Outcome = "cancelled"
 	OutcomeBroken    Outcome = "broken"
+	// OutcomeUnsent says that no node could be reached, and that the request provably left for none.
+	OutcomeUnsent Outcome = "unsent"
 )
 
 // Request is one request as its caller saw it.
@@ -83,6 +85,10 @@
 	Reason   string
 	Tokens   []uint32
 	Expected []uint32
+	// Later is what an unsafe request that was left unknown came to when it was asked for again under its id; empty for
+	// others. LaterTokens is the answer then.
+	Later       Outcome
+	LaterTokens []uint32
 	// AnswerIDs are the request ids that the messages of the answer carried.
 	AnswerIDs []string
 }
@@ -149,6 +155,8 @@
 	Disturbances []Disturbance
 	// Unreachable holds, by node, the intervals in which it was cut off, paused or down.
 	Unreachable map[string][]Interval
+	// Forgotten holds the intervals in which no process knew any bundle, for all had begun while the log was down.
+	Forgotten []Interval
 	// BeganAt and EndedAt bound the run.
 	BeganAt time.Time
 	EndedAt time.Time
--- a/internal/lab/check/promises.go
+++ b/internal/lab/check/promises.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -226,6 +227,10 @@
 		for _, id := range request.AnswerIDs {
 			verdict.expect(id == request.ID, "request %s got an answer to %s", request.ID, id)
 		}
+		if request.Later == OutcomeCompleted {
+			verdict.expect(slices.Equal(request.LaterTokens, request.Expected), "request %s: %d tokens later, not the whole answer of %d",
+				request.ID, len(request.LaterTokens), len(request.Expected))
+		}
 		if request.Outcome == OutcomeCompleted {
 			verdict.expect(slices.Equal(request.Tokens, request.Expected), "request %s: %d tokens, not the whole answer of %d",
 				request.ID, len(request.Tokens), len(request.Expected))
@@ -299,7 +304,7 @@
 			if !inFlight(request, stop) {
 				continue
 			}
-			cut := request.Outcome == OutcomeBroken || request.Outcome == OutcomeUnknown
+			cut := request.isCut()
 			if o.disturbed(request) {
 				if !touches(o, request, stop) || o.lostContact(request) {
 					continue
@@ -313,6 +318,20 @@
 	return verdict
 }
 
+// isCut tells whether a request was cut off. An unsafe one that was left unknown and is known later was not: its caller
+// only did not wait long enough. No caller of the lab cancels, so that only the deadline may.
+func (r *Request) isCut() bool {
+	switch r.Outcome {
+	case OutcomeBroken:
+		return true
+	case OutcomeUnknown:
+		return r.Later != OutcomeCompleted
+	case OutcomeCancelled:
+		return !strings.Contains(r.Reason, "deadline")
+	}
+	return false
+}
+
 // inFlight tells whether the request was under way at some moment of the stop.
 func inFlight(request Request, stop Stop) bool {
 	endsBefore := request.EndedAt.Before(stop.At)
@@ -343,6 +362,9 @@
 		if o.cutOff(seen.Node, seen.At.Add(-limits.BundleWindow), seen.At) {
 			continue
 		}
+		if o.forgotten(seen.At.Add(-limits.BundleWindow), seen.At) {
+			continue
+		}
 		due := acceptedBy(o.Bundles, seen.At.Add(-limits.BundleWindow))
 		verdict.expect(seen.Version >= due, "%s has bundle %d, %d was accepted %v before", process, seen.Version, due,
 			limits.BundleWindow)
@@ -355,6 +377,11 @@
 	return verdict
 }
 
+// forgotten tells whether, at some time, no node could know a bundle: all were new, and the log was down.
+func (o *Observations) forgotten(from, to time.Time) bool {
+	return slices.ContainsFunc(o.Forgotten, func(interval Interval) bool { return interval.overlaps(from, to) })
+}
+
 func acceptedBy(bundles []BundleAccepted, at time.Time) uint64 {
 	var version uint64
 	for _, accepted := range bundles {
--- a/internal/lab/check/promises_test.go
+++ b/internal/lab/check/promises_test.go
@@ -103,6 +103,12 @@
 			o.Disturbances = []Disturbance{{Target: "n9", During: Interval{From: at(0), To: at(9)}}}
 			o.Requests[0].Outcome = OutcomeBroken
 		}},
+		{"cancelled by nobody during a stop", PlannedStopSafe, func(o *Observations) {
+			o.Requests[0].Outcome = OutcomeCancelled
+		}},
+		{"later answer is another's", OwnAnswer, func(o *Observations) {
+			o.Requests[0].Later, o.Requests[0].LaterTokens = OutcomeCompleted, []uint32{9}
+		}},
 		{"left unknown by an engine's stop", PlannedStopSafe, func(o *Observations) {
 			o.Disturbances = []Disturbance{{Target: "n9", During: Interval{From: at(20), To: at(30)}}}
 			o.Requests[0].Node = "n3"
@@ -130,6 +136,30 @@
 	}
 }
 
+func TestAPlannedStopIsNotBlamedForAnImpatientCaller(t *testing.T) {
+	is := is.New(t)
+	recorder := goodRun()
+	recorder.Record(func(o *Observations) {
+		o.Requests[0].Outcome = OutcomeUnknown
+		o.Requests[0].Later, o.Requests[0].LaterTokens = OutcomeCompleted, o.Requests[0].Expected
+	})
+	is.Equal(Judge(recorder, DefaultLimits())[PlannedStopSafe].Violations, 0)
+}
+
+func TestNodesThatCannotKnowABundleAreNotBlamed(t *testing.T) {
+	is := is.New(t)
+	recorder := goodRun()
+	recorder.Record(func(o *Observations) {
+		o.Seen = []BundleSeen{{Node: "n1", Version: 0, At: at(9)}}
+		o.Forgotten = []Interval{{From: at(2), To: at(5)}}
+	})
+	is.Equal(Judge(recorder, DefaultLimits())[BundleInForce].Violations, 0)
+	recorder.Record(func(o *Observations) {
+		o.Seen[0].At = at(14)
+	})
+	is.True(Judge(recorder, DefaultLimits())[BundleInForce].Violations > 0) // a window after the log is back
+}
+
 func TestAPlannedStopIsNotBlamedForOtherFaults(t *testing.T) {
 	is := is.New(t)
 	recorder := goodRun()
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -39,7 +39,9 @@
 	client  clientSide
 
 	started time.Time
-	running sync.WaitGroup
+	// logDownUntil is guarded by the recorder.
+	logDownUntil time.Time
+	running      sync.WaitGroup
 }
 
 // clientSide is the operators' and callers' view of the cluster, from hosts outside the machine rooms.
--- a/internal/lab/cluster/disturbance.go
+++ b/internal/lab/cluster/disturbance.go
@@ -34,6 +34,10 @@
 		return
 	}
 	c.config.Recorder.Record(func(o *check.Observations) {
+		if event.Do == trace.LogDown {
+			c.logDownUntil = disturbance.During.To
+			c.noteForgotten(o)
+		}
 		for _, target := range c.targetsOf(event) {
 			disturbance.Target = target
 			o.Disturbances = append(o.Disturbances, disturbance)
@@ -71,3 +75,18 @@
 	}
 	return targets
 }
+
+// noteForgotten records that no process is left, if so, while the log is down: the next ones cannot learn the bundle until
+// it is back. It is called under the recorder's lock.
+func (c *Cluster) noteForgotten(o *check.Observations) {
+	now := time.Now()
+	if !now.Before(c.logDownUntil) {
+		return
+	}
+	for _, process := range c.nodes {
+		if process.hindrances[processDown] == 0 {
+			return
+		}
+	}
+	o.Forgotten = append(o.Forgotten, check.Interval{From: now, To: c.logDownUntil})
+}
--- a/internal/lab/cluster/nodes.go
+++ b/internal/lab/cluster/nodes.go
@@ -38,7 +38,8 @@
 	ended       chan struct{}
 	incarnation int
 	// armed names the failpoint at which the process crashes next; empty for none.
-	armed string
+	armed   string
+	mayMiss bool
 
 	// hindrances is guarded by the recorder.
 	hindrances map[hindrance]int
@@ -161,6 +162,9 @@
 
 // replace starts a new process under the node's name. One that still drains is waited for, since a host runs one process.
 func (p *nodeProcess) replace(ctx context.Context) error {
+	if p.disarm() {
+		return nil
+	}
 	p.mu.Lock()
 	draining, ended := p.running != nil, p.ended
 	p.mu.Unlock()
@@ -236,6 +240,7 @@
 			return
 		}
 		p.hindrances[why] = 1
+		p.cluster.noteForgotten(o)
 	})
 }
 
--- a/internal/lab/search/bundles.go
+++ b/internal/lab/search/bundles.go
@@ -14,6 +14,7 @@
 	raceBundleA = "race-a.yaml"
 	raceBundleB = "race-b.yaml"
 	tightBundle = "tight.yaml"
+	halfBundle  = "half-signed.yaml"
 )
 
 // bundleTerms are what differs between the bundles of one trace.
@@ -29,8 +30,8 @@
 	scorer       bool
 }
 
-// drawBundles draws the first bundle, in some traces two that race for its succession, and in some one that tightens the
-// bound on staleness later.
+// drawBundles draws the first bundle, in some traces two that race for its succession, in some one that a partner does not
+// sign, and in some one that tightens the bound on staleness later.
 func (g *generator) drawBundles() {
 	terms := bundleTerms{
 		version: 1, share: 0.4, maxBehind: g.between(1, 4), maxAge: g.time(30*time.Second, 10*time.Minute),
@@ -46,6 +47,12 @@
 		terms.share = 0.2
 		g.addBundle(raceBundleB, at+g.time(0, 50*time.Millisecond), terms)
 	}
+	if g.chance(0.15) {
+		half := terms
+		half.version++
+		g.addBundle(halfBundle, g.time(4*time.Second, g.healedBy()), half)
+		g.trace.Events[len(g.trace.Events)-1].SignAs = []string{"museums"}
+	}
 	if g.chance(0.4) {
 		terms.version++
 		terms.maxBehind = g.between(1, terms.maxBehind)
--- a/internal/lab/trace/events.go
+++ b/internal/lab/trace/events.go
@@ -80,6 +80,8 @@
 	OneWay      bool     `yaml:"one_way,omitempty"`
 	// Failpoint names a point in the node's code at which it crashes next.
 	Failpoint string `yaml:"failpoint,omitempty"`
+	// MayMiss says that the node need not reach its failpoint; its next node_start then changes nothing.
+	MayMiss bool `yaml:"may_miss,omitempty"`
 
 	line int
 }
@@ -101,7 +103,7 @@
 
 var eventKeys = []string{
 	"at", "do", "node", "engine", "zone", "file", "sign_as", "mode", "version", "factor", "probability", "delay", "for", "a", "b",
-	"one_way", "failpoint",
+	"one_way", "failpoint", "may_miss",
 }
 
 // rule says what an action needs.
@@ -160,6 +162,8 @@
 		return fmt.Sprintf("%s needs a probability from 0 to 1", e.Do)
 	case rule.needsSides && !(names.hasPlaces(e.A) && names.hasPlaces(e.B)):
 		return fmt.Sprintf("%s needs zones or regions in a and b", e.Do)
+	case e.MayMiss && e.Failpoint == "":
+		return "may_miss needs a failpoint"
 	case e.Failpoint != "" && e.Do != NodeCrash:
 		return fmt.Sprintf("%s takes no failpoint", e.Do)
 	case rule.modes != nil && !slices.Contains(rule.modes, e.Mode):
