Serve stand-ins by one package

Cause: the lab's clusters and the programs by hand each had their own way to serve stand-ins, and to turn a transfer time into a rate of the weight store. Change: internal/standin/server and weightstore.TransfersOf, used by both. Conclusion: no change of behaviour; the tests of internal/lab pass.

--- a/internal/lab/byhand/engines.go
+++ b/internal/lab/byhand/engines.go
@@ -15,6 +15,7 @@
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
 	"github.com/hillfork/hillfork/internal/standin/engine"
+	"github.com/hillfork/hillfork/internal/standin/server"
 )
 
 // leavePoll is the time between two looks at whether a leaving engine still has work.
@@ -50,7 +51,7 @@
 
 type runningEngine struct {
 	engine  *engine.Engine
-	server  *server
+	server  *server.Server
 	machine *platformv1.Machine
 }
 
@@ -95,13 +96,13 @@
 		ID: name, Pool: config.Pool, Zone: config.Zone, Served: config.Models, Slots: config.Slots,
 		BaseStep: config.TokenTime, Weights: store, Seed: uint64(number),
 	})
-	served, err := serve(addressOf(config.Listen, number).String(), made.Handler)
+	served, err := server.Start(network.System{}, addressOf(config.Listen, number).String(), made.Handler)
 	if err != nil {
 		made.Close()
 		return nil, err
 	}
 	machine := &platformv1.Machine{
-		Id: name, Kind: string(platform.MachineEngine), Address: served.address(), Zone: config.Zone,
+		Id: name, Kind: string(platform.MachineEngine), Address: served.Address(), Zone: config.Zone,
 		Region: config.Region, Pool: config.Pool, State: string(platform.MachineLive),
 	}
 	return &runningEngine{engine: made, server: served, machine: machine}, nil
@@ -123,7 +124,7 @@
 func (e *Engines) Addresses() []string {
 	var addresses []string
 	for _, running := range e.engines {
-		addresses = append(addresses, running.server.address())
+		addresses = append(addresses, running.server.Address())
 	}
 	return addresses
 }
@@ -169,7 +170,7 @@
 func (e *Engines) Close() {
 	for _, running := range e.engines {
 		running.engine.Close()
-		running.server.close()
+		running.server.Close()
 	}
 	e.adapter.Close()
 }
--- a/internal/lab/byhand/platform.go
+++ b/internal/lab/byhand/platform.go
@@ -3,15 +3,14 @@
 import (
 	"time"
 
+	"github.com/hillfork/hillfork/internal/network"
 	"github.com/hillfork/hillfork/internal/standin/logservice"
 	"github.com/hillfork/hillfork/internal/standin/machinelist"
 	"github.com/hillfork/hillfork/internal/standin/scorer"
+	"github.com/hillfork/hillfork/internal/standin/server"
 	"github.com/hillfork/hillfork/internal/standin/weightstore"
 )
 
-// versionBytes is the size of a version of weights, chosen so that a transfer takes PlatformConfig.TransferTime.
-const versionBytes = 1 << 20
-
 // PlatformConfig describes the platform's services.
 type PlatformConfig struct {
 	// Listen is the one address of all services, "ip:port".
@@ -26,18 +25,14 @@
 
 // Platform is the log service, weight store, machine list and scorer on one address. It keeps everything in memory.
 type Platform struct {
-	server *server
+	server *server.Server
 }
 
 // StartPlatform serves the platform until Close.
 func StartPlatform(config PlatformConfig) (*Platform, error) {
-	store := weightstore.New(weightstore.Config{
-		VersionBytes:         versionBytes,
-		ReaderBytesPerSecond: max(1, int(versionBytes/config.TransferTime.Seconds())),
-		MaxReaders:           config.MaxReaders,
-	})
+	store := weightstore.New(weightstore.TransfersOf(config.TransferTime, config.MaxReaders))
 	machines := machinelist.New(machinelist.Config{Lag: config.MachineLag})
-	served, err := serve(config.Listen,
+	served, err := server.Start(network.System{}, config.Listen,
 		logservice.New(logservice.Config{}).Handler,
 		store.Handler,
 		machines.Handler,
@@ -51,7 +46,7 @@
 }
 
 // Address is where the services are.
-func (p *Platform) Address() string { return p.server.address() }
+func (p *Platform) Address() string { return p.server.Address() }
 
 // Close cuts all calls off; what the services held is gone.
-func (p *Platform) Close() { p.server.close() }
+func (p *Platform) Close() { p.server.Close() }
--- a/internal/lab/cluster/engines.go
+++ b/internal/lab/cluster/engines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
 	"github.com/hillfork/hillfork/internal/standin/engine"
+	"github.com/hillfork/hillfork/internal/standin/server"
 )
 
 const enginePort = "7600"
@@ -31,7 +31,7 @@
 	weights *connectadapter.Adapter
 
 	mu     sync.Mutex
-	server *http.Server
+	server *server.Server
 }
 
 func (c *Cluster) startEngines(context.Context) error {
@@ -84,17 +84,13 @@
 }
 
 func (p *engineProcess) serve() error {
-	listener, err := p.host.Network.Listen(p.address)
+	served, err := server.Start(p.host.Network, p.address, p.engine.Handler)
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle(p.engine.Handler())
-	server := &http.Server{Handler: mux}
 	p.mu.Lock()
-	p.server = server
-	p.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
+	defer p.mu.Unlock()
+	p.server = served
 	return nil
 }
 
@@ -103,7 +99,7 @@
 	p.engine.Crash()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.server.Close()
+	p.server.Close()
 }
 
 func (p *engineProcess) restart() error {
@@ -114,7 +110,7 @@
 func (p *engineProcess) close() {
 	p.engine.Close()
 	p.mu.Lock()
-	_ = p.server.Close()
+	p.server.Close()
 	p.mu.Unlock()
 	p.weights.Close()
 }
--- a/internal/lab/cluster/platform.go
+++ b/internal/lab/cluster/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/hillfork/hillfork/internal/standin/logservice"
 	"github.com/hillfork/hillfork/internal/standin/machinelist"
 	"github.com/hillfork/hillfork/internal/standin/scorer"
+	"github.com/hillfork/hillfork/internal/standin/server"
 	"github.com/hillfork/hillfork/internal/standin/weightstore"
 )
 
@@ -28,7 +28,7 @@
 	Machines *machinelist.List
 	Scorer   *scorer.Scorer
 
-	server *http.Server
+	server *server.Server
 }
 
 // newPlatform serves the platform's services. The recorder hears of each bundle as the log accepts it.
@@ -36,36 +36,19 @@
 	p := &Platform{
 		Address:  net.JoinHostPort(host.IP, platformPort),
 		Log:      logservice.New(logservice.Config{Seed: topology.Seed, Observer: observeBundles(keys.Trusted(), recorder)}),
-		Store:    weightstore.New(storeConfig(topology.Store)),
+		Store:    weightstore.New(weightstore.TransfersOf(time.Duration(topology.Store.TransferTime), topology.Store.MaxReaders)),
 		Machines: machinelist.New(machinelist.Config{Lag: time.Duration(topology.MachineListLag)}),
 		Scorer:   scorer.New(scorer.Config{}),
 	}
-	mux := http.NewServeMux()
-	for _, mount := range []func() (string, http.Handler){p.Log.Handler, p.Store.Handler, p.Machines.Handler, p.Scorer.Handler} {
-		mux.Handle(mount())
-	}
-	listener, err := host.Network.Listen(p.Address)
+	var err error
+	p.server, err = server.Start(host.Network, p.Address, p.Log.Handler, p.Store.Handler, p.Machines.Handler, p.Scorer.Handler)
 	if err != nil {
 		return nil, err
 	}
-	p.server = &http.Server{Handler: mux}
-	go func() { _ = p.server.Serve(listener) }()
 	return p, nil
 }
 
-func (p *Platform) close() { _ = p.server.Close() }
-
-// storeUnit is the size of a version in the lab, chosen so that a transfer takes the topology's time.
-const storeUnit = 1 << 20
-
-func storeConfig(store trace.Store) weightstore.Config {
-	transfer := max(time.Duration(store.TransferTime), time.Millisecond)
-	return weightstore.Config{
-		VersionBytes:         storeUnit,
-		ReaderBytesPerSecond: int(float64(storeUnit) / transfer.Seconds()),
-		MaxReaders:           store.MaxReaders,
-	}
-}
+func (p *Platform) close() { p.server.Close() }
 
 // observeBundles folds the bundle stream beside the nodes, and records when each bundle was accepted.
 func observeBundles(trusted bundle.TrustedKeys, recorder *check.Recorder) logservice.Observer {
--- a/internal/standin/weightstore/store.go
+++ b/internal/standin/weightstore/store.go
@@ -38,6 +38,20 @@
 	TotalBytesPerSecond int
 }
 
+// transferBytes is the size of a version where only the time of its transfer matters.
+const transferBytes = 1 << 20
+
+// TransfersOf returns the configuration of a store in which a transfer takes a time, at least 1 ms, and at most so many
+// read at once.
+func TransfersOf(transfer time.Duration, maxReaders int) Config {
+	seconds := max(transfer, time.Millisecond).Seconds()
+	return Config{
+		VersionBytes:         transferBytes,
+		ReaderBytesPerSecond: int(transferBytes / seconds),
+		MaxReaders:           maxReaders,
+	}
+}
+
 // Store is the weight store. It fills platform.WeightStore and engine.WeightReader directly, and serves all calls
 // through Handler.
 type Store struct {
