End a scale run when it is told to

Cause: a scale run went on after SIGTERM: nothing in virtual time looked at the signal. Change: the run asks between its steps and while it waits. Conclusion: SIGTERM ends it with an error.

--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -55,7 +55,7 @@
 	err := bubble.Run(func() {
 		result, measureError = scale.Measure(context.WithoutCancel(ctx), nodes, func(format string, arguments ...any) {
 			fmt.Fprintf(to.errors, format+"\n", arguments...)
-		})
+		}, ctx.Err)
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"strings"
@@ -82,11 +83,15 @@
 	engines  int
 	result   *Result
 	say      func(format string, arguments ...any)
+	// interrupted is asked, never waited for: it comes from outside of the bubble.
+	interrupted func() error
 }
 
 // Measure stands a size up in virtual time and measures it. It must be called in a bubble of testing/synctest. say tells
-// of the progress.
-func Measure(ctx context.Context, nodes int, say func(format string, arguments ...any)) (*Result, error) {
+// of the progress; an error of interrupted ends the run.
+func Measure(
+	ctx context.Context, nodes int, say func(format string, arguments ...any), interrupted func() error,
+) (*Result, error) {
 	recorder := check.NewRecorder()
 	recorded := &trace.Trace{Name: fmt.Sprintf("scale-%d", nodes), Topology: Topology(nodes, time.Hour), Bundles: bundles()}
 	stood, err := cluster.New(ctx, cluster.Config{
@@ -97,14 +102,14 @@
 	}
 	defer stood.Close()
 	r := &run{
-		cluster: stood, recorder: recorder, nodes: nodes, engines: EnginesFor(nodes), say: say,
+		cluster: stood, recorder: recorder, nodes: nodes, engines: EnginesFor(nodes), say: say, interrupted: interrupted,
 		result: &Result{Nodes: nodes, Engines: EnginesFor(nodes)},
 	}
 	steps := []func(context.Context) error{
 		r.join, r.rest, r.rollBundle, r.publishWeights, r.leaveEngine, r.killNode, r.killZone, r.cutRegion,
 	}
 	for _, step := range steps {
-		if err := step(ctx); err != nil {
+		if err := errors.Join(step(ctx), interrupted()); err != nil {
 			return nil, err
 		}
 	}
@@ -119,7 +124,7 @@
 func (r *run) until(what string, condition func() bool) float64 {
 	began := time.Now()
 	for !condition() {
-		if time.Since(began) > reachLimit {
+		if time.Since(began) > reachLimit || r.interrupted() != nil {
 			r.say("%d nodes: %s: not reached", r.nodes, what)
 			return notReached
 		}
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -48,7 +48,7 @@
 func TestMeasureReachesEverything(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		result, err := Measure(t.Context(), 9, t.Logf)
+		result, err := Measure(t.Context(), 9, t.Logf, t.Context().Err)
 		is.NoErr(err)
 		for _, line := range measures([]*Result{result}) {
 			is.True(line.value(result) != notReached) // line.name
