Claim engines only when most other nodes are known

Cause: at 205 nodes an engine still went through 19.2 claims in a cold start (49.5 before members had to be steady): nodes whose seeds were overloaded knew hardly anybody when the wait of 15 s was over, and claimed all engines. Change: a dispatcher waits, for a minute at most, while it knows fewer than half of the nodes that the machine list holds live.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -67,9 +67,10 @@
 	// Reconcile is the time between two attempts to open the shards of engines placed here.
 	Reconcile time.Duration
 	// SteadyQuiet is how long the members must be the same before engines are claimed by them; SteadyLimit bounds the wait
-	// while they keep changing.
+	// while they keep changing, and JoinLimit while most of them are not known.
 	SteadyQuiet time.Duration
 	SteadyLimit time.Duration
+	JoinLimit   time.Duration
 }
 
 // defaultTiming holds the default of each duration.
@@ -90,11 +91,14 @@
 	Reconcile:     2 * time.Second,
 	SteadyQuiet:   time.Second,
 	SteadyLimit:   15 * time.Second,
+	JoinLimit:     time.Minute,
 }
 
 // Config sets a Dispatcher up. All fields but Weights, Facts, StepPreference, Logger, StepShards and Timing are required.
 type Config struct {
-	Placer    placement.Placer
+	Placer placement.Placer
+	// Joined tells whether this process knows most of the other nodes; nil says that it always does.
+	Joined    func() bool
 	Opener    shard.Opener
 	Directory Directory
 	Dialer    platform.EngineDialer
@@ -141,6 +145,10 @@
 	setDefault(&c.Timing.Reconcile, defaultTiming.Reconcile)
 	setDefault(&c.Timing.SteadyQuiet, defaultTiming.SteadyQuiet)
 	setDefault(&c.Timing.SteadyLimit, defaultTiming.SteadyLimit)
+	setDefault(&c.Timing.JoinLimit, defaultTiming.JoinLimit)
+	if c.Joined == nil {
+		c.Joined = func() bool { return true }
+	}
 	return c
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,10 +72,10 @@
 // context's error.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.tasks.Go(func() { d.followFacts(ctx) })
-	steady := newSteadiness(d.config.Timing.SteadyQuiet, d.config.Timing.SteadyLimit, time.Now())
+	steady := newSteadiness(d.config.Timing, time.Now())
 	for ctx.Err() == nil {
 		machines, members, wake := d.config.Directory.Changed(), d.config.Placer.Changed(), d.wake.changed()
-		unsteady := steady.observe(members, time.Now())
+		unsteady := steady.observe(members, d.config.Joined(), time.Now())
 		placed := d.giveUpMisplaced()
 		delay := d.config.Timing.Reconcile
 		switch {
--- a/internal/dispatch/steadiness.go
+++ b/internal/dispatch/steadiness.go
@@ -6,9 +6,11 @@
 // cluster starts, or a zone dies, every node's view changes for some seconds; were each to claim at once what its view of
 // the moment gives it, every engine would be claimed by many nodes one after the other: nodes times engines claims.
 type steadiness struct {
-	// quiet is how long the members must be the same; limit bounds the wait of a view that keeps changing.
-	quiet time.Duration
-	limit time.Duration
+	// quiet is how long the members must be the same; limit bounds the wait of a view that keeps changing, and joinLimit
+	// that of a process that does not know most of the others.
+	quiet     time.Duration
+	limit     time.Duration
+	joinLimit time.Duration
 
 	// changed is closed at the next change of the members.
 	changed    <-chan struct{}
@@ -18,13 +20,15 @@
 }
 
 // newSteadiness begins unsteady: a process that has just started knows nobody.
-func newSteadiness(quiet, limit time.Duration, now time.Time) *steadiness {
-	return &steadiness{quiet: quiet, limit: limit, lastChange: now, unsteadySince: now}
+func newSteadiness(timing Timing, now time.Time) *steadiness {
+	return &steadiness{
+		quiet: timing.SteadyQuiet, limit: timing.SteadyLimit, joinLimit: timing.JoinLimit, lastChange: now, unsteadySince: now,
+	}
 }
 
-// observe notes whether the members have changed since it was last called; changed is closed at their next change. It
-// returns how long to wait before engines may be claimed, 0 for no wait.
-func (s *steadiness) observe(changed <-chan struct{}, now time.Time) time.Duration {
+// observe notes whether the members have changed since it was last called; changed is closed at their next change, and
+// joined says that most of the others are known. It returns how long to wait before engines may be claimed, 0 for no wait.
+func (s *steadiness) observe(changed <-chan struct{}, joined bool, now time.Time) time.Duration {
 	if s.changed != nil && isClosed(s.changed) {
 		s.lastChange = now
 		if s.unsteadySince.IsZero() {
@@ -32,6 +36,12 @@
 		}
 	}
 	s.changed = changed
+	if !joined {
+		if s.unsteadySince.IsZero() {
+			s.unsteadySince = now
+		}
+		return max(0, min(s.quiet, s.joinLimit-now.Sub(s.unsteadySince)))
+	}
 	wait := s.quiet - now.Sub(s.lastChange)
 	if wait <= 0 {
 		s.unsteadySince = time.Time{}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,6 +4,7 @@
 	"github.com/hillfork/hillfork/internal/gateway"
 	"github.com/hillfork/hillfork/internal/membership"
 	"github.com/hillfork/hillfork/internal/placement"
+	"github.com/hillfork/hillfork/internal/platform"
 )
 
 // memberDirectory shows the members to the administration API.
@@ -53,3 +54,21 @@
 		return false
 	}
 }
+
+// hasJoined tells whether this node knows at least half of the nodes that the machine list holds live. Where the list
+// cannot be read there is nothing to compare with.
+func (n *Node) hasJoined() bool {
+	listed := 0
+	for _, machine := range n.directory.Machines() {
+		if machine.Kind == platform.MachineNode && machine.State == platform.MachineLive {
+			listed++
+		}
+	}
+	known := 0
+	for _, member := range n.membership.Members() {
+		if member.State != membership.StateDead {
+			known++
+		}
+	}
+	return 2*known >= listed
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -276,6 +276,7 @@
 	n.dispatcher = dispatch.New(dispatch.Config{
 		Mutations: n.config.Mutations,
 		Placer:    placer,
+		Joined:    n.hasJoined,
 		Opener:    n.shards,
 		Directory: n.directory,
 		Dialer:    accounting.EngineDialer{Next: n.adapter, Counters: counters},
