--- a/internal/lab/command/experiment.go
+++ b/internal/lab/command/experiment.go
@@ -11,17 +11,21 @@
 )
 
 type experimentFlags struct {
-	out   *string
-	jobs  *int
-	seeds *int
+	out       *string
+	jobs      *int
+	seeds     *int
+	plots     *string
+	timelines *string
 }
 
 func experimentCommand(to output) *ff.Command {
 	flags := ff.NewFlagSet("experiment")
 	parsed := experimentFlags{
-		out:   flags.StringLong("out", "", "write results.json, results.md and the plots below this directory"),
-		jobs:  flags.IntLong("jobs", runtime.GOMAXPROCS(0), "runs at once"),
-		seeds: flags.IntLong("seeds", 0, "seeds to run; 0 takes the file's"),
+		out:       flags.StringLong("out", "", "write results.json and results.md below this directory"),
+		jobs:      flags.IntLong("jobs", runtime.GOMAXPROCS(0), "runs at once"),
+		seeds:     flags.IntLong("seeds", 0, "seeds to run; 0 takes the file's"),
+		plots:     flags.StringLong("plots", "", "draw plots as SVG below this directory"),
+		timelines: flags.StringLong("timelines", "baseline,hillfork", "policies whose first seed is drawn as a step timeline"),
 	}
 	return &ff.Command{
 		Name:      "experiment",
@@ -66,6 +70,12 @@
 			return err
 		}
 	}
+	if *flags.plots != "" {
+		err := experiment.SavePlots(*flags.plots, spec, results, rows, strings.Split(*flags.timelines, ","))
+		if err != nil {
+			return err
+		}
+	}
 	if broken > 0 {
 		return errBroken
 	}
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -46,9 +46,15 @@
 	of func(result Result, workload string) (float64, bool)
 }
 
+// Titles of columns that plots use.
+const (
+	columnIdle   = "idle s"
+	columnBehind = "versions behind"
+)
+
 var figures = []figure{
 	{"steps", trained(func(m replay.Measures) float64 { return float64(m.Steps) })},
-	{"idle s", trained(func(m replay.Measures) float64 { return m.IdleSeconds })},
+	{columnIdle, trained(func(m replay.Measures) float64 { return m.IdleSeconds })},
 	{"bound s", func(r Result, workload string) (float64, bool) {
 		bound, found := r.IdleBounds[workload]
 		return bound, found
@@ -57,7 +63,7 @@
 		bound := r.IdleBounds[workload]
 		return r.Measures[workload].IdleSeconds / max(bound, 1e-9), bound > 0
 	}},
-	{"versions behind", trained(func(m replay.Measures) float64 { return m.MeanVersionsBehind })},
+	{columnBehind, trained(func(m replay.Measures) float64 { return m.MeanVersionsBehind })},
 	{"age s", trained(func(m replay.Measures) float64 { return m.MeanAgeSeconds })},
 	{"share", func(r Result, workload string) (float64, bool) {
 		share, found := r.Shares[workload]
