--- a/internal/lab/experiment/plots.go
+++ b/internal/lab/experiment/plots.go
@@ -74,7 +74,8 @@
 // frontierPlot shows the median idle time of each policy and training workload against its median staleness.
 func frontierPlot(trace string, rows []Row) (*plot.Plot, error) {
 	made := newPlot(trace+": idle time against staleness", "mean versions behind", "trainer idle s")
-	made.Y.Min = 0
+	made.X.Min, made.Y.Min = 0, 0
+	made.Legend.Top = false
 	var workloads []string
 	for _, row := range rows {
 		idle, behind := row.Figures[columnIdle], row.Figures[columnBehind]
--- a/internal/lab/trace/load.go
+++ b/internal/lab/trace/load.go
@@ -117,6 +117,9 @@
 		if !names.zones[caller.Zone] || caller.RatePerSec <= 0 || caller.Lengths.Median < 1 {
 			return fmt.Sprintf("caller of %q needs a zone of the topology, a rate and lengths", caller.Workload)
 		}
+		if len(caller.RateProfile) > 0 && (slices.Min(caller.RateProfile) < 0 || slices.Max(caller.RateProfile) <= 0) {
+			return fmt.Sprintf("caller of %q needs a rate_profile without negative parts and with a positive one", caller.Workload)
+		}
 	}
 	return ""
 }
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -133,10 +133,13 @@
 
 // Caller is a source of interactive requests, arriving as a Poisson process.
 type Caller struct {
-	Workload     string  `yaml:"workload"`
-	Zone         string  `yaml:"zone"`
-	RatePerSec   float64 `yaml:"rate_per_second"`
-	PromptTokens int     `yaml:"prompt_tokens"`
+	Workload   string  `yaml:"workload"`
+	Zone       string  `yaml:"zone"`
+	RatePerSec float64 `yaml:"rate_per_second"`
+	// RateProfile multiplies the rate over the trace's duration, which it divides into even parts, such as the hours of a
+	// day; empty leaves the rate as it is.
+	RateProfile  []float64 `yaml:"rate_profile,omitempty"`
+	PromptTokens int       `yaml:"prompt_tokens"`
 	// SharedPrefix is how many prompt tokens all requests of one of Prefixes groups have in common.
 	SharedPrefix int     `yaml:"shared_prefix"`
 	Prefixes     int     `yaml:"prefixes"`
--- a/internal/lab/workload/workload.go
+++ b/internal/lab/workload/workload.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,11 +74,18 @@
 	prefixes := drawPrefixes(random, caller)
 	var requests []Request
 	at := time.Duration(0)
+	busiest := 1.0
+	if len(caller.RateProfile) > 0 {
+		busiest = slices.Max(caller.RateProfile)
+	}
 	for {
-		at += time.Duration(random.ExpFloat64() / caller.RatePerSec * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() / (caller.RatePerSec * busiest) * float64(time.Second))
 		if at >= duration {
 			return requests
 		}
+		if thinned(random, caller.RateProfile, busiest, float64(at)/float64(duration)) {
+			continue
+		}
 		requests = append(requests, Request{
 			At:     at,
 			Prompt: drawPrompt(random, caller.Lengths, caller.PromptTokens, prefixes),
@@ -87,6 +95,15 @@
 	}
 }
 
+// thinned leaves arrivals of the busiest rate out, so that those left follow the profile. passed is the part of the trace's
+// duration that has passed.
+func thinned(random *rand.Rand, profile []float64, busiest, passed float64) bool {
+	if len(profile) == 0 {
+		return false
+	}
+	return random.Float64()*busiest >= profile[int(passed*float64(len(profile)))]
+}
+
 // drawPrefixes draws the beginnings that requests share, headers included.
 func drawPrefixes(random *rand.Rand, caller trace.Caller) [][]uint32 {
 	prefixes := make([][]uint32, caller.Prefixes)
