--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/accounting"
@@ -322,5 +321,7 @@
 	n.requests.OnHandover(ctx, stream)
 }
 
-// readHeaderTimeout bounds the time in which a client must send its request's header.
-const readHeaderTimeout = 10 * time.Second
+// readHeaderTimeout bounds the time in which a client must send its request's header. It also closes connections that
+// have not been used yet, and so must be longer than clients keep idle ones: whoever closes a connection under its user
+// loses the request that is just being sent.
+const readHeaderTimeout = 2 * connectadapter.DefaultIdleTimeout
