Check what is given to a leaving engine, not only what it starts

Change: the stand-in tells of every request that reaches it, and the checker counts those it refuses too, but not what a cut, a pause or an added delay held up.

--- a/internal/lab/check/disturbance.go
+++ b/internal/lab/check/disturbance.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// Disturbance is an unplanned fault that may cut work off.
+// Disturbance is an unplanned fault that may cut work off or hold it up.
 type Disturbance struct {
+	// MayCut says that work in flight may be lost.
+	MayCut bool
+	// HoldsUp says that what is sent arrives late.
+	HoldsUp bool
 	// Target names the node or engine; empty for faults of the network and the log.
 	Target string
 	// CutsNetwork says that places are cut off from each other.
@@ -22,7 +26,7 @@
 // disturbed tells whether an unplanned fault may have cut the request off.
 func (o *Observations) disturbed(request Request) bool {
 	return slices.ContainsFunc(o.Disturbances, func(d Disturbance) bool {
-		return d.During.overlaps(request.SentAt, request.EndedAt)
+		return d.MayCut && d.During.overlaps(request.SentAt, request.EndedAt)
 	})
 }
 
@@ -33,3 +37,10 @@
 		return between && d.During.overlaps(request.SentAt, request.EndedAt)
 	})
 }
+
+// heldUp tells whether a fault may have held messages up in a time.
+func (o *Observations) heldUp(from, to time.Time) bool {
+	return slices.ContainsFunc(o.Disturbances, func(d Disturbance) bool {
+		return d.HoldsUp && d.During.overlaps(from, to)
+	})
+}
--- a/internal/lab/check/observation.go
+++ b/internal/lab/check/observation.go
@@ -18,6 +18,13 @@
 	At      time.Time
 }
 
+// Arrival is the moment at which a request to run an attempt reached an engine, whether it took it or not.
+type Arrival struct {
+	RequestID string
+	Attempt   uint32
+	At        time.Time
+}
+
 // Start is the moment at which an engine began to run an attempt.
 type Start struct {
 	Engine  string
@@ -143,8 +150,10 @@
 	// Starts and Chunks are by the request id that engines saw.
 	Starts map[string][]Start
 	// Runs holds the same starts by the content of the request.
-	Runs       map[uint64][]Start
-	Chunks     map[string][]Chunk
+	Runs   map[uint64][]Start
+	Chunks map[string][]Chunk
+	// Arrivals is by engine.
+	Arrivals   map[string][]Arrival
 	Deliveries []Delivery
 	Requests   []Request
 	Stops      []Stop
@@ -171,6 +180,7 @@
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
 	return &Recorder{observations: Observations{
+		Arrivals:    make(map[string][]Arrival),
 		Starts:      make(map[string][]Start),
 		Runs:        make(map[uint64][]Start),
 		Chunks:      make(map[string][]Chunk),
@@ -185,6 +195,13 @@
 	change(&r.observations)
 }
 
+// Received records that a request to run an attempt reached an engine.
+func (r *Recorder) Received(engine, requestID string, attempt uint32, at time.Time) {
+	r.Record(func(o *Observations) {
+		o.Arrivals[engine] = append(o.Arrivals[engine], Arrival{RequestID: requestID, Attempt: attempt, At: at})
+	})
+}
+
 // Started records the start of an attempt on an engine.
 func (r *Recorder) Started(engine, requestID string, attempt uint32, content uint64, at time.Time) {
 	r.Record(func(o *Observations) {
--- a/internal/lab/cluster/engines.go
+++ b/internal/lab/cluster/engines.go
@@ -120,6 +120,10 @@
 	recorder *check.Recorder
 }
 
+func (o engineObserver) Received(engine, requestID string, attempt uint32, at time.Time) {
+	o.recorder.Received(engine, requestID, attempt, at)
+}
+
 func (o engineObserver) Started(engine, requestID string, attempt uint32, content uint64, at time.Time) {
 	o.recorder.Started(engine, requestID, attempt, content, at)
 }
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -27,6 +27,8 @@
 
 // Observer learns what truly ran. It is called under the engine's lock: it must not block or call the engine.
 type Observer interface {
+	// Received is called for each request to generate that reaches the engine, also for one that it refuses.
+	Received(engineID, requestID string, attempt uint32, at time.Time)
 	// Started is called once per stream, when the engine first gives it a slot. Content is ContentOf its prompt and seed.
 	Started(engineID, requestID string, attempt uint32, content uint64, at time.Time)
 	// Produced is called for tokens as the engine produces them, sent or not.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -20,10 +20,15 @@
 
 // journal records what an engine tells its observer.
 type journal struct {
+	received []string
 	started  []string
 	produced map[string]int
 }
 
+func (j *journal) Received(_, requestID string, _ uint32, _ time.Time) {
+	j.received = append(j.received, requestID)
+}
+
 func (j *journal) Started(_, requestID string, _ uint32, _ uint64, _ time.Time) {
 	j.started = append(j.started, requestID)
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -20,6 +20,9 @@
 		return nil, ErrCrashed
 	}
 	e.advance()
+	if e.config.Observer != nil {
+		e.config.Observer.Received(e.config.ID, request.RequestID, request.Attempt, time.Now())
+	}
 	if reason := e.refusal(request); reason != "" {
 		return nil, fmt.Errorf("%w: %s", platform.ErrRejected, reason)
 	}
