Wait for the handler of a request that a drain has ended

Cause: TestNothingIsCutOffWhenWorkMovesOn/superseded failed in 1 of 12 runs of the package: Drain returns when the dispatcher holds no request any more, and the handler's goroutine returns in the same instant, sometimes after. Change: the test lets that instant pass (synctest.Wait, no time) before it looks; what it demands is the same. Conclusion: a race of the test, not of the dispatcher.

--- a/internal/dispatch/execute_test.go
+++ b/internal/dispatch/execute_test.go
@@ -209,6 +209,7 @@
 				time.Sleep(defaultTiming.Settle + 5*time.Second)
 				is.True(!isClosed(long.done))
 				is.NoErr(w.Drain(t.Context()))
+				synctest.Wait()              // the handler returns in the same instant, in a goroutine of its own
 				is.True(isClosed(long.done)) // a drain that is over has nothing left, whoever has the engine by now
 				tokens, last, _ := long.wait(nil)
 				is.Equal(last.Outcome, peerapi.OutcomeCompleted)
