--- a/internal/lab/check/promises.go
+++ b/internal/lab/check/promises.go
@@ -333,12 +333,18 @@
 // inFlight tells whether the request was under way at some moment of the stop. An engine may be given work until the end of
 // the leaving window.
 func inFlight(request Request, stop Stop, limits Limits) bool {
-	endsBefore := request.EndedAt.Before(stop.At)
 	until := stop.EndedAt
 	if stop.IsEngine {
 		until = stop.At.Add(limits.LeavingWindow)
 	}
-	beginsAfter := !until.IsZero() && request.SentAt.After(until)
+	return request.InFlight(stop.At, until)
+}
+
+// InFlight tells whether the request was under way at some moment from one time to another; a zero to is the end of the
+// run.
+func (r *Request) InFlight(from, to time.Time) bool {
+	endsBefore := r.EndedAt.Before(from)
+	beginsAfter := !to.IsZero() && r.SentAt.After(to)
 	return !endsBefore && !beginsAfter
 }
 
--- a/internal/lab/command/replay.go
+++ b/internal/lab/command/replay.go
@@ -101,6 +101,10 @@
 		encoded, _ := json.Marshal(report.Measures[name])
 		fmt.Fprintf(out, "  %s %s\n", name, encoded)
 	}
+	for _, stop := range report.Stops {
+		fmt.Fprintf(out, "  planned stop of %-12s at %6.2fs took %7.3fs, %d requests in flight\n", stop.Name, stop.AtSeconds,
+			stop.TookSeconds, stop.InFlight)
+	}
 	for _, reason := range report.Broken {
 		fmt.Fprintf(out, "  broken: %s\n", reason)
 	}
--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -22,6 +22,8 @@
 	Passed   bool                            `json:"passed"`
 	Promises map[check.Promise]check.Verdict `json:"promises"`
 	Measures map[string]Measures             `json:"measures"`
+	// Stops are the planned stops, in the order in which they began.
+	Stops []Stop `json:"stops,omitempty"`
 	// Broken lists the stated outcomes that did not come true, each with its reason.
 	Broken []string `json:"broken,omitempty"`
 }
@@ -96,6 +98,7 @@
 	report := &Report{
 		Trace: recorded.Name, Promises: check.Judge(recorder, check.DefaultLimits()), Measures: measures,
 	}
+	recorder.Record(func(o *check.Observations) { report.Stops = measureStops(o) })
 	report.Broken = brokenOutcomes(&recorded.Outcomes, report)
 	report.Passed = len(report.Broken) == 0
 	return report, nil
