Let interactive workloads take turns at the slots of a busy engine

Change: work that is there comes before work that is expected, and the slots that a workload held lately count against it. The search leaves callers 6 s without faults at the end of the load. Conclusion: neither interactive workload starves the other on one slot.

--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -33,6 +33,7 @@
 	recent  recentPeak
 	// typical is the usual time a request holds its slot.
 	typical time.Duration
+	used    recentMean
 }
 
 // headroom is how many more requests are to be expected, going by the last seconds.
@@ -91,6 +92,9 @@
 // update changes the table under its lock, shares the slots out anew, and tells everybody.
 func (s *slotTable) update(change func()) {
 	s.mutex.Lock()
+	for _, load := range s.workloads {
+		load.used.add(time.Now(), load.held)
+	}
 	change()
 	chosen := s.shareOut()
 	s.mutex.Unlock()
@@ -206,6 +210,7 @@
 			Running:     load.held,
 			Waiting:     load.waiting(),
 			Headroom:    load.headroom(),
+			Used:        load.used.mean,
 		})
 	}
 	return policy.Allocate(s.slots, s.offset, demands)
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -106,3 +106,37 @@
 		is.Equal(table.reserve("a", 100), 1)
 	})
 }
+
+// TestOneSlotGoesRound lets two interactive workloads ask without end for the only slot of an engine.
+func TestOneSlotGoesRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newSlotTable(func(string, int) {})
+		table.configure([]workloadSettings{
+			{name: "many", share: 0.2, interactive: true}, {name: "few", share: 0.1, interactive: true},
+		}, 0)
+		table.setSlots(1)
+		served := map[string]int{}
+		waiting := map[string]*ticket{}
+		for range 300 {
+			for name := range map[string]bool{"many": true, "few": true} {
+				if waiting[name] == nil {
+					admitted, err := table.enqueue(name, 0)
+					is.NoErr(err)
+					waiting[name] = admitted
+				}
+			}
+			for name, admitted := range waiting {
+				if admitted != nil && isClosed(admitted.granted) {
+					time.Sleep(time.Second)
+					served[name]++
+					waiting[name] = nil
+					table.finish(name, time.Second)
+					break
+				}
+			}
+		}
+		is.True(served["few"] >= 60) // its part by share is 100
+		is.True(served["many"] >= 120)
+	})
+}
--- a/internal/lab/search/faults.go
+++ b/internal/lab/search/faults.go
@@ -9,8 +9,8 @@
 const (
 	// firstFault is the earliest time of a fault; the first bundle is in force by then.
 	firstFault = 2 * time.Second
-	// healMargin is how long before the settling time the last fault has been healed.
-	healMargin = time.Second
+	// healMargin is how long before the end of the load the last fault has been healed, so that callers must be served again.
+	healMargin = 6 * time.Second
 	// mostFaults bounds the faults of a trace.
 	mostFaults = 12
 	// shortestFault and longestFault bound the length of one fault.
--- a/internal/policy/shares.go
+++ b/internal/policy/shares.go
@@ -15,6 +15,9 @@
 	// Headroom is how many more are expected to come soon. Slots for them are not lent to others, but nobody has to give
 	// way for them.
 	Headroom int
+	// Used is how many slots the workload held lately, in the mean. Between interactive workloads, which keep their slots
+	// until their streams end, it tells whose turn it is.
+	Used float64
 }
 
 func (d Demand) total() int { return d.Running + d.Waiting + d.Headroom }
@@ -34,7 +37,8 @@
 }
 
 // Allocate shares the slots of one engine out. Every workload first gets its guaranteed slots, as far as it has demand.
-// What is left is lent: to interactive work first, then to training, each by weighted max-min. Slots that were lent are
+// What is left is lent: to interactive work that is there, then to such as is expected, then to training, each by
+// weighted max-min; interactive workloads that held slots lately come later, so that a few slots go round. Slots that were lent are
 // reclaimed by preemption of training when a workload below its guarantee, or interactive work below its target, finds
 // no free slot; other workloads get theirs as streams end.
 //
@@ -48,8 +52,9 @@
 		allocations[i].Target = min(allocations[i].Guaranteed, demands[i].total())
 		left -= allocations[i].Target
 	}
-	left = lend(left, demands, allocations, true)
-	lend(left, demands, allocations, false)
+	left = lend(left, demands, allocations, interactivePresent)
+	left = lend(left, demands, allocations, interactiveTotal)
+	lend(left, demands, allocations, trainingTotal)
 	reclaim(slots, demands, allocations)
 	return allocations
 }
@@ -97,12 +102,34 @@
 	return allocations
 }
 
+// The classes of demand that slots are lent to. Each tells how many slots of a demand belong to it.
+func interactivePresent(d Demand) int {
+	if !d.Interactive {
+		return 0
+	}
+	return d.present()
+}
+
+func interactiveTotal(d Demand) int {
+	if !d.Interactive {
+		return 0
+	}
+	return d.total()
+}
+
+func trainingTotal(d Demand) int {
+	if d.Interactive {
+		return 0
+	}
+	return d.total()
+}
+
 // lend gives the slots left, one by one, to the workload of the class that is worst off for its weight.
-func lend(left int, demands []Demand, allocations []Allocation, interactive bool) int {
+func lend(left int, demands []Demand, allocations []Allocation, wanted func(Demand) int) int {
 	for left > 0 {
 		chosen := -1
 		for i, demand := range demands {
-			if demand.Interactive != interactive || allocations[i].Target >= demand.total() {
+			if allocations[i].Target >= wanted(demand) {
 				continue
 			}
 			if chosen < 0 || level(demand, allocations[i]) < level(demands[chosen], allocations[chosen]) {
@@ -118,10 +145,18 @@
 	return left
 }
 
-// level is how well off a workload would be with one slot more, for its weight.
+// level is how well off a workload would be with one slot more, for its weight. What interactive work used lately counts
+// for more than the slots at hand: where these are fewer than the workloads, only time can be shared.
 func level(demand Demand, allocation Allocation) float64 {
-	const leastWeight = 0.01
-	return float64(allocation.Target+1) / math.Max(demand.Share, leastWeight)
+	const (
+		leastWeight = 0.01
+		usedWeight  = 8
+	)
+	slots := float64(allocation.Target + 1)
+	if demand.Interactive {
+		slots += usedWeight * demand.Used
+	}
+	return slots / math.Max(demand.Share, leastWeight)
 }
 
 // reclaim marks the streams that have to give way.
--- a/internal/policy/shares_test.go
+++ b/internal/policy/shares_test.go
@@ -29,6 +29,8 @@
 		{"interactive borrows from training", []Demand{train("a", .5, 8, 9), search(.25, 0, 5)}, []int{4, 4}, []int{4, 0}},
 		{"a flood of requests leaves the guarantee", []Demand{train("a", .75, 6, 9), search(.25, 2, 90)}, []int{6, 2}, []int{0, 0}},
 		{"headroom is not lent", []Demand{train("a", .5, 8, 99), {Workload: "s", Interactive: true, Share: .25, Headroom: 2}}, []int{6, 2}, []int{0, 0}},
+		{"expected requests do not keep others waiting", []Demand{{Workload: "s", Interactive: true, Headroom: 9}, search(0, 0, 8)}, []int{0, 8}, []int{0, 0}},
+		{"it is the turn of who used less", []Demand{{Workload: "s", Interactive: true, Share: .01, Waiting: 9, Used: 8}, search(.01, 0, 9)}, []int{0, 8}, []int{0, 0}},
 		{"no share still borrows", []Demand{train("a", 0, 0, 3), train("b", .5, 0, 2)}, []int{3, 2}, []int{0, 0}},
 		{"binary fractions lose no slot", []Demand{train("a", .1, 0, 9), train("b", .2, 0, 9), search(.7, 0, 0)}, []int{3, 5, 0}, []int{0, 0, 0}},
 	}
