--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -117,20 +117,20 @@
 		}, 0)
 		table.setSlots(1)
 		served := map[string]int{}
-		waiting := map[string]*ticket{}
+		queues := map[string][]*ticket{}
 		for range 300 {
-			for name := range map[string]bool{"many": true, "few": true} {
-				if waiting[name] == nil {
+			for _, name := range []string{"many", "few"} {
+				for len(queues[name]) < 3 {
 					admitted, err := table.enqueue(name, 0)
 					is.NoErr(err)
-					waiting[name] = admitted
+					queues[name] = append(queues[name], admitted)
 				}
 			}
-			for name, admitted := range waiting {
-				if admitted != nil && isClosed(admitted.granted) {
+			for name, queue := range queues {
+				if isClosed(queue[0].granted) {
 					time.Sleep(time.Second)
 					served[name]++
-					waiting[name] = nil
+					queues[name] = queue[1:]
 					table.finish(name, time.Second)
 					break
 				}
