--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -71,7 +71,7 @@
 	}
 	message := &hillforkv1.ExecuteRequest{
 		Workload: p.described.Workload, RequestId: id, Prompt: request.Prompt, MaxTokens: int32(p.described.Lengths.Max),
-		Seed: request.Seed, UnsafeToRepeat: request.Unsafe, TimeoutMillis: time.Duration(p.described.Timeout).Milliseconds(),
+		Seed: request.Seed, UnsafeToRepeat: request.Unsafe,
 	}
 	p.sendToAny(ctx, turn, message, &record)
 	record.EndedAt = time.Now()
@@ -150,6 +150,9 @@
 // sendTo sends the request to one node. True says that the node provably did not get it.
 func (p *callerProcess) sendTo(ctx context.Context, gateway *nodeProcess, message *hillforkv1.ExecuteRequest, record *check.Request) bool {
 	record.Outcome, record.Reason = "", ""
+	if deadline, bounded := ctx.Deadline(); bounded && p.described.Timeout > 0 {
+		message.TimeoutMillis = max(1, (time.Until(deadline) - callerPatience).Milliseconds())
+	}
 	client := hillforkv1connect.NewRequestServiceClient(p.adapter.HTTPClient(),
 		connectadapter.BaseURL(gateway.address(apiPort)), p.adapter.ClientOptions()...)
 	stream, err := client.Execute(ctx, connect.NewRequest(message))
