Ask again for a slot that is kept for expected requests

Cause: a sample that was taken without a slot waited for a change at the engine. Slots kept free after a burst of requests become free by time alone, which is no change, so on a quiet engine the sample waited for ever and its trainer with it. Change: the wait asks again every second. TestAwaitOutlastsABurstOfRequests ends in a deadlock without the change.

--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -310,6 +310,10 @@
 	return 0
 }
 
+// awaitAgain is how often a slot is asked for while nothing changes: slots kept for requests that were expected become free
+// by time alone.
+const awaitAgain = time.Second
+
 // await takes a slot for an assignment in hand, as soon as the workload gets one; false when the context ends before.
 func (s *slotTable) await(ctx context.Context, workload string) bool {
 	s.update(func() { s.workloadLocked(workload).awaiting++ })
@@ -319,10 +323,7 @@
 		if s.reserve(workload, 1) == 1 {
 			return true
 		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
+		waitFor(ctx, awaitAgain, changed)
 	}
 	return false
 }
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -9,6 +9,24 @@
 	"pgregory.net/rapid"
 )
 
+// TestAwaitOutlastsABurstOfRequests: the slots kept free after a burst are lent again when it is forgotten, though nothing
+// else happens at the engine.
+func TestAwaitOutlastsABurstOfRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newSlotTable(func(string, int) {})
+		table.configure([]workloadSettings{{name: "train"}, {name: "search", share: 1, interactive: true}}, 0)
+		table.setSlots(1)
+		_, err := table.enqueue("search", 0)
+		is.NoErr(err)
+		table.finish("search", time.Millisecond)
+		began := time.Now()
+		is.True(table.await(t.Context(), "train"))
+		waited := time.Since(began)
+		is.True(waited >= peakWindow && waited <= 2*peakWindow+awaitAgain)
+	})
+}
+
 // TestSlotTableNeverGivesMoreThanThereAre does things at random and checks the books after each.
 func TestSlotTableNeverGivesMoreThanThereAre(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
