--- a/internal/stepledger/assign/assign.go
+++ b/internal/stepledger/assign/assign.go
@@ -53,7 +53,7 @@
 	PositionUnknown bool
 	// LongTokens is the length from which on a sample counts as long.
 	LongTokens int
-	// FreshOnly gives samples to engines with the newest version only.
+	// FreshOnly gives samples to engines with the newest version within the bounds only.
 	FreshOnly bool
 	// ArrivalOrder takes samples by index, whatever their predicted length.
 	ArrivalOrder bool
@@ -74,8 +74,7 @@
 // far ahead that the engine's version would be out of bound when it is delivered gives none.
 func Decide(snapshot Snapshot) []Choice {
 	room := snapshot.room()
-	stale := snapshot.FreshOnly && snapshot.ServedVersion < snapshot.Latest
-	if room <= 0 || stale || !snapshot.accepts() {
+	if room <= 0 || !snapshot.accepts() || !snapshot.fresh() {
 		return nil
 	}
 	steps := slices.SortedFunc(slices.Values(snapshot.Steps), func(a, b Step) int {
@@ -126,6 +125,15 @@
 	return longest(candidates, count)
 }
 
+// fresh reports whether the engine's version is as new as the workload wants it. Nothing newer than MaxVersion is loaded.
+func (s Snapshot) fresh() bool {
+	newest := s.Latest
+	if s.MaxVersion > 0 {
+		newest = min(newest, s.MaxVersion)
+	}
+	return !s.FreshOnly || s.ServedVersion >= newest
+}
+
 // room is how many samples the engine may take.
 func (s Snapshot) room() int {
 	if s.MaxInFlight <= 0 {
