--- a/internal/lab/command/scale.go
+++ b/internal/lab/command/scale.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -17,7 +19,7 @@
 func scaleCommand(to output) *ff.Command {
 	flags := ff.NewFlagSet("scale")
 	sizes := flags.StringLong("sizes", "3,9,27,81", "numbers of nodes, separated by commas")
-	out := flags.StringLong("out", "", "directory for results.json, report.md and the plots")
+	out := flags.StringLong("out", "", "directory for results.json, report.md and the plot; results of other sizes there are kept")
 	return &ff.Command{
 		Name:      "scale",
 		Usage:     "hillfork-lab scale [FLAGS]",
@@ -30,7 +32,10 @@
 }
 
 func runScale(ctx context.Context, to output, sizes, directory string) error {
-	var results []*scale.Result
+	results, err := readScale(directory)
+	if err != nil {
+		return err
+	}
 	for item := range strings.SplitSeq(sizes, ",") {
 		nodes, err := strconv.Atoi(strings.TrimSpace(item))
 		if err != nil || nodes < 1 || nodes > scale.TargetNodes {
@@ -40,7 +45,7 @@
 		if err != nil {
 			return fmt.Errorf("scale: %d nodes: %w", nodes, err)
 		}
-		results = append(results, result)
+		results = scale.Merge(results, result)
 		if err := writeScale(directory, results); err != nil {
 			return err
 		}
@@ -63,6 +68,24 @@
 	return result, measureError
 }
 
+const scaleResultsFile = "results.json"
+
+// readScale reads the results of earlier runs; none where there is no directory or no file.
+func readScale(directory string) ([]*scale.Result, error) {
+	if directory == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(filepath.Join(directory, scaleResultsFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var results []*scale.Result
+	return results, json.Unmarshal(content, &results)
+}
+
 // writeScale writes what has been measured so far, so that a run that is cut short leaves its smaller sizes.
 func writeScale(directory string, results []*scale.Result) error {
 	if directory == "" {
@@ -75,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(directory, "results.json"), append(encoded, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(directory, scaleResultsFile), append(encoded, '\n'), 0o644); err != nil {
 		return err
 	}
 	if err := os.WriteFile(filepath.Join(directory, "report.md"), []byte(scale.Markdown(results)), 0o644); err != nil {
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -43,6 +43,18 @@
 	return lines
 }
 
+// Merge adds a result to others, in the place of one of the same size, in order of size.
+func Merge(results []*Result, added *Result) []*Result {
+	merged := []*Result{added}
+	for _, result := range results {
+		if result.Nodes != added.Nodes {
+			merged = append(merged, result)
+		}
+	}
+	slices.SortFunc(merged, func(a, b *Result) int { return a.Nodes - b.Nodes })
+	return merged
+}
+
 func mechanisms(results []*Result) []string {
 	names := make(map[string]bool)
 	for _, result := range results {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -57,3 +57,11 @@
 		is.True(result.BundleSeconds > 0)
 	})
 }
+
+func TestMergeReplacesTheSameSize(t *testing.T) {
+	is := is.New(t)
+	merged := Merge([]*Result{{Nodes: 9, Engines: 1}, {Nodes: 81}}, &Result{Nodes: 27})
+	merged = Merge(merged, &Result{Nodes: 9, Engines: 2})
+	is.Equal(len(merged), 3)
+	is.Equal([]int{merged[0].Nodes, merged[0].Engines, merged[1].Nodes, merged[2].Nodes}, []int{9, 2, 27, 81})
+}
