Learn that a member leaves whatever came before

Every header names its sender's refutation. A node that leaves raises it; where a header arrived before the record, the receiver took over the refutation without the leaving, and the record that followed was no newer: that node never learned that the other leaves, not by comparing records either, placed shards there and refused its calls. Change: leaving holds for an incarnation, whichever refutation it is told with, and is merged apart from the order of the rest.

--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -234,9 +234,11 @@
 		p.insert(now, record)
 		return true
 	}
+	learnedLeaving := p.noteLeaving(now, held, record.short())
 	if !record.short().supersedes(held.record.short()) {
-		return false
+		return learnedLeaving
 	}
+	record.Leaving = record.Leaving || (held.record.Leaving && held.record.Incarnation == record.Incarnation)
 	p.set(now, record, !sameIdentity(&held.record, &record))
 	if record.Condition == conditionSuspect {
 		p.beginSuspicion(now, held, "")
@@ -266,22 +268,31 @@
 	if held == nil || short.Incarnation != held.record.Incarnation {
 		return false
 	}
+	learnedLeaving := p.noteLeaving(now, held, short)
 	if !short.supersedes(held.record.short()) {
 		p.confirmSuspicion(now, held, short)
-		return false
+		return learnedLeaving
 	}
 	record := held.record
-	becameLeaving := short.Leaving && !record.Leaving
 	record.Refutation = short.Refutation
 	record.Condition = short.Condition
-	record.Leaving = short.Leaving
 	p.set(now, record, false)
 	if short.Condition == conditionSuspect {
 		p.beginSuspicion(now, held, short.Suspecter)
 	}
-	if becameLeaving {
-		p.hurry(now, memberKey(short.Node))
+	return true
+}
+
+// noteLeaving takes in that a member leaves, and tells whether that was news. A process that leaves never takes it back, so
+// it holds whatever else is known of the incarnation: its refutation may have been learned without it, from a header.
+func (p *protocol) noteLeaving(now time.Time, held *entry, said stateRecord) bool {
+	if !said.Leaving || held.record.Leaving || said.Incarnation != held.record.Incarnation {
+		return false
 	}
+	record := held.record
+	record.Leaving = true
+	p.set(now, record, false)
+	p.hurry(now, memberKey(said.Node))
 	return true
 }
 
