Tell the counters of all roles by one type

Cause: shard, dispatch and step ledger each had the same Metric type and the same loop, and the node converted all three to a fourth. Change: internal/metric holds them once; the node reads it directly. Figures: the metrics page, which a test holds to the registry, is unchanged. Conclusion: behaviour as before.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/hillfork/hillfork/internal/metric"
+)
 
 // Counters counts what the dispatchers of a node did, since its start.
 type Counters struct {
@@ -42,54 +46,33 @@
 	c.ChunksOverflow.Add(uint64(drops.overflow))
 }
 
-// Metric is one counter with its name and meaning.
-type Metric struct {
-	Name  string
-	Help  string
-	Value uint64
-}
-
 // Metrics returns the counters as they stand.
-func (c *Counters) Metrics() []Metric {
-	list := c.list()
-	metrics := make([]Metric, len(list))
-	for i, counter := range list {
-		metrics[i] = Metric{Name: counter.name, Help: counter.help, Value: counter.value.Load()}
-	}
-	return metrics
-}
-
-// namedCounter is a counter with its exported name.
-type namedCounter struct {
-	value *atomic.Uint64
-	name  string
-	help  string
-}
+func (c *Counters) Metrics() []metric.Metric { return metric.Read(c.list()) }
 
-func (c *Counters) list() []namedCounter {
-	return []namedCounter{
-		{&c.StatusReads, "status_reads_total", "Reads of engines' status."},
-		{&c.WeightOrders, "weight_orders_total", "Orders to engines to load weights."},
-		{&c.HintPolls, "hint_polls_total", "Questions to step ledgers whether samples wait."},
-		{&c.Pulls, "pulls_total", "Pulls of samples from step ledgers."},
-		{&c.Reports, "reports_total", "Reports of progress to step ledgers."},
-		{&c.Completions, "completions_total", "Finished samples handed to step ledgers."},
-		{&c.RequestsAdmitted, "requests_admitted_total", "Interactive requests taken."},
-		{&c.RequestsRefused, "requests_refused_total", "Interactive requests refused before they ran."},
-		{&c.AttemptsStarted, "attempts_started_total", "Attempts at samples sent to engines."},
-		{&c.AttemptsFailed, "attempts_failed_total", "Attempts at samples that engines did not finish."},
-		{&c.AttemptsUseless, "attempts_useless_total", "Attempts stopped since their ledger had no more use for them."},
-		{&c.Preemptions, "preemptions_total", "Attempts that gave their slot to other work."},
-		{&c.ChunksForeign, "chunks_foreign_total", "Parts of answers dropped as of another request."},
-		{&c.ChunksDuplicate, "chunks_duplicate_total", "Parts of answers dropped as repeated."},
-		{&c.ChunksReordered, "chunks_reordered_total", "Parts of answers that came out of order."},
-		{&c.ChunksOverflow, "chunks_overflow_total", "Parts of answers dropped since too many came out of order."},
-		{&c.ChunksWrongVersion, "chunks_wrong_version_total", "Parts of answers from weights that the bundle does not accept."},
-		{&c.Quarantines, "quarantines_total", "Times an engine was kept from work for serving unasked weights."},
-		{&c.LoadsFailed, "loads_failed_total", "Loads of weights that failed."},
-		{&c.LoadsThrottled, "loads_throttled_total", "Loads that the weight store put off."},
-		{&c.LoadsUnverified, "loads_unverified_total", "Loads after which the engine did not serve what was ordered."},
-		{&c.OwnersSuperseded, "owners_superseded_total", "Engines that another node took over."},
-		{&c.EngineRestarts, "engine_restarts_total", "Restarts of engines noticed."},
+func (c *Counters) list() []metric.Counter {
+	return []metric.Counter{
+		{Value: &c.StatusReads, Name: "status_reads_total", Help: "Reads of engines' status."},
+		{Value: &c.WeightOrders, Name: "weight_orders_total", Help: "Orders to engines to load weights."},
+		{Value: &c.HintPolls, Name: "hint_polls_total", Help: "Questions to step ledgers whether samples wait."},
+		{Value: &c.Pulls, Name: "pulls_total", Help: "Pulls of samples from step ledgers."},
+		{Value: &c.Reports, Name: "reports_total", Help: "Reports of progress to step ledgers."},
+		{Value: &c.Completions, Name: "completions_total", Help: "Finished samples handed to step ledgers."},
+		{Value: &c.RequestsAdmitted, Name: "requests_admitted_total", Help: "Interactive requests taken."},
+		{Value: &c.RequestsRefused, Name: "requests_refused_total", Help: "Interactive requests refused before they ran."},
+		{Value: &c.AttemptsStarted, Name: "attempts_started_total", Help: "Attempts at samples sent to engines."},
+		{Value: &c.AttemptsFailed, Name: "attempts_failed_total", Help: "Attempts at samples that engines did not finish."},
+		{Value: &c.AttemptsUseless, Name: "attempts_useless_total", Help: "Attempts stopped since their ledger had no more use for them."},
+		{Value: &c.Preemptions, Name: "preemptions_total", Help: "Attempts that gave their slot to other work."},
+		{Value: &c.ChunksForeign, Name: "chunks_foreign_total", Help: "Parts of answers dropped as of another request."},
+		{Value: &c.ChunksDuplicate, Name: "chunks_duplicate_total", Help: "Parts of answers dropped as repeated."},
+		{Value: &c.ChunksReordered, Name: "chunks_reordered_total", Help: "Parts of answers that came out of order."},
+		{Value: &c.ChunksOverflow, Name: "chunks_overflow_total", Help: "Parts of answers dropped since too many came out of order."},
+		{Value: &c.ChunksWrongVersion, Name: "chunks_wrong_version_total", Help: "Parts of answers from weights that the bundle does not accept."},
+		{Value: &c.Quarantines, Name: "quarantines_total", Help: "Times an engine was kept from work for serving unasked weights."},
+		{Value: &c.LoadsFailed, Name: "loads_failed_total", Help: "Loads of weights that failed."},
+		{Value: &c.LoadsThrottled, Name: "loads_throttled_total", Help: "Loads that the weight store put off."},
+		{Value: &c.LoadsUnverified, Name: "loads_unverified_total", Help: "Loads after which the engine did not serve what was ordered."},
+		{Value: &c.OwnersSuperseded, Name: "owners_superseded_total", Help: "Engines that another node took over."},
+		{Value: &c.EngineRestarts, Name: "engine_restarts_total", Help: "Restarts of engines noticed."},
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -77,9 +77,9 @@
 func (n *Node) registerMetrics() {
 	n.registry.MustRegister(n.nodeReadings(), n.bundleReadings(), n.memberReadings(), n.peerReadings())
 	n.registry.MustRegister(
-		roleCounters{role: "steps", read: n.stepMetrics},
-		roleCounters{role: "shards", read: n.shardMetrics},
-		roleCounters{role: "dispatch", read: n.dispatchMetrics},
+		roleCounters{role: "steps", read: n.steps.Counters().Metrics},
+		roleCounters{role: "shards", read: n.shards.Counters().Metrics},
+		roleCounters{role: "dispatch", read: n.dispatcher.Counters().Metrics},
 	)
 }
 
--- a/internal/shard/counters.go
+++ b/internal/shard/counters.go
@@ -1,6 +1,10 @@
 package shard
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/hillfork/hillfork/internal/metric"
+)
 
 // Counters counts the work of all shards of a Manager.
 type Counters struct {
@@ -35,52 +39,31 @@
 	SnapshotsSkipped atomic.Uint64
 }
 
-// Metric is one counter with its name and meaning.
-type Metric struct {
-	Name  string
-	Help  string
-	Value uint64
-}
-
 // Metrics returns the counters as they stand.
-func (c *Counters) Metrics() []Metric {
-	list := c.list()
-	metrics := make([]Metric, len(list))
-	for i, counter := range list {
-		metrics[i] = Metric{Name: counter.name, Help: counter.help, Value: counter.value.Load()}
-	}
-	return metrics
-}
-
-// namedCounter is a counter with its exported name.
-type namedCounter struct {
-	value *atomic.Uint64
-	name  string
-	help  string
-}
+func (c *Counters) Metrics() []metric.Metric { return metric.Read(c.list()) }
 
-func (c *Counters) list() []namedCounter {
-	return []namedCounter{
-		{&c.Opens, "opens_total", "Shards claimed."},
-		{&c.OpenMicros, "open_microseconds_total", "Time spent on opening shards."},
-		{&c.OpenEntries, "open_entries_total", "Log entries read to open shards."},
-		{&c.OpenBytes, "open_bytes_total", "Log bytes read to open shards."},
-		{&c.ClaimsLost, "claims_lost_total", "Claims that another process won."},
-		{&c.Superseded, "superseded_total", "Owned shards that another process claimed."},
-		{&c.Released, "released_total", "Shards released."},
-		{&c.Appends, "appends_total", "Append calls to the log."},
-		{&c.Records, "records_total", "Records sent to the log, repeats included."},
-		{&c.AppendBytes, "append_bytes_total", "Payload bytes sent to the log, repeats included."},
-		{&c.AppendRetries, "append_retries_total", "Appends sent again since their fate was unknown."},
-		{&c.Reads, "reads_total", "Reads of the streams of owned shards."},
-		{&c.ReadBytes, "read_bytes_total", "Payload bytes that those reads returned."},
-		{&c.Void, "void_entries_total", "Entries without effect: superseded or repeated."},
-		{&c.Gaps, "gap_entries_total", "Records whose predecessor was missing."},
-		{&c.Garbage, "garbage_entries_total", "Entries of no known format."},
-		{&c.Snapshots, "snapshots_total", "Snapshots written."},
-		{&c.SnapshotBytes, "snapshot_bytes_total", "Bytes of snapshots written."},
-		{&c.SnapshotFailures, "snapshot_failures_total", "Snapshots that could not be written."},
-		{&c.SnapshotsSkipped, "snapshots_skipped_total", "Snapshots found unusable."},
+func (c *Counters) list() []metric.Counter {
+	return []metric.Counter{
+		{Value: &c.Opens, Name: "opens_total", Help: "Shards claimed."},
+		{Value: &c.OpenMicros, Name: "open_microseconds_total", Help: "Time spent on opening shards."},
+		{Value: &c.OpenEntries, Name: "open_entries_total", Help: "Log entries read to open shards."},
+		{Value: &c.OpenBytes, Name: "open_bytes_total", Help: "Log bytes read to open shards."},
+		{Value: &c.ClaimsLost, Name: "claims_lost_total", Help: "Claims that another process won."},
+		{Value: &c.Superseded, Name: "superseded_total", Help: "Owned shards that another process claimed."},
+		{Value: &c.Released, Name: "released_total", Help: "Shards released."},
+		{Value: &c.Appends, Name: "appends_total", Help: "Append calls to the log."},
+		{Value: &c.Records, Name: "records_total", Help: "Records sent to the log, repeats included."},
+		{Value: &c.AppendBytes, Name: "append_bytes_total", Help: "Payload bytes sent to the log, repeats included."},
+		{Value: &c.AppendRetries, Name: "append_retries_total", Help: "Appends sent again since their fate was unknown."},
+		{Value: &c.Reads, Name: "reads_total", Help: "Reads of the streams of owned shards."},
+		{Value: &c.ReadBytes, Name: "read_bytes_total", Help: "Payload bytes that those reads returned."},
+		{Value: &c.Void, Name: "void_entries_total", Help: "Entries without effect: superseded or repeated."},
+		{Value: &c.Gaps, Name: "gap_entries_total", Help: "Records whose predecessor was missing."},
+		{Value: &c.Garbage, Name: "garbage_entries_total", Help: "Entries of no known format."},
+		{Value: &c.Snapshots, Name: "snapshots_total", Help: "Snapshots written."},
+		{Value: &c.SnapshotBytes, Name: "snapshot_bytes_total", Help: "Bytes of snapshots written."},
+		{Value: &c.SnapshotFailures, Name: "snapshot_failures_total", Help: "Snapshots that could not be written."},
+		{Value: &c.SnapshotsSkipped, Name: "snapshots_skipped_total", Help: "Snapshots found unusable."},
 	}
 }
 
--- a/internal/stepledger/counters.go
+++ b/internal/stepledger/counters.go
@@ -1,6 +1,10 @@
 package stepledger
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/hillfork/hillfork/internal/metric"
+)
 
 // Counters counts the work of a Service since its start. All fields are safe for concurrent use.
 type Counters struct {
@@ -28,34 +32,27 @@
 	HandedOver atomic.Uint64
 }
 
-// Metric is one counter as it stands.
-type Metric struct {
-	Name  string
-	Help  string
-	Value uint64
-}
-
 // Counters counts the work of this service.
 func (s *Service) Counters() *Counters {
 	return &s.counters
 }
 
 // Metrics returns the counters as they stand.
-func (c *Counters) Metrics() []Metric {
-	return []Metric{
-		{"submissions_total", "Submissions of steps acknowledged, repeats included.", c.Steps.Load()},
-		{"attempts_assigned_total", "Attempts given to engines.", c.Assigned.Load()},
-		{"attempts_resumed_total", "Attempts that go on from a partial answer.", c.Resumed.Load()},
-		{"samples_completed_total", "Answers recorded.", c.Completed.Load()},
-		{"completions_duplicate_total", "Answers of samples that had one.", c.Duplicates.Load()},
-		{"completions_stale_total", "Answers that were over the bound when they came.", c.Stale.Load()},
-		{"attempts_failed_total", "Attempts that engines handed back.", c.Failed.Load()},
-		{"attempts_silent_total", "Attempts given up for want of reports.", c.Silent.Load()},
-		{"attempts_cancelled_total", "Attempts that engines were told to stop.", c.Cancelled.Load()},
-		{"attempts_adopted_total", "Attempts taken over from an earlier owner.", c.Adopted.Load()},
-		{"samples_replaced_total", "Recorded answers that passed the bound before they were handed over.", c.Replaced.Load()},
-		{"samples_scored_total", "Rewards recorded.", c.Scored.Load()},
-		{"score_errors_total", "Tries to score that failed.", c.ScoreErrors.Load()},
-		{"samples_handed_over_total", "Samples in answers to trainers, repeats included.", c.HandedOver.Load()},
-	}
+func (c *Counters) Metrics() []metric.Metric {
+	return metric.Read([]metric.Counter{
+		{Value: &c.Steps, Name: "submissions_total", Help: "Submissions of steps acknowledged, repeats included."},
+		{Value: &c.Assigned, Name: "attempts_assigned_total", Help: "Attempts given to engines."},
+		{Value: &c.Resumed, Name: "attempts_resumed_total", Help: "Attempts that go on from a partial answer."},
+		{Value: &c.Completed, Name: "samples_completed_total", Help: "Answers recorded."},
+		{Value: &c.Duplicates, Name: "completions_duplicate_total", Help: "Answers of samples that had one."},
+		{Value: &c.Stale, Name: "completions_stale_total", Help: "Answers that were over the bound when they came."},
+		{Value: &c.Failed, Name: "attempts_failed_total", Help: "Attempts that engines handed back."},
+		{Value: &c.Silent, Name: "attempts_silent_total", Help: "Attempts given up for want of reports."},
+		{Value: &c.Cancelled, Name: "attempts_cancelled_total", Help: "Attempts that engines were told to stop."},
+		{Value: &c.Adopted, Name: "attempts_adopted_total", Help: "Attempts taken over from an earlier owner."},
+		{Value: &c.Replaced, Name: "samples_replaced_total", Help: "Recorded answers that passed the bound before they were handed over."},
+		{Value: &c.Scored, Name: "samples_scored_total", Help: "Rewards recorded."},
+		{Value: &c.ScoreErrors, Name: "score_errors_total", Help: "Tries to score that failed."},
+		{Value: &c.HandedOver, Name: "samples_handed_over_total", Help: "Samples in answers to trainers, repeats included."},
+	})
 }
