Put pieces of an answer in order in one place

Cause: the gateway's events and the dispatcher's chunks were put in order by two copies of the same buffer. Change: internal/reorder holds it once, for any kind of piece.

--- a/internal/dispatch/assembler_test.go
+++ b/internal/dispatch/assembler_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
+	"github.com/hillfork/hillfork/internal/reorder"
 )
 
 func TestAssemblerDropsWhatIsNotItsOwn(t *testing.T) {
@@ -19,14 +20,14 @@
 	}
 	is.Equal(len(order.add(chunk("other", 2, 0, 1))), 0)
 	is.Equal(len(order.add(chunk("r", 1, 0, 1))), 0) // late, from an earlier attempt
-	is.Equal(order.drops.foreign, 2)
+	is.Equal(order.foreign, 2)
 	is.Equal(len(order.add(chunk("r", 2, 0, 1, 2))), 1)
 	is.Equal(len(order.add(chunk("r", 2, 0, 1))), 0)
-	is.Equal(order.drops.duplicate, 1)
-	for i := range maxHeldChunks + 5 {
+	is.Equal(order.tokens.Drops().Duplicate, 1)
+	for i := range reorder.MaxHeld + 5 {
 		order.add(chunk("r", 2, 100+i, 1))
 	}
-	is.Equal(order.drops.overflow, 5)
+	is.Equal(order.tokens.Drops().Overflow, 5)
 	is.True(!order.whole())
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -257,7 +257,7 @@
 	order := newAssembler(a.requestID, a.assignment.Attempt, len(a.assignment.Resume))
 	order.mutations = owner.config.Mutations
 	err = a.receive(stream, order)
-	owner.dispatcher.counters.countDrops(order.drops)
+	owner.dispatcher.counters.countDrops(order)
 	if err != nil {
 		owner.cancelAtEngine(a.requestID, a.assignment.Attempt)
 	}
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -39,11 +39,12 @@
 }
 
 // countDrops adds what an assembler dropped or reordered.
-func (c *Counters) countDrops(drops drops) {
-	c.ChunksForeign.Add(uint64(drops.foreign))
-	c.ChunksDuplicate.Add(uint64(drops.duplicate))
-	c.ChunksReordered.Add(uint64(drops.reordered))
-	c.ChunksOverflow.Add(uint64(drops.overflow))
+func (c *Counters) countDrops(order *assembler) {
+	drops := order.tokens.Drops()
+	c.ChunksForeign.Add(uint64(order.foreign))
+	c.ChunksDuplicate.Add(uint64(drops.Duplicate))
+	c.ChunksReordered.Add(uint64(drops.Reordered))
+	c.ChunksOverflow.Add(uint64(drops.Overflow))
 }
 
 // Metrics returns the counters as they stand.
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -189,7 +189,7 @@
 	}
 	order := newAssembler(r.engineRequestID, r.request.Attempt, len(r.request.Resume))
 	err = r.relay(stream, order)
-	r.owner.dispatcher.counters.countDrops(order.drops)
+	r.owner.dispatcher.counters.countDrops(order)
 	if err != nil {
 		return r.fail(ctx, err)
 	}
