--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -45,9 +45,12 @@
 	// Unanswered counts the requests that ended without any outcome although nothing stood between them and their node.
 	Unanswered int `json:"unanswered,omitempty"`
 	// FirstUnanswered describes the first of them.
-	FirstUnanswered string  `json:"first_unanswered,omitempty"`
-	LatencyP50      float64 `json:"latency_p50_seconds,omitempty"`
-	LatencyP99      float64 `json:"latency_p99_seconds,omitempty"`
+	FirstUnanswered string `json:"first_unanswered,omitempty"`
+	// CompletedBySecond counts the requests completed in each second since the start.
+	CompletedBySecond []int `json:"completed_by_second,omitempty"`
+
+	LatencyP50 float64 `json:"latency_p50_seconds,omitempty"`
+	LatencyP99 float64 `json:"latency_p99_seconds,omitempty"`
 }
 
 // Options says how a run is shown.
@@ -155,6 +158,7 @@
 	}
 	recorder.Record(func(o *check.Observations) {
 		measureRequests(o.Requests, measures)
+		measureGoodput(o, measures)
 		for _, request := range o.Unanswered() {
 			m := measures[request.Workload]
 			m.Unanswered++
@@ -255,6 +259,9 @@
 	atMost("latency p99 seconds", m.LatencyP99, time.Duration(bounds.MaxLatency99).Seconds(), completed)
 	atMost("share not run", share(m, check.OutcomeNotRun), bounds.MaxNotRunShare, m.Requests)
 	atMost("share unknown", share(m, check.OutcomeUnknown)+share(m, check.OutcomeBroken), bounds.MaxUnknownShare, m.Requests)
+	if bounds.Goodput != nil {
+		broken = append(broken, brokenGoodput(bounds.Goodput, m.CompletedBySecond)...)
+	}
 	if bounds.EveryAnswered && (m.Unanswered > 0 || m.Requests == 0) {
 		broken = append(broken, fmt.Sprintf("%d of %d requests ended without an outcome, first: %s", m.Unanswered,
 			m.Requests, m.FirstUnanswered))
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -168,10 +168,20 @@
 	MaxNotRunShare  float64  `yaml:"max_not_run_share"`
 	MaxUnknownShare float64  `yaml:"max_unknown_share"`
 	MaxLatency99    Duration `yaml:"max_latency_p99"`
+	// Goodput compares the requests completed in two spans of time; nil bounds nothing.
+	Goodput *GoodputBound `yaml:"goodput,omitempty"`
 	// EveryAnswered wants an outcome for each request whose node could be reached throughout.
 	EveryAnswered bool `yaml:"every_answered"`
 }
 
+// GoodputBound wants at least MinRatio times as many requests completed a second under load as in the base time. Each span is
+// two whole seconds since the start, the second exclusive.
+type GoodputBound struct {
+	Base     [2]int  `yaml:"base,flow"`
+	Load     [2]int  `yaml:"load,flow"`
+	MinRatio float64 `yaml:"min_ratio"`
+}
+
 // Problem is one fault of a trace.
 type Problem struct {
 	File   string
