Refuse to list the steps of a workload that has none

Cause: listing the steps of an unknown or interactive workload went to the owner of a shard that does not exist and ended, after its retries, as unavailable (found by hand with the command line). Change: the administration API checks the workload as the trainers' does, by the same function. Conclusion: a typed answer at once.

--- a/internal/gateway/admin_lists.go
+++ b/internal/gateway/admin_lists.go
@@ -250,6 +250,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := s.gateway.trainingWorkload(request.Msg.GetWorkload()); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
 	began := time.Now()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -237,6 +237,10 @@
 	is.Equal(connect.CodeOf(err), connect.CodeNotFound)
 	_, err = admin.ListNodes(t.Context(), connect.NewRequest(&v1.ListNodesRequest{Page: &v1.Page{Size: -1}}))
 	is.Equal(connect.CodeOf(err), connect.CodeInvalidArgument)
+	for workload, code := range map[string]connect.Code{"": connect.CodeNotFound, "search": connect.CodeInvalidArgument} {
+		_, err = admin.ListSteps(t.Context(), connect.NewRequest(&v1.ListStepsRequest{Workload: workload}))
+		is.Equal(connect.CodeOf(err), code)
+	}
 }
 
 // TestExecuteOverConnect streams one answer through a socket.
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -222,18 +222,27 @@
 	return connect.NewResponse(&v1.PublishVersionResponse{}), nil
 }
 
-// enter admits a trainer's call.
-func (s *sampleService) enter(name string) (*bundle.Workload, func(), error) {
-	accepted := s.gateway.config.Bundles.Current()
+// trainingWorkload finds a workload with steps in the bundle in force.
+func (g *Gateway) trainingWorkload(name string) (*bundle.Workload, error) {
+	accepted := g.config.Bundles.Current()
 	if accepted == nil {
-		return nil, nil, unavailable("the node has no bundle yet", notReadyRetryAfter)
+		return nil, unavailable("the node has no bundle yet", notReadyRetryAfter)
 	}
 	workload := accepted.Bundle.Workload(name)
 	if workload == nil {
-		return nil, nil, notFound(fmt.Sprintf("workload %q is not in the bundle in force", name))
+		return nil, notFound(fmt.Sprintf("workload %q is not in the bundle in force", name))
 	}
 	if workload.Kind != bundle.Training {
-		return nil, nil, invalidArgument(fmt.Sprintf("workload %q takes requests, not steps", name))
+		return nil, invalidArgument(fmt.Sprintf("workload %q takes requests, not steps", name))
+	}
+	return workload, nil
+}
+
+// enter admits a trainer's call.
+func (s *sampleService) enter(name string) (*bundle.Workload, func(), error) {
+	workload, err := s.gateway.trainingWorkload(name)
+	if err != nil {
+		return nil, nil, err
 	}
 	leave, refused := s.gateway.admission.enter(name, s.gateway.config.Limits.MaxInFlight)
 	if refused != nil {
