Let a process that has just started leave shards to their owners

Change: until a process has once known as many nodes as the machine list holds live, and for 5 s at most, it opens no shard and answers not ready.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -55,20 +55,30 @@
 	}
 }
 
-// hasJoined tells whether this node knows at least half of the nodes that the machine list holds live. Where the list
-// cannot be read there is nothing to compare with.
+// hasJoined tells whether this node knows at least half of the nodes that the machine list holds live.
 func (n *Node) hasJoined() bool {
-	listed := 0
+	known, listed := n.knownAndListed()
+	return 2*known >= listed
+}
+
+// hasJoinedWhole tells whether this node knows as many nodes as the machine list holds live.
+func (n *Node) hasJoinedWhole() bool {
+	known, listed := n.knownAndListed()
+	return n.directory.Loaded() && known >= listed
+}
+
+// knownAndListed counts the nodes that are not held dead, and those that the machine list holds live: none where it could
+// not be read yet.
+func (n *Node) knownAndListed() (known, listed int) {
 	for _, machine := range n.directory.Machines() {
 		if machine.Kind == platform.MachineNode && machine.State == platform.MachineLive {
 			listed++
 		}
 	}
-	known := 0
 	for _, member := range n.membership.Members() {
 		if member.State != membership.StateDead {
 			known++
 		}
 	}
-	return 2*known >= listed
+	return known, listed
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	peerClient *peer.Client
 	peerServer *peer.Server
 	shards     *shard.Manager
+	gate       *joinGate
 	steps      *stepledger.Service
 	requests   *requestledger.Service
 	dispatcher *dispatch.Dispatcher
@@ -160,6 +161,7 @@
 
 	placer := placement.NewRendezvous(n.self(), n.membership)
 	n.shards = n.newShardManager(platformLog, placer)
+	n.gate = newJoinGate(n.shards, n.hasJoinedWhole)
 	owners := ownerCaller{
 		router:       route.New(route.Config{Caller: n.peerClient, Placer: placer}),
 		preferenceOf: n.preferenceOfStream,
@@ -179,7 +181,7 @@
 	})
 	n.requests = requestledger.New(requestledger.Config{
 		Mutations:  n.config.Mutations,
-		Opener:     n.shards,
+		Opener:     n.gate,
 		Dispatcher: n.gateway.Router(),
 		Owners:     owners,
 		Bundles:    n.follower,
@@ -263,7 +265,7 @@
 	}
 	n.steps = stepledger.New(stepledger.Config{
 		Mutations: n.config.Mutations,
-		Opener:    n.shards,
+		Opener:    n.gate,
 		Bundles:   n.follower,
 		Confirmer: n.follower,
 		Scorer:    scorer,
@@ -276,7 +278,7 @@
 		Mutations: n.config.Mutations,
 		Placer:    placer,
 		Joined:    n.hasJoined,
-		Opener:    n.shards,
+		Opener:    n.gate,
 		Directory: n.directory,
 		Dialer:    accounting.EngineDialer{Next: n.adapter, Counters: counters},
 		Bundles:   n.follower,
