Fuzz the settings file

Cause: of the decoders, only the settings had no fuzz target. Change: FuzzParse: a file is refused, or its settings read back the same.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,3 +83,25 @@
 	is.NoErr(err)
 	is.Equal(got, want)
 }
+
+// FuzzParse: whatever the file says, it is refused with an error or yields settings that read back the same.
+func FuzzParse(f *testing.F) {
+	f.Add("node: n1\nzone: z1\nregion: r1\ntrusted-keys: " + exampleKeys + "\n")
+	f.Add("node: [1, 2]\n")
+	f.Add("seeds: \"127.0.0.1:1,[::1]:2\"\nnode: n\nzone: z\nregion: r\ntrusted-keys: " + exampleKeys + "\n")
+	f.Fuzz(func(t *testing.T, content string) {
+		file := filepath.Join(t.TempDir(), "node.yaml")
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		parsed, err := parse("--config", file)
+		if err != nil {
+			return
+		}
+		is := is.New(t)
+		is.NoErr(os.WriteFile(file, []byte(parsed.YAML()), 0o600))
+		again, err := parse("--config", file)
+		is.NoErr(err)
+		is.Equal(again, parsed)
+	})
+}
