--- a/cmd/hillforkd/main.go
+++ b/cmd/hillforkd/main.go
@@ -29,6 +29,9 @@
 }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == platformCommand {
+		return runPlatform(args[1:])
+	}
 	parsed, err := settings.Parse("hillforkd", args, os.Stdout)
 	if errors.Is(err, settings.ErrHelp) {
 		return exitOK
--- /dev/null
+++ b/internal/catalog/holder.go
@@ -0,0 +1,69 @@
+package catalog
+
+import (
+	"maps"
+	"sync"
+)
+
+// Holder holds the newest catalog and the newest named weight versions. Both only rise. It is safe for concurrent use.
+type Holder struct {
+	mutex    sync.Mutex
+	current  *Catalog
+	versions map[string]int64
+	changed  chan struct{}
+}
+
+// NewHolder returns a holder without a catalog.
+func NewHolder() *Holder {
+	return &Holder{versions: make(map[string]int64), changed: make(chan struct{})}
+}
+
+// Set installs a catalog if it is newer than the one held, and tells whether it was.
+func (h *Holder) Set(next *Catalog) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.current != nil && next.Version <= h.current.Version {
+		return false
+	}
+	h.current = next
+	h.notify()
+	return true
+}
+
+// Current returns the catalog in force, nil before the first.
+func (h *Holder) Current() *Catalog {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.current
+}
+
+// SetVersion records that a version of a model was named, and tells whether it is newer.
+func (h *Holder) SetVersion(model string, version int64) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if version <= h.versions[model] {
+		return false
+	}
+	h.versions[model] = version
+	h.notify()
+	return true
+}
+
+// Versions returns the newest named version of each model.
+func (h *Holder) Versions() map[string]int64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return maps.Clone(h.versions)
+}
+
+// Changed returns a channel that is closed at the next change.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.changed
+}
+
+func (h *Holder) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,199 @@
+// Package fleet is what a node knows of the engines: which exist, what they serve, how busy this node keeps them and how
+// they have behaved. Choosing among them is a pure function over a snapshot. It makes no calls.
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Engine is one incarnation of an engine as it recorded itself.
+type Engine struct {
+	// ID belongs to this incarnation alone.
+	ID      string
+	Pool    string
+	Address string
+	Zone    string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Draining says that it takes no new work.
+	Draining bool
+	// Versions maps models to the weight version served.
+	Versions map[string]int64
+	// ColdUntil is until when it is slow after its start.
+	ColdUntil time.Time
+}
+
+// Serves tells the version of a model that the engine serves, 0 if none.
+func (e Engine) Serves(model string) int64 {
+	return e.Versions[model]
+}
+
+// entry is an engine with what this node has seen of it.
+type entry struct {
+	engine   Engine
+	inFlight int
+	// loading holds until when an order keeps the engine from beginning requests of a model.
+	loading map[string]time.Time
+	// avoidUntil is until when the engine is tried last after failures.
+	avoidUntil time.Time
+	failures   int
+	// pace is the smoothed time between events, latency that of whole answers.
+	pace    time.Duration
+	latency time.Duration
+}
+
+// Directory holds the engines. It is safe for concurrent use.
+type Directory struct {
+	mutex   sync.Mutex
+	engines map[string]*entry
+	changed chan struct{}
+	// known says that the list was read at least once.
+	known bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{engines: make(map[string]*entry), changed: make(chan struct{})}
+}
+
+// Upsert adds or updates an engine. Versions never fall within an incarnation: a lagging record does not undo what was
+// learned from the engine itself.
+func (d *Directory) Upsert(engine Engine) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[engine.ID]
+	if !ok {
+		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
+		d.notify()
+		return
+	}
+	engine.Versions = newest(found.engine.Versions, engine.Versions)
+	engine.Draining = engine.Draining || found.engine.Draining
+	same := engine.Draining == found.engine.Draining && engine.Address == found.engine.Address &&
+		maps.Equal(engine.Versions, found.engine.Versions)
+	found.engine = engine
+	if !same {
+		d.notify()
+	}
+}
+
+func newest(known, stated map[string]int64) map[string]int64 {
+	merged := maps.Clone(stated)
+	if merged == nil {
+		merged = make(map[string]int64)
+	}
+	for model, version := range known {
+		merged[model] = max(merged[model], version)
+	}
+	return merged
+}
+
+// Remove forgets an engine.
+func (d *Directory) Remove(id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, ok := d.engines[id]; ok {
+		delete(d.engines, id)
+		d.notify()
+	}
+}
+
+// SetServes records that an engine serves a version of a model.
+func (d *Directory) SetServes(id, model string, version int64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[id]
+	if !ok || found.engine.Versions[model] >= version {
+		return
+	}
+	versions := maps.Clone(found.engine.Versions)
+	if versions == nil {
+		versions = make(map[string]int64)
+	}
+	versions[model] = version
+	found.engine.Versions = versions
+	delete(found.loading, model)
+	d.notify()
+}
+
+// SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
+func (d *Directory) SetLoading(id, model string, until time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if found, ok := d.engines[id]; ok {
+		found.loading[model] = until
+	}
+}
+
+// Loading tells whether an engine is loading weights of a model.
+func (d *Directory) Loading(id, model string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[id]
+	return ok && time.Now().Before(found.loading[model])
+}
+
+// SetKnown records that the list of engines was read whole.
+func (d *Directory) SetKnown() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.known = true
+}
+
+// Known tells whether the list of engines was read whole at least once.
+func (d *Directory) Known() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.known
+}
+
+// Engine returns an engine by id.
+func (d *Directory) Engine(id string) (Engine, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[id]
+	if !ok {
+		return Engine{}, false
+	}
+	return found.engine, true
+}
+
+// Pool returns the engines of a pool in order of their ids.
+func (d *Directory) Pool(pool string) []Engine {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var engines []Engine
+	for _, found := range d.engines {
+		if found.engine.Pool == pool {
+			engines = append(engines, found.engine)
+		}
+	}
+	slices.SortFunc(engines, func(a, b Engine) int { return compareText(a.ID, b.ID) })
+	return engines
+}
+
+// Changed returns a channel that is closed at the next change of engines, versions or load.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.changed
+}
+
+func (d *Directory) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,235 @@
+// Package follow keeps a process in step with one partition of the store: it reads the newest record of each key, then
+// every record as it is appended, and starts over when the store has dropped what it did not read. It applies records in
+// order of their offsets and never an older record of a key after a newer one.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+const (
+	// answerSlack is how long a call may take beyond the time the store was asked to wait. A store that is slow answers in
+	// a few hundred milliseconds; one that has fallen silent is asked anew on another connection.
+	answerSlack = 1200 * time.Millisecond
+	retryLeast  = 40 * time.Millisecond
+	retryMost   = 250 * time.Millisecond
+)
+
+// Applier takes the records of a partition. Calls come from one goroutine.
+type Applier interface {
+	// Apply takes a record. recovered says that it was read after the fact, not as it was appended.
+	Apply(record keyedlog.Record, recovered bool)
+	// Advanced says that all records below end have been applied.
+	Advanced(end int64)
+}
+
+// errStale says that the store answered with records older than those read already.
+var errStale = errors.New("store answered with older records than before")
+
+// Config configures a follower.
+type Config struct {
+	Log       keyedlog.Log
+	Partition keyedlog.Partition
+	Applier   Applier
+	// Wait is how long the store may hold a read open.
+	Wait   time.Duration
+	Logger *log.Logger
+}
+
+// Follower follows one partition.
+type Follower struct {
+	config Config
+
+	// Only the goroutine of Run touches these.
+	next    int64
+	started bool
+	offsets map[string]int64
+
+	mutex     sync.Mutex
+	end       int64
+	caughtUp  bool
+	confirmed time.Time
+	connected bool
+	advanced  chan struct{}
+}
+
+// New returns a follower; Run starts it.
+func New(config Config) *Follower {
+	return &Follower{config: config, offsets: make(map[string]int64), advanced: make(chan struct{})}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			failures++
+			f.setConnected(ctx, false, err)
+			pause(ctx, failures)
+			continue
+		}
+		failures = 0
+		f.setConnected(ctx, true, nil)
+	}
+}
+
+// step catches up or reads one batch.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.started {
+		return f.catchUp(ctx)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, f.config.Wait+answerSlack)
+	defer cancel()
+	batch, err := f.config.Log.Read(callCtx, f.config.Partition, f.next, f.config.Wait)
+	if errors.Is(err, keyedlog.ErrTrimmed) {
+		f.started = false
+		f.config.Logger.Info("store dropped records that were not read; reading the newest of each key",
+			"partition", f.config.Partition, "from", f.next)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, record := range batch.Records {
+		f.apply(record, false)
+	}
+	f.next += int64(len(batch.Records))
+	f.reached(f.next, f.next >= batch.End)
+	return nil
+}
+
+// catchUp reads the newest record of every key. Keys that were known and are gone have been dropped.
+func (f *Follower) catchUp(ctx context.Context) error {
+	seen := make(map[string]bool)
+	first := int64(-1)
+	after := ""
+	for {
+		page, err := f.newest(ctx, after)
+		if err != nil {
+			return err
+		}
+		if first < 0 {
+			first = page.End
+		}
+		for _, record := range page.Records {
+			seen[record.Key] = true
+			f.apply(record, true)
+			after = record.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	if first < f.next {
+		return errStale
+	}
+	for key, offset := range f.offsets {
+		if !seen[key] && offset < first {
+			f.apply(keyedlog.Record{Offset: first - 1, Key: key}, true)
+		}
+	}
+	f.next = first
+	f.started = true
+	f.reached(f.next, false)
+	return nil
+}
+
+func (f *Follower) newest(ctx context.Context, after string) (keyedlog.Page, error) {
+	callCtx, cancel := context.WithTimeout(ctx, answerSlack)
+	defer cancel()
+	return f.config.Log.Newest(callCtx, f.config.Partition, after)
+}
+
+func (f *Follower) apply(record keyedlog.Record, recovered bool) {
+	known, found := f.offsets[record.Key]
+	if found && record.Offset <= known {
+		return
+	}
+	if record.Value == nil {
+		// A dropped key needs no memory: an older record of it cannot come again, since offsets only rise from here.
+		delete(f.offsets, record.Key)
+	} else {
+		f.offsets[record.Key] = record.Offset
+	}
+	f.config.Applier.Apply(record, recovered)
+}
+
+func (f *Follower) reached(end int64, caughtUp bool) {
+	f.config.Applier.Advanced(end)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.end = end
+	if caughtUp {
+		f.caughtUp = true
+		f.confirmed = time.Now()
+	}
+	close(f.advanced)
+	f.advanced = make(chan struct{})
+}
+
+func (f *Follower) setConnected(ctx context.Context, connected bool, err error) {
+	f.mutex.Lock()
+	changed := f.connected != connected
+	f.connected = connected
+	confirmed := f.confirmed
+	f.mutex.Unlock()
+	if !changed || ctx.Err() != nil {
+		return
+	}
+	if connected {
+		f.config.Logger.Info("store partition regained", "partition", f.config.Partition)
+		return
+	}
+	errorlog.Warn(f.config.Logger, "store partition lost", err,
+		"partition", f.config.Partition, "confirmed_ago", time.Since(confirmed).Round(time.Millisecond))
+}
+
+// CaughtUp tells whether everything that was in the partition at some moment has been applied.
+func (f *Follower) CaughtUp() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.caughtUp
+}
+
+// Confirmed returns when the store last said that nothing further was there.
+func (f *Follower) Confirmed() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.confirmed
+}
+
+// WaitFor waits until all records below end have been applied.
+func (f *Follower) WaitFor(ctx context.Context, end int64) error {
+	for {
+		f.mutex.Lock()
+		reached, advanced := f.end >= end && f.caughtUp, f.advanced
+		f.mutex.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// pause waits a little longer after each failure, and not the same at every process.
+func pause(ctx context.Context, failures int) {
+	most := min(retryMost, retryLeast<<min(failures, 4))
+	timer := time.NewTimer(most/2 + rand.N(most/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,318 @@
+// Package forward carries one request of a caller to engines of a pool and tells its outcome. It repeats a request on
+// another engine only where the request may run twice or provably has not run, and says "not run" only where that is
+// proven for every attempt.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/fleet"
+)
+
+// Outcome says what became of a request.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Answered says that an engine gave a whole answer; its status may be a failure.
+	Answered Outcome = iota
+	// NotRun says that no engine has run the request or will.
+	NotRun
+	// Lost says that an engine may have run the request and its answer is lost.
+	Lost
+	// TimedOut says that time ran out after the request was sent to an engine.
+	TimedOut
+	// Abandoned says that the caller has gone.
+	Abandoned
+)
+
+var outcomeNames = [...]string{"answered", "not_run", "lost", "timed_out", "abandoned"}
+
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Pool string
+	Call engineapi.Call
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+	// Patience is how long to wait for an engine with room before the request is refused.
+	Patience time.Duration
+	// Aim is the time within which the answer earns its full credit.
+	Aim time.Duration
+	// MaxAttempts bounds the engines that may have run the request.
+	MaxAttempts int
+	// MayRepeat says that the request may run more than once.
+	MayRepeat bool
+}
+
+// Answer is the outcome of a request.
+type Answer struct {
+	Outcome Outcome
+	// Reply and Body are the engine's answer if Outcome is Answered.
+	Reply *engineapi.Reply
+	Body  []byte
+	// RetryAfter tells a caller whose request was not run when to come back.
+	RetryAfter time.Duration
+	// Attempts counts the engines the request was sent to; Failures those that answered 500.
+	Attempts int
+	Failures int
+	// EngineID is the engine that answered last.
+	EngineID string
+}
+
+// Config configures a forwarder.
+type Config struct {
+	Client    engineapi.Client
+	Directory *fleet.Directory
+	Zone      string
+	Logger    *log.Logger
+}
+
+// Forwarder carries requests. It is safe for concurrent use.
+type Forwarder struct {
+	config Config
+	hedges hedgeBudget
+}
+
+// New returns a forwarder.
+func New(config Config) *Forwarder {
+	return &Forwarder{config: config}
+}
+
+const (
+	// retryAfter is what a refused caller is told: engines regain room within fractions of a second.
+	retryAfter = 250 * time.Millisecond
+	// refusalsMost bounds the engines that may turn one request away before it is given up.
+	refusalsMost = 12
+	// roomPoll is how long to wait before engines that turned the request away are asked again.
+	roomPoll = 15 * time.Millisecond
+	// bodyMost bounds an answer that is held whole before it is passed on.
+	bodyMost = 64 << 20
+	// hedgeShare of the aim goes by before a second engine is tried.
+	hedgeShare = 0.45
+	// hedgeLatencies is how many times the usual latency must have gone by before that.
+	hedgeLatencies = 3
+)
+
+// Do carries a request whose answer is passed on whole.
+func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
+	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	f.hedges.earn()
+	run := &exchange{forwarder: f, request: request, started: time.Now(), results: make(chan attempt, refusalsMost+request.MaxAttempts)}
+	answer := run.conduct(runCtx)
+	if ctx.Err() != nil && answer.Outcome != Answered {
+		answer.Outcome = Abandoned
+	}
+	return answer
+}
+
+// attempt is what became of one send.
+type attempt struct {
+	engine fleet.Engine
+	reply  *engineapi.Reply
+	body   []byte
+	err    error
+	took   time.Duration
+}
+
+// exchange is one request under way. Only the goroutine of conduct touches its fields; results come by the channel.
+type exchange struct {
+	forwarder *Forwarder
+	request   Request
+	started   time.Time
+	results   chan attempt
+	// tried holds the engines that the request was sent to or that turned it away.
+	tried    []string
+	running  int
+	sent     int
+	refusals int
+	failures int
+	// mayHaveRun says that some attempt is not proven not to have run.
+	mayHaveRun  bool
+	lastFailure *attempt
+}
+
+// conduct starts attempts and takes their results until the request is settled.
+func (e *exchange) conduct(ctx context.Context) Answer {
+	for {
+		if e.running == 0 {
+			if !e.mayStart() {
+				return e.settle()
+			}
+			if !e.start(ctx) && !e.awaitRoom(ctx) {
+				return e.settle()
+			}
+			continue
+		}
+		hedge := time.NewTimer(e.hedgeDelay())
+		select {
+		case result := <-e.results:
+			e.running--
+			if answer, done := e.take(result); done {
+				hedge.Stop()
+				return answer
+			}
+		case <-hedge.C:
+			if e.forwarder.hedges.spend() {
+				e.start(ctx)
+			}
+		case <-ctx.Done():
+			hedge.Stop()
+			return e.timeout()
+		}
+		hedge.Stop()
+	}
+}
+
+// mayStart tells whether the request may be sent to another engine.
+func (e *exchange) mayStart() bool {
+	if e.refusals >= refusalsMost || e.sent >= e.request.MaxAttempts {
+		return false
+	}
+	return !e.mayHaveRun || e.request.MayRepeat
+}
+
+// start sends the request to the best engine that was not tried; it returns false if there is none.
+func (e *exchange) start(ctx context.Context) bool {
+	engine, ok := e.forwarder.config.Directory.Acquire(fleet.Want{
+		Pool: e.request.Pool, Exclude: e.tried, Zone: e.forwarder.config.Zone,
+	})
+	if !ok {
+		return false
+	}
+	e.tried = append(e.tried, engine.ID)
+	e.running++
+	e.sent++
+	call := e.request.Call
+	call.Remaining = time.Until(e.request.Deadline)
+	go func() {
+		defer e.forwarder.config.Directory.Release(engine.ID)
+		e.results <- e.forwarder.send(ctx, engine, call)
+	}()
+	return true
+}
+
+// awaitRoom waits for engines after all that exist were tried. It returns false once patience is over.
+func (e *exchange) awaitRoom(ctx context.Context) bool {
+	if time.Since(e.started) >= e.request.Patience || ctx.Err() != nil {
+		return false
+	}
+	if !e.mayHaveRun {
+		e.tried = nil
+	}
+	timer := time.NewTimer(roomPoll)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-e.forwarder.config.Directory.Changed():
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// hedgeDelay is how long to wait for the running attempts before another engine is tried as well.
+func (e *exchange) hedgeDelay() time.Duration {
+	if !e.request.MayRepeat || !e.mayStart() || e.sent >= e.request.MaxAttempts || e.running > 1 {
+		return time.Until(e.request.Deadline) + time.Second
+	}
+	usual := e.forwarder.config.Directory.SmoothedLatency(e.request.Pool)
+	return max(time.Duration(hedgeShare*float64(e.request.Aim)), hedgeLatencies*usual)
+}
+
+// take judges the result of an attempt.
+func (e *exchange) take(result attempt) (Answer, bool) {
+	directory := e.forwarder.config.Directory
+	switch {
+	case errors.Is(result.err, engineapi.ErrNotSent):
+		directory.Failed(result.engine.ID)
+		e.turnedAway()
+	case result.err != nil:
+		directory.Failed(result.engine.ID)
+		e.mayHaveRun = true
+	case result.reply.NotRun:
+		e.turnedAway()
+	case result.reply.Stamp == "" && result.reply.Status < http.StatusMultipleChoices:
+		// A success without the engine's signature is none.
+		directory.Failed(result.engine.ID)
+		e.mayHaveRun = true
+	case result.reply.Status >= http.StatusInternalServerError:
+		e.failures++
+		e.mayHaveRun = true
+		e.lastFailure = &result
+	default:
+		directory.Succeeded(result.engine.ID, result.took)
+		return e.answered(&result), true
+	}
+	return Answer{}, false
+}
+
+// turnedAway takes back an attempt that has not run.
+func (e *exchange) turnedAway() {
+	e.sent--
+	e.refusals++
+}
+
+func (e *exchange) answered(result *attempt) Answer {
+	return Answer{
+		Outcome: Answered, Reply: result.reply, Body: result.body, Attempts: e.sent, Failures: e.failures,
+		EngineID: result.engine.ID,
+	}
+}
+
+// settle ends a request that no further attempt is made for.
+func (e *exchange) settle() Answer {
+	if e.lastFailure != nil {
+		return e.answered(e.lastFailure)
+	}
+	answer := Answer{Outcome: Lost, Attempts: e.sent, Failures: e.failures}
+	if !e.mayHaveRun {
+		answer.Outcome = NotRun
+		answer.RetryAfter = retryAfter
+	}
+	return answer
+}
+
+// timeout ends a request whose time is over; what still runs may have run.
+func (e *exchange) timeout() Answer {
+	answer := Answer{Outcome: TimedOut, Attempts: e.sent, Failures: e.failures}
+	if e.running == 0 && !e.mayHaveRun {
+		answer.Outcome = NotRun
+		answer.RetryAfter = retryAfter
+	}
+	return answer
+}
+
+// send makes one attempt and reads the whole answer.
+func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call) attempt {
+	started := time.Now()
+	reply, err := f.config.Client.Send(ctx, engine, call)
+	if err != nil {
+		return attempt{engine: engine, err: err, took: time.Since(started)}
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, bodyMost+1))
+	closeErr := reply.Body.Close()
+	if err == nil && len(body) > bodyMost {
+		err = errBodyTooLarge
+	}
+	if err == nil {
+		err = closeErr
+	}
+	if reply.NotRun {
+		err = nil
+	}
+	return attempt{engine: engine, reply: reply, body: body, err: err, took: time.Since(started)}
+}
+
+// errBodyTooLarge says that an answer is larger than one may be.
+var errBodyTooLarge = errors.New("answer is too large")
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,143 @@
+// Package ingress meets the requests of callers at a node: it finds the route, lets the forwarder carry the request, and tells
+// the adapter the answer. It knows no protocol.
+package ingress
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/forward"
+)
+
+// Config configures an ingress.
+type Config struct {
+	Catalog   *catalog.Holder
+	Splitter  *catalog.Splitter
+	Forwarder *forward.Forwarder
+	// OnRequest takes the outcome of a request and how long it took.
+	OnRequest func(outcome forward.Outcome, took time.Duration)
+	Logger    *log.Logger
+}
+
+// Ingress meets requests. It is safe for concurrent use.
+type Ingress struct {
+	config Config
+}
+
+// New returns an ingress.
+func New(config Config) *Ingress {
+	return &Ingress{config: config}
+}
+
+// Match says what a request's route is.
+type Match int
+
+// Results of looking a route up.
+const (
+	// Unready says that no configuration is known yet.
+	Unready Match = iota
+	// Unrouted says that no route leads anywhere.
+	Unrouted
+	// Routed says that a route was found.
+	Routed
+)
+
+// Route finds the route of a host and path.
+func (i *Ingress) Route(host, path string) (catalog.Route, catalog.Limits, Match) {
+	current := i.config.Catalog.Current()
+	if current == nil {
+		return catalog.Route{}, catalog.Limits{}, Unready
+	}
+	route, ok := current.Match(hostName(host), path)
+	if !ok || len(route.Targets) == 0 {
+		return catalog.Route{}, current.Limits, Unrouted
+	}
+	return route, current.Limits, Routed
+}
+
+// Limits returns the limits in force.
+func (i *Ingress) Limits() catalog.Limits {
+	if current := i.config.Catalog.Current(); current != nil {
+		return current.Limits
+	}
+	return catalog.Limits{}
+}
+
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
+const (
+	// patienceShare is the part of the aim for which a request waits for an engine with room before it is refused.
+	patienceShare = 0.25
+	// patienceUnaimed bounds the wait on routes without an aim.
+	patienceUnaimed = 50 * time.Millisecond
+	// holdUnbounded bounds a request that names no deadline on a route without a timeout.
+	holdUnbounded = 60 * time.Second
+	// gapAims is how many aims an engine may be silent within a stream before another goes on.
+	gapAims = 2
+)
+
+// request makes the forwarder's request. budget is the time that the caller waits, 0 if it did not say.
+func (i *Ingress) request(route catalog.Route, call engineapi.Call, received time.Time, budget time.Duration) forward.Request {
+	hold := holdUnbounded
+	if route.Timeout > 0 {
+		hold = route.Timeout
+	}
+	if budget > 0 {
+		hold = min(hold, budget)
+	}
+	patience := patienceUnaimed
+	if route.Aim > 0 {
+		patience = time.Duration(patienceShare * float64(route.Aim))
+	}
+	call.Priority = engineapi.NoPriority
+	return forward.Request{
+		Pool: i.config.Splitter.Pick(route), Call: call, Deadline: received.Add(hold), Patience: patience, Aim: route.Aim,
+		MaxAttempts: route.MaxAttempts, MayRepeat: route.MayRepeat(),
+	}
+}
+
+// Carry carries a request whose answer is passed on whole.
+func (i *Ingress) Carry(
+	ctx context.Context, route catalog.Route, call engineapi.Call, received time.Time, budget time.Duration,
+) forward.Answer {
+	request := i.request(route, call, received, budget)
+	answer := i.config.Forwarder.Do(ctx, request)
+	i.note(route, request, answer, received)
+	return answer
+}
+
+// Stream carries a request whose answer is passed on event by event.
+func (i *Ingress) Stream(
+	ctx context.Context, route catalog.Route, model string, call engineapi.Call, received time.Time, budget time.Duration,
+	receiver forward.StreamReceiver,
+) forward.Answer {
+	request := i.request(route, call, received, budget)
+	request.Call.Priority = min(9, route.Priority)
+	answer := i.config.Forwarder.Stream(ctx, forward.StreamRequest{
+		Request: request, Model: model, Resumable: route.Resumable, Gap: gapAims * route.Aim,
+	}, receiver)
+	i.note(route, request, answer, received)
+	return answer
+}
+
+func (i *Ingress) note(route catalog.Route, request forward.Request, answer forward.Answer, received time.Time) {
+	took := time.Since(received)
+	if i.config.OnRequest != nil {
+		i.config.OnRequest(answer.Outcome, took)
+	}
+	status := 0
+	if answer.Reply != nil {
+		status = answer.Reply.Status
+	}
+	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool,
+		"outcome", answer.Outcome, "status", status, "engine", answer.EngineID, "attempts", answer.Attempts,
+		"failures", answer.Failures, "left", time.Until(request.Deadline).Round(time.Millisecond),
+		"took", took.Round(100*time.Microsecond))
+}
--- /dev/null
+++ b/internal/job/fold.go
@@ -0,0 +1,227 @@
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// state is one job as far as its records have been read.
+type state struct {
+	spec *Spec
+	// index maps items to their place in the spec.
+	index map[string]int
+	// results holds the listed results by position; listed maps items to positions. visible counts the positions from 0 on
+	// without a gap.
+	results  map[int]*Result
+	listed   map[string]int
+	visible  int
+	progress map[string]*Progress
+	ended    bool
+	// acceptedAt is when the job was accepted, by this process's steady clock. estimated says that it was worked out from
+	// the time of day.
+	acceptedAt time.Time
+	estimated  bool
+	changed    chan struct{}
+}
+
+// fold holds the jobs of one partition.
+type fold struct {
+	jobs  map[string]*state
+	parts map[string]map[int][]byte
+	end   int64
+	// skipped counts records that were not in the form of one.
+	skipped int
+}
+
+func newFold() *fold {
+	return &fold{jobs: make(map[string]*state), parts: make(map[string]map[int][]byte)}
+}
+
+// apply folds one record.
+func (f *fold) apply(record keyedlog.Record, recovered bool, now time.Time) error {
+	key, err := parseKey(record.Key)
+	if err != nil {
+		f.skipped++
+		return fmt.Errorf("record %d: %w", record.Offset, err)
+	}
+	if record.Value == nil {
+		f.drop(key)
+		return nil
+	}
+	if key.part >= 0 {
+		f.keepPart(key, record.Value)
+		return nil
+	}
+	value, whole, err := f.join(key, record.Value)
+	if err != nil {
+		f.skipped++
+		return fmt.Errorf("record %d: %w", record.Offset, err)
+	}
+	if !whole {
+		return nil
+	}
+	if err := f.applyValue(key, value, recovered, now); err != nil {
+		f.skipped++
+		return fmt.Errorf("record %d: %w", record.Offset, err)
+	}
+	return nil
+}
+
+func (f *fold) keepPart(key parsedKey, value []byte) {
+	parts, ok := f.parts[key.whole]
+	if !ok {
+		parts = make(map[int][]byte)
+		f.parts[key.whole] = parts
+	}
+	parts[key.part] = value
+	if completing, ok := parts[completingPart]; ok {
+		// Read after the fact, the completing record comes before its parts.
+		_ = f.apply(keyedlog.Record{Key: key.whole, Value: completing}, true, time.Now())
+	}
+}
+
+// completingPart is where a completing record waits for parts.
+const completingPart = -1
+
+// join puts a value together. It is not whole while parts are missing.
+func (f *fold) join(key parsedKey, completing []byte) ([]byte, bool, error) {
+	if key.kind == keyEnd {
+		return completing, true, nil
+	}
+	count, rest, err := splitHead(completing)
+	if err != nil || count == 0 {
+		return rest, err == nil, err
+	}
+	parts, ok := f.parts[key.whole]
+	if !ok {
+		parts = make(map[int][]byte)
+		f.parts[key.whole] = parts
+	}
+	var value []byte
+	for i := range count {
+		part, ok := parts[i]
+		if !ok {
+			parts[completingPart] = completing
+			return nil, false, nil
+		}
+		value = append(value, part...)
+	}
+	delete(f.parts, key.whole)
+	return append(value, rest...), true, nil
+}
+
+func (f *fold) applyValue(key parsedKey, value []byte, recovered bool, now time.Time) error {
+	switch key.kind {
+	case keySpec:
+		return f.applySpec(key.jobID, value, recovered, now)
+	case keyEnd:
+		found := f.job(key.jobID)
+		found.ended = true
+		found.progress = nil
+		found.notify()
+		return nil
+	case keyResult:
+		return f.applyResult(key, value)
+	default:
+		return f.applyProgress(key.jobID, value)
+	}
+}
+
+func (f *fold) job(id string) *state {
+	found, ok := f.jobs[id]
+	if !ok {
+		found = &state{
+			results: make(map[int]*Result), listed: make(map[string]int), progress: make(map[string]*Progress),
+			changed: make(chan struct{}),
+		}
+		f.jobs[id] = found
+	}
+	return found
+}
+
+// applySpec takes a submission; the first one counts.
+func (f *fold) applySpec(id string, value []byte, recovered bool, now time.Time) error {
+	found := f.job(id)
+	if found.spec != nil {
+		return nil
+	}
+	spec := new(Spec)
+	if _, err := spec.UnmarshalMsg(value); err != nil {
+		return err
+	}
+	found.spec = spec
+	found.index = make(map[string]int, len(spec.Items))
+	for i, item := range spec.Items {
+		found.index[item.ID] = i
+	}
+	found.acceptedAt = now
+	if recovered {
+		age := max(0, now.Sub(time.UnixMilli(spec.SubmittedAt)))
+		found.acceptedAt = now.Add(-age)
+		found.estimated = true
+	}
+	found.notify()
+	return nil
+}
+
+// applyResult lists a result. A position is never filled twice, and an item is never listed twice.
+func (f *fold) applyResult(key parsedKey, value []byte) error {
+	position, err := strconv.Atoi(key.rest)
+	if err != nil || position < 0 {
+		return errKey
+	}
+	result := new(Result)
+	if _, err := result.UnmarshalMsg(value); err != nil {
+		return err
+	}
+	found := f.job(key.jobID)
+	if _, taken := found.results[position]; taken {
+		return nil
+	}
+	found.results[position] = result
+	found.listed[result.ItemID] = position
+	delete(found.progress, result.ItemID)
+	for found.results[found.visible] != nil {
+		found.visible++
+	}
+	found.notify()
+	return nil
+}
+
+func (f *fold) applyProgress(jobID string, value []byte) error {
+	progress := new(Progress)
+	if _, err := progress.UnmarshalMsg(value); err != nil {
+		return err
+	}
+	found := f.job(jobID)
+	if _, listed := found.listed[progress.ItemID]; !listed && !found.ended {
+		found.progress[progress.ItemID] = progress
+	}
+	return nil
+}
+
+// drop forgets what a dropped key held. A job is forgotten with its submission.
+func (f *fold) drop(key parsedKey) {
+	if key.part >= 0 {
+		return
+	}
+	switch key.kind {
+	case keySpec:
+		if found, ok := f.jobs[key.jobID]; ok {
+			found.notify()
+			delete(f.jobs, key.jobID)
+		}
+	case keyProgress:
+		if found, ok := f.jobs[key.jobID]; ok {
+			delete(found.progress, key.rest)
+		}
+	}
+}
+
+func (s *state) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/job/records.go
@@ -0,0 +1,67 @@
+// Package job is what a batch job is and how it lasts: its records in the store, and the fold of these records into the
+// jobs of a partition. The fold does not depend on the order of records of different keys, so that it comes to the same
+// whether records are read as they were appended or the newest of each key afterwards. It makes no calls.
+package job
+
+//go:generate go tool msgp -tests=false -unexported
+
+// Spec is what was submitted, without the items.
+type Spec struct {
+	ID string `msg:"id"`
+	// Route names the route that the job was submitted on; Host is its host.
+	Route string `msg:"route"`
+	Host  string `msg:"host"`
+	// Model is the model that is trained; empty for a job without a trainer.
+	Model string `msg:"model"`
+	Step  int64  `msg:"step"`
+	// MinVersion is the oldest weight version that may produce events.
+	MinVersion int64 `msg:"min"`
+	// Desired is how many whole groups the trainer waits for.
+	Desired int `msg:"want"`
+	// SubmittedAt is the time of day of submission in milliseconds since 1970, at the node that accepted it.
+	SubmittedAt int64  `msg:"at"`
+	Items       []Item `msg:"items"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID     string            `msg:"id"`
+	Path   string            `msg:"path"`
+	Header map[string]string `msg:"head"`
+	Body   []byte            `msg:"body"`
+	// Tokens is the size of the prompt and the most output together.
+	Tokens int    `msg:"tokens"`
+	Group  string `msg:"group"`
+	// LengthHint is the estimated output in tokens, 0 if none was given.
+	LengthHint int     `msg:"hint"`
+	Scorer     *Scorer `msg:"scorer"`
+}
+
+// Scorer is the request that scores an item's text.
+type Scorer struct {
+	ID   string `msg:"id"`
+	Host string `msg:"host"`
+	Path string `msg:"path"`
+	Body []byte `msg:"body"`
+}
+
+// Result is what became of an item.
+type Result struct {
+	ItemID string `msg:"item"`
+	// Dead says that the item was given up.
+	Dead bool `msg:"dead"`
+	// Text is the data of all events, separated by line feeds.
+	Text string `msg:"text"`
+	// Versions are those that produced an event of the text, in order of their first.
+	Versions []int64 `msg:"versions"`
+	Score    string  `msg:"score"`
+}
+
+// Progress is how far an item has come that is not listed yet, so that its next owner goes on from there.
+type Progress struct {
+	ItemID   string   `msg:"item"`
+	Events   []string `msg:"events"`
+	Versions []int64  `msg:"versions"`
+	// Failures counts answers of the engine that the attempt failed.
+	Failures int `msg:"failures"`
+}
--- /dev/null
+++ b/internal/jobrun/execution.go
@@ -0,0 +1,427 @@
+package jobrun
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/eventrun"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/job"
+)
+
+const (
+	// firstSilence bounds the wait for the first event: engines answer within milliseconds unless they queue.
+	firstSilence = 1200 * time.Millisecond
+	// gapLeast and gapPaces bound the silence between events: so many times the engine's usual pace.
+	gapLeast = 400 * time.Millisecond
+	gapPaces = 8
+	// gapMost bounds it where the pace is not known yet.
+	gapMost = 1500 * time.Millisecond
+	// moveLook is how often an item on a slow engine looks for a better one.
+	moveLook = 250 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a run that brought nothing.
+	retryLeast = 10 * time.Millisecond
+	retryMost  = 300 * time.Millisecond
+	// loadingPause is how long an engine that turned an item away for its weights is left alone.
+	loadingPause = 150 * time.Millisecond
+	// scoreTimeout bounds one call to a scorer with its attempts.
+	scoreTimeout = 6 * time.Second
+	scorePause   = 50 * time.Millisecond
+	// estimateSlack is added to ages that rest on the time of day of another process.
+	estimateSlack = 4 * time.Second
+	// giveUpSlack is added to the time at which an item may be given up.
+	giveUpSlack = 50 * time.Millisecond
+)
+
+// errMove says that an item leaves its engine for a better one; errVersion that the engine's weights don't fit the job.
+var (
+	errMove    = errors.New("a better engine has room")
+	errVersion = errors.New("weights are of another version than allowed")
+)
+
+// execution runs one item.
+type execution struct {
+	runner *runner
+	view   job.View
+	item   job.Item
+	rank   Rank
+
+	mutex sync.Mutex
+	// events are the data of the item's events so far; versions those that produced them.
+	events   []string
+	versions []int64
+	failures int
+	kept     int
+	settled  bool
+
+	// Only the goroutine of run touches these.
+	engine    fleet.Engine
+	current   int64
+	lastEvent time.Time
+	lookedAt  time.Time
+	brokenAt  time.Time
+	fruitless int
+	exclude   []string
+}
+
+func newExecution(r *runner, view job.View, open job.OpenItem, carried bool) *execution {
+	e := &execution{
+		runner: r, view: view, item: open.Item,
+		rank: Rank{Accepted: view.AcceptedAt, Carried: carried, Length: open.Item.LengthHint},
+	}
+	if open.Progress != nil && fits(open.Progress.Versions, view.Spec.MinVersion) {
+		e.events = open.Progress.Events
+		e.versions = open.Progress.Versions
+		e.failures = open.Progress.Failures
+		e.kept = len(e.events)
+	}
+	return e
+}
+
+func fits(versions []int64, least int64) bool {
+	for _, version := range versions {
+		if version < least {
+			return false
+		}
+	}
+	return true
+}
+
+// run brings the item to a result and lists it, unless the context ends before.
+func (e *execution) run(ctx context.Context) {
+	runCtx, cancel := e.untilGivenUp(ctx)
+	defer cancel()
+	result := e.produce(runCtx)
+	if ctx.Err() != nil {
+		return
+	}
+	finished := time.Now()
+	e.settle()
+	e.runner.writer.list(e.view.Spec.ID, result, func() {
+		e.runner.config.Measures.listed(time.Since(finished))
+		e.runner.config.Logger.Info("item listed", "job", e.view.Spec.ID, "item", e.item.ID, "dead", result.Dead,
+			"versions", result.Versions, "events", len(e.events), "engine", e.engine.ID,
+			"age", time.Since(e.view.AcceptedAt).Round(time.Millisecond))
+	})
+}
+
+// untilGivenUp bounds the run by the time at which the item may be given up.
+func (e *execution) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	route, known := e.route()
+	if !known || route.MaxWait <= 0 {
+		return context.WithCancel(ctx)
+	}
+	deadline := e.view.AcceptedAt.Add(route.MaxWait + giveUpSlack)
+	if e.view.Estimated {
+		deadline = deadline.Add(estimateSlack)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+func (e *execution) route() (catalog.Route, bool) {
+	current := e.runner.config.Catalog.Current()
+	if current == nil {
+		return catalog.Route{}, false
+	}
+	return current.Match(e.view.Spec.Host, e.item.Path)
+}
+
+func (e *execution) settle() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.settled = true
+}
+
+// produce runs the item until its text is whole and scored, or it is given up.
+func (e *execution) produce(ctx context.Context) *job.Result {
+	dead := &job.Result{ItemID: e.item.ID, Dead: true}
+	if !e.generate(ctx) {
+		return dead
+	}
+	score, ok := e.score(ctx)
+	if !ok {
+		return dead
+	}
+	return &job.Result{
+		ItemID: e.item.ID, Text: strings.Join(e.events, "\n"), Versions: slices.Clone(e.versions), Score: score,
+	}
+}
+
+// generate runs the item on engines until its text is whole. It returns false if the item is given up.
+func (e *execution) generate(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		route, ok := e.route()
+		if !ok || len(route.Targets) == 0 {
+			if e.runner.config.Catalog.Current() != nil {
+				e.runner.config.Logger.Info("item given up, its route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
+				return false
+			}
+			sleep(ctx, retryMost)
+			continue
+		}
+		engine, err := e.runner.config.Queue.Acquire(ctx, e.rank, e.want(route))
+		if err != nil {
+			return false
+		}
+		before := len(e.events)
+		result := e.runOn(ctx, engine, route)
+		e.runner.config.Directory.Release(engine.ID)
+		if done, whole := e.judge(ctx, route, result); done {
+			return whole
+		}
+		e.backOff(ctx, len(e.events) > before)
+	}
+	return false
+}
+
+func (e *execution) want(route catalog.Route) fleet.Want {
+	want := fleet.Want{
+		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
+		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude,
+	}
+	if !e.runner.config.Directory.Exists(want) {
+		want.Exclude = nil
+	}
+	if route.SingleVersion && len(e.versions) > 0 {
+		want.ExactVersion = e.versions[0]
+		if !e.runner.config.Directory.Exists(want) {
+			// No engine has the version any more: the text starts anew.
+			e.restart()
+			want.ExactVersion = 0
+		}
+	}
+	return want
+}
+
+func (e *execution) restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.events, e.versions, e.kept = nil, nil, 0
+}
+
+func (e *execution) runOn(ctx context.Context, engine fleet.Engine, route catalog.Route) eventrun.Result {
+	e.engine = engine
+	e.current = 0
+	e.lastEvent = time.Time{}
+	e.lookedAt = time.Now()
+	call := engineapi.Call{
+		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
+		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, route.Priority),
+	}
+	if deadline, bounded := ctx.Deadline(); bounded {
+		call.Remaining = time.Until(deadline)
+	}
+	return eventrun.Run(ctx, e.runner.config.Client, engine, call, e.silence(engine, route), e)
+}
+
+func header(fields map[string]string) http.Header {
+	header := make(http.Header, len(fields))
+	for name, value := range fields {
+		header.Set(name, value)
+	}
+	return header
+}
+
+// silence bounds how long the engine may say nothing.
+func (e *execution) silence(engine fleet.Engine, route catalog.Route) eventrun.Limits {
+	gap := gapMost
+	if pace := e.runner.config.Directory.Pace(engine.ID); pace > 0 {
+		gap = min(gapMost, max(gapLeast, gapPaces*pace))
+	}
+	first := firstSilence
+	if route.SingleVersion {
+		// Runs that may not mix versions wait behind a load rather than start anew.
+		first = 4 * firstSilence
+	}
+	return eventrun.Limits{First: first, Gap: gap}
+}
+
+// Head takes the head of an engine's answer. Weights that don't fit end the run before its first event.
+func (e *execution) Head(reply *engineapi.Reply) error {
+	return e.serves(reply.Version)
+}
+
+// serves notes the version that the engine runs the item under.
+func (e *execution) serves(version int64) error {
+	if version == 0 {
+		return nil
+	}
+	e.current = version
+	model := e.view.Spec.Model
+	if model != "" {
+		e.runner.config.Directory.SetServes(e.engine.ID, model, version)
+	}
+	if version < e.view.Spec.MinVersion {
+		return errVersion
+	}
+	if route, ok := e.route(); ok && route.SingleVersion && len(e.versions) > 0 && e.versions[0] != version {
+		return errVersion
+	}
+	return nil
+}
+
+// Event takes the next event.
+func (e *execution) Event(event engineapi.Event) error {
+	if err := e.serves(event.Version); err != nil {
+		return err
+	}
+	now := time.Now()
+	e.measure(now)
+	e.mutex.Lock()
+	e.events = append(e.events, event.Data)
+	if e.current != 0 && !slices.Contains(e.versions, e.current) {
+		e.versions = append(e.versions, e.current)
+	}
+	e.mutex.Unlock()
+	if now.Sub(e.lookedAt) < moveLook {
+		return nil
+	}
+	e.lookedAt = now
+	if route, ok := e.route(); ok && e.runner.config.Directory.Better(e.engine.ID, e.want(route)) {
+		return errMove
+	}
+	return nil
+}
+
+func (e *execution) measure(now time.Time) {
+	measures := e.runner.config.Measures
+	if len(e.events) == 0 {
+		measures.firstEvent(now.Sub(e.view.AcceptedAt))
+	}
+	if !e.brokenAt.IsZero() {
+		measures.resumed(now.Sub(e.brokenAt))
+		e.brokenAt = time.Time{}
+	}
+	if !e.lastEvent.IsZero() {
+		e.runner.config.Directory.Paced(e.engine.ID, now.Sub(e.lastEvent))
+	}
+	e.lastEvent = now
+}
+
+// judge decides what follows from the end of a run: done says that nothing more is run, whole that the text is.
+func (e *execution) judge(ctx context.Context, route catalog.Route, result eventrun.Result) (done, whole bool) {
+	directory := e.runner.config.Directory
+	if result.Ending != eventrun.EndedWhole && ctx.Err() == nil {
+		e.runner.config.Logger.Info("run ended early", "job", e.view.Spec.ID, "item", e.item.ID, "engine", e.engine.ID,
+			"ending", result.Ending, "status", result.Status, "error", result.Err, "events", len(e.events),
+			"version", e.current)
+	}
+	e.brokenAt = time.Now()
+	e.exclude = nil
+	switch result.Ending {
+	case eventrun.EndedWhole:
+		directory.Succeeded(e.engine.ID, 0)
+		return true, true
+	case eventrun.EndedNotRun:
+		e.turnedAway(result)
+	case eventrun.EndedFailed:
+		return e.failed(route, result.Status), false
+	case eventrun.EndedBroken, eventrun.EndedSilent:
+		e.exclude = []string{e.engine.ID}
+		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
+			directory.Failed(e.engine.ID)
+		}
+	}
+	return false, false
+}
+
+func (e *execution) turnedAway(result eventrun.Result) {
+	directory := e.runner.config.Directory
+	if result.Err != nil {
+		directory.Failed(e.engine.ID)
+		return
+	}
+	directory.SetLoading(e.engine.ID, e.view.Spec.Model, time.Now().Add(loadingPause))
+}
+
+// failed counts an answer of the engine that the item failed; it returns true if the item is given up for it.
+func (e *execution) failed(route catalog.Route, status int) bool {
+	if status == http.StatusUnprocessableEntity {
+		return true
+	}
+	if status != http.StatusInternalServerError {
+		e.runner.config.Directory.Failed(e.engine.ID)
+		return false
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.failures++
+	return e.failures >= route.MaxAttempts
+}
+
+// backOff waits after runs that brought nothing, longer each time.
+func (e *execution) backOff(ctx context.Context, advanced bool) {
+	if advanced {
+		e.fruitless = 0
+		return
+	}
+	sleep(ctx, min(retryMost, retryLeast<<min(e.fruitless, 5)))
+	e.fruitless++
+}
+
+// score has the text scored. It returns false if the item is given up.
+func (e *execution) score(ctx context.Context) (string, bool) {
+	scorer := e.item.Scorer
+	if scorer == nil {
+		return "", true
+	}
+	for ctx.Err() == nil {
+		current := e.runner.config.Catalog.Current()
+		route, ok := current.Match(scorer.Host, scorer.Path)
+		if !ok {
+			return "", false
+		}
+		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
+		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
+			return answer.Reply.Stamp, true
+		}
+		if answer.Failures >= route.MaxAttempts {
+			e.runner.config.Logger.Info("item given up, its scorer fails", "item", e.item.ID, "job", e.view.Spec.ID,
+				"failures", answer.Failures)
+			return "", false
+		}
+		sleep(ctx, scorePause)
+	}
+	return "", false
+}
+
+func (e *execution) scoreRequest(ctx context.Context, route catalog.Route) forward.Request {
+	scorer := e.item.Scorer
+	deadline := time.Now().Add(scoreTimeout)
+	if bound, bounded := ctx.Deadline(); bounded && bound.Before(deadline) {
+		deadline = bound
+	}
+	return forward.Request{
+		Pool: e.runner.config.Splitter.Pick(route),
+		Call: engineapi.Call{
+			Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
+			Priority: engineapi.NoPriority,
+		},
+		Deadline: deadline, Patience: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
+	}
+}
+
+// checkpoint returns how far the item has come, and whether that is worth keeping: unless all is set, only once events have
+// been there for a whole checkpoint.
+func (e *execution) checkpoint(all bool) (job.Progress, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.settled || len(e.events) == e.kept || (!all && e.kept == 0 && len(e.events) < checkpointEvents) {
+		return job.Progress{}, false
+	}
+	e.kept = len(e.events)
+	return job.Progress{
+		ItemID: e.item.ID, Events: slices.Clone(e.events), Versions: slices.Clone(e.versions), Failures: e.failures,
+	}, true
+}
+
+// checkpointEvents is how many events a first checkpoint holds at least: shorter items run again as quickly.
+const checkpointEvents = 12
--- /dev/null
+++ b/internal/jobrun/measures.go
@@ -0,0 +1,31 @@
+package jobrun
+
+import "time"
+
+// Measures takes what the runners measure. A nil field takes nothing.
+type Measures struct {
+	// FirstEvent is the time from a job's acceptance to the first event of an item.
+	FirstEvent func(time.Duration)
+	// Listed is the time from an item's last event to its listing.
+	Listed func(time.Duration)
+	// Resumed is the time from the end of a broken run to the first event of the next.
+	Resumed func(time.Duration)
+}
+
+func (m *Measures) firstEvent(d time.Duration) {
+	if m != nil && m.FirstEvent != nil {
+		m.FirstEvent(d)
+	}
+}
+
+func (m *Measures) listed(d time.Duration) {
+	if m != nil && m.Listed != nil {
+		m.Listed(d)
+	}
+}
+
+func (m *Measures) resumed(d time.Duration) {
+	if m != nil && m.Resumed != nil {
+		m.Resumed(d)
+	}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,187 @@
+// Package ownership deals partitions to the processes of a group, by the store's group service, and tells a process which it
+// holds. What it tells is a hint with an epoch: an owner writes under a fence of that epoch, and the store refuses a writer
+// of a lower one, so that a process that was paused and believes to own a partition changes nothing.
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// Holder runs what the owner of a partition does.
+type Holder interface {
+	// Gained starts the work of a partition under an epoch. The context ends when the partition is lost.
+	Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) Work
+}
+
+// Work is the work of a partition that is under way.
+type Work interface {
+	// Release ends the work and returns once everything that its next owner may use is written, or the context ends.
+	Release(ctx context.Context)
+	// Superseded is closed when the work has learnt that another owner has a higher epoch.
+	Superseded() <-chan struct{}
+}
+
+// Config configures a manager.
+type Config struct {
+	Log    keyedlog.Log
+	Group  string
+	Member string
+	Topics []keyedlog.Topic
+	// Lifetime is how long the member may be silent before its partitions pass on.
+	Lifetime time.Duration
+	Holder   Holder
+	Logger   *log.Logger
+}
+
+// Parts of the lifetime.
+const (
+	// joinsPerLifetime is how often the member is heard within its lifetime.
+	joinsPerLifetime = 3
+	// releaseTimeout bounds what is written when a partition is given up.
+	releaseTimeout = 400 * time.Millisecond
+)
+
+// Manager keeps a process in a group.
+type Manager struct {
+	config Config
+
+	generation int64
+	held       map[keyedlog.Partition]*holding
+	// heard is when the last join that was answered was sent.
+	heard     time.Time
+	connected bool
+}
+
+type holding struct {
+	epoch  int64
+	cancel context.CancelFunc
+	work   Work
+}
+
+// New returns a manager; Run starts it.
+func New(config Config) *Manager {
+	return &Manager{config: config, held: make(map[keyedlog.Partition]*holding)}
+}
+
+// Run stays in the group until the context ends, then releases all partitions and leaves.
+func (m *Manager) Run(ctx context.Context) {
+	interval := m.config.Lifetime / joinsPerLifetime
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		m.join(ctx, interval)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			m.leave()
+			return
+		}
+	}
+}
+
+func (m *Manager) join(ctx context.Context, interval time.Duration) {
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, max(interval, m.config.Lifetime-interval))
+	defer cancel()
+	membership, err := m.config.Log.Join(callCtx, keyedlog.JoinRequest{
+		Group: m.config.Group, Member: m.config.Member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
+		Generation: m.generation,
+	})
+	if err != nil {
+		m.failed(ctx, err)
+		return
+	}
+	m.heard = sent
+	if !m.connected {
+		m.connected = true
+		m.config.Logger.Info("group joined", "group", m.config.Group, "generation", membership.Generation)
+	}
+	m.take(ctx, membership)
+}
+
+// failed keeps the partitions: a store that is down deals them to nobody else, and one that is up fences this process once
+// it has.
+func (m *Manager) failed(ctx context.Context, err error) {
+	if m.connected && ctx.Err() == nil {
+		m.connected = false
+		errorlog.Warn(m.config.Logger, "group lost", err, "group", m.config.Group, "heard_ago", time.Since(m.heard))
+	}
+}
+
+// take compares what is dealt with what is held.
+func (m *Manager) take(ctx context.Context, membership keyedlog.Membership) {
+	m.generation = membership.Generation
+	listed := make(map[keyedlog.Partition]bool, len(membership.Partitions))
+	for _, partition := range membership.Partitions {
+		listed[partition] = true
+	}
+	m.releaseUnlisted(listed)
+	for partition := range listed {
+		held, ok := m.held[partition]
+		if ok && !superseded(held.work) {
+			continue
+		}
+		if ok {
+			if held.epoch >= membership.Generation {
+				continue
+			}
+			m.release(partition, held)
+		}
+		m.gain(ctx, partition, membership.Generation)
+	}
+}
+
+func superseded(work Work) bool {
+	select {
+	case <-work.Superseded():
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, epoch int64) {
+	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	m.config.Logger.Info("partition gained", "partition", partition, "epoch", epoch)
+	m.held[partition] = &holding{
+		epoch: epoch, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, epoch),
+	}
+}
+
+func (m *Manager) releaseUnlisted(listed map[keyedlog.Partition]bool) {
+	var waiting sync.WaitGroup
+	for partition, held := range m.held {
+		if listed[partition] {
+			continue
+		}
+		delete(m.held, partition)
+		waiting.Go(func() { m.release(partition, held) })
+	}
+	waiting.Wait()
+}
+
+func (m *Manager) release(partition keyedlog.Partition, held *holding) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	held.work.Release(ctx)
+	held.cancel()
+	m.config.Logger.Info("partition released", "partition", partition, "epoch", held.epoch)
+}
+
+// leave releases everything and leaves the group, so that the others need not wait for the lifetime to pass.
+func (m *Manager) leave() {
+	m.releaseUnlisted(nil)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := m.config.Log.Leave(ctx, m.config.Group, m.config.Member); err != nil {
+		errorlog.Warn(m.config.Logger, "group not left", err, "group", m.config.Group)
+		return
+	}
+	m.config.Logger.Info("group left", "group", m.config.Group)
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,70 @@
+package replica
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/jobrun"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const metricsNamespace = "hillfork"
+
+// metrics holds what a replica measures.
+type metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.HistogramVec
+	firstEvent prometheus.Histogram
+	listed     prometheus.Histogram
+	resumed    prometheus.Histogram
+	weights    prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"outcome"}),
+		firstEvent: histogram("item_first_event_seconds", "Time from a job's acceptance to the first event of an item."),
+		listed:     histogram("item_listed_seconds", "Time from an item's last event and score to its durable listing."),
+		resumed:    histogram("item_resumed_seconds", "Time from the break of a run to the first event of the next."),
+		weights:    histogram("weights_served_seconds", "Time from learning a named version to an engine serving it."),
+	}
+	m.registry.MustRegister(m.requests, m.firstEvent, m.listed, m.resumed, m.weights,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: metricsNamespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+	})
+}
+
+func (m *metrics) request(outcome forward.Outcome, took time.Duration) {
+	m.requests.WithLabelValues(outcome.String()).Observe(took.Seconds())
+}
+
+func (m *metrics) rolled(took time.Duration) {
+	m.weights.Observe(took.Seconds())
+}
+
+func (m *metrics) measures() *jobrun.Measures {
+	return &jobrun.Measures{
+		FirstEvent: observer(m.firstEvent), Listed: observer(m.listed), Resumed: observer(m.resumed),
+	}
+}
+
+func observer(histogram prometheus.Histogram) func(time.Duration) {
+	return func(took time.Duration) { histogram.Observe(took.Seconds()) }
+}
+
+// Metrics serves the replica's counters and histograms.
+func (r *Replica) Metrics() http.Handler {
+	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/replica/records.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/weightroll"
+)
+
+// OperatorRecord says what a record of the operator's topic holds.
+type OperatorRecord int
+
+// Kinds of operator records.
+const (
+	OperatorUnknown OperatorRecord = iota
+	OperatorConfiguration
+	OperatorVersion
+)
+
+// RecordDecoder decodes the records that others write into the store.
+type RecordDecoder interface {
+	// Catalog decodes the operator's configuration.
+	Catalog(value []byte) (*catalog.Catalog, error)
+	// OperatorKey tells what a record of the operator's topic holds, and of which model.
+	OperatorKey(key string) (OperatorRecord, string)
+	// NamedVersion decodes a version that a trainer has named.
+	NamedVersion(value []byte) (int64, error)
+	// Engine decodes what an engine records of itself.
+	Engine(id string, value []byte) (fleet.Engine, error)
+}
+
+// operatorApplier takes the operator's records.
+type operatorApplier struct {
+	decoder RecordDecoder
+	holder  *catalog.Holder
+	logger  *log.Logger
+}
+
+func (a *operatorApplier) Apply(record keyedlog.Record, recovered bool) {
+	kind, model := a.decoder.OperatorKey(record.Key)
+	if record.Value == nil {
+		return
+	}
+	switch kind {
+	case OperatorConfiguration:
+		a.configure(record, recovered)
+	case OperatorVersion:
+		a.name(record, model)
+	}
+}
+
+func (a *operatorApplier) configure(record keyedlog.Record, recovered bool) {
+	next, err := a.decoder.Catalog(record.Value)
+	if err != nil {
+		errorlog.Warn(a.logger, "configuration skipped", err, "offset", record.Offset)
+		return
+	}
+	if a.holder.Set(next) {
+		a.logger.Info("configuration in force", "version", next.Version, "routes", len(next.Routes), "offset", record.Offset,
+			"recovered", recovered)
+	}
+}
+
+func (a *operatorApplier) name(record keyedlog.Record, model string) {
+	version, err := a.decoder.NamedVersion(record.Value)
+	if err != nil {
+		errorlog.Warn(a.logger, "named version skipped", err, "model", model, "offset", record.Offset)
+		return
+	}
+	if a.holder.SetVersion(model, version) {
+		a.logger.Info("weight version named", "model", model, "version", version, "offset", record.Offset)
+	}
+}
+
+// Advanced does nothing: the holder is set record by record.
+func (a *operatorApplier) Advanced(int64) {}
+
+// engineApplier takes the engines' records of themselves.
+type engineApplier struct {
+	decoder   RecordDecoder
+	directory *fleet.Directory
+	logger    *log.Logger
+}
+
+func (a *engineApplier) Apply(record keyedlog.Record, _ bool) {
+	if record.Value == nil {
+		if _, known := a.directory.Engine(record.Key); known {
+			a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset)
+		}
+		a.directory.Remove(record.Key)
+		return
+	}
+	engine, err := a.decoder.Engine(record.Key, record.Value)
+	if err != nil {
+		errorlog.Warn(a.logger, "engine record skipped", err, "engine", record.Key, "offset", record.Offset)
+		return
+	}
+	known, found := a.directory.Engine(engine.ID)
+	if !found || known.Draining != engine.Draining {
+		a.logger.Info("engine known", "engine", engine.ID, "pool", engine.Pool, "address", engine.Address, "zone", engine.Zone,
+			"draining", engine.Draining, "versions", engine.Versions, "offset", record.Offset)
+	}
+	a.directory.Upsert(engine)
+}
+
+func (a *engineApplier) Advanced(int64) {
+	a.directory.SetKnown()
+}
+
+// jobApplier takes the records of one job partition.
+type jobApplier struct {
+	ledger    *job.Ledger
+	partition int
+	logger    *log.Logger
+}
+
+func (a *jobApplier) Apply(record keyedlog.Record, recovered bool) {
+	if err := a.ledger.Apply(a.partition, record, recovered); err != nil {
+		errorlog.Warn(a.logger, "job record skipped", err, "partition", a.partition, "key", record.Key)
+	}
+}
+
+func (a *jobApplier) Advanced(int64) {}
+
+// weightApplier takes the announcements of orders.
+type weightApplier struct {
+	board  *weightroll.Board
+	logger *log.Logger
+}
+
+func (a *weightApplier) Apply(record keyedlog.Record, _ bool) {
+	if err := a.board.Apply(record); err != nil {
+		errorlog.Warn(a.logger, "announcement skipped", err, "key", record.Key, "offset", record.Offset)
+	}
+}
+
+func (a *weightApplier) Advanced(int64) {}
+
+// followWait is how long the store may hold a read open. A cut that says nothing is noticed a little later than that, and a
+// replica must be in step again within seconds of its end.
+const followWait = time.Second
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,202 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/ingress"
+	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/jobrun"
+	"github.com/hillfork/hillfork/internal/jobs"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/weightroll"
+)
+
+// groupName names the group of replicas in the store.
+const groupName = "hillfork"
+
+// Config configures a replica.
+type Config struct {
+	Settings Settings
+	Log      keyedlog.Log
+	Client   engineapi.Client
+	Decoder  RecordDecoder
+	// RecordBytes and CallBytes bound a record and an append of the store.
+	RecordBytes int
+	CallBytes   int
+	Logger      *log.Logger
+}
+
+// Replica is one process of the platform's hillfork.
+type Replica struct {
+	config    Config
+	catalog   *catalog.Holder
+	directory *fleet.Directory
+	ledger    *job.Ledger
+	ingress   *ingress.Ingress
+	jobs      *jobs.Service
+	queue     *jobrun.Queue
+	followers []*follow.Follower
+	manager   *ownership.Manager
+	metrics   *metrics
+	ready     atomic.Bool
+	draining  atomic.Bool
+}
+
+// New returns a replica; Run starts it.
+func New(config Config) *Replica {
+	r := &Replica{
+		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), ledger: job.NewLedger(),
+		metrics: newMetrics(),
+	}
+	splitter := catalog.NewSplitter(rand.Float64)
+	forwarder := forward.New(forward.Config{
+		Client: config.Client, Directory: r.directory, Zone: config.Settings.Zone, Logger: config.Logger,
+	})
+	r.ingress = ingress.New(ingress.Config{
+		Catalog: r.catalog, Splitter: splitter, Forwarder: forwarder, OnRequest: r.metrics.request, Logger: config.Logger,
+	})
+	r.queue = jobrun.NewQueue(r.directory)
+	board := weightroll.NewBoard(r.directory)
+	jobFollowers := r.follow(keyedlog.TopicJobs, func(partition int) follow.Applier {
+		return &jobApplier{ledger: r.ledger, partition: partition, logger: config.Logger}
+	})
+	weightFollowers := r.follow(keyedlog.TopicWeights, func(int) follow.Applier {
+		return &weightApplier{board: board, logger: config.Logger}
+	})
+	r.follow(keyedlog.TopicOperator, func(int) follow.Applier {
+		return &operatorApplier{decoder: config.Decoder, holder: r.catalog, logger: config.Logger}
+	})
+	r.follow(keyedlog.TopicEngines, func(int) follow.Applier {
+		return &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
+	})
+	r.jobs = jobs.New(jobs.Config{
+		Log: config.Log, Ledger: r.ledger, Followers: convert[jobs.Follower](jobFollowers), RecordBytes: config.RecordBytes,
+		CallBytes: config.CallBytes, Logger: config.Logger,
+	})
+	runners := jobrun.NewHolder(jobrun.Config{
+		Log: config.Log, Ledger: r.ledger, Followers: convert[jobrun.Follower](jobFollowers), Catalog: r.catalog,
+		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
+		Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
+		Retention: config.Settings.Retention, Measures: r.metrics.measures(), Logger: config.Logger,
+	})
+	rollers := weightroll.NewHolder(weightroll.Config{
+		Log: config.Log, Followers: convert[weightroll.Follower](weightFollowers), Board: board, Catalog: r.catalog,
+		Directory: r.directory, Client: config.Client, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
+		OnRolled: r.metrics.rolled, Logger: config.Logger,
+	})
+	r.manager = ownership.New(ownership.Config{
+		Log: config.Log, Group: groupName, Member: memberName(config.Settings.Node),
+		Topics:   []keyedlog.Topic{keyedlog.TopicJobs, keyedlog.TopicWeights},
+		Lifetime: memberLifetime(config.Settings.MemberLifetimeMin),
+		Holder:   holders{jobs: runners, weights: rollers}, Logger: config.Logger,
+	})
+	return r
+}
+
+// follow adds a follower for every partition of a topic.
+func (r *Replica) follow(topic keyedlog.Topic, applier func(partition int) follow.Applier) []*follow.Follower {
+	followers := make([]*follow.Follower, r.config.Log.Partitions(topic))
+	for number := range followers {
+		followers[number] = follow.New(follow.Config{
+			Log: r.config.Log, Partition: keyedlog.Partition{Topic: topic, Number: number}, Applier: applier(number),
+			Wait: followWait, Logger: r.config.Logger,
+		})
+	}
+	r.followers = append(r.followers, followers...)
+	return followers
+}
+
+func convert[T any, F any](followers []F) []T {
+	converted := make([]T, len(followers))
+	for i, follower := range followers {
+		converted[i] = any(follower).(T)
+	}
+	return converted
+}
+
+// memberName is a name that no other process has had, so that a restarted process does not pass for the one before.
+func memberName(node string) string {
+	return fmt.Sprintf("%s-%08x", node, rand.Uint32())
+}
+
+// lifetimeFactor leaves room above the store's least for a few slow joins in a row.
+const lifetimeFactor = 1.25
+
+func memberLifetime(least time.Duration) time.Duration {
+	return time.Duration(lifetimeFactor * float64(least))
+}
+
+// holders starts the work of a partition by its topic.
+type holders struct {
+	jobs    ownership.Holder
+	weights ownership.Holder
+}
+
+func (h holders) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
+	if partition.Topic == keyedlog.TopicWeights {
+		return h.weights.Gained(ctx, partition, epoch)
+	}
+	return h.jobs.Gained(ctx, partition, epoch)
+}
+
+// Run follows the store and owns what the group deals, until the context ends. Then it hands over what it owns and goes on
+// following until stop is closed, so that requests under way are served.
+func (r *Replica) Run(ctx context.Context, stop <-chan struct{}) {
+	followCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var running sync.WaitGroup
+	for _, follower := range r.followers {
+		running.Go(func() { follower.Run(followCtx) })
+	}
+	running.Go(func() { r.queue.Run(followCtx) })
+	r.manager.Run(ctx)
+	<-stop
+	cancel()
+	running.Wait()
+}
+
+// Ready tells whether callers may be sent here: the configuration and the engines are known, and no stop was ordered. A
+// replica that was ready stays so while the store is away.
+func (r *Replica) Ready() bool {
+	if r.draining.Load() {
+		return false
+	}
+	if !r.ready.Load() && r.catalog.Current() != nil && r.directory.Known() {
+		if r.ready.CompareAndSwap(false, true) {
+			r.config.Logger.Info("ready", "configuration", r.catalog.Current().Version)
+		}
+	}
+	return r.ready.Load()
+}
+
+// Drain says that the replica is to stop: it is not ready any more, and answers end their connections.
+func (r *Replica) Drain() {
+	r.draining.Store(true)
+}
+
+// Draining tells whether the replica is to stop.
+func (r *Replica) Draining() bool {
+	return r.draining.Load()
+}
+
+// Ingress meets requests of callers.
+func (r *Replica) Ingress() *ingress.Ingress {
+	return r.ingress
+}
+
+// Jobs answers calls on batch jobs.
+func (r *Replica) Jobs() *jobs.Service {
+	return r.jobs
+}
--- /dev/null
+++ b/internal/replica/settings.go
@@ -0,0 +1,35 @@
+// Package replica puts together the process that runs on every machine of a platform that gives a store, engines that record
+// themselves there, and callers who come over a front address. Every replica does the same: it follows the store, meets
+// callers, and owns what the group deals it. It knows no protocol; an adapter fills the interfaces.
+package replica
+
+import "time"
+
+// Settings is what a replica is told at its start.
+type Settings struct {
+	// Node names the machine.
+	Node   string
+	Zone   string
+	Region string
+	// Regions maps zones to regions.
+	Regions map[string]string
+	IP      string
+	// RequestAddress is where callers come, ReadyAddress where the platform asks whether they may.
+	RequestAddress string
+	ReadyAddress   string
+	// MemoryBytes is the most memory the process may use.
+	MemoryBytes    int64
+	MaxDescriptors int
+	// GracePeriod is the time between the order to stop and the kill.
+	GracePeriod time.Duration
+	// OrderLease is the least time between the orders of two holders to one engine.
+	OrderLease time.Duration
+	// Retention is how long results can be read after their job was submitted.
+	Retention time.Duration
+	// DrainBound is how long after a back end is known to leave it may get work.
+	DrainBound time.Duration
+	// MemberLifetimeMin is the shortest lifetime that the store's groups take.
+	MemberLifetimeMin time.Duration
+	// StoreReadsPerS is how many reads a second the store takes from all replicas together.
+	StoreReadsPerS float64
+}
--- /dev/null
+++ b/internal/weightroll/board.go
@@ -0,0 +1,98 @@
+package weightroll
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// PartitionOf returns the partition whose owner orders the engines of a pool.
+func PartitionOf(pool string, partitions int) keyedlog.Partition {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(pool))
+	return keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: int(hash.Sum32() % uint32(partitions))}
+}
+
+// loadUsual is how long a load is taken to last before one was measured.
+const loadUsual = time.Second
+
+// Board is the fold of announcements: what every engine was ordered to load, and when this process learnt of it. It is safe
+// for concurrent use.
+type Board struct {
+	directory *fleet.Directory
+
+	mutex   sync.Mutex
+	orders  map[string]seenOrder
+	skipped int
+}
+
+// seenOrder is an announcement with the moment at which it was read.
+type seenOrder struct {
+	Announcement
+	seenAt time.Time
+}
+
+// NewBoard returns an empty board that tells a directory what engines load and serve.
+func NewBoard(directory *fleet.Directory) *Board {
+	return &Board{directory: directory, orders: make(map[string]seenOrder)}
+}
+
+// Apply folds a record. An error says that it was skipped.
+func (b *Board) Apply(record keyedlog.Record) error {
+	now := time.Now()
+	if record.Value == nil {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		delete(b.orders, record.Key)
+		return nil
+	}
+	var order Announcement
+	if _, err := order.UnmarshalMsg(record.Value); err != nil {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.skipped++
+		return err
+	}
+	b.mutex.Lock()
+	seen := seenOrder{Announcement: order, seenAt: now}
+	if order.Serving {
+		// That an engine serves is no new order.
+		if known, ok := b.orders[order.EngineID]; ok {
+			seen.seenAt = known.seenAt
+		}
+	}
+	b.orders[order.EngineID] = seen
+	b.mutex.Unlock()
+	if order.Serving {
+		b.directory.SetServes(order.EngineID, order.Model, order.Version)
+	} else {
+		b.directory.SetLoading(order.EngineID, order.Model, now.Add(loadUsual))
+	}
+	return nil
+}
+
+// last returns the newest announcement for an engine.
+func (b *Board) last(engineID string) (seenOrder, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	order, ok := b.orders[engineID]
+	return order, ok
+}
+
+// gone returns the engines of announcements that are not in the directory any more and whose last order is older than a
+// moment.
+func (b *Board) gone(partition keyedlog.Partition, partitions int, before time.Time) []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var ids []string
+	for id, order := range b.orders {
+		_, exists := b.directory.Engine(id)
+		if !exists && order.seenAt.Before(before) && PartitionOf(order.Pool, partitions) == partition {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/weightroll/records.go
@@ -0,0 +1,20 @@
+// Package weightroll brings the engines of a pool to the weight versions that trainers name. One process at a time orders
+// the engines of a pool. Each order is announced in the store before it is sent, under the fence of the owner's epoch, and is
+// sent only within a short window after that; a successor, whose epoch ends all announcements of its predecessor, waits
+// until a whole lease has gone by since the last order that may have been sent. So an engine never hears two order givers
+// within one lease, whatever clocks, pauses and lost answers do.
+package weightroll
+
+//go:generate go tool msgp -tests=false
+
+// Announcement is the record of an engine's newest order.
+type Announcement struct {
+	EngineID string `msg:"engine"`
+	Pool     string `msg:"pool"`
+	Model    string `msg:"model"`
+	Version  int64  `msg:"version"`
+	// Epoch is that of the owner who ordered.
+	Epoch int64 `msg:"epoch"`
+	// Serving says that the engine has been seen to serve the version.
+	Serving bool `msg:"serving"`
+}
--- /dev/null
+++ b/internal/weightroll/roller.go
@@ -0,0 +1,468 @@
+package weightroll
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/ownership"
+)
+
+const (
+	// writerName names the line of epochs of order givers in a partition.
+	writerName = "orders"
+	// sendWindow is how long after the sending of its announcement an order may still be sent. A slow store takes a
+	// quarter of a second for an append; one that takes longer than the window delays weights.
+	sendWindow = time.Second
+	// leaseSlack is added to the lease for the way of an order to its engine.
+	leaseSlack = 300 * time.Millisecond
+	// loadsAtOnce is how many engines of a pool load together: with more, each takes longer (the platform's sheet), and the
+	// roll as a whole does not end sooner.
+	loadsAtOnce = 2
+	// orderTimeout bounds the answer to an order, reportTimeout that to a report.
+	orderTimeout  = 700 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+	appendTimeout = 900 * time.Millisecond
+	appendPause   = 50 * time.Millisecond
+	// reportEvery is how often an engine that loads is asked whether it is done.
+	reportEvery = 150 * time.Millisecond
+	// reportFrom is the part of the usual load time after which it is asked first.
+	reportFrom = 0.9
+	// overdueLoads is how many usual load times an order may take before it is planned anew.
+	overdueLoads = 4
+	// replanEvery is how often the plan is looked at when nothing is known to have changed.
+	replanEvery = 100 * time.Millisecond
+	// forgetAfter is how long announcements for engines that are gone are kept, in leases.
+	forgetAfter = 4
+)
+
+// Follower tells how far a partition was read.
+type Follower interface {
+	WaitFor(ctx context.Context, end int64) error
+}
+
+// Config configures the rollers of a process.
+type Config struct {
+	Log       keyedlog.Log
+	Followers []Follower
+	Board     *Board
+	Catalog   *catalog.Holder
+	Directory *fleet.Directory
+	Client    engineapi.Client
+	// Node names the holder in orders.
+	Node string
+	// Lease is the least time between the orders of two holders.
+	Lease time.Duration
+	// OnRolled takes the time from the naming of a version, as this process learnt it, to an engine serving it.
+	OnRolled func(time.Duration)
+	Logger   *log.Logger
+}
+
+// Holder starts the roller of a partition; it implements ownership.Holder for weight partitions.
+type Holder struct {
+	config Config
+}
+
+// NewHolder returns a holder.
+func NewHolder(config Config) *Holder {
+	return &Holder{config: config}
+}
+
+// Gained starts ordering the engines of a partition's pools.
+func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
+	runCtx, cancel := context.WithCancel(ctx)
+	r := &roller{
+		config: h.config, partition: partition, epoch: epoch, cancel: cancel, superseded: make(chan struct{}),
+		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
+		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		usual: loadUsual, namedAt: make(map[string]naming),
+	}
+	r.active.Go(func() { r.run(runCtx) })
+	return r
+}
+
+// roller orders the engines of one partition's pools while this process owns it.
+type roller struct {
+	config     Config
+	partition  keyedlog.Partition
+	epoch      int64
+	cancel     context.CancelFunc
+	active     sync.WaitGroup
+	superseded chan struct{}
+	once       sync.Once
+	wake       chan struct{}
+
+	// appending orders the appends; sequence is the next one's number.
+	appending sync.Mutex
+	sequence  int64
+
+	mutex       sync.Mutex
+	assignments map[string]Assignment
+	// loading maps pools to the engines that are being ordered, with the model.
+	loading map[string]map[string]string
+	// sequences holds how many orders an engine has taken, as far as this process knows.
+	sequences map[string]int64
+	retryAt   map[string]time.Time
+	// usual is the smoothed time of a load.
+	usual   time.Duration
+	namedAt map[string]naming
+}
+
+// naming is a version of a model and when this process learnt of it.
+type naming struct {
+	version int64
+	at      time.Time
+}
+
+func (r *roller) run(ctx context.Context) {
+	end, err := r.append(ctx, nil)
+	if err != nil {
+		return
+	}
+	if err := r.config.Followers[r.partition.Number].WaitFor(ctx, end); err != nil {
+		return
+	}
+	r.config.Logger.Info("order lease taken over", "partition", r.partition, "epoch", r.epoch, "end", end)
+	ticker := time.NewTicker(replanEvery)
+	defer ticker.Stop()
+	cleanup := time.NewTicker(r.config.Lease)
+	defer cleanup.Stop()
+	for {
+		r.plan(ctx)
+		select {
+		case <-r.config.Catalog.Changed():
+		case <-r.wake:
+		case <-ticker.C:
+		case <-cleanup.C:
+			r.forget(ctx)
+		case <-r.superseded:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// plan starts the orders that are due in the pools of the partition.
+func (r *roller) plan(ctx context.Context) {
+	current := r.config.Catalog.Current()
+	if current == nil {
+		return
+	}
+	named := r.config.Catalog.Versions()
+	partitions := r.config.Log.Partitions(keyedlog.TopicWeights)
+	for _, pool := range current.Pools {
+		if len(pool.Models) > 0 && PartitionOf(pool.Name, partitions) == r.partition {
+			r.planPool(ctx, current, pool, named)
+		}
+	}
+}
+
+func (r *roller) planPool(ctx context.Context, current *catalog.Catalog, pool catalog.Pool, named map[string]int64) {
+	targets := make(map[string]int64, len(pool.Models))
+	for _, model := range pool.Models {
+		targets[model] = named[model]
+	}
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.noteNames(targets, now)
+	var engines []fleet.Engine
+	for _, engine := range r.config.Directory.Pool(pool.Name) {
+		if !engine.Draining {
+			engines = append(engines, engine)
+		}
+	}
+	assignment := Assign(engines, targets, r.assignments[pool.Name])
+	r.assignments[pool.Name] = assignment
+	loading := r.loading[pool.Name]
+	if loading == nil {
+		loading = make(map[string]string)
+		r.loading[pool.Name] = loading
+	}
+	ready := engines[:0:0]
+	for _, engine := range engines {
+		if !now.Before(r.retryAt[engine.ID]) && !now.Before(r.allowedAt(engine.ID)) {
+			ready = append(ready, engine)
+		}
+	}
+	mode := loadMode(current, pool.Name)
+	for _, step := range Plan(PlanInput{
+		Engines: ready, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: loadsAtOnce,
+	}) {
+		loading[step.Engine.ID] = step.Model
+		r.active.Go(func() { r.carryOut(ctx, pool.Name, step, mode) })
+	}
+}
+
+// noteNames remembers when this process learnt of each target.
+func (r *roller) noteNames(targets map[string]int64, now time.Time) {
+	for model, version := range targets {
+		if r.namedAt[model].version < version {
+			r.namedAt[model] = naming{version: version, at: now}
+		}
+	}
+}
+
+// loadMode cuts runs off, to be taken up elsewhere at once, unless the texts of some route may not mix versions.
+func loadMode(current *catalog.Catalog, pool string) engineapi.LoadMode {
+	for _, route := range current.Routes {
+		if !route.SingleVersion {
+			continue
+		}
+		for _, target := range route.Targets {
+			if target.Pool == pool {
+				return engineapi.LoadWaits
+			}
+		}
+	}
+	return engineapi.LoadCuts
+}
+
+// allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it.
+func (r *roller) allowedAt(engineID string) time.Time {
+	last, ordered := r.config.Board.last(engineID)
+	if !ordered || last.Epoch == r.epoch {
+		return time.Time{}
+	}
+	return last.seenAt.Add(sendWindow + r.config.Lease + leaseSlack)
+}
+
+// carryOut brings one engine to a version.
+func (r *roller) carryOut(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) {
+	started := time.Now()
+	served, err := r.order(ctx, pool, step, mode)
+	r.mutex.Lock()
+	delete(r.loading[pool], step.Engine.ID)
+	if served {
+		r.usual += time.Duration(loadSmoothing * float64(time.Since(started)-r.usual))
+	} else {
+		r.retryAt[step.Engine.ID] = time.Now().Add(reportEvery)
+	}
+	named := r.namedAt[step.Model]
+	r.mutex.Unlock()
+	r.config.Logger.Info("load ended", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
+		"epoch", r.epoch, "served", served, "error", err, "took", time.Since(started).Round(time.Millisecond))
+	if served && named.version == step.Version && r.config.OnRolled != nil {
+		r.config.OnRolled(time.Since(named.at))
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loadSmoothing is the weight of a new load in the usual time.
+const loadSmoothing = 0.3
+
+// errNotTaken says that an engine did not take an order.
+var errNotTaken = errors.New("order was not taken")
+
+// order announces and sends an order and waits until the engine serves the version.
+func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (bool, error) {
+	sequence, known := r.sequenceOf(step.Engine.ID)
+	if !known {
+		report, err := r.report(ctx, step.Engine)
+		if err != nil {
+			return false, err
+		}
+		if report.Versions[step.Model] >= step.Version {
+			return r.serving(ctx, pool, step)
+		}
+		sequence = report.Sequence
+		r.setSequence(step.Engine.ID, sequence)
+	}
+	until, err := r.announce(ctx, pool, step, false)
+	if err != nil {
+		return false, err
+	}
+	outcome, err := r.send(ctx, step, mode, sequence, until)
+	switch outcome {
+	case engineapi.OrderTaken:
+		r.setSequence(step.Engine.ID, sequence+1)
+	case engineapi.OrderHolds:
+		return r.serving(ctx, pool, step)
+	case engineapi.OrderUnknown:
+		r.forgetSequence(step.Engine.ID)
+	default:
+		r.forgetSequence(step.Engine.ID)
+		return false, errors.Join(errNotTaken, err)
+	}
+	if !r.awaitLoad(ctx, step, outcome == engineapi.OrderTaken) {
+		r.forgetSequence(step.Engine.ID)
+		return false, errNotTaken
+	}
+	return r.serving(ctx, pool, step)
+}
+
+// announce writes that an order is about to be sent, and returns until when it may be. The window is counted from before the
+// write, so that a successor, which sees the record later, counts a longer one.
+func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
+	record := Announcement{
+		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.epoch, Serving: serving,
+	}
+	value, err := record.MarshalMsg(nil)
+	if err != nil {
+		return time.Time{}, err
+	}
+	for {
+		started := time.Now()
+		if _, err := r.append(ctx, []keyedlog.Record{{Key: step.Engine.ID, Value: value}}); err != nil {
+			return time.Time{}, err
+		}
+		if serving || time.Since(started) < sendWindow/2 {
+			return started.Add(sendWindow), nil
+		}
+	}
+}
+
+// send sends an order, unless the window of its announcement is over: a process that was paused sends nothing.
+func (r *roller) send(
+	ctx context.Context, step Step, mode engineapi.LoadMode, sequence int64, until time.Time,
+) (engineapi.OrderOutcome, error) {
+	if deadline := time.Now().Add(orderTimeout); deadline.Before(until) {
+		until = deadline
+	}
+	callCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if callCtx.Err() != nil {
+		return engineapi.OrderRefused, callCtx.Err()
+	}
+	outcome, err := r.config.Client.Order(callCtx, step.Engine, engineapi.LoadOrder{
+		Model: step.Model, Version: step.Version, Mode: mode, Holder: r.config.Node, Fence: r.epoch,
+		ExpectedSequence: sequence,
+	})
+	r.config.Logger.Info("order sent", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
+		"epoch", r.epoch, "sequence", sequence, "outcome", outcome, "error", err)
+	return outcome, err
+}
+
+// awaitLoad asks the engine until it serves the version. An order that drew no answer and shows no sign is given up early.
+func (r *roller) awaitLoad(ctx context.Context, step Step, taken bool) bool {
+	r.mutex.Lock()
+	usual := r.usual
+	r.mutex.Unlock()
+	started := time.Now()
+	wait := time.Duration(reportFrom * float64(usual))
+	if !taken {
+		wait = reportEvery
+	}
+	for sleep(ctx, wait) {
+		wait = reportEvery
+		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
+			return false
+		} else if current.Serves(step.Model) >= step.Version {
+			return true
+		}
+		report, err := r.report(ctx, step.Engine)
+		if err == nil && report.Versions[step.Model] >= step.Version {
+			return true
+		}
+		if err == nil && !report.Busy && !taken {
+			return false
+		}
+		taken = taken || (err == nil && report.Busy)
+		if time.Since(started) > overdueLoads*usual {
+			return false
+		}
+	}
+	return false
+}
+
+// serving tells all nodes that the engine serves the version.
+func (r *roller) serving(ctx context.Context, pool string, step Step) (bool, error) {
+	r.config.Directory.SetServes(step.Engine.ID, step.Model, step.Version)
+	_, err := r.announce(ctx, pool, step, true)
+	return true, err
+}
+
+func (r *roller) report(ctx context.Context, engine fleet.Engine) (engineapi.Report, error) {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return r.config.Client.Report(callCtx, engine)
+}
+
+// append writes under the fence, again and again until the store says that it is done.
+func (r *roller) append(ctx context.Context, records []keyedlog.Record) (int64, error) {
+	r.appending.Lock()
+	defer r.appending.Unlock()
+	fence := &keyedlog.Fence{Writer: writerName, Epoch: r.epoch, Sequence: r.sequence}
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		appended, err := r.config.Log.Append(callCtx, r.partition, records, fence)
+		cancel()
+		var order *keyedlog.SequenceError
+		switch {
+		case err == nil:
+			r.sequence++
+			return appended.End, nil
+		case errors.Is(err, keyedlog.ErrFenced), errors.As(err, &order):
+			r.once.Do(func() { close(r.superseded) })
+			errorlog.Warn(r.config.Logger, "order giver is superseded", err, "partition", r.partition, "epoch", r.epoch)
+			return 0, err
+		}
+		if !sleep(ctx, appendPause) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// forget drops announcements for engines that are long gone.
+func (r *roller) forget(ctx context.Context) {
+	before := time.Now().Add(-forgetAfter * r.config.Lease)
+	var records []keyedlog.Record
+	for _, id := range r.config.Board.gone(r.partition, r.config.Log.Partitions(keyedlog.TopicWeights), before) {
+		records = append(records, keyedlog.Record{Key: id})
+	}
+	if len(records) > 0 {
+		_, _ = r.append(ctx, records)
+	}
+}
+
+// Release ends the work; orders under way are given up.
+func (r *roller) Release(context.Context) {
+	r.cancel()
+	r.active.Wait()
+}
+
+// Superseded is closed when another order giver has a higher epoch.
+func (r *roller) Superseded() <-chan struct{} {
+	return r.superseded
+}
+
+func (r *roller) sequenceOf(id string) (int64, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	sequence, known := r.sequences[id]
+	return sequence, known
+}
+
+func (r *roller) setSequence(id string, sequence int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sequences[id] = sequence
+}
+
+func (r *roller) forgetSequence(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.sequences, id)
+}
+
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
