Ask engines again once all were tried

Change: once every engine was tried, each may be tried again. Ruled out: stalls of runs, of the store and of listing (logs of the run).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -208,9 +208,8 @@
 	if time.Since(e.started) >= e.request.Patience || ctx.Err() != nil {
 		return false
 	}
-	if !e.mayHaveRun {
-		e.tried = nil
-	}
+	// Every engine was tried; from here on each may be tried again.
+	e.tried = nil
 	timer := time.NewTimer(roomPoll)
 	defer timer.Stop()
 	select {
