--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,11 +16,9 @@
 )
 
 const (
-	// answerSlack is how long a call may take beyond the time the store was asked to wait. A store that is slow answers in
-	// a few hundred milliseconds; one that has fallen silent is asked anew on another connection.
-	answerSlack = 1200 * time.Millisecond
-	retryLeast  = 40 * time.Millisecond
-	retryMost   = 250 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a call that failed. The log bounds each call.
+	retryLeast = 40 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
 )
 
 // Applier takes the records of a partition. Calls come from one goroutine.
@@ -91,9 +89,7 @@
 		// The first read asks what there is, so that the process learns at once that it is in step.
 		wait = 0
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
-	defer cancel()
-	batch, err := f.config.Log.Read(callCtx, f.config.Partition, f.next, wait)
+	batch, err := f.config.Log.Read(ctx, f.config.Partition, f.next, wait)
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		f.started = false
 		f.config.Logger.Info("store dropped records that were not read; reading the newest of each key",
@@ -148,9 +144,7 @@
 }
 
 func (f *Follower) newest(ctx context.Context, after string) (keyedlog.Page, error) {
-	callCtx, cancel := context.WithTimeout(ctx, answerSlack)
-	defer cancel()
-	return f.config.Log.Newest(callCtx, f.config.Partition, after)
+	return f.config.Log.Newest(ctx, f.config.Partition, after)
 }
 
 func (f *Follower) apply(record keyedlog.Record, recovered bool) {
--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -15,9 +15,8 @@
 const (
 	// writerName names the line of epochs of owners in a partition.
 	writerName = "owner"
-	// appendTimeout bounds one append.
-	appendTimeout = 1500 * time.Millisecond
-	appendPause   = 50 * time.Millisecond
+	// appendPause is the pause between appends that failed. The log bounds each append.
+	appendPause = 50 * time.Millisecond
 )
 
 // errSuperseded says that another owner has a higher epoch.
@@ -184,9 +183,7 @@
 func (w *writer) append(ctx context.Context, records []keyedlog.Record) (int64, error) {
 	fence := &keyedlog.Fence{Writer: writerName, Epoch: w.epoch, Sequence: w.sequence}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		appended, err := w.log.Append(callCtx, w.partition, records, fence)
-		cancel()
+		appended, err := w.log.Append(ctx, w.partition, records, fence)
 		var order *keyedlog.SequenceError
 		switch {
 		case err == nil:
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -68,10 +68,7 @@
 }
 
 const (
-	// appendTimeout bounds one append: a store that is slow takes a few hundred milliseconds, one that is silent is asked
-	// anew on another connection.
-	appendTimeout = 1500 * time.Millisecond
-	// appendPause is the pause between appends that failed.
+	// appendPause is the pause between appends that failed. The log bounds each append.
 	appendPause = 60 * time.Millisecond
 	// confirmTimeout bounds the reads that prove that a job does not exist.
 	confirmTimeout = 700 * time.Millisecond
@@ -159,10 +156,7 @@
 			size += next
 			count++
 		}
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := s.config.Log.Append(callCtx, partition, records[:count], nil)
-		cancel()
-		if err != nil {
+		if _, err := s.config.Log.Append(ctx, partition, records[:count], nil); err != nil {
 			return err
 		}
 		records = records[count:]
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -118,7 +118,7 @@
 	Partitions []Partition
 }
 
-// Log is the store.
+// Log is the store. Calls last until the store answers or the context ends; package storetimeout bounds them.
 type Log interface {
 	// Partitions returns how many partitions a topic has.
 	Partitions(topic Topic) int
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -75,7 +75,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		m.join(ctx, interval)
+		m.join(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -85,11 +85,9 @@
 	}
 }
 
-func (m *Manager) join(ctx context.Context, interval time.Duration) {
+func (m *Manager) join(ctx context.Context) {
 	sent := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, max(interval, m.config.Lifetime-interval))
-	defer cancel()
-	membership, err := m.config.Log.Join(callCtx, keyedlog.JoinRequest{
+	membership, err := m.config.Log.Join(ctx, keyedlog.JoinRequest{
 		Group: m.config.Group, Member: m.config.Member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
 		Generation: m.generation,
 	})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/storetimeout"
 	"github.com/hillfork/hillfork/internal/weightroll"
 )
 
@@ -56,6 +57,7 @@
 
 // New returns a replica; Run starts it.
 func New(config Config) *Replica {
+	config.Log = storetimeout.New(config.Log)
 	r := &Replica{
 		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), ledger: job.NewLedger(),
 		metrics: newMetrics(),
--- /dev/null
+++ b/internal/storetimeout/log.go
@@ -0,0 +1,73 @@
+package storetimeout
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// readSlack is how long a read that the store holds open may take beyond the time it was asked to wait.
+const readSlack = 300 * time.Millisecond
+
+// Log is a log whose calls are bounded by how long the store has lately taken.
+type Log struct {
+	keyedlog.Log
+	writes estimator
+	reads  estimator
+	groups estimator
+}
+
+// New bounds the calls of a log.
+func New(log keyedlog.Log) *Log {
+	return &Log{Log: log}
+}
+
+// bound makes a call under the timeout of an estimator.
+func bound[T any](ctx context.Context, estimator *estimator, call func(ctx context.Context) (T, error)) (T, error) {
+	allowed := estimator.timeout()
+	callCtx, cancel := context.WithTimeout(ctx, allowed)
+	defer cancel()
+	started := time.Now()
+	answer, err := call(callCtx)
+	switch {
+	case err == nil || errors.Is(err, keyedlog.ErrFenced):
+		estimator.answered(time.Since(started))
+	case ctx.Err() == nil && callCtx.Err() != nil:
+		estimator.expired(allowed)
+	}
+	return answer, err
+}
+
+// Append adds records to a partition, within the time that appends take.
+func (l *Log) Append(
+	ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record, fence *keyedlog.Fence,
+) (keyedlog.Appended, error) {
+	return bound(ctx, &l.writes, func(ctx context.Context) (keyedlog.Appended, error) {
+		return l.Log.Append(ctx, partition, records, fence)
+	})
+}
+
+// Newest returns a page of the newest records, within the time that pages take.
+func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
+	return bound(ctx, &l.reads, func(ctx context.Context) (keyedlog.Page, error) {
+		return l.Log.Newest(ctx, partition, afterKey)
+	})
+}
+
+// Read returns records, within the time that the store was asked to wait and what pages take.
+func (l *Log) Read(
+	ctx context.Context, partition keyedlog.Partition, from int64, wait time.Duration,
+) (keyedlog.Batch, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+readSlack+l.reads.timeout())
+	defer cancel()
+	return l.Log.Read(callCtx, partition, from, wait)
+}
+
+// Join joins a group or remains in it, within the time that joins take.
+func (l *Log) Join(ctx context.Context, request keyedlog.JoinRequest) (keyedlog.Membership, error) {
+	return bound(ctx, &l.groups, func(ctx context.Context) (keyedlog.Membership, error) {
+		return l.Log.Join(ctx, request)
+	})
+}
--- /dev/null
+++ b/internal/storetimeout/storetimeout_test.go
@@ -0,0 +1,93 @@
+package storetimeout
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+var partition = keyedlog.Partition{Topic: keyedlog.TopicJobs}
+
+// appendOnce makes one append and returns how long it took.
+func appendOnce(t *testing.T, log keyedlog.Log) (time.Duration, error) {
+	started := time.Now()
+	_, err := log.Append(t.Context(), partition, []keyedlog.Record{{Key: "k", Value: []byte("v")}}, nil)
+	return time.Since(started), err
+}
+
+// TestALostAnswerCostsLittle checks that a caller of a quick store waits briefly for an answer that doesn't come, and longer
+// each time, up to what a slow store takes.
+func TestALostAnswerCostsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		log := New(store.For("node"))
+		for range 20 {
+			_, err := appendOnce(t, log)
+			is.NoErr(err)
+		}
+		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Silent })
+		var waits []time.Duration
+		for range 8 {
+			took, err := appendOnce(t, log)
+			is.True(err != nil)
+			waits = append(waits, took)
+		}
+		is.Equal(waits[0], least)
+		for i := 1; i < len(waits); i++ {
+			is.True(waits[i] >= waits[i-1])
+		}
+		is.Equal(waits[len(waits)-1], most)
+		store.Heal()
+		_, err := appendOnce(t, log)
+		is.NoErr(err)
+		is.Equal(log.writes.timeout(), least)
+	})
+}
+
+// TestASlowStoreIsWaitedFor checks that a store that has become sixty times slower is served again after few calls that
+// were given up too early.
+func TestASlowStoreIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		quick := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		slow := memorylog.New(memorylog.Config{Partitions: 1, Delay: 300 * time.Millisecond})
+		log := New(quick.For("node"))
+		for range 20 {
+			_, err := appendOnce(t, log)
+			is.NoErr(err)
+		}
+		log.Log = slow.For("node")
+		failures := 0
+		for range 10 {
+			if _, err := appendOnce(t, log); err != nil {
+				failures++
+			}
+		}
+		is.True(failures <= 3)
+	})
+}
+
+// TestRefusalsAreNoTimeouts checks that a store that refuses at once does not lengthen the wait.
+func TestRefusalsAreNoTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		log := New(store.For("node"))
+		for range 20 {
+			_, err := appendOnce(t, log)
+			is.NoErr(err)
+		}
+		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+		for range 10 {
+			_, err := appendOnce(t, log)
+			is.True(errors.Is(err, keyedlog.ErrNotDone))
+		}
+		is.Equal(log.writes.timeout(), least)
+	})
+}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -29,7 +29,6 @@
 	// orderTimeout bounds the answer to an order, reportTimeout that to a report.
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
-	appendTimeout = 900 * time.Millisecond
 	appendPause   = 50 * time.Millisecond
 	// reportEvery is how often an engine that loads is asked whether it is done.
 	reportEvery = 150 * time.Millisecond
@@ -395,9 +394,7 @@
 	defer r.appending.Unlock()
 	fence := &keyedlog.Fence{Writer: writerName, Epoch: r.epoch, Sequence: r.sequence}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		appended, err := r.config.Log.Append(callCtx, r.partition, records, fence)
-		cancel()
+		appended, err := r.config.Log.Append(ctx, r.partition, records, fence)
 		var order *keyedlog.SequenceError
 		switch {
 		case err == nil:
