Measure how long engines take to load at the engines alone

Change: the time counts from the order to the engine's word; a load that was over at the first question shortens the next wait; telling the store holds up no further order. Tests: rolls, outages, late orders, and order givers that take over from each other while cut off. Ruled out: slow engines, refused orders (none in the logs).

--- /dev/null
+++ b/internal/weightroll/plan_test.go
@@ -0,0 +1,83 @@
+package weightroll
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func engines(count int, versions map[string]int64) []fleet.Engine {
+	var engines []fleet.Engine
+	for i := range count {
+		engines = append(engines, fleet.Engine{
+			ID: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%3), Slots: 8, Versions: versions,
+		})
+	}
+	return engines
+}
+
+func TestPlanLoadsAFewAtOnceOfEveryModel(t *testing.T) {
+	is := is.New(t)
+	old := map[string]int64{"a": 1, "b": 1}
+	targets := map[string]int64{"a": 2, "b": 2}
+	pool := engines(6, old)
+	assignment := Assign(pool, targets, nil)
+	steps := Plan(PlanInput{Engines: pool, Targets: targets, Assignment: assignment, AtOnce: 2})
+	is.Equal(len(steps), 2)
+	is.True(steps[0].Model != steps[1].Model)
+	is.True(steps[0].Engine.ID != steps[1].Engine.ID)
+
+	loading := map[string]string{steps[0].Engine.ID: steps[0].Model, steps[1].Engine.ID: steps[1].Model}
+	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: 2})), 0)
+}
+
+func TestPlanLeavesEnginesThatAreUpToDateOrLeaving(t *testing.T) {
+	is := is.New(t)
+	pool := engines(3, map[string]int64{"a": 2})
+	pool[1].Draining = true
+	pool[1].Versions = map[string]int64{"a": 1}
+	targets := map[string]int64{"a": 2}
+	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil), AtOnce: 9})), 0)
+}
+
+// TestAssignIsEvenAndSticky checks, for any pool and any change of it, that models have numbers of engines that differ by
+// one at most, and that no more engines change their model than evenness asks.
+func TestAssignIsEvenAndSticky(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := rapid.IntRange(1, 4).Draw(t, "models")
+		targets := make(map[string]int64)
+		for i := range models {
+			targets[fmt.Sprint("m", i)] = int64(rapid.IntRange(1, 5).Draw(t, "target"))
+		}
+		pool := engines(rapid.IntRange(models, 12).Draw(t, "engines"), nil)
+		first := Assign(pool, targets, nil)
+		checkEven(t, first, pool, models)
+		left := pool[rapid.IntRange(0, len(pool)-models).Draw(t, "gone"):]
+		second := Assign(left, targets, first)
+		checkEven(t, second, left, models)
+		if again := Assign(left, targets, second); fmt.Sprint(again) != fmt.Sprint(second) {
+			t.Fatalf("an even assignment changed: %v to %v", second, again)
+		}
+	})
+}
+
+func checkEven(t *rapid.T, assignment Assignment, pool []fleet.Engine, models int) {
+	counts := make(map[string]int)
+	for _, engine := range pool {
+		model, ok := assignment[engine.ID]
+		if !ok {
+			t.Fatalf("%s has no model", engine.ID)
+		}
+		counts[model]++
+	}
+	least, most := len(pool), 0
+	for _, count := range counts {
+		least, most = min(least, count), max(most, count)
+	}
+	if len(counts) != models || most-least > 1 {
+		t.Fatalf("uneven: %v", counts)
+	}
+}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -34,6 +34,10 @@
 	reportEvery = 150 * time.Millisecond
 	// reportFrom is the part of the usual load time after which it is asked first.
 	reportFrom = 0.9
+	// loadSmoothing is the weight of a new load in the usual time; loadShortening applies when it was over at the first
+	// question.
+	loadSmoothing  = 0.3
+	loadShortening = 0.95
 	// overdueLoads is how many usual load times an order may take before it is planned anew.
 	overdueLoads = 4
 	// replanEvery is how often the plan is looked at when nothing is known to have changed.
@@ -80,7 +84,7 @@
 	r := &roller{
 		config: h.config, partition: partition, epoch: epoch, cancel: cancel, superseded: make(chan struct{}),
 		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
-		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1), turn: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
 	}
 	r.active.Go(func() { r.run(runCtx) })
@@ -98,9 +102,9 @@
 	once       sync.Once
 	wake       chan struct{}
 
-	// appending orders the appends; sequence is the next one's number.
-	appending sync.Mutex
-	sequence  int64
+	// turn is taken by the one append that is under way; sequence is that append's number.
+	turn     chan struct{}
+	sequence int64
 
 	mutex       sync.Mutex
 	assignments map[string]Assignment
@@ -240,9 +244,7 @@
 	served, err := r.order(ctx, pool, step, mode)
 	r.mutex.Lock()
 	delete(r.loading[pool], step.Engine.ID)
-	if served {
-		r.usual += time.Duration(loadSmoothing * float64(time.Since(started)-r.usual))
-	} else {
+	if !served {
 		r.retryAt[step.Engine.ID] = time.Now().Add(reportEvery)
 	}
 	named := r.namedAt[step.Model]
@@ -258,9 +260,6 @@
 	}
 }
 
-// loadSmoothing is the weight of a new load in the usual time.
-const loadSmoothing = 0.3
-
 // errNotTaken says that an engine did not take an order.
 var errNotTaken = errors.New("order was not taken")
 
@@ -353,7 +352,7 @@
 	if !taken {
 		wait = reportEvery
 	}
-	for sleep(ctx, wait) {
+	for polls := 0; sleep(ctx, wait); polls++ {
 		wait = reportEvery
 		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
 			return false
@@ -362,6 +361,9 @@
 		}
 		report, err := r.report(ctx, step.Engine)
 		if err == nil && report.Versions[step.Model] >= step.Version {
+			if taken {
+				r.learnLoad(time.Since(started), polls)
+			}
 			return true
 		}
 		if err == nil && !report.Busy && !taken {
@@ -375,11 +377,27 @@
 	return false
 }
 
-// serving tells all nodes that the engine serves the version.
+// learnLoad takes how long a load took. One that was done when the engine was first asked may have been shorter than that, so
+// the engine is asked earlier next time.
+func (r *roller) learnLoad(took time.Duration, polls int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if polls == 0 {
+		r.usual = max(reportEvery, time.Duration(loadShortening*float64(r.usual)))
+		return
+	}
+	r.usual += time.Duration(loadSmoothing * float64(took-r.usual))
+}
+
+// serving tells all nodes that the engine serves the version. The next order need not wait for that.
 func (r *roller) serving(ctx context.Context, pool string, step Step) (bool, error) {
 	r.config.Directory.SetServes(step.Engine.ID, step.Model, step.Version)
-	_, err := r.announce(ctx, pool, step, true)
-	return true, err
+	r.active.Go(func() {
+		if _, err := r.announce(ctx, pool, step, true); err != nil && ctx.Err() == nil {
+			errorlog.Warn(r.config.Logger, "served version is not announced", err, "engine", step.Engine.ID)
+		}
+	})
+	return true, nil
 }
 
 func (r *roller) report(ctx context.Context, engine fleet.Engine) (engineapi.Report, error) {
@@ -390,8 +408,12 @@
 
 // append writes under the fence, again and again until the store says that it is done.
 func (r *roller) append(ctx context.Context, records []keyedlog.Record) (int64, error) {
-	r.appending.Lock()
-	defer r.appending.Unlock()
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
 	fence := &keyedlog.Fence{Writer: writerName, Epoch: r.epoch, Sequence: r.sequence}
 	for {
 		appended, err := r.config.Log.Append(ctx, r.partition, records, fence)
--- /dev/null
+++ b/internal/weightroll/roller_test.go
@@ -0,0 +1,297 @@
+package weightroll
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/hillfork/hillfork/internal/storetimeout"
+	"github.com/matryer/is"
+)
+
+const (
+	poolName = "pool"
+	model    = "m"
+	lease    = 3 * time.Second
+	loadTime = 900 * time.Millisecond
+)
+
+// world is a store and engines, before any number of nodes that may order them.
+type world struct {
+	store   *memorylog.Store
+	engines *memoryengine.Engines
+	pool    []fleet.Engine
+	ctx     context.Context
+	running *sync.WaitGroup
+}
+
+func newWorld(t *testing.T, count int) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{
+		store: memorylog.New(memorylog.Config{Partitions: 2, Delay: 5 * time.Millisecond}), engines: memoryengine.New(),
+		ctx: ctx, running: new(sync.WaitGroup),
+	}
+	for i := range count {
+		engine := fleet.Engine{
+			ID: fmt.Sprint("engine", i), Pool: poolName, Slots: 8, Zone: fmt.Sprint(i % 3), Versions: map[string]int64{model: 1},
+		}
+		w.pool = append(w.pool, engine)
+		w.engines.Add(engine, memoryengine.Behaviour{Load: loadTime})
+	}
+	t.Cleanup(func() {
+		cancel()
+		w.running.Wait()
+	})
+	return w
+}
+
+// node is a process that may order engines.
+type node struct {
+	world   *world
+	name    string
+	holder  *Holder
+	catalog *catalog.Holder
+	work    ownership.Work
+	cancel  context.CancelFunc
+}
+
+type boardApplier struct{ board *Board }
+
+func (a boardApplier) Apply(record keyedlog.Record, _ bool) { _ = a.board.Apply(record) }
+func (a boardApplier) Advanced(int64)                       {}
+
+func (w *world) node(name string) *node {
+	directory := fleet.NewDirectory()
+	for _, engine := range w.pool {
+		directory.Upsert(engine)
+	}
+	logger := log.New(io.Discard)
+	board := NewBoard(directory)
+	bounded := storetimeout.New(w.store.For(name))
+	var followers []Follower
+	for number := range 2 {
+		follower := follow.New(follow.Config{
+			Log: bounded, Partition: keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number},
+			Applier: boardApplier{board}, Wait: time.Second, Logger: logger,
+		})
+		followers = append(followers, follower)
+		w.running.Go(func() { follower.Run(w.ctx) })
+	}
+	n := &node{world: w, name: name, catalog: catalog.NewHolder()}
+	n.catalog.Set(catalog.New(1, nil, map[string]catalog.Pool{poolName: {Name: poolName, Models: []string{model}}}, catalog.Limits{}))
+	n.holder = NewHolder(Config{
+		Log: bounded, Followers: followers, Board: board, Catalog: n.catalog, Directory: directory, Client: w.engines,
+		Node: name, Lease: lease, Logger: logger,
+	})
+	return n
+}
+
+// own makes the node the order giver under an epoch.
+func (n *node) own(epoch int64) {
+	ctx, cancel := context.WithCancel(n.world.ctx)
+	n.cancel = cancel
+	n.work = n.holder.Gained(ctx, PartitionOf(poolName, 2), epoch)
+}
+
+func (n *node) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	n.work.Release(ctx)
+	n.cancel()
+}
+
+// versions returns the versions that the engines serve.
+func (w *world) versions() []int64 {
+	var versions []int64
+	for _, engine := range w.pool {
+		versions = append(versions, w.engines.Version(engine.ID, model))
+	}
+	return versions
+}
+
+func TestARollTakesTwoAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 8)
+		only := w.node("only")
+		only.own(1)
+		only.catalog.SetVersion(model, 2)
+		time.Sleep(4*loadTime + time.Second)
+		is.Equal(w.versions(), []int64{2, 2, 2, 2, 2, 2, 2, 2})
+		orders := w.engines.Orders()
+		is.Equal(len(orders), 8)
+		for i := 2; i < len(orders); i++ {
+			is.True(orders[i].At.Sub(orders[i-2].At) >= loadTime)
+		}
+		only.release()
+	})
+}
+
+// TestAnOutageOfTheStoreDoesNotSlowLaterLoads is the fault found on platform_down days: the time that the store took was
+// counted as the engines', and every later load was asked for after several seconds.
+func TestAnOutageOfTheStoreDoesNotSlowLaterLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 8)
+		only := w.node("only")
+		only.own(1)
+		only.catalog.SetVersion(model, 2)
+		time.Sleep(loadTime / 2)
+		w.store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+		time.Sleep(10 * time.Second)
+		w.store.Heal()
+		time.Sleep(4*loadTime + time.Second)
+		is.Equal(w.versions(), []int64{2, 2, 2, 2, 2, 2, 2, 2})
+		only.release()
+	})
+}
+
+// TestLateOrdersChangeNothing checks that orders that drew no answer and are carried out seconds later do not bring an engine
+// back to an older version.
+func TestLateOrdersChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		for _, engine := range w.pool {
+			w.engines.Behave(engine.ID, memoryengine.Behaviour{Load: loadTime, LoseOrders: true, LateOrders: 8 * time.Second})
+		}
+		only := w.node("only")
+		only.own(1)
+		only.catalog.SetVersion(model, 2)
+		time.Sleep(2 * time.Second)
+		for _, engine := range w.pool {
+			w.engines.Behave(engine.ID, memoryengine.Behaviour{Load: loadTime})
+		}
+		time.Sleep(3 * time.Second)
+		is.Equal(w.versions(), []int64{2, 2})
+		only.catalog.SetVersion(model, 3)
+		time.Sleep(3 * time.Second)
+		is.Equal(w.versions(), []int64{3, 3})
+		time.Sleep(20 * time.Second)
+		is.Equal(w.versions(), []int64{3, 3})
+		only.release()
+	})
+}
+
+// TestNoEngineHearsTwoHoldersWithinALease lets order givers take over from each other at any moment, some of them cut off
+// from the store without knowing, and judges by what engines met alone.
+func TestNoEngineHearsTwoHoldersWithinALease(t *testing.T) {
+	for seed := range int64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playTakeovers(t, rand.New(rand.NewSource(seed)))
+			})
+		})
+	}
+}
+
+func playTakeovers(t *testing.T, random *rand.Rand) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	nodes := []*node{w.node("a"), w.node("b"), w.node("c")}
+	silenced := make(map[string]bool)
+	var mutex sync.Mutex
+	losses := rand.New(rand.NewSource(random.Int63()))
+	w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+		mutex.Lock()
+		defer mutex.Unlock()
+		switch {
+		case silenced[call.Caller]:
+			return memorylog.Silent
+		case call.Operation == "append" && losses.Intn(10) == 0:
+			return memorylog.LostAfter
+		default:
+			return memorylog.None
+		}
+	})
+	version := int64(1)
+	var held []*node
+	for epoch := range int64(8) {
+		next := nodes[random.Intn(len(nodes))]
+		if slices.Contains(held, next) {
+			next.release()
+			held = slices.DeleteFunc(held, func(n *node) bool { return n == next })
+		}
+		mutex.Lock()
+		for _, other := range nodes {
+			// An old holder may be cut off, and so go on believing.
+			silenced[other.name] = other != next && random.Intn(2) == 0
+		}
+		mutex.Unlock()
+		next.own(epoch + 1)
+		held = append(held, next)
+		for range 1 + random.Intn(3) {
+			version++
+			for _, each := range nodes {
+				each.catalog.SetVersion(model, version)
+			}
+			time.Sleep(time.Duration(random.Intn(3000)) * time.Millisecond)
+		}
+	}
+	mutex.Lock()
+	clear(silenced)
+	mutex.Unlock()
+	time.Sleep(3*lease + 10*time.Second)
+	for _, served := range w.versions() {
+		is.Equal(served, version)
+	}
+	judgeOrders(t, w.engines.Orders())
+	for _, each := range held {
+		each.release()
+	}
+}
+
+// judgeOrders checks what a platform checks: orders of two holders to one engine lie a lease apart, no two holders share a
+// fence, and fences never fall.
+func judgeOrders(t *testing.T, orders []memoryengine.Order) {
+	last := make(map[string]memoryengine.Order)
+	for _, order := range orders {
+		before, known := last[order.Engine]
+		last[order.Engine] = order
+		if !known || before.Holder == order.Holder {
+			continue
+		}
+		if apart := order.At.Sub(before.At); apart < lease {
+			t.Errorf("%s heard %s and %s within %v", order.Engine, before.Holder, order.Holder, apart)
+		}
+		if order.Fence <= before.Fence {
+			t.Errorf("%s heard fence %d of %s after %d of %s", order.Engine, order.Fence, order.Holder, before.Fence, before.Holder)
+		}
+	}
+}
+
+// TestGarbageOnTheBoardIsSkipped feeds records that nobody of ours wrote.
+func TestGarbageOnTheBoardIsSkipped(t *testing.T) {
+	is := is.New(t)
+	board := NewBoard(fleet.NewDirectory())
+	is.True(board.Apply(keyedlog.Record{Key: "e", Value: []byte{0xc1}}) != nil)
+	_, known := board.last("e")
+	is.True(!known)
+	is.NoErr(board.Apply(keyedlog.Record{Key: "e"}))
+}
+
+func FuzzBoard(f *testing.F) {
+	valid, err := (&Announcement{EngineID: "e", Model: "m", Version: 3}).MarshalMsg(nil)
+	if err != nil {
+		f.Fatal(errors.New("does not encode"))
+	}
+	f.Add(valid)
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		_ = NewBoard(fleet.NewDirectory()).Apply(keyedlog.Record{Key: "e", Value: value})
+	})
+}
