Keep what a superseded owner has finished, and text of groups that come again

Cause: after an outage in which leases lapse, partitions are dealt anew; the old owner was fenced before it could list what it had finished meanwhile, and the new one ran all items again (log: 44 open items at takeover, 6.5 s after submission). Joins waited up to 2 s for a store that had come back. The preference for carried groups was a stub. Change: an owner that loses a partition keeps the progress of its items without a fence, whole texts and scores included, and the new owner takes over what is further than its own. Joins wait half a lifetime at most; a follower that lost the store asks without waiting until it is back. Groups seen in an earlier job go first and start from the text that is kept.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -85,8 +85,8 @@
 		return f.catchUp(ctx)
 	}
 	wait := f.config.Wait
-	if !f.CaughtUp() {
-		// The first read asks what there is, so that the process learns at once that it is in step.
+	if !f.inStep() {
+		// Ask what there is, so that the process learns at once that it is in step, or that the store is back.
 		wait = 0
 	}
 	batch, err := f.config.Log.Read(ctx, f.config.Partition, f.next, wait)
@@ -191,6 +191,13 @@
 		"partition", f.config.Partition, "confirmed_ago", time.Since(confirmed).Round(time.Millisecond))
 }
 
+// inStep tells whether the last call succeeded and everything was applied once.
+func (f *Follower) inStep() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.caughtUp && f.connected
+}
+
 // CaughtUp tells whether everything that was in the partition at some moment has been applied.
 func (f *Follower) CaughtUp() bool {
 	f.mutex.Lock()
--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -19,7 +19,9 @@
 	listed   map[string]int
 	visible  int
 	progress map[string]*Progress
-	ended    bool
+	// progressed counts the progress taken.
+	progressed int
+	ended      bool
 	// acceptedAt is when the job was accepted, by this process's steady clock. estimated says that it was worked out from
 	// the time of day.
 	acceptedAt time.Time
@@ -196,12 +198,25 @@
 		return err
 	}
 	found := f.job(jobID)
-	if _, listed := found.listed[progress.ItemID]; !listed && !found.ended {
-		found.progress[progress.ItemID] = progress
+	if _, listed := found.listed[progress.ItemID]; listed || found.ended {
+		return nil
+	}
+	if known, ok := found.progress[progress.ItemID]; ok && !progress.Further(known) {
+		return nil
 	}
+	found.progress[progress.ItemID] = progress
+	found.progressed++
 	return nil
 }
 
+// Further tells whether progress is worth more than what is known.
+func (p *Progress) Further(known *Progress) bool {
+	if p.Whole != known.Whole {
+		return p.Whole
+	}
+	return len(p.Events) > len(known.Events) || p.Score != "" && known.Score == ""
+}
+
 // drop forgets what a dropped key held. A job is forgotten with its submission.
 func (f *fold) drop(key parsedKey) {
 	if key.part >= 0 {
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -66,7 +66,9 @@
 	Partition int
 	// Listed counts the results that can be read.
 	Listed int
-	Ended  bool
+	// Progressed counts the progress of items taken so far.
+	Progressed int
+	Ended      bool
 	// AcceptedAt is when the job was accepted; Estimated says that it rests on the time of day of another process.
 	AcceptedAt time.Time
 	Estimated  bool
@@ -88,7 +90,7 @@
 
 func (s *state) view(partition int) View {
 	return View{
-		Spec: s.spec, Partition: partition, Listed: s.visible, Ended: s.ended, AcceptedAt: s.acceptedAt,
+		Spec: s.spec, Partition: partition, Listed: s.visible, Progressed: s.progressed, Ended: s.ended, AcceptedAt: s.acceptedAt,
 		Estimated: s.estimated, Changed: s.changed,
 	}
 }
@@ -180,19 +182,32 @@
 	return views
 }
 
-// OpenCount returns how many items of open jobs of each model are not listed, over all partitions.
-func (l *Ledger) OpenCount() map[string]int {
+// Seen tells whether an item was in another job of a partition.
+func (l *Ledger) Seen(partition int, jobID, itemID string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	counts := make(map[string]int)
-	for _, found := range l.folds {
-		for _, job := range found.jobs {
-			if job.spec != nil && !job.ended {
-				counts[job.spec.Model] += len(job.spec.Items) - len(job.listed)
-			}
+	for id, found := range l.fold(partition).jobs {
+		if _, seen := found.index[itemID]; seen && id != jobID {
+			return true
+		}
+	}
+	return false
+}
+
+// Text returns the whole text of an item that was listed in another job of a partition, as progress without a score, nil if
+// there is none.
+func (l *Ledger) Text(partition int, jobID, itemID string) *Progress {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id, found := range l.fold(partition).jobs {
+		position, listed := found.listed[itemID]
+		if id == jobID || !listed || found.results[position].Dead {
+			continue
 		}
+		result := found.results[position]
+		return &Progress{ItemID: itemID, Events: []string{result.Text}, Versions: result.Versions, Whole: true}
 	}
-	return counts
+	return nil
 }
 
 // Expired returns the keys of the jobs of a partition that were accepted before a moment.
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -57,11 +57,15 @@
 	Score    string  `msg:"score"`
 }
 
-// Progress is how far an item has come that is not listed yet, so that its next owner goes on from there.
+// Progress is how far an item has come that is not listed yet, so that its next owner goes on from there. It is a hint that
+// anyone who has run the item may write: whatever is kept is a true beginning of the item's output.
 type Progress struct {
 	ItemID   string   `msg:"item"`
 	Events   []string `msg:"events"`
 	Versions []int64  `msg:"versions"`
 	// Failures counts answers of the engine that the attempt failed.
 	Failures int `msg:"failures"`
+	// Whole says that the events are all there are; Score is the scorer's word on them, empty if it was not asked yet.
+	Whole bool   `msg:"whole"`
+	Score string `msg:"score"`
 }
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -462,6 +462,18 @@
 				err = msgp.WrapError(err, "Failures")
 				return
 			}
+		case "whole":
+			z.Whole, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "score":
+			z.Score, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Score")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -475,9 +487,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Progress) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 6
 	// write "item"
-	err = en.Append(0x84, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+	err = en.Append(0x86, 0xa4, 0x69, 0x74, 0x65, 0x6d)
 	if err != nil {
 		return
 	}
@@ -530,15 +542,35 @@
 		err = msgp.WrapError(err, "Failures")
 		return
 	}
+	// write "whole"
+	err = en.Append(0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	// write "score"
+	err = en.Append(0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Score)
+	if err != nil {
+		err = msgp.WrapError(err, "Score")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Progress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "item"
-	o = append(o, 0x84, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+	o = append(o, 0x86, 0xa4, 0x69, 0x74, 0x65, 0x6d)
 	o = msgp.AppendString(o, z.ItemID)
 	// string "events"
 	o = append(o, 0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
@@ -555,6 +587,12 @@
 	// string "failures"
 	o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Failures)
+	// string "whole"
+	o = append(o, 0xa5, 0x77, 0x68, 0x6f, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Whole)
+	// string "score"
+	o = append(o, 0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
+	o = msgp.AppendString(o, z.Score)
 	return
 }
 
@@ -626,6 +664,18 @@
 				err = msgp.WrapError(err, "Failures")
 				return
 			}
+		case "whole":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		case "score":
+			z.Score, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Score")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -644,7 +694,7 @@
 	for za0001 := range z.Events {
 		s += msgp.StringPrefixSize + len(z.Events[za0001])
 	}
-	s += 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 9 + msgp.IntSize
+	s += 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 9 + msgp.IntSize + 6 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Score)
 	return
 }
 
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -60,7 +60,13 @@
 	versions []int64
 	failures int
 	kept     int
-	settled  bool
+	// whole says that the events are all there are, score is the scorer's word on them.
+	whole   bool
+	score   string
+	settled bool
+	// pending is progress of another owner that is to be taken over; interrupt ends the run under way.
+	pending   *job.Progress
+	interrupt context.CancelFunc
 
 	// Only the goroutine of run touches these.
 	engine    fleet.Engine
@@ -78,14 +84,59 @@
 		rank: Rank{Accepted: view.AcceptedAt, Carried: carried, Length: open.Item.LengthHint},
 	}
 	if open.Progress != nil && fits(open.Progress.Versions, view.Spec.MinVersion) {
-		e.events = open.Progress.Events
-		e.versions = open.Progress.Versions
-		e.failures = open.Progress.Failures
-		e.kept = len(e.events)
+		e.takeOver(open.Progress)
 	}
 	return e
 }
 
+// takeOver makes progress the item's own.
+func (e *execution) takeOver(progress *job.Progress) {
+	e.events = slices.Clone(progress.Events)
+	e.versions = slices.Clone(progress.Versions)
+	e.failures = max(e.failures, progress.Failures)
+	e.whole, e.score = progress.Whole, progress.Score
+	e.kept = len(e.events)
+}
+
+// adopt takes progress of another owner over, if it is further than the item's own.
+func (e *execution) adopt(progress *job.Progress) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.settled || e.whole || !fits(progress.Versions, e.view.Spec.MinVersion) {
+		return
+	}
+	if !progress.Whole && len(progress.Events) <= len(e.events) {
+		return
+	}
+	e.pending = progress
+	if e.interrupt != nil {
+		e.interrupt()
+	}
+}
+
+// takePending takes over what was adopted, and tells whether the text is whole.
+func (e *execution) takePending() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.pending != nil {
+		e.takeOver(e.pending)
+		e.pending = nil
+	}
+	return e.whole
+}
+
+// interruptible returns a context that adopt can end.
+func (e *execution) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
+	runCtx, cancel := context.WithCancel(ctx)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.interrupt = cancel
+	if e.pending != nil {
+		cancel()
+	}
+	return runCtx, cancel
+}
+
 func fits(versions []int64, least int64) bool {
 	for _, version := range versions {
 		if version < least {
@@ -146,9 +197,19 @@
 	if !e.generate(ctx) {
 		return dead
 	}
-	score, ok := e.score(ctx)
-	if !ok {
-		return dead
+	e.mutex.Lock()
+	e.whole = true
+	score := e.score
+	e.mutex.Unlock()
+	if score == "" {
+		asked, ok := e.askScorer(ctx)
+		if !ok {
+			return dead
+		}
+		e.mutex.Lock()
+		e.score = asked
+		e.mutex.Unlock()
+		score = asked
 	}
 	return &job.Result{
 		ItemID: e.item.ID, Text: strings.Join(e.events, "\n"), Versions: slices.Clone(e.versions), Score: score,
@@ -158,6 +219,9 @@
 // generate runs the item on engines until its text is whole. It returns false if the item is given up.
 func (e *execution) generate(ctx context.Context) bool {
 	for ctx.Err() == nil {
+		if e.takePending() {
+			return true
+		}
 		route, ok := e.route()
 		if !ok || len(route.Targets) == 0 {
 			if e.runner.config.Catalog.Current() != nil {
@@ -167,12 +231,15 @@
 			sleep(ctx, retryMost)
 			continue
 		}
-		engine, err := e.runner.config.Queue.Acquire(ctx, e.rank, e.want(route))
+		runCtx, cancel := e.interruptible(ctx)
+		engine, err := e.runner.config.Queue.Acquire(runCtx, e.rank, e.want(route))
 		if err != nil {
-			return false
+			cancel()
+			continue
 		}
 		before := len(e.events)
-		result := e.runOn(ctx, engine, route)
+		result := e.runOn(runCtx, engine, route)
+		cancel()
 		e.runner.config.Directory.Release(engine.ID)
 		if done, whole := e.judge(ctx, route, result); done {
 			return whole
@@ -367,8 +434,8 @@
 	e.fruitless++
 }
 
-// score has the text scored. It returns false if the item is given up.
-func (e *execution) score(ctx context.Context) (string, bool) {
+// askScorer has the text scored. It returns false if the item is given up.
+func (e *execution) askScorer(ctx context.Context) (string, bool) {
 	scorer := e.item.Scorer
 	if scorer == nil {
 		return "", true
@@ -409,18 +476,23 @@
 	}
 }
 
-// checkpoint returns how far the item has come, and whether that is worth keeping: unless all is set, only once events have
-// been there for a whole checkpoint.
+// checkpoint returns how far the item has come, and whether that is worth keeping. Unless all is set, an item that is about to
+// be listed is not, nor one of few events.
 func (e *execution) checkpoint(all bool) (job.Progress, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.settled || len(e.events) == e.kept || (!all && e.kept == 0 && len(e.events) < checkpointEvents) {
+	progress := job.Progress{
+		ItemID: e.item.ID, Events: slices.Clone(e.events), Versions: slices.Clone(e.versions), Failures: e.failures,
+		Whole: e.whole, Score: e.score,
+	}
+	if all {
+		return progress, len(e.events) > e.kept || e.whole
+	}
+	if e.settled || e.whole || len(e.events) == e.kept || e.kept == 0 && len(e.events) < checkpointEvents {
 		return job.Progress{}, false
 	}
 	e.kept = len(e.events)
-	return job.Progress{
-		ItemID: e.item.ID, Events: slices.Clone(e.events), Versions: slices.Clone(e.versions), Failures: e.failures,
-	}, true
+	return progress, true
 }
 
 // checkpointEvents is how many events a first checkpoint holds at least: shorter items run again as quickly.
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -62,7 +62,7 @@
 	runner := &runner{
 		config: h.config, partition: partition, cancel: cancel,
 		writer: newWriter(h.config.Log, partition, epoch, h.config.Limits, h.config.Logger),
-		jobs:   make(map[string]*runningJob),
+		jobs:   make(map[string]*runningJob), leftovers: make(map[string]*job.Progress),
 	}
 	runner.active.Add(1)
 	go func() {
@@ -83,11 +83,15 @@
 	mutex    sync.Mutex
 	jobs     map[string]*runningJob
 	released bool
+	// leftovers holds the text of items of ended jobs that were not listed.
+	leftovers map[string]*job.Progress
 }
 
 type runningJob struct {
 	cancel context.CancelFunc
 	items  map[string]*execution
+	// progressed is how much progress of the job has been looked at.
+	progressed int
 }
 
 const (
@@ -95,6 +99,8 @@
 	scanLeast = 5 * time.Millisecond
 	// checkpointEvery is how often the events of long items are kept for the next owner.
 	checkpointEvery = time.Second
+	// keepTimeout bounds the keeping of progress when the partition was lost.
+	keepTimeout = time.Second
 	// expireEvery is how often jobs that are past their retention are dropped, expireSlack how long after it.
 	expireEvery = 10 * time.Second
 	expireSlack = 30 * time.Second
@@ -118,6 +124,9 @@
 	}()
 	r.watch(ctx, writerDone)
 	r.stopAll()
+	keepCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
+	defer cancel()
+	r.keepAll(keepCtx)
 }
 
 // watch starts and stops items as jobs come and end.
@@ -157,14 +166,30 @@
 	listed := make(map[string]bool, len(open))
 	for _, view := range open {
 		listed[view.Spec.ID] = true
-		if _, running := r.jobs[view.Spec.ID]; !running {
+		running, ok := r.jobs[view.Spec.ID]
+		if !ok {
 			r.jobs[view.Spec.ID] = r.start(ctx, view)
+			continue
+		}
+		if view.Progressed > running.progressed {
+			r.adopt(view, running)
 		}
 	}
 	for id, running := range r.jobs {
 		if !listed[id] {
 			running.cancel()
 			delete(r.jobs, id)
+			r.keepLeftovers(running)
+		}
+	}
+}
+
+// adopt hands progress that another owner has kept to the items that have not come as far.
+func (r *runner) adopt(view job.View, running *runningJob) {
+	running.progressed = view.Progressed
+	for _, open := range r.config.Ledger.Open(view.Spec.ID) {
+		if execution, ok := running.items[open.Item.ID]; ok && open.Progress != nil {
+			execution.adopt(open.Progress)
 		}
 	}
 }
@@ -173,9 +198,12 @@
 func (r *runner) start(ctx context.Context, view job.View) *runningJob {
 	r.writer.startAt(view.Spec.ID, view.Listed)
 	jobCtx, cancel := context.WithCancel(ctx)
-	running := &runningJob{cancel: cancel, items: make(map[string]*execution)}
-	carried := carriedGroups(view.Spec)
+	running := &runningJob{cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed}
+	carried := r.carriedGroups(view.Spec)
 	for _, open := range r.config.Ledger.Open(view.Spec.ID) {
+		if kept := r.kept(view.Spec.ID, open); kept != nil {
+			open.Progress = kept
+		}
 		execution := newExecution(r, view, open, carried[open.Item.Group])
 		running.items[open.Item.ID] = execution
 		go execution.run(jobCtx)
@@ -185,10 +213,46 @@
 	return running
 }
 
-// carriedGroups guesses nothing: a trainer puts the groups that it carries over first and submits the rest after them, but
-// does not mark them, so that only their place tells. Until a mark exists no group is preferred.
-func carriedGroups(*job.Spec) map[string]bool {
-	return nil
+// carriedGroups returns the groups of which an item was in an earlier job: the trainer waits for these whatever others are
+// whole.
+func (r *runner) carriedGroups(spec *job.Spec) map[string]bool {
+	carried := make(map[string]bool)
+	for _, item := range spec.Items {
+		if !carried[item.Group] && r.config.Ledger.Seen(r.partition.Number, spec.ID, item.ID) {
+			carried[item.Group] = true
+		}
+	}
+	return carried
+}
+
+// kept returns what is there of an item's text from an earlier job, nil if it is no further than the item's own progress.
+func (r *runner) kept(jobID string, open job.OpenItem) *job.Progress {
+	earlier := r.config.Ledger.Text(r.partition.Number, jobID, open.Item.ID)
+	if earlier == nil {
+		earlier = r.leftovers[open.Item.ID]
+	}
+	if earlier == nil || open.Progress != nil && !earlier.Further(open.Progress) {
+		return nil
+	}
+	return earlier
+}
+
+// leftoversMost bounds the items of ended jobs whose text is kept.
+const leftoversMost = 256
+
+// keepLeftovers keeps the text of the items of a job that ended before they were listed: their groups may come again.
+func (r *runner) keepLeftovers(running *runningJob) {
+	if len(r.leftovers) > leftoversMost {
+		clear(r.leftovers)
+	}
+	for id, execution := range running.items {
+		progress, _ := execution.checkpoint(true)
+		if !progress.Whole && len(progress.Events) > 0 {
+			// The scorer's word belongs to a call of the earlier job.
+			progress.Score = ""
+			r.leftovers[id] = &progress
+		}
+	}
 }
 
 // checkpoint keeps the events of items that have run for long since the last one.
@@ -197,15 +261,14 @@
 	defer r.mutex.Unlock()
 	for id, running := range r.jobs {
 		for _, execution := range running.items {
-			r.keepProgress(id, execution, false)
+			r.keepProgress(id, execution)
 		}
 	}
 }
 
-// keepProgress queues an item's events for the next owner. Unless all is set, only events that have waited for a whole
-// checkpoint count.
-func (r *runner) keepProgress(jobID string, execution *execution, all bool) {
-	progress, changed := execution.checkpoint(all)
+// keepProgress queues an item's events for the next owner, if it has come far since the last time.
+func (r *runner) keepProgress(jobID string, execution *execution) {
+	progress, changed := execution.checkpoint(false)
 	if !changed {
 		return
 	}
@@ -231,26 +294,69 @@
 	r.writer.keep(records)
 }
 
+// stopAll stops all items and starts no further ones.
 func (r *runner) stopAll() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for id, running := range r.jobs {
+	r.released = true
+	for _, running := range r.jobs {
 		running.cancel()
-		delete(r.jobs, id)
 	}
 }
 
-// Release keeps the events of all items for the next owner and stops them.
-func (r *runner) Release(ctx context.Context) {
+// keepAll keeps how far the items have come that are not listed. It needs no fence, so that a superseded owner does not lose
+// what it finished while the store was away.
+func (r *runner) keepAll(ctx context.Context) {
+	var records []keyedlog.Record
 	r.mutex.Lock()
-	r.released = true
 	for id, running := range r.jobs {
-		running.cancel()
-		for _, execution := range running.items {
-			r.keepProgress(id, execution, true)
+		for _, open := range r.config.Ledger.Open(id) {
+			execution, ok := running.items[open.Item.ID]
+			if !ok {
+				continue
+			}
+			progress, changed := execution.checkpoint(true)
+			if !changed {
+				continue
+			}
+			encoded, err := job.EncodeProgress(id, progress, r.config.Limits.RecordBytes)
+			if err != nil {
+				errorlog.Error(r.config.Logger, "progress does not encode", err, "job", id, "item", progress.ItemID)
+				continue
+			}
+			records = append(records, encoded...)
 		}
 	}
 	r.mutex.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	err := r.appendUnfenced(ctx, records)
+	r.config.Logger.Info("progress kept", "partition", r.partition, "epoch", r.writer.epoch, "records", len(records), "error", err)
+}
+
+func (r *runner) appendUnfenced(ctx context.Context, records []keyedlog.Record) error {
+	for len(records) > 0 {
+		count, size := 0, 0
+		for count < len(records) && (count == 0 || size+job.Size(records[count:count+1]) <= r.config.Limits.CallBytes) {
+			size += job.Size(records[count : count+1])
+			count++
+		}
+		_, err := r.config.Log.Append(ctx, r.partition, records[:count], nil)
+		if err != nil {
+			if !sleep(ctx, appendPause) {
+				return err
+			}
+			continue
+		}
+		records = records[count:]
+	}
+	return nil
+}
+
+// Release lists what is finished, keeps the progress of the rest for the next owner and stops all items.
+func (r *runner) Release(ctx context.Context) {
+	r.stopAll()
 	r.writer.flush(ctx)
 	r.cancel()
 	r.active.Wait()
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -11,6 +11,12 @@
 // readSlack is how long a read that the store holds open may take beyond the time it was asked to wait.
 const readSlack = 300 * time.Millisecond
 
+// A join waits for a part of the member's lifetime at most, so that it is heard in time when the store is back.
+const (
+	groupMost  = 600 * time.Millisecond
+	groupShare = 2
+)
+
 // Log is a log whose calls are bounded by how long the store has lately taken.
 type Log struct {
 	keyedlog.Log
@@ -67,6 +73,8 @@
 
 // Join joins a group or remains in it, within the time that joins take.
 func (l *Log) Join(ctx context.Context, request keyedlog.JoinRequest) (keyedlog.Membership, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(groupMost, request.Lifetime/groupShare))
+	defer cancel()
 	return bound(ctx, &l.groups, func(ctx context.Context) (keyedlog.Membership, error) {
 		return l.Log.Join(ctx, request)
 	})
