Pass partitions on faster, and load the engines furthest behind first

Change: eight joins a lifetime, and one more at once after a release; of a model's engines those furthest behind go first. Conclusion: TestPlanTakesTheEnginesFurthestBehindFirst.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -41,8 +41,9 @@
 
 // Parts of the lifetime.
 const (
-	// joinsPerLifetime is how often the member is heard within its lifetime.
-	joinsPerLifetime = 3
+	// joinsPerLifetime is how often the member is heard within its lifetime. A partition passes on in two joins, one of the
+	// old owner and one of the new, and stands still until then; a join costs the store a tenth of a call.
+	joinsPerLifetime = 8
 	// releaseTimeout bounds what is written when a partition is given up.
 	releaseTimeout = 400 * time.Millisecond
 )
@@ -71,11 +72,13 @@
 
 // Run stays in the group until the context ends, then releases all partitions and leaves.
 func (m *Manager) Run(ctx context.Context) {
-	interval := m.config.Lifetime / joinsPerLifetime
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(m.config.Lifetime / joinsPerLifetime)
 	defer ticker.Stop()
 	for {
-		m.join(ctx)
+		if m.join(ctx) {
+			// What was released passes on with the next join.
+			m.join(ctx)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -85,7 +88,8 @@
 	}
 }
 
-func (m *Manager) join(ctx context.Context) {
+// join stays in the group, and tells whether partitions were released.
+func (m *Manager) join(ctx context.Context) bool {
 	sent := time.Now()
 	membership, err := m.config.Log.Join(ctx, keyedlog.JoinRequest{
 		Group: m.config.Group, Member: m.config.Member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
@@ -93,14 +97,14 @@
 	})
 	if err != nil {
 		m.failed(ctx, err)
-		return
+		return false
 	}
 	m.heard = sent
 	if !m.connected {
 		m.connected = true
 		m.config.Logger.Info("group joined", "group", m.config.Group, "generation", membership.Generation)
 	}
-	m.take(ctx, membership)
+	return m.take(ctx, membership)
 }
 
 // failed keeps the partitions: a store that is down deals them to nobody else, and one that is up fences this process once
@@ -112,14 +116,14 @@
 	}
 }
 
-// take compares what is dealt with what is held.
-func (m *Manager) take(ctx context.Context, membership keyedlog.Membership) {
+// take compares what is dealt with what is held, and tells whether partitions were released.
+func (m *Manager) take(ctx context.Context, membership keyedlog.Membership) bool {
 	m.generation = membership.Generation
 	listed := make(map[keyedlog.Partition]bool, len(membership.Partitions))
 	for _, partition := range membership.Partitions {
 		listed[partition] = true
 	}
-	m.releaseUnlisted(listed)
+	released := m.releaseUnlisted(listed)
 	for partition := range listed {
 		held, ok := m.held[partition]
 		if ok && !superseded(held.work) {
@@ -133,6 +137,7 @@
 		}
 		m.gain(ctx, partition, membership.Generation)
 	}
+	return released
 }
 
 func superseded(work Work) bool {
@@ -152,16 +157,20 @@
 	}
 }
 
-func (m *Manager) releaseUnlisted(listed map[keyedlog.Partition]bool) {
+// releaseUnlisted releases what is held and not listed, and tells whether there was any.
+func (m *Manager) releaseUnlisted(listed map[keyedlog.Partition]bool) bool {
 	var waiting sync.WaitGroup
+	released := false
 	for partition, held := range m.held {
 		if listed[partition] {
 			continue
 		}
 		delete(m.held, partition)
+		released = true
 		waiting.Go(func() { m.release(partition, held) })
 	}
 	waiting.Wait()
+	return released
 }
 
 func (m *Manager) release(partition keyedlog.Partition, held *holding) {
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -121,7 +121,8 @@
 }
 
 // Plan returns the engines to order next: models with the fewest loading first, of these the ones with the fewest engines
-// up to date, so that every trainer finds some engine of the newest version early.
+// up to date, so that every trainer finds some engine of the newest version early. Of a model's engines the ones that are
+// furthest behind go first: they are the least use to the jobs that run.
 func Plan(input PlanInput) []Step {
 	loading := make(map[string]int)
 	for _, model := range input.Loading {
@@ -161,5 +162,8 @@
 	if loading[a.Model] != loading[b.Model] {
 		return loading[a.Model] < loading[b.Model]
 	}
-	return fresh[a.Model] < fresh[b.Model]
+	if fresh[a.Model] != fresh[b.Model] {
+		return fresh[a.Model] < fresh[b.Model]
+	}
+	return a.Version-a.Engine.Serves(a.Model) > b.Version-b.Engine.Serves(b.Model)
 }
--- a/internal/weightroll/plan_test.go
+++ b/internal/weightroll/plan_test.go
@@ -34,6 +34,19 @@
 	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: 2})), 0)
 }
 
+// TestPlanTakesTheEnginesFurthestBehindFirst is the fault found on platform_down days: engines that the running step could
+// use were loaded while others, too old for it, waited.
+func TestPlanTakesTheEnginesFurthestBehindFirst(t *testing.T) {
+	is := is.New(t)
+	pool := engines(4, map[string]int64{"a": 3})
+	pool[2].Versions = map[string]int64{"a": 1}
+	pool[3].Versions = map[string]int64{"a": 2}
+	targets := map[string]int64{"a": 4}
+	steps := Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil), AtOnce: 2})
+	is.Equal(steps[0].Engine.ID, pool[2].ID)
+	is.Equal(steps[1].Engine.ID, pool[3].ID)
+}
+
 func TestPlanLeavesEnginesThatAreUpToDateOrLeaving(t *testing.T) {
 	is := is.New(t)
 	pool := engines(3, map[string]int64{"a": 2})
