--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,21 @@
 	d.notify()
 }
 
+// Correct records that an engine began a run under a version of a model that is older than believed. The engine's own word
+// on a run that has just begun is newer than any record.
+func (d *Directory) Correct(id, model string, version int64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[id]
+	if !ok || found.engine.Versions[model] <= version {
+		return
+	}
+	versions := maps.Clone(found.engine.Versions)
+	versions[model] = version
+	found.engine.Versions = versions
+	d.notify()
+}
+
 // SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
 func (d *Directory) SetLoading(id, model string, until time.Time) {
 	d.mutex.Lock()
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -27,6 +27,8 @@
 	gapMost = 1500 * time.Millisecond
 	// moveLook is how often an item on a slow engine looks for a better one.
 	moveLook = 250 * time.Millisecond
+	// placeAgain is how long an item waits for an engine before it looks again at what it needs.
+	placeAgain = 300 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a run that brought nothing.
 	retryLeast = 10 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
@@ -232,7 +234,7 @@
 			continue
 		}
 		runCtx, cancel := e.interruptible(ctx)
-		engine, err := e.runner.config.Queue.Acquire(runCtx, e.rank, e.want(route))
+		engine, err := e.acquire(runCtx, e.place(route))
 		if err != nil {
 			cancel()
 			continue
@@ -254,23 +256,48 @@
 		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
 		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude,
 	}
+	if route.SingleVersion && len(e.versions) > 0 {
+		want.ExactVersion = e.versions[0]
+	}
+	return want
+}
+
+// place returns what the next run needs. Between runs only, a text that no engine can go on with starts anew.
+func (e *execution) place(route catalog.Route) fleet.Want {
+	want := e.want(route)
+	if want.ExactVersion != 0 && !e.servedAnywhere(want) {
+		e.restart()
+		want = e.want(route)
+	}
 	if !e.runner.config.Directory.Exists(want) {
 		want.Exclude = nil
 	}
-	if route.SingleVersion && len(e.versions) > 0 {
-		want.ExactVersion = e.versions[0]
-		if !e.runner.config.Directory.Exists(want) {
-			// No engine has the version any more: the text starts anew.
-			e.restart()
-			want.ExactVersion = 0
+	return want
+}
+
+// acquire waits for an engine, and no longer than what the item wants holds: engines take other versions and routes change.
+func (e *execution) acquire(ctx context.Context, want fleet.Want) (fleet.Engine, error) {
+	ctx, cancel := context.WithTimeout(ctx, placeAgain)
+	defer cancel()
+	return e.runner.config.Queue.Acquire(ctx, e.rank, want)
+}
+
+// servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
+func (e *execution) servedAnywhere(want fleet.Want) bool {
+	for _, engine := range e.runner.config.Directory.Pool(want.Pool) {
+		if !engine.Draining && engine.Serves(want.Model) == want.ExactVersion {
+			return true
 		}
 	}
-	return want
+	return false
 }
 
+// restart forgets the item's events. It must not be called while a run is under way.
 func (e *execution) restart() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.runner.config.Logger.Info("item starts anew, no engine serves its version", "job", e.view.Spec.ID, "item", e.item.ID,
+		"events", len(e.events), "versions", e.versions)
 	e.events, e.versions, e.kept = nil, nil, 0
 }
 
@@ -313,6 +340,9 @@
 
 // Head takes the head of an engine's answer. Weights that don't fit end the run before its first event.
 func (e *execution) Head(reply *engineapi.Reply) error {
+	if reply.Version != 0 && e.view.Spec.Model != "" {
+		e.runner.config.Directory.Correct(e.engine.ID, e.view.Spec.Model, reply.Version)
+	}
 	return e.serves(reply.Version)
 }
 
@@ -391,6 +421,8 @@
 		e.turnedAway(result)
 	case eventrun.EndedFailed:
 		return e.failed(route, result.Status), false
+	case eventrun.EndedByReceiver:
+		e.exclude = []string{e.engine.ID}
 	case eventrun.EndedBroken, eventrun.EndedSilent:
 		e.exclude = []string{e.engine.ID}
 		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
