Let streams that nobody may resume go on through loads

Change: on pools with such routes a load keeps runs; texts of one version still end first; everything else is cut and taken up elsewhere. Conclusion: TestLoadMode.

--- a/internal/weightroll/plan_test.go
+++ b/internal/weightroll/plan_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -56,6 +58,32 @@
 	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil), AtOnce: 9})), 0)
 }
 
+// TestLoadMode checks what becomes of runs by the routes of the pool alone. Streams that nobody may take up were cut by every
+// load on a site of our own.
+func TestLoadMode(t *testing.T) {
+	to := func(pool string) []catalog.Target { return []catalog.Target{{Pool: pool, Weight: 1}} }
+	items := catalog.Route{Kind: catalog.KindJobs, Targets: to("p")}
+	pure := catalog.Route{Kind: catalog.KindJobs, SingleVersion: true, Targets: to("p")}
+	resumable := catalog.Route{Kind: catalog.KindStream, Resumable: true, Targets: to("p")}
+	once := catalog.Route{Kind: catalog.KindStream, Targets: to("p")}
+	elsewhere := catalog.Route{Kind: catalog.KindOnce, Targets: to("q")}
+	tests := []struct {
+		name   string
+		routes []catalog.Route
+		want   engineapi.LoadMode
+	}{
+		{"items and resumable streams are cut", []catalog.Route{items, resumable, elsewhere}, engineapi.LoadCuts},
+		{"streams that may not be resumed go on", []catalog.Route{items, once}, engineapi.LoadKeeps},
+		{"texts of one version end first", []catalog.Route{once, pure}, engineapi.LoadWaits},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(loadMode(catalog.New(1, test.routes, nil, catalog.Limits{}), "p"), test.want)
+		})
+	}
+}
+
 // TestAssignIsEvenAndSticky checks, for any pool and any change of it, that models have numbers of engines that differ by
 // one at most, and that no more engines change their model than evenness asks.
 func TestAssignIsEvenAndSticky(t *testing.T) {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -214,19 +215,26 @@
 	}
 }
 
-// loadMode cuts runs off, to be taken up elsewhere at once, unless the texts of some route may not mix versions.
+// loadMode says what becomes of an engine's runs when it loads: they are cut off, to be taken up elsewhere at once, unless the
+// pool has a route whose runs can't be. Texts that may not mix versions end first; requests that nobody may take up go on.
 func loadMode(current *catalog.Catalog, pool string) engineapi.LoadMode {
+	mode := engineapi.LoadCuts
 	for _, route := range current.Routes {
-		if !route.SingleVersion {
+		if !leadsTo(route, pool) {
 			continue
 		}
-		for _, target := range route.Targets {
-			if target.Pool == pool {
-				return engineapi.LoadWaits
-			}
+		if route.SingleVersion {
+			return engineapi.LoadWaits
+		}
+		if !route.MayRepeat() {
+			mode = engineapi.LoadKeeps
 		}
 	}
-	return engineapi.LoadCuts
+	return mode
+}
+
+func leadsTo(route catalog.Route, pool string) bool {
+	return slices.ContainsFunc(route.Targets, func(target catalog.Target) bool { return target.Pool == pool })
 }
 
 // allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it.
