--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -108,6 +108,7 @@
 			a.stepsCommand(flags),
 			a.sampleCommand(flags),
 			a.requestCommand(flags),
+			a.explainCommand(flags),
 		},
 	}
 }
--- a/internal/lab/command/byhand_test.go
+++ b/internal/lab/command/byhand_test.go
@@ -34,3 +34,27 @@
 		})
 	}
 }
+
+// TestHelpIsNoMistake asks every program and subcommand for help: it comes on the standard output, and the exit code is 0.
+func TestHelpIsNoMistake(t *testing.T) {
+	for _, line := range []string{
+		"--help", "demo --help", "replay --help", "scale --help", "search -h", "experiment --help", "platform --help",
+		"engines --help", "trainer --help",
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			var out, problems bytes.Buffer
+			is.Equal(Run(strings.Fields(line), &out, &problems), exitOK)
+			is.True(strings.Contains(out.String(), "hillfork-lab"))
+			is.Equal(problems.Len(), 0)
+		})
+	}
+}
+
+// TestATraceMayBeNamedWithASlash is how shells complete the name of a directory.
+func TestATraceMayBeNamedWithASlash(t *testing.T) {
+	is := is.New(t)
+	recorded, err := loadTrace("../../../traces/thin-path/")
+	is.NoErr(err)
+	is.Equal(recorded.Name, "thin-path")
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -43,7 +43,14 @@
 			platformCommand(to), enginesCommand(to), trainerCommand(to),
 		},
 	}
-	err := root.ParseAndRun(ctx, args)
+	err := root.Parse(args)
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Fprintln(out, ffhelp.Command(root))
+		return exitOK
+	}
+	if err == nil {
+		err = root.Run(ctx)
+	}
 	var problem *trace.Problem
 	switch {
 	case err == nil:
--- a/internal/lab/command/replay.go
+++ b/internal/lab/command/replay.go
@@ -51,7 +51,7 @@
 	var reports []*replay.Report
 	passed := true
 	for _, directory := range directories {
-		recorded, err := trace.Load(os.DirFS(filepath.Dir(directory)), filepath.Base(directory))
+		recorded, err := loadTrace(directory)
 		if err != nil {
 			return err
 		}
@@ -72,6 +72,12 @@
 	return nil
 }
 
+// loadTrace loads the trace of a directory, whose name may end with a slash, as shells complete it.
+func loadTrace(directory string) (*trace.Trace, error) {
+	directory = filepath.Clean(directory)
+	return trace.Load(os.DirFS(filepath.Dir(directory)), filepath.Base(directory))
+}
+
 func replayOne(ctx context.Context, recorded *trace.Trace, virtual bool, logger *log.Logger) (*replay.Report, error) {
 	if virtual {
 		return replay.RunVirtual(recorded, replay.Options{Logger: logger})
