Write fenced appends, pauses and change signals in one place each

Cause: runners and rollers each had the loop of a fenced append; five packages had a sleep of their own, five a channel that is closed at a change. Change: packages fencing, pause and broadcast; tests of fenced writers that lose calls and answers, and of superseded ones. Behaviour stays as it was.

--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"sync"
+
+	"github.com/hillfork/hillfork/internal/broadcast"
 )
 
 // Holder holds the newest catalog and the newest named weight versions. Both only rise. It is safe for concurrent use.
@@ -10,12 +12,12 @@
 	mutex    sync.Mutex
 	current  *Catalog
 	versions map[string]int64
-	changed  chan struct{}
+	changed  broadcast.Signal
 }
 
 // NewHolder returns a holder without a catalog.
 func NewHolder() *Holder {
-	return &Holder{versions: make(map[string]int64), changed: make(chan struct{})}
+	return &Holder{versions: make(map[string]int64), changed: broadcast.New()}
 }
 
 // Set installs a catalog if it is newer than the one held, and tells whether it was.
@@ -26,7 +28,7 @@
 		return false
 	}
 	h.current = next
-	h.notify()
+	h.changed.Notify()
 	return true
 }
 
@@ -45,7 +47,7 @@
 		return false
 	}
 	h.versions[model] = version
-	h.notify()
+	h.changed.Notify()
 	return true
 }
 
@@ -60,10 +62,5 @@
 func (h *Holder) Changed() <-chan struct{} {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.changed
-}
-
-func (h *Holder) notify() {
-	close(h.changed)
-	h.changed = make(chan struct{})
+	return h.changed.Changed()
 }
--- /dev/null
+++ b/internal/fencing/fencing_test.go
@@ -0,0 +1,86 @@
+package fencing_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/fencing"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+var partition = keyedlog.Partition{Topic: keyedlog.TopicJobs}
+
+func open(t *testing.T, store *memorylog.Store, name string, epoch int64) *fencing.Writer {
+	t.Helper()
+	writer := fencing.New(fencing.Config{
+		Log: store.For(name), Partition: partition, Name: "owner", Epoch: epoch, Logger: log.New(io.Discard),
+	})
+	if _, err := writer.Open(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return writer
+}
+
+func record(value int) []keyedlog.Record {
+	return []keyedlog.Record{{Key: fmt.Sprint(value), Value: []byte("x")}}
+}
+
+// TestEveryAppendIsMadeOnce loses calls and answers at random, and checks that every record is there once and in order.
+func TestEveryAppendIsMadeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1})
+		random := rand.New(rand.NewSource(1))
+		store.SetRule(func(memorylog.Call) memorylog.Fault {
+			return []memorylog.Fault{memorylog.None, memorylog.LostAfter, memorylog.LostBefore, memorylog.Down}[random.Intn(4)]
+		})
+		writer := open(t, store, "a", 1)
+		const appends = 200
+		for i := range appends {
+			_, err := writer.Append(t.Context(), record(i))
+			is.NoErr(err)
+		}
+		records := store.Records(partition)
+		is.Equal(len(records), appends)
+		for i, written := range records {
+			is.Equal(written.Key, fmt.Sprint(i))
+		}
+	})
+}
+
+// TestASupersededWriterWritesNothing checks a writer that goes on believing, also with an append that is done late.
+func TestASupersededWriterWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Late: time.Second})
+		old := open(t, store, "old", 1)
+		store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "old" {
+				return memorylog.LostLate
+			}
+			return memorylog.None
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, err := old.Append(ctx, record(1))
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		next := open(t, store, "next", 2)
+		time.Sleep(2 * time.Second)
+		store.Heal()
+		_, err = old.Append(t.Context(), record(2))
+		is.Equal(err, fencing.ErrSuperseded)
+		<-old.Superseded()
+		_, err = next.Append(t.Context(), record(3))
+		is.NoErr(err)
+		is.Equal(len(store.Records(partition)), 1)
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/broadcast"
 )
 
 // Engine is one incarnation of an engine as it recorded itself.
@@ -49,14 +51,14 @@
 type Directory struct {
 	mutex   sync.Mutex
 	engines map[string]*entry
-	changed chan struct{}
+	changed broadcast.Signal
 	// known says that the list was read at least once.
 	known bool
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{engines: make(map[string]*entry), changed: make(chan struct{})}
+	return &Directory{engines: make(map[string]*entry), changed: broadcast.New()}
 }
 
 // Upsert adds or updates an engine. Versions never fall within an incarnation: a lagging record does not undo what was
@@ -67,7 +69,7 @@
 	found, ok := d.engines[engine.ID]
 	if !ok {
 		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
-		d.notify()
+		d.changed.Notify()
 		return
 	}
 	engine.Versions = newest(found.engine.Versions, engine.Versions)
@@ -76,7 +78,7 @@
 		maps.Equal(engine.Versions, found.engine.Versions)
 	found.engine = engine
 	if !same {
-		d.notify()
+		d.changed.Notify()
 	}
 }
 
@@ -97,7 +99,7 @@
 	defer d.mutex.Unlock()
 	if _, ok := d.engines[id]; ok {
 		delete(d.engines, id)
-		d.notify()
+		d.changed.Notify()
 	}
 }
 
@@ -116,7 +118,7 @@
 	versions[model] = version
 	found.engine.Versions = versions
 	delete(found.loading, model)
-	d.notify()
+	d.changed.Notify()
 }
 
 // Correct records that an engine began a run under a version of a model that is older than believed. The engine's own word
@@ -131,7 +133,7 @@
 	versions := maps.Clone(found.engine.Versions)
 	versions[model] = version
 	found.engine.Versions = versions
-	d.notify()
+	d.changed.Notify()
 }
 
 // SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
@@ -194,12 +196,7 @@
 func (d *Directory) Changed() <-chan struct{} {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.changed
-}
-
-func (d *Directory) notify() {
-	close(d.changed)
-	d.changed = make(chan struct{})
+	return d.changed.Changed()
 }
 
 func compareText(a, b string) int {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -74,7 +74,7 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok && found.inFlight > 0 {
 		found.inFlight--
-		d.notify()
+		d.changed.Notify()
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 const (
@@ -56,12 +58,12 @@
 	caughtUp  bool
 	confirmed time.Time
 	connected bool
-	advanced  chan struct{}
+	advanced  broadcast.Signal
 }
 
 // New returns a follower; Run starts it.
 func New(config Config) *Follower {
-	return &Follower{config: config, offsets: make(map[string]int64), advanced: make(chan struct{})}
+	return &Follower{config: config, offsets: make(map[string]int64), advanced: broadcast.New()}
 }
 
 // Run follows until the context ends.
@@ -71,7 +73,7 @@
 		if err := f.step(ctx); err != nil {
 			failures++
 			f.setConnected(ctx, false, err)
-			pause(ctx, failures)
+			backOff(ctx, failures)
 			continue
 		}
 		failures = 0
@@ -170,8 +172,7 @@
 		f.caughtUp = true
 		f.confirmed = time.Now()
 	}
-	close(f.advanced)
-	f.advanced = make(chan struct{})
+	f.advanced.Notify()
 }
 
 func (f *Follower) setConnected(ctx context.Context, connected bool, err error) {
@@ -216,7 +217,7 @@
 func (f *Follower) WaitFor(ctx context.Context, end int64) error {
 	for {
 		f.mutex.Lock()
-		reached, advanced := f.end >= end && f.caughtUp, f.advanced
+		reached, advanced := f.end >= end && f.caughtUp, f.advanced.Changed()
 		f.mutex.Unlock()
 		if reached {
 			return nil
@@ -229,13 +230,8 @@
 	}
 }
 
-// pause waits a little longer after each failure, and not the same at every process.
-func pause(ctx context.Context, failures int) {
+// backOff waits a little longer after each failure, and not the same at every process.
+func backOff(ctx context.Context, failures int) {
 	most := min(retryMost, retryLeast<<min(failures, 4))
-	timer := time.NewTimer(most/2 + rand.N(most/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, most/2+rand.N(most/2))
 }
--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
@@ -26,7 +27,7 @@
 	// the time of day.
 	acceptedAt time.Time
 	estimated  bool
-	changed    chan struct{}
+	changed    broadcast.Signal
 }
 
 // fold holds the jobs of one partition.
@@ -122,7 +123,7 @@
 		found := f.job(key.jobID)
 		found.ended = true
 		found.progress = nil
-		found.notify()
+		found.changed.Notify()
 		return nil
 	case keyResult:
 		return f.applyResult(key, value)
@@ -136,7 +137,7 @@
 	if !ok {
 		found = &state{
 			results: make(map[int]*Result), listed: make(map[string]int), progress: make(map[string]*Progress),
-			changed: make(chan struct{}),
+			changed: broadcast.New(),
 		}
 		f.jobs[id] = found
 	}
@@ -164,7 +165,7 @@
 		found.acceptedAt = now.Add(-age)
 		found.estimated = true
 	}
-	found.notify()
+	found.changed.Notify()
 	return nil
 }
 
@@ -188,7 +189,7 @@
 	for found.results[found.visible] != nil {
 		found.visible++
 	}
-	found.notify()
+	found.changed.Notify()
 	return nil
 }
 
@@ -225,7 +226,7 @@
 	switch key.kind {
 	case keySpec:
 		if found, ok := f.jobs[key.jobID]; ok {
-			found.notify()
+			found.changed.Notify()
 			delete(f.jobs, key.jobID)
 		}
 	case keyProgress:
@@ -234,8 +235,3 @@
 		}
 	}
 }
-
-func (s *state) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
@@ -12,14 +13,14 @@
 type Ledger struct {
 	mutex   sync.Mutex
 	folds   map[int]*fold
-	changed chan struct{}
+	changed broadcast.Signal
 	// Now returns the process's steady clock.
 	now func() time.Time
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{folds: make(map[int]*fold), changed: make(chan struct{}), now: time.Now}
+	return &Ledger{folds: make(map[int]*fold), changed: broadcast.New(), now: time.Now}
 }
 
 // Apply folds a record of a partition. An error says that the record was skipped.
@@ -27,8 +28,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	err := l.fold(partition).apply(record, recovered, l.now())
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.changed.Notify()
 	return err
 }
 
@@ -45,7 +45,7 @@
 func (l *Ledger) Changed() <-chan struct{} {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.changed
+	return l.changed.Changed()
 }
 
 // Skipped counts records that were skipped because they are not in the form of one.
@@ -91,7 +91,7 @@
 func (s *state) view(partition int) View {
 	return View{
 		Spec: s.spec, Partition: partition, Listed: s.visible, Progressed: s.progressed, Ended: s.ended, AcceptedAt: s.acceptedAt,
-		Estimated: s.estimated, Changed: s.changed,
+		Estimated: s.estimated, Changed: s.changed.Changed(),
 	}
 }
 
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -15,6 +15,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 const (
@@ -230,7 +231,7 @@
 				e.runner.config.Logger.Info("item given up, its route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
 				return false
 			}
-			sleep(ctx, retryMost)
+			pause.For(ctx, retryMost)
 			continue
 		}
 		runCtx, cancel := e.interruptible(ctx)
@@ -462,7 +463,7 @@
 		e.fruitless = 0
 		return
 	}
-	sleep(ctx, min(retryMost, retryLeast<<min(e.fruitless, 5)))
+	pause.For(ctx, min(retryMost, retryLeast<<min(e.fruitless, 5)))
 	e.fruitless++
 }
 
@@ -487,7 +488,7 @@
 				"failures", answer.Failures)
 			return "", false
 		}
-		sleep(ctx, scorePause)
+		pause.For(ctx, scorePause)
 	}
 	return "", false
 }
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -9,11 +9,13 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // Limits bounds records and appends, in bytes.
@@ -61,8 +63,10 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	runner := &runner{
 		config: h.config, partition: partition, cancel: cancel,
-		writer: newWriter(h.config.Log, partition, epoch, h.config.Limits, h.config.Logger),
-		jobs:   make(map[string]*runningJob), leftovers: make(map[string]*job.Progress),
+		writer: newWriter(fencing.New(fencing.Config{
+			Log: h.config.Log, Partition: partition, Name: writerName, Epoch: epoch, Logger: h.config.Logger,
+		}), h.config.Limits, h.config.Logger),
+		jobs: make(map[string]*runningJob), leftovers: make(map[string]*job.Progress),
 	}
 	runner.active.Add(1)
 	go func() {
@@ -108,14 +112,14 @@
 
 // run takes the partition over and runs its items until the context ends or the owner is superseded.
 func (r *runner) run(ctx context.Context) {
-	end, err := r.writer.open(ctx)
+	end, err := r.writer.Open(ctx)
 	if err != nil {
 		return
 	}
 	if err := r.config.Followers[r.partition.Number].WaitFor(ctx, end); err != nil {
 		return
 	}
-	r.config.Logger.Info("partition taken over", "partition", r.partition, "epoch", r.writer.epoch, "end", end,
+	r.config.Logger.Info("partition taken over", "partition", r.partition, "epoch", r.writer.Epoch(), "end", end,
 		"open_jobs", len(r.config.Ledger.OpenJobs(r.partition.Number)))
 	writerDone := make(chan struct{})
 	go func() {
@@ -140,7 +144,7 @@
 		r.scan(ctx)
 		select {
 		case <-changed:
-			if !sleep(ctx, scanLeast) {
+			if !pause.For(ctx, scanLeast) {
 				return
 			}
 		case <-checkpoint.C:
@@ -332,7 +336,7 @@
 		return
 	}
 	err := r.appendUnfenced(ctx, records)
-	r.config.Logger.Info("progress kept", "partition", r.partition, "epoch", r.writer.epoch, "records", len(records), "error", err)
+	r.config.Logger.Info("progress kept", "partition", r.partition, "epoch", r.writer.Epoch(), "records", len(records), "error", err)
 }
 
 func (r *runner) appendUnfenced(ctx context.Context, records []keyedlog.Record) error {
@@ -344,7 +348,7 @@
 		}
 		_, err := r.config.Log.Append(ctx, r.partition, records[:count], nil)
 		if err != nil {
-			if !sleep(ctx, appendPause) {
+			if !pause.For(ctx, appendPause) {
 				return err
 			}
 			continue
@@ -364,5 +368,5 @@
 
 // Superseded is closed when another owner has a higher epoch.
 func (r *runner) Superseded() <-chan struct{} {
-	return r.writer.superseded
+	return r.writer.Superseded()
 }
--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
@@ -15,21 +15,16 @@
 const (
 	// writerName names the line of epochs of owners in a partition.
 	writerName = "owner"
-	// appendPause is the pause between appends that failed. The log bounds each append.
+	// appendPause is the pause between appends without a fence that failed. The log bounds each append.
 	appendPause = 50 * time.Millisecond
 )
 
-// errSuperseded says that another owner has a higher epoch.
-var errSuperseded = errors.New("another owner has the partition")
-
 // writer appends the records of one owner to its partition, in sequence and under its epoch. Records that wait are appended
 // together.
 type writer struct {
-	log       keyedlog.Log
-	partition keyedlog.Partition
-	epoch     int64
-	limits    Limits
-	logger    *log.Logger
+	*fencing.Writer
+	limits Limits
+	logger *log.Logger
 
 	mutex sync.Mutex
 	// positions counts the results given a position, by job.
@@ -39,10 +34,6 @@
 	// flushed is closed once everything that was waiting is written; nil while nobody asks.
 	idle chan struct{}
 	busy bool
-
-	sequence   int64
-	superseded chan struct{}
-	once       sync.Once
 }
 
 // entry is one piece to write: a result, or records that need no position.
@@ -53,18 +44,12 @@
 	done    func()
 }
 
-func newWriter(log keyedlog.Log, partition keyedlog.Partition, epoch int64, limits Limits, logger *log.Logger) *writer {
+func newWriter(fenced *fencing.Writer, limits Limits, logger *log.Logger) *writer {
 	return &writer{
-		log: log, partition: partition, epoch: epoch, limits: limits, logger: logger, positions: make(map[string]int),
-		arrived: make(chan struct{}, 1), superseded: make(chan struct{}),
+		Writer: fenced, limits: limits, logger: logger, positions: make(map[string]int), arrived: make(chan struct{}, 1),
 	}
 }
 
-// open sets the epoch, so that no owner of a lower one can write any more, and returns the partition's end.
-func (w *writer) open(ctx context.Context) (int64, error) {
-	return w.append(ctx, nil)
-}
-
 // startAt sets how many results of a job are listed already.
 func (w *writer) startAt(jobID string, listed int) {
 	w.mutex.Lock()
@@ -106,7 +91,7 @@
 				return
 			}
 		}
-		if _, err := w.append(ctx, records); err != nil {
+		if _, err := w.Append(ctx, records); err != nil {
 			return
 		}
 		for _, written := range batch {
@@ -173,41 +158,7 @@
 	w.mutex.Unlock()
 	select {
 	case <-idle:
-	case <-w.superseded:
-	case <-ctx.Done():
-	}
-}
-
-// append writes records, again and again until the store says that they are there. The sequence number makes the store take
-// them once.
-func (w *writer) append(ctx context.Context, records []keyedlog.Record) (int64, error) {
-	fence := &keyedlog.Fence{Writer: writerName, Epoch: w.epoch, Sequence: w.sequence}
-	for {
-		appended, err := w.log.Append(ctx, w.partition, records, fence)
-		var order *keyedlog.SequenceError
-		switch {
-		case err == nil:
-			w.sequence++
-			return appended.End, nil
-		case errors.Is(err, keyedlog.ErrFenced), errors.As(err, &order):
-			w.once.Do(func() { close(w.superseded) })
-			errorlog.Warn(w.logger, "owner is superseded", err, "partition", w.partition, "epoch", w.epoch)
-			return 0, errSuperseded
-		}
-		errorlog.Debug(w.logger, "append failed", err, "partition", w.partition)
-		if !sleep(ctx, appendPause) {
-			return 0, ctx.Err()
-		}
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
+	case <-w.Superseded():
 	case <-ctx.Done():
-		return false
 	}
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -131,7 +132,7 @@
 			return Done
 		}
 		errorlog.Debug(s.config.Logger, "append failed", err, "partition", partition)
-		if !sleep(ctx, appendPause) {
+		if !pause.For(ctx, appendPause) {
 			break
 		}
 	}
@@ -249,14 +250,3 @@
 	}
 	return item.Body, Done
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
@@ -54,7 +55,7 @@
 		if err != nil {
 			errorlog.Warn(c.logger, "claim failed", err, "stream", c.stream)
 		}
-		if !sleep(ctx, pauses.NextBackOff()) {
+		if !pause.For(ctx, pauses.NextBackOff()) {
 			return oops.With("stream", c.stream).Wrapf(errors.Join(ctx.Err(), err), "claim")
 		}
 	}
--- a/internal/shard/owner_follow.go
+++ b/internal/shard/owner_follow.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/platform"
 )
 
 // follow is the follower: while nothing is appended it polls the tail, so that an idle owner learns that it was
 // superseded. An owner that appends learns it from its appends, and does not read its own records back.
 func (o *owner) follow() {
-	for sleep(o.ctx, o.settings.FollowAfter) {
+	for pause.For(o.ctx, o.settings.FollowAfter) {
 		ctx, cancel, idle := o.beginPoll()
 		if !idle {
 			continue
--- a/internal/shard/owner_snapshot.go
+++ b/internal/shard/owner_snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // snapshotIsDue tells whether enough was folded since the last snapshot; the caller holds mu.
@@ -28,7 +29,7 @@
 		}
 		o.counters.SnapshotFailures.Add(1)
 		errorlog.Warn(o.logger, "snapshot failed", err)
-		if !sleep(o.ctx, o.settings.SnapshotRetry) {
+		if !pause.For(o.ctx, o.settings.SnapshotRetry) {
 			return
 		}
 	}
--- a/internal/shard/owner_write.go
+++ b/internal/shard/owner_write.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // Backoff between tries of an append.
@@ -134,7 +135,7 @@
 		if !b.isSettled() {
 			o.readBack(b, end, timeout)
 		}
-		if b.isSettled() || !sleep(b.ctx, pauses.NextBackOff()) {
+		if b.isSettled() || !pause.For(b.ctx, pauses.NextBackOff()) {
 			break
 		}
 		timeout = min(2*timeout, o.settings.MaxAttemptTimeout)
@@ -188,15 +189,3 @@
 	pauses.Reset()
 	return pauses
 }
-
-// sleep waits; false when the context ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // ErrLost is what a caller sees of an answer that was lost.
@@ -206,7 +207,7 @@
 // meet applies the fault rule. An error ends the call; later does the call afterwards.
 func (v *view) meet(ctx context.Context, call Call) (after, late bool, err error) {
 	call.Caller = v.caller
-	if v.store.config.Delay > 0 && !pause(ctx, v.store.config.Delay) {
+	if v.store.config.Delay > 0 && !pause.For(ctx, v.store.config.Delay) {
 		return false, false, ctx.Err()
 	}
 	v.store.mutex.Lock()
@@ -315,14 +316,3 @@
 	}
 	return page, nil
 }
-
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -11,9 +11,11 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 const (
@@ -30,7 +32,6 @@
 	// orderTimeout bounds the answer to an order, reportTimeout that to a report.
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
-	appendPause   = 50 * time.Millisecond
 	// reportEvery is how often an engine that loads is asked whether it is done.
 	reportEvery = 150 * time.Millisecond
 	// reportFrom is the part of the usual load time after which it is asked first.
@@ -83,9 +84,12 @@
 func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
 	runCtx, cancel := context.WithCancel(ctx)
 	r := &roller{
-		config: h.config, partition: partition, epoch: epoch, cancel: cancel, superseded: make(chan struct{}),
+		config: h.config, partition: partition, cancel: cancel,
+		writer: fencing.New(fencing.Config{
+			Log: h.config.Log, Partition: partition, Name: writerName, Epoch: epoch, Logger: h.config.Logger,
+		}),
 		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
-		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1), turn: make(chan struct{}, 1),
+		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
 	}
 	r.active.Go(func() { r.run(runCtx) })
@@ -94,18 +98,12 @@
 
 // roller orders the engines of one partition's pools while this process owns it.
 type roller struct {
-	config     Config
-	partition  keyedlog.Partition
-	epoch      int64
-	cancel     context.CancelFunc
-	active     sync.WaitGroup
-	superseded chan struct{}
-	once       sync.Once
-	wake       chan struct{}
-
-	// turn is taken by the one append that is under way; sequence is that append's number.
-	turn     chan struct{}
-	sequence int64
+	config    Config
+	partition keyedlog.Partition
+	writer    *fencing.Writer
+	cancel    context.CancelFunc
+	active    sync.WaitGroup
+	wake      chan struct{}
 
 	mutex       sync.Mutex
 	assignments map[string]Assignment
@@ -126,14 +124,14 @@
 }
 
 func (r *roller) run(ctx context.Context) {
-	end, err := r.append(ctx, nil)
+	end, err := r.writer.Open(ctx)
 	if err != nil {
 		return
 	}
 	if err := r.config.Followers[r.partition.Number].WaitFor(ctx, end); err != nil {
 		return
 	}
-	r.config.Logger.Info("order lease taken over", "partition", r.partition, "epoch", r.epoch, "end", end)
+	r.config.Logger.Info("order lease taken over", "partition", r.partition, "epoch", r.writer.Epoch(), "end", end)
 	ticker := time.NewTicker(replanEvery)
 	defer ticker.Stop()
 	cleanup := time.NewTicker(r.config.Lease)
@@ -146,7 +144,7 @@
 		case <-ticker.C:
 		case <-cleanup.C:
 			r.forget(ctx)
-		case <-r.superseded:
+		case <-r.writer.Superseded():
 			return
 		case <-ctx.Done():
 			return
@@ -234,7 +232,7 @@
 // allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it.
 func (r *roller) allowedAt(engineID string) time.Time {
 	last, ordered := r.config.Board.last(engineID)
-	if !ordered || last.Epoch == r.epoch {
+	if !ordered || last.Epoch == r.writer.Epoch() {
 		return time.Time{}
 	}
 	return last.seenAt.Add(sendWindow + r.config.Lease + leaseSlack)
@@ -252,7 +250,7 @@
 	named := r.namedAt[step.Model]
 	r.mutex.Unlock()
 	r.config.Logger.Info("load ended", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
-		"epoch", r.epoch, "served", served, "error", err, "took", time.Since(started).Round(time.Millisecond))
+		"epoch", r.writer.Epoch(), "served", served, "error", err, "took", time.Since(started).Round(time.Millisecond))
 	if served && named.version == step.Version && r.config.OnRolled != nil {
 		r.config.OnRolled(time.Since(named.at))
 	}
@@ -306,7 +304,7 @@
 // write, so that a successor, which sees the record later, counts a longer one.
 func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
 	record := Announcement{
-		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.epoch, Serving: serving,
+		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(), Serving: serving,
 	}
 	value, err := record.MarshalMsg(nil)
 	if err != nil {
@@ -314,7 +312,7 @@
 	}
 	for {
 		started := time.Now()
-		if _, err := r.append(ctx, []keyedlog.Record{{Key: step.Engine.ID, Value: value}}); err != nil {
+		if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: step.Engine.ID, Value: value}}); err != nil {
 			return time.Time{}, err
 		}
 		if serving || time.Since(started) < sendWindow/2 {
@@ -336,11 +334,11 @@
 		return engineapi.OrderRefused, callCtx.Err()
 	}
 	outcome, err := r.config.Client.Order(callCtx, step.Engine, engineapi.LoadOrder{
-		Model: step.Model, Version: step.Version, Mode: mode, Holder: r.config.Node, Fence: r.epoch,
+		Model: step.Model, Version: step.Version, Mode: mode, Holder: r.config.Node, Fence: r.writer.Epoch(),
 		ExpectedSequence: sequence,
 	})
 	r.config.Logger.Info("order sent", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
-		"epoch", r.epoch, "sequence", sequence, "outcome", outcome, "error", err)
+		"epoch", r.writer.Epoch(), "sequence", sequence, "outcome", outcome, "error", err)
 	return outcome, err
 }
 
@@ -354,7 +352,7 @@
 	if !taken {
 		wait = reportEvery
 	}
-	for polls := 0; sleep(ctx, wait); polls++ {
+	for polls := 0; pause.For(ctx, wait); polls++ {
 		wait = reportEvery
 		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
 			return false
@@ -408,33 +406,6 @@
 	return r.config.Client.Report(callCtx, engine)
 }
 
-// append writes under the fence, again and again until the store says that it is done.
-func (r *roller) append(ctx context.Context, records []keyedlog.Record) (int64, error) {
-	select {
-	case r.turn <- struct{}{}:
-		defer func() { <-r.turn }()
-	case <-ctx.Done():
-		return 0, ctx.Err()
-	}
-	fence := &keyedlog.Fence{Writer: writerName, Epoch: r.epoch, Sequence: r.sequence}
-	for {
-		appended, err := r.config.Log.Append(ctx, r.partition, records, fence)
-		var order *keyedlog.SequenceError
-		switch {
-		case err == nil:
-			r.sequence++
-			return appended.End, nil
-		case errors.Is(err, keyedlog.ErrFenced), errors.As(err, &order):
-			r.once.Do(func() { close(r.superseded) })
-			errorlog.Warn(r.config.Logger, "order giver is superseded", err, "partition", r.partition, "epoch", r.epoch)
-			return 0, err
-		}
-		if !sleep(ctx, appendPause) {
-			return 0, ctx.Err()
-		}
-	}
-}
-
 // forget drops announcements for engines that are long gone.
 func (r *roller) forget(ctx context.Context) {
 	before := time.Now().Add(-forgetAfter * r.config.Lease)
@@ -443,7 +414,7 @@
 		records = append(records, keyedlog.Record{Key: id})
 	}
 	if len(records) > 0 {
-		_, _ = r.append(ctx, records)
+		_, _ = r.writer.Append(ctx, records)
 	}
 }
 
@@ -455,7 +426,7 @@
 
 // Superseded is closed when another order giver has a higher epoch.
 func (r *roller) Superseded() <-chan struct{} {
-	return r.superseded
+	return r.writer.Superseded()
 }
 
 func (r *roller) sequenceOf(id string) (int64, bool) {
@@ -476,14 +447,3 @@
 	defer r.mutex.Unlock()
 	delete(r.sequences, id)
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
