Tell in the lines what a request was offered to, what it failed of, and where items were placed

Change: engines tried and the last cause in each settled request's line; a line for each placement of an item, with the version, what it resumes after, the epoch and the wait.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -68,6 +69,10 @@
 	Failures int
 	// EngineID is the engine that answered last.
 	EngineID string
+	// Tried are the engines that the request was offered to, each as often as it was.
+	Tried []string
+	// Cause says what the last attempt failed of, empty if none failed.
+	Cause string
 }
 
 // Config configures a forwarder.
@@ -141,6 +146,9 @@
 	// mayHaveRun says that some attempt is not proven not to have run.
 	mayHaveRun  bool
 	lastFailure *attempt
+	// offered holds every engine that the request was offered to; cause is what the last one failed of.
+	offered []string
+	cause   string
 }
 
 // conduct starts attempts and takes their results until the request is settled.
@@ -192,6 +200,7 @@
 		return false
 	}
 	e.tried = append(e.tried, engine.ID)
+	e.offered = append(e.offered, engine.ID)
 	e.running++
 	e.sent++
 	call := e.request.Call
@@ -232,6 +241,7 @@
 // take judges the result of an attempt.
 func (e *exchange) take(result attempt) (Answer, bool) {
 	directory := e.forwarder.config.Directory
+	e.cause = result.cause()
 	switch {
 	case errors.Is(result.err, engineapi.ErrNotSent):
 		directory.Failed(result.engine.ID)
@@ -256,6 +266,22 @@
 	return Answer{}, false
 }
 
+// cause says what the attempt failed of, empty if it did not.
+func (a *attempt) cause() string {
+	switch {
+	case a.err != nil:
+		return a.err.Error()
+	case a.reply.NotRun:
+		return "turned away with " + strconv.Itoa(a.reply.Status)
+	case a.reply.Stamp == "":
+		return "no signature"
+	case a.reply.Status >= http.StatusInternalServerError:
+		return "answered " + strconv.Itoa(a.reply.Status)
+	default:
+		return ""
+	}
+}
+
 // turnedAway takes back an attempt that has not run.
 func (e *exchange) turnedAway() {
 	e.sent--
@@ -265,7 +291,7 @@
 func (e *exchange) answered(result *attempt) Answer {
 	return Answer{
 		Outcome: Answered, Reply: result.reply, Body: result.body, Attempts: e.sent, Failures: e.failures,
-		EngineID: result.engine.ID,
+		EngineID: result.engine.ID, Tried: e.offered, Cause: e.cause,
 	}
 }
 
@@ -274,7 +300,10 @@
 	if e.lastFailure != nil {
 		return e.answered(e.lastFailure)
 	}
-	answer := Answer{Outcome: Lost, Attempts: e.sent, Failures: e.failures}
+	answer := Answer{Outcome: Lost, Attempts: e.sent, Failures: e.failures, Tried: e.offered, Cause: e.cause}
+	if len(e.offered) == 0 {
+		answer.Cause = causeNoEngine
+	}
 	if !e.mayHaveRun {
 		answer.Outcome = NotRun
 		answer.RetryAfter = retryAfter
@@ -284,7 +313,10 @@
 
 // timeout ends a request whose time is over; what still runs may have run.
 func (e *exchange) timeout() Answer {
-	answer := Answer{Outcome: TimedOut, Attempts: e.sent, Failures: e.failures}
+	answer := Answer{Outcome: TimedOut, Attempts: e.sent, Failures: e.failures, Tried: e.offered, Cause: e.cause}
+	if e.running > 0 {
+		answer.Cause = causeSilent
+	}
 	if e.running == 0 && !e.mayHaveRun {
 		answer.Outcome = NotRun
 		answer.RetryAfter = retryAfter
@@ -313,5 +345,11 @@
 	return attempt{engine: engine, reply: reply, body: body, err: err, took: time.Since(started)}
 }
 
+// Causes of requests that no attempt gave one for.
+const (
+	causeNoEngine = "no engine of the pool takes work"
+	causeSilent   = "the engine had not answered"
+)
+
 // errBodyTooLarge says that an answer is larger than one may be.
 var errBodyTooLarge = errors.New("answer is too large")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -54,6 +54,9 @@
 	status int
 	paced  time.Time
 	engine string
+	// offered holds every engine that the request was offered to; cause is how the last run ended, if not whole.
+	offered []string
+	cause   string
 }
 
 func (s *streamExchange) conduct(ctx context.Context) Answer {
@@ -104,6 +107,7 @@
 
 func (s *streamExchange) runOn(ctx context.Context, engine fleet.Engine) eventrun.Result {
 	s.tried = append(s.tried, engine.ID)
+	s.offered = append(s.offered, engine.ID)
 	s.sent++
 	s.engine = engine.ID
 	s.paced = time.Time{}
@@ -140,6 +144,10 @@
 
 func (s *streamExchange) take(engine fleet.Engine, result eventrun.Result) (Answer, bool) {
 	directory := s.forwarder.config.Directory
+	s.cause = ""
+	if result.Ending != eventrun.EndedWhole {
+		s.cause = result.Ending.String()
+	}
 	switch result.Ending {
 	case eventrun.EndedWhole:
 		directory.Succeeded(engine.ID, 0)
@@ -168,14 +176,14 @@
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
 	case !s.mayHaveRun:
-		return Answer{Outcome: NotRun, RetryAfter: retryAfter, Attempts: s.sent}
+		return Answer{Outcome: NotRun, RetryAfter: retryAfter, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	case ctx.Err() != nil:
-		return Answer{Outcome: TimedOut, Attempts: s.sent}
+		return Answer{Outcome: TimedOut, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	default:
-		return Answer{Outcome: Lost, Attempts: s.sent}
+		return Answer{Outcome: Lost, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	}
 }
 
 func (s *streamExchange) answer(outcome Outcome, engine fleet.Engine) Answer {
-	return Answer{Outcome: outcome, Attempts: s.sent, EngineID: engine.ID}
+	return Answer{Outcome: outcome, Attempts: s.sent, EngineID: engine.ID, Tried: s.offered, Cause: s.cause}
 }
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -77,8 +77,10 @@
 	lastEvent time.Time
 	lookedAt  time.Time
 	brokenAt  time.Time
-	fruitless int
-	exclude   []string
+	// waitingSince is when the item began to wait for an engine, zero while it does not.
+	waitingSince time.Time
+	fruitless    int
+	exclude      []string
 }
 
 func newExecution(r *runner, view job.View, open job.OpenItem, carried bool) *execution {
@@ -234,6 +236,9 @@
 			pause.For(ctx, retryMost)
 			continue
 		}
+		if e.waitingSince.IsZero() {
+			e.waitingSince = time.Now()
+		}
 		runCtx, cancel := e.interruptible(ctx)
 		engine, err := e.acquire(runCtx, e.place(route))
 		if err != nil {
@@ -241,6 +246,10 @@
 			continue
 		}
 		before := len(e.events)
+		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "engine", engine.ID,
+			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
+			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
+		e.waitingSince = time.Time{}
 		result := e.runOn(runCtx, engine, route)
 		cancel()
 		e.runner.config.Directory.Release(engine.ID)
