--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -182,6 +182,24 @@
 	return views
 }
 
+// Work returns the estimated output of the items of each model that were submitted after a moment, in tokens.
+func (l *Ledger) Work(since time.Time) map[string]float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	work := make(map[string]float64)
+	for _, found := range l.folds {
+		for _, job := range found.jobs {
+			if job.spec == nil || job.acceptedAt.Before(since) {
+				continue
+			}
+			for _, item := range job.spec.Items {
+				work[job.spec.Model] += float64(item.work())
+			}
+		}
+	}
+	return work
+}
+
 // Seen tells whether an item was in another job of a partition.
 func (l *Ledger) Seen(partition int, jobID, itemID string) bool {
 	l.mutex.Lock()
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -37,6 +37,14 @@
 	Scorer     *Scorer `msg:"scorer"`
 }
 
+// work is the estimated output in tokens: the hint, or prompt and most output together where there is none.
+func (i *Item) work() int {
+	if i.LengthHint > 0 {
+		return i.LengthHint
+	}
+	return i.Tokens
+}
+
 // Scorer is the request that scores an item's text.
 type Scorer struct {
 	ID   string `msg:"id"`
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -95,7 +95,7 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](weightFollowers), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
+		Directory: r.directory, Client: config.Client, Work: r.recentWork, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.manager = ownership.New(ownership.Config{
@@ -107,6 +107,13 @@
 	return r
 }
 
+// workWindow is how far back submissions count for the work of a model: a few steps.
+const workWindow = 20 * time.Second
+
+func (r *Replica) recentWork() map[string]float64 {
+	return r.ledger.Work(time.Now().Add(-workWindow))
+}
+
 // follow adds a follower for every partition of a topic.
 func (r *Replica) follow(topic keyedlog.Topic, applier func(partition int) follow.Applier) []*follow.Follower {
 	followers := make([]*follow.Follower, r.config.Log.Partitions(topic))
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -1,6 +1,7 @@
 package weightroll
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -18,35 +19,65 @@
 type Assignment map[string]string
 
 // Assign gives every engine of a pool to one of its models, as evenly as engines allow: each trained model needs engines of
-// its newest version, and a load takes an engine away from all others. An engine keeps its model while the shares stay even;
-// otherwise it goes where its version is least behind.
-func Assign(engines []fleet.Engine, targets map[string]int64, previous Assignment) Assignment {
+// its newest version, and a load takes an engine away from all others. Where engines do not divide evenly, the models with
+// more work have one more. An engine keeps its model while that is within the model's share; otherwise it goes where engines
+// are missing, and there to the model whose newest version it is nearest to.
+func Assign(
+	engines []fleet.Engine, targets map[string]int64, previous Assignment, work map[string]float64,
+) Assignment {
 	models := trainedModels(targets)
 	assignment := make(Assignment, len(engines))
 	if len(models) == 0 {
 		return assignment
 	}
-	quota := (len(engines) + len(models) - 1) / len(models)
-	counts := make(map[string]int, len(models))
+	missing := shares(len(engines), models, work)
 	var free []fleet.Engine
 	for _, engine := range sortedByZone(engines) {
-		model, kept := previous[engine.ID]
-		if kept && counts[model] < quota && slices.Contains(models, model) {
+		if model, kept := previous[engine.ID]; kept && missing[model] > 0 {
 			assignment[engine.ID] = model
-			counts[model]++
+			missing[model]--
 			continue
 		}
 		free = append(free, engine)
 	}
 	for _, engine := range free {
-		model := nearestModel(engine, models, targets, counts)
+		model := nearestModel(engine, models, targets, missing)
 		assignment[engine.ID] = model
-		counts[model]++
+		missing[model]--
 	}
-	level(assignment, engines, models, counts)
 	return assignment
 }
 
+// covers tells whether the assignment is of just these engines and models.
+func (a Assignment) covers(engines []fleet.Engine, targets map[string]int64) bool {
+	if len(a) != len(engines) {
+		return false
+	}
+	models := make(map[string]bool, len(targets))
+	for _, engine := range engines {
+		model, assigned := a[engine.ID]
+		if _, trained := targets[model]; !assigned || !trained {
+			return false
+		}
+		models[model] = true
+	}
+	return len(models) == min(len(targets), len(engines))
+}
+
+// shares returns how many engines each model has; they differ by one at most.
+func shares(engines int, models []string, work map[string]float64) map[string]int {
+	byWork := slices.Clone(models)
+	slices.SortStableFunc(byWork, func(a, b string) int { return cmp.Compare(work[b], work[a]) })
+	shares := make(map[string]int, len(models))
+	for i, model := range byWork {
+		shares[model] = engines / len(models)
+		if i < engines%len(models) {
+			shares[model]++
+		}
+	}
+	return shares
+}
+
 func trainedModels(targets map[string]int64) []string {
 	models := make([]string, 0, len(targets))
 	for model := range targets {
@@ -75,39 +106,17 @@
 	return sorted
 }
 
-// nearestModel returns the model with the fewest engines; among equals the one whose newest version the engine is nearest to.
-func nearestModel(engine fleet.Engine, models []string, targets map[string]int64, counts map[string]int) string {
+// nearestModel returns the model that misses most engines; among equals the one whose newest version the engine is nearest to.
+func nearestModel(engine fleet.Engine, models []string, targets map[string]int64, missing map[string]int) string {
 	return slices.MinFunc(models, func(a, b string) int {
-		if counts[a] != counts[b] {
-			return counts[a] - counts[b]
-		}
-		behindA, behindB := targets[a]-engine.Serves(a), targets[b]-engine.Serves(b)
-		if behindA != behindB {
-			return int(behindA - behindB)
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(
+			cmp.Compare(missing[b], missing[a]),
+			cmp.Compare(targets[a]-engine.Serves(a), targets[b]-engine.Serves(b)),
+			strings.Compare(a, b),
+		)
 	})
 }
 
-// level moves engines from models with two more than others to these.
-func level(assignment Assignment, engines []fleet.Engine, models []string, counts map[string]int) {
-	byCount := func(a, b string) int { return counts[a] - counts[b] }
-	for {
-		least, most := slices.MinFunc(models, byCount), slices.MaxFunc(models, byCount)
-		if counts[most]-counts[least] < 2 {
-			return
-		}
-		for _, engine := range engines {
-			if assignment[engine.ID] == most {
-				assignment[engine.ID] = least
-				break
-			}
-		}
-		counts[most]--
-		counts[least]++
-	}
-}
-
 // PlanInput is what a plan rests on.
 type PlanInput struct {
 	Engines []fleet.Engine
--- a/internal/weightroll/plan_test.go
+++ b/internal/weightroll/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/hillfork/hillfork/internal/catalog"
@@ -26,7 +27,7 @@
 	old := map[string]int64{"a": 1, "b": 1}
 	targets := map[string]int64{"a": 2, "b": 2}
 	pool := engines(6, old)
-	assignment := Assign(pool, targets, nil)
+	assignment := Assign(pool, targets, nil, nil)
 	steps := Plan(PlanInput{Engines: pool, Targets: targets, Assignment: assignment, AtOnce: 2})
 	is.Equal(len(steps), 2)
 	is.True(steps[0].Model != steps[1].Model)
@@ -44,7 +45,7 @@
 	pool[2].Versions = map[string]int64{"a": 1}
 	pool[3].Versions = map[string]int64{"a": 2}
 	targets := map[string]int64{"a": 4}
-	steps := Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil), AtOnce: 2})
+	steps := Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil, nil), AtOnce: 2})
 	is.Equal(steps[0].Engine.ID, pool[2].ID)
 	is.Equal(steps[1].Engine.ID, pool[3].ID)
 }
@@ -55,7 +56,7 @@
 	pool[1].Draining = true
 	pool[1].Versions = map[string]int64{"a": 1}
 	targets := map[string]int64{"a": 2}
-	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil), AtOnce: 9})), 0)
+	is.Equal(len(Plan(PlanInput{Engines: pool, Targets: targets, Assignment: Assign(pool, targets, nil, nil), AtOnce: 9})), 0)
 }
 
 // TestLoadMode checks what becomes of runs by the routes of the pool alone. Streams that nobody may take up were cut by every
@@ -93,17 +94,37 @@
 			targets[fmt.Sprint("m", i)] = int64(rapid.IntRange(1, 5).Draw(t, "target"))
 		}
 		pool := engines(rapid.IntRange(models, 12).Draw(t, "engines"), nil)
-		first := Assign(pool, targets, nil)
+		first := Assign(pool, targets, nil, nil)
 		checkEven(t, first, pool, models)
 		left := pool[rapid.IntRange(0, len(pool)-models).Draw(t, "gone"):]
-		second := Assign(left, targets, first)
+		second := Assign(left, targets, first, nil)
 		checkEven(t, second, left, models)
-		if again := Assign(left, targets, second); fmt.Sprint(again) != fmt.Sprint(second) {
+		if again := Assign(left, targets, second, nil); fmt.Sprint(again) != fmt.Sprint(second) {
 			t.Fatalf("an even assignment changed: %v to %v", second, again)
 		}
 	})
 }
 
+// TestTheModelWithLessWorkHasOneEngineLess is the incident of the archive: when an engine left, the model with the most work
+// was left with two, the one with the least kept three.
+func TestTheModelWithLessWorkHasOneEngineLess(t *testing.T) {
+	is := is.New(t)
+	targets := map[string]int64{"large": 2, "middle": 2, "small": 2}
+	work := map[string]float64{"large": 1200, "middle": 1078, "small": 440}
+	nine := engines(9, nil)
+	before := Assign(nine, targets, nil, work)
+	for i := range nine {
+		left := slices.Delete(slices.Clone(nine), i, i+1)
+		is.True(!before.covers(left, targets))
+		counts := make(map[string]int)
+		for _, model := range Assign(left, targets, before, work) {
+			counts[model]++
+		}
+		is.Equal(counts, map[string]int{"large": 3, "middle": 3, "small": 2})
+	}
+	is.True(before.covers(nine, targets))
+}
+
 func checkEven(t *rapid.T, assignment Assignment, pool []fleet.Engine, models int) {
 	counts := make(map[string]int)
 	for _, engine := range pool {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -61,6 +61,8 @@
 	Catalog   *catalog.Holder
 	Directory *fleet.Directory
 	Client    engineapi.Client
+	// Work returns how much work each model has had lately, in any unit.
+	Work func() map[string]float64
 	// Node names the holder in orders.
 	Node string
 	// Lease is the least time between the orders of two holders.
@@ -182,8 +184,7 @@
 			engines = append(engines, engine)
 		}
 	}
-	assignment := Assign(engines, targets, r.assignments[pool.Name])
-	r.assignments[pool.Name] = assignment
+	assignment := r.assign(pool.Name, engines, targets)
 	loading := r.loading[pool.Name]
 	if loading == nil {
 		loading = make(map[string]string)
@@ -204,6 +205,22 @@
 	}
 }
 
+// assign deals the engines to models, anew only when engines or models have come or gone: work changes from step to step.
+func (r *roller) assign(pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
+	previous := r.assignments[pool]
+	if previous.covers(engines, targets) {
+		return previous
+	}
+	var work map[string]float64
+	if r.config.Work != nil {
+		work = r.config.Work()
+	}
+	assignment := Assign(engines, targets, previous, work)
+	r.assignments[pool] = assignment
+	r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "assignment", assignment, "work", work)
+	return assignment
+}
+
 // noteNames remembers when this process learnt of each target.
 func (r *roller) noteNames(targets map[string]int64, now time.Time) {
 	for model, version := range targets {
