Bound the memory that large bodies take

Cause: every body is read whole before it is passed on, 33 MB at most, and nothing bounded how many at once; a process over its memory is killed.

--- /dev/null
+++ b/internal/ingress/bodies_test.go
@@ -0,0 +1,54 @@
+package ingress
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/matryer/is"
+)
+
+const megabyte = 1 << 20
+
+func newIngress(memory, bodyLimit int64) *Ingress {
+	holder := catalog.NewHolder()
+	holder.Set(catalog.New(1, nil, nil, catalog.Limits{MaxBodyBytes: bodyLimit}))
+	return New(Config{Catalog: holder, MemoryBytes: memory, Logger: log.New(io.Discard)})
+}
+
+// TestLargeBodiesAreBounded checks that bodies are taken up to a part of the memory, that one more waits for another to go, and
+// is refused if none goes in time; small ones always pass.
+func TestLargeBodiesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ingress := newIngress(100*megabyte, 33*megabyte)
+		first, ok := ingress.ReserveBody(t.Context(), 10*megabyte)
+		is.True(ok)
+		started := time.Now()
+		_, ok = ingress.ReserveBody(t.Context(), 10*megabyte)
+		is.True(!ok)
+		is.Equal(time.Since(started), bodiesPatience)
+		_, ok = ingress.ReserveBody(t.Context(), SmallBody)
+		is.True(ok)
+		time.AfterFunc(bodiesPatience/2, first)
+		second, ok := ingress.ReserveBody(t.Context(), 10*megabyte)
+		is.True(ok)
+		second()
+	})
+}
+
+// TestABodyOfAnySizeIsTakenAlone checks that a body over the part, or of unknown size, is not refused for ever.
+func TestABodyOfAnySizeIsTakenAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ingress := newIngress(100*megabyte, 33*megabyte)
+		for _, size := range []int64{-1, 30 * megabyte, 1 << 40} {
+			release, ok := ingress.ReserveBody(t.Context(), size)
+			is.True(ok)
+			release()
+		}
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,17 +20,20 @@
 	Forwarder *forward.Forwarder
 	// OnRequest takes the outcome of a request and how long it took.
 	OnRequest func(outcome forward.Outcome, took time.Duration)
-	Logger    *log.Logger
+	// MemoryBytes is what the process may use; large bodies take a part of it at most.
+	MemoryBytes int64
+	Logger      *log.Logger
 }
 
 // Ingress meets requests. It is safe for concurrent use.
 type Ingress struct {
 	config Config
+	bodies *bodies
 }
 
 // New returns an ingress.
 func New(config Config) *Ingress {
-	return &Ingress{config: config}
+	return &Ingress{config: config, bodies: newBodies(config.MemoryBytes)}
 }
 
 // Match says what a request's route is.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -67,7 +67,8 @@
 		Client: config.Client, Directory: r.directory, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	r.ingress = ingress.New(ingress.Config{
-		Catalog: r.catalog, Splitter: splitter, Forwarder: forwarder, OnRequest: r.metrics.request, Logger: config.Logger,
+		Catalog: r.catalog, Splitter: splitter, Forwarder: forwarder, OnRequest: r.metrics.request,
+		MemoryBytes: config.Settings.MemoryBytes, Logger: config.Logger,
 	})
 	r.queue = jobrun.NewQueue(r.directory)
 	board := weightroll.NewBoard(r.directory)
