Make three tests fail where their mechanism is taken out

Cause: of 27 mechanisms taken out one by one, three broke no test: the window of an order, texts of one version while runs go on through a load, and the bound on hedges (its test never hedged). Change: the tests now bring about what the mechanism is for.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -153,12 +153,15 @@
 func TestHedgesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		// Two engines have become slow; the third, known to be quick, is full. So every request is worth a hedge.
 		slow := memoryengine.Behaviour{Work: aim}
-		w := newWorld(map[string]memoryengine.Behaviour{"a": slow, "b": slow, "c": slow})
+		w := newWorld(map[string]memoryengine.Behaviour{"a": slow, "b": slow, "c": {Full: true}})
+		w.directory.Succeeded("c", time.Millisecond)
 		const requests = 100
 		for range requests {
 			is.Equal(w.forwarder.Do(t.Context(), request(true)).Outcome, forward.Answered)
 		}
+		is.True(len(w.engines.Runs()) > requests)
 		is.True(len(w.engines.Runs()) <= requests+requests/8+6)
 	})
 }
--- a/internal/jobrun/jobrun_test.go
+++ b/internal/jobrun/jobrun_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
@@ -194,7 +195,8 @@
 				for version := int64(3); version < 5; version++ {
 					for _, engine := range w.models {
 						time.Sleep(time.Duration(random.Intn(400)) * time.Millisecond)
-						w.load(engine.ID, version)
+						mode := []engineapi.LoadMode{engineapi.LoadCuts, engineapi.LoadKeeps}[random.Intn(2)]
+						w.loadBy(engine.ID, version, mode)
 						owner.directory.SetServes(engine.ID, modelName, version)
 						owner.directory.SetLoading(engine.ID, modelName, time.Now().Add(500*time.Millisecond))
 					}
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -213,11 +213,18 @@
 
 // load makes an engine serve another version, as an order does; streams are cut.
 func (w *world) load(id string, version int64) {
+	w.test.Helper()
+	w.loadBy(id, version, engineapi.LoadCuts)
+}
+
+// loadBy is a load after which runs are cut or go on, by the mode.
+func (w *world) loadBy(id string, version int64, mode engineapi.LoadMode) {
+	w.test.Helper()
 	report, err := w.engines.Report(w.ctx, fleet.Engine{ID: id})
 	if err != nil {
 		w.test.Fatal(err)
 	}
 	_, _ = w.engines.Order(w.ctx, fleet.Engine{ID: id}, engineapi.LoadOrder{
-		Model: modelName, Version: version, Mode: engineapi.LoadCuts, ExpectedSequence: report.Sequence,
+		Model: modelName, Version: version, Mode: mode, ExpectedSequence: report.Sequence,
 	})
 }
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
@@ -275,6 +276,27 @@
 	}
 }
 
+// TestAnOrderIsNotSentAfterItsWindow is a process that was paused between the announcement and the order.
+func TestAnOrderIsNotSentAfterItsWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1)
+		only := w.node("only")
+		only.own(1)
+		time.Sleep(time.Second)
+		step := Step{Engine: w.pool[0], Model: model, Version: 2}
+		giver := only.work.(*roller)
+		outcome, err := giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now())
+		is.Equal(outcome, engineapi.OrderRefused)
+		is.True(err != nil)
+		is.Equal(len(w.engines.Orders()), 0)
+		_, err = giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now().Add(sendWindow))
+		is.NoErr(err)
+		is.Equal(len(w.engines.Orders()), 1)
+		only.release()
+	})
+}
+
 // TestGarbageOnTheBoardIsSkipped feeds records that nobody of ours wrote.
 func TestGarbageOnTheBoardIsSkipped(t *testing.T) {
 	is := is.New(t)
