Keep each process within its part of the store's reads

Change: package storepace learns its part from refusals, as TCP does; reads of the operator's records never wait. Records of engines and jobs that come in quick succession are read together; reads are held open longer where nobody waits for them. Ruled out: processor (2.5% of a core) and link.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,8 +40,11 @@
 	Partition keyedlog.Partition
 	Applier   Applier
 	// Wait is how long the store may hold a read open.
-	Wait   time.Duration
-	Logger *log.Logger
+	Wait time.Duration
+	// Spacing is the least time between two reads that brought records, so that records that come in quick succession are
+	// read together.
+	Spacing time.Duration
+	Logger  *log.Logger
 }
 
 // Follower follows one partition.
@@ -106,6 +109,9 @@
 	}
 	f.next += int64(len(batch.Records))
 	f.reached(f.next, f.next >= batch.End)
+	if len(batch.Records) > 0 && f.next >= batch.End && f.config.Spacing > 0 {
+		pause.For(ctx, f.config.Spacing)
+	}
 	return nil
 }
 
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -29,6 +29,8 @@
 var (
 	// ErrNotDone says that the call had no effect and will have none.
 	ErrNotDone = errors.New("store: call was not done")
+	// ErrThrottled says that all callers together make too many calls. It comes with ErrNotDone.
+	ErrThrottled = errors.New("store: too many calls")
 	// ErrFenced says that a writer of a higher epoch has written to the partition.
 	ErrFenced = errors.New("store: writer is fenced")
 	// ErrTrimmed says that the records asked for are no longer kept.
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -141,6 +141,15 @@
 
 func (a *weightApplier) Advanced(int64) {}
 
-// followWait is how long the store may hold a read open. A cut that says nothing is noticed a little later than that, and a
-// replica must be in step again within seconds of its end.
-const followWait = time.Second
+// waits is how long the store may hold a read open, by topic. A cut that says nothing is noticed a little later than that, and
+// a replica must be in step again within seconds of its end.
+var waits = map[keyedlog.Topic]time.Duration{
+	keyedlog.TopicOperator: time.Second, keyedlog.TopicEngines: time.Second, keyedlog.TopicJobs: 2 * time.Second,
+	keyedlog.TopicWeights: 2 * time.Second,
+}
+
+// spacings is the least time between two reads that brought records. Every engine writes about once a second, and nobody needs
+// to know sooner than this that one leaves; results are appended in quick succession.
+var spacings = map[keyedlog.Topic]time.Duration{
+	keyedlog.TopicEngines: 200 * time.Millisecond, keyedlog.TopicJobs: 20 * time.Millisecond,
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/storepace"
 	"github.com/hillfork/hillfork/internal/storetimeout"
 	"github.com/hillfork/hillfork/internal/weightroll"
 )
@@ -57,7 +58,7 @@
 
 // New returns a replica; Run starts it.
 func New(config Config) *Replica {
-	config.Log = storetimeout.New(config.Log)
+	config.Log = storepace.New(storetimeout.New(config.Log), config.Settings.StoreReadsPerS)
 	r := &Replica{
 		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), ledger: job.NewLedger(),
 		metrics: newMetrics(),
@@ -121,7 +122,7 @@
 	for number := range followers {
 		followers[number] = follow.New(follow.Config{
 			Log: r.config.Log, Partition: keyedlog.Partition{Topic: topic, Number: number}, Applier: applier(number),
-			Wait: followWait, Logger: r.config.Logger,
+			Wait: waits[topic], Spacing: spacings[topic], Logger: r.config.Logger,
 		})
 	}
 	r.followers = append(r.followers, followers...)
--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -19,6 +19,8 @@
 // ErrLost is what a caller sees of an answer that was lost.
 var ErrLost = errors.New("answer was lost")
 
+var errThrottled = errors.Join(keyedlog.ErrThrottled, keyedlog.ErrNotDone)
+
 // Fault says what becomes of a call.
 type Fault int
 
@@ -35,6 +37,8 @@
 	LostLate
 	// Silent says nothing until the caller gives up.
 	Silent
+	// Throttled refuses for too many calls.
+	Throttled
 )
 
 // Call describes a call to a fault rule.
@@ -216,6 +220,8 @@
 	switch fault {
 	case Down:
 		return false, false, keyedlog.ErrNotDone
+	case Throttled:
+		return false, false, errThrottled
 	case LostBefore:
 		return false, false, ErrLost
 	case Silent:
--- /dev/null
+++ b/internal/storepace/storepace_test.go
@@ -0,0 +1,105 @@
+package storepace
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+// limited is a store that takes so many reads a second from all callers together.
+type limited struct {
+	mutex   sync.Mutex
+	perS    int
+	second  int64
+	taken   int
+	refused int
+}
+
+func (l *limited) rule(call memorylog.Call) memorylog.Fault {
+	if call.Operation != "read" {
+		return memorylog.None
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if second := time.Now().Unix(); second != l.second {
+		l.second, l.taken = second, 0
+	}
+	l.taken++
+	if l.taken > l.perS {
+		l.refused++
+		return memorylog.Throttled
+	}
+	return memorylog.None
+}
+
+// TestManyProcessesShareTheReads lets a hundred processes read as fast as they may, and checks that they come to rest near
+// what the store takes, that few reads are refused then, and that the operator's records are read all the while.
+func TestManyProcessesShareTheReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const processes, perS = 100, 2000
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		limit := &limited{perS: perS}
+		store.SetRule(limit.rule)
+		ctx := t.Context()
+		var running sync.WaitGroup
+		stop := make(chan struct{})
+		var logs []*Log
+		for i := range processes {
+			log := New(store.For(fmt.Sprint(i)), perS)
+			logs = append(logs, log)
+			running.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						_, _ = log.Read(ctx, keyedlog.Partition{Topic: keyedlog.TopicJobs}, 0, 0)
+					}
+				}
+			})
+		}
+		time.Sleep(20 * time.Second)
+		limit.mutex.Lock()
+		before := limit.refused
+		limit.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+		limit.mutex.Lock()
+		refused := limit.refused - before
+		limit.mutex.Unlock()
+		total := 0.0
+		for _, log := range logs {
+			total += log.Rate()
+		}
+		is.True(total > perS/3)
+		is.True(total < 2*perS)
+		is.True(refused < 10*perS/2)
+		started := time.Now()
+		_, _ = logs[0].Read(ctx, keyedlog.Partition{Topic: keyedlog.TopicOperator}, 0, 0)
+		is.Equal(time.Since(started), time.Duration(0))
+		close(stop)
+		running.Wait()
+	})
+}
+
+// TestFewProcessesAreNotSlowed checks that a process that is refused nothing reads as it likes.
+func TestFewProcessesAreNotSlowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		log := New(store.For("one"), 2000)
+		started := time.Now()
+		for range 100 {
+			_, err := log.Read(t.Context(), keyedlog.Partition{Topic: keyedlog.TopicJobs}, 0, 0)
+			is.NoErr(err)
+		}
+		is.True(time.Since(started) < time.Second)
+		is.Equal(log.stretch(), 1.0)
+	})
+}
