--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -182,22 +182,33 @@
 	return views
 }
 
-// Work returns the estimated output of the items of each model that were submitted after a moment, in tokens.
-func (l *Ledger) Work(since time.Time) map[string]float64 {
+// Work is what was submitted of a model.
+type Work struct {
+	// Host and Path are those of an item, by which its route is found.
+	Host, Path string
+	// Tokens is the estimated output of all items.
+	Tokens float64
+}
+
+// Work returns what was submitted of each model after a moment.
+func (l *Ledger) Work(since time.Time) map[string]Work {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	work := make(map[string]float64)
+	all := make(map[string]Work)
 	for _, found := range l.folds {
 		for _, job := range found.jobs {
 			if job.spec == nil || job.acceptedAt.Before(since) {
 				continue
 			}
+			work := all[job.spec.Model]
 			for _, item := range job.spec.Items {
-				work[job.spec.Model] += float64(item.work())
+				work.Host, work.Path = job.spec.Host, item.Path
+				work.Tokens += float64(item.work())
 			}
+			all[job.spec.Model] = work
 		}
 	}
-	return work
+	return all
 }
 
 // Seen tells whether an item was in another job of a partition.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -97,7 +97,7 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](weightFollowers), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Work: r.recentWork, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
+		Directory: r.directory, Client: config.Client, Demands: r.demands, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.manager = ownership.New(ownership.Config{
@@ -112,8 +112,19 @@
 // workWindow is how far back submissions count for the work of a model: a few steps.
 const workWindow = 20 * time.Second
 
-func (r *Replica) recentWork() map[string]float64 {
-	return r.ledger.Work(time.Now().Add(-workWindow))
+// demands tells what each model asks of its pool, by the jobs of the last steps.
+func (r *Replica) demands() map[string]weightroll.Demand {
+	demands := make(map[string]weightroll.Demand)
+	current := r.catalog.Current()
+	for model, work := range r.ledger.Work(time.Now().Add(-workWindow)) {
+		demand := weightroll.Demand{Work: work.Tokens}
+		if current != nil {
+			route, _ := current.Match(work.Host, work.Path)
+			demand.Priority = route.Priority
+		}
+		demands[model] = demand
+	}
+	return demands
 }
 
 // follow adds a follower for every partition of a topic.
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -18,19 +18,32 @@
 // Assignment maps engines to the model that they are kept up to date for.
 type Assignment map[string]string
 
+// Demand is what a model asks of its pool.
+type Demand struct {
+	// Priority is the rank of the model's jobs, 0 first.
+	Priority int
+	// Work is how much there was lately, in any unit.
+	Work float64
+}
+
+// compare orders demands, the one to be served better first.
+func (d Demand) compare(other Demand) int {
+	return cmp.Or(cmp.Compare(d.Priority, other.Priority), cmp.Compare(other.Work, d.Work))
+}
+
 // Assign gives every engine of a pool to one of its models, as evenly as engines allow: each trained model needs engines of
-// its newest version, and a load takes an engine away from all others. Where engines do not divide evenly, the models with
-// more work have one more. An engine keeps its model while that is within the model's share; otherwise it goes where engines
+// its newest version, and a load takes an engine away from all others. Where engines do not divide evenly, the more urgent
+// models have one more, and among equally urgent ones those with more work. An engine keeps its model while that is within the model's share; otherwise it goes where engines
 // are missing, and there to the model whose newest version it is nearest to.
 func Assign(
-	engines []fleet.Engine, targets map[string]int64, previous Assignment, work map[string]float64,
+	engines []fleet.Engine, targets map[string]int64, previous Assignment, demands map[string]Demand,
 ) Assignment {
 	models := trainedModels(targets)
 	assignment := make(Assignment, len(engines))
 	if len(models) == 0 {
 		return assignment
 	}
-	missing := shares(len(engines), models, work)
+	missing := shares(len(engines), models, demands)
 	var free []fleet.Engine
 	for _, engine := range sortedByZone(engines) {
 		if model, kept := previous[engine.ID]; kept && missing[model] > 0 {
@@ -65,11 +78,11 @@
 }
 
 // shares returns how many engines each model has; they differ by one at most.
-func shares(engines int, models []string, work map[string]float64) map[string]int {
-	byWork := slices.Clone(models)
-	slices.SortStableFunc(byWork, func(a, b string) int { return cmp.Compare(work[b], work[a]) })
+func shares(engines int, models []string, demands map[string]Demand) map[string]int {
+	byDemand := slices.Clone(models)
+	slices.SortStableFunc(byDemand, func(a, b string) int { return demands[a].compare(demands[b]) })
 	shares := make(map[string]int, len(models))
-	for i, model := range byWork {
+	for i, model := range byDemand {
 		shares[model] = engines / len(models)
 		if i < engines%len(models) {
 			shares[model]++
--- a/internal/weightroll/plan_test.go
+++ b/internal/weightroll/plan_test.go
@@ -110,7 +110,7 @@
 func TestTheModelWithLessWorkHasOneEngineLess(t *testing.T) {
 	is := is.New(t)
 	targets := map[string]int64{"large": 2, "middle": 2, "small": 2}
-	work := map[string]float64{"large": 1200, "middle": 1078, "small": 440}
+	work := map[string]Demand{"large": {Work: 1200}, "middle": {Work: 1078}, "small": {Work: 440}}
 	nine := engines(9, nil)
 	before := Assign(nine, targets, nil, work)
 	for i := range nine {
@@ -123,6 +123,15 @@
 		is.Equal(counts, map[string]int{"large": 3, "middle": 3, "small": 2})
 	}
 	is.True(before.covers(nine, targets))
+
+	// The more urgent model goes before the one with more work.
+	work["middle"] = Demand{Work: 1078}
+	work["large"], work["small"] = Demand{Work: 1200, Priority: 1}, Demand{Work: 440, Priority: 1}
+	counts := make(map[string]int)
+	for _, model := range Assign(nine[:7], targets, before, work) {
+		counts[model]++
+	}
+	is.Equal(counts, map[string]int{"middle": 3, "large": 2, "small": 2})
 }
 
 func checkEven(t *rapid.T, assignment Assignment, pool []fleet.Engine, models int) {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -61,8 +61,8 @@
 	Catalog   *catalog.Holder
 	Directory *fleet.Directory
 	Client    engineapi.Client
-	// Work returns how much work each model has had lately, in any unit.
-	Work func() map[string]float64
+	// Demands returns what each model asks of its pool.
+	Demands func() map[string]Demand
 	// Node names the holder in orders.
 	Node string
 	// Lease is the least time between the orders of two holders.
@@ -211,13 +211,13 @@
 	if previous.covers(engines, targets) {
 		return previous
 	}
-	var work map[string]float64
-	if r.config.Work != nil {
-		work = r.config.Work()
+	var demands map[string]Demand
+	if r.config.Demands != nil {
+		demands = r.config.Demands()
 	}
-	assignment := Assign(engines, targets, previous, work)
+	assignment := Assign(engines, targets, previous, demands)
 	r.assignments[pool] = assignment
-	r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "assignment", assignment, "work", work)
+	r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "assignment", assignment, "demands", demands)
 	return assignment
 }
 
