--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -141,6 +141,7 @@
 	}
 	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool,
 		"outcome", answer.Outcome, "status", status, "engine", answer.EngineID, "attempts", answer.Attempts,
-		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause, "left", time.Until(request.Deadline).Round(time.Millisecond),
+		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause,
+		"left", time.Until(request.Deadline).Round(time.Millisecond),
 		"took", took.Round(100*time.Microsecond))
 }
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -13,7 +13,6 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/eventrun"
 	"github.com/hillfork/hillfork/internal/fleet"
-	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/pause"
 )
@@ -94,63 +93,6 @@
 	return e
 }
 
-// takeOver makes progress the item's own.
-func (e *execution) takeOver(progress *job.Progress) {
-	e.events = slices.Clone(progress.Events)
-	e.versions = slices.Clone(progress.Versions)
-	e.failures = max(e.failures, progress.Failures)
-	e.whole, e.score = progress.Whole, progress.Score
-	e.kept = len(e.events)
-}
-
-// adopt takes progress of another owner over, if it is further than the item's own.
-func (e *execution) adopt(progress *job.Progress) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.settled || e.whole || !fits(progress.Versions, e.view.Spec.MinVersion) {
-		return
-	}
-	if !progress.Whole && len(progress.Events) <= len(e.events) {
-		return
-	}
-	e.pending = progress
-	if e.interrupt != nil {
-		e.interrupt()
-	}
-}
-
-// takePending takes over what was adopted, and tells whether the text is whole.
-func (e *execution) takePending() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.pending != nil {
-		e.takeOver(e.pending)
-		e.pending = nil
-	}
-	return e.whole
-}
-
-// interruptible returns a context that adopt can end.
-func (e *execution) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
-	runCtx, cancel := context.WithCancel(ctx)
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.interrupt = cancel
-	if e.pending != nil {
-		cancel()
-	}
-	return runCtx, cancel
-}
-
-func fits(versions []int64, least int64) bool {
-	for _, version := range versions {
-		if version < least {
-			return false
-		}
-	}
-	return true
-}
-
 // run brings the item to a result and lists it, unless the context ends before.
 func (e *execution) run(ctx context.Context) {
 	runCtx, cancel := e.untilGivenUp(ctx)
@@ -182,20 +124,6 @@
 	return context.WithDeadline(ctx, deadline)
 }
 
-func (e *execution) route() (catalog.Route, bool) {
-	current := e.runner.config.Catalog.Current()
-	if current == nil {
-		return catalog.Route{}, false
-	}
-	return current.Match(e.view.Spec.Host, e.item.Path)
-}
-
-func (e *execution) settle() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.settled = true
-}
-
 // produce runs the item until its text is whole and scored, or it is given up.
 func (e *execution) produce(ctx context.Context) *job.Result {
 	dead := &job.Result{ItemID: e.item.ID, Dead: true}
@@ -261,56 +189,6 @@
 	return false
 }
 
-func (e *execution) want(route catalog.Route) fleet.Want {
-	want := fleet.Want{
-		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
-		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude,
-	}
-	if route.SingleVersion && len(e.versions) > 0 {
-		want.ExactVersion = e.versions[0]
-	}
-	return want
-}
-
-// place returns what the next run needs. Between runs only, a text that no engine can go on with starts anew.
-func (e *execution) place(route catalog.Route) fleet.Want {
-	want := e.want(route)
-	if want.ExactVersion != 0 && !e.servedAnywhere(want) {
-		e.restart()
-		want = e.want(route)
-	}
-	if !e.runner.config.Directory.Exists(want) {
-		want.Exclude = nil
-	}
-	return want
-}
-
-// acquire waits for an engine, and no longer than what the item wants holds: engines take other versions and routes change.
-func (e *execution) acquire(ctx context.Context, want fleet.Want) (fleet.Engine, error) {
-	ctx, cancel := context.WithTimeout(ctx, placeAgain)
-	defer cancel()
-	return e.runner.config.Queue.Acquire(ctx, e.rank, want)
-}
-
-// servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
-func (e *execution) servedAnywhere(want fleet.Want) bool {
-	for _, engine := range e.runner.config.Directory.Pool(want.Pool) {
-		if !engine.Draining && engine.Serves(want.Model) == want.ExactVersion {
-			return true
-		}
-	}
-	return false
-}
-
-// restart forgets the item's events. It must not be called while a run is under way.
-func (e *execution) restart() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.runner.config.Logger.Info("item starts anew, no engine serves its version", "job", e.view.Spec.ID, "item", e.item.ID,
-		"events", len(e.events), "versions", e.versions)
-	e.events, e.versions, e.kept = nil, nil, 0
-}
-
 func (e *execution) runOn(ctx context.Context, engine fleet.Engine, route catalog.Route) eventrun.Result {
 	e.engine = engine
 	e.current = 0
@@ -326,14 +204,6 @@
 	return eventrun.Run(ctx, e.runner.config.Client, engine, call, e.silence(engine, route), e)
 }
 
-func header(fields map[string]string) http.Header {
-	header := make(http.Header, len(fields))
-	for name, value := range fields {
-		header.Set(name, value)
-	}
-	return header
-}
-
 // silence bounds how long the engine may say nothing.
 func (e *execution) silence(engine fleet.Engine, route catalog.Route) eventrun.Limits {
 	gap := gapMost
@@ -475,67 +345,3 @@
 	pause.For(ctx, min(retryMost, retryLeast<<min(e.fruitless, 5)))
 	e.fruitless++
 }
-
-// askScorer has the text scored. It returns false if the item is given up.
-func (e *execution) askScorer(ctx context.Context) (string, bool) {
-	scorer := e.item.Scorer
-	if scorer == nil {
-		return "", true
-	}
-	for ctx.Err() == nil {
-		current := e.runner.config.Catalog.Current()
-		route, ok := current.Match(scorer.Host, scorer.Path)
-		if !ok {
-			return "", false
-		}
-		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
-		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
-			return answer.Reply.Stamp, true
-		}
-		if answer.Failures >= route.MaxAttempts {
-			e.runner.config.Logger.Info("item given up, its scorer fails", "item", e.item.ID, "job", e.view.Spec.ID,
-				"failures", answer.Failures)
-			return "", false
-		}
-		pause.For(ctx, scorePause)
-	}
-	return "", false
-}
-
-func (e *execution) scoreRequest(ctx context.Context, route catalog.Route) forward.Request {
-	scorer := e.item.Scorer
-	deadline := time.Now().Add(scoreTimeout)
-	if bound, bounded := ctx.Deadline(); bounded && bound.Before(deadline) {
-		deadline = bound
-	}
-	return forward.Request{
-		Pool: e.runner.config.Splitter.Pick(route),
-		Call: engineapi.Call{
-			Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
-			Priority: engineapi.NoPriority,
-		},
-		Deadline: deadline, Patience: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
-	}
-}
-
-// checkpoint returns how far the item has come, and whether that is worth keeping. Unless all is set, an item that is about to
-// be listed is not, nor one of few events.
-func (e *execution) checkpoint(all bool) (job.Progress, bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	progress := job.Progress{
-		ItemID: e.item.ID, Events: slices.Clone(e.events), Versions: slices.Clone(e.versions), Failures: e.failures,
-		Whole: e.whole, Score: e.score,
-	}
-	if all {
-		return progress, len(e.events) > e.kept || e.whole
-	}
-	if e.settled || e.whole || len(e.events) == e.kept || e.kept == 0 && len(e.events) < checkpointEvents {
-		return job.Progress{}, false
-	}
-	e.kept = len(e.events)
-	return progress, true
-}
-
-// checkpointEvents is how many events a first checkpoint holds at least: shorter items run again as quickly.
-const checkpointEvents = 12
--- /dev/null
+++ b/internal/jobrun/place.go
@@ -0,0 +1,75 @@
+package jobrun
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/fleet"
+)
+
+func (e *execution) route() (catalog.Route, bool) {
+	current := e.runner.config.Catalog.Current()
+	if current == nil {
+		return catalog.Route{}, false
+	}
+	return current.Match(e.view.Spec.Host, e.item.Path)
+}
+
+func (e *execution) want(route catalog.Route) fleet.Want {
+	want := fleet.Want{
+		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
+		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude,
+	}
+	if route.SingleVersion && len(e.versions) > 0 {
+		want.ExactVersion = e.versions[0]
+	}
+	return want
+}
+
+// place returns what the next run needs. Between runs only, a text that no engine can go on with starts anew.
+func (e *execution) place(route catalog.Route) fleet.Want {
+	want := e.want(route)
+	if want.ExactVersion != 0 && !e.servedAnywhere(want) {
+		e.restart()
+		want = e.want(route)
+	}
+	if !e.runner.config.Directory.Exists(want) {
+		want.Exclude = nil
+	}
+	return want
+}
+
+// acquire waits for an engine, and no longer than what the item wants holds: engines take other versions and routes change.
+func (e *execution) acquire(ctx context.Context, want fleet.Want) (fleet.Engine, error) {
+	ctx, cancel := context.WithTimeout(ctx, placeAgain)
+	defer cancel()
+	return e.runner.config.Queue.Acquire(ctx, e.rank, want)
+}
+
+// servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
+func (e *execution) servedAnywhere(want fleet.Want) bool {
+	for _, engine := range e.runner.config.Directory.Pool(want.Pool) {
+		if !engine.Draining && engine.Serves(want.Model) == want.ExactVersion {
+			return true
+		}
+	}
+	return false
+}
+
+// restart forgets the item's events. It must not be called while a run is under way.
+func (e *execution) restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.runner.config.Logger.Info("item starts anew, no engine serves its version", "job", e.view.Spec.ID, "item", e.item.ID,
+		"events", len(e.events), "versions", e.versions)
+	e.events, e.versions, e.kept = nil, nil, 0
+}
+
+func header(fields map[string]string) http.Header {
+	header := make(http.Header, len(fields))
+	for name, value := range fields {
+		header.Set(name, value)
+	}
+	return header
+}
--- /dev/null
+++ b/internal/jobrun/score.go
@@ -0,0 +1,54 @@
+package jobrun
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/pause"
+)
+
+// askScorer has the text scored. It returns false if the item is given up.
+func (e *execution) askScorer(ctx context.Context) (string, bool) {
+	scorer := e.item.Scorer
+	if scorer == nil {
+		return "", true
+	}
+	for ctx.Err() == nil {
+		current := e.runner.config.Catalog.Current()
+		route, ok := current.Match(scorer.Host, scorer.Path)
+		if !ok {
+			return "", false
+		}
+		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
+		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
+			return answer.Reply.Stamp, true
+		}
+		if answer.Failures >= route.MaxAttempts {
+			e.runner.config.Logger.Info("item given up, its scorer fails", "item", e.item.ID, "job", e.view.Spec.ID,
+				"failures", answer.Failures)
+			return "", false
+		}
+		pause.For(ctx, scorePause)
+	}
+	return "", false
+}
+
+func (e *execution) scoreRequest(ctx context.Context, route catalog.Route) forward.Request {
+	scorer := e.item.Scorer
+	deadline := time.Now().Add(scoreTimeout)
+	if bound, bounded := ctx.Deadline(); bounded && bound.Before(deadline) {
+		deadline = bound
+	}
+	return forward.Request{
+		Pool: e.runner.config.Splitter.Pick(route),
+		Call: engineapi.Call{
+			Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
+			Priority: engineapi.NoPriority,
+		},
+		Deadline: deadline, Patience: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
+	}
+}
--- /dev/null
+++ b/internal/weightroll/order.go
@@ -0,0 +1,178 @@
+package weightroll
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
+)
+
+// errNotTaken says that an engine did not take an order.
+var errNotTaken = errors.New("order was not taken")
+
+// order announces and sends an order and waits until the engine serves the version.
+func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (bool, error) {
+	sequence, known := r.sequenceOf(step.Engine.ID)
+	if !known {
+		report, err := r.report(ctx, step.Engine)
+		if err != nil {
+			return false, err
+		}
+		if report.Versions[step.Model] >= step.Version {
+			return r.serving(ctx, pool, step)
+		}
+		sequence = report.Sequence
+		r.setSequence(step.Engine.ID, sequence)
+	}
+	until, err := r.announce(ctx, pool, step, false)
+	if err != nil {
+		return false, err
+	}
+	outcome, err := r.send(ctx, step, mode, sequence, until)
+	switch outcome {
+	case engineapi.OrderTaken:
+		r.setSequence(step.Engine.ID, sequence+1)
+	case engineapi.OrderHolds:
+		return r.serving(ctx, pool, step)
+	case engineapi.OrderUnknown:
+		r.forgetSequence(step.Engine.ID)
+	default:
+		r.forgetSequence(step.Engine.ID)
+		return false, errors.Join(errNotTaken, err)
+	}
+	if !r.awaitLoad(ctx, step, outcome == engineapi.OrderTaken) {
+		r.forgetSequence(step.Engine.ID)
+		return false, errNotTaken
+	}
+	return r.serving(ctx, pool, step)
+}
+
+// announce writes that an order is about to be sent, and returns until when it may be. The window is counted from before the
+// write, so that a successor, which sees the record later, counts a longer one.
+func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
+	record := Announcement{
+		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(), Serving: serving,
+	}
+	value, err := record.MarshalMsg(nil)
+	if err != nil {
+		return time.Time{}, err
+	}
+	for {
+		started := time.Now()
+		if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: step.Engine.ID, Value: value}}); err != nil {
+			return time.Time{}, err
+		}
+		if serving || time.Since(started) < sendWindow/2 {
+			return started.Add(sendWindow), nil
+		}
+	}
+}
+
+// send sends an order, unless the window of its announcement is over: a process that was paused sends nothing.
+func (r *roller) send(
+	ctx context.Context, step Step, mode engineapi.LoadMode, sequence int64, until time.Time,
+) (engineapi.OrderOutcome, error) {
+	if deadline := time.Now().Add(orderTimeout); deadline.Before(until) {
+		until = deadline
+	}
+	callCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if callCtx.Err() != nil {
+		return engineapi.OrderRefused, callCtx.Err()
+	}
+	outcome, err := r.config.Client.Order(callCtx, step.Engine, engineapi.LoadOrder{
+		Model: step.Model, Version: step.Version, Mode: mode, Holder: r.config.Node, Fence: r.writer.Epoch(),
+		ExpectedSequence: sequence,
+	})
+	r.config.Logger.Info("order sent", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
+		"epoch", r.writer.Epoch(), "sequence", sequence, "outcome", outcome, "error", err)
+	return outcome, err
+}
+
+// awaitLoad asks the engine until it serves the version. An order that drew no answer and shows no sign is given up early.
+func (r *roller) awaitLoad(ctx context.Context, step Step, taken bool) bool {
+	r.mutex.Lock()
+	usual := r.usual
+	r.mutex.Unlock()
+	started := time.Now()
+	wait := time.Duration(reportFrom * float64(usual))
+	if !taken {
+		wait = reportEvery
+	}
+	for polls := 0; pause.For(ctx, wait); polls++ {
+		wait = reportEvery
+		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
+			return false
+		} else if current.Serves(step.Model) >= step.Version {
+			return true
+		}
+		report, err := r.report(ctx, step.Engine)
+		if err == nil && report.Versions[step.Model] >= step.Version {
+			if taken {
+				r.learnLoad(time.Since(started), polls)
+			}
+			return true
+		}
+		if err == nil && !report.Busy && !taken {
+			return false
+		}
+		taken = taken || (err == nil && report.Busy)
+		if time.Since(started) > overdueLoads*usual {
+			return false
+		}
+	}
+	return false
+}
+
+// learnLoad takes how long a load took. One that was done when the engine was first asked may have been shorter than that, so
+// the engine is asked earlier next time.
+func (r *roller) learnLoad(took time.Duration, polls int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if polls == 0 {
+		r.usual = max(reportEvery, time.Duration(loadShortening*float64(r.usual)))
+		return
+	}
+	r.usual += time.Duration(loadSmoothing * float64(took-r.usual))
+}
+
+// serving tells all nodes that the engine serves the version. The next order need not wait for that.
+func (r *roller) serving(ctx context.Context, pool string, step Step) (bool, error) {
+	r.config.Directory.SetServes(step.Engine.ID, step.Model, step.Version)
+	r.active.Go(func() {
+		if _, err := r.announce(ctx, pool, step, true); err != nil && ctx.Err() == nil {
+			errorlog.Warn(r.config.Logger, "served version is not announced", err, "engine", step.Engine.ID)
+		}
+	})
+	return true, nil
+}
+
+func (r *roller) report(ctx context.Context, engine fleet.Engine) (engineapi.Report, error) {
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return r.config.Client.Report(callCtx, engine)
+}
+
+func (r *roller) sequenceOf(id string) (int64, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	sequence, known := r.sequences[id]
+	return sequence, known
+}
+
+func (r *roller) setSequence(id string, sequence int64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sequences[id] = sequence
+}
+
+func (r *roller) forgetSequence(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.sequences, id)
+}
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -33,8 +33,8 @@
 
 // Assign gives every engine of a pool to one of its models, as evenly as engines allow: each trained model needs engines of
 // its newest version, and a load takes an engine away from all others. Where engines do not divide evenly, the more urgent
-// models have one more, and among equally urgent ones those with more work. An engine keeps its model while that is within the model's share; otherwise it goes where engines
-// are missing, and there to the model whose newest version it is nearest to.
+// models have one more, and among equally urgent ones those with more work. An engine keeps its model while that is within
+// the model's share; otherwise it goes where engines are missing, and there to the model whose newest version it is nearest to.
 func Assign(
 	engines []fleet.Engine, targets map[string]int64, previous Assignment, demands map[string]Demand,
 ) Assignment {
