Give held reads of the store more time after some brought nothing

Cause: on the grown site (80 machines) a step's submission is read by every replica at once, 50 to 60 MB through a store that gives 80 MB/s. Answers came later than a held read's fixed slack; replicas gave the read up and asked again, and the store's link was full of answers that nobody took: no replica learnt a configuration after its first (CONFIG, DENIED, DRAIN). Ruled out: refusals (1,014 of 7,199 lost reads, all in the first second after the start), processor time (2% of a core at most). Change: a held read that times out lengthens the timeout of reads, as other calls' do; reads that are not held measure it. Conclusion: TestHeldReadsOfASlowStoreAreWaitedFor (fails before). Left: after a power cut of all machines every replica reads the whole history of jobs, which the store does not give in time; jobs must not be read by all.

--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -62,13 +62,26 @@
 	})
 }
 
-// Read returns records, within the time that the store was asked to wait and what pages take.
+// Read returns records, within the time that the store was asked to wait and what pages take. A read that is not held open
+// measures the store as a page does. A held read that brings nothing in its time lengthens the reads after it: all processes
+// read the same records at once, and a store whose link is full answers late; processes that gave up early and asked again
+// would fill the link with answers that nobody takes.
 func (l *Log) Read(
 	ctx context.Context, partition keyedlog.Partition, from int64, wait time.Duration,
 ) (keyedlog.Batch, error) {
-	callCtx, cancel := context.WithTimeout(ctx, wait+readSlack+l.reads.timeout())
+	if wait == 0 {
+		return bound(ctx, &l.reads, func(ctx context.Context) (keyedlog.Batch, error) {
+			return l.Log.Read(ctx, partition, from, 0)
+		})
+	}
+	allowed := l.reads.timeout()
+	callCtx, cancel := context.WithTimeout(ctx, wait+readSlack+allowed)
 	defer cancel()
-	return l.Log.Read(callCtx, partition, from, wait)
+	batch, err := l.Log.Read(callCtx, partition, from, wait)
+	if err != nil && ctx.Err() == nil && callCtx.Err() != nil {
+		l.reads.expired(allowed)
+	}
+	return batch, err
 }
 
 // Join joins a group or remains in it, within the time that joins take.
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -91,3 +91,28 @@
 		is.Equal(log.writes.timeout(), least)
 	})
 }
+
+// TestHeldReadsOfASlowStoreAreWaitedFor checks that reads which the store holds open are given more time after some brought
+// nothing. A process that gave each of them the same short time would read the same records for ever and take none.
+func TestHeldReadsOfASlowStoreAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		quick := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		slow := memorylog.New(memorylog.Config{Partitions: 1, Delay: 2200 * time.Millisecond})
+		_, err := slow.For("other").Append(t.Context(), partition, []keyedlog.Record{{Key: "k", Value: []byte("v")}}, nil)
+		is.NoErr(err)
+		log := New(quick.For("node"))
+		for range 20 {
+			_, err := log.Read(t.Context(), partition, 0, 0)
+			is.NoErr(err)
+		}
+		log.Log = slow.For("node")
+		failures := 0
+		for range 10 {
+			if _, err := log.Read(t.Context(), partition, 0, time.Second); err != nil {
+				failures++
+			}
+		}
+		is.True(failures <= 4)
+	})
+}
