Let as many engines load together as measured loads allow

Cause: two engines loaded together on every site, from the sheet of the two first sites. On the grown sites, where the store of weights serves seven, 35 engines of three models need eight loads a second for a version each four seconds; two at once gave two, so most engines stayed on versions that no job takes any more. Change: the number is learnt: it starts at two, is tried half as large again while engines wait, and kept if loads end that much faster; a trial that brought nothing is repeated after 30 s at the earliest. Ruled out: a number in the settings (none is told). Left: the number is learnt anew by every new order giver.

--- a/internal/standin/memoryengine/memoryengine.go
+++ b/internal/standin/memoryengine/memoryengine.go
@@ -85,6 +85,29 @@
 	orders  []Order
 	// running counts requests under way by id.
 	running map[string]int
+	// readers is how many engines load at full speed together, 0 for any number.
+	readers int
+}
+
+// ServeReaders sets how many engines load at full speed together; more share that.
+func (e *Engines) ServeReaders(most int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.readers = most
+}
+
+// stretch returns how much longer a load takes that begins now.
+func (e *Engines) stretch() float64 {
+	loading := 1
+	for _, engine := range e.engines {
+		if time.Now().Before(engine.busyUntil) {
+			loading++
+		}
+	}
+	if e.readers == 0 {
+		return 1
+	}
+	return max(1, float64(loading)/float64(e.readers))
 }
 
 // New returns an empty set.
@@ -335,22 +358,22 @@
 	behaviour := found.behaviour
 	if !behaviour.LoseOrders {
 		defer e.mutex.Unlock()
-		return found.take(order), nil
+		return found.take(order, e.stretch()), nil
 	}
 	e.mutex.Unlock()
 	if behaviour.LateOrders > 0 {
 		time.AfterFunc(behaviour.LateOrders, func() {
 			e.mutex.Lock()
 			defer e.mutex.Unlock()
-			found.take(order)
+			found.take(order, e.stretch())
 		})
 	}
 	<-ctx.Done()
 	return engineapi.OrderUnknown, ctx.Err()
 }
 
-// take carries an order out.
-func (e *engine) take(order engineapi.LoadOrder) engineapi.OrderOutcome {
+// take carries an order out; its load takes stretch times as long as usual.
+func (e *engine) take(order engineapi.LoadOrder, stretch float64) engineapi.OrderOutcome {
 	if time.Now().Before(e.busyUntil) || order.ExpectedSequence != e.sequence {
 		return engineapi.OrderConflict
 	}
@@ -358,7 +381,7 @@
 		return engineapi.OrderHolds
 	}
 	e.sequence++
-	e.busyUntil = time.Now().Add(e.behaviour.Load)
+	e.busyUntil = time.Now().Add(time.Duration(stretch * float64(e.behaviour.Load)))
 	if order.Mode == engineapi.LoadCuts {
 		e.reset()
 	}
--- /dev/null
+++ b/internal/weightroll/concurrency_test.go
@@ -0,0 +1,70 @@
+package weightroll
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// storeLoad is how long a load takes while so many load together, of a store that serves knee of them at full speed.
+func storeLoad(together, knee int) time.Duration {
+	return time.Duration(float64(900*time.Millisecond) * max(1, float64(together)/float64(knee)))
+}
+
+// TestConcurrencyFindsTheStoresRoom checks, for stores that serve few engines and many, that loads come close to as fast as
+// the store allows, and that not many more engines load than that takes.
+func TestConcurrencyFindsTheStoresRoom(t *testing.T) {
+	for _, knee := range []int{1, 2, 3, 5, 7, 20, 64} {
+		t.Run(fmt.Sprint(knee), func(t *testing.T) {
+			is := is.New(t)
+			var c concurrency
+			now := time.Unix(0, 0)
+			for range 2000 {
+				limit := c.limit()
+				took := storeLoad(limit, knee)
+				now = now.Add(took / time.Duration(limit))
+				c.loaded(took, limit, true, now)
+			}
+			best := float64(knee) / 0.9
+			is.True(c.rate >= 0.66*best)
+			is.True(c.accepted <= max(loadsAtFirst, 2*knee))
+		})
+	}
+}
+
+// TestConcurrencyTriesNothingWithoutNeed checks that the number stays while no engine waits, and that loads which did not
+// begin with all places taken say nothing.
+func TestConcurrencyTriesNothingWithoutNeed(t *testing.T) {
+	is := is.New(t)
+	var c concurrency
+	now := time.Unix(0, 0)
+	for range 100 {
+		now = now.Add(time.Second)
+		c.loaded(time.Second, loadsAtFirst, false, now)
+		c.loaded(time.Millisecond, loadsAtFirst-1, true, now)
+	}
+	is.Equal(c.limit(), loadsAtFirst)
+}
+
+// TestATrialThatBroughtNothingIsNotRepeatedAtOnce checks the pause between trials.
+func TestATrialThatBroughtNothingIsNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var c concurrency
+	now := time.Unix(0, 0)
+	trials := 0
+	before := c.limit()
+	for now.Before(time.Unix(0, 0).Add(2 * trialPause)) {
+		limit := c.limit()
+		if limit > before {
+			trials++
+		}
+		before = limit
+		took := storeLoad(limit, loadsAtFirst)
+		now = now.Add(took / time.Duration(limit))
+		c.loaded(took, limit, true, now)
+	}
+	is.Equal(trials, 2)
+	is.True(c.limit() <= loadsAtFirst+1)
+}
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -144,8 +144,8 @@
 
 // Plan returns the engines to order next: models with the fewest loading first, of these the ones with the fewest engines
 // up to date, so that every trainer finds some engine of the newest version early. Of a model's engines the ones that are
-// furthest behind go first: they are the least use to the jobs that run.
-func Plan(input PlanInput) []Step {
+// furthest behind go first: they are the least use to the jobs that run. It also returns how many engines wait for their turn.
+func Plan(input PlanInput) (steps []Step, waiting int) {
 	loading := make(map[string]int)
 	for _, model := range input.Loading {
 		loading[model]++
@@ -165,7 +165,6 @@
 			behind = append(behind, Step{Engine: engine, Model: model, Version: input.Targets[model]})
 		}
 	}
-	var steps []Step
 	for len(behind) > 0 && len(input.Loading)+len(steps) < input.AtOnce {
 		next := 0
 		for i, step := range behind {
@@ -177,7 +176,7 @@
 		loading[behind[next].Model]++
 		behind = slices.Delete(behind, next, next+1)
 	}
-	return steps
+	return steps, len(behind)
 }
 
 func less(a, b Step, loading, fresh map[string]int) bool {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -23,9 +23,6 @@
 	sendWindow = time.Second
 	// leaseSlack is added to the lease for the way of an order to its engine.
 	leaseSlack = 300 * time.Millisecond
-	// loadsAtOnce is how many engines of a pool load together: with more, each takes longer (the platform's sheet), and the
-	// roll as a whole does not end sooner.
-	loadsAtOnce = 2
 	// orderTimeout bounds the answer to an order, reportTimeout that to a report.
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
@@ -88,6 +85,7 @@
 			Log: h.config.Log, Partition: partition, Name: writerName, Epoch: epoch, Logger: h.config.Logger,
 		}),
 		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
+		together: make(map[string]*concurrency), waiting: make(map[string]int),
 		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
 	}
@@ -112,8 +110,11 @@
 	sequences map[string]int64
 	retryAt   map[string]time.Time
 	// usual is the smoothed time of a load.
-	usual   time.Duration
-	namedAt map[string]naming
+	usual time.Duration
+	// together holds, by pool, how many engines may load at once; waiting how many wait for their turn.
+	together map[string]*concurrency
+	waiting  map[string]int
+	namedAt  map[string]naming
 }
 
 // naming is a version of a model and when this process learnt of it.
@@ -194,11 +195,21 @@
 		}
 	}
 	mode := loadMode(current, pool.Name)
-	for _, step := range Plan(PlanInput{
-		Engines: ready, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: loadsAtOnce,
-	}) {
+	together := r.together[pool.Name]
+	if together == nil {
+		together = new(concurrency)
+		r.together[pool.Name] = together
+	}
+	steps, waiting := Plan(PlanInput{
+		Engines: ready, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: together.limit(),
+	})
+	r.waiting[pool.Name] = waiting
+	for _, step := range steps {
 		loading[step.Engine.ID] = step.Model
-		r.active.Go(func() { r.carryOut(ctx, pool.Name, step, mode) })
+	}
+	under := len(loading)
+	for _, step := range steps {
+		r.active.Go(func() { r.carryOut(ctx, pool.Name, step, mode, under) })
 	}
 }
 
@@ -252,8 +263,8 @@
 	return last.seenAt.Add(sendWindow + r.config.Lease + leaseSlack)
 }
 
-// carryOut brings one engine to a version.
-func (r *roller) carryOut(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) {
+// carryOut brings one engine to a version. under is how many loads of the pool are under way, this one included.
+func (r *roller) carryOut(ctx context.Context, pool string, step Step, mode engineapi.LoadMode, under int) {
 	started := time.Now()
 	served, err := r.order(ctx, pool, step, mode)
 	r.mutex.Lock()
@@ -261,6 +272,9 @@
 	if !served {
 		r.retryAt[step.Engine.ID] = time.Now().Add(reportEvery)
 	}
+	if served {
+		r.learnTogether(pool, time.Since(started), under)
+	}
 	named := r.namedAt[step.Model]
 	r.mutex.Unlock()
 	r.config.Logger.Info("load ended", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
@@ -274,6 +288,17 @@
 	}
 }
 
+// learnTogether takes how long a load took, and tells when the number that may load together has changed.
+func (r *roller) learnTogether(pool string, took time.Duration, under int) {
+	together := r.together[pool]
+	before := together.limit()
+	together.loaded(took, under, r.waiting[pool] > 0, time.Now())
+	if after := together.limit(); after != before {
+		r.config.Logger.Info("loads at once changed", "pool", pool, "before", before, "after", after,
+			"loads_per_s", together.rate, "waiting", r.waiting[pool])
+	}
+}
+
 // forget drops announcements for engines that are long gone.
 func (r *roller) forget(ctx context.Context) {
 	before := time.Now().Add(-forgetAfter * r.config.Lease)
