Keep the models of one host in partitions apart, and read open jobs in large pieces

Change: a model's partition is its place among the trained models, from the host's hash on. A job lies where its first entry says; a submission that another node wrote elsewhere is open nowhere. A job that is open is read in pieces of what the store gives, since all behind it has to be read; a settled one in small ones. Ruled out: the store's rate (no 429 in the minute), trimmed history (no such line). Conclusion: TestModelsLieInPartitionsApart, TestAJobRunsInOnePartition.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -83,7 +83,7 @@
 
 // fold applies records to a ledger whose index holds both jobs.
 func fold(t interface{ Fatal(...any) }, records []keyedlog.Record) *job.Ledger {
-	ledger := job.NewLedger(newIndex(t, indexHistory(t), false))
+	ledger := job.NewLedger(newIndex(t, indexHistory(t), false), 3)
 	for _, record := range records {
 		if err := ledger.Apply(record); err != nil {
 			t.Fatal(err)
@@ -194,7 +194,22 @@
 // TestJobsOfOneModelShareAPartition checks that one owner sees all jobs of a model.
 func TestJobsOfOneModelShareAPartition(t *testing.T) {
 	is := is.New(t)
-	is.Equal(job.PartitionOf(spec("a", 1), 8), job.PartitionOf(spec("b", 1), 8))
+	is.Equal(job.PartitionOf(spec("a", 1), 8, nil), job.PartitionOf(spec("b", 1), 8, nil))
+	models := []string{"l", "m", "n"}
+	is.Equal(job.PartitionOf(spec("a", 1), 8, models), job.PartitionOf(spec("b", 1), 8, models))
+}
+
+// TestModelsLieInPartitionsApart checks that the jobs of one host's models do not share partitions while there are enough.
+func TestModelsLieInPartitionsApart(t *testing.T) {
+	is := is.New(t)
+	models := []string{"caption", "description", "material", "provenance"}
+	seen := make(map[int]bool)
+	for _, model := range models {
+		partition := job.PartitionOf(job.Spec{Host: "host", Model: model}, 4, models)
+		is.True(partition.Number >= 0 && partition.Number < 4)
+		seen[partition.Number] = true
+	}
+	is.Equal(len(seen), len(models))
 }
 
 func FuzzApply(f *testing.F) {
@@ -207,3 +222,21 @@
 		_ = describe(ledger)
 	})
 }
+
+// TestAJobRunsInOnePartition checks that a submission that was written to two partitions, by nodes that know other models, is
+// open in the one that its first entry names, and there alone.
+func TestAJobRunsInOnePartition(t *testing.T) {
+	is := is.New(t)
+	index := newIndex(t, indexHistory(t), false)
+	for partition := range 5 {
+		ledger := job.NewLedger(index, partition)
+		for _, record := range history(t) {
+			is.NoErr(ledger.Apply(record))
+		}
+		open := partition == 3
+		is.Equal(len(ledger.OpenJobs()) == 1, open)
+		is.Equal(len(ledger.Open("one")) > 0, open)
+		_, known := ledger.Job("one")
+		is.Equal(known, open)
+	}
+}
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -12,15 +12,17 @@
 // Ledger holds what was read of the jobs of one partition, and looks up in the index which of them exist and have ended. It
 // is safe for concurrent use; its lock is taken before the index's.
 type Ledger struct {
-	index   *Index
+	index     *Index
+	partition int
+
 	mutex   sync.Mutex
 	fold    *fold
 	changed broadcast.Signal
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger(index *Index) *Ledger {
-	return &Ledger{index: index, fold: newFold(), changed: broadcast.New()}
+// NewLedger returns an empty ledger of the partition of a number.
+func NewLedger(index *Index, partition int) *Ledger {
+	return &Ledger{index: index, partition: partition, fold: newFold(), changed: broadcast.New()}
 }
 
 // Apply folds a record of the partition. An error says that the record was skipped.
@@ -67,10 +69,17 @@
 	if !ok || found.spec == nil {
 		return View{}, false
 	}
-	status, exists := l.index.Job(id)
+	status, exists := l.lookUp(id)
 	return found.view(status), exists
 }
 
+// lookUp returns what the index says of a job, false if it has the job in another partition: a submission may have been
+// written to several, of which the first entry names the one that counts.
+func (l *Ledger) lookUp(id string) (Status, bool) {
+	status, exists := l.index.Job(id)
+	return status, exists && status.Entry.Partition == l.partition
+}
+
 func (s *state) view(status Status) View {
 	return View{
 		Spec: s.spec, Listed: s.visible, Progressed: s.progressed, Ended: status.Ended, AcceptedAt: status.AcceptedAt,
@@ -138,7 +147,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	found, ok := l.fold.jobs[id]
-	status, exists := l.index.Job(id)
+	status, exists := l.lookUp(id)
 	if !ok || found.spec == nil || !exists || status.Ended {
 		return nil
 	}
@@ -160,7 +169,7 @@
 		if job.spec == nil || len(job.listed) == len(job.spec.Items) {
 			continue
 		}
-		if status, exists := l.index.Job(id); exists && !status.Ended {
+		if status, exists := l.lookUp(id); exists && !status.Ended {
 			views = append(views, job.view(status))
 		}
 	}
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -105,7 +105,7 @@
 	n := &node{
 		world: w, name: name, index: job.NewIndex(), directory: fleet.NewDirectory(), log: storetimeout.New(w.store.For(name)),
 	}
-	n.ledger = job.NewLedger(n.index)
+	n.ledger = job.NewLedger(n.index, jobsPartition().Number)
 	for _, engine := range append(append([]fleet.Engine(nil), w.models...), w.scorers...) {
 		n.directory.Upsert(engine)
 	}
@@ -147,7 +147,7 @@
 
 // jobsPartition keeps all jobs of these tests.
 func jobsPartition() keyedlog.Partition {
-	return job.PartitionOf(spec("", 0), partitions)
+	return job.PartitionOf(spec("", 0), partitions, nil)
 }
 
 func (n *node) release() {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -32,7 +32,7 @@
 		return item, nil
 	}
 	// Records of others lie between, an item is in parts, or the store has dropped the records: read all of it.
-	submission := &jobApplier{id: entry.JobID, ledger: job.NewLedger(s.config.Index), wanted: job.IsSubmission}
+	submission := &jobApplier{id: entry.JobID, ledger: job.NewLedger(s.config.Index, entry.Partition), wanted: job.IsSubmission}
 	err = follow.Range(ctx, s.config.Log, partitionOf(entry), entry.Offset, entry.Next, entry.Bytes, submission)
 	if err != nil {
 		return nil, err
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -53,6 +53,8 @@
 	// Index tells which jobs there are; IndexFollower keeps it in step.
 	Index         *job.Index
 	IndexFollower Follower
+	// Models returns the models that are trained, in order; nil stands for none.
+	Models func() []string
 	// RecordBytes and CallBytes bound a record and an append.
 	RecordBytes int
 	CallBytes   int
@@ -102,7 +104,11 @@
 		errorlog.Error(s.config.Logger, "job does not encode", err, "job", spec.ID)
 		return Refused
 	}
-	partition := job.PartitionOf(spec, s.config.Log.Partitions(keyedlog.TopicJobs))
+	var models []string
+	if s.config.Models != nil {
+		models = s.config.Models()
+	}
+	partition := job.PartitionOf(spec, s.config.Log.Partitions(keyedlog.TopicJobs), models)
 	outcome := s.enter(ctx, spec, partition, records)
 	s.config.Logger.Info("job submitted", "job", spec.ID, "outcome", outcome, "partition", partition, "items", len(spec.Items),
 		"bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -190,7 +190,7 @@
 		is.Equal(<-done, jobs.Done)
 		is.Equal(<-done, jobs.Done)
 		synctest.Wait()
-		partition := job.PartitionOf(spec("one"), partitions)
+		partition := job.PartitionOf(spec("one"), partitions, nil)
 		is.Equal(len(first.index.Unsettled(partition.Number)), 1)
 		is.Equal(first.service.Submit(t.Context(), spec("one")), jobs.Done)
 	})
@@ -237,7 +237,7 @@
 func list(t *testing.T, store *memorylog.Store, jobID string, position int, itemID string) {
 	records, err := job.EncodeResult(jobID, position, job.Result{ItemID: itemID, Text: "text"}, 300)
 	if err == nil {
-		_, err = store.For("owner").Append(context.Background(), job.PartitionOf(spec(jobID), partitions), records, nil)
+		_, err = store.For("owner").Append(context.Background(), job.PartitionOf(spec(jobID), partitions, nil), records, nil)
 	}
 	if err != nil {
 		t.Error(err)
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -15,8 +15,9 @@
 	// brought some.
 	readWait    = time.Second
 	readSpacing = 20 * time.Millisecond
-	// readBytes is about how much one read returns: what lies behind a job's last result belongs to others.
-	readBytes = 128 << 10
+	// settledBytes is about how much one read returns of a settled job: what lies behind its last result belongs to others.
+	// All that lies behind one that is not settled has to be read.
+	settledBytes = 128 << 10
 	// idleAfter is how long after the last call on a job its results are kept here. Callers read about twice a second.
 	idleAfter = 5 * time.Second
 	// idleLook is how often that is looked at.
@@ -66,12 +67,16 @@
 		found.asked = time.Now()
 		return found
 	}
-	ledger := job.NewLedger(s.config.Index)
+	ledger := job.NewLedger(s.config.Index, status.Entry.Partition)
+	size := 0
+	if status.Settled {
+		size = settledBytes
+	}
 	started := &reader{
 		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}),
 		follower: follow.New(follow.Config{
 			Log: s.config.Log, Partition: partitionOf(status.Entry), From: status.Entry.Next, Wait: readWait, Spacing: readSpacing,
-			Bytes: readBytes,
+			Bytes: size,
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
 			}},
--- a/internal/jobs/reader_test.go
+++ b/internal/jobs/reader_test.go
@@ -19,7 +19,7 @@
 func settle(t *testing.T, store *memorylog.Store, id string) {
 	t.Helper()
 	appended, err := store.For("owner").Append(
-		context.Background(), job.PartitionOf(spec(id), partitions), []keyedlog.Record{job.EncodeLast(id)}, nil)
+		context.Background(), job.PartitionOf(spec(id), partitions, nil), []keyedlog.Record{job.EncodeLast(id)}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,8 +89,8 @@
 		r.weights = append(r.weights, r.follow(partition, &weightApplier{board: board, logger: config.Logger}))
 	}
 	r.jobs = jobs.New(jobs.Config{
-		Log: config.Log, Index: r.index, IndexFollower: indexFollower, RecordBytes: config.RecordBytes,
-		CallBytes: config.CallBytes, Logger: config.Logger,
+		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Models: r.models,
+		RecordBytes: config.RecordBytes, CallBytes: config.CallBytes, Logger: config.Logger,
 	})
 	runners := jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog,
@@ -111,6 +112,20 @@
 	return r
 }
 
+// models returns the models of all pools, in order.
+func (r *Replica) models() []string {
+	current := r.catalog.Current()
+	if current == nil {
+		return nil
+	}
+	var models []string
+	for _, pool := range current.Pools {
+		models = append(models, pool.Models...)
+	}
+	slices.Sort(models)
+	return slices.Compact(models)
+}
+
 // workWindow is how far back submissions count for the work of a model: a few steps.
 const workWindow = 20 * time.Second
 
