--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -199,6 +199,9 @@
 	if err != nil || position < 0 {
 		return errKey
 	}
+	if value, err = decompress(value); err != nil {
+		return err
+	}
 	result := new(Result)
 	if _, err := result.UnmarshalMsg(value); err != nil {
 		return err
@@ -218,6 +221,10 @@
 }
 
 func (f *fold) applyProgress(jobID string, value []byte) error {
+	value, err := decompress(value)
+	if err != nil {
+		return err
+	}
 	progress := new(Progress)
 	if _, err := progress.UnmarshalMsg(value); err != nil {
 		return err
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -146,6 +146,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if value, err = compress(value); err != nil {
+		return nil, err
+	}
 	return split(resultKey(jobID, position), value, limit), nil
 }
 
@@ -155,6 +158,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if value, err = compress(value); err != nil {
+		return nil, err
+	}
 	return split(progressKey(jobID, place), value, limit), nil
 }
 
--- a/internal/jobrun/progress.go
+++ b/internal/jobrun/progress.go
@@ -82,12 +82,17 @@
 	if all {
 		return progress, len(e.events) > e.kept || e.whole
 	}
-	if e.settled || e.whole || len(e.events) == e.kept || e.kept == 0 && len(e.events) < checkpointEvents {
+	if e.settled || e.whole || len(e.events) < max(checkpointEvents, checkpointGrowth*e.kept) {
 		return job.Progress{}, false
 	}
 	e.kept = len(e.events)
 	return progress, true
 }
 
-// checkpointEvents is how many events a first checkpoint holds at least: shorter items run again as quickly.
-const checkpointEvents = 12
+const (
+	// checkpointEvents is how many events a first checkpoint holds at least: shorter items run again as quickly.
+	checkpointEvents = 12
+	// checkpointGrowth is how many times the events of the last one the next holds at least, so that all checkpoints of an item
+	// together are no more than twice its text; an owner's death costs half of an item at most.
+	checkpointGrowth = 2
+)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -253,7 +253,9 @@
 		return Listing{}, outcome
 	}
 	reader := s.reader(status)
-	if err := reader.inStep(ctx); err != nil {
+	err := reader.inStep(ctx)
+	s.left(reader, err)
+	if err != nil {
 		errorlog.Warn(s.config.Logger, "results of a job were not read in time", err, "job", id, "partition", partitionOf(status.Entry),
 			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
 		return Listing{}, Unsure
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -30,7 +30,10 @@
 	entry    job.Entry
 	ledger   *job.Ledger
 	follower *follow.Follower
-	asked    time.Time
+	cancel   context.CancelFunc
+	// asked is when the last call came, waiting counts the calls that wait for the reader to be in step.
+	asked   time.Time
+	waiting int
 	// complete is closed once all results are here that there will ever be.
 	complete chan struct{}
 }
@@ -65,6 +68,7 @@
 	id := status.Entry.JobID
 	if found, ok := s.readers[id]; ok {
 		found.asked = time.Now()
+		found.waiting++
 		return found
 	}
 	ledger := job.NewLedger(s.config.Index, status.Entry.Partition)
@@ -83,22 +87,38 @@
 			Logger: s.config.Logger,
 		}),
 	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	started.cancel, started.waiting = cancel, 1
 	s.readers[id] = started
-	s.reading.Go(func() { s.read(started) })
+	s.reading.Go(func() { s.read(ctx, started) })
 	return started
 }
 
+// left takes that a call waits no more. A reader that nobody waits for, and that was given up before it was in step, ends at
+// once: its callers ask elsewhere, and what it would still read is taken from them.
+func (s *Service) left(r *reader, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	r.waiting--
+	if err == nil || r.waiting > 0 {
+		return
+	}
+	r.cancel()
+	if s.readers[r.entry.JobID] == r {
+		delete(s.readers, r.entry.JobID)
+	}
+}
+
 // read follows a job until all its results are here, and keeps them until nobody has asked for long.
-func (s *Service) read(r *reader) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
+func (s *Service) read(ctx context.Context, r *reader) {
+	defer r.cancel()
 	s.reading.Go(func() { s.untilSettled(ctx, r) })
 	ticker := time.NewTicker(idleLook)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-		case <-s.ctx.Done():
+		case <-ctx.Done():
 			return
 		}
 		if s.dropIdle(r) {
@@ -110,10 +130,12 @@
 func (s *Service) dropIdle(r *reader) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if time.Since(r.asked) < idleAfter {
+	if r.waiting > 0 || time.Since(r.asked) < idleAfter {
 		return false
 	}
-	delete(s.readers, r.entry.JobID)
+	if s.readers[r.entry.JobID] == r {
+		delete(s.readers, r.entry.JobID)
+	}
 	return true
 }
 
--- a/internal/jobs/reader_test.go
+++ b/internal/jobs/reader_test.go
@@ -179,3 +179,36 @@
 		is.Equal(len(body), 500)
 	})
 }
+
+// TestAReaderThatIsGivenUpReadsNoFurther checks that a node stops reading a job once its only caller has left before the node
+// was in step, and reads it again for the next caller.
+func TestAReaderThatIsGivenUpReadsNoFurther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore()
+		gateway, other := newNode(t, store, "gateway"), newNode(t, store, "other")
+		is.Equal(gateway.service.Submit(t.Context(), spec("one")), jobs.Done)
+		list(t, store, "one", 0, "i1")
+		var reads atomic.Int32
+		store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "other" && call.Partition.Topic == keyedlog.TopicJobs {
+				reads.Add(1)
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, outcome := other.service.Results(ctx, "one", 0, 0)
+		is.Equal(outcome, jobs.Unsure)
+		time.Sleep(100 * time.Millisecond)
+		before := reads.Load()
+		is.True(before > 0)
+		time.Sleep(3 * time.Second)
+		is.Equal(reads.Load(), before)
+		store.Heal()
+		listing, outcome := other.service.Results(t.Context(), "one", 0, 0)
+		is.Equal(outcome, jobs.Done)
+		is.Equal(listing.Next, 1)
+	})
+}
