--- a/internal/jobrun/partition_test.go
+++ b/internal/jobrun/partition_test.go
@@ -140,6 +140,31 @@
 	})
 }
 
+// TestATakeoverWaitsForTheIndexToBeInStep checks that an owner which knows of a job, but not yet of its end, runs nothing of it.
+func TestATakeoverWaitsForTheIndexToBeInStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		owner := w.node("owner")
+		w.submit(spec("one", 4))
+		time.Sleep(time.Second)
+		w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "owner" && call.Partition == keyedlog.JobIndex && call.Operation == "read" {
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		w.end("one")
+		owner.own(1)
+		time.Sleep(2 * time.Second)
+		is.Equal(len(w.engines.Runs()), 0)
+		w.store.Heal()
+		time.Sleep(3 * time.Second)
+		is.Equal(len(w.engines.Runs()), 0)
+		owner.release()
+	})
+}
+
 // TestExpiredJobsLeaveNothingInTheStore checks that the owner drops every record of a job that nobody may ask for any more,
 // also of jobs that were settled before it took the partition over.
 func TestExpiredJobsLeaveNothingInTheStore(t *testing.T) {
