Keep the text of long items in pieces, four times a second

Ruled out: more frequent checkpoints of the whole text. They are quadratic in bytes, which is why they doubled. A text joined from pieces of several runs: an event that follows another run's would break the order of the item's runs, so a piece names its line and extends that alone.

Change: the first checkpoint of a text holds all of it, each later one what came since, under a key of its own. The pieces of an item hold its text once (doubling: up to twice). The owner drops a job's pieces when it settles the job. What is kept of a superseded owner is whole as before.

--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -22,6 +22,9 @@
 	listed   map[string]int
 	visible  int
 	progress map[string]*Progress
+	// lines holds the texts of items that are not listed, by item; pieceKeys the keys of all their later pieces.
+	lines     map[string]lines
+	pieceKeys map[string]bool
 	// progressed counts the progress taken.
 	progressed int
 	changed    broadcast.Signal
@@ -124,7 +127,7 @@
 	case keyResult:
 		return f.applyResult(key, value)
 	default:
-		return f.applyProgress(key.jobID, value)
+		return f.applyProgress(key, value)
 	}
 }
 
@@ -133,7 +136,7 @@
 	if !ok {
 		found = &state{
 			items: make(map[int]Item), results: make(map[int]*Result), listed: make(map[string]int), progress: make(map[string]*Progress),
-			changed: broadcast.New(),
+			lines: make(map[string]lines), pieceKeys: make(map[string]bool), changed: broadcast.New(),
 		}
 		f.jobs[id] = found
 	}
@@ -213,6 +216,7 @@
 	found.results[position] = result
 	found.listed[result.ItemID] = position
 	delete(found.progress, result.ItemID)
+	delete(found.lines, result.ItemID)
 	for found.results[found.visible] != nil {
 		found.visible++
 	}
@@ -220,7 +224,7 @@
 	return nil
 }
 
-func (f *fold) applyProgress(jobID string, value []byte) error {
+func (f *fold) applyProgress(key parsedKey, value []byte) error {
 	value, err := decompress(value)
 	if err != nil {
 		return err
@@ -229,14 +233,26 @@
 	if _, err := progress.UnmarshalMsg(value); err != nil {
 		return err
 	}
-	found := f.job(jobID)
+	found := f.job(key.jobID)
+	if progress.From > 0 {
+		found.pieceKeys[key.whole] = true
+	}
 	if _, listed := found.listed[progress.ItemID]; listed {
 		return nil
 	}
-	if known, ok := found.progress[progress.ItemID]; ok && !progress.Further(known) {
+	texts := found.lines[progress.ItemID]
+	if texts == nil {
+		texts = make(lines)
+		found.lines[progress.ItemID] = texts
+	}
+	text := texts.add(progress)
+	if text == nil {
+		return nil
+	}
+	if known, ok := found.progress[progress.ItemID]; ok && !text.Further(known) {
 		return nil
 	}
-	found.progress[progress.ItemID] = progress
+	found.progress[progress.ItemID] = text
 	found.progressed++
 	return nil
 }
@@ -254,8 +270,13 @@
 	if key.part >= 0 {
 		return
 	}
-	if found, ok := f.jobs[key.jobID]; ok && key.kind == keySpec {
+	found, ok := f.jobs[key.jobID]
+	switch {
+	case !ok:
+	case key.kind == keySpec:
 		found.changed.Notify()
 		delete(f.jobs, key.jobID)
+	case key.kind == keyProgress:
+		delete(found.pieceKeys, key.whole)
 	}
 }
--- a/internal/job/index_test.go
+++ b/internal/job/index_test.go
@@ -132,7 +132,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		progress, err := job.EncodeProgress(id, place, job.Progress{}, limit)
+		progress, err := job.EncodeProgress(id, place, 0, job.Progress{}, limit)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -40,7 +40,12 @@
 	must(job.EncodeSpec(spec("one", 5), recordLimit))
 	must(job.EncodeSpec(spec("two", 2), recordLimit))
 	must(job.EncodeSpec(spec("one", 5), recordLimit))
-	must(job.EncodeProgress("one", 1, job.Progress{ItemID: "one-1", Events: []string{"a", "b"}, Versions: []int64{2}}, recordLimit))
+	progress := job.Progress{ItemID: "one-1", Events: []string{"a", "b"}, Versions: []int64{2}, Line: 7}
+	must(job.EncodeProgress("one", 1, 0, progress, recordLimit))
+	progress.From, progress.Events, progress.Versions = 2, []string{"c"}, []int64{2, 3}
+	must(job.EncodeProgress("one", 1, 1, progress, recordLimit))
+	progress.From, progress.Events = 3, []string{"d"}
+	must(job.EncodeProgress("one", 1, 2, progress, recordLimit))
 	must(job.EncodeResult("one", 0, job.Result{ItemID: "one-3", Text: strings.Repeat("long ", 200), Versions: []int64{2, 3}}, recordLimit))
 	must(job.EncodeResult("one", 1, job.Result{ItemID: "one-0", Text: "short", Score: "s"}, recordLimit))
 	must(job.EncodeResult("two", 0, job.Result{ItemID: "two-1", Dead: true}, recordLimit))
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -54,6 +54,11 @@
 	return keyProgress + separator + jobID + separator + strconv.Itoa(place)
 }
 
+// pieceKey is the key of a later piece of an item's progress; the first one's is progressKey.
+func pieceKey(jobID string, place, piece int) string {
+	return progressKey(jobID, place) + separator + strconv.Itoa(piece)
+}
+
 // partKey is the key of a part of a value that is too large for one record.
 func partKey(key string, part int) string {
 	return key + partMark + strconv.Itoa(part)
@@ -152,8 +157,13 @@
 	return split(resultKey(jobID, position), value, limit), nil
 }
 
-// EncodeProgress returns the records that keep how far an item has come.
-func EncodeProgress(jobID string, place int, progress Progress, limit int) ([]keyedlog.Record, error) {
+// EncodeProgress returns the records that keep how far an item has come. A text from its beginning takes the place of any
+// before it; a later piece is the piece-th of its line, counted from 1.
+func EncodeProgress(jobID string, place, piece int, progress Progress, limit int) ([]keyedlog.Record, error) {
+	key := progressKey(jobID, place)
+	if progress.From > 0 {
+		key = pieceKey(jobID, place, piece)
+	}
 	value, err := progress.MarshalMsg(nil)
 	if err != nil {
 		return nil, err
@@ -161,7 +171,7 @@
 	if value, err = compress(value); err != nil {
 		return nil, err
 	}
-	return split(progressKey(jobID, place), value, limit), nil
+	return split(key, value, limit), nil
 }
 
 // recordOverhead is what a record needs besides key and value.
@@ -211,7 +221,7 @@
 type parsedKey struct {
 	kind  string
 	jobID string
-	// rest is the position of a result, or the item of a progress.
+	// rest is the position of a result, or the place of an item and the number of its piece.
 	rest string
 	// part is the number of a part of a value, -1 for the record that completes it; whole is the key without it.
 	part  int
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -177,6 +178,17 @@
 	return views
 }
 
+// PieceKeys returns the keys of the pieces of progress that a job has in the partition, in order.
+func (l *Ledger) PieceKeys(id string) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found, ok := l.fold.jobs[id]
+	if !ok {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(found.pieceKeys))
+}
+
 // Seen tells whether an item was in another job.
 func (l *Ledger) Seen(jobID, itemID string) bool {
 	l.mutex.Lock()
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -106,4 +106,9 @@
 	// Whole says that the events are all there are; Score is the scorer's word on them, empty if it was not asked yet.
 	Whole bool   `msg:"whole"`
 	Score string `msg:"score"`
+	// Line names one unbroken text, and is alone to whoever makes it: what another run has made of the same item never goes on
+	// with it. From counts the events of the line before Events, 0 for the text from its beginning. All other fields hold for
+	// the whole text up to the last event.
+	Line uint64 `msg:"line"`
+	From int    `msg:"from"`
 }
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -827,6 +827,18 @@
 				err = msgp.WrapError(err, "Score")
 				return
 			}
+		case "line":
+			z.Line, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Line")
+				return
+			}
+		case "from":
+			z.From, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -840,9 +852,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Progress) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 8
 	// write "item"
-	err = en.Append(0x86, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+	err = en.Append(0x88, 0xa4, 0x69, 0x74, 0x65, 0x6d)
 	if err != nil {
 		return
 	}
@@ -915,15 +927,35 @@
 		err = msgp.WrapError(err, "Score")
 		return
 	}
+	// write "line"
+	err = en.Append(0xa4, 0x6c, 0x69, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Line)
+	if err != nil {
+		err = msgp.WrapError(err, "Line")
+		return
+	}
+	// write "from"
+	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Progress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "item"
-	o = append(o, 0x86, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+	o = append(o, 0x88, 0xa4, 0x69, 0x74, 0x65, 0x6d)
 	o = msgp.AppendString(o, z.ItemID)
 	// string "events"
 	o = append(o, 0xa6, 0x65, 0x76, 0x65, 0x6e, 0x74, 0x73)
@@ -946,6 +978,12 @@
 	// string "score"
 	o = append(o, 0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
 	o = msgp.AppendString(o, z.Score)
+	// string "line"
+	o = append(o, 0xa4, 0x6c, 0x69, 0x6e, 0x65)
+	o = msgp.AppendUint64(o, z.Line)
+	// string "from"
+	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+	o = msgp.AppendInt(o, z.From)
 	return
 }
 
@@ -1029,6 +1067,18 @@
 				err = msgp.WrapError(err, "Score")
 				return
 			}
+		case "line":
+			z.Line, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Line")
+				return
+			}
+		case "from":
+			z.From, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1047,7 +1097,7 @@
 	for za0001 := range z.Events {
 		s += msgp.StringPrefixSize + len(z.Events[za0001])
 	}
-	s += 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 9 + msgp.IntSize + 6 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Score)
+	s += 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 9 + msgp.IntSize + 6 + msgp.BoolSize + 6 + msgp.StringPrefixSize + len(z.Score) + 5 + msgp.Uint64Size + 5 + msgp.IntSize
 	return
 }
 
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -63,7 +63,11 @@
 	events   []string
 	versions []int64
 	failures int
-	kept     int
+	// kept counts the events that the store has of the item, pieces the records that hold them of the line; a line of 0 has not
+	// begun.
+	kept   int
+	line   uint64
+	pieces int
 	// whole says that the events are all there are, score is the scorer's word on them.
 	whole   bool
 	score   string
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		r.settling[id] = true
-		r.writer.close(id, func(end int64) {
+		r.writer.close(id, r.ledger.PieceKeys(id), func(end int64) {
 			r.active.Go(func() { r.announceSettled(ctx, id, end) })
 		})
 	}
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -63,7 +63,7 @@
 	defer e.mutex.Unlock()
 	e.runner.config.Logger.Info("item starts anew, no engine serves its version", "job", e.view.Spec.ID, "item", e.item.ID,
 		"events", len(e.events), "versions", e.versions)
-	e.events, e.versions, e.kept = nil, nil, 0
+	e.events, e.versions, e.kept, e.line = nil, nil, 0, 0
 }
 
 func header(fields map[string]string) http.Header {
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -109,8 +109,9 @@
 const (
 	// scanLeast is the least time between two looks at all open jobs.
 	scanLeast = 5 * time.Millisecond
-	// checkpointEvery is how often the events of long items are kept for the next owner.
-	checkpointEvery = time.Second
+	// checkpointEvery is how often the events of long items are kept for the next owner: what an owner's death costs a step of
+	// a few seconds. Items of one partition are kept by one append.
+	checkpointEvery = 250 * time.Millisecond
 	// keepTimeout bounds the keeping of progress when the partition was lost.
 	keepTimeout = time.Second
 	// expireEvery is how often jobs that are past their retention are dropped, expireSlack how long after it.
@@ -265,7 +266,7 @@
 		clear(r.leftovers)
 	}
 	for id, execution := range running.items {
-		progress, _ := execution.checkpoint(true)
+		progress, _ := execution.progress()
 		if !progress.Whole && len(progress.Events) > 0 {
 			// The scorer's word belongs to a call of the earlier job.
 			progress.Score = ""
@@ -285,18 +286,18 @@
 	}
 }
 
-// keepProgress queues an item's events for the next owner, if it has come far since the last time.
+// keepProgress queues an item's events for the next owner, if it has come far enough since the last time.
 func (r *runner) keepProgress(jobID string, execution *execution) {
-	progress, changed := execution.checkpoint(false)
-	if !changed {
+	progress, piece, worth := execution.checkpoint()
+	if !worth {
 		return
 	}
-	records, err := job.EncodeProgress(jobID, execution.ordinal, progress, r.config.Limits.RecordBytes)
+	records, err := job.EncodeProgress(jobID, execution.ordinal, piece, progress, r.config.Limits.RecordBytes)
 	if err != nil {
 		errorlog.Error(r.config.Logger, "progress does not encode", err, "job", jobID, "item", progress.ItemID)
 		return
 	}
-	r.writer.keep(records)
+	r.writer.keep(jobID, records)
 }
 
 // stopAll stops all items and starts no further ones.
@@ -320,11 +321,11 @@
 			if !ok {
 				continue
 			}
-			progress, changed := execution.checkpoint(true)
+			progress, changed := execution.progress()
 			if !changed {
 				continue
 			}
-			encoded, err := job.EncodeProgress(id, execution.ordinal, progress, r.config.Limits.RecordBytes)
+			encoded, err := job.EncodeProgress(id, execution.ordinal, 0, progress, r.config.Limits.RecordBytes)
 			if err != nil {
 				errorlog.Error(r.config.Logger, "progress does not encode", err, "job", id, "item", progress.ItemID)
 				continue
--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -40,6 +40,7 @@
 
 // entry is one piece to write: a result, or records that need no position.
 type entry struct {
+	// jobID names the job after whose close the piece is not written any more; empty if it is written all the same.
 	jobID   string
 	result  *job.Result
 	records []keyedlog.Record
@@ -68,23 +69,26 @@
 	w.push(entry{jobID: jobID, result: result, done: func(int64) { done() }})
 }
 
-// close takes no further result of a job and queues the record that says so; done is called once that is durable, with an
-// offset below which all the job's results lie.
-func (w *writer) close(jobID string, done func(end int64)) {
+// close takes no further result or progress of a job, drops keys that nobody needs any more, and queues the record that says
+// so; done is called once that is durable, with an offset below which all the job's results lie.
+func (w *writer) close(jobID string, needless []string, done func(end int64)) {
 	w.mutex.Lock()
 	w.closed[jobID] = true
 	w.mutex.Unlock()
+	for _, records := range job.Calls(dropped(needless), w.limits.CallBytes) {
+		w.push(entry{records: records})
+	}
 	w.push(entry{records: []keyedlog.Record{job.EncodeLast(jobID)}, done: done})
 }
 
-// keep queues records that need no position.
-func (w *writer) keep(records []keyedlog.Record) {
-	w.push(entry{records: records})
+// keep queues records of a job that need no position. Those of a job that was closed are dropped.
+func (w *writer) keep(jobID string, records []keyedlog.Record) {
+	w.push(entry{jobID: jobID, records: records})
 }
 
 func (w *writer) push(next entry) {
 	w.mutex.Lock()
-	if next.result != nil && w.closed[next.jobID] {
+	if next.jobID != "" && w.closed[next.jobID] {
 		w.mutex.Unlock()
 		return
 	}
--- a/internal/jobrun/writer_test.go
+++ b/internal/jobrun/writer_test.go
@@ -26,18 +26,27 @@
 		}), Limits{RecordBytes: 1 << 18, CallBytes: 1 << 21}, logger)
 		end := int64(0)
 		w.list("one", &job.Result{ItemID: "a"}, func() {})
-		w.close("one", func(offset int64) { end = offset })
+		w.keep("one", []keyedlog.Record{{Key: "p/one/0", Value: []byte("x")}})
+		w.close("one", []string{"p/one/0/1"}, func(offset int64) { end = offset })
 		w.list("one", &job.Result{ItemID: "b"}, func() { t.Error("listed after the close") })
+		w.keep("one", []keyedlog.Record{{Key: "p/one/1", Value: []byte("x")}})
 		w.list("two", &job.Result{ItemID: "c"}, func() {})
 		go w.run(t.Context())
 		synctest.Wait()
-		var results []string
+		var results, progress, drops []string
 		for _, record := range store.Records(partition) {
-			if strings.HasPrefix(record.Key, "r/") {
+			switch {
+			case strings.HasPrefix(record.Key, "r/"):
 				results = append(results, record.Key)
+			case record.Value == nil:
+				drops = append(drops, record.Key)
+			case strings.HasPrefix(record.Key, "p/"):
+				progress = append(progress, record.Key)
 			}
 		}
 		is.Equal(results, []string{"r/one/0", "r/two/0"})
+		is.Equal(progress, []string{"p/one/0"})
+		is.Equal(drops, []string{"p/one/0/1"})
 		is.True(end >= 2)
 	})
 }
