Tell from logs what held each step, and how that item's time divides

Cause: where a step's time went was read off logs by hand.

Missing lines are named; exit 2 where nothing can be told.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,21 +2,75 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/hillfork/hillfork/internal/explain"
 	"github.com/peterbourgon/ff/v4"
 )
 
-// explainCommand tells the story of an id from log lines on the standard input. It calls no node.
+const explainUsage = "hillfork explain (ID | --steps | --step JOB) < LOGS"
+
+// explainCommand tells from log lines on the standard input the story of an id, or where the time of steps went. It calls no
+// node.
 func (a *application) explainCommand(parent *ff.FlagSet) *ff.Command {
 	flags := ff.NewFlagSet("explain").SetParent(parent)
-	return a.command(flags, "hillfork explain ID < LOGS",
-		"tell the story of a request, item or job from log lines of any nodes", []string{"ID"},
-		func(_ context.Context, arguments []string) error {
-			story, err := explain.Read(a.streams.In, arguments[0])
-			if err != nil {
-				return err
+	var steps bool
+	var step string
+	flags.BoolVar(&steps, 0, "steps", "tell of each step what held it, and how that item's time divides")
+	flags.StringVar(&step, 0, "step", "", "tell of one step, by its job, the way of the item that held it")
+	return &ff.Command{
+		Name:      flags.GetName(),
+		Usage:     explainUsage,
+		ShortHelp: "tell from log lines of any nodes the story of a request, item or job, or where the time of steps went",
+		Flags:     flags,
+		Exec: func(_ context.Context, arguments []string) error {
+			switch {
+			case steps && step == "" && len(arguments) == 0:
+				return a.explainSteps()
+			case step != "" && !steps && len(arguments) == 0:
+				return a.explainStep(step)
+			case !steps && step == "" && len(arguments) == 1:
+				return a.explainStory(arguments[0])
+			default:
+				return usageError("explain takes one of ID, --steps and --step; usage: %s", explainUsage)
 			}
-			return story.Write(a.streams.Out)
-		})
+		},
+	}
+}
+
+func (a *application) explainStory(id string) error {
+	story, err := explain.Read(a.streams.In, id)
+	if err != nil {
+		return err
+	}
+	return story.Write(a.streams.Out)
+}
+
+func (a *application) explainSteps() error {
+	day, err := explain.ReadDay(a.streams.In)
+	if err != nil {
+		return usageError("the lines can't be read: %v", err)
+	}
+	if len(day.Steps) == 0 {
+		return usageError("%v", explain.ErrNoSteps)
+	}
+	if a.output == outputJSON {
+		return json.NewEncoder(a.streams.Out).Encode(day)
+	}
+	return day.WriteSteps(a.streams.Out)
+}
+
+func (a *application) explainStep(job string) error {
+	day, err := explain.ReadDay(a.streams.In)
+	if err != nil {
+		return usageError("the lines can't be read: %v", err)
+	}
+	step, err := day.Step(job)
+	if err != nil {
+		return usageError("%v", err)
+	}
+	if a.output == outputJSON {
+		return json.NewEncoder(a.streams.Out).Encode(step)
+	}
+	return day.WritePath(a.streams.Out, step)
 }
--- /dev/null
+++ b/internal/explain/table.go
@@ -0,0 +1,146 @@
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// ErrNoSteps says that log lines tell of no step.
+var ErrNoSteps = errors.New("no line tells of a job that was submitted")
+
+// ErrNoStep says that log lines tell of no step of a name.
+var ErrNoStep = errors.New("no line tells of this job's submission")
+
+// Step returns the step of a job.
+func (d *Day) Step(job string) (*Step, error) {
+	for _, step := range d.Steps {
+		if step.Job == job {
+			return step, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrNoStep, job)
+}
+
+// WriteSteps prints a line a step and the sums of the day.
+func (d *Day) WriteSteps(output io.Writer) error {
+	if len(d.Steps) == 0 {
+		return ErrNoSteps
+	}
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "job\tstep\tsubmitted\ttook\tbound\twaiting\tworking\tslow\tlost\tlisting\treading\tevents\truns\t")
+	began := d.Steps[0].Submitted
+	var sum Path
+	var took, bounds time.Duration
+	ended := 0
+	for _, step := range d.Steps {
+		fmt.Fprintf(table, "%s\t%d\t%+.2f\t%s\t%s\t", step.Job, step.Number, step.Submitted.Sub(began).Seconds(), seconds(step.Took()),
+			seconds(step.Bound))
+		path := step.Path
+		if path == nil {
+			fmt.Fprintln(table, strings.Repeat("-\t", 8))
+			continue
+		}
+		fmt.Fprintf(table, "%s%d\t%d\t\n", path.columns(), path.Events, len(path.Runs))
+		sum.add(path)
+		took += step.Took()
+		bounds += step.Bound
+		ended++
+	}
+	if ended > 0 {
+		fmt.Fprintf(table, "mean of %d\t\t\t%s\t%s\t%s\t\t\n", ended, seconds(took/time.Duration(ended)),
+			seconds(bounds/time.Duration(ended)), sum.over(ended).columns())
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return d.writeGaps(output)
+}
+
+// WritePath prints the critical path of a step.
+func (d *Day) WritePath(output io.Writer, step *Step) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "job %s, step %d of %s: took %s, bound %s\n", step.Job, step.Number, step.Model, seconds(step.Took()), seconds(step.Bound))
+	if step.Path == nil {
+		fmt.Fprintf(&text, "%d of %d items are listed; its critical path can't be told\n", step.Listed, step.Items)
+		if _, err := io.WriteString(output, text.String()); err != nil {
+			return err
+		}
+		return d.writeGaps(output)
+	}
+	path := step.Path
+	fmt.Fprintf(&text, "held to its end by item %s of group %s, %d events\n", path.Item, path.Group, path.Events)
+	for _, run := range path.Runs {
+		fmt.Fprintf(&text, "  %+9.3fs on %s for %s, from event %d on, %d kept\n", run.Began.Sub(step.Submitted).Seconds(), run.Engine,
+			seconds(run.Until.Sub(run.Began)), run.After+1, run.Kept)
+	}
+	for _, part := range path.parts() {
+		fmt.Fprintf(&text, "%8s  %s\n", seconds(part.took), part.text)
+	}
+	if _, err := io.WriteString(output, text.String()); err != nil {
+		return err
+	}
+	return d.writeGaps(output)
+}
+
+func (d *Day) writeGaps(output io.Writer) error {
+	for _, gap := range d.Gaps {
+		if _, err := fmt.Fprintln(output, "missing:", gap); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// part is one part of a path's time.
+type part struct {
+	took time.Duration
+	text string
+}
+
+func (p *Path) parts() []part {
+	return []part{
+		{p.Waiting, "waiting for an engine"},
+		{p.Working, "working, at the pace of the quickest engine"},
+		{p.Slow, "beyond that: slower engines, pauses, reading prompts"},
+		{p.Lost, "on runs that were cut off and not kept"},
+		{p.Listing, "scoring and listing"},
+		{p.Reading, "reading by the trainer"},
+	}
+}
+
+// columns are the parts as cells of a table.
+func (p *Path) columns() string {
+	var text strings.Builder
+	for _, part := range p.parts() {
+		text.WriteString(seconds(part.took) + "\t")
+	}
+	return text.String()
+}
+
+func (p *Path) add(other *Path) {
+	p.Waiting += other.Waiting
+	p.Working += other.Working
+	p.Slow += other.Slow
+	p.Lost += other.Lost
+	p.Listing += other.Listing
+	p.Reading += other.Reading
+}
+
+func (p *Path) over(count int) *Path {
+	n := time.Duration(count)
+	return &Path{
+		Waiting: p.Waiting / n, Working: p.Working / n, Slow: p.Slow / n, Lost: p.Lost / n, Listing: p.Listing / n, Reading: p.Reading / n,
+	}
+}
+
+// seconds prints a duration as a table does; one of no length stands for what can't be told or did not take any time.
+func seconds(took time.Duration) string {
+	if took == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", took.Seconds())
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -111,7 +111,8 @@
 	partition := job.PartitionOf(spec, s.config.Log.Partitions(keyedlog.TopicJobs), models)
 	outcome := s.enter(ctx, spec, partition, records)
 	s.config.Logger.Info("job submitted", "job", spec.ID, "outcome", outcome, "partition", partition, "items", len(spec.Items),
-		"bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "min_version", spec.MinVersion)
+		"bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "wanted", spec.Desired,
+		"min_version", spec.MinVersion)
 	return outcome
 }
 
