Place items by what is left of them and by the pace of engines

Cause: a step is held by its longest items, 165 events at 40 ms. A third of the engines take 53 ms; the choice saw slowness only from a factor of 1.8 on, so that such an item took 8.8 s there. Long items of a new step waited 0.5 to 2.3 s for places that short items of the step before held. Items on an engine that had turned slow were moved only if there was room at that very moment's pick.

Hypothesis: with what is left of each item learnt from what items have come to against their estimates, the item that must begin first, and on the quickest engine, can be told.

Change: the queue orders by acceptance less the time that what is left takes. An item declines an engine that would delay it by more than it has waited (ski rental: at most twice what knowing would cost). A run moves if that saves 0.3 s and the engine it moves to has been taken for it. The pace of an engine is the median of its last 32 gaps, so that a load, at which all streams pause, is no slowness. All of it is in internal/policy, without I/O or clock. All waiting items are assigned in one pass over the engines.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/broadcast"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Engine is one incarnation of an engine as it recorded itself.
@@ -42,8 +43,8 @@
 	// avoidUntil is until when the engine is tried last after failures.
 	avoidUntil time.Time
 	failures   int
-	// pace is the smoothed time between events, latency that of whole answers.
-	pace    time.Duration
+	pace       policy.Pace
+	// latency is the smoothed time of whole answers.
 	latency time.Duration
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -53,7 +53,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			picked, found := fleet.Pick(test.candidates, test.want)
+			picked, found := fleet.Pick(test.candidates, test.want, time.Now())
 			is.Equal(found, test.picked != "")
 			is.Equal(picked.Engine.ID, test.picked)
 		})
@@ -116,6 +116,8 @@
 	})
 }
 
+// TestSlowEngineIsLeftForABetterOne checks that work moves only if that saves much, and only to an engine with room, which is
+// counted there at once.
 func TestSlowEngineIsLeftForABetterOne(t *testing.T) {
 	is := is.New(t)
 	directory := fleet.NewDirectory()
@@ -123,16 +125,48 @@
 		directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 2})
 		directory.Paced(id, 30*time.Millisecond)
 	}
-	want := fleet.Want{Pool: "p", Share: 1}
-	is.True(!directory.Better("a", want))
+	long, short := fleet.Want{Pool: "p", Share: 1, Events: 50}, fleet.Want{Pool: "p", Share: 1, Events: 2}
+	better := func(want fleet.Want) bool {
+		_, found := directory.AcquireBetter("a", want)
+		return found
+	}
+	is.True(!better(long))
 	for range 30 {
 		directory.Paced("a", 120*time.Millisecond)
 	}
-	is.True(directory.Better("a", want))
+	is.True(!better(short))
 	for range 4 {
-		_, found := directory.Acquire(fleet.Want{Pool: "p", Share: 1, Exclude: []string{"a"}})
-		is.True(found)
+		is.True(better(long))
 	}
 	// Nobody else has room: the slow engine is better than waiting.
-	is.True(!directory.Better("a", want))
+	is.True(!better(long))
+}
+
+// TestWorkGoesWhereItEndsFirst gives places on two engines of which one is slower. Long work waits for the quick engine while
+// that may still end it sooner, short work takes what there is.
+func TestWorkGoesWhereItEndsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		for id, pace := range map[string]time.Duration{"quick": 40 * time.Millisecond, "slow": 50 * time.Millisecond} {
+			directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 2})
+			directory.Paced(id, pace)
+		}
+		since := time.Now()
+		want := func(events float64) fleet.Want {
+			return fleet.Want{Pool: "p", Share: 1, Events: events, Since: since}
+		}
+		assigned := func(wants ...fleet.Want) []string {
+			ids := make([]string, len(wants))
+			for i, engine := range directory.Assign(wants) {
+				ids[i] = engine.ID
+			}
+			return ids
+		}
+		is.Equal(assigned(want(100), want(100), want(100), want(10)), []string{"quick", "quick", "", ""})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(assigned(want(100), want(10)), []string{"", "slow"})
+		time.Sleep(900 * time.Millisecond)
+		is.Equal(assigned(want(100)), []string{"slow"})
+	})
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/policy"
+)
 
 const (
 	// smoothing is the weight of a new measurement in a smoothed one.
@@ -15,7 +20,7 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	picked, ok := Pick(d.candidates(want, now), want)
+	picked, ok := Pick(d.candidates(want, now), want, now)
 	if !ok {
 		return Engine{}, false
 	}
@@ -36,22 +41,88 @@
 	return false
 }
 
-// Better tells whether an engine that is not slow has room for work that runs on a slow one.
-func (d *Directory) Better(id string, want Want) bool {
+// Assign gives engines to pieces of work, the first ones first, and counts each as in flight where it goes. An empty id says
+// that the work has to wait.
+func (d *Directory) Assign(wants []Want) []Engine {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	given := make([]Engine, len(wants))
+	surveys := make(map[kind]*surveyed)
+	for i, want := range wants {
+		key := kind{want.Pool, want.Model, want.MinVersion, want.ExactVersion}
+		found, ok := surveys[key]
+		if !ok {
+			found = newSurveyed(d.candidates(want, now), want)
+			surveys[key] = found
+		}
+		place, ok := choose(found.room, found.paces, want, now)
+		if !ok {
+			continue
+		}
+		given[i] = found.room[place].Engine
+		d.engines[given[i].ID].inFlight++
+		found.take(place, want)
+	}
+	return given
+}
+
+// kind is what pieces of work have in common that the same engines may run.
+type kind struct {
+	pool, model       string
+	minVersion, exact int64
+}
+
+// surveyed holds the engines with room for work of one kind.
+type surveyed struct {
+	paces paces
+	room  []Candidate
+}
+
+func newSurveyed(candidates []Candidate, want Want) *surveyed {
+	want.Exclude = nil
+	found := &surveyed{paces: survey(candidates, want)}
+	for _, candidate := range candidates {
+		if mayRun(candidate, want) && hasRoom(candidate, want) {
+			found.room = append(found.room, candidate)
+		}
+	}
+	return found
+}
+
+// take counts work at the engine at a place.
+func (s *surveyed) take(place int, want Want) {
+	s.room[place].InFlight++
+	if !hasRoom(s.room[place], want) {
+		s.room = slices.Delete(s.room, place, place+1)
+	}
+}
+
+// AcquireBetter picks an engine at which work that runs elsewhere ends so much earlier that it is worth moving, and counts it as
+// in flight there. Release must follow.
+func (d *Directory) AcquireBetter(id string, want Want) (Engine, bool) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	current, ok := d.engines[id]
-	if !ok || current.pace == 0 {
-		return false
+	if !ok || current.pace.Value() == 0 {
+		return Engine{}, false
 	}
-	candidates := d.candidates(want, now)
-	typical := medianPace(candidates)
-	if typical == 0 || float64(current.pace) <= slowFactor*float64(typical) {
-		return false
+	want.Since = time.Time{}
+	want.Exclude = []string{id}
+	picked, found := Pick(d.candidates(want, now), want, now)
+	if !found || picked.Avoided || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
+		return Engine{}, false
 	}
-	picked, found := Pick(candidates, want)
-	return found && picked.Engine.ID != id && !picked.Avoided && float64(picked.Pace) <= slowFactor*float64(typical)
+	d.engines[picked.Engine.ID].inFlight++
+	return picked.Engine, true
+}
+
+// TypicalPace returns the median pace of a pool's engines, 0 if none is known.
+func (d *Directory) TypicalPace(pool string) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return survey(d.candidates(Want{Pool: pool}, time.Now()), Want{Pool: pool}).typical
 }
 
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
@@ -62,7 +133,7 @@
 		}
 		candidates = append(candidates, Candidate{
 			Engine: found.engine, InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
-			Loading: now.Before(found.loading[want.Model]), Pace: found.pace, Latency: found.latency,
+			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
 		})
 	}
 	return candidates
@@ -106,16 +177,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
-		found.pace = smooth(found.pace, gap)
+		found.pace.Add(gap)
 	}
 }
 
-// Pace returns the smoothed time between events of an engine, 0 if unknown.
+// Pace returns the time between events of an engine, 0 if unknown.
 func (d *Directory) Pace(id string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
-		return found.pace
+		return found.pace.Value()
 	}
 	return 0
 }
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -4,6 +4,8 @@
 	"hash/maphash"
 	"slices"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Candidate is an engine as it stands when work is to be placed.
@@ -14,7 +16,7 @@
 	Avoided bool
 	// Loading says that it begins no request of the wanted model now.
 	Loading bool
-	// Pace is the smoothed time between its events, 0 if unknown; Latency that of whole answers.
+	// Pace is the time between its events, 0 if unknown; Latency the smoothed time of whole answers.
 	Pace    time.Duration
 	Latency time.Duration
 }
@@ -35,31 +37,63 @@
 	Affinity string
 	// Share is the part of an engine's slots that this node fills, 0 for no bound.
 	Share float64
+	// Events is how many events are expected of the work, 0 if that is not known; Since is when it began to wait, zero if it
+	// takes any engine at once.
+	Events float64
+	Since  time.Time
 }
 
-// slowFactor is how many times the median pace makes an engine slow.
+// slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
 const slowFactor = 1.8
 
 // Pick chooses an engine for a piece of work: those that may run it, of these the ones with room, of these the best score.
-// It returns false if none has room.
-func Pick(candidates []Candidate, want Want) (Candidate, bool) {
-	usable := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !mayRun(c, want) })
-	typical := medianPace(usable)
-	usable = slices.DeleteFunc(usable, func(c Candidate) bool { return !hasRoom(c, want) })
-	if len(usable) == 0 {
+// It returns false if none has room, or if the work had better wait for a quicker one.
+func Pick(candidates []Candidate, want Want, now time.Time) (Candidate, bool) {
+	place, ok := choose(candidates, survey(candidates, want), want, now)
+	if !ok {
 		return Candidate{}, false
 	}
-	best := slices.MinFunc(usable, func(a, b Candidate) int {
-		switch first, second := cost(a, want, typical), cost(b, want, typical); {
-		case first < second:
-			return -1
-		case first > second:
-			return 1
-		default:
-			return compareText(a.Engine.ID, b.Engine.ID)
+	return candidates[place], true
+}
+
+// paces are those of the engines that may run a piece of work, full or not; 0 if none is known.
+type paces struct {
+	quickest time.Duration
+	typical  time.Duration
+}
+
+// survey returns the paces of the engines that may run a piece of work. Engines that failed lately count for nobody.
+func survey(candidates []Candidate, want Want) paces {
+	var known []time.Duration
+	for _, candidate := range candidates {
+		if candidate.Pace > 0 && !candidate.Avoided && mayRun(candidate, want) {
+			known = append(known, candidate.Pace)
+		}
+	}
+	if len(known) == 0 {
+		return paces{}
+	}
+	slices.Sort(known)
+	return paces{quickest: known[0], typical: known[(len(known)-1)/2]}
+}
+
+// choose returns the place of the best candidate, false if there is none.
+func choose(candidates []Candidate, known paces, want Want, now time.Time) (int, bool) {
+	best, bestCost := -1, 0.0
+	for i, candidate := range candidates {
+		if !hasRoom(candidate, want) || !mayRun(candidate, want) {
+			continue
+		}
+		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
+		if policy.Declines(now.Sub(want.Since), delay) {
+			continue
+		}
+		total := cost(candidate, want, known.typical) + delay.Seconds()
+		if best < 0 || total < bestCost || total == bestCost && candidate.Engine.ID < candidates[best].Engine.ID {
+			best, bestCost = i, total
 		}
-	})
-	return best, true
+	}
+	return best, best >= 0
 }
 
 func mayRun(candidate Candidate, want Want) bool {
@@ -84,7 +118,7 @@
 	return float64(candidate.InFlight) < max(1, want.Share*float64(candidate.Engine.Slots))
 }
 
-// Parts of the cost, in units of a full engine.
+// Parts of the cost, in units of a full engine. That is a second: a second's delay of the work weighs as much.
 const (
 	avoidedCost  = 100
 	slowCost     = 10
@@ -100,7 +134,7 @@
 	if candidate.Avoided {
 		total += avoidedCost
 	}
-	if typicalPace > 0 && float64(candidate.Pace) > slowFactor*float64(typicalPace) {
+	if want.Events == 0 && typicalPace > 0 && float64(candidate.Pace) > slowFactor*float64(typicalPace) {
 		total += slowCost
 	}
 	if engine.Zone != want.Zone {
@@ -114,20 +148,6 @@
 	return total
 }
 
-func medianPace(candidates []Candidate) time.Duration {
-	var paces []time.Duration
-	for _, candidate := range candidates {
-		if candidate.Pace > 0 {
-			paces = append(paces, candidate.Pace)
-		}
-	}
-	if len(paces) == 0 {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
-}
-
 var hashSeed = maphash.MakeSeed()
 
 // unitHash maps a pair of texts to a number from 0 to 1 that is the same throughout the process.
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -85,13 +85,15 @@
 	// waitingSince is when the item began to wait for an engine, zero while it does not.
 	waitingSince time.Time
 	fruitless    int
-	exclude      []string
+	// next is the engine that the item moves to, with an empty id if none was acquired.
+	next    fleet.Engine
+	exclude []string
 }
 
 func newExecution(r *runner, view job.View, open job.OpenItem, carried bool) *execution {
 	e := &execution{
 		runner: r, view: view, item: open.Item, ordinal: open.Place,
-		rank: Rank{Accepted: view.AcceptedAt, Carried: carried, Length: open.Item.LengthHint},
+		rank: Rank{Carried: carried, Length: open.Item.LengthHint},
 	}
 	if open.Progress != nil && fits(open.Progress.Versions, view.Spec.MinVersion) {
 		e.takeOver(open.Progress)
@@ -112,11 +114,20 @@
 	e.runner.writer.list(e.view.Spec.ID, result, func() {
 		e.runner.config.Measures.listed(time.Since(finished))
 		e.runner.config.Logger.Info("item listed", "job", e.view.Spec.ID, "item", e.item.ID, "dead", result.Dead,
-			"versions", result.Versions, "events", len(e.events), "engine", e.engine.ID,
+			"group", e.item.Group, "versions", result.Versions, "events", len(e.events), "engine", e.engine.ID,
+			"after_last_event", e.sinceLastEvent().Round(time.Millisecond),
 			"age", time.Since(e.view.AcceptedAt).Round(time.Millisecond))
 	})
 }
 
+// sinceLastEvent is how long ago the item's last event came to this process, 0 if none has.
+func (e *execution) sinceLastEvent() time.Duration {
+	if e.lastEvent.IsZero() {
+		return 0
+	}
+	return time.Since(e.lastEvent)
+}
+
 // untilGivenUp bounds the run by the time at which the item may be given up.
 func (e *execution) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
 	route, known := e.route()
@@ -157,6 +168,7 @@
 
 // generate runs the item on engines until its text is whole. It returns false if the item is given up.
 func (e *execution) generate(ctx context.Context) bool {
+	defer e.dropNext()
 	for ctx.Err() == nil {
 		if e.takePending() {
 			return true
@@ -174,7 +186,10 @@
 			e.waitingSince = time.Now()
 		}
 		runCtx, cancel := e.interruptible(ctx)
-		engine, err := e.acquire(runCtx, e.place(route))
+		engine, err := e.takeNext(), error(nil)
+		if engine.ID == "" {
+			engine, err = e.acquire(runCtx, e.place(route))
+		}
 		if err != nil {
 			cancel()
 			continue
@@ -268,12 +283,29 @@
 		return nil
 	}
 	e.lookedAt = now
-	if route, ok := e.route(); ok && e.runner.config.Directory.Better(e.engine.ID, e.want(route)) {
-		return errMove
+	if route, ok := e.route(); ok {
+		if engine, better := e.runner.config.Directory.AcquireBetter(e.engine.ID, e.want(route)); better {
+			e.next = engine
+			return errMove
+		}
 	}
 	return nil
 }
 
+// dropNext gives the engine back that the item was to move to, if it does not.
+func (e *execution) dropNext() {
+	if next := e.takeNext(); next.ID != "" {
+		e.runner.config.Directory.Release(next.ID)
+	}
+}
+
+// takeNext returns the engine that the item moves to, if there is one.
+func (e *execution) takeNext() fleet.Engine {
+	next := e.next
+	e.next = fleet.Engine{}
+	return next
+}
+
 func (e *execution) measure(now time.Time) {
 	measures := e.runner.config.Measures
 	if len(e.events) == 0 {
@@ -302,6 +334,7 @@
 	switch result.Ending {
 	case eventrun.EndedWhole:
 		directory.Succeeded(e.engine.ID, 0)
+		e.runner.learnLength(e.item.LengthHint, len(e.events))
 		return true, true
 	case eventrun.EndedNotRun:
 		e.turnedAway(result)
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 func (e *execution) route() (catalog.Route, bool) {
@@ -19,7 +20,7 @@
 func (e *execution) want(route catalog.Route) fleet.Want {
 	want := fleet.Want{
 		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
-		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude,
+		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude, Events: e.left(), Since: e.waitingSince,
 	}
 	if route.SingleVersion && len(e.versions) > 0 {
 		want.ExactVersion = e.versions[0]
@@ -44,7 +45,14 @@
 func (e *execution) acquire(ctx context.Context, want fleet.Want) (fleet.Engine, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeAgain)
 	defer cancel()
-	return e.runner.config.Queue.Acquire(ctx, e.rank, want)
+	rank := e.rank
+	rank.LatestStart = policy.LatestStart(e.view.AcceptedAt, want.Events, e.runner.config.Directory.TypicalPace(want.Pool))
+	return e.runner.config.Queue.Acquire(ctx, rank, want)
+}
+
+// left is how many events are expected to come of the item, 0 if nothing is known of such items.
+func (e *execution) left() float64 {
+	return e.runner.left(e.item.LengthHint, len(e.events))
 }
 
 // servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -14,8 +14,8 @@
 
 // Rank orders items that wait for an engine.
 type Rank struct {
-	// Accepted is when the job was accepted; older jobs go first.
-	Accepted time.Time
+	// LatestStart is the time of the job's acceptance less what is left of the item; the earliest goes first.
+	LatestStart time.Time
 	// Carried says that the item's group was handed in before and was not whole; the trainer waits for it.
 	Carried bool
 	// Length is the estimated output; longer items go first.
@@ -24,8 +24,8 @@
 
 func (r Rank) before(other Rank) bool {
 	switch {
-	case !r.Accepted.Equal(other.Accepted):
-		return r.Accepted.Before(other.Accepted)
+	case !r.LatestStart.Equal(other.LatestStart):
+		return r.LatestStart.Before(other.LatestStart)
 	case r.Carried != other.Carried:
 		return r.Carried
 	default:
@@ -87,29 +87,23 @@
 func (q *Queue) serve() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	type place struct {
-		pool, model string
-		minVersion  int64
-		exact       int64
-	}
-	full := make(map[place]bool)
-	var kept []*waiter
+	ordered := make([]*waiter, 0, q.waiting.Len())
+	wants := make([]fleet.Want, 0, q.waiting.Len())
 	for q.waiting.Len() > 0 {
 		next := heap.Pop(&q.waiting).(*waiter)
-		key := place{next.want.Pool, next.want.Model, next.want.MinVersion, next.want.ExactVersion}
-		if !full[key] {
-			if engine, ok := q.directory.Acquire(next.want); ok {
-				next.given <- engine
-				continue
-			}
-			full[key] = len(next.want.Exclude) == 0
-		}
-		kept = append(kept, next)
+		ordered = append(ordered, next)
+		wants = append(wants, next.want)
 	}
-	for _, next := range kept {
-		heap.Push(&q.waiting, next)
+	kept := 0
+	for i, engine := range q.directory.Assign(wants) {
+		if engine.ID != "" {
+			ordered[i].given <- engine
+			continue
+		}
+		heap.Push(&q.waiting, ordered[i])
+		kept++
 	}
-	return len(kept)
+	return kept
 }
 
 // Acquire waits for an engine. The directory's Release must follow.
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Limits bounds records and appends, in bytes.
@@ -92,6 +95,10 @@
 	// expiring is set while expired jobs are being dropped.
 	expiring atomic.Bool
 
+	// lengths learns how long the partition's items are.
+	lengthMutex sync.Mutex
+	lengths     policy.Lengths
+
 	mutex    sync.Mutex
 	jobs     map[string]*runningJob
 	released bool
@@ -217,6 +224,7 @@
 // start begins all items of a job that are not listed.
 func (r *runner) start(ctx context.Context, view job.View) *runningJob {
 	r.writer.startAt(view.Spec.ID, view.Listed)
+	r.learnListed(view)
 	jobCtx, cancel := context.WithCancel(ctx)
 	running := &runningJob{cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed}
 	carried := r.carriedGroups(view.Spec)
@@ -233,6 +241,33 @@
 	return running
 }
 
+// left is how many events are expected of an item of which some have come.
+func (r *runner) left(estimate, made int) float64 {
+	r.lengthMutex.Lock()
+	defer r.lengthMutex.Unlock()
+	return r.lengths.Left(estimate, made)
+}
+
+// learnLength takes how many events an item came to.
+func (r *runner) learnLength(estimate, events int) {
+	r.lengthMutex.Lock()
+	defer r.lengthMutex.Unlock()
+	r.lengths.Learn(estimate, events)
+}
+
+// learnListed takes the lengths of a job's items that are listed already: an owner that has just begun knows no others.
+func (r *runner) learnListed(view job.View) {
+	estimates := make(map[string]int, len(view.Spec.Items))
+	for _, item := range view.Spec.Items {
+		estimates[item.ID] = item.LengthHint
+	}
+	for _, result := range r.ledger.Results(view.Spec.ID, 0, math.MaxInt) {
+		if !result.Dead {
+			r.learnLength(estimates[result.ItemID], 1+strings.Count(result.Text, "\n"))
+		}
+	}
+}
+
 // carriedGroups returns the groups of which an item was in an earlier job: the trainer waits for these whatever others are
 // whole.
 func (r *runner) carriedGroups(spec *job.Spec) map[string]bool {
--- /dev/null
+++ b/internal/policy/lengths.go
@@ -0,0 +1,58 @@
+package policy
+
+import "slices"
+
+// Lengths learns how many events items come to from what was estimated of them and what they came to, and tells how many are
+// left of one that runs. Estimates are in tokens, and often far off; what has come of an item tells more of it than its
+// estimate once that is passed. The zero value knows nothing. It is not safe for concurrent use.
+type Lengths struct {
+	// ratios are events over estimate of the items that came to their end last, in order of size; order is the same in order
+	// of arrival.
+	ratios []float64
+	order  []float64
+}
+
+// lengthsKept is how many items the distribution rests on: enough for its upper tenth to hold a few dozen, and few enough
+// to follow a model whose outputs grow as it is trained.
+const lengthsKept = 256
+
+// Learn takes an item that came to its end.
+func (l *Lengths) Learn(estimate, events int) {
+	if estimate <= 0 || events <= 0 {
+		return
+	}
+	if len(l.order) == lengthsKept {
+		place, _ := slices.BinarySearch(l.ratios, l.order[0])
+		l.ratios = slices.Delete(l.ratios, place, place+1)
+		l.order = l.order[1:]
+	}
+	ratio := float64(events) / float64(estimate)
+	place, _ := slices.BinarySearch(l.ratios, ratio)
+	l.ratios = slices.Insert(l.ratios, place, ratio)
+	l.order = append(l.order, ratio)
+}
+
+// Known tells whether any item was learnt from.
+func (l *Lengths) Known() bool {
+	return len(l.ratios) > 0
+}
+
+// Left returns how many events are still to come of an item of which made have, on average over the items known that were
+// no shorter. It is 0 if nothing is known.
+func (l *Lengths) Left(estimate, made int) float64 {
+	if estimate <= 0 || len(l.ratios) == 0 {
+		return 0
+	}
+	passed := float64(made) / float64(estimate)
+	place, _ := slices.BinarySearch(l.ratios, passed)
+	longer := l.ratios[place:]
+	if len(longer) == 0 {
+		// Nothing known is as long. The longest that is known stands in for what is left beyond it.
+		return max(1, float64(made)-l.ratios[len(l.ratios)-1]*float64(estimate))
+	}
+	sum := 0.0
+	for _, ratio := range longer {
+		sum += ratio
+	}
+	return max(1, sum/float64(len(longer))*float64(estimate)-float64(made))
+}
