Keep the names of members over restarts, and let a restarted order giver go on at once

Steps asked then waited 1.5 to 5 s for an engine of a version that they allow.

Change: a member's name is its machine and address, so that a process that is back before its lifetime has passed has its partitions at once. Its epoch is its own: generation and restart, tried upwards. Announcements name the machine: to engines a restarted process is the same holder, and orders at once.

--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -44,6 +44,9 @@
 
 // apply folds one record.
 func (f *fold) apply(record keyedlog.Record) error {
+	if record.Key == keyedlog.OwnerKey {
+		return nil
+	}
 	key, err := parseKey(record.Key)
 	if err != nil {
 		f.skipped++
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -63,13 +63,13 @@
 	return &Holder{config: config}
 }
 
-// Gained starts running the items of a partition.
-func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
+// Gained starts running the items of a partition that was dealt under a generation.
+func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
 	runCtx, cancel := context.WithCancel(ctx)
 	runner := &runner{
 		config: h.config, partition: partition, cancel: cancel, ledger: job.NewLedger(h.config.Index, partition.Number),
 		writer: newWriter(fencing.New(fencing.Config{
-			Log: h.config.Log, Partition: partition, Name: writerName, Epoch: epoch, Logger: h.config.Logger,
+			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}), h.config.Limits, h.config.Logger),
 		jobs: make(map[string]*runningJob), settling: make(map[string]bool), leftovers: make(map[string]*job.Progress),
 	}
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -104,6 +104,9 @@
 	End int64
 }
 
+// OwnerKey is the key of the record by which an owner of a partition makes its epoch its own. Its value means nothing to readers.
+const OwnerKey = "owner/epoch"
+
 // JobIndex is the only partition of the index of jobs.
 var JobIndex = Partition{Topic: TopicJobIndex}
 
@@ -141,7 +144,7 @@
 	// Partitions returns how many partitions a topic has.
 	Partitions(topic Topic) int
 	// Append adds records to a partition, all or none. A nil fence appends without condition. No records with a fence
-	// only set the epoch.
+	// only set the epoch; their sequence number is not looked at if the epoch is set already.
 	Append(ctx context.Context, partition Partition, records []Record, fence *Fence) (Appended, error)
 	// Read returns records from an offset on.
 	Read(ctx context.Context, partition Partition, span Span) (Batch, error)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,6 +1,7 @@
 // Package ownership deals partitions to the processes of a group, by the store's group service, and tells a process which it
-// holds. What it tells is a hint with an epoch: an owner writes under a fence of that epoch, and the store refuses a writer
-// of a lower one, so that a process that was paused and believes to own a partition changes nothing.
+// holds. What it tells is a hint with a generation: an owner writes under a fence of that generation, and the store refuses a
+// writer of a lower one, so that a process that was paused and believes to own a partition changes nothing. Members keep their
+// names over restarts: a process that is back before its lifetime has passed has its partitions at once, and nobody else's move.
 package ownership
 
 import (
@@ -15,8 +16,9 @@
 
 // Holder runs what the owner of a partition does.
 type Holder interface {
-	// Gained starts the work of a partition under an epoch. The context ends when the partition is lost.
-	Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) Work
+	// Gained starts the work of a partition that was dealt under a generation of the group. The context ends when the partition
+	// is lost.
+	Gained(ctx context.Context, partition keyedlog.Partition, generation int64) Work
 }
 
 // Work is the work of a partition that is under way.
@@ -60,9 +62,9 @@
 }
 
 type holding struct {
-	epoch  int64
-	cancel context.CancelFunc
-	work   Work
+	generation int64
+	cancel     context.CancelFunc
+	work       Work
 }
 
 // New returns a manager; Run starts it.
@@ -130,7 +132,7 @@
 			continue
 		}
 		if ok {
-			if held.epoch >= membership.Generation {
+			if held.generation >= membership.Generation {
 				continue
 			}
 			m.release(partition, held)
@@ -149,11 +151,11 @@
 	}
 }
 
-func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, epoch int64) {
+func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, generation int64) {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	m.config.Logger.Info("partition gained", "partition", partition, "epoch", epoch)
+	m.config.Logger.Info("partition gained", "partition", partition, "generation", generation)
 	m.held[partition] = &holding{
-		epoch: epoch, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, epoch),
+		generation: generation, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, generation),
 	}
 }
 
@@ -178,7 +180,7 @@
 	defer cancel()
 	held.work.Release(ctx)
 	held.cancel()
-	m.config.Logger.Info("partition released", "partition", partition, "epoch", held.epoch)
+	m.config.Logger.Info("partition released", "partition", partition, "generation", held.generation)
 }
 
 // leave releases everything and leaves the group, so that the others need not wait for the lifetime to pass.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -100,11 +99,11 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](r.weights), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Demands: r.demands, Node: config.Settings.Node, Lease: config.Settings.OrderLease,
+		Directory: r.directory, Client: config.Client, Demands: r.demands, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.manager = ownership.New(ownership.Config{
-		Log: config.Log, Group: groupName, Member: memberName(config.Settings.Node),
+		Log: config.Log, Group: groupName, Member: holderName(config.Settings),
 		Topics:   []keyedlog.Topic{keyedlog.TopicJobs, keyedlog.TopicWeights},
 		Lifetime: memberLifetime(config.Settings.MemberLifetimeMin),
 		Holder:   holders{jobs: runners, weights: rollers}, Logger: config.Logger,
@@ -184,9 +183,11 @@
 	return converted
 }
 
-// memberName is a name that no other process has had, so that a restarted process does not pass for the one before.
-func memberName(node string) string {
-	return fmt.Sprintf("%s-%08x", node, rand.Uint32())
+// holderName names the machine as a member of the group and as a giver of orders. A process that is started again before its
+// predecessor's lifetime has passed finds its partitions as they were; fences tell the two apart. A machine that comes in another's
+// place under its name has another address, and is another holder.
+func holderName(settings Settings) string {
+	return settings.Node + "@" + settings.IP
 }
 
 // lifetimeFactor leaves room above the store's least for a few slow joins in a row.
--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -146,6 +146,10 @@
 func (p *partition) append(records []keyedlog.Record, fence *keyedlog.Fence) (keyedlog.Appended, error) {
 	var line *writer
 	if fence != nil {
+		if line, ok := p.writers[fence.Writer]; ok && len(records) == 0 && line.epoch == fence.Epoch {
+			// The epoch is set, and nothing is to be put in sequence.
+			return keyedlog.Appended{Offset: p.end(), End: p.end()}, nil
+		}
 		answer, done, err := p.admit(fence)
 		if done || err != nil {
 			return answer, err
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -42,6 +42,9 @@
 
 // Apply folds a record. An error says that it was skipped.
 func (b *Board) Apply(record keyedlog.Record) error {
+	if record.Key == keyedlog.OwnerKey {
+		return nil
+	}
 	now := time.Now()
 	if record.Value == nil {
 		b.mutex.Lock()
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -56,7 +56,8 @@
 // write, so that a successor, which sees the record later, counts a longer one.
 func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
 	record := Announcement{
-		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(), Serving: serving,
+		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(),
+		Holder: r.config.Node, Serving: serving,
 	}
 	value, err := record.MarshalMsg(nil)
 	if err != nil {
--- a/internal/weightroll/records.go
+++ b/internal/weightroll/records.go
@@ -2,7 +2,8 @@
 // the engines of a pool. Each order is announced in the store before it is sent, under the fence of the owner's epoch, and is
 // sent only within a short window after that; a successor, whose epoch ends all announcements of its predecessor, waits
 // until a whole lease has gone by since the last order that may have been sent. So an engine never hears two order givers
-// within one lease, whatever clocks, pauses and lost answers do.
+// within one lease, whatever clocks, pauses and lost answers do. An order giver is a machine: a process that was started again on
+// the machine of its predecessor goes on at once, since the one before is gone with all its connections.
 package weightroll
 
 //go:generate go tool msgp -tests=false
@@ -13,8 +14,9 @@
 	Pool     string `msg:"pool"`
 	Model    string `msg:"model"`
 	Version  int64  `msg:"version"`
-	// Epoch is that of the owner who ordered.
-	Epoch int64 `msg:"epoch"`
+	// Epoch is that of the owner who ordered, Holder the machine that it ran on.
+	Epoch  int64  `msg:"epoch"`
+	Holder string `msg:"holder"`
 	// Serving says that the engine has been seen to serve the version.
 	Serving bool `msg:"serving"`
 }
--- a/internal/weightroll/records_gen.go
+++ b/internal/weightroll/records_gen.go
@@ -54,6 +54,12 @@
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
+		case "holder":
+			z.Holder, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
 		case "serving":
 			z.Serving, err = dc.ReadBool()
 			if err != nil {
@@ -73,9 +79,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "engine"
-	err = en.Append(0x86, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	err = en.Append(0x87, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	if err != nil {
 		return
 	}
@@ -124,6 +130,16 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	// write "holder"
+	err = en.Append(0xa6, 0x68, 0x6f, 0x6c, 0x64, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Holder)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
 	// write "serving"
 	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -140,9 +156,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "engine"
-	o = append(o, 0x86, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	o = append(o, 0x87, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.EngineID)
 	// string "pool"
 	o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
@@ -156,6 +172,9 @@
 	// string "epoch"
 	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
 	o = msgp.AppendInt64(o, z.Epoch)
+	// string "holder"
+	o = append(o, 0xa6, 0x68, 0x6f, 0x6c, 0x64, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Holder)
 	// string "serving"
 	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Serving)
@@ -210,6 +229,12 @@
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
+		case "holder":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
 		case "serving":
 			z.Serving, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -230,6 +255,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Announcement) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 8 + msgp.BoolSize
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize
 	return
 }
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -57,7 +57,7 @@
 	Client    engineapi.Client
 	// Demands returns what each model asks of its pool.
 	Demands func() map[string]Demand
-	// Node names the holder in orders.
+	// Node names the holder in orders: the machine, which runs one process at a time.
 	Node string
 	// Lease is the least time between the orders of two holders.
 	Lease time.Duration
@@ -77,12 +77,12 @@
 }
 
 // Gained starts ordering the engines of a partition's pools.
-func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
+func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
 	runCtx, cancel := context.WithCancel(ctx)
 	r := &roller{
 		config: h.config, partition: partition, cancel: cancel,
 		writer: fencing.New(fencing.Config{
-			Log: h.config.Log, Partition: partition, Name: writerName, Epoch: epoch, Logger: h.config.Logger,
+			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}),
 		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
@@ -254,10 +254,11 @@
 	return slices.ContainsFunc(route.Targets, func(target catalog.Target) bool { return target.Pool == pool })
 }
 
-// allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it.
+// allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it. What an
+// earlier process of this machine ordered is this holder's own.
 func (r *roller) allowedAt(engineID string) time.Time {
 	last, ordered := r.config.Board.last(engineID)
-	if !ordered || last.Epoch == r.writer.Epoch() {
+	if !ordered || last.Epoch == r.writer.Epoch() || last.Holder == r.config.Node {
 		return time.Time{}
 	}
 	return last.seenAt.Add(sendWindow + r.config.Lease + leaseSlack)
