Don't let text that a job does not allow hide an item's own progress

Cause: an item that comes again in a later job was looked up in the earlier ones first. Such items hold most steps.

Also: a placed item names its group, and explain takes a group for whole only if all its items are listed; steps without groups that came again had shown 2 s of "reading" that were waits for items never listed.

--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -126,6 +126,7 @@
 		}
 	case "item placed":
 		found := step.item(line.Fields["item"])
+		found.group = line.Fields["group"]
 		found.runs = append(found.runs, Run{Engine: line.Fields["engine"], Began: line.Time, After: number(line, "resume_after")})
 	case "run ended early":
 		if runs := step.item(line.Fields["item"]).runs; len(runs) > 0 {
@@ -293,8 +294,9 @@
 // group is the items of one group of a step.
 type group struct {
 	name string
-	// carried says that an item of it was in an earlier step.
+	// carried says that an item of it was in an earlier step, whole that all of its items are listed.
 	carried bool
+	whole   bool
 	// done is when its last item was listed, last that item.
 	done time.Time
 	last *item
@@ -320,18 +322,16 @@
 	return append(chosen, others[:min(len(others), max(0, wanted-len(chosen)))]...)
 }
 
-// groups returns a step's groups in the order in which they were listed.
+// groups returns a step's whole groups in the order in which they were listed.
 func (s *Step) groups() []*group {
 	byName := make(map[string]*group)
 	for _, found := range s.items {
-		if found.listed.IsZero() {
-			continue
-		}
 		known, ok := byName[found.group]
 		if !ok {
-			known = &group{name: found.group}
+			known = &group{name: found.group, whole: true}
 			byName[found.group] = known
 		}
+		known.whole = known.whole && !found.listed.IsZero()
 		known.carried = known.carried || s.carried[found.id]
 		known.longest = max(known.longest, found.events)
 		known.work += found.events
@@ -341,7 +341,9 @@
 	}
 	ordered := make([]*group, 0, len(byName))
 	for _, known := range byName {
-		ordered = append(ordered, known)
+		if known.whole {
+			ordered = append(ordered, known)
+		}
 	}
 	slices.SortFunc(ordered, func(a, b *group) int {
 		return cmp.Or(a.done.Compare(b.done), strings.Compare(a.name, b.name))
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -20,11 +20,11 @@
 func stepLines() []string {
 	return []string{
 		at(0) + " INFO job submitted job=j1 outcome=done items=3 model=m step=4 wanted=2",
-		at(100) + " INFO item placed job=j1 item=i1 engine=quick resume_after=0",
-		at(100) + " INFO item placed job=j1 item=i2 engine=quick resume_after=0",
-		at(200) + " INFO item placed job=j1 item=i3 engine=slow resume_after=0",
+		at(100) + " INFO item placed job=j1 item=i1 group=g1 engine=quick resume_after=0",
+		at(100) + " INFO item placed job=j1 item=i2 group=g2 engine=quick resume_after=0",
+		at(200) + " INFO item placed job=j1 item=i3 group=g3 engine=slow resume_after=0",
 		at(1350) + " INFO item listed job=j1 item=i1 group=g1 dead=false events=30 after_last_event=50ms",
-		at(2500) + " INFO item placed job=j1 item=i2 engine=slow resume_after=20",
+		at(2500) + " INFO item placed job=j1 item=i2 group=g2 engine=slow resume_after=20",
 		at(4580) + " INFO item listed job=j1 item=i2 group=g2 dead=false events=60 after_last_event=80ms",
 		at(5000) + " INFO job ended job=j1 outcome=done items=3",
 		at(9000) + " INFO item listed job=j1 item=i3 group=g3 dead=false events=200 after_last_event=0s",
@@ -61,6 +61,10 @@
 	// The item of 60 events is needed, that of 200 is not.
 	is.Equal(step.Bound, 60*40*time.Millisecond)
 
+	// A group of which an item was never listed is not whole: the last one that the trainer waited for is another.
+	unlisted := append(stepLines(), at(150)+" INFO item placed job=j1 item=i4 group=g2 engine=quick resume_after=0")
+	is.Equal(readDay(t, unlisted).Steps[0].Path.Item, "i3")
+
 	var text strings.Builder
 	is.NoErr(day.WriteSteps(&text))
 	is.True(strings.Contains(text.String(), "mean of 1"))
@@ -130,7 +134,7 @@
 			for i, events := range items {
 				// One item after the other on each of two places.
 				began := 10000 * g
-				lines = append(lines, fmt.Sprintf("%s INFO item placed job=j item=%d-%d engine=e resume_after=0", at(began), g, i),
+				lines = append(lines, fmt.Sprintf("%s INFO item placed job=j item=%d-%d group=%d engine=e resume_after=0", at(began), g, i, g),
 					fmt.Sprintf("%s INFO item listed job=j item=%d-%d group=%d dead=false events=%d after_last_event=0s",
 						at(began+events*pace), g, i, g, events))
 			}
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -195,7 +195,7 @@
 			continue
 		}
 		before := len(e.events)
-		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "engine", engine.ID,
+		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
 			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
 		e.waitingSince = time.Time{}
--- a/internal/jobrun/jobrun_test.go
+++ b/internal/jobrun/jobrun_test.go
@@ -334,3 +334,46 @@
 		})
 	}
 }
+
+// TestTextThatDoesNotFitHidesNoProgress is the fault found at the end of days: items that came again in a second job began anew
+// when its owner died, since the whole text of the first job, which the second doesn't allow, went before their own progress.
+func TestTextThatDoesNotFitHidesNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		first, next := w.node("first"), w.node("next")
+		first.own(1)
+		one := spec("one", 2)
+		w.submit(one)
+		time.Sleep(time.Second)
+		first.checkWhole(one)
+		w.end("one")
+		for _, engine := range w.models {
+			w.load(engine.ID, 3)
+			first.directory.SetServes(engine.ID, modelName, 3)
+			next.directory.SetServes(engine.ID, modelName, 3)
+		}
+		time.Sleep(time.Second)
+		again := job.Spec{ID: "two", Route: "items", Host: "h", Model: modelName, MinVersion: 3, Items: one.Items}
+		w.submit(again)
+		time.Sleep(17 * pace)
+		w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "first" {
+				return memorylog.Silent
+			}
+			return memorylog.None
+		})
+		first.cancel()
+		before := len(w.engines.Runs())
+		next.own(2)
+		time.Sleep(2 * time.Second)
+		next.checkWhole(again)
+		is.True(len(w.engines.Runs()) > before)
+		for _, run := range w.engines.Runs()[before:] {
+			if !strings.HasPrefix(run.RequestID, "score-") {
+				is.True(run.ResumeAfter >= 12)
+			}
+		}
+		next.release()
+	})
+}
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -229,7 +229,7 @@
 	running := &runningJob{cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed}
 	carried := r.carriedGroups(view.Spec)
 	for _, open := range r.ledger.Open(view.Spec.ID) {
-		if kept := r.kept(view.Spec.ID, open); kept != nil {
+		if kept := r.kept(view.Spec, open); kept != nil {
 			open.Progress = kept
 		}
 		execution := newExecution(r, view, open, carried[open.Item.Group])
@@ -280,13 +280,17 @@
 	return carried
 }
 
-// kept returns what is there of an item's text from an earlier job, nil if it is no further than the item's own progress.
-func (r *runner) kept(jobID string, open job.OpenItem) *job.Progress {
-	earlier := r.ledger.Text(jobID, open.Item.ID)
+// kept returns what is there of an item's text from an earlier job, nil if the job does not allow its versions or it is no further than
+// the item's own progress.
+func (r *runner) kept(spec *job.Spec, open job.OpenItem) *job.Progress {
+	earlier := r.ledger.Text(spec.ID, open.Item.ID)
 	if earlier == nil {
 		earlier = r.leftovers[open.Item.ID]
 	}
-	if earlier == nil || open.Progress != nil && !earlier.Further(open.Progress) {
+	if earlier == nil || !fits(earlier.Versions, spec.MinVersion) {
+		return nil
+	}
+	if open.Progress != nil && !earlier.Further(open.Progress) {
 		return nil
 	}
 	return earlier
