Keep engines whose entries lapsed while the store was away for two seconds after its return

Until now a dropped entry took the engine away at once, with what was known of its pace, versions and orders.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -65,8 +65,9 @@
 	caughtUp  bool
 	confirmed time.Time
 	connected bool
-	// heard says that a call was answered or failed before.
+	// heard says that a call was answered or failed before; returned is when the store answered again after it had not.
 	heard    bool
+	returned time.Time
 	advanced broadcast.Signal
 }
 
@@ -195,6 +196,9 @@
 	first := !f.heard
 	f.connected = connected
 	f.heard = true
+	if connected && changed && !first {
+		f.returned = time.Now()
+	}
 	confirmed := f.confirmed
 	f.mutex.Unlock()
 	if !changed || ctx.Err() != nil {
@@ -212,6 +216,17 @@
 		"partition", f.config.Partition, "confirmed_ago", time.Since(confirmed).Round(time.Millisecond))
 }
 
+// Returned is when the store answered again after it had not: now while what its first answer brought is applied, zero if it
+// has answered all along.
+func (f *Follower) Returned() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.heard && !f.connected {
+		return time.Now()
+	}
+	return f.returned
+}
+
 // inStep tells whether the last call succeeded and everything was applied once.
 func (f *Follower) inStep() bool {
 	f.mutex.Lock()
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -80,19 +81,28 @@
 // Advanced does nothing: the holder is set record by record.
 func (a *operatorApplier) Advanced(int64) {}
 
-// engineApplier takes the engines' records of themselves.
+// returnWindow is how long after the store's return an engine may take to record itself anew whose entry lapsed while the store
+// was away; the users' platform promises about two seconds.
+const returnWindow = 2 * time.Second
+
+// engineApplier takes the engines' records of themselves. An engine whose record is dropped is gone, unless the store has just
+// returned: then the record may have lapsed while the engine could not renew it, and the engine is kept until it has had time to.
 type engineApplier struct {
 	decoder   RecordDecoder
 	directory *fleet.Directory
 	logger    *log.Logger
+	// returned is when the store answered again after it had not.
+	returned func() time.Time
+
+	mutex sync.Mutex
+	// lapsed holds the engines that are kept, with what will remove them.
+	lapsed map[string]*time.Timer
 }
 
 func (a *engineApplier) Apply(record keyedlog.Record, _ bool) {
+	a.renewed(record.Key)
 	if record.Value == nil {
-		if _, known := a.directory.Engine(record.Key); known {
-			a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset)
-		}
-		a.directory.Remove(record.Key)
+		a.dropped(record)
 		return
 	}
 	engine, err := a.decoder.Engine(record.Key, record.Value)
@@ -108,6 +118,49 @@
 	a.directory.Upsert(engine)
 }
 
+// dropped takes that an engine's record was dropped.
+func (a *engineApplier) dropped(record keyedlog.Record) {
+	if _, known := a.directory.Engine(record.Key); !known {
+		return
+	}
+	left := returnWindow - time.Since(a.returned())
+	if left <= 0 {
+		a.remove(record)
+		return
+	}
+	a.logger.Info("engine lapsed", "engine", record.Key, "offset", record.Offset, "kept_for", left.Round(time.Millisecond))
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.lapsed == nil {
+		a.lapsed = make(map[string]*time.Timer)
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(left, func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		if a.lapsed[record.Key] == timer {
+			delete(a.lapsed, record.Key)
+			a.remove(record)
+		}
+	})
+	a.lapsed[record.Key] = timer
+}
+
+// renewed takes that a record of an engine was read: what was to become of the one before does not count any more.
+func (a *engineApplier) renewed(id string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if timer, ok := a.lapsed[id]; ok {
+		timer.Stop()
+		delete(a.lapsed, id)
+	}
+}
+
+func (a *engineApplier) remove(record keyedlog.Record) {
+	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset)
+	a.directory.Remove(record.Key)
+}
+
 func (a *engineApplier) Advanced(int64) {
 	a.directory.SetKnown()
 }
--- /dev/null
+++ b/internal/replica/records_test.go
@@ -0,0 +1,93 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+// engineDecoder takes any value for an engine of the pool "p"; it decodes nothing else.
+type engineDecoder struct{ RecordDecoder }
+
+func (engineDecoder) Engine(id string, _ []byte) (fleet.Engine, error) {
+	return fleet.Engine{ID: id, Pool: "p"}, nil
+}
+
+// TestLapsedEntriesAreKeptUntilTheyCanBeRenewed drops the entries of three engines while the store does not answer a replica. One
+// is back within a second of the store's return, one after five, one is not; a fourth leaves while the store is up.
+func TestLapsedEntriesAreKeptUntilTheyCanBeRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 2 * time.Millisecond})
+		partition := keyedlog.Partition{Topic: keyedlog.TopicEngines}
+		put := func(id string, value []byte) {
+			_, err := store.For("engine").Append(t.Context(), partition, []keyedlog.Record{{Key: id, Value: value}}, nil)
+			is.NoErr(err)
+		}
+		logger := log.New(io.Discard)
+		engines := &engineApplier{decoder: engineDecoder{}, directory: fleet.NewDirectory(), logger: logger}
+		follower := follow.New(follow.Config{
+			Log: store.For("replica"), Partition: partition, Applier: engines, Wait: time.Second, Logger: logger,
+		})
+		engines.returned = follower.Returned
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		known := func() string {
+			text := ""
+			for _, engine := range engines.directory.Pool("p") {
+				text += engine.ID
+			}
+			return text
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			put(id, []byte("x"))
+		}
+		time.Sleep(time.Second)
+		is.Equal(known(), "abcd")
+		put("d", nil)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(known(), "abc")
+
+		store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "replica" {
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"a", "b", "c"} {
+			put(id, nil)
+		}
+		time.Sleep(4 * time.Second)
+		store.Heal()
+		time.Sleep(time.Second)
+		is.Equal(known(), "abc")
+		put("a", []byte("x"))
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(known(), "abc")
+		time.Sleep(time.Second)
+		is.Equal(known(), "a")
+		time.Sleep(3 * time.Second)
+		put("b", []byte("x"))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(known(), "ab")
+		put("a", nil)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(known(), "b")
+		cancel()
+		<-done
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -76,12 +76,12 @@
 	r.queue = jobrun.NewQueue(r.directory)
 	board := weightroll.NewBoard(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
-	r.followers = append(r.followers, indexFollower,
+	engines := &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
+	engineFollower := r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, engines)
+	engines.returned = engineFollower.Returned
+	r.followers = append(r.followers, indexFollower, engineFollower,
 		r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
 			decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
-		}),
-		r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, &engineApplier{
-			decoder: config.Decoder, directory: r.directory, logger: config.Logger,
 		}))
 	for number := range config.Log.Partitions(keyedlog.TopicWeights) {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number}
