Deal weights by a group of their own, and answer at once where a node is cut off from the store

Changes: (1) weights have a group of their own, whose members may be silent for two thirds of the order lease. Ruled out: the same lifetime for jobs, which pass on as soon as the store allows. (2) A node whose follower of the index has lost the store tries a submission or an end for 0.3 s, then says that it was not done.

Also: explain counts the rest of a run as lost where its owner died.

--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -69,6 +69,8 @@
 	// After counts the events that were there when it began, Kept those when the next run did.
 	After int `json:"after"`
 	Kept  int `json:"kept"`
+	// Orphaned says that no line tells its end though another run followed: its owner died.
+	Orphaned bool `json:"orphaned"`
 }
 
 // item is one item of a step as lines tell it.
@@ -256,7 +258,7 @@
 			default:
 				run.Kept = found.runs[i+1].After
 				if run.Until.IsZero() {
-					run.Until = found.runs[i+1].Began
+					run.Until, run.Orphaned = found.runs[i+1].Began, true
 				}
 			}
 		}
@@ -375,8 +377,8 @@
 	took := run.Until.Sub(run.Began)
 	useful := min(took, time.Duration(run.Kept-run.After)*quickest)
 	p.Working += useful
-	if useful < took/2 {
-		// Most of the run brought nothing that was kept.
+	if run.Orphaned || useful < took/2 {
+		// Its owner died, or most of it brought nothing that was kept.
 		p.Lost += took - useful
 		return
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -227,6 +227,13 @@
 	return f.returned
 }
 
+// Connected tells whether the store answered the last call; true before the first one.
+func (f *Follower) Connected() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.connected || !f.heard
+}
+
 // inStep tells whether the last call succeeded and everything was applied once.
 func (f *Follower) inStep() bool {
 	f.mutex.Lock()
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -42,9 +42,10 @@
 	return outcomeNames[o]
 }
 
-// Follower tells how far a partition was read.
+// Follower tells how far a partition was read, and whether the store answered last.
 type Follower interface {
 	WaitFor(ctx context.Context, end int64) error
+	Connected() bool
 }
 
 // Config configures the service.
@@ -89,8 +90,19 @@
 	appendPause = 60 * time.Millisecond
 	// confirmTimeout bounds the reads that prove that a job does not exist.
 	confirmTimeout = 700 * time.Millisecond
+	// lostPatience bounds a submission or an end while the store does not answer this node: long enough for one append to a
+	// store that is back, and so short that the sender, who asks another node next, loses little to one that is cut off.
+	lostPatience = 300 * time.Millisecond
 )
 
+// patient bounds a call that has to append by how long that may take now.
+func (s *Service) patient(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.config.IndexFollower.Connected() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, lostPatience)
+}
+
 // Submit makes a submission durable: its items first, then the entry in the index that makes the job exist. Items without an
 // entry are no job and never run. A job that is known already is done.
 func (s *Service) Submit(ctx context.Context, spec job.Spec) Outcome {
@@ -98,6 +110,8 @@
 		s.config.Logger.Info("job is known already", "job", spec.ID)
 		return Done
 	}
+	ctx, cancel := s.patient(ctx)
+	defer cancel()
 	spec.SubmittedAt = time.Now().UnixMilli()
 	records, err := job.EncodeSpec(spec, s.config.RecordBytes)
 	if err != nil {
@@ -144,6 +158,8 @@
 
 // End ends a job durably.
 func (s *Service) End(ctx context.Context, id string) Outcome {
+	ctx, cancel := s.patient(ctx)
+	defer cancel()
 	status, outcome := s.lookUp(ctx, id)
 	if outcome != Done {
 		return outcome
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -277,3 +277,27 @@
 		})
 	}
 }
+
+// TestANodeThatIsCutOffAnswersAtOnce cuts a node off from the store. Once it has noticed, a submission and an end are answered
+// within a moment, however long the sender waits, and it serves again with the store's return.
+func TestANodeThatIsCutOffAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore()
+		node := newNode(t, store, "node")
+		is.Equal(node.service.Submit(t.Context(), spec("known")), jobs.Done)
+		time.Sleep(100 * time.Millisecond)
+		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		started := time.Now()
+		is.Equal(node.service.Submit(ctx, spec("one")), jobs.Refused)
+		is.Equal(node.service.End(ctx, "known"), jobs.Refused)
+		is.True(time.Since(started) < time.Second)
+		store.Heal()
+		time.Sleep(time.Second)
+		is.Equal(node.service.Submit(t.Context(), spec("one")), jobs.Done)
+		is.Equal(node.service.End(t.Context(), "known"), jobs.Done)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,8 +25,11 @@
 	"github.com/hillfork/hillfork/internal/weightroll"
 )
 
-// groupName names the group of replicas in the store.
-const groupName = "hillfork"
+// The groups of replicas in the store.
+const (
+	jobsGroup    = "hillfork-jobs"
+	weightsGroup = "hillfork-weights"
+)
 
 // Config configures a replica.
 type Config struct {
@@ -52,7 +55,7 @@
 	// followers run for good; weights, by partition, run once a pool of models has its orders there.
 	followers []*follow.Follower
 	weights   []*follow.Follower
-	manager   *ownership.Manager
+	managers  []*ownership.Manager
 	metrics   *metrics
 	ready     atomic.Bool
 	draining  atomic.Bool
@@ -102,15 +105,29 @@
 		Directory: r.directory, Client: config.Client, Demands: r.demands, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
-	r.manager = ownership.New(ownership.Config{
-		Log: config.Log, Group: groupName, Member: holderName(config.Settings),
-		Topics:   []keyedlog.Topic{keyedlog.TopicJobs, keyedlog.TopicWeights},
-		Lifetime: memberLifetime(config.Settings.MemberLifetimeMin),
-		Holder:   holders{jobs: runners, weights: rollers}, Logger: config.Logger,
-	})
+	lifetime := memberLifetime(config.Settings.MemberLifetimeMin)
+	r.own(jobsGroup, keyedlog.TopicJobs, lifetime, runners)
+	r.own(weightsGroup, keyedlog.TopicWeights, max(lifetime, weightsShare*config.Settings.OrderLease/weightsParts), rollers)
 	return r
 }
 
+// weightsShare of weightsParts is the part of the order lease for which the partition of weights waits for its owner. Another
+// machine may order an engine only a lease after its last order, so that for most engines nothing is lost by waiting; a process that
+// is back before, as after a loss of power, goes on at once. Engines whose last order is older than that lose it, so it is not the
+// whole lease.
+const (
+	weightsShare = 2
+	weightsParts = 3
+)
+
+// own has the partitions of a topic dealt by a group.
+func (r *Replica) own(group string, topic keyedlog.Topic, lifetime time.Duration, holder ownership.Holder) {
+	r.managers = append(r.managers, ownership.New(ownership.Config{
+		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Topics: []keyedlog.Topic{topic}, Lifetime: lifetime,
+		Holder: holder, Logger: r.config.Logger,
+	}))
+}
+
 // models returns the models of all pools, in order.
 func (r *Replica) models() []string {
 	current := r.catalog.Current()
@@ -197,19 +214,6 @@
 	return time.Duration(lifetimeFactor * float64(least))
 }
 
-// holders starts the work of a partition by its topic.
-type holders struct {
-	jobs    ownership.Holder
-	weights ownership.Holder
-}
-
-func (h holders) Gained(ctx context.Context, partition keyedlog.Partition, epoch int64) ownership.Work {
-	if partition.Topic == keyedlog.TopicWeights {
-		return h.weights.Gained(ctx, partition, epoch)
-	}
-	return h.jobs.Gained(ctx, partition, epoch)
-}
-
 // Run follows the store and owns what the group deals, until the context ends. Then it hands over what it owns and goes on
 // following until stop is closed, so that requests under way are served.
 func (r *Replica) Run(ctx context.Context, stop <-chan struct{}) {
@@ -221,7 +225,11 @@
 	}
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
-	r.manager.Run(ctx)
+	var owning sync.WaitGroup
+	for _, manager := range r.managers {
+		owning.Go(func() { manager.Run(ctx) })
+	}
+	owning.Wait()
 	<-stop
 	cancel()
 	r.jobs.Close()
