Let runs that can wait give their places up to items that can't

Change: an item that has no place asks the run that can wait longest, at an engine that suits the item, to give its place up, if that run may begin at least a second later. The run goes on elsewhere after its last event; it is asked twice at most. One place is asked for each item that waits, and those that are coming count. Texts that may not mix versions never yield. A place is now a value with a Release.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -118,6 +118,23 @@
 	return picked.Engine, true
 }
 
+// Suitable returns the engines at which a piece of work would end no later than at the quickest one, but for what moving it would
+// cost, full or not.
+func (d *Directory) Suitable(want Want) map[string]bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	candidates := d.candidates(want, now)
+	quickest := survey(candidates, want).quickest
+	suitable := make(map[string]bool)
+	for _, candidate := range candidates {
+		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
+			suitable[candidate.Engine.ID] = true
+		}
+	}
+	return suitable
+}
+
 // TypicalPace returns the median pace of a pool's engines, 0 if none is known.
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/catalog"
@@ -85,8 +86,10 @@
 	// waitingSince is when the item began to wait for an engine, zero while it does not.
 	waitingSince time.Time
 	fruitless    int
-	// next is the engine that the item moves to, with an empty id if none was acquired.
-	next    fleet.Engine
+	// next is the place that the item moves to, nil if none was acquired.
+	next *Place
+	// yielded is how often the item was asked to give its place up.
+	yielded atomic.Int32
 	exclude []string
 }
 
@@ -186,14 +189,15 @@
 			e.waitingSince = time.Now()
 		}
 		runCtx, cancel := e.interruptible(ctx)
-		engine, err := e.takeNext(), error(nil)
-		if engine.ID == "" {
-			engine, err = e.acquire(runCtx, e.place(route))
+		place := e.takeNext()
+		if place == nil {
+			place, _ = e.acquire(runCtx, e.place(route), e.yielder(route, cancel))
 		}
-		if err != nil {
+		if place == nil {
 			cancel()
 			continue
 		}
+		engine := place.Engine
 		before := len(e.events)
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
@@ -201,7 +205,7 @@
 		e.waitingSince = time.Time{}
 		result := e.runOn(runCtx, engine, route)
 		cancel()
-		e.runner.config.Directory.Release(engine.ID)
+		place.Release()
 		if done, whole := e.judge(ctx, route, result); done {
 			return whole
 		}
@@ -284,25 +288,37 @@
 	}
 	e.lookedAt = now
 	if route, ok := e.route(); ok {
-		if engine, better := e.runner.config.Directory.AcquireBetter(e.engine.ID, e.want(route)); better {
-			e.next = engine
+		want := e.want(route)
+		if e.next = e.runner.config.Queue.AcquireBetter(e.engine.ID, e.rankOf(want), want); e.next != nil {
 			return errMove
 		}
 	}
 	return nil
 }
 
-// dropNext gives the engine back that the item was to move to, if it does not.
+// yielder returns what makes the item give its place up, nil if it can't go on wherever there is room: a text of one version may
+// find no engine of it any more.
+func (e *execution) yielder(route catalog.Route, cancel context.CancelFunc) func() {
+	if route.SingleVersion {
+		return nil
+	}
+	return func() {
+		e.yielded.Add(1)
+		cancel()
+	}
+}
+
+// dropNext gives the place back that the item was to move to, if it does not.
 func (e *execution) dropNext() {
-	if next := e.takeNext(); next.ID != "" {
-		e.runner.config.Directory.Release(next.ID)
+	if next := e.takeNext(); next != nil {
+		next.Release()
 	}
 }
 
-// takeNext returns the engine that the item moves to, if there is one.
-func (e *execution) takeNext() fleet.Engine {
+// takeNext returns the place that the item moves to, nil if there is none.
+func (e *execution) takeNext() *Place {
 	next := e.next
-	e.next = fleet.Engine{}
+	e.next = nil
 	return next
 }
 
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -42,12 +42,18 @@
 }
 
 // acquire waits for an engine, and no longer than what the item wants holds: engines take other versions and routes change.
-func (e *execution) acquire(ctx context.Context, want fleet.Want) (fleet.Engine, error) {
+func (e *execution) acquire(ctx context.Context, want fleet.Want, yield func()) (*Place, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeAgain)
 	defer cancel()
+	return e.runner.config.Queue.Acquire(ctx, e.rankOf(want), want, yield)
+}
+
+// rankOf returns the item's rank as of now.
+func (e *execution) rankOf(want fleet.Want) Rank {
 	rank := e.rank
+	rank.Yielded = int(e.yielded.Load())
 	rank.LatestStart = policy.LatestStart(e.view.AcceptedAt, want.Events, e.runner.config.Directory.TypicalPace(want.Pool))
-	return e.runner.config.Queue.Acquire(ctx, rank, want)
+	return rank
 }
 
 // left is how many events are expected to come of the item, 0 if nothing is known of such items.
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // Rank orders items that wait for an engine.
@@ -20,6 +21,8 @@
 	Carried bool
 	// Length is the estimated output; longer items go first.
 	Length int
+	// Yielded is how often the item has given its place up.
+	Yielded int
 }
 
 func (r Rank) before(other Rank) bool {
@@ -39,22 +42,47 @@
 
 	mutex   sync.Mutex
 	waiting waitHeap
+	places  map[*Place]struct{}
 	arrived chan struct{}
 	counter int
 }
 
+// Place is an item's place at an engine. Release must follow.
+type Place struct {
+	Engine fleet.Engine
+
+	queue *Queue
+	rank  Rank
+	taken time.Time
+	// yield asks the item to give the place up, nil if it must not; asked says that it was.
+	yield func()
+	asked bool
+}
+
+// Release gives the place back. It does nothing the second time.
+func (p *Place) Release() {
+	p.queue.mutex.Lock()
+	_, held := p.queue.places[p]
+	delete(p.queue.places, p)
+	p.queue.mutex.Unlock()
+	if held {
+		p.queue.directory.Release(p.Engine.ID)
+	}
+}
+
 type waiter struct {
-	rank Rank
-	want fleet.Want
+	rank  Rank
+	want  fleet.Want
+	yield func()
 	// number keeps the order of arrival among equals.
 	number int
 	place  int
-	given  chan fleet.Engine
+	given  chan *Place
 }
 
 // NewQueue returns a queue; Run serves it.
 func NewQueue(directory *fleet.Directory) *Queue {
-	return &Queue{directory: directory, arrived: make(chan struct{}, 1)}
+	return &Queue{directory: directory, places: make(map[*Place]struct{}), arrived: make(chan struct{}, 1)}
 }
 
 // refresh is how often waiting items are looked at when nothing is known to have changed: avoidance and loading end by time.
@@ -94,21 +122,70 @@
 		ordered = append(ordered, next)
 		wants = append(wants, next.want)
 	}
-	kept := 0
+	var kept []*waiter
 	for i, engine := range q.directory.Assign(wants) {
 		if engine.ID != "" {
-			ordered[i].given <- engine
+			ordered[i].given <- q.take(engine, ordered[i].rank, ordered[i].yield)
 			continue
 		}
 		heap.Push(&q.waiting, ordered[i])
-		kept++
+		kept = append(kept, ordered[i])
+	}
+	q.makeRoom(kept)
+	return len(kept)
+}
+
+// take notes a place that was acquired in the directory. The mutex must be held.
+func (q *Queue) take(engine fleet.Engine, rank Rank, yield func()) *Place {
+	place := &Place{Engine: engine, queue: q, rank: rank, taken: time.Now(), yield: yield}
+	q.places[place] = struct{}{}
+	return place
+}
+
+// makeRoom asks runs that can wait to give their places up to items that can't, given in order of their rank. A place that is
+// being given up is for the first of them.
+func (q *Queue) makeRoom(waiting []*waiter) {
+	coming := 0
+	for place := range q.places {
+		if place.asked {
+			coming++
+		}
+	}
+	for _, next := range waiting[min(coming, len(waiting)):] {
+		place := q.leastUrgent(next)
+		if place == nil {
+			return
+		}
+		place.asked = true
+		place.yield()
 	}
-	return kept
 }
 
-// Acquire waits for an engine. The directory's Release must follow.
-func (q *Queue) Acquire(ctx context.Context, rank Rank, want fleet.Want) (fleet.Engine, error) {
-	next := &waiter{rank: rank, want: want, given: make(chan fleet.Engine, 1)}
+// leastUrgent returns the place of the run that can wait longest among those that yield to a waiting item, nil if there is none.
+func (q *Queue) leastUrgent(next *waiter) *Place {
+	if next.want.Events == 0 {
+		return nil
+	}
+	suitable := q.directory.Suitable(next.want)
+	now := time.Now()
+	var found *Place
+	var latest time.Time
+	for place := range q.places {
+		if place.asked || place.yield == nil || !suitable[place.Engine.ID] {
+			continue
+		}
+		// A run's latest start moves on with what comes of it.
+		start := place.rank.LatestStart.Add(now.Sub(place.taken))
+		if policy.Yields(start, next.rank.LatestStart, place.rank.Yielded) && (found == nil || start.After(latest)) {
+			found, latest = place, start
+		}
+	}
+	return found
+}
+
+// Acquire waits for an engine. yield is called when the item should give its place up, at any moment until it releases it.
+func (q *Queue) Acquire(ctx context.Context, rank Rank, want fleet.Want, yield func()) (*Place, error) {
+	next := &waiter{rank: rank, want: want, yield: yield, given: make(chan *Place, 1)}
 	q.mutex.Lock()
 	q.counter++
 	next.number = q.counter
@@ -119,24 +196,35 @@
 	default:
 	}
 	select {
-	case engine := <-next.given:
-		return engine, nil
+	case place := <-next.given:
+		return place, nil
 	case <-ctx.Done():
 		q.withdraw(next)
-		return fleet.Engine{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
-// withdraw takes a waiter out, and gives back the engine that it may have been given meanwhile.
-func (q *Queue) withdraw(next *waiter) {
+// AcquireBetter returns a place at an engine to which work that runs elsewhere is worth moving, nil if there is none.
+func (q *Queue) AcquireBetter(current string, rank Rank, want fleet.Want) *Place {
+	engine, found := q.directory.AcquireBetter(current, want)
+	if !found {
+		return nil
+	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	return q.take(engine, rank, nil)
+}
+
+// withdraw takes a waiter out, and gives back the place that it may have been given meanwhile.
+func (q *Queue) withdraw(next *waiter) {
+	q.mutex.Lock()
 	if next.place >= 0 && next.place < q.waiting.Len() && q.waiting[next.place] == next {
 		heap.Remove(&q.waiting, next.place)
 	}
+	q.mutex.Unlock()
 	select {
-	case engine := <-next.given:
-		q.directory.Release(engine.ID)
+	case place := <-next.given:
+		place.Release()
 	default:
 	}
 }
--- /dev/null
+++ b/internal/jobrun/queue_test.go
@@ -0,0 +1,141 @@
+package jobrun
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/matryer/is"
+)
+
+const testPace = 40 * time.Millisecond
+
+// queueOf returns a queue over engines of a few slots and known paces, and the function that stops it.
+func queueOf(slots int, paces ...time.Duration) (*Queue, func()) {
+	directory := fleet.NewDirectory()
+	for i, pace := range paces {
+		id := fmt.Sprint("engine", i)
+		directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: slots})
+		directory.Paced(id, pace)
+	}
+	queue := NewQueue(directory)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		queue.Run(ctx)
+	}()
+	return queue, func() {
+		cancel()
+		<-done
+	}
+}
+
+// acquire asks for a place for work of so many events of a job accepted at a moment, and returns it once it is given.
+func acquire(queue *Queue, accepted time.Time, events float64, yield func()) <-chan *Place {
+	given := make(chan *Place, 1)
+	rank := Rank{LatestStart: policy.LatestStart(accepted, events, testPace)}
+	want := fleet.Want{Pool: "p", Share: 1, Events: events, Since: time.Now()}
+	go func() {
+		place, _ := queue.Acquire(context.Background(), rank, want, yield)
+		given <- place
+	}()
+	return given
+}
+
+// TestRunsThatCanWaitYield fills an engine with short work. Long work of the next job takes the place of as many as it needs, and
+// of none that has little time left itself; what yields comes again after it.
+func TestRunsThatCanWaitYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue, stop := queueOf(3, testPace)
+		defer stop()
+		accepted := time.Now()
+		var asked [3]atomic.Int32
+		yielded := func() []int32 { return []int32{asked[0].Load(), asked[1].Load(), asked[2].Load()} }
+		places := make([]*Place, 3)
+		for i, events := range []float64{10, 20, 90} {
+			places[i] = <-acquire(queue, accepted, events, func() { asked[i].Add(1) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		long := acquire(queue, accepted.Add(500*time.Millisecond), 150, nil)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(yielded(), []int32{1, 0, 0})
+		again := acquire(queue, accepted, 8, nil)
+		time.Sleep(100 * time.Millisecond)
+		// One place is coming; the short work that wants another one asks nobody.
+		is.Equal(yielded(), []int32{1, 0, 0})
+		places[0].Release()
+		first := <-long
+		is.Equal(len(again), 0)
+		second := acquire(queue, accepted.Add(500*time.Millisecond), 160, nil)
+		third := acquire(queue, accepted.Add(500*time.Millisecond), 155, nil)
+		time.Sleep(200 * time.Millisecond)
+		// 90 events leave 2.4 s less than 150 of a job half a second younger, 20 events 5.1 s.
+		is.Equal(yielded(), []int32{1, 1, 1})
+		places[1].Release()
+		places[2].Release()
+		for _, place := range []*Place{first, <-second, <-third} {
+			place.Release()
+		}
+		(<-again).Release()
+		// A place is given back once.
+		places[0].Release()
+		is.Equal(len(queue.places), 0)
+	})
+}
+
+// TestNobodyYieldsForWorkThatCanWait checks that runs go on where the waiting work has as much time, where it would decline their
+// engine, and where they have yielded before.
+func TestNobodyYieldsForWorkThatCanWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		paces   []time.Duration
+		running float64
+		yields  int
+		waiting float64
+		asked   int
+	}{
+		{"it can't wait", []time.Duration{testPace}, 10, 0, 150, 1},
+		{"it can wait as long", []time.Duration{testPace}, 10, 0, 20, 0},
+		{"it would not run there", []time.Duration{testPace, 2 * testPace}, 10, 0, 150, 1},
+		{"the run has yielded before", []time.Duration{testPace}, 10, 2, 150, 0},
+		{"nothing is known of it", []time.Duration{testPace}, 10, 0, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				queue, stop := queueOf(1, test.paces...)
+				defer stop()
+				accepted := time.Now()
+				asked := make([]atomic.Int32, len(test.paces))
+				var places []*Place
+				for i := range test.paces {
+					rank := Rank{LatestStart: policy.LatestStart(accepted, test.running, testPace), Yielded: test.yields}
+					place, err := queue.Acquire(t.Context(), rank, fleet.Want{Pool: "p", Share: 1, Events: test.running}, func() {
+						asked[i].Add(1)
+					})
+					is.NoErr(err)
+					places = append(places, place)
+				}
+				waiting := acquire(queue, accepted, test.waiting, nil)
+				time.Sleep(100 * time.Millisecond)
+				for i, place := range places {
+					if place.Engine.ID == "engine0" {
+						is.Equal(int(asked[i].Load()), test.asked)
+					} else {
+						is.Equal(int(asked[i].Load()), 0)
+					}
+					place.Release()
+				}
+				(<-waiting).Release()
+			})
+		})
+	}
+}
--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -60,7 +60,7 @@
 
 // WorthMoving tells whether work of which so many events are left should go on at another engine.
 func WorthMoving(events float64, pace, other time.Duration) bool {
-	return float64(pace) > moveFactor*float64(other) && Delay(events, pace, other) >= moveGainLeast
+	return other > 0 && float64(pace) > moveFactor*float64(other) && Delay(events, pace, other) >= moveGainLeast
 }
 
 // LatestStart orders work of jobs that are all due the same time after they were accepted: the one that must begin first is
@@ -68,3 +68,17 @@
 func LatestStart(accepted time.Time, events float64, pace time.Duration) time.Time {
 	return accepted.Add(-time.Duration(events * float64(pace)))
 }
+
+const (
+	// yieldMargin is how much later a run may begin than the work that it yields to: it waits for another place and reads its
+	// prompt again, which takes some tenths of a second.
+	yieldMargin = time.Second
+	// yieldsMost is how often one item yields.
+	yieldsMost = 2
+)
+
+// Yields tells whether a run gives its place up to work that waits, by the latest starts of both as of now and how often the
+// item has yielded before.
+func Yields(running, waiting time.Time, yielded int) bool {
+	return yielded < yieldsMost && running.Sub(waiting) >= yieldMargin
+}
