Ask for a place only for items that may hold their step; read a takeover in parts; leave engines alone while they load

(2) A partition that is taken over was read 1 MB after the other at 50 ms each, 0.25 to 0.45 s with two steps open; the store gives four such reads at once as much each.

Changes: (1) an item asks only if it has three quarters of the events that its step is expected to last (`CriticalEvents`, `MayHold`). (2) The range is read in four parts at once and applied in order; the follower takes over behind it. (3) The board learns how long loads take from announcement to service.

--- /dev/null
+++ b/internal/follow/span.go
@@ -0,0 +1,104 @@
+package follow
+
+import (
+	"context"
+	"errors"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// Range applies the records of a partition from an offset to before another. What the store has dropped is taken from the
+// newest record of each key; records outside the range may come with it. size is about how many bytes the range has, 0 if that
+// is not known.
+func Range(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, from, to int64, size int, applier Applier) error {
+	for from < to {
+		batch, err := log.Read(ctx, partition, keyedlog.Span{From: from, Bytes: size})
+		if errors.Is(err, keyedlog.ErrTrimmed) {
+			return newest(ctx, log, partition, applier)
+		}
+		if err != nil {
+			return err
+		}
+		if len(batch.Records) == 0 {
+			return errStale
+		}
+		for _, record := range batch.Records {
+			if record.Offset < to {
+				applier.Apply(record, true)
+			}
+		}
+		from += int64(len(batch.Records))
+	}
+	return nil
+}
+
+// newest applies the newest record of each key of a partition.
+func newest(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, applier Applier) error {
+	after := ""
+	for {
+		page, err := log.Newest(ctx, partition, after)
+		if err != nil {
+			return err
+		}
+		for _, record := range page.Records {
+			applier.Apply(record, true)
+			after = record.Key
+		}
+		if !page.More || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// readsTogether is how many reads of one range are under way at once. The store gives one read a part of what it can give.
+const readsTogether = 4
+
+// RangeTogether applies the records of a partition from an offset to before another as Range does, in order, and reads several
+// parts of them at once. It holds what it reads until it is applied.
+func RangeTogether(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, from, to int64, applier Applier) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var parts []chan gathered
+	for _, bounds := range split(from, to, readsTogether) {
+		part := make(chan gathered, 1)
+		parts = append(parts, part)
+		go func() {
+			read := gathered{}
+			read.err = Range(ctx, log, partition, bounds[0], bounds[1], 0, &read)
+			part <- read
+		}()
+	}
+	for _, part := range parts {
+		read := <-part
+		if read.err != nil {
+			return read.err
+		}
+		for _, record := range read.records {
+			applier.Apply(record, true)
+		}
+	}
+	return nil
+}
+
+// gathered holds the records of one part of a range until their turn.
+type gathered struct {
+	records []keyedlog.Record
+	err     error
+}
+
+// Apply keeps a record.
+func (g *gathered) Apply(record keyedlog.Record, _ bool) { g.records = append(g.records, record) }
+
+// Advanced does nothing: a range has its end.
+func (g *gathered) Advanced(int64) {}
+
+// split divides a range into at most so many parts of about the same length, in order.
+func split(from, to int64, most int) [][2]int64 {
+	var parts [][2]int64
+	for left := int64(most); left > 0 && from < to; left-- {
+		next := from + (to-from+left-1)/left
+		parts = append(parts, [2]int64{from, next})
+		from = next
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/follow/span_test.go
@@ -0,0 +1,80 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+// ordered keeps the offsets that were applied.
+type ordered struct{ offsets []int64 }
+
+func (o *ordered) Apply(record keyedlog.Record, _ bool) { o.offsets = append(o.offsets, record.Offset) }
+func (o *ordered) Advanced(int64)                       {}
+
+// slowLog gives few records a read.
+type slowLog struct{ keyedlog.Log }
+
+func (l slowLog) Read(ctx context.Context, partition keyedlog.Partition, span keyedlog.Span) (keyedlog.Batch, error) {
+	span.Bytes = 5
+	return l.Log.Read(ctx, partition, span)
+}
+
+// TestPartsReadTogetherAreAppliedInOrder reads ranges of many lengths from a store that gives a few records a call: each record is
+// applied once and in order, and the reads of the parts take place at once.
+func TestPartsReadTogetherAreAppliedInOrder(t *testing.T) {
+	for _, bounds := range [][2]int64{{0, 0}, {0, 1}, {0, 3}, {0, 40}, {7, 40}, {39, 40}, {13, 30}} {
+		t.Run(fmt.Sprint(bounds), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const delay = 10 * time.Millisecond
+				store := memorylog.New(memorylog.Config{Partitions: 4, Delay: delay})
+				for i := range 40 {
+					put(t, store, fmt.Sprint(i), "x")
+				}
+				applied := new(ordered)
+				started := time.Now()
+				log := slowLog{store.For("node")}
+				is.NoErr(follow.RangeTogether(t.Context(), log, partition, bounds[0], bounds[1], applied))
+				count := int(bounds[1] - bounds[0])
+				is.Equal(len(applied.offsets), count)
+				for i, offset := range applied.offsets {
+					is.Equal(offset, bounds[0]+int64(i))
+				}
+				is.True(time.Since(started) <= time.Duration(1+count/4)*delay)
+			})
+		})
+	}
+}
+
+// TestAPartThatCannotBeReadFailsTheRange checks that nothing is taken for whole that is not.
+func TestAPartThatCannotBeReadFailsTheRange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4, Delay: time.Millisecond})
+		for i := range 40 {
+			put(t, store, fmt.Sprint(i), "x")
+		}
+		reads := 0
+		store.SetRule(func(memorylog.Call) memorylog.Fault {
+			reads++
+			if reads == 3 {
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		is.True(follow.RangeTogether(t.Context(), store.For("node"), partition, 0, 40, new(ordered)) != nil)
+		store.Heal()
+		store.Forget()
+		forgotten := new(ordered)
+		is.NoErr(follow.RangeTogether(t.Context(), store.For("node"), partition, 0, 40, forgotten))
+		is.True(len(forgotten.offsets) >= 40)
+	})
+}
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -58,6 +58,8 @@
 	// ordinal is the item's place in the submission.
 	ordinal int
 	rank    Rank
+	// critical is how many events the item's job is expected to last.
+	critical float64
 
 	mutex sync.Mutex
 	// events are the data of the item's events so far; versions those that produced them.
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -48,11 +48,17 @@
 	}
 }
 
-// follow returns a follower of the partition from the earliest job on of which more may be listed.
-func (r *runner) follow(end int64) *follow.Follower {
+// follow reads the partition from the earliest job on of which more may be listed, up to its end, and returns a follower of what
+// comes after. Items run once all is read, so that it is read in several parts at once; if one fails, the follower reads it all.
+func (r *runner) follow(ctx context.Context, end int64) *follow.Follower {
 	r.covered = r.config.Index.Start(r.partition.Number, end)
+	from := end
+	if err := follow.RangeTogether(ctx, r.config.Log, r.partition, r.covered, end, applier{r}); err != nil {
+		errorlog.Debug(r.config.Logger, "partition not read at once", err, "partition", r.partition, "from", r.covered, "end", end)
+		from = r.covered
+	}
 	return follow.New(follow.Config{
-		Log: r.config.Log, Partition: r.partition, Applier: applier{r}, From: r.covered, Wait: followWait, Spacing: followSpacing,
+		Log: r.config.Log, Partition: r.partition, Applier: applier{r}, From: from, Wait: followWait, Spacing: followSpacing,
 		Logger: r.config.Logger,
 	})
 }
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -51,6 +51,7 @@
 // rankOf returns the item's rank as of now.
 func (e *execution) rankOf(want fleet.Want) Rank {
 	rank := e.rank
+	rank.MayHold = policy.MayHold(want.Events, e.critical)
 	rank.Yielded = int(e.yielded.Load())
 	rank.LatestStart = policy.LatestStart(e.view.AcceptedAt, want.Events, e.runner.config.Directory.TypicalPace(want.Pool))
 	return rank
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -21,6 +21,8 @@
 	Carried bool
 	// Length is the estimated output; longer items go first.
 	Length int
+	// MayHold says that the item may be the one that holds its job.
+	MayHold bool
 	// Yielded is how often the item has given its place up.
 	Yielded int
 }
@@ -151,7 +153,11 @@
 			coming++
 		}
 	}
-	for _, next := range waiting[min(coming, len(waiting)):] {
+	for _, next := range waiting {
+		if coming > 0 {
+			coming--
+			continue
+		}
 		place := q.leastUrgent(next)
 		if place == nil {
 			return
@@ -163,11 +169,11 @@
 
 // leastUrgent returns the place of the run that can wait longest among those that yield to a waiting item, nil if there is none.
 func (q *Queue) leastUrgent(next *waiter) *Place {
-	if next.want.Events == 0 {
+	if !next.rank.MayHold {
 		return nil
 	}
-	suitable := q.directory.Suitable(next.want)
 	now := time.Now()
+	suitable := q.directory.Suitable(next.want)
 	var found *Place
 	var latest time.Time
 	for place := range q.places {
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -132,7 +132,7 @@
 	if err != nil || !r.confirmIndex(ctx) {
 		return
 	}
-	follower := r.follow(end)
+	follower := r.follow(ctx, end)
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.active.Go(func() { follower.Run(followCtx) })
@@ -228,11 +228,13 @@
 	jobCtx, cancel := context.WithCancel(ctx)
 	running := &runningJob{cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed}
 	carried := r.carriedGroups(view.Spec)
+	critical := r.criticalEvents(view.Spec, carried)
 	for _, open := range r.ledger.Open(view.Spec.ID) {
 		if kept := r.kept(view.Spec, open); kept != nil {
 			open.Progress = kept
 		}
 		execution := newExecution(r, view, open, carried[open.Item.Group])
+		execution.critical = critical
 		running.items[open.Item.ID] = execution
 		go execution.run(jobCtx)
 	}
@@ -280,6 +282,19 @@
 	return carried
 }
 
+// criticalEvents returns how many events a job is expected to last.
+func (r *runner) criticalEvents(spec *job.Spec, carried map[string]bool) float64 {
+	longest := make(map[string]float64)
+	for _, item := range spec.Items {
+		longest[item.Group] = max(longest[item.Group], r.left(item.LengthHint, 0))
+	}
+	groups := make([]policy.GroupLength, 0, len(longest))
+	for name, events := range longest {
+		groups = append(groups, policy.GroupLength{Events: events, Carried: carried[name]})
+	}
+	return policy.CriticalEvents(groups, spec.Desired)
+}
+
 // kept returns what is there of an item's text from an earlier job, nil if the job does not allow its versions or it is no further than
 // the item's own progress.
 func (r *runner) kept(spec *job.Spec, open job.OpenItem) *job.Progress {
--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -75,10 +75,18 @@
 	yieldMargin = time.Second
 	// yieldsMost is how often one item yields.
 	yieldsMost = 2
+	// holdingShare is the part of a step's critical events from which on an item may hold its step. Estimates are off by a half
+	// and more, so it is well below 1.
+	holdingShare = 0.75
 )
 
-// Yields tells whether a run gives its place up to work that waits, by the latest starts of both as of now and how often the
-// item has yielded before.
+// MayHold tells whether an item may be the one that holds its step.
+func MayHold(events, critical float64) bool {
+	return events > 0 && events >= holdingShare*critical
+}
+
+// Yields tells whether a run gives its place up to an item that may hold its step, by the latest starts of both as of now and how
+// often the run's item has yielded before.
 func Yields(running, waiting time.Time, yielded int) bool {
 	return yielded < yieldsMost && running.Sub(waiting) >= yieldMargin
 }
--- a/internal/policy/pace_test.go
+++ b/internal/policy/pace_test.go
@@ -84,3 +84,27 @@
 	is.True(policy.LatestStart(accepted.Add(2*time.Second), 100, 40*time.Millisecond).Before(short))
 	is.Equal(policy.LatestStart(accepted, 0, 0), accepted)
 }
+
+// TestCriticalEvents checks which groups a trainer is taken to wait for.
+func TestCriticalEvents(t *testing.T) {
+	others := []policy.GroupLength{{Events: 10}, {Events: 165}, {Events: 40}, {Events: 20}}
+	tests := []struct {
+		name   string
+		groups []policy.GroupLength
+		wanted int
+		events float64
+	}{
+		{"all", others, 4, 165},
+		{"all but the longest", others, 3, 40},
+		{"more than there are", others, 9, 165},
+		{"one that came again, however long", append([]policy.GroupLength{{Events: 120, Carried: true}}, others...), 3, 120},
+		{"none is wanted beside it", append([]policy.GroupLength{{Events: 5, Carried: true}}, others...), 1, 5},
+		{"none", nil, 3, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(policy.CriticalEvents(test.groups, test.wanted), test.events)
+		})
+	}
+}
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -27,6 +27,8 @@
 	mutex   sync.Mutex
 	orders  map[string]seenOrder
 	skipped int
+	// usual is the smoothed time from the announcement of an order to that of its engine serving, 0 before one was measured.
+	usual time.Duration
 }
 
 // seenOrder is an announcement with the moment at which it was read.
@@ -65,18 +67,44 @@
 		// That an engine serves is no new order.
 		if known, ok := b.orders[order.EngineID]; ok {
 			seen.seenAt = known.seenAt
+			b.learn(known, order, now)
 		}
 	}
 	b.orders[order.EngineID] = seen
+	until := now.Add(b.loading())
 	b.mutex.Unlock()
 	if order.Serving {
 		b.directory.SetServes(order.EngineID, order.Model, order.Version)
 	} else {
-		b.directory.SetLoading(order.EngineID, order.Model, now.Add(loadUsual))
+		b.directory.SetLoading(order.EngineID, order.Model, until)
 	}
 	return nil
 }
 
+// loadingSlack is how many usual times an engine is taken to load before it is offered work again.
+const loadingSlack = 1.3
+
+// loading is how long an engine is taken to load after an announcement. The mutex must be held.
+func (b *Board) loading() time.Duration {
+	if b.usual == 0 {
+		return loadUsual
+	}
+	return time.Duration(loadingSlack * float64(b.usual))
+}
+
+// learn takes that an engine serves what it was ordered to load. The mutex must be held.
+func (b *Board) learn(ordered seenOrder, serving Announcement, now time.Time) {
+	took := now.Sub(ordered.seenAt)
+	if ordered.Serving || ordered.Version != serving.Version || ordered.Model != serving.Model || took <= 0 {
+		return
+	}
+	if b.usual == 0 {
+		b.usual = took
+		return
+	}
+	b.usual += time.Duration(loadSmoothing * float64(min(took, overdueLoads*b.usual)-b.usual))
+}
+
 // last returns the newest announcement for an engine.
 func (b *Board) last(engineID string) (seenOrder, bool) {
 	b.mutex.Lock()
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -409,3 +409,31 @@
 		_ = NewBoard(fleet.NewDirectory()).Apply(keyedlog.Record{Key: "e", Value: value})
 	})
 }
+
+// TestEnginesAreLeftAloneWhileTheyLoad checks that a board learns how long loads take, and offers an engine no work for as long, and
+// not for much longer if it never says that it serves.
+func TestEnginesAreLeftAloneWhileTheyLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		directory.Upsert(fleet.Engine{ID: "e", Pool: poolName})
+		board := NewBoard(directory)
+		announce := func(version int64, serving bool) {
+			value, err := (&Announcement{EngineID: "e", Model: model, Version: version, Serving: serving}).MarshalMsg(nil)
+			is.NoErr(err)
+			is.NoErr(board.Apply(keyedlog.Record{Key: "e", Value: value}))
+		}
+		const slow = 2 * time.Second
+		for version := range int64(10) {
+			announce(version+2, false)
+			time.Sleep(slow)
+			announce(version+2, true)
+			is.True(!directory.Loading("e", model))
+		}
+		announce(20, false)
+		time.Sleep(slow - time.Millisecond)
+		is.True(directory.Loading("e", model))
+		time.Sleep(slow)
+		is.True(!directory.Loading("e", model))
+	})
+}
