Hold a writer's epoch as an atomic

In the product all readers are started after Open; the test reads it from outside after a pause. Nothing else changes.

--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -43,7 +44,7 @@
 	superseded chan struct{}
 	once       sync.Once
 	// epoch is set by Open and does not change afterwards.
-	epoch int64
+	epoch atomic.Int64
 }
 
 const (
@@ -65,8 +66,9 @@
 func (w *Writer) Open(ctx context.Context) (int64, error) {
 	w.sequence = rand.Int64N(firstSequences)
 	for restart := int64(0); restart < 1<<restartBits; {
-		w.epoch = w.config.Generation<<restartBits + restart
-		own := keyedlog.Record{Key: keyedlog.OwnerKey, Value: strconv.AppendInt(nil, w.epoch, 10)}
+		epoch := w.config.Generation<<restartBits + restart
+		w.epoch.Store(epoch)
+		own := keyedlog.Record{Key: keyedlog.OwnerKey, Value: strconv.AppendInt(nil, epoch, 10)}
 		end, err := w.append(ctx, []keyedlog.Record{own})
 		var order *keyedlog.SequenceError
 		switch {
@@ -103,7 +105,7 @@
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
-	fence := &keyedlog.Fence{Writer: w.config.Name, Epoch: w.epoch, Sequence: w.sequence}
+	fence := &keyedlog.Fence{Writer: w.config.Name, Epoch: w.epoch.Load(), Sequence: w.sequence}
 	for {
 		appended, err := w.config.Log.Append(ctx, w.config.Partition, records, fence)
 		var order *keyedlog.SequenceError
@@ -125,12 +127,12 @@
 func (w *Writer) supersede(err error) {
 	w.once.Do(func() { close(w.superseded) })
 	errorlog.Warn(w.config.Logger, "owner is superseded", err,
-		"partition", w.config.Partition, "line", w.config.Name, "epoch", w.epoch)
+		"partition", w.config.Partition, "line", w.config.Name, "epoch", w.epoch.Load())
 }
 
 // Epoch returns the epoch that the writer writes under, once Open has returned.
 func (w *Writer) Epoch() int64 {
-	return w.epoch
+	return w.epoch.Load()
 }
 
 // Superseded is closed when another owner has a higher epoch.
