Start with a twelfth of a large pool loading, and tell the next order giver how many may

Cause: how many engines may load at once was learnt from 2 upwards, in trials of twice as many loads. Every new order giver began at 2 again. Ruled out: engines are dealt evenly, which is wrong too, but an engine that is not loaded serves no step, whoever has it. Change: the first number is a twelfth of the pool; a number is judged after as many loads as it lets begin, six at least; an announcement tells the number; a first number at which loads take 1.5 times the quickest is lowered.

--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -27,6 +27,8 @@
 	mutex   sync.Mutex
 	orders  map[string]seenOrder
 	skipped int
+	// atOnce maps pools to how many of their engines might load at once.
+	atOnce map[string]int
 	// usual is the smoothed time from the announcement of an order to that of its engine serving, 0 before one was measured.
 	usual time.Duration
 }
@@ -39,7 +41,7 @@
 
 // NewBoard returns an empty board that tells a directory what engines load and serve.
 func NewBoard(directory *fleet.Directory) *Board {
-	return &Board{directory: directory, orders: make(map[string]seenOrder)}
+	return &Board{directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int)}
 }
 
 // Apply folds a record. An error says that it was skipped.
@@ -71,6 +73,9 @@
 		}
 	}
 	b.orders[order.EngineID] = seen
+	if order.Together > 0 {
+		b.atOnce[order.Pool] = order.Together
+	}
 	until := now.Add(b.loading())
 	b.mutex.Unlock()
 	if order.Serving {
@@ -113,6 +118,13 @@
 	return order, ok
 }
 
+// together returns how many engines of a pool might load at once by its newest announcement, 0 if none tells.
+func (b *Board) together(pool string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.atOnce[pool]
+}
+
 // gone returns the engines of announcements that are not in the directory any more and whose last order is older than a
 // moment.
 func (b *Board) gone(partition keyedlog.Partition, partitions int, before time.Time) []string {
--- a/internal/weightroll/concurrency.go
+++ b/internal/weightroll/concurrency.go
@@ -3,23 +3,32 @@
 import "time"
 
 const (
-	// loadsAtFirst is how many engines of a pool load together until it was measured that more are no slower: the weights come
-	// from one store, whose link all loading engines share.
+	// loadsAtFirst is how many engines of a small pool load together until it was measured that more are no slower: the weights
+	// come from one store, whose link all loading engines share.
 	loadsAtFirst = 2
+	// firstShare is the divisor of a larger pool's engines that gives the same number there. Weights are to be on all engines
+	// within some steps, which two at a time do not manage on a large pool. So small a part is rarely too much for the store,
+	// and two trials from there come to a fifth of the pool.
+	firstShare = 12
+	// slowLoads is how many times the quickest load the loads at a first number may take on average. Beyond that engines only
+	// keep one another waiting.
+	slowLoads = 1.5
 	// growth is the part by which the number is raised in a trial, by one at least.
 	growth = 0.5
 	// gainShare is the part of the ideal gain in loads a second that a trial must bring to stay.
 	gainShare = 0.5
-	// loadsPerTrial is how many loads are measured before a number is judged, in multiples of the number.
-	loadsPerTrial = 2
+	// loadsPerTrial is how many loads are measured before a number is judged, in multiples of the number, loadsPerTrialLeast how
+	// many at least: many loads tell in one round what few tell in two.
+	loadsPerTrial      = 1
+	loadsPerTrialLeast = 6
 	// trialPause is how long after a trial that brought nothing the next one is made.
 	trialPause = 30 * time.Second
 )
 
 // concurrency learns how many engines of a pool may load together. While all share a store with room to spare, twice as many
 // load twice as fast; beyond that each takes longer, and more of them away from their work gain nothing. It tries a larger
-// number while engines wait for their turn, and keeps it if loads end that much faster. The zero value starts at loadsAtFirst.
-// It reads no clock and is not safe for concurrent use.
+// number while engines wait for their turn, and keeps it if loads end that much faster. A first number at which loads take
+// longer than they need is lowered. The zero value starts at loadsAtFirst. It reads no clock and is not safe for concurrent use.
 type concurrency struct {
 	current int
 	// accepted is the largest number that brought a gain, with the loads a second measured then.
@@ -28,6 +37,8 @@
 	// total and count are of the loads measured at the current number.
 	total time.Duration
 	count int
+	// quickest is the shortest load at any number.
+	quickest time.Duration
 	// pausedUntil is when the next trial may begin.
 	pausedUntil time.Time
 }
@@ -37,20 +48,40 @@
 	return max(loadsAtFirst, c.current)
 }
 
+// startAt sets the number to start at, for a pool of so many engines of which known loaded together under an earlier order giver,
+// 0 if that is not known. It does nothing once loads were measured.
+func (c *concurrency) startAt(engines, known int) {
+	if c.accepted == 0 && c.count == 0 {
+		c.current = max(known, engines/firstShare)
+	}
+}
+
 // loaded takes how long a load took that began with so many under way, itself included. waiting says that further engines
 // wait for their turn.
 func (c *concurrency) loaded(took time.Duration, together int, waiting bool, now time.Time) {
+	if took <= 0 {
+		return
+	}
+	if c.quickest == 0 || took < c.quickest {
+		c.quickest = took
+	}
 	limit := c.limit()
-	if together != limit || took <= 0 {
+	if together != limit {
 		return
 	}
 	c.total += took
 	c.count++
-	if c.count < loadsPerTrial*limit {
+	if c.count < max(loadsPerTrialLeast, loadsPerTrial*limit) {
 		return
 	}
-	rate := float64(limit) * float64(c.count) / c.total.Seconds()
+	mean := c.total / time.Duration(c.count)
+	rate := float64(limit) / mean.Seconds()
 	c.total, c.count = 0, 0
+	if c.accepted == 0 && limit > loadsAtFirst && float64(mean) > slowLoads*float64(c.quickest) {
+		// So many share what fewer could use whole.
+		c.current = max(loadsAtFirst, int(float64(limit)*float64(c.quickest)/float64(mean)))
+		return
+	}
 	if c.accepted > 0 && limit > c.accepted && rate < c.wanted(limit) {
 		c.current = c.accepted
 		c.pausedUntil = now.Add(trialPause)
--- a/internal/weightroll/concurrency_test.go
+++ b/internal/weightroll/concurrency_test.go
@@ -68,3 +68,46 @@
 	is.Equal(trials, 2)
 	is.True(c.limit() <= loadsAtFirst+1)
 }
+
+// TestALargePoolStartsWithMore is what held the steps of a pool of 77 engines: with two loads at first and trials of twice as
+// many, the number came to what the store allows 27 seconds after the first load, and 60 engines waited all the while.
+func TestALargePoolStartsWithMore(t *testing.T) {
+	is := is.New(t)
+	const engines, knee = 77, 15
+	var c concurrency
+	c.startAt(engines, 0)
+	now, began := time.Unix(0, 0), time.Unix(0, 0)
+	for c.limit() < knee*2/3 {
+		limit := c.limit()
+		for range limit {
+			c.loaded(storeLoad(limit, knee), limit, true, now)
+		}
+		now = now.Add(storeLoad(limit, knee))
+	}
+	is.True(now.Sub(began) <= 3*time.Second)
+
+	// A successor goes on from there, and one that knows more than the pool's size tells begins with that.
+	var next concurrency
+	next.startAt(engines, c.limit())
+	is.Equal(next.limit(), c.limit())
+	next.loaded(storeLoad(next.limit(), knee), next.limit(), true, now)
+	next.startAt(engines, 1)
+	is.Equal(next.limit(), c.limit())
+}
+
+// TestAFirstNumberThatIsTooLargeIsLowered checks that a large pool whose store serves few engines at once comes down to about
+// what that store allows, once loads by themselves have shown how quick they can be.
+func TestAFirstNumberThatIsTooLargeIsLowered(t *testing.T) {
+	is := is.New(t)
+	const engines, knee = 600, 5
+	var c concurrency
+	c.startAt(engines, 0)
+	is.True(c.limit() > 2*knee)
+	now := time.Unix(0, 0)
+	c.loaded(storeLoad(1, knee), 1, false, now)
+	for range 20 * c.limit() {
+		c.loaded(storeLoad(c.limit(), knee), c.limit(), false, now)
+	}
+	is.True(c.limit() <= knee)
+	is.True(c.limit() >= knee/2)
+}
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -57,7 +57,7 @@
 func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
 	record := Announcement{
 		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(),
-		Holder: r.config.Node, Serving: serving,
+		Holder: r.config.Node, Serving: serving, Together: r.togetherOf(pool),
 	}
 	value, err := record.MarshalMsg(nil)
 	if err != nil {
@@ -159,6 +159,13 @@
 	return r.config.Client.Report(callCtx, engine)
 }
 
+// togetherOf returns how many engines of a pool may load at once.
+func (r *roller) togetherOf(pool string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.together[pool].limit()
+}
+
 func (r *roller) sequenceOf(id string) (int64, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/weightroll/records.go
+++ b/internal/weightroll/records.go
@@ -19,4 +19,6 @@
 	Holder string `msg:"holder"`
 	// Serving says that the engine has been seen to serve the version.
 	Serving bool `msg:"serving"`
+	// Together is how many engines of the pool might load at once, so that the next order giver need not find out anew.
+	Together int `msg:"together"`
 }
--- a/internal/weightroll/records_gen.go
+++ b/internal/weightroll/records_gen.go
@@ -66,6 +66,12 @@
 				err = msgp.WrapError(err, "Serving")
 				return
 			}
+		case "together":
+			z.Together, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Together")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -79,9 +85,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "engine"
-	err = en.Append(0x87, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	err = en.Append(0x88, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	if err != nil {
 		return
 	}
@@ -150,15 +156,25 @@
 		err = msgp.WrapError(err, "Serving")
 		return
 	}
+	// write "together"
+	err = en.Append(0xa8, 0x74, 0x6f, 0x67, 0x65, 0x74, 0x68, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Together)
+	if err != nil {
+		err = msgp.WrapError(err, "Together")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "engine"
-	o = append(o, 0x87, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	o = append(o, 0x88, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.EngineID)
 	// string "pool"
 	o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
@@ -178,6 +194,9 @@
 	// string "serving"
 	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Serving)
+	// string "together"
+	o = append(o, 0xa8, 0x74, 0x6f, 0x67, 0x65, 0x74, 0x68, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.Together)
 	return
 }
 
@@ -241,6 +260,12 @@
 				err = msgp.WrapError(err, "Serving")
 				return
 			}
+		case "together":
+			z.Together, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Together")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -255,6 +280,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Announcement) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize + 9 + msgp.IntSize
 	return
 }
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -200,6 +200,7 @@
 		together = new(concurrency)
 		r.together[pool.Name] = together
 	}
+	together.startAt(len(engines), r.config.Board.together(pool.Name))
 	steps, waiting := Plan(PlanInput{
 		Engines: ready, Targets: targets, Assignment: assignment, Loading: loading, AtOnce: together.limit(),
 	})
