--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -31,6 +32,8 @@
 	// Settled says that nothing more is listed; all results lie below SettledEnd in the job's partition.
 	Settled    bool
 	SettledEnd int64
+	// Took is what the job took of engines, known at the earliest once it is settled.
+	Took Took
 }
 
 // indexed is one job of the index.
@@ -96,6 +99,9 @@
 		}
 		found := x.job(id, record.Key)
 		found.status.Settled, found.status.SettledEnd = true, settled.End
+		found.status.Took = Took{
+			Items: time.Duration(settled.ItemTime) * time.Millisecond, Longest: time.Duration(settled.LongestTime) * time.Millisecond,
+		}
 		return nil
 	default:
 		return errIndexKey
@@ -220,30 +226,22 @@
 	return start
 }
 
-// Work is what was submitted of a model.
-type Work struct {
-	// Host and Path are those of an item, by which its route is found.
-	Host, Path string
-	// Tokens is the estimated output of all items.
-	Tokens float64
-}
-
-// Work returns what was submitted of each model after a moment.
-func (x *Index) Work(since time.Time) map[string]Work {
+// Trained returns the jobs of each model that is trained, in order of their acceptance.
+func (x *Index) Trained() map[string][]Status {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	all := make(map[string]Work)
+	trained := make(map[string][]Status)
 	for _, found := range x.jobs {
-		if !found.known || found.status.AcceptedAt.Before(since) {
-			continue
+		if model := found.status.Entry.Model; found.known && model != "" {
+			trained[model] = append(trained[model], found.status)
 		}
-		entry := found.status.Entry
-		work := all[entry.Model]
-		work.Host, work.Path = entry.Host, entry.Path
-		work.Tokens += float64(entry.Work)
-		all[entry.Model] = work
 	}
-	return all
+	for _, jobs := range trained {
+		slices.SortFunc(jobs, func(a, b Status) int {
+			return cmp.Or(a.AcceptedAt.Compare(b.AcceptedAt), cmp.Compare(a.Entry.JobID, b.Entry.JobID))
+		})
+	}
+	return trained
 }
 
 // Expired is a job that nobody may ask for any more, with the keys of its records.
@@ -301,9 +299,9 @@
 	return keyedlog.Record{Key: indexEnd + separator + jobID, Value: []byte{1}}
 }
 
-// EncodeSettled returns the record of the index that says that nothing more is listed of a job.
-func EncodeSettled(jobID string, end int64) (keyedlog.Record, error) {
-	settled := Settled{End: end}
+// EncodeSettled returns the record of the index that says that nothing more is listed of a job, and what it took.
+func EncodeSettled(jobID string, end int64, took Took) (keyedlog.Record, error) {
+	settled := Settled{End: end, ItemTime: took.Items.Milliseconds(), LongestTime: took.Longest.Milliseconds()}
 	value, err := settled.MarshalMsg(nil)
 	return keyedlog.Record{Key: indexSettled + separator + jobID, Value: value}, err
 }
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -5,6 +5,8 @@
 
 //go:generate go tool msgp -tests=false -unexported
 
+import "time"
+
 // Spec is what was submitted, without the items.
 type Spec struct {
 	ID string `msg:"id"`
@@ -81,6 +83,17 @@
 type Settled struct {
 	// End is the offset in the job's partition below which all its results lie.
 	End int64 `msg:"end"`
+	// ItemTime and LongestTime are those of Took, in milliseconds.
+	ItemTime    int64 `msg:"took"`
+	LongestTime int64 `msg:"longest"`
+}
+
+// Took is what a job took of engines. The zero value says that nobody knows: no owner ran it from its beginning to its end.
+type Took struct {
+	// Items is how long its items held places, all taken together.
+	Items time.Duration
+	// Longest is how long the longest item held one, of the groups that became whole.
+	Longest time.Duration
 }
 
 // Result is what became of an item.
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -1542,6 +1542,18 @@
 				err = msgp.WrapError(err, "End")
 				return
 			}
+		case "took":
+			z.ItemTime, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ItemTime")
+				return
+			}
+		case "longest":
+			z.LongestTime, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "LongestTime")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1555,9 +1567,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z Settled) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 3
 	// write "end"
-	err = en.Append(0x81, 0xa3, 0x65, 0x6e, 0x64)
+	err = en.Append(0x83, 0xa3, 0x65, 0x6e, 0x64)
 	if err != nil {
 		return
 	}
@@ -1566,16 +1578,42 @@
 		err = msgp.WrapError(err, "End")
 		return
 	}
+	// write "took"
+	err = en.Append(0xa4, 0x74, 0x6f, 0x6f, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.ItemTime)
+	if err != nil {
+		err = msgp.WrapError(err, "ItemTime")
+		return
+	}
+	// write "longest"
+	err = en.Append(0xa7, 0x6c, 0x6f, 0x6e, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.LongestTime)
+	if err != nil {
+		err = msgp.WrapError(err, "LongestTime")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Settled) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 3
 	// string "end"
-	o = append(o, 0x81, 0xa3, 0x65, 0x6e, 0x64)
+	o = append(o, 0x83, 0xa3, 0x65, 0x6e, 0x64)
 	o = msgp.AppendInt64(o, z.End)
+	// string "took"
+	o = append(o, 0xa4, 0x74, 0x6f, 0x6f, 0x6b)
+	o = msgp.AppendInt64(o, z.ItemTime)
+	// string "longest"
+	o = append(o, 0xa7, 0x6c, 0x6f, 0x6e, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendInt64(o, z.LongestTime)
 	return
 }
 
@@ -1603,6 +1641,18 @@
 				err = msgp.WrapError(err, "End")
 				return
 			}
+		case "took":
+			z.ItemTime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ItemTime")
+				return
+			}
+		case "longest":
+			z.LongestTime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LongestTime")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1617,7 +1667,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Settled) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Int64Size
+	s = 1 + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 8 + msgp.Int64Size
 	return
 }
 
@@ -1962,3 +2012,131 @@
 	}
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *Took) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Items":
+			z.Items, err = dc.ReadDuration()
+			if err != nil {
+				err = msgp.WrapError(err, "Items")
+				return
+			}
+		case "Longest":
+			z.Longest, err = dc.ReadDuration()
+			if err != nil {
+				err = msgp.WrapError(err, "Longest")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Took) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "Items"
+	err = en.Append(0x82, 0xa5, 0x49, 0x74, 0x65, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteDuration(z.Items)
+	if err != nil {
+		err = msgp.WrapError(err, "Items")
+		return
+	}
+	// write "Longest"
+	err = en.Append(0xa7, 0x4c, 0x6f, 0x6e, 0x67, 0x65, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteDuration(z.Longest)
+	if err != nil {
+		err = msgp.WrapError(err, "Longest")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Took) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Items"
+	o = append(o, 0x82, 0xa5, 0x49, 0x74, 0x65, 0x6d, 0x73)
+	o = msgp.AppendDuration(o, z.Items)
+	// string "Longest"
+	o = append(o, 0xa7, 0x4c, 0x6f, 0x6e, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendDuration(o, z.Longest)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Took) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Items":
+			z.Items, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Items")
+				return
+			}
+		case "Longest":
+			z.Longest, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Longest")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Took) Msgsize() (s int) {
+	s = 1 + 6 + msgp.DurationSize + 8 + msgp.DurationSize
+	return
+}
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -75,6 +75,9 @@
 	whole   bool
 	score   string
 	settled bool
+	// held is how long the item has held places of engines, heldSince since when it holds one, zero while it does not.
+	held      time.Duration
+	heldSince time.Time
 	// pending is progress of another owner that is to be taken over; interrupt ends the run under way.
 	pending   *job.Progress
 	interrupt context.CancelFunc
@@ -205,9 +208,11 @@
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
 			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
 		e.waitingSince = time.Time{}
+		e.hold()
 		result := e.runOn(runCtx, engine, route)
 		cancel()
 		place.Release()
+		e.letGo()
 		if done, whole := e.judge(ctx, route, result); done {
 			return whole
 		}
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -96,15 +96,16 @@
 			continue
 		}
 		r.settling[id] = true
+		took := r.takeTook(id)
 		r.writer.close(id, r.ledger.PieceKeys(id), func(end int64) {
-			r.active.Go(func() { r.announceSettled(ctx, id, end) })
+			r.active.Go(func() { r.announceSettled(ctx, id, end, took) })
 		})
 	}
 }
 
 // announceSettled writes to the index that a job is settled, until it is there.
-func (r *runner) announceSettled(ctx context.Context, id string, end int64) {
-	record, err := job.EncodeSettled(id, end)
+func (r *runner) announceSettled(ctx context.Context, id string, end int64, took job.Took) {
+	record, err := job.EncodeSettled(id, end, took)
 	if err != nil {
 		errorlog.Error(r.config.Logger, "settled job does not encode", err, "job", id)
 		return
@@ -112,7 +113,8 @@
 	for {
 		_, err := r.config.Log.Append(ctx, keyedlog.JobIndex, []keyedlog.Record{record}, nil)
 		if err == nil {
-			r.config.Logger.Info("job settled", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "end", end)
+			r.config.Logger.Info("job settled", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "end", end,
+				"items_took", took.Items.Round(time.Millisecond), "longest_took", took.Longest.Round(time.Millisecond))
 			return
 		}
 		if !pause.For(ctx, appendPause) {
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -72,6 +72,7 @@
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}), h.config.Limits, h.config.Logger),
 		jobs: make(map[string]*runningJob), settling: make(map[string]bool), leftovers: make(map[string]*job.Progress),
+		took: make(map[string]job.Took),
 	}
 	runner.active.Add(1)
 	go func() {
@@ -104,6 +105,8 @@
 	released bool
 	// leftovers holds the text of items of ended jobs that were not listed.
 	leftovers map[string]*job.Progress
+	// took is what ended jobs took of engines that are not settled yet.
+	took map[string]job.Took
 }
 
 type runningJob struct {
@@ -111,6 +114,8 @@
 	items  map[string]*execution
 	// progressed is how much progress of the job has been looked at.
 	progressed int
+	// whole says that this process has run all items of the job from their beginning.
+	whole bool
 }
 
 const (
@@ -206,6 +211,7 @@
 		if !listed[id] {
 			running.cancel()
 			delete(r.jobs, id)
+			r.took[id] = running.took(time.Now())
 			r.keepLeftovers(running)
 		}
 	}
@@ -226,7 +232,10 @@
 	r.writer.startAt(view.Spec.ID, view.Listed)
 	r.learnListed(view)
 	jobCtx, cancel := context.WithCancel(ctx)
-	running := &runningJob{cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed}
+	running := &runningJob{
+		cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed,
+		whole: view.Listed == 0 && view.Progressed == 0,
+	}
 	carried := r.carriedGroups(view.Spec)
 	critical := r.criticalEvents(view.Spec, carried)
 	for _, open := range r.ledger.Open(view.Spec.ID) {
--- /dev/null
+++ b/internal/policy/demand.go
@@ -0,0 +1,147 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Step is one step of a model: as it was asked, and what it took of engines once that is known.
+type Step struct {
+	// At is when it was asked.
+	At time.Time
+	// Tokens is the estimated output of all its items.
+	Tokens float64
+	// Items is how long its items held places, all taken together, Longest how long the longest one did; 0 if not known.
+	Items   time.Duration
+	Longest time.Duration
+	// Open says that it has not ended.
+	Open bool
+}
+
+const (
+	// stepsKept is how many of a model's last steps count: few enough to follow a shift of work within some steps, and enough for
+	// one that went badly not to decide alone.
+	stepsKept = 4
+	// tokenTimeAtFirst is how long a token of estimated output holds a place before any step has told. Only the ratio of models
+	// hangs on it; it is what engines of a hundred billion parameters take.
+	tokenTimeAtFirst = time.Millisecond
+	// idleIntervals is how many intervals after its last step a model without an open one is taken to rest.
+	idleIntervals = 5
+)
+
+// StepLoads returns what the next steps of each model ask of engines, from their last ones in order of time. A step counts by what
+// it took, not by when it came: a model that is behind asks for fewer steps, and is to have no fewer engines for that. A
+// model of which nothing is known is taken for one like the others, and one whose trainer rests asks nothing.
+func StepLoads(steps map[string][]Step, now time.Time) map[string]StepLoad {
+	all := observed{}
+	own := make(map[string]observed, len(steps))
+	var intervals []time.Duration
+	for model, asked := range steps {
+		seen := observe(asked[max(0, len(asked)-stepsKept):])
+		own[model] = seen
+		all.add(seen)
+		if gap := medianGap(asked); gap > 0 {
+			intervals = append(intervals, gap)
+		}
+	}
+	usual := median(intervals)
+	loads := make(map[string]StepLoad, len(steps))
+	for model, asked := range steps {
+		interval := usual
+		if gap := medianGap(asked); gap > 0 {
+			interval = min(gap, usual)
+		}
+		if rests(asked, interval, now) {
+			loads[model] = StepLoad{}
+			continue
+		}
+		loads[model] = own[model].load(all, interval)
+	}
+	return loads
+}
+
+// rests tells whether the trainer of a model has asked for nothing for long.
+func rests(asked []Step, interval time.Duration, now time.Time) bool {
+	if len(asked) == 0 || interval == 0 {
+		return false
+	}
+	for _, step := range asked {
+		if step.Open {
+			return false
+		}
+	}
+	return now.Sub(asked[len(asked)-1].At) > idleIntervals*interval
+}
+
+// observed sums up steps. Those whose times are known are told apart.
+type observed struct {
+	steps  int
+	tokens float64
+
+	measured       int
+	measuredTokens float64
+	items          time.Duration
+	longest        time.Duration
+}
+
+func observe(steps []Step) observed {
+	var seen observed
+	for _, step := range steps {
+		seen.steps++
+		seen.tokens += step.Tokens
+		if step.Items > 0 && step.Tokens > 0 {
+			seen.measured++
+			seen.measuredTokens += step.Tokens
+			seen.items += step.Items
+			seen.longest += step.Longest
+		}
+	}
+	return seen
+}
+
+func (o *observed) add(other observed) {
+	o.steps += other.steps
+	o.tokens += other.tokens
+	o.measured += other.measured
+	o.measuredTokens += other.measuredTokens
+	o.items += other.items
+	o.longest += other.longest
+}
+
+// load returns what a step asks, with what is known of all models where the model's own steps tell nothing.
+func (o observed) load(all observed, interval time.Duration) StepLoad {
+	load := StepLoad{Interval: interval}
+	tokens := all.tokens / float64(max(1, all.steps))
+	if o.steps > 0 {
+		tokens = o.tokens / float64(o.steps)
+	}
+	known := o
+	if known.measured == 0 {
+		known = all
+	}
+	if known.measured == 0 {
+		load.Work = time.Duration(tokens * float64(tokenTimeAtFirst))
+		return load
+	}
+	load.Work = time.Duration(tokens * float64(known.items) / known.measuredTokens)
+	load.Longest = known.longest / time.Duration(known.measured)
+	return load
+}
+
+// medianGap returns the median time between steps, 0 if there are fewer than two.
+func medianGap(steps []Step) time.Duration {
+	var gaps []time.Duration
+	for i := 1; i < len(steps); i++ {
+		gaps = append(gaps, steps[i].At.Sub(steps[i-1].At))
+	}
+	return median(gaps)
+}
+
+func median(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(times)
+	slices.Sort(sorted)
+	return sorted[(len(sorted)-1)/2]
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/storepace"
 	"github.com/hillfork/hillfork/internal/storetimeout"
 	"github.com/hillfork/hillfork/internal/weightroll"
@@ -102,7 +103,7 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](r.weights), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Demands: r.demands, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
+		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	lifetime := memberLifetime(config.Settings.MemberLifetimeMin)
@@ -142,22 +143,33 @@
 	return slices.Compact(models)
 }
 
-// workWindow is how far back submissions count for the work of a model: a few steps.
-const workWindow = 20 * time.Second
-
-// demands tells what each model asks of its pool, by the jobs of the last steps.
-func (r *Replica) demands() map[string]weightroll.Demand {
-	demands := make(map[string]weightroll.Demand)
+// stepLoads tells what the steps of each model ask of engines, by those of which the index knows.
+func (r *Replica) stepLoads() map[string]policy.StepLoad {
 	current := r.catalog.Current()
-	for model, work := range r.index.Work(time.Now().Add(-workWindow)) {
-		demand := weightroll.Demand{Work: work.Tokens}
+	steps := make(map[string][]policy.Step)
+	priorities := make(map[string]int)
+	for _, model := range r.models() {
+		steps[model] = nil
+	}
+	for model, jobs := range r.index.Trained() {
+		for _, status := range jobs {
+			steps[model] = append(steps[model], policy.Step{
+				At: status.AcceptedAt, Tokens: float64(status.Entry.Work), Items: status.Took.Items, Longest: status.Took.Longest,
+				Open: !status.Ended && !status.Settled,
+			})
+		}
 		if current != nil {
-			route, _ := current.Match(work.Host, work.Path)
-			demand.Priority = route.Priority
+			last := jobs[len(jobs)-1].Entry
+			route, _ := current.Match(last.Host, last.Path)
+			priorities[model] = route.Priority
 		}
-		demands[model] = demand
 	}
-	return demands
+	loads := policy.StepLoads(steps, time.Now())
+	for model, load := range loads {
+		load.Priority = priorities[model]
+		loads[model] = load
+	}
+	return loads
 }
 
 // follow returns a follower of a partition.
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -18,35 +19,30 @@
 // Assignment maps engines to the model that they are kept up to date for.
 type Assignment map[string]string
 
-// Demand is what a model asks of its pool.
-type Demand struct {
-	// Priority is the rank of the model's jobs, 0 first.
-	Priority int
-	// Work is how much there was lately, in any unit.
-	Work float64
-}
-
-// compare orders demands, the one to be served better first.
-func (d Demand) compare(other Demand) int {
-	return cmp.Or(cmp.Compare(d.Priority, other.Priority), cmp.Compare(other.Work, d.Work))
-}
-
-// Assign gives every engine of a pool to one of its models, as evenly as engines allow: each trained model needs engines of
-// its newest version, and a load takes an engine away from all others. Where engines do not divide evenly, the more urgent
-// models have one more, and among equally urgent ones those with more work. An engine keeps its model while that is within
-// the model's share; otherwise it goes where engines are missing, and there to the model whose newest version it is nearest to.
+// Assign gives every engine of a pool to one of its models, as many to each as shares says: a trained model needs engines of its
+// newest version, and a load takes an engine away from all others. An engine that is kept stays with its model whatever the
+// model's share. Any other keeps its model while that is within its share, and goes where engines are missing otherwise, there
+// to the model whose newest version it is nearest to.
 func Assign(
-	engines []fleet.Engine, targets map[string]int64, previous Assignment, demands map[string]Demand,
+	engines []fleet.Engine, targets map[string]int64, previous Assignment, shares map[string]int, kept func(fleet.Engine, string) bool,
 ) Assignment {
 	models := trainedModels(targets)
 	assignment := make(Assignment, len(engines))
 	if len(models) == 0 {
 		return assignment
 	}
-	missing := shares(len(engines), models, demands)
-	var free []fleet.Engine
+	missing := maps.Clone(shares)
+	var movable, free []fleet.Engine
 	for _, engine := range sortedByZone(engines) {
-		if model, kept := previous[engine.ID]; kept && missing[model] > 0 {
+		if model, assigned := previous[engine.ID]; assigned && kept(engine, model) {
+			assignment[engine.ID] = model
+			missing[model]--
+			continue
+		}
+		movable = append(movable, engine)
+	}
+	for _, engine := range movable {
+		if model, assigned := previous[engine.ID]; assigned && missing[model] > 0 {
 			assignment[engine.ID] = model
 			missing[model]--
 			continue
@@ -61,34 +57,13 @@
 	return assignment
 }
 
-// covers tells whether the assignment is of just these engines and models.
-func (a Assignment) covers(engines []fleet.Engine, targets map[string]int64) bool {
-	if len(a) != len(engines) {
-		return false
-	}
-	models := make(map[string]bool, len(targets))
-	for _, engine := range engines {
-		model, assigned := a[engine.ID]
-		if _, trained := targets[model]; !assigned || !trained {
-			return false
-		}
-		models[model] = true
-	}
-	return len(models) == min(len(targets), len(engines))
-}
-
-// shares returns how many engines each model has; they differ by one at most.
-func shares(engines int, models []string, demands map[string]Demand) map[string]int {
-	byDemand := slices.Clone(models)
-	slices.SortStableFunc(byDemand, func(a, b string) int { return demands[a].compare(demands[b]) })
-	shares := make(map[string]int, len(models))
-	for i, model := range byDemand {
-		shares[model] = engines / len(models)
-		if i < engines%len(models) {
-			shares[model]++
-		}
+// counts returns how many engines each model has.
+func (a Assignment) counts() map[string]int {
+	counts := make(map[string]int)
+	for _, model := range a {
+		counts[model]++
 	}
-	return shares
+	return counts
 }
 
 func trainedModels(targets map[string]int64) []string {
@@ -142,14 +117,15 @@
 	AtOnce int
 }
 
-// Plan returns the engines to order next: models with the fewest loading first, of these the ones with the fewest engines
-// up to date, so that every trainer finds some engine of the newest version early. Of a model's engines the ones that are
+// Plan returns the engines to order next: models with the smallest part of their engines loading first, of these the ones with
+// the smallest part up to date, so that every trainer finds some engines of the newest version early. Of a model's engines the ones that are
 // furthest behind go first: they are the least use to the jobs that run. It also returns how many engines wait for their turn.
 func Plan(input PlanInput) (steps []Step, waiting int) {
 	loading := make(map[string]int)
 	for _, model := range input.Loading {
 		loading[model]++
 	}
+	counts := input.Assignment.counts()
 	fresh := make(map[string]int)
 	var behind []Step
 	for _, engine := range sortedByZone(input.Engines) {
@@ -168,7 +144,7 @@
 	for len(behind) > 0 && len(input.Loading)+len(steps) < input.AtOnce {
 		next := 0
 		for i, step := range behind {
-			if less(step, behind[next], loading, fresh) {
+			if less(step, behind[next], counts, loading, fresh) {
 				next = i
 			}
 		}
@@ -179,12 +155,14 @@
 	return steps, len(behind)
 }
 
-func less(a, b Step, loading, fresh map[string]int) bool {
-	if loading[a.Model] != loading[b.Model] {
-		return loading[a.Model] < loading[b.Model]
+// less compares what is loading and up to date of two models as parts of the engines that they have.
+func less(a, b Step, counts, loading, fresh map[string]int) bool {
+	ofA, ofB := counts[a.Model], counts[b.Model]
+	if loading[a.Model]*ofB != loading[b.Model]*ofA {
+		return loading[a.Model]*ofB < loading[b.Model]*ofA
 	}
-	if fresh[a.Model] != fresh[b.Model] {
-		return fresh[a.Model] < fresh[b.Model]
+	if fresh[a.Model]*ofB != fresh[b.Model]*ofA {
+		return fresh[a.Model]*ofB < fresh[b.Model]*ofA
 	}
 	return a.Version-a.Engine.Serves(a.Model) > b.Version-b.Engine.Serves(b.Model)
 }
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 const (
@@ -55,8 +57,8 @@
 	Catalog   *catalog.Holder
 	Directory *fleet.Directory
 	Client    engineapi.Client
-	// Demands returns what each model asks of its pool.
-	Demands func() map[string]Demand
+	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any.
+	Loads func() map[string]policy.StepLoad
 	// Node names the holder in orders: the machine, which runs one process at a time.
 	Node string
 	// Lease is the least time between the orders of two holders.
@@ -84,7 +86,7 @@
 		writer: fencing.New(fencing.Config{
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}),
-		assignments: make(map[string]Assignment), loading: make(map[string]map[string]string),
+		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
 		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
@@ -104,6 +106,8 @@
 
 	mutex       sync.Mutex
 	assignments map[string]Assignment
+	// shares maps pools to how many engines each model is to have.
+	shares map[string]map[string]int
 	// loading maps pools to the engines that are being ordered, with the model.
 	loading map[string]map[string]string
 	// sequences holds how many orders an engine has taken, as far as this process knows.
@@ -214,22 +218,75 @@
 	}
 }
 
-// assign deals the engines to models, anew only when engines or models have come or gone: work changes from step to step.
+// assign brings the engines that each model has towards its share. An engine that loads, or that is up to date with a version
+// that a trainer has named, stays until a newer one is: to move it then costs no load more.
 func (r *roller) assign(pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
 	previous := r.assignments[pool]
-	if previous.covers(engines, targets) {
-		return previous
-	}
-	var demands map[string]Demand
-	if r.config.Demands != nil {
-		demands = r.config.Demands()
+	shares := r.share(pool, engines, targets)
+	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
+		if _, loading := r.loading[pool][engine.ID]; loading {
+			return true
+		}
+		return targets[model] > 0 && engine.Serves(model) >= targets[model]
+	})
+	if !maps.Equal(assignment, previous) {
+		r.assignments[pool] = assignment
+		r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "counts", assignment.counts(),
+			"shares", shares, "moved", moved(previous, assignment))
 	}
-	assignment := Assign(engines, targets, previous, demands)
-	r.assignments[pool] = assignment
-	r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "assignment", assignment, "demands", demands)
 	return assignment
 }
 
+// share returns how many engines each model is to have. It changes when engines or models come or go, and when steps ask enough
+// else for the change to pay.
+func (r *roller) share(pool string, engines []fleet.Engine, targets map[string]int64) map[string]int {
+	models := trainedModels(targets)
+	if len(models) == 0 {
+		return nil
+	}
+	var known map[string]policy.StepLoad
+	if r.config.Loads != nil {
+		known = r.config.Loads()
+	}
+	loads := make([]policy.StepLoad, len(models))
+	dealt := make([]int, len(models))
+	total := 0
+	for i, model := range models {
+		loads[i] = known[model]
+		dealt[i] = r.shares[pool][model]
+		total += dealt[i]
+	}
+	slots := 0
+	for _, engine := range engines {
+		slots += engine.Slots
+	}
+	perEngine := float64(slots) / float64(max(1, len(engines)))
+	better := policy.Deal(len(engines), perEngine, loads)
+	same := len(r.shares[pool]) == len(models) && total == len(engines)
+	if same && !policy.WorthDealing(dealt, better, perEngine, loads, r.usual) {
+		return r.shares[pool]
+	}
+	shares := make(map[string]int, len(models))
+	for i, model := range models {
+		shares[model] = better[i]
+	}
+	r.shares[pool] = shares
+	r.config.Logger.Info("engines shared among models", "pool", pool, "engines", len(engines), "shares", shares, "loads", known,
+		"typical_step", policy.TypicalStep(better, perEngine, loads).Round(time.Millisecond))
+	return shares
+}
+
+// moved counts the engines that have another model than before.
+func moved(before, after Assignment) int {
+	count := 0
+	for id, model := range after {
+		if earlier, known := before[id]; known && earlier != model {
+			count++
+		}
+	}
+	return count
+}
+
 // noteNames remembers when this process learnt of each target.
 func (r *roller) noteNames(targets map[string]int64, now time.Time) {
 	for model, version := range targets {
