Keep the runs of a model to the engines that are dealt to it

Cause: an owner of jobs knew which engines serve a version its jobs allow, not whose they are. Change: the order giver tells its assignment with a record of the weights' partition; owners take engines of other models only where none of their own may run the work, or for a third of their places after a second's wait. A successor goes on from the record.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,7 +36,9 @@
 
 // entry is an engine with what this node has seen of it.
 type entry struct {
-	engine   Engine
+	engine Engine
+	// dealt is the model that the engine is kept up to date for, empty if no word of that was read.
+	dealt    string
 	inFlight int
 	// loading holds until when an order keeps the engine from beginning requests of a model.
 	loading map[string]time.Time
@@ -53,13 +55,17 @@
 	mutex   sync.Mutex
 	engines map[string]*entry
 	changed broadcast.Signal
+	// dealt maps engines, known or not, to the models that they are kept up to date for, by pool.
+	dealt map[string]map[string]string
 	// known says that the list was read at least once.
 	known bool
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{engines: make(map[string]*entry), changed: broadcast.New()}
+	return &Directory{
+		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string),
+	}
 }
 
 // Upsert adds or updates an engine. Versions never fall within an incarnation: a lagging record does not undo what was
@@ -69,7 +75,9 @@
 	defer d.mutex.Unlock()
 	found, ok := d.engines[engine.ID]
 	if !ok {
-		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
+		d.engines[engine.ID] = &entry{
+			engine: engine, dealt: d.dealt[engine.Pool][engine.ID], loading: make(map[string]time.Time),
+		}
 		d.changed.Notify()
 		return
 	}
@@ -137,6 +145,19 @@
 	d.changed.Notify()
 }
 
+// SetDealt records for which model each engine of a pool is kept up to date. Work of that model goes there first.
+func (d *Directory) SetDealt(pool string, models map[string]string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.dealt[pool] = models
+	for id, found := range d.engines {
+		if found.engine.Pool == pool {
+			found.dealt = models[id]
+		}
+	}
+	d.changed.Notify()
+}
+
 // SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
 func (d *Directory) SetLoading(id, model string, until time.Time) {
 	d.mutex.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,3 +171,51 @@
 		is.Equal(assigned(want(100)), []string{"slow"})
 	})
 }
+
+// TestWorkKeepsToTheEnginesOfItsModel checks that work of one model leaves the engines of another alone, as far as it has engines
+// of its own, and takes few of their places once it has waited for long. On a pool that eight models shared, three quarters of the
+// runs of the first seconds stood beside another model's at an engine, and 578 were turned away.
+func TestWorkKeepsToTheEnginesOfItsModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		directory.SetDealt("p", map[string]string{"own": "m", "other": "n"})
+		for _, id := range []string{"own", "other"} {
+			directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 6, Versions: map[string]int64{"m": 1, "n": 1}})
+			directory.Paced(id, 30*time.Millisecond)
+		}
+		want := fleet.Want{Pool: "p", Model: "m", Share: 1, Since: time.Now()}
+		placed := func() map[string]int {
+			count := make(map[string]int)
+			for _, engine := range directory.Assign(slices.Repeat([]fleet.Want{want}, 20)) {
+				count[engine.ID]++
+			}
+			return count
+		}
+		is.Equal(placed(), map[string]int{"own": 6, "": 14})
+		time.Sleep(2 * time.Second)
+		is.Equal(placed(), map[string]int{"other": 3, "": 17})
+
+		// A run that is slow where it is moves to no engine of another model.
+		for range 40 {
+			directory.Paced("own", time.Second)
+		}
+		is.True(!directory.Exists(fleet.Want{Pool: "q"}))
+		moving := want
+		moving.Events = 50
+		_, better := directory.AcquireBetter("own", moving)
+		is.True(!better)
+
+		// Without an engine of its own that may run it, work goes to any at once.
+		want.MinVersion = 2
+		want.Since = time.Now()
+		directory.SetServes("other", "m", 2)
+		is.Equal(placed(), map[string]int{"other": 3, "": 17})
+
+		// So it does where nobody said what engines are for.
+		fresh := fleet.NewDirectory()
+		fresh.Upsert(fleet.Engine{ID: "any", Pool: "p", Slots: 6, Versions: map[string]int64{"m": 1}})
+		_, found := fresh.Acquire(fleet.Want{Pool: "p", Model: "m", Share: 1})
+		is.True(found)
+	})
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -56,7 +56,7 @@
 			found = newSurveyed(d.candidates(want, now), want)
 			surveys[key] = found
 		}
-		place, ok := choose(found.room, found.paces, want, now)
+		place, ok := choose(found.room, found.known, want, now)
 		if !ok {
 			continue
 		}
@@ -75,13 +75,13 @@
 
 // surveyed holds the engines with room for work of one kind.
 type surveyed struct {
-	paces paces
+	known survey
 	room  []Candidate
 }
 
 func newSurveyed(candidates []Candidate, want Want) *surveyed {
 	want.Exclude = nil
-	found := &surveyed{paces: survey(candidates, want)}
+	found := &surveyed{known: newSurvey(candidates, want)}
 	for _, candidate := range candidates {
 		if mayRun(candidate, want) && hasRoom(candidate, want) {
 			found.room = append(found.room, candidate)
@@ -109,6 +109,7 @@
 		return Engine{}, false
 	}
 	want.Since = time.Time{}
+	want.OwnOnly = true
 	want.Exclude = []string{id}
 	picked, found := Pick(d.candidates(want, now), want, now)
 	if !found || picked.Avoided || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
@@ -125,7 +126,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	candidates := d.candidates(want, now)
-	quickest := survey(candidates, want).quickest
+	quickest := newSurvey(candidates, want).quickest
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
 		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
@@ -139,7 +140,7 @@
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return survey(d.candidates(Want{Pool: pool}, time.Now()), Want{Pool: pool}).typical
+	return newSurvey(d.candidates(Want{Pool: pool}, time.Now()), Want{Pool: pool}).typical
 }
 
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
@@ -149,7 +150,7 @@
 			continue
 		}
 		candidates = append(candidates, Candidate{
-			Engine: found.engine, InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
+			Engine: found.engine, Dealt: found.dealt, InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
 			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
 		})
 	}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -10,7 +10,9 @@
 
 // Candidate is an engine as it stands when work is to be placed.
 type Candidate struct {
-	Engine   Engine
+	Engine Engine
+	// Dealt is the model that the engine is kept up to date for, empty if that is not known.
+	Dealt    string
 	InFlight int
 	// Avoided says that the engine failed lately.
 	Avoided bool
@@ -41,6 +43,8 @@
 	// takes any engine at once.
 	Events float64
 	Since  time.Time
+	// OwnOnly leaves out engines that are kept up to date for other models.
+	OwnOnly bool
 }
 
 // slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
@@ -49,39 +53,77 @@
 // Pick chooses an engine for a piece of work: those that may run it, of these the ones with room, of these the best score.
 // It returns false if none has room, or if the work had better wait for a quicker one.
 func Pick(candidates []Candidate, want Want, now time.Time) (Candidate, bool) {
-	place, ok := choose(candidates, survey(candidates, want), want, now)
+	place, ok := choose(candidates, newSurvey(candidates, want), want, now)
 	if !ok {
 		return Candidate{}, false
 	}
 	return candidates[place], true
 }
 
-// paces are those of the engines that may run a piece of work, full or not; 0 if none is known.
-type paces struct {
+// survey is what the engines that may run a piece of work have in common, full or not.
+type survey struct {
+	// quickest and typical are paces, 0 if none is known.
 	quickest time.Duration
 	typical  time.Duration
+	// own says that one of them is kept up to date for the model of the work.
+	own bool
 }
 
-// survey returns the paces of the engines that may run a piece of work. Engines that failed lately count for nobody.
-func survey(candidates []Candidate, want Want) paces {
+// newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody.
+func newSurvey(candidates []Candidate, want Want) survey {
+	var found survey
 	var known []time.Duration
 	for _, candidate := range candidates {
-		if candidate.Pace > 0 && !candidate.Avoided && mayRun(candidate, want) {
+		if !mayRun(candidate, want) {
+			continue
+		}
+		found.own = found.own || !foreign(candidate, want)
+		if candidate.Pace > 0 && !candidate.Avoided {
 			known = append(known, candidate.Pace)
 		}
 	}
-	if len(known) == 0 {
-		return paces{}
+	if len(known) > 0 {
+		slices.Sort(known)
+		found.quickest, found.typical = known[0], known[(len(known)-1)/2]
+	}
+	return found
+}
+
+// foreign tells whether an engine is kept up to date for another model than that of the work. Its places are most likely taken by
+// work of which this node knows nothing.
+func foreign(candidate Candidate, want Want) bool {
+	return want.Model != "" && candidate.Dealt != "" && candidate.Dealt != want.Model
+}
+
+const (
+	// foreignAfter is how long work waits for an engine of its own model before it takes one of another model: the bursts of
+	// models that were asked together are over by then, or this one's is much the longer.
+	foreignAfter = time.Second
+	// foreignShare is the part of such an engine's places that this node fills.
+	foreignShare = 0.34
+)
+
+// open tells whether an engine takes the work now as far as its model goes. Where no engine of its own model may run the work, it
+// goes to any.
+func open(candidate Candidate, known survey, want Want, now time.Time) bool {
+	if !foreign(candidate, want) {
+		return true
+	}
+	if want.OwnOnly {
+		return false
+	}
+	if !known.own {
+		return true
 	}
-	slices.Sort(known)
-	return paces{quickest: known[0], typical: known[(len(known)-1)/2]}
+	places := max(1, foreignShare*float64(candidate.Engine.Slots))
+	return !want.Since.IsZero() && now.Sub(want.Since) >= foreignAfter && float64(candidate.InFlight) < places
 }
 
 // choose returns the place of the best candidate, false if there is none.
-func choose(candidates []Candidate, known paces, want Want, now time.Time) (int, bool) {
+func choose(candidates []Candidate, known survey, want Want, now time.Time) (int, bool) {
 	best, bestCost := -1, 0.0
 	for i, candidate := range candidates {
-		if !hasRoom(candidate, want) || !mayRun(candidate, want) {
+		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
 			continue
 		}
 		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	skipped int
 	// atOnce maps pools to how many of their engines might load at once.
 	atOnce map[string]int
+	// dealings maps pools to the model that each engine is kept up to date for.
+	dealings map[string]Assignment
 	// usual is the smoothed time from the announcement of an order to that of its engine serving, 0 before one was measured.
 	usual time.Duration
 }
@@ -41,7 +44,9 @@
 
 // NewBoard returns an empty board that tells a directory what engines load and serve.
 func NewBoard(directory *fleet.Directory) *Board {
-	return &Board{directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int)}
+	return &Board{
+		directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int), dealings: make(map[string]Assignment),
+	}
 }
 
 // Apply folds a record. An error says that it was skipped.
@@ -56,6 +61,9 @@
 		delete(b.orders, record.Key)
 		return nil
 	}
+	if strings.HasPrefix(record.Key, dealingKey) {
+		return b.deal(record.Value)
+	}
 	var order Announcement
 	if _, err := order.UnmarshalMsg(record.Value); err != nil {
 		b.mutex.Lock()
@@ -86,6 +94,30 @@
 	return nil
 }
 
+// deal takes which model each engine of a pool is kept up to date for.
+func (b *Board) deal(value []byte) error {
+	var dealing Dealing
+	if _, err := dealing.UnmarshalMsg(value); err != nil {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.skipped++
+		return err
+	}
+	assignment := dealing.assignment()
+	b.mutex.Lock()
+	b.dealings[dealing.Pool] = assignment
+	b.mutex.Unlock()
+	b.directory.SetDealt(dealing.Pool, assignment)
+	return nil
+}
+
+// dealt returns which model each engine of a pool was last said to be kept up to date for, nil if no record tells.
+func (b *Board) dealt(pool string) Assignment {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.dealings[pool]
+}
+
 // loadingSlack is how many usual times an engine is taken to load before it is offered work again.
 const loadingSlack = 1.3
 
--- a/internal/weightroll/records.go
+++ b/internal/weightroll/records.go
@@ -22,3 +22,41 @@
 	// Together is how many engines of the pool might load at once, so that the next order giver need not find out anew.
 	Together int `msg:"together"`
 }
+
+// Dealing is the record of which model each engine of a pool is kept up to date for.
+type Dealing struct {
+	Pool string `msg:"pool"`
+	// Models are named once; Engines maps the ids of engines to places among them.
+	Models  []string       `msg:"models"`
+	Engines map[string]int `msg:"engines"`
+}
+
+// dealingKey begins the keys of dealings; the pool's name follows. No engine's id begins so.
+const dealingKey = "deal/"
+
+// newDealing returns the record of an assignment.
+func newDealing(pool string, assignment Assignment) Dealing {
+	dealing := Dealing{Pool: pool, Engines: make(map[string]int, len(assignment))}
+	places := make(map[string]int)
+	for id, model := range assignment {
+		place, known := places[model]
+		if !known {
+			place = len(dealing.Models)
+			places[model] = place
+			dealing.Models = append(dealing.Models, model)
+		}
+		dealing.Engines[id] = place
+	}
+	return dealing
+}
+
+// assignment returns what the record says. Places that name no model are left out.
+func (d Dealing) assignment() Assignment {
+	assignment := make(Assignment, len(d.Engines))
+	for id, place := range d.Engines {
+		if place >= 0 && place < len(d.Models) {
+			assignment[id] = d.Models[place]
+		}
+	}
+	return assignment
+}
--- a/internal/weightroll/records_gen.go
+++ b/internal/weightroll/records_gen.go
@@ -283,3 +283,262 @@
 	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize + 9 + msgp.IntSize
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *Dealing) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "pool":
+			z.Pool, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "models":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Models")
+				return
+			}
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
+			} else {
+				z.Models = make([]string, zb0002)
+			}
+			for za0001 := range z.Models {
+				z.Models[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
+				}
+			}
+		case "engines":
+			var zb0003 uint32
+			zb0003, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Engines")
+				return
+			}
+			if z.Engines == nil {
+				z.Engines = make(map[string]int, zb0003)
+			} else if len(z.Engines) > 0 {
+				clear(z.Engines)
+			}
+			for zb0003 > 0 {
+				zb0003--
+				var za0002 string
+				za0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Engines")
+					return
+				}
+				var za0003 int
+				za0003, err = dc.ReadInt()
+				if err != nil {
+					err = msgp.WrapError(err, "Engines", za0002)
+					return
+				}
+				z.Engines[za0002] = za0003
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Dealing) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "pool"
+	err = en.Append(0x83, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Pool)
+	if err != nil {
+		err = msgp.WrapError(err, "Pool")
+		return
+	}
+	// write "models"
+	err = en.Append(0xa6, 0x6d, 0x6f, 0x64, 0x65, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Models)))
+	if err != nil {
+		err = msgp.WrapError(err, "Models")
+		return
+	}
+	for za0001 := range z.Models {
+		err = en.WriteString(z.Models[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Models", za0001)
+			return
+		}
+	}
+	// write "engines"
+	err = en.Append(0xa7, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteMapHeader(uint32(len(z.Engines)))
+	if err != nil {
+		err = msgp.WrapError(err, "Engines")
+		return
+	}
+	for za0002, za0003 := range z.Engines {
+		err = en.WriteString(za0002)
+		if err != nil {
+			err = msgp.WrapError(err, "Engines")
+			return
+		}
+		err = en.WriteInt(za0003)
+		if err != nil {
+			err = msgp.WrapError(err, "Engines", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Dealing) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "pool"
+	o = append(o, 0x83, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	o = msgp.AppendString(o, z.Pool)
+	// string "models"
+	o = append(o, 0xa6, 0x6d, 0x6f, 0x64, 0x65, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
+	for za0001 := range z.Models {
+		o = msgp.AppendString(o, z.Models[za0001])
+	}
+	// string "engines"
+	o = append(o, 0xa7, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65, 0x73)
+	o = msgp.AppendMapHeader(o, uint32(len(z.Engines)))
+	for za0002, za0003 := range z.Engines {
+		o = msgp.AppendString(o, za0002)
+		o = msgp.AppendInt(o, za0003)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Dealing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "models":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Models")
+				return
+			}
+			if cap(z.Models) >= int(zb0002) {
+				z.Models = (z.Models)[:zb0002]
+			} else {
+				z.Models = make([]string, zb0002)
+			}
+			for za0001 := range z.Models {
+				z.Models[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Models", za0001)
+					return
+				}
+			}
+		case "engines":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Engines")
+				return
+			}
+			if z.Engines == nil {
+				z.Engines = make(map[string]int, zb0003)
+			} else if len(z.Engines) > 0 {
+				clear(z.Engines)
+			}
+			for zb0003 > 0 {
+				var za0003 int
+				zb0003--
+				var za0002 string
+				za0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Engines")
+					return
+				}
+				za0003, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Engines", za0002)
+					return
+				}
+				z.Engines[za0002] = za0003
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Dealing) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Pool) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += msgp.StringPrefixSize + len(z.Models[za0001])
+	}
+	s += 8 + msgp.MapHeaderSize
+	if z.Engines != nil {
+		for za0002, za0003 := range z.Engines {
+			_ = za0003
+			s += msgp.StringPrefixSize + len(za0002) + msgp.IntSize
+		}
+	}
+	return
+}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -10,10 +10,12 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
@@ -40,6 +42,9 @@
 	overdueLoads = 4
 	// replanEvery is how often the plan is looked at when nothing is known to have changed.
 	replanEvery = 100 * time.Millisecond
+	// publishEvery is the least time between two records of a pool's assignment: engines come one by one at a start, and each
+	// record holds all of them.
+	publishEvery = 200 * time.Millisecond
 	// forgetAfter is how long announcements for engines that are gone are kept, in leases.
 	forgetAfter = 4
 )
@@ -86,7 +91,7 @@
 		writer: fencing.New(fencing.Config{
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}),
-		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int), loading: make(map[string]map[string]string),
+		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
 		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
@@ -110,6 +115,8 @@
 	shares map[string]map[string]int
 	// loading maps pools to the engines that are being ordered, with the model.
 	loading map[string]map[string]string
+	// publishing holds the pools whose assignment is being told.
+	publishing map[string]bool
 	// sequences holds how many orders an engine has taken, as far as this process knows.
 	sequences map[string]int64
 	retryAt   map[string]time.Time
@@ -186,7 +193,7 @@
 			engines = append(engines, engine)
 		}
 	}
-	assignment := r.assign(pool.Name, engines, targets)
+	assignment := r.assign(ctx, pool.Name, engines, targets)
 	loading := r.loading[pool.Name]
 	if loading == nil {
 		loading = make(map[string]string)
@@ -220,8 +227,12 @@
 
 // assign brings the engines that each model has towards its share. An engine that loads, or that is up to date with a version
 // that a trainer has named, stays until a newer one is: to move it then costs no load more.
-func (r *roller) assign(pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
-	previous := r.assignments[pool]
+func (r *roller) assign(ctx context.Context, pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
+	previous, known := r.assignments[pool]
+	if !known {
+		// A successor goes on from what its predecessor dealt.
+		previous = r.config.Board.dealt(pool)
+	}
 	shares := r.share(pool, engines, targets)
 	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
 		if _, loading := r.loading[pool][engine.ID]; loading {
@@ -231,6 +242,7 @@
 	})
 	if !maps.Equal(assignment, previous) {
 		r.assignments[pool] = assignment
+		r.publish(ctx, pool)
 		r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "counts", assignment.counts(),
 			"shares", shares, "moved", moved(previous, assignment))
 	}
@@ -276,6 +288,45 @@
 	return shares
 }
 
+// publish tells all processes the newest assignment of a pool, so that those which run its jobs keep to their model's engines.
+// What changes while a record is on its way is told by the next one. The mutex must be held.
+func (r *roller) publish(ctx context.Context, pool string) {
+	if r.publishing[pool] {
+		return
+	}
+	r.publishing[pool] = true
+	r.active.Go(func() {
+		var told Assignment
+		for {
+			r.mutex.Lock()
+			assignment := r.assignments[pool]
+			if maps.Equal(told, assignment) {
+				r.publishing[pool] = false
+				r.mutex.Unlock()
+				return
+			}
+			r.mutex.Unlock()
+			dealing := newDealing(pool, assignment)
+			value, err := dealing.MarshalMsg(nil)
+			if err != nil {
+				errorlog.Error(r.config.Logger, "dealing does not encode", err, "pool", pool)
+				return
+			}
+			if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: dealingKey + pool, Value: value}}); err != nil {
+				if ctx.Err() != nil {
+					return
+				}
+				errorlog.Warn(r.config.Logger, "dealing of engines not told", err, "pool", pool)
+			} else {
+				told = assignment
+			}
+			if !pause.For(ctx, publishEvery) {
+				return
+			}
+		}
+	})
+}
+
 // moved counts the engines that have another model than before.
 func moved(before, after Assignment) int {
 	count := 0
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -19,6 +19,7 @@
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/hillfork/hillfork/internal/storetimeout"
@@ -437,3 +438,37 @@
 		is.True(!directory.Loading("e", model))
 	})
 }
+
+// TestAllProcessesLearnWhichEnginesAreWhose checks that every process knows the newest assignment of a pool, and that a successor
+// goes on from it.
+func TestAllProcessesLearnWhichEnginesAreWhose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 12)
+		loads := map[string]policy.StepLoad{"m": {Work: 90 * time.Second}, "n": {Work: 30 * time.Second}}
+		nodes := []*node{w.node("first"), w.node("second")}
+		for _, n := range nodes {
+			n.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{
+				poolName: {Name: poolName, Models: []string{"m", "n"}},
+			}, catalog.Limits{}))
+			n.holder.config.Loads = func() map[string]policy.StepLoad { return loads }
+		}
+		nodes[0].own(1)
+		time.Sleep(time.Second)
+		dealt := nodes[1].holder.config.Board.dealt(poolName)
+		is.Equal(len(dealt), 12)
+		is.True(dealt.counts()["m"] > dealt.counts()["n"])
+
+		// Work shifts: the numbers follow, and the others learn of it.
+		loads = map[string]policy.StepLoad{"m": {Work: 30 * time.Second}, "n": {Work: 90 * time.Second}}
+		time.Sleep(time.Second)
+		shifted := nodes[1].holder.config.Board.dealt(poolName)
+		is.Equal(shifted.counts(), map[string]int{"m": dealt.counts()["n"], "n": dealt.counts()["m"]})
+
+		nodes[0].release()
+		nodes[1].own(2)
+		time.Sleep(5 * time.Second)
+		is.Equal(nodes[0].holder.config.Board.dealt(poolName), shifted)
+		nodes[1].release()
+	})
+}
