--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -184,3 +184,23 @@
 	}
 	return best
 }
+
+// TestMeansOfEachModel checks that the means of two models are printed apart, and those of all under them.
+func TestMeansOfEachModel(t *testing.T) {
+	is := is.New(t)
+	lines := stepLines()
+	for _, line := range stepLines() {
+		line = strings.ReplaceAll(line, "job=j1", "job=j2")
+		line = strings.ReplaceAll(line, "item=i", "item=other")
+		lines = append(lines, strings.ReplaceAll(line, "model=m", "model=n"))
+	}
+	var text strings.Builder
+	is.NoErr(readDay(t, lines).WriteSteps(&text))
+	var means []string
+	for line := range strings.Lines(text.String()) {
+		if strings.Contains(line, "mean of") {
+			means = append(means, strings.Join(strings.Fields(line)[:4], " "))
+		}
+	}
+	is.Equal(means, []string{"mean of 1 m", "mean of 1 n", "mean of 2 5.00"})
+}
--- a/internal/explain/table.go
+++ b/internal/explain/table.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -25,41 +27,67 @@
 	return nil, fmt.Errorf("%w: %s", ErrNoStep, job)
 }
 
-// WriteSteps prints a line a step and the sums of the day.
+// WriteSteps prints a line a step, the means of each model if there are several, and those of the day.
 func (d *Day) WriteSteps(output io.Writer) error {
 	if len(d.Steps) == 0 {
 		return ErrNoSteps
 	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "job\tstep\tsubmitted\ttook\tbound\twaiting\tworking\tslow\tlost\tlisting\treading\tevents\truns\t")
+	fmt.Fprintln(table, "job\tmodel\tstep\tsubmitted\ttook\tbound\twaiting\tworking\tslow\tlost\tlisting\treading\tevents\truns\t")
 	began := d.Steps[0].Submitted
-	var sum Path
-	var took, bounds time.Duration
-	ended := 0
+	var all total
+	models := make(map[string]*total)
 	for _, step := range d.Steps {
-		fmt.Fprintf(table, "%s\t%d\t%+.2f\t%s\t%s\t", step.Job, step.Number, step.Submitted.Sub(began).Seconds(), seconds(step.Took()),
-			seconds(step.Bound))
+		fmt.Fprintf(table, "%s\t%s\t%d\t%+.2f\t%s\t%s\t", step.Job, step.Model, step.Number, step.Submitted.Sub(began).Seconds(),
+			seconds(step.Took()), seconds(step.Bound))
 		path := step.Path
 		if path == nil {
 			fmt.Fprintln(table, strings.Repeat("-\t", 8))
 			continue
 		}
 		fmt.Fprintf(table, "%s%d\t%d\t\n", path.columns(), path.Events, len(path.Runs))
-		sum.add(path)
-		took += step.Took()
-		bounds += step.Bound
-		ended++
+		all.add(step)
+		if models[step.Model] == nil {
+			models[step.Model] = new(total)
+		}
+		models[step.Model].add(step)
 	}
-	if ended > 0 {
-		fmt.Fprintf(table, "mean of %d\t\t\t%s\t%s\t%s\t\t\n", ended, seconds(took/time.Duration(ended)),
-			seconds(bounds/time.Duration(ended)), sum.over(ended).columns())
+	if len(models) > 1 {
+		for _, model := range slices.Sorted(maps.Keys(models)) {
+			models[model].write(table, model)
+		}
 	}
+	all.write(table, "")
 	if err := table.Flush(); err != nil {
 		return err
 	}
 	return d.writeGaps(output)
 }
 
+// total sums up steps whose paths can be told. The zero value holds none.
+type total struct {
+	steps       int
+	took, bound time.Duration
+	path        Path
+}
+
+func (t *total) add(step *Step) {
+	t.steps++
+	t.took += step.Took()
+	t.bound += step.Bound
+	t.path.add(step.Path)
+}
+
+// write prints the means under the columns of steps.
+func (t *total) write(table io.Writer, model string) {
+	if t.steps == 0 {
+		return
+	}
+	count := time.Duration(t.steps)
+	fmt.Fprintf(table, "mean of %d\t%s\t\t\t%s\t%s\t%s\t\t\n", t.steps, model, seconds(t.took/count), seconds(t.bound/count),
+		t.path.over(t.steps).columns())
+}
+
 // WritePath prints the critical path of a step.
 func (d *Day) WritePath(output io.Writer, step *Step) error {
 	var text strings.Builder
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -93,6 +93,8 @@
 	logger    *log.Logger
 	// returned is when the store answered again after it had not.
 	returned func() time.Time
+	// news is what the read under way has brought.
+	news news
 
 	mutex sync.Mutex
 	// lapsed holds the engines that are kept, with what will remove them.
@@ -112,8 +114,7 @@
 	}
 	known, found := a.directory.Engine(engine.ID)
 	if !found || known.Draining != engine.Draining {
-		a.logger.Info("engine known", "engine", engine.ID, "pool", engine.Pool, "address", engine.Address, "zone", engine.Zone,
-			"draining", engine.Draining, "versions", engine.Versions, "offset", record.Offset)
+		a.news.add(engine, record.Offset, a.logger)
 	}
 	a.directory.Upsert(engine)
 }
@@ -162,6 +163,7 @@
 }
 
 func (a *engineApplier) Advanced(int64) {
+	a.news.write(a.logger)
 	a.directory.SetKnown()
 }
 
--- a/internal/replica/records_test.go
+++ b/internal/replica/records_test.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/logging"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/matryer/is"
 )
@@ -91,3 +95,32 @@
 		<-done
 	})
 }
+
+// TestOneReadIsFewLines checks that what one read brings of many engines takes few lines of bounded size that name every engine.
+func TestOneReadIsFewLines(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	engines := &engineApplier{
+		decoder: engineDecoder{}, directory: fleet.NewDirectory(), logger: logging.New(&output, "info", "text"),
+		returned: func() time.Time { return time.Time{} },
+	}
+	const count = 300
+	for i := range count {
+		engines.Apply(keyedlog.Record{Key: fmt.Sprint("engine", i), Value: []byte("x"), Offset: int64(i)}, true)
+	}
+	is.True(strings.Count(output.String(), "\n") < 10)
+	engines.Advanced(count)
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	is.True(len(lines) < 10)
+	for _, line := range lines {
+		is.True(len(line) < 2*newsBytes)
+	}
+	for i := range count {
+		is.True(strings.Contains(output.String(), fmt.Sprint("engine", i, " ")))
+	}
+	// What was known already is no news.
+	output.Reset()
+	engines.Apply(keyedlog.Record{Key: "engine1", Value: []byte("x"), Offset: count}, false)
+	engines.Advanced(count + 1)
+	is.Equal(output.Len(), 0)
+}
