--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -144,3 +145,33 @@
 		})
 	}
 }
+
+// TestItemsThatComeTogetherAreRankedTogether lets a step's items come one after another, the short ones first, onto an engine that
+// has room for few. Places go to the long ones at once, and nobody has to give one up.
+func TestItemsThatComeTogetherAreRankedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue, stop := queueOf(4, testPace)
+		defer stop()
+		synctest.Wait()
+		accepted := time.Now()
+		var asked atomic.Int32
+		var given []<-chan *Place
+		for i := range 20 {
+			events := 10.0
+			if i >= 16 {
+				events = testCritical
+			}
+			given = append(given, acquire(queue, accepted, events, func() { asked.Add(1) }))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		for i, place := range given {
+			is.Equal(len(place) == 1, i >= 16)
+		}
+		is.Equal(asked.Load(), int32(0))
+		for _, place := range slices.Concat(given[16:], given[:16]) {
+			(<-place).Release()
+		}
+	})
+}
