Let an order giver begin with a proven number of loads at once, and keep one that was lowered

Change: announcements tell the number that brought a gain; where to start counts until a load was measured. Tests: both cases stand in concurrency_test.go and failed before.

--- a/internal/weightroll/concurrency.go
+++ b/internal/weightroll/concurrency.go
@@ -17,10 +17,10 @@
 	growth = 0.5
 	// gainShare is the part of the ideal gain in loads a second that a trial must bring to stay.
 	gainShare = 0.5
-	// loadsPerTrial is how many loads are measured before a number is judged, in multiples of the number, loadsPerTrialLeast how
-	// many at least: many loads tell in one round what few tell in two.
-	loadsPerTrial      = 1
-	loadsPerTrialLeast = 6
+	// loadsPerTrial is how many loads are measured before a small number is judged, in multiples of the number; loadsPerTrialMost is
+	// enough for any, and a larger number is judged by one load each: many loads tell in one round what few tell in two.
+	loadsPerTrial     = 2
+	loadsPerTrialMost = 8
 	// trialPause is how long after a trial that brought nothing the next one is made.
 	trialPause = 30 * time.Second
 )
@@ -37,6 +37,8 @@
 	// total and count are of the loads measured at the current number.
 	total time.Duration
 	count int
+	// begun says that a load was measured.
+	begun bool
 	// quickest is the shortest load at any number.
 	quickest time.Duration
 	// pausedUntil is when the next trial may begin.
@@ -48,10 +50,18 @@
 	return max(loadsAtFirst, c.current)
 }
 
+// proven returns the number that a successor may begin with: one that is on trial is not.
+func (c *concurrency) proven() int {
+	if c.accepted > 0 {
+		return c.accepted
+	}
+	return c.limit()
+}
+
 // startAt sets the number to start at, for a pool of so many engines of which known loaded together under an earlier order giver,
 // 0 if that is not known. It does nothing once loads were measured.
 func (c *concurrency) startAt(engines, known int) {
-	if c.accepted == 0 && c.count == 0 {
+	if !c.begun {
 		c.current = max(known, engines/firstShare)
 	}
 }
@@ -62,6 +72,7 @@
 	if took <= 0 {
 		return
 	}
+	c.begun = true
 	if c.quickest == 0 || took < c.quickest {
 		c.quickest = took
 	}
@@ -71,7 +82,7 @@
 	}
 	c.total += took
 	c.count++
-	if c.count < max(loadsPerTrialLeast, loadsPerTrial*limit) {
+	if c.count < max(limit, min(loadsPerTrialMost, loadsPerTrial*limit)) {
 		return
 	}
 	mean := c.total / time.Duration(c.count)
--- a/internal/weightroll/concurrency_test.go
+++ b/internal/weightroll/concurrency_test.go
@@ -88,11 +88,15 @@
 
 	// A successor goes on from there, and one that knows more than the pool's size tells begins with that.
 	var next concurrency
-	next.startAt(engines, c.limit())
-	is.Equal(next.limit(), c.limit())
+	next.startAt(engines, c.proven())
+	is.Equal(next.limit(), c.proven())
 	next.loaded(storeLoad(next.limit(), knee), next.limit(), true, now)
 	next.startAt(engines, 1)
-	is.Equal(next.limit(), c.limit())
+	is.Equal(next.limit(), c.proven())
+
+	// A number that is on trial is nothing to begin with.
+	is.True(c.limit() > c.accepted)
+	is.Equal(c.proven(), c.accepted)
 }
 
 // TestAFirstNumberThatIsTooLargeIsLowered checks that a large pool whose store serves few engines at once comes down to about
@@ -107,6 +111,8 @@
 	c.loaded(storeLoad(1, knee), 1, false, now)
 	for range 20 * c.limit() {
 		c.loaded(storeLoad(c.limit(), knee), c.limit(), false, now)
+		// The planner says where to start as long as nothing was measured, and goes on saying it.
+		c.startAt(engines, 0)
 	}
 	is.True(c.limit() <= knee)
 	is.True(c.limit() >= knee/2)
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -159,11 +159,11 @@
 	return r.config.Client.Report(callCtx, engine)
 }
 
-// togetherOf returns how many engines of a pool may load at once.
+// togetherOf returns how many engines of a pool may load at once, as far as that is proven.
 func (r *roller) togetherOf(pool string) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.together[pool].limit()
+	return r.together[pool].proven()
 }
 
 func (r *roller) sequenceOf(id string) (int64, bool) {
