--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -39,7 +39,7 @@
 		Usage:     "hillfork-lab SUBCOMMAND ...",
 		ShortHelp: "stand-ins, trace replay and experiments",
 		Subcommands: []*ff.Command{
-			demoCommand(to), replayCommand(to), scaleCommand(to), besideCommand(to), searchCommand(to), experimentCommand(to),
+			demoCommand(to), replayCommand(to), searchCommand(to), experimentCommand(to),
 			platformCommand(to), enginesCommand(to), trainerCommand(to),
 		},
 	}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,12 +9,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
-	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
-	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
@@ -42,9 +39,6 @@
 	overdueLoads = 4
 	// replanEvery is how often the plan is looked at when nothing is known to have changed.
 	replanEvery = 100 * time.Millisecond
-	// publishEvery is the least time between two records of a pool's assignment: engines come one by one at a start, and each
-	// record holds all of them.
-	publishEvery = 200 * time.Millisecond
 	// forgetAfter is how long announcements for engines that are gone are kept, in leases.
 	forgetAfter = 4
 )
@@ -225,119 +219,6 @@
 	}
 }
 
-// assign brings the engines that each model has towards its share. An engine that loads, or that is up to date with a version
-// that a trainer has named, stays until a newer one is: to move it then costs no load more.
-func (r *roller) assign(ctx context.Context, pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
-	previous, known := r.assignments[pool]
-	if !known {
-		// A successor goes on from what its predecessor dealt.
-		previous = r.config.Board.dealt(pool)
-	}
-	shares := r.share(pool, engines, targets)
-	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
-		if _, loading := r.loading[pool][engine.ID]; loading {
-			return true
-		}
-		return targets[model] > 0 && engine.Serves(model) >= targets[model]
-	})
-	if !maps.Equal(assignment, previous) {
-		r.assignments[pool] = assignment
-		r.publish(ctx, pool)
-		r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "counts", assignment.counts(),
-			"shares", shares, "moved", moved(previous, assignment))
-	}
-	return assignment
-}
-
-// share returns how many engines each model is to have. It changes when engines or models come or go, and when steps ask enough
-// else for the change to pay.
-func (r *roller) share(pool string, engines []fleet.Engine, targets map[string]int64) map[string]int {
-	models := trainedModels(targets)
-	if len(models) == 0 {
-		return nil
-	}
-	var known map[string]policy.StepLoad
-	if r.config.Loads != nil {
-		known = r.config.Loads()
-	}
-	loads := make([]policy.StepLoad, len(models))
-	dealt := make([]int, len(models))
-	total := 0
-	for i, model := range models {
-		loads[i] = known[model]
-		dealt[i] = r.shares[pool][model]
-		total += dealt[i]
-	}
-	slots := 0
-	for _, engine := range engines {
-		slots += engine.Slots
-	}
-	perEngine := float64(slots) / float64(max(1, len(engines)))
-	better := policy.Deal(len(engines), perEngine, loads)
-	same := len(r.shares[pool]) == len(models) && total == len(engines)
-	if same && !policy.WorthDealing(dealt, better, perEngine, loads, r.usual) {
-		return r.shares[pool]
-	}
-	shares := make(map[string]int, len(models))
-	for i, model := range models {
-		shares[model] = better[i]
-	}
-	r.shares[pool] = shares
-	r.config.Logger.Info("engines shared among models", "pool", pool, "engines", len(engines), "shares", shares, "loads", known,
-		"typical_step", policy.TypicalStep(better, perEngine, loads).Round(time.Millisecond))
-	return shares
-}
-
-// publish tells all processes the newest assignment of a pool, so that those which run its jobs keep to their model's engines.
-// What changes while a record is on its way is told by the next one. The mutex must be held.
-func (r *roller) publish(ctx context.Context, pool string) {
-	if r.publishing[pool] {
-		return
-	}
-	r.publishing[pool] = true
-	r.active.Go(func() {
-		var told Assignment
-		for {
-			r.mutex.Lock()
-			assignment := r.assignments[pool]
-			if maps.Equal(told, assignment) {
-				r.publishing[pool] = false
-				r.mutex.Unlock()
-				return
-			}
-			r.mutex.Unlock()
-			dealing := newDealing(pool, assignment)
-			value, err := dealing.MarshalMsg(nil)
-			if err != nil {
-				errorlog.Error(r.config.Logger, "dealing does not encode", err, "pool", pool)
-				return
-			}
-			if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: dealingKey + pool, Value: value}}); err != nil {
-				if ctx.Err() != nil {
-					return
-				}
-				errorlog.Warn(r.config.Logger, "dealing of engines not told", err, "pool", pool)
-			} else {
-				told = assignment
-			}
-			if !pause.For(ctx, publishEvery) {
-				return
-			}
-		}
-	})
-}
-
-// moved counts the engines that have another model than before.
-func moved(before, after Assignment) int {
-	count := 0
-	for id, model := range after {
-		if earlier, known := before[id]; known && earlier != model {
-			count++
-		}
-	}
-	return count
-}
-
 // noteNames remembers when this process learnt of each target.
 func (r *roller) noteNames(targets map[string]int64, now time.Time) {
 	for model, version := range targets {
