Hold what a test of dealings asks as an atomic

Cause: the test changed a map that the order giver under test reads (found by -race); no code of the product was concerned. Change: an atomic pointer. Test: go test -race -cpu=1 -count=3 ./internal/weightroll.

--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -445,13 +446,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, 12)
-		loads := map[string]policy.StepLoad{"m": {Work: 90 * time.Second}, "n": {Work: 30 * time.Second}}
+		var loads atomic.Pointer[map[string]policy.StepLoad]
+		ask := func(m, n time.Duration) {
+			loads.Store(&map[string]policy.StepLoad{"m": {Work: m}, "n": {Work: n}})
+		}
+		ask(90*time.Second, 30*time.Second)
 		nodes := []*node{w.node("first"), w.node("second")}
 		for _, n := range nodes {
 			n.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{
 				poolName: {Name: poolName, Models: []string{"m", "n"}},
 			}, catalog.Limits{}))
-			n.holder.config.Loads = func() map[string]policy.StepLoad { return loads }
+			n.holder.config.Loads = func() map[string]policy.StepLoad { return *loads.Load() }
 		}
 		nodes[0].own(1)
 		time.Sleep(time.Second)
@@ -460,7 +465,7 @@
 		is.True(dealt.counts()["m"] > dealt.counts()["n"])
 
 		// Work shifts: the numbers follow, and the others learn of it.
-		loads = map[string]policy.StepLoad{"m": {Work: 30 * time.Second}, "n": {Work: 90 * time.Second}}
+		ask(30*time.Second, 90*time.Second)
 		time.Sleep(time.Second)
 		shifted := nodes[1].holder.config.Board.dealt(poolName)
 		is.Equal(shifted.counts(), map[string]int{"m": dealt.counts()["n"], "n": dealt.counts()["m"]})
