Rank items as they come again: revert the waiting for those that come together

Conclusion: ranked strictly by length, the longest items come first, which are those of the groups that the trainer leaves out; with places given as they come, some places go to others.

--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/fleet"
-	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
@@ -88,28 +87,6 @@
 	return &Queue{directory: directory, places: make(map[*Place]struct{}), arrived: make(chan struct{}, 1)}
 }
 
-const (
-	// gatherStep is how long the queue waits for further items after one has come, and again while more come, gatherMost how long
-	// at most. The items of a step come one after another within the time that a small machine takes to begin them; with places given
-	// as they came, the first hundred had them, and gave them up to longer ones a moment later.
-	gatherStep = 3 * time.Millisecond
-	gatherMost = 30 * time.Millisecond
-)
-
-// gather waits until the items that come together are all there.
-func (q *Queue) gather(ctx context.Context) {
-	for waited := time.Duration(0); waited < gatherMost; waited += gatherStep {
-		if !pause.For(ctx, gatherStep) {
-			return
-		}
-		select {
-		case <-q.arrived:
-		default:
-			return
-		}
-	}
-}
-
 // refresh is how often waiting items are looked at when nothing is known to have changed: avoidance and loading end by time.
 const refresh = 50 * time.Millisecond
 
@@ -122,7 +99,6 @@
 		if q.serve() == 0 {
 			select {
 			case <-q.arrived:
-				q.gather(ctx)
 			case <-ctx.Done():
 			}
 			continue
@@ -130,7 +106,6 @@
 		timer.Reset(refresh)
 		select {
 		case <-q.arrived:
-			q.gather(ctx)
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -146,36 +145,6 @@
 	}
 }
 
-// TestItemsThatComeTogetherAreRankedTogether lets a step's items come one after another, the short ones first, onto an engine that
-// has room for few. Places go to the long ones at once, and nobody has to give one up.
-func TestItemsThatComeTogetherAreRankedTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		queue, stop := queueOf(4, testPace)
-		defer stop()
-		synctest.Wait()
-		accepted := time.Now()
-		var asked atomic.Int32
-		var given []<-chan *Place
-		for i := range 20 {
-			events := 10.0
-			if i >= 16 {
-				events = testCritical
-			}
-			given = append(given, acquire(queue, accepted, events, func() { asked.Add(1) }))
-			time.Sleep(time.Millisecond)
-		}
-		time.Sleep(time.Second)
-		for i, place := range given {
-			is.Equal(len(place) == 1, i >= 16)
-		}
-		is.Equal(asked.Load(), int32(0))
-		for _, place := range slices.Concat(given[16:], given[:16]) {
-			(<-place).Release()
-		}
-	})
-}
-
 // TestNobodyYieldsAPlaceThatIsDeclined fills two engines of which one is a little slower, with one item that yields. A long item that
 // would still decline the slower one asks for no place there: short work would have it, be asked in turn, and so on. On large Linz
 // 1,100 runs of a day were cut within 5 ms of their placing.
@@ -201,3 +170,41 @@
 		quick.Release()
 	})
 }
+
+// TestFreePlacesDoNotWaitForItemsThatAskAgain lets items that have waited for long ask again all the time, as on a full pool. A place
+// that becomes free is given on at once.
+func TestFreePlacesDoNotWaitForItemsThatAskAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue, stop := queueOf(1, testPace)
+		defer stop()
+		held := <-acquire(queue, time.Now(), 10, nil)
+		since := time.Now().Add(-time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		given := make(chan time.Time, 1)
+		for range 20 {
+			go func() {
+				for ctx.Err() == nil {
+					attempt, giveUp := context.WithTimeout(ctx, 20*time.Millisecond)
+					place, err := queue.Acquire(attempt, Rank{}, fleet.Want{Pool: "p", Share: 1, Since: since}, nil)
+					giveUp()
+					if err != nil {
+						continue
+					}
+					select {
+					case given <- time.Now():
+					default:
+					}
+					place.Release()
+				}
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		freed := time.Now()
+		held.Release()
+		is.Equal((<-given).Sub(freed), time.Duration(0))
+		cancel()
+		synctest.Wait()
+	})
+}
