Ask for places as before: revert the leaving out of engines that the waiting item declines

Conclusion: an item that holds its step asks for places some tenths of a second before it would take them; what is given up then goes to the next long item, which is of use on a full pool.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -119,9 +119,8 @@
 	return picked.Engine, true
 }
 
-// Suitable returns the engines, full or not, that a piece of work would take now if they had room, and at which it would end no later
-// than at the quickest one, but for what moving it would cost. A place that is given up for the work elsewhere would go to other
-// work, which would be asked to give it up in turn.
+// Suitable returns the engines at which a piece of work would end no later than at the quickest one, but for what moving it would
+// cost, full or not.
 func (d *Directory) Suitable(want Want) map[string]bool {
 	now := time.Now()
 	d.mutex.Lock()
@@ -130,10 +129,7 @@
 	quickest := newSurvey(candidates, want).quickest
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if !mayRun(candidate, want) || candidate.Avoided || policy.WorthMoving(want.Events, candidate.Pace, quickest) {
-			continue
-		}
-		if !policy.Declines(now.Sub(want.Since), policy.Delay(want.Events, candidate.Pace, quickest)) {
+		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
