--- a/internal/jobrun/partition_test.go
+++ b/internal/jobrun/partition_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/matryer/is"
@@ -211,3 +212,46 @@
 		}
 	}
 }
+
+// TestASettledJobTellsWhatItTook checks that the index learns how long a job's items held engines, and nothing where no owner has run
+// the whole job: a part would pass for little work.
+func TestASettledJobTellsWhatItTook(t *testing.T) {
+	tests := []struct {
+		name string
+		// handedOver passes the job on in the middle of its items.
+		handedOver bool
+	}{
+		{"one owner", false},
+		{"two owners", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const items = 8
+				w := newWorld(t, 2)
+				first, second := w.node("first"), w.node("second")
+				first.own(1)
+				time.Sleep(time.Second)
+				w.submit(spec("one", items))
+				if test.handedOver {
+					time.Sleep(eventCount / 2 * pace)
+					first.release()
+					second.own(2)
+				}
+				time.Sleep(4 * time.Second)
+				status, _ := second.index.Job("one")
+				is.True(status.Settled)
+				took := status.Took
+				if test.handedOver {
+					is.Equal(took, job.Took{})
+					second.release()
+					return
+				}
+				is.True(took.Longest >= eventCount*pace && took.Longest < 2*eventCount*pace)
+				is.True(took.Items >= items*eventCount*pace && took.Items <= items*took.Longest)
+				first.release()
+			})
+		})
+	}
+}
