--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -477,3 +477,42 @@
 		nodes[1].release()
 	})
 }
+
+// TestEnginesThatAreUpToDateStay checks that a shift of work moves no engine that serves the newest version of its model, and that
+// engines move once a newer one is named: they would load in any case.
+func TestEnginesThatAreUpToDateStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 12)
+		var loads atomic.Pointer[map[string]policy.StepLoad]
+		ask := func(m, n time.Duration) {
+			loads.Store(&map[string]policy.StepLoad{"m": {Work: m}, "n": {Work: n}})
+		}
+		ask(90*time.Second, 30*time.Second)
+		only := w.node("only")
+		only.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{
+			poolName: {Name: poolName, Models: []string{"m", "n"}},
+		}, catalog.Limits{}))
+		only.holder.config.Loads = func() map[string]policy.StepLoad { return *loads.Load() }
+		dealt := func() map[string]int { return only.holder.config.Board.dealt(poolName).counts() }
+		only.own(1)
+		only.catalog.SetVersion("m", 2)
+		only.catalog.SetVersion("n", 2)
+		time.Sleep(20 * loadTime)
+		before := dealt()
+		orders := len(w.engines.Orders())
+		is.Equal(orders, 12)
+
+		ask(30*time.Second, 90*time.Second)
+		time.Sleep(5 * time.Second)
+		is.Equal(dealt(), before)
+		is.Equal(len(w.engines.Orders()), orders)
+
+		only.catalog.SetVersion("m", 3)
+		time.Sleep(20 * loadTime)
+		is.Equal(dealt(), map[string]int{"m": before["n"], "n": before["m"]})
+		// Each engine that served the old version has loaded once.
+		is.Equal(len(w.engines.Orders()), orders+before["m"])
+		only.release()
+	})
+}
