Keep nothing of a job that is settled already

Cause: a job that was settled before the next look at the open ones left what it took in a map that nobody read any more. Change: it is noted only for jobs that are still to be settled. Both are looked at by one goroutine, in this order.

--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -211,7 +211,9 @@
 		if !listed[id] {
 			running.cancel()
 			delete(r.jobs, id)
-			r.took[id] = running.took(time.Now())
+			if !r.settling[id] {
+				r.took[id] = running.took(time.Now())
+			}
 			r.keepLeftovers(running)
 		}
 	}
