Read log lines, pages of a partition and the index's end in one place each

Left by earlier work: the loop that scans log lines stood in explain.Read and explain.ReadDay, the loop over pages of newest records in Follower.catchUp and follow.newest, and "ask for a partition's end, then wait for its follower" in jobs.confirm and jobrun.confirmIndex. Each stands once now (explain.readLines, follow.pages, follow.Confirm). A follower that never was in step says "never" instead of an age of 292 years.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,15 +49,21 @@
 
 // Read tells the story of an id from log lines. Lines that are no log lines are passed over.
 func Read(input io.Reader, id string) (Story, error) {
-	var all []Line
+	all, err := readLines(input, func(Line) bool { return true })
+	return Tell(all, id), err
+}
+
+// readLines returns the log lines that are wanted. Lines that are no log lines are passed over.
+func readLines(input io.Reader, wanted func(Line) bool) ([]Line, error) {
+	var lines []Line
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, longestLine)
 	for scanner.Scan() {
-		if line, ok := Parse(scanner.Text()); ok {
-			all = append(all, line)
+		if line, ok := Parse(scanner.Text()); ok && wanted(line) {
+			lines = append(lines, line)
 		}
 	}
-	return Tell(all, id), scanner.Err()
+	return lines, scanner.Err()
 }
 
 // Tell tells the story of an id.
--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -1,7 +1,6 @@
 package explain
 
 import (
-	"bufio"
 	"cmp"
 	"io"
 	"slices"
@@ -97,19 +96,12 @@
 // ReadDay reads the steps from log lines. Lines that are no log lines are passed over.
 func ReadDay(input io.Reader) (*Day, error) {
 	reading := dayReader{steps: make(map[string]*Step)}
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(nil, longestLine)
-	var lines []Line
-	for scanner.Scan() {
-		if line, ok := Parse(scanner.Text()); ok && line.Fields["job"] != "" {
-			lines = append(lines, line)
-		}
-	}
+	lines, err := readLines(input, func(line Line) bool { return line.Fields["job"] != "" })
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	for _, line := range lines {
 		reading.take(line)
 	}
-	return reading.day(), scanner.Err()
+	return reading.day(), err
 }
 
 // dayReader gathers steps from lines in order of time.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,7 +48,11 @@
 	// Spacing is the least time between two reads that brought records, so that records that come in quick succession are
 	// read together.
 	Spacing time.Duration
-	Logger  *log.Logger
+	// Busy tells whether this process acts on each record at once, nil stands for always. While it does not, IdleSpacing takes the
+	// place of Spacing, but for whoever waits for records that are there already.
+	Busy        func() bool
+	IdleSpacing time.Duration
+	Logger      *log.Logger
 }
 
 // Follower follows one partition.
@@ -69,12 +73,15 @@
 	heard    bool
 	returned time.Time
 	advanced broadcast.Signal
+	// missed tells that somebody waits for records that were not read yet.
+	missed chan struct{}
 }
 
 // New returns a follower; Run starts it.
 func New(config Config) *Follower {
 	return &Follower{
-		config: config, offsets: make(map[string]int64), advanced: broadcast.New(), next: config.From, started: config.From > 0,
+		config: config, offsets: make(map[string]int64), advanced: broadcast.New(), missed: make(chan struct{}, 1),
+		next: config.From, started: config.From > 0,
 	}
 }
 
@@ -118,33 +125,37 @@
 	}
 	f.next += int64(len(batch.Records))
 	f.reached(f.next, f.next >= batch.End)
-	if len(batch.Records) > 0 && f.next >= batch.End && f.config.Spacing > 0 {
-		pause.For(ctx, f.config.Spacing)
+	if len(batch.Records) > 0 && f.next >= batch.End {
+		f.space(ctx)
 	}
 	return nil
 }
 
+// space waits before the next read, so that it brings the records of the time between. The idle spacing ends early for somebody
+// who waits for records.
+func (f *Follower) space(ctx context.Context) {
+	if f.config.Busy == nil || f.config.Busy() {
+		pause.For(ctx, f.config.Spacing)
+		return
+	}
+	timer := time.NewTimer(f.config.IdleSpacing)
+	defer timer.Stop()
+	select {
+	case <-f.missed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // catchUp reads the newest record of every key. Keys that were known and are gone have been dropped.
 func (f *Follower) catchUp(ctx context.Context) error {
 	seen := make(map[string]bool)
-	first := int64(-1)
-	after := ""
-	for {
-		page, err := f.newest(ctx, after)
-		if err != nil {
-			return err
-		}
-		if first < 0 {
-			first = page.End
-		}
-		for _, record := range page.Records {
-			seen[record.Key] = true
-			f.apply(record, true)
-			after = record.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			break
-		}
+	first, err := pages(ctx, f.config.Log, f.config.Partition, func(record keyedlog.Record) {
+		seen[record.Key] = true
+		f.apply(record, true)
+	})
+	if err != nil {
+		return err
 	}
 	if first < f.next {
 		return errStale
@@ -160,10 +171,6 @@
 	return nil
 }
 
-func (f *Follower) newest(ctx context.Context, after string) (keyedlog.Page, error) {
-	return f.config.Log.Newest(ctx, f.config.Partition, after)
-}
-
 func (f *Follower) apply(record keyedlog.Record, recovered bool) {
 	known, found := f.offsets[record.Key]
 	if found && record.Offset <= known {
@@ -212,8 +219,15 @@
 		f.config.Logger.Info("store partition regained", "partition", f.config.Partition)
 		return
 	}
-	errorlog.Warn(f.config.Logger, "store partition lost", err,
-		"partition", f.config.Partition, "confirmed_ago", time.Since(confirmed).Round(time.Millisecond))
+	errorlog.Warn(f.config.Logger, "store partition lost", err, "partition", f.config.Partition, "confirmed_ago", ago(confirmed))
+}
+
+// ago returns how long ago a moment was, or never if there was none.
+func ago(moment time.Time) string {
+	if moment.IsZero() {
+		return "never"
+	}
+	return time.Since(moment).Round(time.Millisecond).String()
 }
 
 // Returned is when the store answered again after it had not: now while what its first answer brought is applied, zero if it
@@ -275,6 +289,10 @@
 			return nil
 		}
 		select {
+		case f.missed <- struct{}{}:
+		default:
+		}
+		select {
 		case <-advanced:
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -34,22 +34,50 @@
 
 // newest applies the newest record of each key of a partition.
 func newest(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, applier Applier) error {
+	_, err := pages(ctx, log, partition, func(record keyedlog.Record) { applier.Apply(record, true) })
+	return err
+}
+
+// pages gives the newest record of each key of a partition, and returns the partition's end when the first page was read.
+func pages(
+	ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, give func(record keyedlog.Record),
+) (end int64, err error) {
 	after := ""
-	for {
+	for first := true; ; first = false {
 		page, err := log.Newest(ctx, partition, after)
 		if err != nil {
-			return err
+			return 0, err
+		}
+		if first {
+			end = page.End
 		}
 		for _, record := range page.Records {
-			applier.Apply(record, true)
+			give(record)
 			after = record.Key
 		}
 		if !page.More || len(page.Records) == 0 {
-			return nil
+			return end, nil
 		}
 	}
 }
 
+// lastKey sorts after every key, so that a page after it holds nothing but the partition's end.
+const lastKey = "~"
+
+// Reader tells how far a partition was read.
+type Reader interface {
+	WaitFor(ctx context.Context, end int64) error
+}
+
+// Confirm waits until a reader has all that its partition holds now.
+func Confirm(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, reader Reader) error {
+	page, err := log.Newest(ctx, partition, lastKey)
+	if err != nil {
+		return err
+	}
+	return reader.WaitFor(ctx, page.End)
+}
+
 // readsTogether is how many reads of one range are under way at once. The store gives one read a part of what it can give.
 const readsTogether = 4
 
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -16,8 +16,6 @@
 	// reads that brought records: results are appended in quick succession.
 	followWait    = 2 * time.Second
 	followSpacing = 20 * time.Millisecond
-	// lastKey sorts after every key, so that a page after it holds nothing but the partition's end.
-	lastKey = "~"
 )
 
 // applier folds the records of the partition.
@@ -37,9 +35,9 @@
 // index had its end, and can settle none any more.
 func (r *runner) confirmIndex(ctx context.Context) bool {
 	for {
-		page, err := r.config.Log.Newest(ctx, keyedlog.JobIndex, lastKey)
-		if err == nil {
-			return r.config.IndexFollower.WaitFor(ctx, page.End) == nil
+		err := follow.Confirm(ctx, r.config.Log, keyedlog.JobIndex, r.config.IndexFollower)
+		if err == nil || ctx.Err() != nil {
+			return err == nil
 		}
 		errorlog.Debug(r.config.Logger, "index of jobs not confirmed", err, "partition", r.partition)
 		if !pause.For(ctx, appendPause) {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
@@ -242,16 +243,9 @@
 func (s *Service) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	page, err := s.config.Log.Newest(ctx, keyedlog.JobIndex, lastKey)
-	if err != nil {
-		return err
-	}
-	return s.config.IndexFollower.WaitFor(ctx, page.End)
+	return follow.Confirm(ctx, s.config.Log, keyedlog.JobIndex, s.config.IndexFollower)
 }
 
-// lastKey sorts after every key, so that a page after it holds nothing but the partition's end.
-const lastKey = "~"
-
 // Listing is a part of a job's results.
 type Listing struct {
 	Total   int
