Let processes that own nothing read jobs and orders at most twice a second

Ruled out: spacing the reads of owners as well (what an owner learns late keeps items off engines that are ready); engines' beats (at most five reads a second before and after).

Change: a process that holds no partition reads the index of jobs and the orders at most each half second. Whoever waits for records that are there, such as a call on a job that is not known yet or the takeover of a partition, ends that pause.

TestAnIdleProcessReadsSeldom fails without the spacing, and without its early end.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,9 +56,18 @@
 }
 
 func start(t *testing.T, store *memorylog.Store, applier follow.Applier) *follow.Follower {
-	follower := follow.New(follow.Config{
+	return startWith(t, store, applier, func(*follow.Config) {})
+}
+
+// startWith starts a follower with changes to its usual configuration.
+func startWith(
+	t *testing.T, store *memorylog.Store, applier follow.Applier, change func(config *follow.Config),
+) *follow.Follower {
+	config := follow.Config{
 		Log: storetimeout.New(store.For("node")), Partition: partition, Applier: applier, Wait: time.Second, Logger: log.New(io.Discard),
-	})
+	}
+	change(&config)
+	follower := follow.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -156,3 +166,42 @@
 		return memorylog.None
 	}
 }
+
+// TestAnIdleProcessReadsSeldom writes a record every 50 ms. A process that does not act on them reads what came in a spacing at
+// once, yet sees a record at once that it waits for; one that is busy reads each.
+func TestAnIdleProcessReadsSeldom(t *testing.T) {
+	const records, every, spacing = 40, 50 * time.Millisecond, 500 * time.Millisecond
+	for _, busy := range []bool{false, true} {
+		t.Run(fmt.Sprint("busy ", busy), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memorylog.New(memorylog.Config{Partitions: 4})
+				var calls atomic.Int32
+				store.SetRule(func(call memorylog.Call) memorylog.Fault {
+					if call.Caller == "node" {
+						calls.Add(1)
+					}
+					return memorylog.None
+				})
+				follower := startWith(t, store, newState(), func(config *follow.Config) {
+					config.Busy = func() bool { return busy }
+					config.IdleSpacing = spacing
+				})
+				var end int64
+				for i := range records {
+					end = put(t, store, fmt.Sprint("key", i), "1")
+					time.Sleep(every)
+				}
+				if busy {
+					is.True(calls.Load() >= records)
+				} else {
+					is.True(int(calls.Load()) <= int(records*every/spacing)+3) // three to find out what there is
+				}
+				end = put(t, store, "wanted", "1")
+				asked := time.Now()
+				is.NoErr(follower.WaitFor(t.Context(), end))
+				is.Equal(time.Since(asked), time.Duration(0))
+			})
+		})
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,6 +57,8 @@
 
 	generation int64
 	held       map[keyedlog.Partition]*holding
+	// count is how many partitions are held, for those who ask from other goroutines.
+	count atomic.Int32
 	// heard is when the last join that was answered was sent.
 	heard     time.Time
 	connected bool
@@ -72,6 +75,11 @@
 	return &Manager{config: config, held: make(map[keyedlog.Partition]*holding)}
 }
 
+// Holds tells whether any partition is held, or its work is being released. It is safe for concurrent use.
+func (m *Manager) Holds() bool {
+	return m.count.Load() > 0
+}
+
 // Run stays in the group until the context ends, then releases all partitions and leaves.
 func (m *Manager) Run(ctx context.Context) {
 	ticker := time.NewTicker(m.config.Lifetime / joinsPerLifetime)
@@ -153,6 +161,7 @@
 
 func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, generation int64) {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	m.count.Add(1)
 	m.config.Logger.Info("partition gained", "partition", partition, "generation", generation)
 	m.held[partition] = &holding{
 		generation: generation, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, generation),
@@ -180,6 +189,7 @@
 	defer cancel()
 	held.work.Release(ctx)
 	held.cancel()
+	m.count.Add(-1)
 	m.config.Logger.Info("partition released", "partition", partition, "generation", held.generation)
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -74,8 +74,9 @@
 
 type member struct {
 	*holder
-	cancel context.CancelFunc
-	done   chan struct{}
+	manager *ownership.Manager
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 func (m *member) stop() {
@@ -90,6 +91,7 @@
 		Log: storetimeout.New(store.For(name)), Group: "g", Member: name, Topics: []keyedlog.Topic{keyedlog.TopicJobs}, Lifetime: lifetime,
 		Holder: joined.holder, Logger: log.New(io.Discard),
 	})
+	joined.manager = manager
 	go func() {
 		defer close(joined.done)
 		manager.Run(ctx)
@@ -112,6 +114,7 @@
 		first := join(store, "first")
 		synctest.Wait()
 		is.Equal(first.holds(), partitions)
+		is.True(first.manager.Holds())
 
 		second := join(store, "second")
 		time.Sleep(2 * lifetime)
@@ -122,7 +125,9 @@
 		second.stop()
 		time.Sleep(lifetime/2 + 10*time.Millisecond)
 		is.Equal(first.holds(), partitions)
+		is.True(!second.manager.Holds())
 		first.stop()
+		is.True(!first.manager.Holds())
 	})
 }
 
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -207,3 +207,9 @@
 // spacings is the least time between two reads that brought records. Every engine writes about once a second, and nobody needs
 // to know sooner than this that one leaves.
 var spacings = map[keyedlog.Topic]time.Duration{keyedlog.TopicEngines: 200 * time.Millisecond}
+
+// idleSpacing is the least time between two reads that brought records of jobs or orders at a process that owns no partition. It
+// has to be well under the second or so for which a load takes an engine away, so that a process that is dealt a partition starts
+// with engines nearly as they are, and makes at most four reads a second of two topics, where hundreds of processes share the
+// store's.
+const idleSpacing = 500 * time.Millisecond
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -176,10 +176,21 @@
 func (r *Replica) follow(partition keyedlog.Partition, applier follow.Applier) *follow.Follower {
 	return follow.New(follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: waits[partition.Topic],
-		Spacing: spacings[partition.Topic], Logger: r.config.Logger,
+		Spacing: spacings[partition.Topic], Busy: r.busy(partition.Topic), IdleSpacing: idleSpacing, Logger: r.config.Logger,
 	})
 }
 
+// busy returns what tells whether this process acts on each record of a topic at once, nil if it always does. Jobs and orders are the
+// business of the processes that own partitions; the others only have to know of them when they are asked.
+func (r *Replica) busy(topic keyedlog.Topic) func() bool {
+	if topic != keyedlog.TopicWeights && topic != keyedlog.TopicJobIndex {
+		return nil
+	}
+	return func() bool {
+		return slices.ContainsFunc(r.managers, (*ownership.Manager).Holds)
+	}
+}
+
 // followWeights follows the announcements for each pool of models that the catalog names, until the context ends.
 func (r *Replica) followWeights(ctx context.Context) {
 	var running sync.WaitGroup
