Announce orders together, and time loads from their orders

Also found on the way: a partition takes one append at a time, and each order had its own. On a slow store (200 ms an append) ten orders at once wait two seconds for each other, longer than the window in which an announced order may be sent, so that they announce again and again: a pool of 120 engines does not come to a version at all (TestOrdersThatWaitAreAnnouncedTogether, fails before).

Ruled out: the growth of the number (6, 9, 13, 19 as soon as loads are timed rightly); engines gone with the store (77 throughout).

Change: a load is timed from the sending of its order, and one that an engine did not carry out counts for nothing. Announcements that wait are written by one append. Their window is counted from before that append, as before.

A test of engines that serve a version already could not fail (no time passes for such an answer in virtual time) and was not kept.

--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -15,41 +15,49 @@
 // errNotTaken says that an engine did not take an order.
 var errNotTaken = errors.New("order was not taken")
 
-// order announces and sends an order and waits until the engine serves the version.
-func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (bool, error) {
+// order announces and sends an order and waits until the engine serves the version, and returns how long the engine took to
+// load: 0 if it served the version already or is not known to have begun when the order was sent.
+func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (time.Duration, error) {
 	sequence, known := r.sequenceOf(step.Engine.ID)
 	if !known {
 		report, err := r.report(ctx, step.Engine)
 		if err != nil {
-			return false, err
+			return 0, err
 		}
 		if report.Versions[step.Model] >= step.Version {
-			return r.serving(ctx, pool, step)
+			r.serving(ctx, pool, step)
+			return 0, nil
 		}
 		sequence = report.Sequence
 		r.setSequence(step.Engine.ID, sequence)
 	}
 	until, err := r.announce(ctx, pool, step, false)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
+	sent := time.Now()
 	outcome, err := r.send(ctx, step, mode, sequence, until)
 	switch outcome {
 	case engineapi.OrderTaken:
 		r.setSequence(step.Engine.ID, sequence+1)
 	case engineapi.OrderHolds:
-		return r.serving(ctx, pool, step)
+		r.serving(ctx, pool, step)
+		return 0, nil
 	case engineapi.OrderUnknown:
 		r.forgetSequence(step.Engine.ID)
 	default:
 		r.forgetSequence(step.Engine.ID)
-		return false, errors.Join(errNotTaken, err)
+		return 0, errors.Join(errNotTaken, err)
 	}
 	if !r.awaitLoad(ctx, step, outcome == engineapi.OrderTaken) {
 		r.forgetSequence(step.Engine.ID)
-		return false, errNotTaken
+		return 0, errNotTaken
 	}
-	return r.serving(ctx, pool, step)
+	r.serving(ctx, pool, step)
+	if outcome != engineapi.OrderTaken {
+		return 0, nil
+	}
+	return time.Since(sent), nil
 }
 
 // announce writes that an order is about to be sent, and returns until when it may be. The window is counted from before the
@@ -64,12 +72,12 @@
 		return time.Time{}, err
 	}
 	for {
-		started := time.Now()
-		if _, err := r.writer.Append(ctx, []keyedlog.Record{{Key: step.Engine.ID, Value: value}}); err != nil {
+		began, took, err := r.announcer.announce(ctx, keyedlog.Record{Key: step.Engine.ID, Value: value})
+		if err != nil {
 			return time.Time{}, err
 		}
-		if serving || time.Since(started) < sendWindow/2 {
-			return started.Add(sendWindow), nil
+		if serving || took < sendWindow/2 {
+			return began.Add(sendWindow), nil
 		}
 	}
 }
@@ -143,14 +151,13 @@
 }
 
 // serving tells all nodes that the engine serves the version. The next order need not wait for that.
-func (r *roller) serving(ctx context.Context, pool string, step Step) (bool, error) {
+func (r *roller) serving(ctx context.Context, pool string, step Step) {
 	r.config.Directory.SetServes(step.Engine.ID, step.Model, step.Version)
 	r.active.Go(func() {
 		if _, err := r.announce(ctx, pool, step, true); err != nil && ctx.Err() == nil {
 			errorlog.Warn(r.config.Logger, "served version is not announced", err, "engine", step.Engine.ID)
 		}
 	})
-	return true, nil
 }
 
 func (r *roller) report(ctx context.Context, engine fleet.Engine) (engineapi.Report, error) {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -90,6 +90,7 @@
 		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, namedAt: make(map[string]naming),
 	}
+	r.announcer.writer = r.writer
 	r.active.Go(func() { r.run(runCtx) })
 	return r
 }
@@ -99,6 +100,7 @@
 	config    Config
 	partition keyedlog.Partition
 	writer    *fencing.Writer
+	announcer announcer
 	cancel    context.CancelFunc
 	active    sync.WaitGroup
 	wake      chan struct{}
@@ -257,19 +259,18 @@
 // carryOut brings one engine to a version. under is how many loads of the pool are under way, this one included.
 func (r *roller) carryOut(ctx context.Context, pool string, step Step, mode engineapi.LoadMode, under int) {
 	started := time.Now()
-	served, err := r.order(ctx, pool, step, mode)
+	load, err := r.order(ctx, pool, step, mode)
+	served := err == nil
 	r.mutex.Lock()
 	delete(r.loading[pool], step.Engine.ID)
 	if !served {
 		r.retryAt[step.Engine.ID] = time.Now().Add(reportEvery)
 	}
-	if served {
-		r.learnTogether(pool, time.Since(started), under)
-	}
+	r.learnTogether(pool, load, under)
 	named := r.namedAt[step.Model]
 	r.mutex.Unlock()
 	r.config.Logger.Info("load ended", "engine", step.Engine.ID, "model", step.Model, "version", step.Version,
-		"epoch", r.writer.Epoch(), "served", served, "error", err, "took", time.Since(started).Round(time.Millisecond))
+		"epoch", r.writer.Epoch(), "served", served, "error", err, "took", time.Since(started).Round(time.Millisecond), "load", load.Round(time.Millisecond))
 	if served && named.version == step.Version && r.config.OnRolled != nil {
 		r.config.OnRolled(time.Since(named.at))
 	}
@@ -279,7 +280,9 @@
 	}
 }
 
-// learnTogether takes how long a load took, and tells when the number that may load together has changed.
+// learnTogether takes how long a load took, 0 for an order that says nothing of that, and tells when the number that may load
+// together has changed. What the store of announcements took does not count: that many engines wait for it together says nothing of
+// the store of weights.
 func (r *roller) learnTogether(pool string, took time.Duration, under int) {
 	together := r.together[pool]
 	before := together.limit()
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -437,3 +437,52 @@
 		is.True(!directory.Loading("e", model))
 	})
 }
+
+// limit returns how many engines of the pool the node lets load together.
+func (n *node) limit() int {
+	r := n.work.(*roller)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.together[poolName].limit()
+}
+
+// TestOrdersThatWaitAreAnnouncedTogether lets many engines load at once on a slow store. An append for each order would take
+// longer than the window in which the order may be sent.
+func TestOrdersThatWaitAreAnnouncedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const engines, appendTime = 120, 200 * time.Millisecond
+		w := newWorld(t, engines)
+		w.store = memorylog.New(memorylog.Config{Partitions: 2, Delay: appendTime})
+		w.engines.ServeReaders(engines)
+		only := w.node("only")
+		only.own(1)
+		only.catalog.SetVersion(model, 2)
+		time.Sleep(20 * time.Second)
+		for _, version := range w.versions() {
+			is.Equal(version, int64(2))
+		}
+	})
+}
+
+// TestAnOutageOfTheStoreSaysNothingOfLoads is the fault found on days on which the store is away: orders whose announcements waited
+// for it counted as loads of seconds, and the number on trial was given up for half a minute.
+func TestAnOutageOfTheStoreSaysNothingOfLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const engines = 120
+		w := newWorld(t, engines)
+		w.engines.ServeReaders(engines)
+		only := w.node("only")
+		only.own(1)
+		only.catalog.SetVersion(model, 2)
+		time.Sleep(1200 * time.Millisecond)
+		before := only.limit()
+		is.True(before > engines/firstShare) // the first trial is on its way
+		w.store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+		time.Sleep(7 * time.Second)
+		w.store.Heal()
+		time.Sleep(4 * time.Second)
+		is.True(only.limit() > before)
+	})
+}
