--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -8,31 +8,35 @@
 	"github.com/peterbourgon/ff/v4"
 )
 
-const explainUsage = "hillfork explain (ID | --steps | --step JOB) < LOGS"
+const explainUsage = "hillfork explain (ID | --steps | --step JOB | --fleet) < LOGS"
 
-// explainCommand tells from log lines on the standard input the story of an id, or where the time of steps went. It calls no
-// node.
+// explainCommand tells from log lines on the standard input the story of an id, where the time of steps went, or how replicas stand.
+// It calls no node.
 func (a *application) explainCommand(parent *ff.FlagSet) *ff.Command {
 	flags := ff.NewFlagSet("explain").SetParent(parent)
-	var steps bool
+	var steps, fleet bool
 	var step string
 	flags.BoolVar(&steps, 0, "steps", "tell of each step what held it, and how that item's time divides")
 	flags.StringVar(&step, 0, "step", "", "tell of one step, by its job, the way of the item that held it")
+	flags.BoolVar(&fleet, 0, "fleet", "tell how each replica stood at the end, from lines that come with its name")
 	return &ff.Command{
-		Name:      flags.GetName(),
-		Usage:     explainUsage,
-		ShortHelp: "tell from log lines of any nodes the story of a request, item or job, or where the time of steps went",
-		Flags:     flags,
+		Name:  flags.GetName(),
+		Usage: explainUsage,
+		ShortHelp: "tell from log lines of any nodes the story of a request, item or job, where the time of steps went, " +
+			"or how replicas stand",
+		Flags: flags,
 		Exec: func(_ context.Context, arguments []string) error {
 			switch {
-			case steps && step == "" && len(arguments) == 0:
+			case fleet && !steps && step == "" && len(arguments) == 0:
+				return a.explainFleet()
+			case steps && !fleet && step == "" && len(arguments) == 0:
 				return a.explainSteps()
-			case step != "" && !steps && len(arguments) == 0:
+			case step != "" && !steps && !fleet && len(arguments) == 0:
 				return a.explainStep(step)
-			case !steps && step == "" && len(arguments) == 1:
+			case !steps && !fleet && step == "" && len(arguments) == 1:
 				return a.explainStory(arguments[0])
 			default:
-				return usageError("explain takes one of ID, --steps and --step; usage: %s", explainUsage)
+				return usageError("explain takes one of ID, --steps, --step and --fleet; usage: %s", explainUsage)
 			}
 		},
 	}
@@ -60,6 +64,20 @@
 	return day.WriteSteps(a.streams.Out)
 }
 
+func (a *application) explainFleet() error {
+	fleet, err := explain.ReadFleet(a.streams.In)
+	if err != nil {
+		return usageError("the lines can't be read: %v", err)
+	}
+	if len(fleet.Replicas) == 0 {
+		return usageError("%v", explain.ErrNoReplicas)
+	}
+	if a.output == outputJSON {
+		return json.NewEncoder(a.streams.Out).Encode(fleet)
+	}
+	return fleet.WriteFleet(a.streams.Out)
+}
+
 func (a *application) explainStep(job string) error {
 	day, err := explain.ReadDay(a.streams.In)
 	if err != nil {
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -15,6 +15,8 @@
 2026-03-01T08:00:02Z INFO job ended job=j1
 `
 
+const fleetLog = "front-1 2026-03-01T08:00:00Z INFO started node=front-1\nfront-1 2026-03-01T08:00:01Z INFO ready configuration=3\n"
+
 // TestExplainFlags checks what explain prints, and that it says so with the code for bad usage where nothing can be told.
 func TestExplainFlags(t *testing.T) {
 	tests := []struct {
@@ -31,6 +33,10 @@
 		{"no such step", []string{"explain", "--step", "j2"}, stepLog, ExitUsage, "no line tells of this job's submission: j2"},
 		{"no steps at all", []string{"explain", "--steps"}, "panic: no log line\n", ExitUsage, "no line tells of a job"},
 		{"a line that is too long", []string{"explain", "--steps"}, strings.Repeat("x", 2<<20), ExitUsage, "can't be read"},
+		{"a fleet", []string{"explain", "--fleet"}, fleetLog, ExitDone, "1 replicas: 0 cut off, 0 in takeover, 0 starting, 1 serving"},
+		{"a fleet as JSON", []string{"--output", "json", "explain", "--fleet"}, fleetLog, ExitDone, `"state":"serving"`},
+		{"lines without names", []string{"explain", "--fleet"}, stepLog, ExitUsage, "no log line comes with the name of its replica"},
+		{"a fleet and steps", []string{"explain", "--fleet", "--steps"}, stepLog, ExitUsage, "takes one of"},
 		{"both flags", []string{"explain", "--steps", "--step", "j1"}, stepLog, ExitUsage, "takes one of"},
 		{"nothing asked", []string{"explain"}, stepLog, ExitUsage, "takes one of"},
 	}
--- /dev/null
+++ b/internal/explain/fleet_test.go
@@ -0,0 +1,96 @@
+package explain_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/explain"
+	"github.com/matryer/is"
+)
+
+// TestStatesOfReplicas checks each state of a replica, and what makes and ends it.
+func TestStatesOfReplicas(t *testing.T) {
+	const began = "started; ready configuration=3; "
+	tests := []struct {
+		name  string
+		lines string
+		want  explain.State
+	}{
+		{"starting", "started", explain.StateStarting},
+		{"ready", began, explain.StateServing},
+		{"lines from a later hour only", "request settled outcome=answered", explain.StateServing},
+		{"store lost", began + "store partition lost partition=engines/0 confirmed_ago=2s", explain.StateCutOff},
+		{"store regained", began + "store partition lost partition=engines/0 confirmed_ago=2s; store partition regained partition=engines/0",
+			explain.StateServing},
+		{"another partition regained", began + "store partition lost partition=engines/0 confirmed_ago=2s; " +
+			"store partition regained partition=operator/0", explain.StateCutOff},
+		{"group lost", began + "group lost group=jobs heard_ago=1s", explain.StateCutOff},
+		{"group joined", began + "group lost group=jobs heard_ago=1s; group joined group=jobs generation=4", explain.StateServing},
+		{"gained", began + "partition gained partition=jobs/3", explain.StateTakeover},
+		{"gained orders", began + "partition gained partition=weights/3", explain.StateServing},
+		{"taken over", began + "partition gained partition=jobs/3; partition taken over partition=jobs/3", explain.StateServing},
+		{"gained and released", began + "partition gained partition=jobs/3; partition released partition=jobs/3", explain.StateServing},
+		{"stopped", began + "stopping grace=8s; stopped", explain.StateStopped},
+		{"killed with losses and started again", began + "group lost group=jobs heard_ago=1s; started; ready", explain.StateServing},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet, err := explain.ReadFleet(strings.NewReader(logOf("front-1", test.lines)))
+			is.NoErr(err)
+			is.Equal(len(fleet.Replicas), 1)
+			is.Equal(fleet.Replicas[0].State, test.want)
+		})
+	}
+}
+
+// logOf returns the log of a replica: messages with their keys, a second apart, each with the time of the run and the name before it.
+func logOf(name, messages string) string {
+	var text strings.Builder
+	moment := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	for i, message := range strings.Split(messages, "; ") {
+		if message != "" {
+			fmt.Fprintf(&text, "%8.4f %s %s INFO %s\n", float64(i), name, moment.Add(time.Duration(i)*time.Second).Format(time.RFC3339), message)
+		}
+	}
+	return text.String()
+}
+
+// TestFleet checks what is told of several replicas, and that those of which nothing is to be told are counted alone.
+func TestFleet(t *testing.T) {
+	is := is.New(t)
+	const began = "started; ready; configuration in force version=7"
+	input := "a line of another program\n" +
+		logOf("plain", began+"; request settled request=r outcome=answered") +
+		logOf("behind", "started; ready; configuration in force version=5") +
+		logOf("refusing", began+"; request settled request=r outcome=not_run") +
+		logOf("owner", began+"; partition gained partition=jobs/3; partition taken over partition=jobs/3") +
+		logOf("cut", began+"; store partition lost partition=engines/0 confirmed_ago=2s; store partition lost partition=weights/1 confirmed_ago=never")
+	fleet, err := explain.ReadFleet(strings.NewReader(input))
+	is.NoErr(err)
+	is.Equal(len(fleet.Replicas), 5)
+	cut := fleet.Replicas[0]
+	is.Equal(cut.Name, "cut")
+	is.Equal(cut.Lost, []string{"engines/0", "weights/1"})
+	is.Equal(fleet.Last.Sub(cut.OldestLoss), 3*time.Second)
+	is.Equal(cut.Losses, 2)
+	for _, replica := range fleet.Replicas {
+		if replica.Name == "behind" {
+			is.Equal(replica.Behind, int64(2))
+			is.Equal(replica.Quiet, 2*time.Second)
+		}
+	}
+	var output bytes.Buffer
+	is.NoErr(fleet.WriteFleet(&output))
+	text := output.String()
+	is.True(strings.Contains(text, "5 replicas: 1 cut off, 0 in takeover, 0 starting, 4 serving, 0 stopped"))
+	for _, part := range []string{"5 (2 behind)", "jobs/3", "3.00 ago"} {
+		is.True(strings.Contains(text, part))
+	}
+	is.True(!strings.Contains(text, "plain"))
+
+	is.Equal((&explain.Fleet{}).WriteFleet(&output), explain.ErrNoReplicas)
+}
