End calls that were lost with the store when it answers again

Cause: after an outage in which the store says nothing, each call waits for up to two seconds, by then the timeout of a slow store.

Change: the first answer after a second without any ends the calls that were sent before the answered one. Members of groups call several times a second, so that a second without an answer is an outage and not a slow store.

Ruled out: ending calls that have waited longer than usual at any answer. Small calls are answered while large reads wait for the store's link, at a start of all processes for one; those would be ended and sent again for ever (TestAnswersEndNoOtherWait).

TestAnAnswerEndsTheWaitForLostOnes fails without the change. Not measured by itself yet.

--- a/internal/storetimeout/estimator.go
+++ b/internal/storetimeout/estimator.go
@@ -32,11 +32,15 @@
 func (e *estimator) timeout() time.Duration {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	base := initial
-	if e.smoothed > 0 {
-		base = e.smoothed + variations*e.variation
+	return min(most, e.base()<<e.backoff)
+}
+
+// base returns the timeout without backoff. The mutex must be held.
+func (e *estimator) base() time.Duration {
+	if e.smoothed == 0 {
+		return initial
 	}
-	return min(most, max(least, base)<<e.backoff)
+	return max(least, e.smoothed+variations*e.variation)
 }
 
 // answered takes the time that an answer took.
@@ -57,11 +61,7 @@
 func (e *estimator) expired(allowed time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	base := initial
-	if e.smoothed > 0 {
-		base = e.smoothed + variations*e.variation
-	}
-	if current := max(least, base) << e.backoff; current <= allowed && current < most {
+	if current := e.base() << e.backoff; current <= allowed && current < most {
 		e.backoff++
 	}
 }
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
@@ -23,41 +25,98 @@
 	writes estimator
 	reads  estimator
 	groups estimator
+
+	mutex sync.Mutex
+	// underWay holds the calls that wait for an answer, heard is when one came last.
+	underWay map[*call]struct{}
+	heard    time.Time
+}
+
+// call is one that waits for an answer.
+type call struct {
+	began  time.Time
+	cancel context.CancelFunc
+	// lost says that it was given up since the store answered a later one.
+	lost atomic.Bool
 }
 
+// awayAfter is how long no call was answered when the store is taken to have been away. A member of a group calls several times as
+// often, and a slow store takes a quarter of it for an answer.
+const awayAfter = time.Second
+
 // New bounds the calls of a log.
 func New(log keyedlog.Log) *Log {
 	return &Log{Log: log}
 }
 
 // bound makes a call under the timeout of an estimator.
-func bound[T any](ctx context.Context, estimator *estimator, call func(ctx context.Context) (T, error)) (T, error) {
+func bound[T any](ctx context.Context, l *Log, estimator *estimator, send func(ctx context.Context) (T, error)) (T, error) {
 	allowed := estimator.timeout()
 	callCtx, cancel := context.WithTimeout(ctx, allowed)
 	defer cancel()
-	started := time.Now()
-	answer, err := call(callCtx)
+	own := l.begin(cancel)
+	defer l.end(own)
+	answer, err := send(callCtx)
 	switch {
 	case err == nil || errors.Is(err, keyedlog.ErrFenced):
-		estimator.answered(time.Since(started))
-	case ctx.Err() == nil && callCtx.Err() != nil:
+		took := time.Since(own.began)
+		estimator.answered(took)
+		l.answered(own)
+	case ctx.Err() == nil && callCtx.Err() != nil && !own.lost.Load():
 		estimator.expired(allowed)
 	}
 	return answer, err
 }
 
+// begin notes a call.
+func (l *Log) begin(cancel context.CancelFunc) *call {
+	own := &call{began: time.Now(), cancel: cancel}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.underWay == nil {
+		l.underWay = make(map[*call]struct{})
+	}
+	l.underWay[own] = struct{}{}
+	return own
+}
+
+func (l *Log) end(own *call) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.underWay, own)
+}
+
+// answered takes that a call was answered. The first answer after the store was away ends the calls that were sent before that one:
+// they were lost with the store, and would wait for seconds more although it is back.
+func (l *Log) answered(own *call) {
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	away := !l.heard.IsZero() && now.Sub(l.heard) >= awayAfter
+	l.heard = now
+	if !away {
+		return
+	}
+	for waiting := range l.underWay {
+		if waiting.began.Before(own.began) {
+			waiting.lost.Store(true)
+			waiting.cancel()
+		}
+	}
+}
+
 // Append adds records to a partition, within the time that appends take.
 func (l *Log) Append(
 	ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record, fence *keyedlog.Fence,
 ) (keyedlog.Appended, error) {
-	return bound(ctx, &l.writes, func(ctx context.Context) (keyedlog.Appended, error) {
+	return bound(ctx, l, &l.writes, func(ctx context.Context) (keyedlog.Appended, error) {
 		return l.Log.Append(ctx, partition, records, fence)
 	})
 }
 
 // Newest returns a page of the newest records, within the time that pages take.
 func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
-	return bound(ctx, &l.reads, func(ctx context.Context) (keyedlog.Page, error) {
+	return bound(ctx, l, &l.reads, func(ctx context.Context) (keyedlog.Page, error) {
 		return l.Log.Newest(ctx, partition, afterKey)
 	})
 }
@@ -70,7 +129,7 @@
 	ctx context.Context, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
 	if span.Wait == 0 {
-		return bound(ctx, &l.reads, func(ctx context.Context) (keyedlog.Batch, error) {
+		return bound(ctx, l, &l.reads, func(ctx context.Context) (keyedlog.Batch, error) {
 			return l.Log.Read(ctx, partition, span)
 		})
 	}
@@ -88,7 +147,7 @@
 func (l *Log) Join(ctx context.Context, request keyedlog.JoinRequest) (keyedlog.Membership, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(groupMost, request.Lifetime/groupShare))
 	defer cancel()
-	return bound(ctx, &l.groups, func(ctx context.Context) (keyedlog.Membership, error) {
+	return bound(ctx, l, &l.groups, func(ctx context.Context) (keyedlog.Membership, error) {
 		return l.Log.Join(ctx, request)
 	})
 }
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -20,6 +20,65 @@
 	return time.Since(started), err
 }
 
+// TestAnAnswerEndsTheWaitForLostOnes is what delayed orders and listings after outages in which the store says nothing: an append
+// that was sent a moment before its return waited for two seconds more, though reads were answered all the while.
+func TestAnAnswerEndsTheWaitForLostOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		log := New(store.For("node"))
+		for range 20 {
+			_, err := appendOnce(t, log)
+			is.NoErr(err)
+		}
+		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Silent })
+		for range 8 {
+			_, err := appendOnce(t, log)
+			is.True(err != nil)
+		}
+		is.Equal(log.writes.timeout(), most)
+		failed := make(chan time.Duration, 1)
+		go func() {
+			took, err := appendOnce(t, log)
+			is.True(err != nil)
+			failed <- took
+		}()
+		time.Sleep(50 * time.Millisecond)
+		store.Heal()
+		_, err := log.Newest(t.Context(), partition, "")
+		is.NoErr(err)
+		is.True(<-failed < least)
+		is.Equal(log.writes.timeout(), most) // it says nothing new of the store
+	})
+}
+
+// TestAnswersEndNoOtherWait checks that a call which takes long, as one of much data does while all processes read, goes on while
+// others are answered.
+func TestAnswersEndNoOtherWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+		log := New(store.For("node"))
+		store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Operation == "append" {
+				return memorylog.Silent
+			}
+			return memorylog.None
+		})
+		waited := make(chan time.Duration, 1)
+		go func() {
+			took, _ := appendOnce(t, log)
+			waited <- took
+		}()
+		for range 20 {
+			_, err := log.Newest(t.Context(), partition, "")
+			is.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(<-waited, initial)
+	})
+}
+
 // TestALostAnswerCostsLittle checks that a caller of a quick store waits briefly for an answer that doesn't come, and longer
 // each time, up to what a slow store takes.
 func TestALostAnswerCostsLittle(t *testing.T) {
