Take calls as lost that were sent before the store's return, whichever answer tells of it

Change: the first answer after a second without any tells when the store returned. The next answer of a call that was sent after that ends all calls that were sent before.

--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -27,16 +27,17 @@
 	groups estimator
 
 	mutex sync.Mutex
-	// underWay holds the calls that wait for an answer, heard is when one came last.
+	// underWay holds the calls that wait for an answer, heard is when one came last, returned when one came after the store was away.
 	underWay map[*call]struct{}
 	heard    time.Time
+	returned time.Time
 }
 
 // call is one that waits for an answer.
 type call struct {
 	began  time.Time
 	cancel context.CancelFunc
-	// lost says that it was given up since the store answered a later one.
+	// lost says that it was given up since the store, which was away, answers others.
 	lost atomic.Bool
 }
 
@@ -86,19 +87,21 @@
 	delete(l.underWay, own)
 }
 
-// answered takes that a call was answered. The first answer after the store was away ends the calls that were sent before that one:
-// they were lost with the store, and would wait for seconds more although it is back.
+// answered takes that a call was answered. One that was sent after the store's return ends those that were sent before it: they were
+// lost with the store, and would wait for seconds more although it is back.
 func (l *Log) answered(own *call) {
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	away := !l.heard.IsZero() && now.Sub(l.heard) >= awayAfter
+	if !l.heard.IsZero() && now.Sub(l.heard) >= awayAfter {
+		l.returned = now
+	}
 	l.heard = now
-	if !away {
+	if own.began.Before(l.returned) {
 		return
 	}
 	for waiting := range l.underWay {
-		if waiting.began.Before(own.began) {
+		if waiting.began.Before(l.returned) {
 			waiting.lost.Store(true)
 			waiting.cancel()
 		}
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -45,8 +45,11 @@
 		}()
 		time.Sleep(50 * time.Millisecond)
 		store.Heal()
-		_, err := log.Newest(t.Context(), partition, "")
-		is.NoErr(err)
+		// The first answer tells of the return, the next one that calls sent before it are lost.
+		for range 2 {
+			_, err := log.Newest(t.Context(), partition, "")
+			is.NoErr(err)
+		}
 		is.True(<-failed < least)
 		is.Equal(log.writes.timeout(), most) // it says nothing new of the store
 	})
