Take the interval of a model's steps for their mean, not for the middle gap

At 18.46 s a model whose next step was about to be accepted was taken to rest, after five such intervals, and was dealt one engine in place of seven for 0.2 s; all shares rested on a load three times the real one until second 26.

Change: the mean of the last four gaps. TestATrainerThatCannotHandInDoesNotRest fails with the middle one.

--- a/internal/policy/demand.go
+++ b/internal/policy/demand.go
@@ -40,7 +40,7 @@
 		seen := observe(asked[max(0, len(asked)-stepsKept):])
 		own[model] = seen
 		all.add(seen)
-		if gap := medianGap(asked); gap > 0 {
+		if gap := meanGap(asked); gap > 0 {
 			intervals = append(intervals, gap)
 		}
 	}
@@ -48,7 +48,7 @@
 	loads := make(map[string]StepLoad, len(steps))
 	for model, asked := range steps {
 		interval := usual
-		if gap := medianGap(asked); gap > 0 {
+		if gap := meanGap(asked); gap > 0 {
 			interval = min(gap, usual)
 		}
 		if rests(asked, interval, now) {
@@ -128,13 +128,14 @@
 	return load
 }
 
-// medianGap returns the median time between steps, 0 if there are fewer than two.
-func medianGap(steps []Step) time.Duration {
-	var gaps []time.Duration
-	for i := 1; i < len(steps); i++ {
-		gaps = append(gaps, steps[i].At.Sub(steps[i-1].At))
+// meanGap returns the mean time between the last steps, 0 if there are fewer than two. A step that could not be handed in for a while
+// comes late and the next one soon after it; the mean of the gaps is as before, where any one of them may be far off.
+func meanGap(steps []Step) time.Duration {
+	last := steps[max(0, len(steps)-stepsKept-1):]
+	if len(last) < 2 {
+		return 0
 	}
-	return median(gaps)
+	return last[len(last)-1].At.Sub(last[0].At) / time.Duration(len(last)-1)
 }
 
 // median returns the middle of some times, the lower one of two, 0 if there are none.
--- a/internal/policy/demand_test.go
+++ b/internal/policy/demand_test.go
@@ -92,3 +92,25 @@
 		is.Equal(dealt, []int{10, 10, 10})
 	}
 }
+
+// TestATrainerThatCannotHandInDoesNotRest is the fault found on days on which the store is away: steps that were accepted late, close to
+// the next ones, made the interval look short, and a model whose next step could not be handed in yet was taken to rest. It lost six of
+// seven engines a moment before its step came.
+func TestATrainerThatCannotHandInDoesNotRest(t *testing.T) {
+	is := is.New(t)
+	at := func(seconds ...float64) []policy.Step {
+		var steps []policy.Step
+		for _, second := range seconds {
+			steps = append(steps, policy.Step{
+				At: time.Unix(0, 0).Add(time.Duration(second * float64(time.Second))), Tokens: 1000, Items: 50 * time.Second, Longest: 4 * time.Second,
+			})
+		}
+		return steps
+	}
+	steps := map[string][]policy.Step{"m": at(0, 6.4, 8), "n": at(0, 6.4, 8), "o": at(0, 6.4, 8, 17.2, 17.3)}
+	loads := policy.StepLoads(steps, time.Unix(18, 0))
+	is.True(loads["m"].Work > 0)
+	is.Equal(loads["m"].Interval, 4*time.Second)
+	// It does rest when it has asked for nothing for long.
+	is.Equal(policy.StepLoads(steps, time.Unix(40, 0))["m"], policy.StepLoad{})
+}
