Put the first reads of idle processes off

Change: a process that holds no partition puts its first read of jobs and orders off by up to two seconds, unless somebody waits for them; gaining a partition ends that. TestAnIdleProcessReadsLateAtFirst.

Ruled out: longer timeouts for first reads (they give the same bytes later).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -52,7 +52,10 @@
 	// place of Spacing, but for whoever waits for records that are there already.
 	Busy        func() bool
 	IdleSpacing time.Duration
-	Logger      *log.Logger
+	// IdleSpread is how long a process that is not busy puts its first read off at most, at random. Where all processes start at
+	// once, those that act on the records are in step sooner. It ends early as IdleSpacing does.
+	IdleSpread time.Duration
+	Logger     *log.Logger
 }
 
 // Follower follows one partition.
@@ -87,6 +90,9 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.idle() && f.config.IdleSpread > 0 {
+		f.rest(ctx, rand.N(f.config.IdleSpread))
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
@@ -134,11 +140,29 @@
 // space waits before the next read, so that it brings the records of the time between. The idle spacing ends early for somebody
 // who waits for records.
 func (f *Follower) space(ctx context.Context) {
-	if f.config.Busy == nil || f.config.Busy() {
-		pause.For(ctx, f.config.Spacing)
+	if f.idle() {
+		f.rest(ctx, f.config.IdleSpacing)
 		return
 	}
-	timer := time.NewTimer(f.config.IdleSpacing)
+	pause.For(ctx, f.config.Spacing)
+}
+
+// idle tells whether this process does not act on each record at once.
+func (f *Follower) idle() bool {
+	return f.config.Busy != nil && !f.config.Busy()
+}
+
+// Hurry ends a pause that an idle process makes. Whoever begins to act on the records calls it.
+func (f *Follower) Hurry() {
+	select {
+	case f.missed <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits, but no longer than until somebody misses records.
+func (f *Follower) rest(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-f.missed:
@@ -288,10 +312,7 @@
 		if reached {
 			return nil
 		}
-		select {
-		case f.missed <- struct{}{}:
-		default:
-		}
+		f.Hurry()
 		select {
 		case <-advanced:
 		case <-ctx.Done():
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -187,9 +187,8 @@
 					config.Busy = func() bool { return busy }
 					config.IdleSpacing = spacing
 				})
-				var end int64
 				for i := range records {
-					end = put(t, store, fmt.Sprint("key", i), "1")
+					put(t, store, fmt.Sprint("key", i), "1")
 					time.Sleep(every)
 				}
 				if busy {
@@ -197,7 +196,7 @@
 				} else {
 					is.True(int(calls.Load()) <= int(records*every/spacing)+3) // three to find out what there is
 				}
-				end = put(t, store, "wanted", "1")
+				end := put(t, store, "wanted", "1")
 				asked := time.Now()
 				is.NoErr(follower.WaitFor(t.Context(), end))
 				is.Equal(time.Since(asked), time.Duration(0))
@@ -205,3 +204,44 @@
 		})
 	}
 }
+
+// TestAnIdleProcessReadsLateAtFirst starts many processes at once: those that are idle don't all read at once, those that are busy or
+// are told to hurry do.
+func TestAnIdleProcessReadsLateAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const processes, spread = 40, 2 * time.Second
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		put(t, store, "key", "1")
+		start := func(busy bool) []*follow.Follower {
+			var followers []*follow.Follower
+			for range processes {
+				followers = append(followers, startWith(t, store, newState(), func(config *follow.Config) {
+					config.Busy = func() bool { return busy }
+					config.IdleSpread = spread
+				}))
+			}
+			return followers
+		}
+		inStep := func(followers []*follow.Follower) int {
+			count := 0
+			for _, follower := range followers {
+				if follower.CaughtUp() {
+					count++
+				}
+			}
+			return count
+		}
+		idle, hurried, busy := start(false), start(false), start(true)
+		for _, follower := range hurried {
+			follower.Hurry()
+		}
+		synctest.Wait()
+		is.Equal(inStep(busy), processes)
+		is.Equal(inStep(hurried), processes)
+		is.True(inStep(idle) < processes/2)
+		time.Sleep(spread)
+		synctest.Wait()
+		is.Equal(inStep(idle), processes)
+	})
+}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -213,3 +213,8 @@
 // with engines nearly as they are, and makes at most four reads a second of two topics, where hundreds of processes share the
 // store's.
 const idleSpacing = 500 * time.Millisecond
+
+// idleSpread is how long such a process puts its first read of them off at most. All processes together ask for some 100 KB each
+// when they start at once; three hundred take a store of 80 MB a second for a third of a second, during which no owner gets what it
+// takes over. It is short beside the time that callers give a service to come back.
+const idleSpread = 2 * time.Second
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -125,10 +125,24 @@
 func (r *Replica) own(group string, topic keyedlog.Topic, lifetime time.Duration, holder ownership.Holder) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
 		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Topics: []keyedlog.Topic{topic}, Lifetime: lifetime,
-		Holder: holder, Logger: r.config.Logger,
+		Holder: hurrying{holder, r.weights}, Logger: r.config.Logger,
 	}))
 }
 
+// hurrying has the orders read at once when a partition is gained: its owner chooses engines by what they serve.
+type hurrying struct {
+	ownership.Holder
+	orders []*follow.Follower
+}
+
+// Gained starts the work of a partition.
+func (h hurrying) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
+	for _, follower := range h.orders {
+		follower.Hurry()
+	}
+	return h.Holder.Gained(ctx, partition, generation)
+}
+
 // models returns the models of all pools, in order.
 func (r *Replica) models() []string {
 	current := r.catalog.Current()
@@ -176,7 +190,8 @@
 func (r *Replica) follow(partition keyedlog.Partition, applier follow.Applier) *follow.Follower {
 	return follow.New(follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: waits[partition.Topic],
-		Spacing: spacings[partition.Topic], Busy: r.busy(partition.Topic), IdleSpacing: idleSpacing, Logger: r.config.Logger,
+		Spacing: spacings[partition.Topic], Busy: r.busy(partition.Topic), IdleSpacing: idleSpacing, IdleSpread: idleSpread,
+		Logger: r.config.Logger,
 	})
 }
 
