--- /dev/null
+++ b/internal/replica/hurrying_test.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+// anyHolder starts no work.
+type anyHolder struct{ gained int }
+
+func (h *anyHolder) Gained(context.Context, keyedlog.Partition, int64) ownership.Work {
+	h.gained++
+	return nil
+}
+
+// TestAGainedPartitionHasOrdersReadAtOnce checks that a process which has put its first read of orders off makes it when it is dealt a
+// partition.
+func TestAGainedPartitionHasOrdersReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1})
+		orders := follow.New(follow.Config{
+			Log: store.For("node"), Partition: keyedlog.Partition{Topic: keyedlog.TopicWeights},
+			Applier: &weightApplier{logger: log.New(io.Discard)}, Busy: func() bool { return false }, IdleSpread: time.Hour,
+			Wait: time.Second, Logger: log.New(io.Discard),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go orders.Run(ctx)
+		synctest.Wait()
+		is.True(!orders.CaughtUp())
+
+		holder := &anyHolder{}
+		hurrying{holder, []*follow.Follower{orders}}.Gained(ctx, keyedlog.Partition{Topic: keyedlog.TopicJobs}, 1)
+		synctest.Wait()
+		is.True(orders.CaughtUp())
+		is.Equal(holder.gained, 1)
+	})
+}
--- /dev/null
+++ b/internal/weightroll/announcer_test.go
@@ -0,0 +1,91 @@
+package weightroll
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/matryer/is"
+)
+
+// slowAppender takes a while for each append and counts them.
+type slowAppender struct {
+	took time.Duration
+	err  error
+
+	mutex   sync.Mutex
+	appends [][]keyedlog.Record
+}
+
+func (a *slowAppender) Append(_ context.Context, records []keyedlog.Record) (int64, error) {
+	time.Sleep(a.took)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.appends = append(a.appends, records)
+	return 0, a.err
+}
+
+// TestAnnouncementsThatWaitShareAnAppend checks that what comes during an append is written by the next one, in order, however much it
+// is, and that each caller learns a moment before its own append.
+func TestAnnouncementsThatWaitShareAnAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const later = announcementsMost + 10
+		writer := &slowAppender{took: 200 * time.Millisecond}
+		a := announcer{writer: writer}
+		started := time.Now()
+		var running sync.WaitGroup
+		announce := func(name string, began time.Duration) {
+			running.Go(func() {
+				from, took, err := a.announce(t.Context(), keyedlog.Record{Key: name})
+				is.NoErr(err)
+				is.Equal(from.Sub(started), began)
+				is.Equal(took, writer.took)
+			})
+			synctest.Wait()
+		}
+		announce("first", 0)
+		for i := range later {
+			began := writer.took
+			if i >= announcementsMost {
+				began = 2 * writer.took
+			}
+			announce(fmt.Sprint(i), began)
+		}
+		running.Wait()
+		is.Equal(len(writer.appends), 3)
+		is.Equal(len(writer.appends[1]), announcementsMost)
+		is.Equal(writer.appends[1][7].Key, "7")
+		is.Equal(len(writer.appends[2]), 10)
+
+		// What comes when nothing is under way is written at once.
+		running.Go(func() {
+			from, _, err := a.announce(t.Context(), keyedlog.Record{Key: "last"})
+			is.NoErr(err)
+			is.Equal(from.Sub(started), 3*writer.took)
+		})
+		running.Wait()
+	})
+}
+
+// TestAFailedAppendFailsAllItsAnnouncements checks that nobody takes an announcement for written that is not, or waits for ever.
+func TestAFailedAppendFailsAllItsAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		errEnded := errors.New("superseded")
+		a := announcer{writer: &slowAppender{took: time.Second, err: errEnded}}
+		var running sync.WaitGroup
+		for i := range 5 {
+			running.Go(func() {
+				_, _, err := a.announce(t.Context(), keyedlog.Record{Key: fmt.Sprint(i)})
+				is.Equal(err, errEnded)
+			})
+		}
+		running.Wait()
+	})
+}
