--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -20,17 +20,24 @@
 	return time.Since(started), err
 }
 
+// usedStore returns a quick store, and a log that has learnt how quick it is.
+func usedStore(t *testing.T) (*memorylog.Store, *Log) {
+	is := is.New(t)
+	store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
+	log := New(store.For("node"))
+	for range 20 {
+		_, err := appendOnce(t, log)
+		is.NoErr(err)
+	}
+	return store, log
+}
+
 // TestAnAnswerEndsTheWaitForLostOnes is what delayed orders and listings after outages in which the store says nothing: an append
 // that was sent a moment before its return waited for two seconds more, though reads were answered all the while.
 func TestAnAnswerEndsTheWaitForLostOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
-		log := New(store.For("node"))
-		for range 20 {
-			_, err := appendOnce(t, log)
-			is.NoErr(err)
-		}
+		store, log := usedStore(t)
 		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Silent })
 		for range 8 {
 			_, err := appendOnce(t, log)
@@ -87,12 +94,7 @@
 func TestALostAnswerCostsLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
-		log := New(store.For("node"))
-		for range 20 {
-			_, err := appendOnce(t, log)
-			is.NoErr(err)
-		}
+		store, log := usedStore(t)
 		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Silent })
 		var waits []time.Duration
 		for range 8 {
@@ -139,12 +141,7 @@
 func TestRefusalsAreNoTimeouts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := memorylog.New(memorylog.Config{Partitions: 1, Delay: 5 * time.Millisecond})
-		log := New(store.For("node"))
-		for range 20 {
-			_, err := appendOnce(t, log)
-			is.NoErr(err)
-		}
+		store, log := usedStore(t)
 		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
 		for range 10 {
 			_, err := appendOnce(t, log)
