Know callers by their keys: tenants of the configuration, jobs and engines

Cause: the shifted deployment's configuration holds tenants with API keys. Ruled out: a check by connection; keys are taken away on connections that are open. Ingress admits each request by its key, the engine gets the tenant's name alone. A job belongs to its tenant in its durable record: it runs in that name whatever becomes of the key, and is shown under any of the tenant's keys, to nobody else. A tenant's priority goes before the route's.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/tenant"
 )
 
 // Kind says how requests of a route may be treated.
@@ -51,6 +53,8 @@
 	MaxWait time.Duration
 	// RunDeadline is the time after submission by which all results of a job are due.
 	RunDeadline time.Duration
+	// Public says that requests need no key.
+	Public bool
 }
 
 // MayRepeat tells whether a request of the route may run more than once.
@@ -73,6 +77,21 @@
 	MaxConnections int
 	// Models are the models that the pool's engines can hold; empty for application servers.
 	Models []string
+	// Scaling says how many engines may be ordered, nil if none can be.
+	Scaling *Scaling
+}
+
+// Scaling is what can be ordered of a pool's engines.
+type Scaling struct {
+	// Least and Most bound the engines of one zone, regular and preemptible ones together.
+	Least int
+	Most  int
+	// Boot is how long after its order an engine serves.
+	Boot time.Duration
+	// PreemptiblePrice is what an engine that may be taken away costs, as a part of a regular one's price.
+	PreemptiblePrice float64
+	// ZonePrices are what a second of a regular engine costs by zone, relative to each other.
+	ZonePrices map[string]float64
 }
 
 // Catalog is one version of the configuration.
@@ -81,6 +100,8 @@
 	Routes  []Route
 	Pools   map[string]Pool
 	Limits  Limits
+	// Tenants are those whose requests are taken; nil says that requests need no key.
+	Tenants *tenant.Directory
 	byHost  map[string][]int
 }
 
@@ -120,3 +141,11 @@
 	}
 	return Route{}, false
 }
+
+// Priority ranks the work of a tenant on a route, 0 first: the tenant's own priority goes before the route's.
+func (c *Catalog) Priority(route Route, tenantName string) int {
+	if known, ok := c.Tenants.Named(tenantName); ok && known.Ranked {
+		return known.Priority
+	}
+	return route.Priority
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -40,6 +40,8 @@
 	ResumeAfter int64
 	// Priority ranks the call, 0 first; NoPriority states none.
 	Priority int
+	// Tenant names whose request it is, empty for nobody's.
+	Tenant string
 }
 
 // Reply is the head of an engine's answer, with its body still to be read.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,8 @@
 	Draining bool
 	// Versions maps models to the weight version served.
 	Versions map[string]int64
+	// Preemptible says that it may be taken away at short notice.
+	Preemptible bool
 	// ColdUntil is until when it is slow after its start.
 	ColdUntil time.Time
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/tenant"
 )
 
 // Config configures an ingress.
@@ -20,6 +21,10 @@
 	Forwarder *forward.Forwarder
 	// OnRequest takes the outcome of a request and how long it took.
 	OnRequest func(outcome forward.Outcome, took time.Duration)
+	// KeyBound is how long a key may be of use after it was taken away where the store can't be reached, 0 for as long as it can't.
+	// Confirmed returns when the configuration was last known to be the newest.
+	KeyBound  time.Duration
+	Confirmed func() time.Time
 	// MemoryBytes is what the process may use; large bodies take a part of it at most.
 	MemoryBytes int64
 	Logger      *log.Logger
@@ -62,6 +67,55 @@
 	return route, current.Limits, Routed
 }
 
+// Admission says whether a request may go on.
+type Admission int
+
+// Results of looking a key up.
+const (
+	// Admitted says that the request may go on, in the name of a tenant if there is one.
+	Admitted Admission = iota
+	// UnknownKey says that no tenant has the key, or that none was given.
+	UnknownKey
+	// NoConfiguration says that no configuration is known yet.
+	NoConfiguration
+	// StaleKeys says that the keys in force can't be told: the configuration was not confirmed for longer than keys may outlive
+	// their removal.
+	StaleKeys
+)
+
+// Admit finds whose a request is by its key: nobody's where the configuration names no tenants, or on a public route. Keys are looked up for each request and not for each connection, so that one that is
+// taken away is of no use on connections that are open.
+func (i *Ingress) Admit(requestID string, public bool, key string) (tenantName string, admission Admission) {
+	current := i.config.Catalog.Current()
+	if current == nil {
+		return "", NoConfiguration
+	}
+	if current.Tenants == nil {
+		return "", Admitted
+	}
+	found, known := current.Tenants.Find(key)
+	switch {
+	case public:
+		return found.Name, Admitted
+	case i.config.KeyBound > 0 && time.Since(i.config.Confirmed()) > i.config.KeyBound:
+		admission = StaleKeys
+	case !known:
+		admission = UnknownKey
+	default:
+		return found.Name, Admitted
+	}
+	i.config.Logger.Info("request not admitted", "request", requestID, "admission", admission, "key", tenant.Fingerprint(key),
+		"configuration", current.Version)
+	return "", admission
+}
+
+var admissionNames = [...]string{"admitted", "unknown_key", "no_configuration", "stale_keys"}
+
+// String returns the name used in logs.
+func (a Admission) String() string {
+	return admissionNames[a]
+}
+
 // Limits returns the limits in force.
 func (i *Ingress) Limits() catalog.Limits {
 	if current := i.config.Catalog.Current(); current != nil {
@@ -122,7 +176,7 @@
 	receiver forward.StreamReceiver,
 ) forward.Answer {
 	request := i.request(route, call, received, budget)
-	request.Call.Priority = min(9, route.Priority)
+	request.Call.Priority = min(9, i.priority(route, call.Tenant))
 	answer := i.config.Forwarder.Stream(ctx, forward.StreamRequest{
 		Request: request, Model: model, Resumable: route.Resumable, Gap: gapAims * route.Aim,
 	}, receiver)
@@ -130,6 +184,14 @@
 	return answer
 }
 
+func (i *Ingress) priority(route catalog.Route, tenantName string) int {
+	current := i.config.Catalog.Current()
+	if current == nil {
+		return route.Priority
+	}
+	return current.Priority(route, tenantName)
+}
+
 func (i *Ingress) note(route catalog.Route, request forward.Request, answer forward.Answer, received time.Time) {
 	took := time.Since(received)
 	if i.config.OnRequest != nil {
@@ -139,7 +201,7 @@
 	if answer.Reply != nil {
 		status = answer.Reply.Status
 	}
-	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool,
+	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool, "tenant", request.Call.Tenant,
 		"outcome", answer.Outcome, "status", status, "engine", answer.EngineID, "attempts", answer.Attempts,
 		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause,
 		"left", time.Until(request.Deadline).Round(time.Millisecond),
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -279,7 +279,7 @@
 func NewEntry(spec Spec, partition keyedlog.Partition, offset, next int64, size int) Entry {
 	entry := Entry{
 		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt, Partition: partition.Number,
-		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items),
+		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items), Tenant: spec.Tenant,
 	}
 	for _, item := range spec.Items {
 		entry.Path = item.Path
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -22,6 +22,8 @@
 	Desired int `msg:"want"`
 	// SubmittedAt is the time of day of submission in milliseconds since 1970, at the node that accepted it.
 	SubmittedAt int64 `msg:"at"`
+	// Tenant is whose job it is, for good; empty if it was submitted without a key.
+	Tenant string `msg:"tenant"`
 	// ItemIDs names the items in order. Each item is a record of its own, so that one can be read without the others.
 	ItemIDs []string `msg:"ids"`
 	Items   []Item   `msg:"-"`
@@ -77,6 +79,8 @@
 	// Items counts the items, Work is their estimated output in tokens.
 	Items int   `msg:"items"`
 	Work  int64 `msg:"work"`
+	// Tenant is whose job it is; empty if it was submitted without a key.
+	Tenant string `msg:"tenant"`
 }
 
 // Settled says that nothing is listed of a job any more: all is listed, or it has ended.
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -90,6 +90,12 @@
 				err = msgp.WrapError(err, "Work")
 				return
 			}
+		case "tenant":
+			z.Tenant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -103,9 +109,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Entry) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 12
 	// write "id"
-	err = en.Append(0x8b, 0xa2, 0x69, 0x64)
+	err = en.Append(0x8c, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -214,15 +220,25 @@
 		err = msgp.WrapError(err, "Work")
 		return
 	}
+	// write "tenant"
+	err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 12
 	// string "id"
-	o = append(o, 0x8b, 0xa2, 0x69, 0x64)
+	o = append(o, 0x8c, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.JobID)
 	// string "host"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
@@ -254,6 +270,9 @@
 	// string "work"
 	o = append(o, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
 	o = msgp.AppendInt64(o, z.Work)
+	// string "tenant"
+	o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
 	return
 }
 
@@ -341,6 +360,12 @@
 				err = msgp.WrapError(err, "Work")
 				return
 			}
+		case "tenant":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -355,7 +380,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant)
 	return
 }
 
@@ -1737,6 +1762,12 @@
 				err = msgp.WrapError(err, "SubmittedAt")
 				return
 			}
+		case "tenant":
+			z.Tenant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		case "ids":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1769,9 +1800,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Spec) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "id"
-	err = en.Append(0x89, 0xa2, 0x69, 0x64)
+	err = en.Append(0x8a, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -1850,6 +1881,16 @@
 		err = msgp.WrapError(err, "SubmittedAt")
 		return
 	}
+	// write "tenant"
+	err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
 	// write "ids"
 	err = en.Append(0xa3, 0x69, 0x64, 0x73)
 	if err != nil {
@@ -1873,9 +1914,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Spec) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "id"
-	o = append(o, 0x89, 0xa2, 0x69, 0x64)
+	o = append(o, 0x8a, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ID)
 	// string "route"
 	o = append(o, 0xa5, 0x72, 0x6f, 0x75, 0x74, 0x65)
@@ -1898,6 +1939,9 @@
 	// string "at"
 	o = append(o, 0xa2, 0x61, 0x74)
 	o = msgp.AppendInt64(o, z.SubmittedAt)
+	// string "tenant"
+	o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
 	// string "ids"
 	o = append(o, 0xa3, 0x69, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.ItemIDs)))
@@ -1973,6 +2017,12 @@
 				err = msgp.WrapError(err, "SubmittedAt")
 				return
 			}
+		case "tenant":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		case "ids":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2006,7 +2056,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Spec) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(z.Model) + 5 + msgp.Int64Size + 4 + msgp.Int64Size + 5 + msgp.IntSize + 3 + msgp.Int64Size + 4 + msgp.ArrayHeaderSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(z.Model) + 5 + msgp.Int64Size + 4 + msgp.Int64Size + 5 + msgp.IntSize + 3 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant) + 4 + msgp.ArrayHeaderSize
 	for za0001 := range z.ItemIDs {
 		s += msgp.StringPrefixSize + len(z.ItemIDs[za0001])
 	}
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -228,7 +228,8 @@
 	e.lookedAt = time.Now()
 	call := engineapi.Call{
 		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
-		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, route.Priority),
+		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, e.priority(route)),
+		Tenant: e.view.Spec.Tenant,
 	}
 	if deadline, bounded := ctx.Deadline(); bounded {
 		call.Remaining = time.Until(deadline)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -107,8 +107,11 @@
 // Submit makes a submission durable: its items first, then the entry in the index that makes the job exist. Items without an
 // entry are no job and never run. A job that is known already is done.
 func (s *Service) Submit(ctx context.Context, spec job.Spec) Outcome {
-	if _, known := s.config.Index.Job(spec.ID); known {
-		s.config.Logger.Info("job is known already", "job", spec.ID)
+	if status, known := s.config.Index.Job(spec.ID); known {
+		s.config.Logger.Info("job is known already", "job", spec.ID, "tenant", spec.Tenant, "owner", status.Entry.Tenant)
+		if status.Entry.Tenant != spec.Tenant {
+			return Refused
+		}
 		return Done
 	}
 	ctx, cancel := s.patient(ctx)
@@ -126,7 +129,7 @@
 	partition := job.PartitionOf(spec, s.config.Log.Partitions(keyedlog.TopicJobs), models)
 	outcome := s.enter(ctx, spec, partition, records)
 	s.config.Logger.Info("job submitted", "job", spec.ID, "outcome", outcome, "partition", partition, "items", len(spec.Items),
-		"bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "wanted", spec.Desired,
+		"tenant", spec.Tenant, "bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "wanted", spec.Desired,
 		"min_version", spec.MinVersion)
 	return outcome
 }
@@ -157,6 +160,20 @@
 	})
 }
 
+// Permit tells whether a tenant may ask for a job. One of another tenant does not exist for it. The tenant is empty where callers have
+// none, and may ask for any.
+func (s *Service) Permit(ctx context.Context, id, tenant string) Outcome {
+	status, outcome := s.lookUp(ctx, id)
+	if outcome != Done {
+		return outcome
+	}
+	if tenant != "" && status.Entry.Tenant != "" && status.Entry.Tenant != tenant {
+		s.config.Logger.Info("job is another tenant's", "job", id, "tenant", tenant, "owner", status.Entry.Tenant)
+		return NotFound
+	}
+	return Done
+}
+
 // End ends a job durably.
 func (s *Service) End(ctx context.Context, id string) Outcome {
 	ctx, cancel := s.patient(ctx)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -73,8 +73,12 @@
 	forwarder := forward.New(forward.Config{
 		Client: config.Client, Directory: r.directory, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
+	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
+		decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
+	})
 	r.ingress = ingress.New(ingress.Config{
 		Catalog: r.catalog, Splitter: splitter, Forwarder: forwarder, OnRequest: r.metrics.request,
+		KeyBound: config.Settings.KeyBound, Confirmed: operator.Confirmed,
 		MemoryBytes: config.Settings.MemoryBytes, Logger: config.Logger,
 	})
 	r.queue = jobrun.NewQueue(r.directory)
@@ -83,10 +87,7 @@
 	engines := &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
 	engineFollower := r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, engines)
 	engines.returned = engineFollower.Returned
-	r.followers = append(r.followers, indexFollower, engineFollower,
-		r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
-			decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
-		}))
+	r.followers = append(r.followers, indexFollower, engineFollower, operator)
 	for number := range config.Log.Partitions(keyedlog.TopicWeights) {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number}
 		r.weights = append(r.weights, r.follow(partition, &weightApplier{board: board, logger: config.Logger}))
@@ -175,7 +176,7 @@
 		if current != nil {
 			last := jobs[len(jobs)-1].Entry
 			route, _ := current.Match(last.Host, last.Path)
-			priorities[model] = route.Priority
+			priorities[model] = current.Priority(route, last.Tenant)
 		}
 	}
 	loads := policy.StepLoads(steps, time.Now())
--- a/internal/replica/settings.go
+++ b/internal/replica/settings.go
@@ -32,4 +32,6 @@
 	MemberLifetimeMin time.Duration
 	// StoreReadsPerS is how many reads a second the store takes from all replicas together.
 	StoreReadsPerS float64
+	// KeyBound is how long a caller's key may work after it was taken away, 0 for as long as the store can't be reached.
+	KeyBound time.Duration
 }
