Order preemptible engines as steps need them

Ways: the number as given (present); preemptible engines beyond the regular ones until the typical step is within half of its longest item's time (kept). Change: policy.EnginesWanted works the number out from what the last steps took, by the same model that deals engines to models; policy.ScaleOrders spreads them over zones, passes over zones that have none left, and gives back late. internal/scaler is the duty that sends the orders and keeps them for its successor. Regular engines are left as they are.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,7 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/scaler"
 	"github.com/hillfork/hillfork/internal/storepace"
 	"github.com/hillfork/hillfork/internal/storetimeout"
 	"github.com/hillfork/hillfork/internal/usage"
@@ -43,6 +44,8 @@
 	Decoder  RecordDecoder
 	// Usage takes reports of usage, nil if there is nobody to report to.
 	Usage usage.Receiver
+	// Engines takes orders of engines, nil if none can be ordered.
+	Engines scaler.Provider
 	// RecordBytes and CallBytes bound a record and an append of the store.
 	RecordBytes int
 	CallBytes   int
@@ -83,7 +86,7 @@
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
 		decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
 	})
-	duties, meter := r.countUsage()
+	reporting, meter := r.countUsage()
 	r.ingress = ingress.New(ingress.Config{
 		Catalog: r.catalog, Splitter: splitter, Meter: meter, Forwarder: forwarder, OnRequest: r.metrics.request,
 		KeyBound: config.Settings.KeyBound, Confirmed: operator.Confirmed,
@@ -121,7 +124,8 @@
 	r.own(weightsGroup, leased, holders{
 		keyedlog.TopicWeights: rollers,
 		keyedlog.TopicDuties: duty.NewHolder(duty.Config{
-			Log: config.Log, Machine: holderName(config.Settings), Lease: config.Settings.OrderLease, Duties: duties, Logger: config.Logger,
+			Log: config.Log, Machine: holderName(config.Settings), Lease: config.Settings.OrderLease,
+			Duties: slices.Concat(reporting, r.orderEngines()), Logger: config.Logger,
 		}),
 	})
 	return r
@@ -154,6 +158,16 @@
 	weightsParts = 3
 )
 
+// orderEngines returns the duty of ordering engines, if any can be ordered.
+func (r *Replica) orderEngines() []duty.Duty {
+	if r.config.Engines == nil {
+		return nil
+	}
+	return []duty.Duty{scaler.New(scaler.Config{
+		Provider: r.config.Engines, Catalog: r.catalog, Directory: r.directory, Loads: r.stepLoads, Logger: r.config.Logger,
+	})}
+}
+
 // own has the partitions of some topics dealt by a group.
 func (r *Replica) own(group string, lifetime time.Duration, topics holders) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
