Keep no more engines up to date than steps need

Ways: all engines (present); as many as bring the typical step within a tenth of its longest item's time (kept), with a third more before any is left behind, so that the number does not follow each step. Change: policy.EnginesKept bounds what is dealt to models; engines beyond that are dealt to none and load nothing. What steps need is worked out each 300 ms or when engines come and go, not with every plan.

--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -19,7 +19,7 @@
 // Assignment maps engines to the model that they are kept up to date for.
 type Assignment map[string]string
 
-// Assign gives every engine of a pool to one of its models, as many to each as shares says: a trained model needs engines of its
+// Assign gives the engines of a pool to its models, as many to each as shares says, and those that are left to none: a trained model needs engines of its
 // newest version, and a load takes an engine away from all others. An engine that is kept stays with its model whatever the
 // model's share. Any other keeps its model while that is within its share, and goes where engines are missing otherwise, there
 // to the model whose newest version it is nearest to.
@@ -51,6 +51,10 @@
 	}
 	for _, engine := range free {
 		model := nearestModel(engine, models, targets, missing)
+		if missing[model] <= 0 {
+			// All models have what they are to have.
+			break
+		}
 		assignment[engine.ID] = model
 		missing[model]--
 	}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -85,7 +85,8 @@
 		writer: fencing.New(fencing.Config{
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}),
-		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
+		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int),
+		looked: make(map[string]shareLook), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
 		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, quickest: loadUsual, namedAt: make(map[string]naming),
@@ -109,6 +110,8 @@
 	assignments map[string]Assignment
 	// shares maps pools to how many engines each model is to have.
 	shares map[string]map[string]int
+	// looked holds when these were last worked out, by pool.
+	looked map[string]shareLook
 	// loading maps pools to the engines that are being ordered, with the model.
 	loading map[string]map[string]string
 	// publishing holds the pools whose assignment is being told.
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -19,6 +19,7 @@
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/hillfork/hillfork/internal/storetimeout"
@@ -517,3 +518,42 @@
 		is.True(r.together[poolName].quickest <= loadTime+2*reportEvery)
 	})
 }
+
+// TestALargePoolLoadsWhatStepsNeed checks that of many engines with little work only some are brought to new versions, the same ones
+// again, and that one which is lost is replaced.
+func TestALargePoolLoadsWhatStepsNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 40)
+		loads := map[string]policy.StepLoad{model: {Work: 20 * time.Second, Longest: 4 * time.Second, Interval: 4 * time.Second}}
+		kept := policy.EnginesKept(8, []policy.StepLoad{loads[model]}, 40, 0)
+		is.True(kept < 20)
+		only := w.node("only")
+		only.holder.config.Loads = func() map[string]policy.StepLoad { return loads }
+		only.own(1)
+		upToDate := func(version int64) int {
+			count := 0
+			for _, served := range w.versions() {
+				if served >= version {
+					count++
+				}
+			}
+			return count
+		}
+		for version := int64(2); version <= 4; version++ {
+			only.catalog.SetVersion(model, version)
+			time.Sleep(20 * loadTime)
+			is.Equal(upToDate(version), kept)
+		}
+		is.Equal(upToDate(2), kept)
+		for i, version := range w.versions() {
+			if version == 4 {
+				only.holder.config.Directory.Remove(w.pool[i].ID)
+				break
+			}
+		}
+		time.Sleep(20 * loadTime)
+		is.Equal(upToDate(4), kept+1)
+		only.release()
+	})
+}
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -16,6 +16,17 @@
 // record holds all of them.
 const publishEvery = 200 * time.Millisecond
 
+// shareEvery is how often it is worked out what steps need while no engines or models come or go: often beside the seconds between two
+// steps, and a part of the plans.
+const shareEvery = 300 * time.Millisecond
+
+// shareLook is when it was last worked out how many engines each model is to have, and of what.
+type shareLook struct {
+	engines int
+	models  int
+	at      time.Time
+}
+
 // assign brings the engines that each model has towards its share. An engine that loads, or that is up to date with a version
 // that a trainer has named, stays until a newer one is: to move it then costs no load more.
 func (r *roller) assign(ctx context.Context, pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
@@ -40,13 +51,18 @@
 	return assignment
 }
 
-// share returns how many engines each model is to have. It changes when engines or models come or go, and when steps ask enough
+// share returns how many engines each model is to have, all together no more than steps need. It changes when engines or models come or go, and when steps ask enough
 // else for the change to pay.
 func (r *roller) share(pool string, engines []fleet.Engine, targets map[string]int64) map[string]int {
 	models := trainedModels(targets)
 	if len(models) == 0 {
 		return nil
 	}
+	look := shareLook{engines: len(engines), models: len(models), at: time.Now()}
+	if last := r.looked[pool]; last.engines == look.engines && last.models == look.models && look.at.Sub(last.at) < shareEvery {
+		return r.shares[pool]
+	}
+	r.looked[pool] = look
 	var known map[string]policy.StepLoad
 	if r.config.Loads != nil {
 		known = r.config.Loads()
@@ -64,8 +80,9 @@
 		slots += engine.Slots
 	}
 	perEngine := float64(slots) / float64(max(1, len(engines)))
-	better := policy.Deal(len(engines), perEngine, loads)
-	same := len(r.shares[pool]) == len(models) && total == len(engines)
+	kept := policy.EnginesKept(perEngine, loads, len(engines), total)
+	better := policy.Deal(kept, perEngine, loads)
+	same := len(r.shares[pool]) == len(models) && total == kept
 	if same && !policy.WorthDealing(dealt, better, perEngine, loads, r.usual) {
 		return r.shares[pool]
 	}
@@ -74,7 +91,7 @@
 		shares[model] = better[i]
 	}
 	r.shares[pool] = shares
-	r.config.Logger.Info("engines shared among models", "pool", pool, "engines", len(engines), "shares", shares, "loads", known,
+	r.config.Logger.Info("engines shared among models", "pool", pool, "engines", len(engines), "kept", kept, "shares", shares, "loads", known,
 		"typical_step", policy.TypicalStep(better, perEngine, loads).Round(time.Millisecond))
 	return shares
 }
