Choose among many engines without looking at all of them again and again

Change: paces of a pool are looked at ten times a second at most; a run whose engine is near the quickest looks no further; whether an engine exists is answered by the first one; engines that don't fit are left out before they are copied; engines of other models are only looked at when they are open to the work; the list of a pool is sorted when it changes. Conclusion: choices are the same, the tests of choosing pass unchanged.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,12 +60,17 @@
 	dealt map[string]map[string]string
 	// known says that the list was read at least once.
 	known bool
+	// paces and sorted hold what was worked out of each pool: its paces, for a moment, and its engines in order of their ids, until one
+	// changes.
+	paces  map[string]poolPace
+	sorted map[string][]Engine
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
 		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string),
+		paces: make(map[string]poolPace), sorted: make(map[string][]Engine),
 	}
 }
 
@@ -76,7 +82,7 @@
 	found, ok := d.engines[engine.ID]
 	if !ok {
 		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
-		d.changed.Notify()
+		d.engineChanged(engine.Pool)
 		return
 	}
 	engine.Versions = newest(found.engine.Versions, engine.Versions)
@@ -85,10 +91,16 @@
 		maps.Equal(engine.Versions, found.engine.Versions)
 	found.engine = engine
 	if !same {
-		d.changed.Notify()
+		d.engineChanged(engine.Pool)
 	}
 }
 
+// engineChanged takes that the engines of a pool are others than before. The mutex must be held.
+func (d *Directory) engineChanged(pool string) {
+	delete(d.sorted, pool)
+	d.changed.Notify()
+}
+
 func newest(known, stated map[string]int64) map[string]int64 {
 	merged := maps.Clone(stated)
 	if merged == nil {
@@ -104,9 +116,9 @@
 func (d *Directory) Remove(id string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if _, ok := d.engines[id]; ok {
+	if found, ok := d.engines[id]; ok {
 		delete(d.engines, id)
-		d.changed.Notify()
+		d.engineChanged(found.engine.Pool)
 	}
 }
 
@@ -125,7 +137,7 @@
 	versions[model] = version
 	found.engine.Versions = versions
 	delete(found.loading, model)
-	d.changed.Notify()
+	d.engineChanged(found.engine.Pool)
 }
 
 // Correct records that an engine began a run under a version of a model that is older than believed. The engine's own word
@@ -140,7 +152,7 @@
 	versions := maps.Clone(found.engine.Versions)
 	versions[model] = version
 	found.engine.Versions = versions
-	d.changed.Notify()
+	d.engineChanged(found.engine.Pool)
 }
 
 // SetDealt records for which model each engine of a pool is kept up to date. Work of that model goes there first. The map must not
@@ -202,17 +214,22 @@
 	return found.engine, true
 }
 
-// Pool returns the engines of a pool in order of their ids.
+// Pool returns the engines of a pool in order of their ids. The slice must not be changed; it is the same one while no engine of the pool
+// is another.
 func (d *Directory) Pool(pool string) []Engine {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if engines, ok := d.sorted[pool]; ok {
+		return engines
+	}
 	var engines []Engine
 	for _, found := range d.engines {
 		if found.engine.Pool == pool {
 			engines = append(engines, found.engine)
 		}
 	}
-	slices.SortFunc(engines, func(a, b Engine) int { return compareText(a.ID, b.ID) })
+	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	d.sorted[pool] = engines
 	return engines
 }
 
@@ -222,14 +239,3 @@
 	defer d.mutex.Unlock()
 	return d.changed.Changed()
 }
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -33,8 +33,8 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, candidate := range d.candidates(want, now) {
-		if mayRun(candidate, want) {
+	for _, found := range d.engines {
+		if fits(found.engine, want) && !now.Before(found.loading[want.Model]) && !slices.Contains(want.Exclude, found.engine.ID) {
 			return true
 		}
 	}
@@ -56,13 +56,9 @@
 			found = newSurveyed(d.candidates(want, now), want)
 			surveys[key] = found
 		}
-		place, ok := choose(found.room, found.known, want, now)
-		if !ok {
-			continue
+		if given[i], ok = found.take(want, now); ok {
+			d.engines[given[i].ID].inFlight++
 		}
-		given[i] = found.room[place].Engine
-		d.engines[given[i].ID].inFlight++
-		found.take(place, want)
 	}
 	return given
 }
@@ -73,29 +69,49 @@
 	minVersion, exact int64
 }
 
-// surveyed holds the engines with room for work of one kind.
+// surveyed holds the engines with room for work of one kind: those that are kept up to date for its model or for none, and the others,
+// which are open to it at times only. In a large pool most are others.
 type surveyed struct {
-	known survey
-	room  []Candidate
+	known  survey
+	own    []Candidate
+	others []Candidate
 }
 
 func newSurveyed(candidates []Candidate, want Want) *surveyed {
 	want.Exclude = nil
 	found := &surveyed{known: newSurvey(candidates, want)}
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && hasRoom(candidate, want) {
-			found.room = append(found.room, candidate)
+		if !mayRun(candidate, want) || !hasRoom(candidate, want) {
+			continue
+		}
+		if foreign(candidate, want) {
+			found.others = append(found.others, candidate)
+		} else {
+			found.own = append(found.own, candidate)
 		}
 	}
 	return found
 }
 
-// take counts work at the engine at a place.
-func (s *surveyed) take(place int, want Want) {
-	s.room[place].InFlight++
-	if !hasRoom(s.room[place], want) {
-		s.room = slices.Delete(s.room, place, place+1)
+// take gives an engine to a piece of work and counts the work there, false if none takes it now.
+func (s *surveyed) take(want Want, now time.Time) (Engine, bool) {
+	from := &s.own
+	place, best, ok := choose(s.own, s.known, want, now)
+	if foreignOpen(s.known, want, now) {
+		if other, cost, found := choose(s.others, s.known, want, now); found && (!ok || better(s.others[other], cost, s.own[place], best)) {
+			from, place, ok = &s.others, other, true
+		}
+	}
+	if !ok {
+		return Engine{}, false
 	}
+	room := *from
+	engine := room[place].Engine
+	room[place].InFlight++
+	if !hasRoom(room[place], want) {
+		*from = slices.Delete(room, place, place+1)
+	}
+	return engine, true
 }
 
 // AcquireBetter picks an engine at which work that runs elsewhere ends so much earlier that it is worth moving, and counts it as
@@ -108,6 +124,10 @@
 	if !ok || current.pace.Value() == 0 {
 		return Engine{}, false
 	}
+	if !policy.WorthMoving(want.Events, current.pace.Value(), d.paceOf(want.Pool, now).quickest) {
+		// No engine of the pool is quick enough, whatever may run there.
+		return Engine{}, false
+	}
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
@@ -140,14 +160,36 @@
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return newSurvey(d.candidates(Want{Pool: pool}, time.Now()), Want{Pool: pool}).typical
+	return d.paceOf(pool, time.Now()).typical
+}
+
+// paceEvery is how often the paces of a pool are looked at: each item asks for them several times a second, and they change with the
+// smoothed gaps of many events.
+const paceEvery = 100 * time.Millisecond
+
+// poolPace is what the engines of a pool have in common, and when it was looked at.
+type poolPace struct {
+	survey
+	at time.Time
+}
+
+// paceOf returns the paces of a pool. The mutex must be held.
+func (d *Directory) paceOf(pool string, now time.Time) survey {
+	known, ok := d.paces[pool]
+	if !ok || now.Sub(known.at) >= paceEvery {
+		want := Want{Pool: pool}
+		known = poolPace{survey: newSurvey(d.candidates(want, now), want), at: now}
+		d.paces[pool] = known
+	}
+	return known.survey
 }
 
+// candidates returns the engines that fit a piece of work as they stand. The mutex must be held.
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
-	candidates := make([]Candidate, 0, len(d.engines))
+	var candidates []Candidate
 	dealt := d.dealt[want.Pool]
 	for _, found := range d.engines {
-		if found.engine.Pool != want.Pool {
+		if !fits(found.engine, want) {
 			continue
 		}
 		candidates = append(candidates, Candidate{
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -53,7 +53,7 @@
 // Pick chooses an engine for a piece of work: those that may run it, of these the ones with room, of these the best score.
 // It returns false if none has room, or if the work had better wait for a quicker one.
 func Pick(candidates []Candidate, want Want, now time.Time) (Candidate, bool) {
-	place, ok := choose(candidates, newSurvey(candidates, want), want, now)
+	place, _, ok := choose(candidates, newSurvey(candidates, want), want, now)
 	if !ok {
 		return Candidate{}, false
 	}
@@ -109,19 +109,24 @@
 	if !foreign(candidate, want) {
 		return true
 	}
-	if want.OwnOnly {
+	if !foreignOpen(known, want, now) {
 		return false
 	}
-	if !known.own {
-		return true
-	}
 	places := max(1, foreignShare*float64(candidate.Engine.Slots))
-	return !want.Since.IsZero() && now.Sub(want.Since) >= foreignAfter && float64(candidate.InFlight) < places
+	return !known.own || float64(candidate.InFlight) < places
 }
 
-// choose returns the place of the best candidate, false if there is none.
-func choose(candidates []Candidate, known survey, want Want, now time.Time) (int, bool) {
-	best, bestCost := -1, 0.0
+// foreignOpen tells whether any engine of another model takes the work now.
+func foreignOpen(known survey, want Want, now time.Time) bool {
+	if want.OwnOnly {
+		return false
+	}
+	return !known.own || !want.Since.IsZero() && now.Sub(want.Since) >= foreignAfter
+}
+
+// choose returns the place of the best candidate and what speaks against it, false if there is none.
+func choose(candidates []Candidate, known survey, want Want, now time.Time) (best int, bestCost float64, ok bool) {
+	best = -1
 	for i, candidate := range candidates {
 		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
 			continue
@@ -131,16 +136,25 @@
 			continue
 		}
 		total := cost(candidate, want, known.typical) + delay.Seconds()
-		if best < 0 || total < bestCost || total == bestCost && candidate.Engine.ID < candidates[best].Engine.ID {
+		if best < 0 || better(candidate, total, candidates[best], bestCost) {
 			best, bestCost = i, total
 		}
 	}
-	return best, best >= 0
+	return best, bestCost, best >= 0
+}
+
+// better tells whether a candidate of a cost goes before another; equals go by their ids.
+func better(candidate Candidate, cost float64, other Candidate, otherCost float64) bool {
+	return cost < otherCost || cost == otherCost && candidate.Engine.ID < other.Engine.ID
 }
 
 func mayRun(candidate Candidate, want Want) bool {
-	engine := candidate.Engine
-	if engine.Pool != want.Pool || engine.Draining || candidate.Loading || slices.Contains(want.Exclude, engine.ID) {
+	return !candidate.Loading && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID)
+}
+
+// fits tells whether an engine is one for the work, by what it recorded of itself.
+func fits(engine Engine, want Want) bool {
+	if engine.Pool != want.Pool || engine.Draining {
 		return false
 	}
 	if want.Model == "" {
