Bound what first steps order and load

Cause: until a first step has ended nobody knows how long its longest item takes, and any number of engines was too few for it: a pool of 3,000 engines was brought to new versions whole, and the most that zones allow was ordered. Change: such a step asks for as many engines as give its items places within a second. An order of engines by zone is made in one pass. Conclusion: TestFirstStepsAskForNoEndlessNumber.

--- a/internal/policy/scale.go
+++ b/internal/policy/scale.go
@@ -15,6 +15,9 @@
 	keptShare = 0.1
 	// keptSlack is the part by which more engines than needed stay up to date before any is left behind.
 	keptSlack = 0.34
+	// unmeasuredStep is how long the items of a typical step may hold places while it is not known how long the longest of them takes:
+	// some have to wait no longer than that for their first place. It bounds what is loaded and ordered before the first step has ended.
+	unmeasuredStep = time.Second
 	// shrinkShare is the part of the engines that must be needless before any are given back: a step more or less changes what the
 	// last steps took by less.
 	shrinkShare = 0.25
@@ -57,6 +60,9 @@
 		endless[i] = 1 << 20
 	}
 	allowed := time.Duration((1 + share) * float64(TypicalStep(endless, slots, busy)))
+	if allowed == 0 {
+		allowed = unmeasuredStep
+	}
 	// More engines never make a step longer.
 	above := sort.Search(most-least, func(above int) bool {
 		return TypicalStep(Deal(least+above, slots, busy), slots, busy) <= allowed
--- a/internal/policy/scale_test.go
+++ b/internal/policy/scale_test.go
@@ -50,6 +50,17 @@
 	is.New(t).True(between > 20)
 }
 
+// TestFirstStepsAskForNoEndlessNumber checks that a step of which only the work is known, by its tokens, asks for as many engines as give its
+// items places within a second, and not for all there are.
+func TestFirstStepsAskForNoEndlessNumber(t *testing.T) {
+	is := is.New(t)
+	first := []policy.StepLoad{{Work: 240 * time.Second}, {Work: 120 * time.Second}}
+	wanted := policy.EnginesWanted(6, first, 2, 3000)
+	is.True(wanted >= 60 && wanted <= 80)
+	is.Equal(policy.EnginesKept(6, first, 3000, 0), wanted)
+	is.Equal(policy.EnginesWanted(6, first, 2, 35), 35)
+}
+
 func TestNothingToDoWantsNoFurtherEngines(t *testing.T) {
 	is := is.New(t)
 	is.Equal(policy.EnginesWanted(6, nil, 12, 72), 12)
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -79,22 +79,27 @@
 	return models
 }
 
-// sortedByZone orders engines so that neighbours lie in different zones where possible: by rank within the zone, then zone.
+// sortedByZone orders engines so that neighbours lie in different zones where possible: the first of each zone, then the second of each,
+// and so on, by their ids.
 func sortedByZone(engines []fleet.Engine) []fleet.Engine {
-	sorted := slices.Clone(engines)
-	slices.SortFunc(sorted, func(a, b fleet.Engine) int { return strings.Compare(a.ID, b.ID) })
-	rank := make(map[string]int, len(sorted))
-	seen := make(map[string]int)
-	for _, engine := range sorted {
-		rank[engine.ID] = seen[engine.Zone]
-		seen[engine.Zone]++
+	byID := func(a, b fleet.Engine) int { return strings.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(engines, byID) {
+		engines = slices.Clone(engines)
+		slices.SortFunc(engines, byID)
 	}
-	slices.SortStableFunc(sorted, func(a, b fleet.Engine) int {
-		if rank[a.ID] != rank[b.ID] {
-			return rank[a.ID] - rank[b.ID]
+	zones := make(map[string][]fleet.Engine)
+	for _, engine := range engines {
+		zones[engine.Zone] = append(zones[engine.Zone], engine)
+	}
+	names := slices.Sorted(maps.Keys(zones))
+	sorted := make([]fleet.Engine, 0, len(engines))
+	for rank := 0; len(sorted) < len(engines); rank++ {
+		for _, name := range names {
+			if rank < len(zones[name]) {
+				sorted = append(sorted, zones[name][rank])
+			}
 		}
-		return strings.Compare(a.Zone, b.Zone)
-	})
+	}
 	return sorted
 }
 
