Tell a step of which nothing was measured by its longest item

Change: a step is unmeasured if no model's longest item is known. Conclusion: TestFirstStepsAskForNoEndlessNumber passes.

--- a/internal/policy/scale.go
+++ b/internal/policy/scale.go
@@ -60,7 +60,7 @@
 		endless[i] = 1 << 20
 	}
 	allowed := time.Duration((1 + share) * float64(TypicalStep(endless, slots, busy)))
-	if allowed == 0 {
+	if !slices.ContainsFunc(busy, func(load StepLoad) bool { return load.Longest > 0 }) {
 		allowed = unmeasuredStep
 	}
 	// More engines never make a step longer.
