Let anyone ask for a job that was submitted without a key

Cause: calls on jobs asked for a key wherever the configuration holds tenants, also for jobs of public routes, whose senders have none. Change: a job of no tenant is shown to whoever names it.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -176,6 +176,13 @@
 	return Done
 }
 
+// Public tells whether a job was submitted without a key, as on a public route: anyone may ask for it. It is false for a job that is not
+// known here.
+func (s *Service) Public(id string) bool {
+	status, known := s.config.Index.Job(id)
+	return known && status.Entry.Tenant == ""
+}
+
 // End ends a job durably.
 func (s *Service) End(ctx context.Context, id string) Outcome {
 	ctx, cancel := s.patient(ctx)
