Keep the window of announced calls and a tenant's priority in one place each

Cause: orders of weights and duties each had the window after an announcement and the wait of a successor, and ingress and job runs each asked the catalog for a tenant's priority, as a reading of the diff showed. Change: fencing.SendWindow, fencing.TurnAfter and catalog.Holder.Priority; follow.NewestBelow has a name that tells it from newest. Nothing behaves otherwise.

--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -39,6 +39,15 @@
 	return h.current
 }
 
+// Priority ranks the work of a tenant on a route by the catalog in force, by the route alone before the first.
+func (h *Holder) Priority(route Route, tenantName string) int {
+	current := h.Current()
+	if current == nil {
+		return route.Priority
+	}
+	return current.Priority(route, tenantName)
+}
+
 // SetVersion records that a version of a model was named, and tells whether it is newer.
 func (h *Holder) SetVersion(model string, version int64) bool {
 	h.mutex.Lock()
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -24,11 +24,6 @@
 const (
 	// writerName names the line of epochs of holders in a partition.
 	writerName = "duty"
-	// sendWindow is how long after the sending of its announcement a call may be sent. A slow store takes a quarter of a second for an
-	// append; one that takes longer than half the window has the holder announce anew.
-	sendWindow = time.Second
-	// leaseSlack is added to the lease for the way of a call.
-	leaseSlack = 300 * time.Millisecond
 	// retryPause is the pause between reads of a partition that failed. The log bounds each read.
 	retryPause = 50 * time.Millisecond
 	// holderKey is the key of the record that names who announced last. No duty's own key is the same.
@@ -109,7 +104,7 @@
 	last := t.last()
 	t.allowed = opened
 	if last.Machine != "" && last.Machine != t.config.Machine {
-		t.allowed = opened.Add(sendWindow + t.config.Lease + leaseSlack)
+		t.allowed = opened.Add(fencing.TurnAfter(t.config.Lease))
 	}
 	t.config.Logger.Info("duty taken over", "duty", duty.Name(), "partition", t.partition, "token", t.Token(), "last_machine", last.Machine,
 		"last_token", last.Epoch, "wait", time.Until(t.allowed).Round(time.Millisecond))
@@ -139,7 +134,7 @@
 // recover reads the newest record of each key, all that lie below end among them. It returns false if the context ended.
 func (t *Tenure) recover(ctx context.Context, end int64) bool {
 	for {
-		err := follow.Newest(ctx, t.config.Log, t.partition, end, t)
+		err := follow.NewestBelow(ctx, t.config.Log, t.partition, end, t)
 		if err == nil {
 			return true
 		}
@@ -192,8 +187,8 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		if time.Since(began) < sendWindow/2 {
-			return began.Add(sendWindow), nil
+		if time.Since(began) < fencing.SendWindow/2 {
+			return began.Add(fencing.SendWindow), nil
 		}
 	}
 }
--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -54,6 +54,21 @@
 	firstSequences = 1 << 50
 )
 
+const (
+	// SendWindow is how long after the sending of its announcement a call may be sent that a party can't check: an order to an engine, a
+	// report. A slow store takes a quarter of a second for an append; one that takes longer than half the window has the owner announce
+	// anew.
+	SendWindow = time.Second
+	// leaseSlack is added to the lease for the way of a call.
+	leaseSlack = 300 * time.Millisecond
+)
+
+// TurnAfter is how long after the last announcement of another owner a successor may make calls itself, where calls of two owners must
+// lie a lease apart.
+func TurnAfter(lease time.Duration) time.Duration {
+	return SendWindow + lease + leaseSlack
+}
+
 // New returns a writer. Open must be its first call.
 func New(config Config) *Writer {
 	return &Writer{config: config, turn: make(chan struct{}, 1), superseded: make(chan struct{})}
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -32,8 +32,8 @@
 	return nil
 }
 
-// Newest applies the newest record of each key of a partition, once the store answers with all that lie below an offset.
-func Newest(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, below int64, applier Applier) error {
+// NewestBelow applies the newest record of each key of a partition, if the store answers with all that lie below an offset.
+func NewestBelow(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, below int64, applier Applier) error {
 	var records []keyedlog.Record
 	end, err := pages(ctx, log, partition, func(record keyedlog.Record) { records = append(records, record) })
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -186,7 +186,7 @@
 	receiver forward.StreamReceiver,
 ) forward.Answer {
 	request := i.request(route, call, received, budget)
-	request.Call.Priority = min(9, i.priority(route, call.Tenant))
+	request.Call.Priority = min(9, i.config.Catalog.Priority(route, call.Tenant))
 	answer := i.config.Forwarder.Stream(ctx, forward.StreamRequest{
 		Request: request, Model: model, Resumable: route.Resumable, Gap: gapAims * route.Aim,
 	}, &meteredReceiver{StreamReceiver: receiver, ran: func() { i.meter(call.Tenant, time.Now()) }})
@@ -214,14 +214,6 @@
 	return m.StreamReceiver.Event(event)
 }
 
-func (i *Ingress) priority(route catalog.Route, tenantName string) int {
-	current := i.config.Catalog.Current()
-	if current == nil {
-		return route.Priority
-	}
-	return current.Priority(route, tenantName)
-}
-
 func (i *Ingress) note(route catalog.Route, request forward.Request, answer forward.Answer, received time.Time) {
 	took := time.Since(received)
 	if i.config.OnRequest != nil {
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -228,7 +228,7 @@
 	e.lookedAt = time.Now()
 	call := engineapi.Call{
 		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
-		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, e.priority(route)),
+		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, e.runner.config.Catalog.Priority(route, e.view.Spec.Tenant)),
 		Tenant: e.view.Spec.Tenant,
 	}
 	if deadline, bounded := ctx.Deadline(); bounded {
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -17,15 +17,6 @@
 	return current.Match(e.view.Spec.Host, e.item.Path)
 }
 
-// priority ranks the item's runs at engines.
-func (e *execution) priority(route catalog.Route) int {
-	current := e.runner.config.Catalog.Current()
-	if current == nil {
-		return route.Priority
-	}
-	return current.Priority(route, e.view.Spec.Tenant)
-}
-
 func (e *execution) want(route catalog.Route) fleet.Want {
 	want := fleet.Want{
 		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
@@ -76,8 +77,8 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		if serving || took < sendWindow/2 {
-			return began.Add(sendWindow), nil
+		if serving || took < fencing.SendWindow/2 {
+			return began.Add(fencing.SendWindow), nil
 		}
 	}
 }
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -19,11 +19,6 @@
 const (
 	// writerName names the line of epochs of order givers in a partition.
 	writerName = "orders"
-	// sendWindow is how long after the sending of its announcement an order may still be sent. A slow store takes a
-	// quarter of a second for an append; one that takes longer than the window delays weights.
-	sendWindow = time.Second
-	// leaseSlack is added to the lease for the way of an order to its engine.
-	leaseSlack = 300 * time.Millisecond
 	// orderTimeout bounds the answer to an order, reportTimeout that to a report.
 	orderTimeout  = 700 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
@@ -257,7 +252,7 @@
 	if !ordered || last.Epoch == r.writer.Epoch() || last.Holder == r.config.Node {
 		return time.Time{}
 	}
-	return last.seenAt.Add(sendWindow + r.config.Lease + leaseSlack)
+	return last.seenAt.Add(fencing.TurnAfter(r.config.Lease))
 }
 
 // carryOut brings one engine to a version. under is how many loads of the pool are under way, this one included.
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
@@ -228,7 +229,7 @@
 				next.own(map[string]int64{"a": 1, "b": 2}[name])
 				time.Sleep(lease)
 				is.Equal(slices.Min(w.versions()) == 3, name == "a")
-				time.Sleep(sendWindow + leaseSlack + 2*loadTime)
+				time.Sleep(fencing.TurnAfter(0) + 2*loadTime)
 				is.Equal(slices.Min(w.versions()), int64(3))
 				judgeOrders(t, w.engines.Orders())
 				next.release()
@@ -383,7 +384,7 @@
 		is.Equal(outcome, engineapi.OrderRefused)
 		is.True(err != nil)
 		is.Equal(len(w.engines.Orders()), 0)
-		_, err = giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now().Add(sendWindow))
+		_, err = giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now().Add(fencing.SendWindow))
 		is.NoErr(err)
 		is.Equal(len(w.engines.Orders()), 1)
 		only.release()
