--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// samplesMost is how many samples of the clock count, one a second: a step that lasts less than half a minute changes nothing.
+// samplesMost is how many samples of the clock count, one a second at a process that counts and one a window at one that rests: a step that
+// lasts less than half a minute changes nothing.
 const samplesMost = 60
 
 // Clock tells the time of day by a steady clock, so that a machine whose time of day is stepped for some seconds counts on in the same
@@ -33,7 +34,7 @@
 	return c.origin.Round(0).Add(moment.Sub(c.origin) + c.drift)
 }
 
-// Sample compares the time of day with the steady clock. It is to be called about once a second.
+// Sample compares the time of day with the steady clock. It is to be called once a second at the most.
 func (c *Clock) Sample() {
 	now := time.Now()
 	c.take(now.Round(0).Sub(c.origin.Round(0)) - now.Sub(c.origin))
--- a/internal/usage/teller.go
+++ b/internal/usage/teller.go
@@ -82,7 +82,7 @@
 	sample := time.NewTicker(time.Second)
 	defer sample.Stop()
 	for ctx.Err() == nil {
-		// The clock is sampled between two looks, of which there are several in each window.
+		// The clock is sampled between two looks, of which there is at least one in each window.
 		select {
 		case <-sample.C:
 			counter.clock.Sample()
