Drop a count that nobody reads, and fold lines that had grown too long

Cause: a reading of the whole change. The tally of usage counted skipped records and told nobody (each is logged by whoever applies it); three comments and a log call ran past the width of the code around. Change: the count is gone, the lines are folded. Nothing behaves otherwise.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -92,8 +92,8 @@
 	StaleKeys
 )
 
-// Admit finds whose a request is by its key: nobody's where the configuration names no tenants, or on a public route. Keys are looked up for each request and not for each connection, so that one that is
-// taken away is of no use on connections that are open.
+// Admit finds whose a request is by its key: nobody's where the configuration names no tenants, or on a public route. Keys are looked up
+// for each request and not for each connection, so that one that is taken away is of no use on connections that are open.
 func (i *Ingress) Admit(requestID string, public bool, key string) (tenantName string, admission Admission) {
 	current := i.config.Catalog.Current()
 	if current == nil {
@@ -223,7 +223,8 @@
 	if answer.Reply != nil {
 		status = answer.Reply.Status
 	}
-	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool, "tenant", request.Call.Tenant,
+	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool,
+		"tenant", request.Call.Tenant,
 		"outcome", answer.Outcome, "status", status, "engine", answer.EngineID, "attempts", answer.Attempts,
 		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause,
 		"left", time.Until(request.Deadline).Round(time.Millisecond),
--- a/internal/usage/tally.go
+++ b/internal/usage/tally.go
@@ -17,7 +17,6 @@
 	mutex sync.Mutex
 	// windows maps windows to what each process has told of it, with where that lies.
 	windows map[int64]map[string]entry
-	skipped int
 }
 
 // entry is what a process has told of a window.
@@ -37,7 +36,6 @@
 	defer t.mutex.Unlock()
 	window, process, ok := parseKey(record.Key)
 	if !ok {
-		t.skipped++
 		return fmt.Errorf("usage: key of no record: %q", record.Key)
 	}
 	if record.Value == nil {
@@ -46,7 +44,6 @@
 	}
 	next := entry{partition: partition}
 	if _, err := next.UnmarshalMsg(record.Value); err != nil {
-		t.skipped++
 		return fmt.Errorf("usage: record %d: %w", record.Offset, err)
 	}
 	processes, ok := t.windows[window]
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -19,9 +19,9 @@
 // Assignment maps engines to the model that they are kept up to date for.
 type Assignment map[string]string
 
-// Assign gives the engines of a pool to its models, as many to each as shares says, and those that are left to none: a trained model needs engines of its
-// newest version, and a load takes an engine away from all others. An engine that is kept stays with its model whatever the
-// model's share. Any other keeps its model while that is within its share, and goes where engines are missing otherwise, there
+// Assign gives the engines of a pool to its models, as many to each as shares says, and those that are left to none: a trained model
+// needs engines of its newest version, and a load takes an engine away from all others. An engine that is kept stays with its model
+// whatever the model's share. Any other keeps its model while that is within its share, and goes where engines are missing otherwise, there
 // to the model whose newest version it is nearest to.
 func Assign(
 	engines []fleet.Engine, targets map[string]int64, previous Assignment, shares map[string]int, kept func(fleet.Engine, string) bool,
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -51,8 +51,8 @@
 	return assignment
 }
 
-// share returns how many engines each model is to have, all together no more than steps need. It changes when engines or models come or go, and when steps ask enough
-// else for the change to pay.
+// share returns how many engines each model is to have, all together no more than steps need. It changes when engines or models come or
+// go, and when steps ask enough else for the change to pay.
 func (r *roller) share(pool string, engines []fleet.Engine, targets map[string]int64) map[string]int {
 	models := trainedModels(targets)
 	if len(models) == 0 {
