Log under which content an answer broke off, and whether its engine has ended

Ruled out: a hash in each 'request settled' line, which would cost one of every request for the few that break off. Change: package quarantine, for now only its sight: after an answer that broke off it looks whether the engine's address refuses connections, and writes one line with the request's content (tenant, host, method, target, body), whatever its id.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
 // Outcome says what became of a request.
@@ -82,8 +83,10 @@
 type Config struct {
 	Client    engineapi.Client
 	Directory *fleet.Directory
-	Zone      string
-	Logger    *log.Logger
+	// Quarantine watches requests whose engines end, nil for none.
+	Quarantine *quarantine.Quarantine
+	Zone       string
+	Logger     *log.Logger
 }
 
 // Forwarder carries requests. It is safe for concurrent use.
@@ -368,6 +371,7 @@
 	started := time.Now()
 	reply, err := f.config.Client.Send(ctx, engine, call)
 	if err != nil {
+		f.watch(ctx, engine, call, err)
 		return attempt{engine: engine, err: err, sentAt: started, took: time.Since(started)}
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bodyMost+1))
@@ -381,9 +385,18 @@
 	if reply.NotRun {
 		err = nil
 	}
+	f.watch(ctx, engine, call, err)
 	return attempt{engine: engine, reply: reply, body: body, err: err, sentAt: started, took: time.Since(started)}
 }
 
+// watch has the quarantine look at an engine whose answer broke off.
+func (f *Forwarder) watch(ctx context.Context, engine fleet.Engine, call engineapi.Call, err error) {
+	if err == nil || ctx.Err() != nil || errors.Is(err, engineapi.ErrNotSent) {
+		return
+	}
+	f.config.Quarantine.Broke(ctx, call, engine, err)
+}
+
 // Causes of requests that no attempt gave one for.
 const (
 	causeNoEngine = "no engine of the pool takes work"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -118,7 +118,11 @@
 	if s.request.Resumable && s.request.Gap > 0 {
 		limits.Gap = s.request.Gap
 	}
-	return eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
+	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
+	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
+		s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err)
+	}
+	return result
 }
 
 // Head begins the answer with the head of the first engine.
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -226,17 +226,23 @@
 	e.current = 0
 	e.lastEvent = time.Time{}
 	e.lookedAt = time.Now()
-	call := engineapi.Call{
-		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
-		Body: e.item.Body, RequestID: e.item.ID, ResumeAfter: int64(len(e.events)), Priority: min(9, e.runner.config.Catalog.Priority(route, e.view.Spec.Tenant)),
-		Tenant: e.view.Spec.Tenant,
-	}
+	call := e.call()
+	call.ResumeAfter = int64(len(e.events))
+	call.Priority = min(9, e.runner.config.Catalog.Priority(route, e.view.Spec.Tenant))
 	if deadline, bounded := ctx.Deadline(); bounded {
 		call.Remaining = time.Until(deadline)
 	}
 	return eventrun.Run(ctx, e.runner.config.Client, engine, call, e.silence(engine, route), e)
 }
 
+// call returns what every run of the item sends.
+func (e *execution) call() engineapi.Call {
+	return engineapi.Call{
+		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
+		Body: e.item.Body, RequestID: e.item.ID, Tenant: e.view.Spec.Tenant,
+	}
+}
+
 // silence bounds how long the engine may say nothing.
 func (e *execution) silence(engine fleet.Engine, route catalog.Route) eventrun.Limits {
 	gap := gapMost
@@ -371,6 +377,7 @@
 		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
 			directory.Failed(e.engine.ID)
 		}
+		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err)
 	}
 	return false, false
 }
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
 // Limits bounds records and appends, in bytes.
@@ -45,8 +46,10 @@
 	Queue         *Queue
 	Client        engineapi.Client
 	Forwarder     *forward.Forwarder
-	Zone          string
-	Limits        Limits
+	// Quarantine watches items whose engines end, nil for none.
+	Quarantine *quarantine.Quarantine
+	Zone       string
+	Limits     Limits
 	// Retention is how long a job is kept after it was submitted.
 	Retention time.Duration
 	Measures  *Measures
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,7 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/quarantine"
 	"github.com/hillfork/hillfork/internal/scaler"
 	"github.com/hillfork/hillfork/internal/storepace"
 	"github.com/hillfork/hillfork/internal/storetimeout"
@@ -41,7 +42,9 @@
 	Settings Settings
 	Log      keyedlog.Log
 	Client   engineapi.Client
-	Decoder  RecordDecoder
+	// Prober looks whether engines have ended.
+	Prober  quarantine.Prober
+	Decoder RecordDecoder
 	// Usage takes reports of usage, nil if there is nobody to report to.
 	Usage usage.Receiver
 	// Engines takes orders of engines, nil if none can be ordered.
@@ -80,8 +83,9 @@
 		metrics: newMetrics(),
 	}
 	splitter := catalog.NewSplitter(rand.Float64)
+	quarantined := quarantine.New(quarantine.Config{Prober: config.Prober, Directory: r.directory, Logger: config.Logger})
 	forwarder := forward.New(forward.Config{
-		Client: config.Client, Directory: r.directory, Zone: config.Settings.Zone, Logger: config.Logger,
+		Client: config.Client, Directory: r.directory, Quarantine: quarantined, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
 		decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
@@ -110,7 +114,7 @@
 	runners := jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
-		Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
+		Quarantine: quarantined, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
 		Retention: config.Settings.Retention, Measures: r.metrics.measures(), Logger: config.Logger,
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
