Withhold requests under which engines end, at all machines

Ruled out: counting by request id (new with each attempt); a memory in each process (ten nodes cost twenty engines, and forget at a restart); withholding for good (what was in flight beside two crashes by chance would stay refused). Change: package quarantine. An answer that breaks off has its engine looked at; one that refuses connections and was not to leave has ended under the request's content. Ends are records of a partition that every replica follows. Two ends withhold a request, three an item; what is withheld is refused at once as not run, with the time to come back. A trial after 10 s and one after 10 min, each made by the one machine whose claim stands first in the log, clear what met its ends by chance; so does an answer. A suspect is not hedged. Tests: internal/quarantine (60 random plays of three machines, restarts, outages), forward, jobrun, policy.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
@@ -32,9 +33,11 @@
 	TimedOut
 	// Abandoned says that the caller has gone.
 	Abandoned
+	// Withheld says that the request was sent to no engine, since engines have ended under its like.
+	Withheld
 )
 
-var outcomeNames = [...]string{"answered", "not_run", "lost", "timed_out", "abandoned"}
+var outcomeNames = [...]string{"answered", "not_run", "lost", "timed_out", "abandoned", "withheld"}
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
@@ -120,7 +123,14 @@
 	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	f.hedges.earn()
-	run := &exchange{forwarder: f, request: request, started: time.Now(), results: make(chan attempt, refusalsMost+request.MaxAttempts)}
+	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, policy.RequestStrikes)
+	if standing == quarantine.Withheld {
+		return withheld(wait)
+	}
+	run := &exchange{
+		forwarder: f, request: request, started: time.Now(), standing: standing,
+		results: make(chan attempt, refusalsMost+request.MaxAttempts),
+	}
 	answer := run.conduct(runCtx)
 	if ctx.Err() != nil && answer.Outcome != Answered {
 		answer.Outcome = Abandoned
@@ -137,6 +147,8 @@
 	// sentAt is when the attempt began, took how long it lasted.
 	sentAt time.Time
 	took   time.Duration
+	// standing is how the request stands after it.
+	standing quarantine.Standing
 }
 
 // exchange is one request under way. Only the goroutine of conduct touches its fields; results come by the channel.
@@ -151,6 +163,8 @@
 	sent     int
 	refusals int
 	failures int
+	// standing says whether engines have ended under the request.
+	standing quarantine.Standing
 	// mayHaveRun says that some attempt is not proven not to have run.
 	mayHaveRun  bool
 	lastFailure *attempt
@@ -196,7 +210,7 @@
 
 // mayStart tells whether the request may be sent to another engine.
 func (e *exchange) mayStart() bool {
-	if e.refusals >= refusalsMost || e.sent >= e.request.MaxAttempts {
+	if e.refusals >= refusalsMost || e.sent >= e.request.MaxAttempts || e.standing == quarantine.Withheld {
 		return false
 	}
 	return !e.mayHaveRun || e.request.MayRepeat
@@ -245,7 +259,7 @@
 
 // hedgeDelay is how long to wait for the running attempts before another engine is tried as well.
 func (e *exchange) hedgeDelay() time.Duration {
-	if !e.request.MayRepeat || !e.mayStart() || e.sent >= e.request.MaxAttempts || e.running > 1 {
+	if !e.request.MayRepeat || !e.mayStart() || e.running > 1 || e.standing != quarantine.Clear {
 		return time.Until(e.request.Deadline) + time.Second
 	}
 	usual := e.forwarder.config.Directory.SmoothedLatency(e.request.Pool)
@@ -256,6 +270,7 @@
 func (e *exchange) take(result attempt) (Answer, bool) {
 	directory := e.forwarder.config.Directory
 	e.cause = result.cause()
+	e.standing = max(e.standing, result.standing)
 	switch {
 	case errors.Is(result.err, engineapi.ErrNotSent):
 		directory.Failed(result.engine.ID)
@@ -274,14 +289,28 @@
 		e.mayHaveRun = true
 		e.lastFailure = &result
 		e.ran(result.sentAt)
+		e.cleared(&result)
 	default:
 		e.ran(result.sentAt)
 		directory.Succeeded(result.engine.ID, result.took)
+		e.cleared(&result)
 		return e.answered(&result), true
 	}
 	return Answer{}, false
 }
 
+// cleared takes that an engine outlived the request, if its signature says so.
+func (e *exchange) cleared(result *attempt) {
+	if result.reply.Stamp != "" {
+		e.forwarder.config.Quarantine.Answered(e.request.Call)
+	}
+}
+
+// withheld is the answer to a request that is sent to no engine.
+func withheld(wait time.Duration) Answer {
+	return Answer{Outcome: Withheld, RetryAfter: wait, Cause: causeWithheld}
+}
+
 // cause says what the attempt failed of, empty if it did not.
 func (a *attempt) cause() string {
 	switch {
@@ -371,8 +400,8 @@
 	started := time.Now()
 	reply, err := f.config.Client.Send(ctx, engine, call)
 	if err != nil {
-		f.watch(ctx, engine, call, err)
-		return attempt{engine: engine, err: err, sentAt: started, took: time.Since(started)}
+		took := time.Since(started)
+		return attempt{engine: engine, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err)}
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bodyMost+1))
 	closeErr := reply.Body.Close()
@@ -385,22 +414,25 @@
 	if reply.NotRun {
 		err = nil
 	}
-	f.watch(ctx, engine, call, err)
-	return attempt{engine: engine, reply: reply, body: body, err: err, sentAt: started, took: time.Since(started)}
+	took := time.Since(started)
+	return attempt{
+		engine: engine, reply: reply, body: body, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err),
+	}
 }
 
-// watch has the quarantine look at an engine whose answer broke off.
-func (f *Forwarder) watch(ctx context.Context, engine fleet.Engine, call engineapi.Call, err error) {
+// broke has the quarantine look at an engine whose answer broke off, and returns how the request stands then.
+func (f *Forwarder) broke(ctx context.Context, engine fleet.Engine, call engineapi.Call, err error) quarantine.Standing {
 	if err == nil || ctx.Err() != nil || errors.Is(err, engineapi.ErrNotSent) {
-		return
+		return quarantine.Clear
 	}
-	f.config.Quarantine.Broke(ctx, call, engine, err)
+	return f.config.Quarantine.Broke(ctx, call, engine, err, policy.RequestStrikes)
 }
 
 // Causes of requests that no attempt gave one for.
 const (
 	causeNoEngine = "no engine of the pool takes work"
 	causeSilent   = "the engine had not answered"
+	causeWithheld = "engines ended under the same request"
 )
 
 // errBodyTooLarge says that an answer is larger than one may be.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,6 +7,8 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/eventrun"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
 // StreamRequest is a request whose answer is passed on event by event.
@@ -31,6 +33,10 @@
 func (f *Forwarder) Stream(ctx context.Context, request StreamRequest, receiver StreamReceiver) Answer {
 	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, policy.RequestStrikes)
+	if standing == quarantine.Withheld {
+		return withheld(wait)
+	}
 	run := &streamExchange{forwarder: f, request: request, receiver: receiver, last: request.Call.ResumeAfter, started: time.Now()}
 	answer := run.conduct(runCtx)
 	if ctx.Err() != nil && answer.Outcome != Answered {
@@ -48,7 +54,9 @@
 	sent       int
 	refusals   int
 	mayHaveRun bool
-	begun      bool
+	// withheld says that too many engines have ended under the request.
+	withheld bool
+	begun    bool
 	// last is the number of the last event passed on.
 	last   int64
 	status int
@@ -78,7 +86,7 @@
 }
 
 func (s *streamExchange) mayStart() bool {
-	if s.sent >= s.request.MaxAttempts || s.refusals >= refusalsMost {
+	if s.sent >= s.request.MaxAttempts || s.refusals >= refusalsMost || s.withheld {
 		return false
 	}
 	return !s.mayHaveRun || s.request.Resumable
@@ -120,7 +128,8 @@
 	}
 	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
 	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
-		s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err)
+		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, policy.RequestStrikes)
+		s.withheld = standing == quarantine.Withheld
 	}
 	return result
 }
@@ -155,6 +164,7 @@
 	switch result.Ending {
 	case eventrun.EndedWhole:
 		directory.Succeeded(engine.ID, 0)
+		s.forwarder.config.Quarantine.Answered(s.request.Call)
 		return s.answer(Answered, engine), true
 	case eventrun.EndedNotRun:
 		s.sent--
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -16,6 +16,8 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
 const (
@@ -38,6 +40,8 @@
 	// scoreTimeout bounds one call to a scorer with its attempts.
 	scoreTimeout = 6 * time.Second
 	scorePause   = 50 * time.Millisecond
+	// withheldLook is how often an item that is withheld for engines that ended under it looks whether it still is.
+	withheldLook = time.Second
 	// estimateSlack is added to ages that rest on the time of day of another process.
 	estimateSlack = 4 * time.Second
 	// giveUpSlack is added to the time at which an item may be given up.
@@ -202,6 +206,12 @@
 			cancel()
 			continue
 		}
+		if e.withheld(runCtx) {
+			cancel()
+			place.Release()
+			pause.For(ctx, withheldLook)
+			continue
+		}
 		engine := place.Engine
 		before := len(e.events)
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
@@ -221,6 +231,13 @@
 	return false
 }
 
+// withheld tells whether the item is to go to no engine now, since engines have ended under it. It is asked once a place is there, so
+// that a trial that is given is made.
+func (e *execution) withheld(ctx context.Context) bool {
+	standing, _ := e.runner.config.Quarantine.Admit(ctx, e.call(), policy.ItemStrikes)
+	return standing == quarantine.Withheld
+}
+
 func (e *execution) runOn(ctx context.Context, engine fleet.Engine, route catalog.Route) eventrun.Result {
 	e.engine = engine
 	e.current = 0
@@ -364,6 +381,7 @@
 	switch result.Ending {
 	case eventrun.EndedWhole:
 		directory.Succeeded(e.engine.ID, 0)
+		e.runner.config.Quarantine.Answered(e.call())
 		e.runner.learnLength(e.item.LengthHint, len(e.events))
 		return true, true
 	case eventrun.EndedNotRun:
@@ -377,7 +395,7 @@
 		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
 			directory.Failed(e.engine.ID)
 		}
-		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err)
+		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err, policy.ItemStrikes)
 	}
 	return false, false
 }
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -32,6 +32,10 @@
 				"failures", answer.Failures)
 			return "", false
 		}
+		if answer.Outcome == forward.Withheld {
+			pause.For(ctx, answer.RetryAfter)
+			continue
+		}
 		pause.For(ctx, scorePause)
 	}
 	return "", false
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/jobrun"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/quarantine"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/hillfork/hillfork/internal/storetimeout"
@@ -129,11 +130,15 @@
 	}, nil, catalog.Limits{}))
 	queue := jobrun.NewQueue(n.directory)
 	w.running.Go(func() { queue.Run(w.ctx) })
+	held := quarantine.New(quarantine.Config{Log: n.log, Prober: w.engines, Directory: n.directory, Machine: name, Logger: logger})
+	held.Attach(follower(keyedlog.Crashes, held))
+	w.running.Go(func() { held.Run(w.ctx) })
 	n.holder = jobrun.NewHolder(jobrun.Config{
 		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: routes, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
 		Directory: n.directory, Queue: queue, Client: w.engines,
-		Forwarder: forward.New(forward.Config{Client: w.engines, Directory: n.directory, Logger: logger}),
-		Limits:    jobrun.Limits{RecordBytes: 1 << 18, CallBytes: 1 << 21}, Retention: time.Minute, Logger: logger,
+		Forwarder:  forward.New(forward.Config{Client: w.engines, Directory: n.directory, Quarantine: held, Logger: logger}),
+		Quarantine: held,
+		Limits:     jobrun.Limits{RecordBytes: 1 << 18, CallBytes: 1 << 21}, Retention: time.Minute, Logger: logger,
 	})
 	return n
 }
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -30,6 +30,8 @@
 	TopicDuties Topic = "duties"
 	// TopicUsage holds what each process has counted of tenants' requests.
 	TopicUsage Topic = "usage"
+	// TopicCrashes holds which engines ended under which requests. One partition, which every process follows.
+	TopicCrashes Topic = "crashes"
 )
 
 // Errors of a log. Any other error of a call with an effect leaves open whether the effect took place or will.
@@ -114,6 +116,9 @@
 // JobIndex is the only partition of the index of jobs.
 var JobIndex = Partition{Topic: TopicJobIndex}
 
+// Crashes is the only partition of the engines that ended under requests.
+var Crashes = Partition{Topic: TopicCrashes}
+
 // Partition names one partition of a topic.
 type Partition struct {
 	Topic  Topic
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -64,6 +64,13 @@
 	return func(took time.Duration) { histogram.Observe(took.Seconds()) }
 }
 
+// quarantine has told how many contents are remembered.
+func (m *metrics) quarantine(contents func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "quarantine_contents", Help: "Contents of requests under which engines ended.",
+	}, func() float64 { return float64(contents()) }))
+}
+
 // Metrics serves the replica's counters and histograms.
 func (r *Replica) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -201,7 +201,7 @@
 // a replica must be in step again within seconds of its end.
 var waits = map[keyedlog.Topic]time.Duration{
 	keyedlog.TopicOperator: time.Second, keyedlog.TopicEngines: time.Second, keyedlog.TopicJobIndex: time.Second,
-	keyedlog.TopicWeights: 2 * time.Second,
+	keyedlog.TopicWeights: 2 * time.Second, keyedlog.TopicCrashes: 2 * time.Second,
 }
 
 // spacings is the least time between two reads that brought records. Every engine writes about once a second, and nobody needs
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -64,6 +64,8 @@
 	ingress   *ingress.Ingress
 	jobs      *jobs.Service
 	queue     *jobrun.Queue
+	// quarantine withholds requests that crash engines.
+	quarantine *quarantine.Quarantine
 	// followers run for good; weights, by partition, run once a pool of models has its orders there.
 	followers []*follow.Follower
 	weights   []*follow.Follower
@@ -83,9 +85,9 @@
 		metrics: newMetrics(),
 	}
 	splitter := catalog.NewSplitter(rand.Float64)
-	quarantined := quarantine.New(quarantine.Config{Prober: config.Prober, Directory: r.directory, Logger: config.Logger})
+	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
-		Client: config.Client, Directory: r.directory, Quarantine: quarantined, Zone: config.Settings.Zone, Logger: config.Logger,
+		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
 		decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
@@ -102,7 +104,7 @@
 	engines := &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
 	engineFollower := r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, engines)
 	engines.returned = engineFollower.Returned
-	r.followers = append(r.followers, indexFollower, engineFollower, operator)
+	r.followers = append(r.followers, indexFollower, engineFollower, operator, crashFollower)
 	for number := range config.Log.Partitions(keyedlog.TopicWeights) {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number}
 		r.weights = append(r.weights, r.follow(partition, &weightApplier{board: board, logger: config.Logger}))
@@ -114,7 +116,7 @@
 	runners := jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
-		Quarantine: quarantined, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
+		Quarantine: r.quarantine, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
 		Retention: config.Settings.Retention, Measures: r.metrics.measures(), Logger: config.Logger,
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
@@ -135,6 +137,18 @@
 	return r
 }
 
+// quarantineCrashes has requests withheld that crash engines, and returns the follower of what all machines tell of that.
+func (r *Replica) quarantineCrashes() *follow.Follower {
+	r.quarantine = quarantine.New(quarantine.Config{
+		Log: r.config.Log, Prober: r.config.Prober, Directory: r.directory, Machine: holderName(r.config.Settings),
+		Logger: r.config.Logger,
+	})
+	r.metrics.quarantine(r.quarantine.Contents)
+	follower := r.follow(keyedlog.Crashes, r.quarantine)
+	r.quarantine.Attach(follower)
+	return follower
+}
+
 // countUsage has the requests of tenants counted and told, if somebody takes reports of them, and returns the duty of reporting.
 func (r *Replica) countUsage() ([]duty.Duty, ingress.Meter) {
 	if r.config.Usage == nil {
@@ -322,6 +336,7 @@
 	}
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
+	running.Go(func() { r.quarantine.Run(followCtx) })
 	if r.teller != nil {
 		running.Go(func() { r.teller.Run(followCtx) })
 	}
--- a/internal/standin/memoryengine/memoryengine.go
+++ b/internal/standin/memoryengine/memoryengine.go
@@ -65,6 +65,9 @@
 	LateOrders time.Duration
 	// Foreign answers with another request's id.
 	Foreign bool
+	// Crashes tells which calls crash the engine: its process ends once it has worked on one for Work or Pace, whichever the answer
+	// takes, and refuses connections from then on. Nil for none.
+	Crashes func(call engineapi.Call) bool
 }
 
 type engine struct {
@@ -211,6 +214,12 @@
 		_ = body.Close()
 		return nil, err
 	}
+	if behaviour.Crashes != nil && behaviour.Crashes(call) {
+		_ = body.wait(behaviour.Pace)
+		e.Behave(target.ID, Behaviour{Down: true})
+		_ = body.Close()
+		return nil, errReset
+	}
 	if behaviour.Failing {
 		reply.Status = http.StatusInternalServerError
 	}
@@ -329,6 +338,14 @@
 	return nil
 }
 
+// Ended tells whether an engine refuses connections.
+func (e *Engines) Ended(_ context.Context, target fleet.Engine) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	found, ok := e.engines[target.ID]
+	return !ok || found.behaviour.Down
+}
+
 // Events reads the events of an answer.
 func (e *Engines) Events(content io.Reader) engineapi.EventReader {
 	return events{json.NewDecoder(content)}
