Count time in suspension where something old must not be acted on

Cause: a suspended machine's steady clock stands still, so that the window of an announcement (orders of engines' weights, reports, orders of engines), the age of a confirmed configuration (keys that were taken away) and windows of usage went on where they had stopped. Ruled out: the time of day, which is stepped; a watcher that looks for gaps, which a call may overtake after the wake. Change: package uptime tells the time in suspension (CLOCK_BOOTTIME less CLOCK_MONOTONIC); fencing.Window, follow.Confirmed and usage.Clock count it. TestAnOrderIsNotSentAfterItsWindow and the duty tests take windows in place of moments, and check the same. Conclusion: held by TestWindow and TestTheClockCountsSuspension; orders sent to the platform by a machine that wakes within a call are not covered beyond that call's own bound.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -170,25 +170,25 @@
 	return t.records[key]
 }
 
-// Announce keeps a record under a key for good, so that any successor knows of it, and returns until when the calls that it announces may
+// Announce keeps a record under a key for good, so that any successor knows of it, and returns in which window the calls that it announces may
 // be sent. It waits until this holder may act. The window is counted from before the write, so that a successor, whose write comes
 // later, counts a longer one. An error is the end of the tenure.
-func (t *Tenure) Announce(ctx context.Context, key string, value []byte) (until time.Time, err error) {
+func (t *Tenure) Announce(ctx context.Context, key string, value []byte) (window fencing.Window, err error) {
 	if wait := time.Until(t.allowed); wait > 0 && !pause.For(ctx, wait) {
-		return time.Time{}, ctx.Err()
+		return fencing.Window{}, ctx.Err()
 	}
 	holder, err := (&announcement{Machine: t.config.Machine, Epoch: t.Token()}).MarshalMsg(nil)
 	if err != nil {
-		return time.Time{}, err
+		return fencing.Window{}, err
 	}
 	for {
-		began := time.Now()
+		window = fencing.BeginWindow()
 		_, err := t.writer.Append(ctx, []keyedlog.Record{{Key: holderKey, Value: holder}, {Key: key, Value: value}})
 		if err != nil {
-			return time.Time{}, err
+			return fencing.Window{}, err
 		}
-		if time.Since(began) < fencing.SendWindow/2 {
-			return began.Add(fencing.SendWindow), nil
+		if window.Age() < fencing.SendWindow/2 {
+			return window, nil
 		}
 	}
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -112,20 +112,20 @@
 
 func (c *caller) Perform(ctx context.Context, tenure *duty.Tenure) {
 	for number := 0; ; number++ {
-		until, err := tenure.Announce(ctx, "key", []byte(strconv.Itoa(number)))
+		window, err := tenure.Announce(ctx, "key", []byte(strconv.Itoa(number)))
 		if err != nil {
 			return
 		}
 		longest := 700 * time.Millisecond
 		if c.sendsLate {
-			until = until.Add(time.Minute)
+			window = window.From(time.Now().Add(time.Minute))
 			longest = 2 * lease
 		}
 		for range 3 {
 			if !pause.For(ctx, time.Duration(c.random.Int63n(int64(longest)))) {
 				return
 			}
-			if time.Now().Before(until) {
+			if !window.Over() {
 				c.party.take(c.machine, tenure.Token())
 			}
 		}
@@ -294,8 +294,8 @@
 
 func (a *announcer) Perform(ctx context.Context, tenure *duty.Tenure) {
 	a.began = time.Now()
-	if until, err := tenure.Announce(ctx, "key", nil); err == nil {
-		a.until <- until
+	if window, err := tenure.Announce(ctx, "key", nil); err == nil {
+		a.until <- window.Until()
 	}
 	<-ctx.Done()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,6 +15,7 @@
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/uptime"
 )
 
 const (
@@ -31,6 +32,9 @@
 	Advanced(end int64)
 }
 
+// suspended tells how long the machine has been suspended.
+var suspended = uptime.Suspended
+
 // errStale says that the store answered with records older than those read already.
 var errStale = errors.New("store answered with older records than before")
 
@@ -71,6 +75,8 @@
 	end       int64
 	caughtUp  bool
 	confirmed time.Time
+	// suspended is how long the machine had been suspended then.
+	suspended time.Duration
 	connected bool
 	// heard says that a call was answered or failed before; returned is when the store answered again after it had not.
 	heard    bool
@@ -216,7 +222,7 @@
 	f.end = end
 	if caughtUp {
 		f.caughtUp = true
-		f.confirmed = time.Now()
+		f.confirmed, f.suspended = time.Now(), suspended()
 	}
 	f.advanced.Notify()
 }
@@ -286,11 +292,15 @@
 	return f.caughtUp
 }
 
-// Confirmed returns when the store last said that nothing further was there.
+// Confirmed returns when the store last said that nothing further was there. By the steady clock it is as long ago as it was in truth,
+// time in suspension included.
 func (f *Follower) Confirmed() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.confirmed
+	if f.confirmed.IsZero() {
+		return f.confirmed
+	}
+	return f.confirmed.Add(-uptime.Between(f.suspended, suspended()))
 }
 
 // WaitFor waits until all records below end have been applied, and everything that was there at some moment.
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -249,11 +249,11 @@
 		errorlog.Error(t.config.Logger, "record of ordered engines does not encode", err)
 		return false
 	}
-	until, err := t.tenure.Announce(ctx, ordersKey, value)
+	window, err := t.tenure.Announce(ctx, ordersKey, value)
 	if err != nil {
 		return false
 	}
-	windowCtx, cancel := context.WithDeadline(ctx, until)
+	windowCtx, cancel := window.Context(ctx)
 	defer cancel()
 	for _, order := range due {
 		about := subject{order.Pool, order.Zone}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/duty"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
@@ -170,11 +171,11 @@
 		return false
 	}
 	for {
-		until, err := tenure.Announce(ctx, reportKey, value)
+		window, err := tenure.Announce(ctx, reportKey, value)
 		if err != nil {
 			return false
 		}
-		if r.sendUntil(ctx, tenure, due, until) {
+		if r.sendWithin(ctx, tenure, due, window) {
 			return true
 		}
 		if ctx.Err() != nil {
@@ -183,9 +184,9 @@
 	}
 }
 
-// sendUntil sends a report until it is taken, and not after a moment.
-func (r *Reporter) sendUntil(ctx context.Context, tenure *duty.Tenure, due report, until time.Time) bool {
-	windowCtx, cancel := context.WithDeadline(ctx, until)
+// sendWithin sends a report until it is taken, and not after a window.
+func (r *Reporter) sendWithin(ctx context.Context, tenure *duty.Tenure, due report, window fencing.Window) bool {
+	windowCtx, cancel := window.Context(ctx)
 	defer cancel()
 	for windowCtx.Err() == nil {
 		callCtx, cancelCall := context.WithTimeout(windowCtx, sendTimeout)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -468,3 +468,16 @@
 	is.Equal(len(tally.Forget(2)[partition]), 1)
 	is.Equal(len(tally.Sum(1)), 0)
 }
+
+// TestTheClockCountsSuspension checks that a machine that was suspended counts in the right windows at once.
+func TestTheClockCountsSuspension(t *testing.T) {
+	defer func(before func() time.Duration) { suspended = before }(suspended)
+	var asleep time.Duration
+	suspended = func() time.Duration { return asleep }
+	is := is.New(t)
+	clock := NewClock()
+	now := time.Now()
+	before := clock.At(now)
+	asleep = 7 * time.Second
+	is.Equal(clock.At(now).Sub(before), 7*time.Second)
+}
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -32,12 +32,12 @@
 		sequence = report.Sequence
 		r.setSequence(step.Engine.ID, sequence)
 	}
-	until, err := r.announce(ctx, pool, step, false)
+	window, err := r.announce(ctx, pool, step, false)
 	if err != nil {
 		return 0, err
 	}
 	sent := time.Now()
-	outcome, err := r.send(ctx, step, mode, sequence, until)
+	outcome, err := r.send(ctx, step, mode, sequence, window)
 	switch outcome {
 	case engineapi.OrderTaken:
 		r.setSequence(step.Engine.ID, sequence+1)
@@ -61,36 +61,36 @@
 	return time.Since(sent), nil
 }
 
-// announce writes that an order is about to be sent, and returns until when it may be. The window is counted from before the
+// announce writes that an order is about to be sent, and returns in which window it may be. The window is counted from before the
 // write, so that a successor, which sees the record later, counts a longer one.
-func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (time.Time, error) {
+func (r *roller) announce(ctx context.Context, pool string, step Step, serving bool) (fencing.Window, error) {
 	record := Announcement{
 		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(),
 		Holder: r.config.Node, Serving: serving, Together: r.togetherOf(pool),
 	}
 	value, err := record.MarshalMsg(nil)
 	if err != nil {
-		return time.Time{}, err
+		return fencing.Window{}, err
 	}
 	for {
+		window := fencing.BeginWindow()
 		began, took, err := r.announcer.announce(ctx, keyedlog.Record{Key: step.Engine.ID, Value: value})
 		if err != nil {
-			return time.Time{}, err
+			return fencing.Window{}, err
 		}
 		if serving || took < fencing.SendWindow/2 {
-			return began.Add(fencing.SendWindow), nil
+			return window.From(began), nil
 		}
 	}
 }
 
-// send sends an order, unless the window of its announcement is over: a process that was paused sends nothing.
+// send sends an order, unless the window of its announcement is over: a process that was paused or suspended sends nothing.
 func (r *roller) send(
-	ctx context.Context, step Step, mode engineapi.LoadMode, sequence int64, until time.Time,
+	ctx context.Context, step Step, mode engineapi.LoadMode, sequence int64, window fencing.Window,
 ) (engineapi.OrderOutcome, error) {
-	if deadline := time.Now().Add(orderTimeout); deadline.Before(until) {
-		until = deadline
-	}
-	callCtx, cancel := context.WithDeadline(ctx, until)
+	windowCtx, cancelWindow := window.Context(ctx)
+	defer cancelWindow()
+	callCtx, cancel := context.WithTimeout(windowCtx, orderTimeout)
 	defer cancel()
 	if callCtx.Err() != nil {
 		return engineapi.OrderRefused, callCtx.Err()
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -380,11 +380,11 @@
 		time.Sleep(time.Second)
 		step := Step{Engine: w.pool[0], Model: model, Version: 2}
 		giver := only.work.(*roller)
-		outcome, err := giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now())
+		outcome, err := giver.send(t.Context(), step, engineapi.LoadKeeps, 0, fencing.BeginWindow().From(time.Now().Add(-fencing.SendWindow)))
 		is.Equal(outcome, engineapi.OrderRefused)
 		is.True(err != nil)
 		is.Equal(len(w.engines.Orders()), 0)
-		_, err = giver.send(t.Context(), step, engineapi.LoadKeeps, 0, time.Now().Add(fencing.SendWindow))
+		_, err = giver.send(t.Context(), step, engineapi.LoadKeeps, 0, fencing.BeginWindow())
 		is.NoErr(err)
 		is.Equal(len(w.engines.Orders()), 1)
 		only.release()
