Take one end more to withhold the calls that score items

Cause: some three to six scorers' calls of 80 ms are in flight at an application engine when a request crashes it; those that are repeated on the engine where that request is repeated too meet both ends, and were withheld for 10 s beside it, longer than a step has. Ruled out: a shorter wait for the first trial, which would take the last engine of a small pool before the others are back. Change: forward.Request has Strikes; scorers' calls take three as items do. TestStrikesOfARequest.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,6 +58,15 @@
 	MaxAttempts int
 	// MayRepeat says that the request may run more than once.
 	MayRepeat bool
+	// Strikes is how many engines may end under requests of this content before they are withheld, 0 for the usual number.
+	Strikes int
+}
+
+func (r Request) strikes() int {
+	if r.Strikes == 0 {
+		return policy.RequestStrikes
+	}
+	return r.Strikes
 }
 
 // Answer is the outcome of a request.
@@ -123,7 +132,7 @@
 	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	f.hedges.earn()
-	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, policy.RequestStrikes)
+	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
 		return withheld(wait)
 	}
@@ -235,7 +244,7 @@
 	call.Remaining = time.Until(e.request.Deadline)
 	go func() {
 		defer e.forwarder.config.Directory.Release(engine.ID)
-		e.results <- e.forwarder.send(ctx, engine, call)
+		e.results <- e.forwarder.send(ctx, engine, call, e.request.strikes())
 	}()
 	return true
 }
@@ -396,12 +405,12 @@
 }
 
 // send makes one attempt and reads the whole answer.
-func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call) attempt {
+func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, strikes int) attempt {
 	started := time.Now()
 	reply, err := f.config.Client.Send(ctx, engine, call)
 	if err != nil {
 		took := time.Since(started)
-		return attempt{engine: engine, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err)}
+		return attempt{engine: engine, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err, strikes)}
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bodyMost+1))
 	closeErr := reply.Body.Close()
@@ -416,16 +425,18 @@
 	}
 	took := time.Since(started)
 	return attempt{
-		engine: engine, reply: reply, body: body, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err),
+		engine: engine, reply: reply, body: body, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err, strikes),
 	}
 }
 
 // broke has the quarantine look at an engine whose answer broke off, and returns how the request stands then.
-func (f *Forwarder) broke(ctx context.Context, engine fleet.Engine, call engineapi.Call, err error) quarantine.Standing {
+func (f *Forwarder) broke(
+	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, strikes int,
+) quarantine.Standing {
 	if err == nil || ctx.Err() != nil || errors.Is(err, engineapi.ErrNotSent) {
 		return quarantine.Clear
 	}
-	return f.config.Quarantine.Broke(ctx, call, engine, err, policy.RequestStrikes)
+	return f.config.Quarantine.Broke(ctx, call, engine, err, strikes)
 }
 
 // Causes of requests that no attempt gave one for.
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -130,3 +130,15 @@
 		is.Equal(w.forwarder.Do(t.Context(), crashRequest(true)).Outcome, forward.Answered)
 	})
 }
+
+// TestStrikesOfARequest checks that a request may be given more ends than usual.
+func TestStrikesOfARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := quarantinedWorld(t)
+		patient := crashRequest(true)
+		patient.Strikes = 3
+		is.Equal(w.forwarder.Do(t.Context(), patient).Attempts, 3)
+		is.Equal(w.forwarder.Do(t.Context(), patient).Outcome, forward.Withheld)
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,7 +7,6 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/eventrun"
 	"github.com/hillfork/hillfork/internal/fleet"
-	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
@@ -33,7 +32,7 @@
 func (f *Forwarder) Stream(ctx context.Context, request StreamRequest, receiver StreamReceiver) Answer {
 	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, policy.RequestStrikes)
+	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
 		return withheld(wait)
 	}
@@ -128,7 +127,7 @@
 	}
 	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
 	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
-		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, policy.RequestStrikes)
+		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, s.request.strikes())
 		s.withheld = standing == quarantine.Withheld
 	}
 	return result
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -9,6 +9,7 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // askScorer has the text scored. It returns false if the item is given up.
@@ -54,5 +55,6 @@
 			Priority: engineapi.NoPriority,
 		},
 		Deadline: deadline, Patience: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
+		Strikes: policy.ItemStrikes,
 	}
 }
--- a/internal/policy/crashes.go
+++ b/internal/policy/crashes.go
@@ -16,8 +16,9 @@
 	// RequestStrikes is how many engines may end under a request before it is withheld. One end alone is most likely a coincidence
 	// and a repeat what callers are promised; a small pool of three keeps an engine through two.
 	RequestStrikes = 2
-	// ItemStrikes is the same for items of jobs, which run for seconds beside as many others as an engine has places: whoever shares
-	// an engine with an item that crashes two has a fair chance to meet it twice.
+	// ItemStrikes is the same for items of jobs and the calls that score them, which run beside as many others as an engine has places.
+	// Whoever shares an engine with a request that crashes two has a chance of a half, in a pool of three, to be repeated beside it
+	// and meet the second end too; with one more he is not taken for it, and a step does not wait for his trial.
 	ItemStrikes = 3
 	// CrashMemory is how long an end counts: a day after the last one, whatever crashed engines has most likely been mended.
 	CrashMemory = 24 * time.Hour
