Lead from a withheld request to the engines that ended under its like

Cause: 'request settled outcome=withheld' named the request's id alone, and hillfork explain found no line by a content. Change: the line names the content; explain takes a content as an id, and tells of a request's content what ended under it. Tests: TestAWithheldRequestIsExplained.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -28,14 +28,15 @@
 // Story is what the lines tell of an id.
 type Story struct {
 	ID string
-	// Lines are those that name the id, or the job of the item it stands for, in order of time.
+	// Lines are those that name the id, the job of the item it stands for, or the content of the request that was withheld, in order of
+	// time.
 	Lines []Line
 	// Settled is the last decision that settled the id, nil if no line tells one.
 	Settled *Line
 }
 
-// identifiers are the keys whose values name requests, items and jobs.
-var identifiers = []string{"request", "item", "job"}
+// identifiers are the keys whose values name requests, what they ask, items and jobs.
+var identifiers = []string{"request", "content", "item", "job"}
 
 // settling are the messages that settle a request, an item or a job, by the key that names it.
 var settling = map[string][]string{
@@ -123,8 +124,10 @@
 func Tell(all []Line, id string) Story {
 	story := Story{ID: id}
 	job := jobOf(all, id)
+	content := contentOf(all, id)
 	for _, line := range all {
-		if names(line, id) || job != "" && line.Fields["job"] == job && line.Fields["item"] == "" {
+		if names(line, id) || job != "" && line.Fields["job"] == job && line.Fields["item"] == "" ||
+			content != "" && line.Fields["content"] == content && !slices.Contains(settling["request"], line.Message) {
 			story.Lines = append(story.Lines, line)
 		}
 	}
@@ -147,6 +150,17 @@
 	return ""
 }
 
+// contentOf returns the content of the request that an id names, if engines ended under it. Other requests of that content tell why it
+// was withheld.
+func contentOf(all []Line, id string) string {
+	for _, line := range all {
+		if line.Fields["request"] == id && line.Fields["content"] != "" {
+			return line.Fields["content"]
+		}
+	}
+	return ""
+}
+
 func names(line Line, id string) bool {
 	return slices.ContainsFunc(identifiers, func(key string) bool { return line.Fields[key] == id })
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -76,3 +76,23 @@
 		_, _ = explain.Parse(text)
 	})
 }
+
+// TestAWithheldRequestIsExplained checks that the story of a request that was withheld tells under which others of its content engines
+// ended, and not how those were settled.
+func TestAWithheldRequestIsExplained(t *testing.T) {
+	is := is.New(t)
+	const withheld = `front-a 2026-09-27T08:19:00.100Z INFO answer broke off request=r1 content=c1 engine=e1 ended=true
+front-b 2026-09-27T08:19:00.200Z INFO answer broke off request=r2 content=c1 engine=e2 ended=true
+front-b 2026-09-27T08:19:00.210Z INFO request settled request=r2 outcome=lost content=""
+front-a 2026-09-27T08:19:00.250Z INFO answer broke off request=r3 content=c2 engine=e2 ended=true
+front-a 2026-09-27T08:19:00.300Z INFO request settled request=r4 outcome=withheld content=c1
+front-a 2026-09-27T08:19:00.400Z INFO request settled request=r5 outcome=withheld content=c1
+`
+	story, err := explain.Read(strings.NewReader(withheld), "r4")
+	is.NoErr(err)
+	is.Equal(len(story.Lines), 3)
+	is.Equal(story.Settled.Fields["request"], "r4")
+	story, err = explain.Read(strings.NewReader(withheld), "c1")
+	is.NoErr(err)
+	is.Equal(len(story.Lines), 4)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,8 @@
 	Tried []string
 	// Cause says what the last attempt failed of, empty if none failed.
 	Cause string
+	// Content is what the request asks, if it was withheld.
+	Content string
 }
 
 // Config configures a forwarder.
@@ -134,7 +136,7 @@
 	f.hedges.earn()
 	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
-		return withheld(wait)
+		return withheld(request.Call, wait)
 	}
 	run := &exchange{
 		forwarder: f, request: request, started: time.Now(), standing: standing,
@@ -316,8 +318,8 @@
 }
 
 // withheld is the answer to a request that is sent to no engine.
-func withheld(wait time.Duration) Answer {
-	return Answer{Outcome: Withheld, RetryAfter: wait, Cause: causeWithheld}
+func withheld(call engineapi.Call, wait time.Duration) Answer {
+	return Answer{Outcome: Withheld, RetryAfter: wait, Cause: causeWithheld, Content: quarantine.ContentOf(call).String()}
 }
 
 // cause says what the attempt failed of, empty if it did not.
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -66,6 +66,7 @@
 		answer = w.forwarder.Do(t.Context(), crashRequest(true))
 		is.Equal(answer.Outcome, forward.Withheld)
 		is.True(answer.RetryAfter > 0)
+		is.Equal(answer.Content, quarantine.ContentOf(crashRequest(true).Call).String())
 		is.Equal(time.Since(started), time.Duration(0))
 		is.Equal(len(w.engines.Runs()), 2)
 		is.Equal(w.forwarder.Do(t.Context(), request(true)).Outcome, forward.Answered)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
-		return withheld(wait)
+		return withheld(request.Call, wait)
 	}
 	run := &streamExchange{forwarder: f, request: request, receiver: receiver, last: request.Call.ResumeAfter, started: time.Now()}
 	answer := run.conduct(runCtx)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -226,7 +226,7 @@
 	i.config.Logger.Info("request settled", "request", request.Call.RequestID, "route", route.Name, "pool", request.Pool,
 		"tenant", request.Call.Tenant,
 		"outcome", answer.Outcome, "status", status, "engine", answer.EngineID, "attempts", answer.Attempts,
-		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause,
+		"failures", answer.Failures, "tried", strings.Join(answer.Tried, ","), "cause", answer.Cause, "content", answer.Content,
 		"left", time.Until(request.Deadline).Round(time.Millisecond),
 		"took", took.Round(100*time.Microsecond))
 }
