--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,13 +83,8 @@
 
 // Scaling is what can be ordered of a pool's engines.
 type Scaling struct {
-	// Least and Most bound the engines of one zone, regular and preemptible ones together.
-	Least int
-	Most  int
-	// Boot is how long after its order an engine serves.
-	Boot time.Duration
-	// PreemptiblePrice is what an engine that may be taken away costs, as a part of a regular one's price.
-	PreemptiblePrice float64
+	// Most bounds the engines of one zone, regular and preemptible ones together.
+	Most int
 	// ZonePrices are what a second of a regular engine costs by zone, relative to each other.
 	ZonePrices map[string]float64
 }
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -14,6 +14,7 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/duty"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
@@ -236,7 +237,7 @@
 }
 
 // send writes orders down and sends them. It returns false at the end of the tenure. What is not taken in its window is ordered again
-// with the next look.
+// with the next look. What was refused is taken back in writing, so that no successor takes it for what stands there.
 func (t *term) send(ctx context.Context, due []Order) bool {
 	before := make(map[subject]int)
 	for _, order := range due {
@@ -244,17 +245,13 @@
 		before[about] = t.ordered[order.Pool][order.Zone]
 		t.set(about, order.Count)
 	}
-	value, err := (&orders{Counts: t.ordered}).MarshalMsg(nil)
-	if err != nil {
-		errorlog.Error(t.config.Logger, "record of ordered engines does not encode", err)
-		return false
-	}
-	window, err := t.tenure.Announce(ctx, ordersKey, value)
-	if err != nil {
+	window, ok := t.announce(ctx)
+	if !ok {
 		return false
 	}
 	windowCtx, cancel := window.Context(ctx)
 	defer cancel()
+	refused := false
 	for _, order := range due {
 		about := subject{order.Pool, order.Zone}
 		outcome := t.order(windowCtx, order, before[about])
@@ -262,9 +259,24 @@
 		if outcome == NoneLeft {
 			t.refused[about] = time.Now().Add(refusedFor)
 			t.set(about, before[about])
+			refused = true
 		}
 	}
-	return true
+	if refused {
+		_, ok = t.announce(ctx)
+	}
+	return ok
+}
+
+// announce writes down how many engines are ordered. It returns false at the end of the tenure.
+func (t *term) announce(ctx context.Context) (fencing.Window, bool) {
+	value, err := (&orders{Counts: t.ordered}).MarshalMsg(nil)
+	if err != nil {
+		errorlog.Error(t.config.Logger, "record of ordered engines does not encode", err)
+		return fencing.Window{}, false
+	}
+	window, err := t.tenure.Announce(ctx, ordersKey, value)
+	return window, err == nil
 }
 
 func (t *term) set(about subject, count int) {
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -90,7 +90,7 @@
 		store: memorylog.New(memorylog.Config{Partitions: 2, Delay: time.Millisecond}), provider: &provider{ordered: make(map[string]int)},
 		catalog: catalog.NewHolder(), directory: fleet.NewDirectory(),
 	}
-	scaling := &catalog.Scaling{Least: 1, Most: 10, Boot: 4 * time.Second, PreemptiblePrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}
+	scaling := &catalog.Scaling{Most: 10, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}
 	w.catalog.Set(catalog.New(1, nil, map[string]catalog.Pool{
 		poolName: {Name: poolName, Models: []string{"m"}, Scaling: scaling}, "fixed": {Name: "fixed"},
 	}, catalog.Limits{}))
@@ -228,3 +228,34 @@
 		}
 	})
 }
+
+// TestASuccessorKnowsWhatWasRefused checks that a successor does not take engines that a zone has refused for ordered, and so keeps as many
+// elsewhere.
+func TestASuccessorKnowsWhatWasRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.setWork(150 * time.Second)
+		w.provider.set(false, "a")
+		release := w.hold(t, "one", 1)
+		// The first holder is gone right after its first orders, one of which was refused, and before it looks again.
+		for calls := 0; calls == 0; _, _, calls = w.provider.seen() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		release()
+		release = w.hold(t, "two", 2)
+		time.Sleep(5 * time.Minute)
+		total, _, _ := w.provider.seen()
+		release()
+		w.provider.set(false)
+		alone := newWorld()
+		alone.setWork(150 * time.Second)
+		alone.provider.set(false, "a")
+		release = alone.hold(t, "one", 1)
+		time.Sleep(5 * time.Minute)
+		wanted, _, _ := alone.provider.seen()
+		is.Equal(total, wanted)
+		release()
+	})
+}
