Count engines that fell silent under a request and were replaced

Cause: an engine that a request makes hang, and that its platform then stops, refuses no connection when its caller gives up; its end went unseen. Ruled out: counting engines whose record lapses, which those do that are cut from the store and live on. Change: calls that were given up while their engine said nothing are watched for 10 s: an engine that was not leaving, and whose address another one has, has ended under them. Attempts that lost against a hedge don't count.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -131,8 +131,10 @@
 
 // Do carries a request whose answer is passed on whole.
 func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
-	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	deadlineCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	runCtx, settle := context.WithCancelCause(deadlineCtx)
+	defer settle(errSettled)
 	f.hedges.earn()
 	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
@@ -435,7 +437,11 @@
 func (f *Forwarder) broke(
 	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, strikes int,
 ) quarantine.Standing {
-	if err == nil || ctx.Err() != nil || errors.Is(err, engineapi.ErrNotSent) {
+	switch {
+	case err == nil, errors.Is(err, engineapi.ErrNotSent), errors.Is(context.Cause(ctx), errSettled):
+		return quarantine.Clear
+	case ctx.Err() != nil:
+		f.config.Quarantine.Silent(call, engine)
 		return quarantine.Clear
 	}
 	return f.config.Quarantine.Broke(ctx, call, engine, err, strikes)
@@ -448,5 +454,8 @@
 	causeWithheld = "engines ended under the same request"
 )
 
+// errSettled says that an attempt is of no use any more since the request is settled.
+var errSettled = errors.New("request is settled")
+
 // errBodyTooLarge says that an answer is larger than one may be.
 var errBodyTooLarge = errors.New("answer is too large")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -14,6 +14,7 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/quarantine"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/matryer/is"
 )
@@ -29,6 +30,8 @@
 	engines   *memoryengine.Engines
 	directory *fleet.Directory
 	forwarder *forward.Forwarder
+	// held is the forwarder's quarantine, nil for none.
+	held *quarantine.Quarantine
 }
 
 func newWorld(behaviours map[string]memoryengine.Behaviour) *world {
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -40,6 +40,7 @@
 		<-done
 		<-done
 	})
+	w.held = held
 	w.forwarder = forward.New(forward.Config{
 		Client: w.engines, Directory: w.directory, Quarantine: held, Zone: "near", Logger: logger,
 	})
@@ -143,3 +144,41 @@
 		is.Equal(w.forwarder.Do(t.Context(), patient).Outcome, forward.Withheld)
 	})
 }
+
+// TestARequestThatHangsEnginesIsWithheld has requests time out at engines that are replaced afterwards.
+func TestARequestThatHangsEnginesIsWithheld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := quarantinedWorld(t)
+		for _, id := range []string{"a", "b"} {
+			w.engines.Behave(id, memoryengine.Behaviour{Silent: true})
+			is.Equal(w.forwarder.Do(t.Context(), crashRequest(false)).Outcome, forward.TimedOut)
+			engine, _ := w.directory.Engine(id)
+			w.directory.Remove(id)
+			engine.ID = "next-" + id
+			w.directory.Upsert(engine)
+			w.engines.Add(engine, memoryengine.Behaviour{Work: work})
+			time.Sleep(time.Second)
+			w.directory.Remove(engine.ID)
+		}
+		is.Equal(w.forwarder.Do(t.Context(), crashRequest(false)).Outcome, forward.Withheld)
+	})
+}
+
+// TestALoserOfARaceIsNotSilent checks that an engine which was slower than another at the same request does not count for it.
+func TestALoserOfARaceIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := quarantinedWorld(t)
+		w.engines.Behave("a", memoryengine.Behaviour{Silent: true})
+		w.engines.Behave("b", memoryengine.Behaviour{Work: work})
+		w.engines.Behave("c", memoryengine.Behaviour{Work: work})
+		is.Equal(w.forwarder.Do(t.Context(), crashRequest(true)).Outcome, forward.Answered)
+		engine, _ := w.directory.Engine("a")
+		engine.ID = "next-a"
+		w.directory.Upsert(engine)
+		time.Sleep(time.Second)
+		is.Equal(len(w.engines.Runs()), 2)
+		is.Equal(w.held.Contents(), 0)
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -130,6 +130,9 @@
 		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, s.request.strikes())
 		s.withheld = standing == quarantine.Withheld
 	}
+	if result.Ending == eventrun.EndedSilent {
+		s.forwarder.config.Quarantine.Silent(call, engine)
+	}
 	return result
 }
 
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -396,6 +396,9 @@
 			directory.Failed(e.engine.ID)
 		}
 		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err, policy.ItemStrikes)
+		if result.Ending == eventrun.EndedSilent {
+			e.runner.config.Quarantine.Silent(e.call(), e.engine)
+		}
 	}
 	return false, false
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,6 +65,8 @@
 	histories map[Content]*history
 	// looks counts the engines that are being looked at, by what they ran.
 	looks map[Content]int
+	// silences are the calls that were given up of late, the oldest first.
+	silences []silence
 }
 
 // New returns a quarantine. Attach must follow, and Run writes what it finds.
@@ -79,9 +81,12 @@
 	q.follower = follower
 }
 
-// Run writes what this process finds, until the context ends.
+// Run finds out what became of silent engines, and writes what this process finds, until the context ends.
 func (q *Quarantine) Run(ctx context.Context) {
+	var watching sync.WaitGroup
+	watching.Go(func() { q.watchSilences(ctx) })
 	q.writer.run(ctx)
+	watching.Wait()
 }
 
 // Standing says how a request stands.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -351,3 +351,61 @@
 		contents = append(contents, quarantine.ContentOf(changed))
 	}
 }
+
+// TestSilentEnginesThatEnded checks that an engine that said nothing counts as ended once another has its address soon, and not if it was to
+// leave, if the other one comes much later, or at another address.
+func TestSilentEnginesThatEnded(t *testing.T) {
+	tests := []struct {
+		name     string
+		leaves   bool
+		after    time.Duration
+		address  string
+		standing quarantine.Standing
+	}{
+		{"replaced", false, 4 * time.Second, "here", quarantine.Suspect},
+		{"left", true, 4 * time.Second, "here", quarantine.Clear},
+		{"replaced much later", false, time.Minute, "here", quarantine.Clear},
+		{"another engine", false, 4 * time.Second, "there", quarantine.Clear},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				first, second := w.machine("1"), w.machine("2")
+				engine := fleet.Engine{ID: "old", Pool: "p", Address: "here"}
+				first.directory.Upsert(engine)
+				first.Silent(call("x"), engine)
+				time.Sleep(time.Second)
+				is.Equal(first.standing("x"), quarantine.Clear)
+				engine.Draining = test.leaves
+				first.directory.Upsert(engine)
+				time.Sleep(test.after)
+				first.directory.Remove("old")
+				first.directory.Upsert(fleet.Engine{ID: "new", Pool: "p", Address: test.address})
+				time.Sleep(time.Second)
+				is.Equal(first.standing("x"), test.standing)
+				is.Equal(second.standing("x"), test.standing)
+			})
+		})
+	}
+}
+
+// TestSilencesAreBounded has more calls given up than are watched.
+func TestSilencesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		m := w.machine("1")
+		engine := fleet.Engine{ID: "old", Pool: "p", Address: "here"}
+		m.directory.Upsert(engine)
+		for i := range 1100 {
+			m.Silent(call(fmt.Sprint(i)), engine)
+		}
+		m.directory.Upsert(fleet.Engine{ID: "new", Pool: "p", Address: "here"})
+		time.Sleep(time.Second)
+		is.Equal(m.Contents(), 1024)
+		is.Equal(m.standing("0"), quarantine.Clear)
+		is.Equal(m.standing("1099"), quarantine.Suspect)
+	})
+}
--- /dev/null
+++ b/internal/quarantine/silence.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/fleet"
+)
+
+const (
+	// silenceFor is how long after a call was given up its engine may turn out to have ended: its machine stops it and starts another in
+	// its place within some seconds.
+	silenceFor = 10 * time.Second
+	// silenceLook is how often it is looked for that.
+	silenceLook = 500 * time.Millisecond
+	// silencesMost bounds the calls that are watched so, some 200 bytes each: an engine that falls silent leaves as many as it has
+	// places.
+	silencesMost = 1024
+)
+
+// silence is a call that was given up since its engine said nothing.
+type silence struct {
+	content Content
+	engine  fleet.Engine
+	since   time.Time
+}
+
+// Silent takes that a call was given up while the engine it was sent to had said nothing. Whether the engine has ended shows when another
+// one takes its place.
+func (q *Quarantine) Silent(call engineapi.Call, engine fleet.Engine) {
+	if q == nil {
+		return
+	}
+	known, listed := q.config.Directory.Engine(engine.ID)
+	if !listed || known.Draining {
+		return
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.silences) >= silencesMost {
+		q.silences = q.silences[1:]
+	}
+	q.silences = append(q.silences, silence{content: ContentOf(call), engine: engine, since: time.Now()})
+}
+
+// watchSilences finds out which silent engines have ended, until the context ends.
+func (q *Quarantine) watchSilences(ctx context.Context) {
+	look := time.NewTicker(silenceLook)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, ended := range q.settleSilences() {
+			q.ended(eventKey{content: ended.content, engine: ended.engine.ID})
+			q.config.Logger.Info("silent engine has ended", "content", ended.content, "engine", ended.engine.ID, "pool", ended.engine.Pool,
+				"address", ended.engine.Address, "given_up_ago", time.Since(ended.since).Round(time.Millisecond))
+		}
+	}
+}
+
+// settleSilences returns the silences whose engines have ended, and goes on with those of which nothing is known yet.
+func (q *Quarantine) settleSilences() (ended []silence) {
+	q.mutex.Lock()
+	waiting := q.silences
+	q.silences = nil
+	q.mutex.Unlock()
+	var open []silence
+	for _, next := range waiting {
+		known, listed := q.config.Directory.Engine(next.engine.ID)
+		switch {
+		case listed && known.Draining, time.Since(next.since) > silenceFor:
+		case q.replaced(next.engine):
+			ended = append(ended, next)
+		default:
+			open = append(open, next)
+		}
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.silences = append(open, q.silences...)
+	return ended
+}
+
+// replaced tells whether another engine of the pool has an engine's address.
+func (q *Quarantine) replaced(engine fleet.Engine) bool {
+	for _, other := range q.config.Directory.Pool(engine.Pool) {
+		if other.Address == engine.Address && other.ID != engine.ID {
+			return true
+		}
+	}
+	return false
+}
