--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -150,12 +150,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := quarantinedWorld(t)
-		for _, id := range []string{"a", "b"} {
+		for _, id := range []string{"a", "b", "c"} {
 			w.engines.Behave(id, memoryengine.Behaviour{Silent: true})
-			is.Equal(w.forwarder.Do(t.Context(), crashRequest(false)).Outcome, forward.TimedOut)
-			engine, _ := w.directory.Engine(id)
-			w.directory.Remove(id)
-			engine.ID = "next-" + id
+		}
+		for range 2 {
+			answer := w.forwarder.Do(t.Context(), crashRequest(false))
+			is.Equal(answer.Outcome, forward.TimedOut)
+			engine, _ := w.directory.Engine(answer.Tried[0])
+			w.directory.Remove(engine.ID)
+			engine.ID = "next-" + engine.ID
 			w.directory.Upsert(engine)
 			w.engines.Add(engine, memoryengine.Behaviour{Work: work})
 			time.Sleep(time.Second)
