--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -156,6 +156,7 @@
 		for range 2 {
 			answer := w.forwarder.Do(t.Context(), crashRequest(false))
 			is.Equal(answer.Outcome, forward.TimedOut)
+			synctest.Wait()
 			engine, _ := w.directory.Engine(answer.Tried[0])
 			w.directory.Remove(engine.ID)
 			engine.ID = "next-" + engine.ID
