--- a/cmd/hillforkd/platform.go
+++ b/cmd/hillforkd/platform.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/logging"
@@ -24,6 +26,8 @@
 
 // runPlatform runs a replica on the users' platform until it is told to stop.
 func runPlatform(args []string) int {
+	// Until the replica takes it, the signal would kill the process.
+	signal.Ignore(syscall.SIGHUP)
 	flags := ff.NewFlagSet("hillforkd " + platformCommand)
 	metricsPort := flags.IntLong("metrics-port", 0, "port on the machine's address that serves metrics; 0 serves none")
 	level := flags.StringLong("log-level", "info", "least level of log lines: debug, info, warn, error")
