Clear the calls of one content together, and take no old record for a successor

Its scorers' calls all ask the same; a replica that came back from an outage of the store took records of earlier engines, not lapsed yet, for successors of three engines whose calls it had given up itself 0.1 s after sending them, and so withheld all scorers' calls; forty of them asked for the trial at once, one won and was answered, and the others slept for the ten minutes to the next trial. Change: an engine is replaced only by one that was not known at its address when the call was given up, and silent only after 300 ms; an answer clears silences too; one call of a content and process asks for a trial; who is refused while a trial is made is told to come after it, and scorers' calls look again four times a second; the first trial comes after 3 s in place of 10. Ruled out: leaving scorers' calls out of the quarantine, which repeat for as long as their job lives. Tests: TestWhatIsNoSilence, TestManyCallsOfOneContentAskForOneTrial, TestCallsOfOneContentGoOnOnceCleared.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -414,7 +414,7 @@
 	reply, err := f.config.Client.Send(ctx, engine, call)
 	if err != nil {
 		took := time.Since(started)
-		return attempt{engine: engine, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err, strikes)}
+		return attempt{engine: engine, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err, strikes, took)}
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bodyMost+1))
 	closeErr := reply.Body.Close()
@@ -429,19 +429,20 @@
 	}
 	took := time.Since(started)
 	return attempt{
-		engine: engine, reply: reply, body: body, err: err, sentAt: started, took: took, standing: f.broke(ctx, engine, call, err, strikes),
+		engine: engine, reply: reply, body: body, err: err, sentAt: started, took: took,
+		standing: f.broke(ctx, engine, call, err, strikes, took),
 	}
 }
 
 // broke has the quarantine look at an engine whose answer broke off, and returns how the request stands then.
 func (f *Forwarder) broke(
-	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, strikes int,
+	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, strikes int, took time.Duration,
 ) quarantine.Standing {
 	switch {
 	case err == nil, errors.Is(err, engineapi.ErrNotSent), errors.Is(context.Cause(ctx), errSettled):
 		return quarantine.Clear
 	case ctx.Err() != nil:
-		f.config.Quarantine.Silent(call, engine)
+		f.config.Quarantine.Silent(call, engine, took)
 		return quarantine.Clear
 	}
 	return f.config.Quarantine.Broke(ctx, call, engine, err, strikes)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -125,13 +125,14 @@
 	if s.request.Resumable && s.request.Gap > 0 {
 		limits.Gap = s.request.Gap
 	}
+	started := time.Now()
 	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
 	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
 		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, s.request.strikes())
 		s.withheld = standing == quarantine.Withheld
 	}
 	if result.Ending == eventrun.EndedSilent {
-		s.forwarder.config.Quarantine.Silent(call, engine)
+		s.forwarder.config.Quarantine.Silent(call, engine, time.Since(started))
 	}
 	return result
 }
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -40,8 +40,9 @@
 	// scoreTimeout bounds one call to a scorer with its attempts.
 	scoreTimeout = 6 * time.Second
 	scorePause   = 50 * time.Millisecond
-	// withheldLook is how often an item that is withheld for engines that ended under it looks whether it still is.
-	withheldLook = time.Second
+	// withheldLook is how often an item that is withheld for engines that ended under it, or the call that scores it, looks whether
+	// it still is.
+	withheldLook = 250 * time.Millisecond
 	// estimateSlack is added to ages that rest on the time of day of another process.
 	estimateSlack = 4 * time.Second
 	// giveUpSlack is added to the time at which an item may be given up.
@@ -397,7 +398,7 @@
 		}
 		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err, policy.ItemStrikes)
 		if result.Ending == eventrun.EndedSilent {
-			e.runner.config.Quarantine.Silent(e.call(), e.engine)
+			e.runner.config.Quarantine.Silent(e.call(), e.engine, gapLeast)
 		}
 	}
 	return false, false
--- a/internal/jobrun/quarantine_test.go
+++ b/internal/jobrun/quarantine_test.go
@@ -82,3 +82,33 @@
 		owner.release()
 	})
 }
+
+// TestCallsOfOneContentGoOnOnceCleared has the scorers end under calls that all ask the same, three of them at once by chance, so that the calls
+// are withheld. Once a trial was answered, none of the others waits for the next trial.
+func TestCallsOfOneContentGoOnOnceCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		owner := w.node("owner")
+		third := fleet.Engine{ID: "scorer2", Pool: "scorers", Slots: 4}
+		w.scorers = append(w.scorers, third)
+		w.engines.Add(third, memoryengine.Behaviour{Work: pace})
+		owner.directory.Upsert(third)
+		for _, scorer := range w.scorers {
+			w.engines.Behave(scorer.ID, memoryengine.Behaviour{Work: 2 * time.Second})
+		}
+		owner.own(1)
+		one := spec("one", 10)
+		w.submit(one)
+		time.Sleep(eventCount*pace + 200*time.Millisecond)
+		for _, scorer := range w.scorers {
+			w.engines.Behave(scorer.ID, memoryengine.Behaviour{Down: true})
+		}
+		time.Sleep(time.Second)
+		for _, scorer := range w.scorers {
+			w.engines.Behave(scorer.ID, memoryengine.Behaviour{Work: pace})
+		}
+		time.Sleep(5 * time.Second)
+		owner.checkWhole(one)
+		owner.release()
+	})
+}
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -34,7 +34,7 @@
 			return "", false
 		}
 		if answer.Outcome == forward.Withheld {
-			pause.For(ctx, answer.RetryAfter)
+			pause.For(ctx, min(answer.RetryAfter, withheldLook))
 			continue
 		}
 		pause.For(ctx, scorePause)
--- a/internal/policy/crashes.go
+++ b/internal/policy/crashes.go
@@ -24,10 +24,15 @@
 	CrashMemory = 24 * time.Hour
 )
 
-// trialHolds is how long a withheld request waits for each of its trials. The first one clears a request that met two ends by
-// chance, at the cost of one more engine if it was no chance; after the last one it is withheld until the ends are forgotten. Callers'
-// platforms allow three sends after the third end; two leave one for a send that crosses the news.
-var trialHolds = []time.Duration{10 * time.Second, 10 * time.Minute}
+// trialHolds is how long a withheld request waits for each of its trials. The first one clears a request that met its ends by chance, at
+// the cost of one more engine if it was no chance: engines that crash are back after some 3 s, and what a step waits for has 7 s or so.
+// After the last one it is withheld until the ends are forgotten. Callers' platforms allow three sends after the third end; two leave one
+// for a send that crosses the news.
+var trialHolds = []time.Duration{3 * time.Second, 10 * time.Minute}
+
+// TrialLasts is how long a trial takes at most, as a rule: a whole answer takes a fraction of it. Whoever is refused meanwhile is told to come
+// again after it.
+const TrialLasts = 2 * time.Second
 
 // Access says whether a request may be sent to an engine.
 type Access int
@@ -49,6 +54,8 @@
 	switch {
 	case c.Engines < strikes || since >= CrashMemory:
 		return AccessFree, 0
+	case c.Trials > 0 && since < TrialLasts:
+		return AccessHeld, TrialLasts - since
 	case c.Trials >= len(trialHolds):
 		return AccessHeld, CrashMemory - since
 	case since < trialHolds[c.Trials]:
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -67,12 +68,15 @@
 	looks map[Content]int
 	// silences are the calls that were given up of late, the oldest first.
 	silences []silence
+	// claims holds the contents whose trials this process asks for.
+	claims map[Content]bool
 }
 
 // New returns a quarantine. Attach must follow, and Run writes what it finds.
 func New(config Config) *Quarantine {
 	return &Quarantine{
 		config: config, writer: newWriter(config.Log, config.Logger), histories: make(map[Content]*history), looks: make(map[Content]int),
+		claims: make(map[Content]bool),
 	}
 }
 
@@ -126,7 +130,8 @@
 	case access == policy.AccessTrial && q.claim(ctx, content, crashes.Trials+1, call.RequestID):
 		return Suspect, 0
 	case access == policy.AccessTrial:
-		_, wait = q.crashes(content).Access(strikes, time.Now())
+		// Another one makes it, or nobody can ask for it while the store is away.
+		wait = policy.TrialLasts
 	}
 	return Withheld, wait
 }
@@ -138,6 +143,13 @@
 	return len(q.histories)
 }
 
+// quiet tells whether no engine has ended or fallen silent under any content.
+func (q *Quarantine) quiet() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.histories) == 0 && len(q.silences) == 0
+}
+
 func (q *Quarantine) crashes(content Content) policy.Crashes {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -147,8 +159,13 @@
 	return policy.Crashes{}
 }
 
-// claim asks for a trial. It returns whether this claim is the first in the log.
+// claim asks for a trial. It returns whether this claim is the first in the log. Of the calls of one content that come meanwhile none asks
+// too.
 func (q *Quarantine) claim(ctx context.Context, content Content, trial int, requestID string) bool {
+	if !q.beginClaim(content) {
+		return false
+	}
+	defer q.endClaim(content)
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	key := eventKey{content: content, trial: trial, claim: q.config.Machine + "#" + strconv.FormatUint(rand.Uint64(), 36)}
@@ -164,6 +181,22 @@
 	return won
 }
 
+func (q *Quarantine) beginClaim(content Content) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.claims[content] {
+		return false
+	}
+	q.claims[content] = true
+	return true
+}
+
+func (q *Quarantine) endClaim(content Content) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	delete(q.claims, content)
+}
+
 func (q *Quarantine) firstClaim(content Content, trial int) string {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -277,11 +310,12 @@
 
 // Answered takes that an engine ran a call to its end: its content crashes no engines.
 func (q *Quarantine) Answered(call engineapi.Call) {
-	if q == nil || q.Contents() == 0 {
+	if q == nil || q.quiet() {
 		return
 	}
 	content := ContentOf(call)
 	q.mutex.Lock()
+	q.silences = slices.DeleteFunc(q.silences, func(s silence) bool { return s.content == content })
 	known, ok := q.histories[content]
 	if !ok {
 		q.mutex.Unlock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -252,7 +252,7 @@
 				time.Sleep(11 * time.Second)
 				is.Equal(first.standing("x"), quarantine.Withheld)
 				w.store.Heal()
-				time.Sleep(5 * time.Second)
+				time.Sleep(2 * time.Second)
 				is.Equal(second.standing("x"), quarantine.Withheld)
 			})
 		})
@@ -375,7 +375,7 @@
 				first, second := w.machine("1"), w.machine("2")
 				engine := fleet.Engine{ID: "old", Pool: "p", Address: "here"}
 				first.directory.Upsert(engine)
-				first.Silent(call("x"), engine)
+				first.Silent(call("x"), engine, time.Second)
 				time.Sleep(time.Second)
 				is.Equal(first.standing("x"), quarantine.Clear)
 				engine.Draining = test.leaves
@@ -400,7 +400,7 @@
 		engine := fleet.Engine{ID: "old", Pool: "p", Address: "here"}
 		m.directory.Upsert(engine)
 		for i := range 1100 {
-			m.Silent(call(fmt.Sprint(i)), engine)
+			m.Silent(call(fmt.Sprint(i)), engine, time.Second)
 		}
 		m.directory.Upsert(fleet.Engine{ID: "new", Pool: "p", Address: "here"})
 		time.Sleep(time.Second)
@@ -409,3 +409,59 @@
 		is.Equal(m.standing("1099"), quarantine.Suspect)
 	})
 }
+
+// TestWhatIsNoSilence checks engines that seem to be replaced by one of which an old record is still there, calls that were given up at once,
+// and calls whose like was answered since.
+func TestWhatIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		m := w.machine("1")
+		engine := fleet.Engine{ID: "new", Pool: "p", Address: "here"}
+		m.directory.Upsert(fleet.Engine{ID: "old", Pool: "p", Address: "here"})
+		m.directory.Upsert(engine)
+		m.Silent(call("x"), engine, time.Second)
+		time.Sleep(time.Second)
+		is.Equal(m.standing("x"), quarantine.Clear)
+
+		m.Silent(call("y"), engine, 100*time.Millisecond)
+		m.Answered(call("x"))
+		m.directory.Upsert(fleet.Engine{ID: "newer", Pool: "p", Address: "here"})
+		time.Sleep(time.Second)
+		is.Equal(m.standing("x"), quarantine.Clear)
+		is.Equal(m.standing("y"), quarantine.Clear)
+	})
+}
+
+// TestManyCallsOfOneContentAskForOneTrial has many calls of one process ask for a trial at once: one is admitted, the others are told to come
+// soon, and all are free once it was answered.
+func TestManyCallsOfOneContentAskForOneTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		m := w.machine("1")
+		m.crash("a", call("x"))
+		m.crash("b", call("x"))
+		time.Sleep(10 * time.Second)
+		var mutex sync.Mutex
+		var asking sync.WaitGroup
+		admitted, appends := 0, w.store.Appends()
+		for range 40 {
+			asking.Go(func() {
+				standing, wait := m.Admit(w.ctx, call("x"), policy.RequestStrikes)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if standing != quarantine.Withheld {
+					admitted++
+				} else {
+					is.True(wait > 0 && wait <= 2*time.Second)
+				}
+			})
+		}
+		asking.Wait()
+		is.Equal(admitted, 1)
+		is.Equal(w.store.Appends(), appends+1)
+		m.Answered(call("x"))
+		is.Equal(m.standing("x"), quarantine.Clear)
+	})
+}
--- a/internal/quarantine/silence.go
+++ b/internal/quarantine/silence.go
@@ -12,6 +12,8 @@
 	// silenceFor is how long after a call was given up its engine may turn out to have ended: its machine stops it and starts another in
 	// its place within some seconds.
 	silenceFor = 10 * time.Second
+	// silenceLeast is how long an engine must have said nothing to a call. Calls are given up sooner for reasons of the caller's.
+	silenceLeast = 300 * time.Millisecond
 	// silenceLook is how often it is looked for that.
 	silenceLook = 500 * time.Millisecond
 	// silencesMost bounds the calls that are watched so, some 200 bytes each: an engine that falls silent leaves as many as it has
@@ -24,24 +26,32 @@
 	content Content
 	engine  fleet.Engine
 	since   time.Time
+	// others are the engines that were known at the address by then: records of earlier ones that have not lapsed yet.
+	others map[string]bool
 }
 
-// Silent takes that a call was given up while the engine it was sent to had said nothing. Whether the engine has ended shows when another
-// one takes its place.
-func (q *Quarantine) Silent(call engineapi.Call, engine fleet.Engine) {
-	if q == nil {
+// Silent takes that a call was given up while the engine it was sent to had said nothing for a time. Whether the engine has ended shows
+// when another one takes its place.
+func (q *Quarantine) Silent(call engineapi.Call, engine fleet.Engine, lasted time.Duration) {
+	if q == nil || lasted < silenceLeast {
 		return
 	}
 	known, listed := q.config.Directory.Engine(engine.ID)
 	if !listed || known.Draining {
 		return
 	}
+	next := silence{content: ContentOf(call), engine: engine, since: time.Now(), others: make(map[string]bool)}
+	for _, other := range q.config.Directory.Pool(engine.Pool) {
+		if other.Address == engine.Address {
+			next.others[other.ID] = true
+		}
+	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if len(q.silences) >= silencesMost {
 		q.silences = q.silences[1:]
 	}
-	q.silences = append(q.silences, silence{content: ContentOf(call), engine: engine, since: time.Now()})
+	q.silences = append(q.silences, next)
 }
 
 // watchSilences finds out which silent engines have ended, until the context ends.
@@ -73,7 +83,7 @@
 		known, listed := q.config.Directory.Engine(next.engine.ID)
 		switch {
 		case listed && known.Draining, time.Since(next.since) > silenceFor:
-		case q.replaced(next.engine):
+		case q.replaced(next):
 			ended = append(ended, next)
 		default:
 			open = append(open, next)
@@ -85,10 +95,10 @@
 	return ended
 }
 
-// replaced tells whether another engine of the pool has an engine's address.
-func (q *Quarantine) replaced(engine fleet.Engine) bool {
-	for _, other := range q.config.Directory.Pool(engine.Pool) {
-		if other.Address == engine.Address && other.ID != engine.ID {
+// replaced tells whether a new engine of the pool has the address of a silent one.
+func (q *Quarantine) replaced(silent silence) bool {
+	for _, other := range q.config.Directory.Pool(silent.engine.Pool) {
+		if other.Address == silent.engine.Address && !silent.others[other.ID] {
 			return true
 		}
 	}
--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -100,6 +100,13 @@
 	s.rule = rule
 }
 
+// Appends returns how many appends have been done.
+func (s *Store) Appends() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.appends
+}
+
 // Heal lets all calls through again.
 func (s *Store) Heal() {
 	s.SetRule(func(Call) Fault { return None })
