Mend stops that close connections in place of answering what they have read

Cause: the stop was http.Server.Shutdown. While it runs the server closes a connection right after it has read a request from it, and takes a connection for idle whose request the process has not got to. What was still under way at the end was cut with its connection. Change: a stop lets each connection be used once more and has the answer end it, and goes on until none is open or the grace period nears its end. Then it has the forwarder cut off what is under way, so that each request is answered with what is known of it, and closes connections on which nothing was read, or has come, without an answer (internal/clientconn). Requests that come late and may take longer than the process has left are refused at once, as not run. Calls on jobs end in time, too.

--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,3 +86,80 @@
 		is.Equal(w.tracker.Counts(), Counts{Unanswered: 1})
 	})
 }
+
+// TestEndClosesWhatIsQuiet checks that connections on which something is under way are left until it is answered, and that the rest is closed.
+func TestEndClosesWhatIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, func(writer http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Second)
+			writer.Header().Set("Connection", "close")
+		})
+		unused, asking, halfway := w.dial(), w.dial(), w.dial()
+		write(t, asking, request)
+		write(t, halfway, request[:20])
+		time.Sleep(10 * time.Millisecond) // both have come
+		ended := make(chan error, 1)
+		go func() { ended <- w.tracker.End(t.Context()) }()
+		time.Sleep(endLook)
+		_, err := unused.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		time.Sleep(time.Second / 2)
+		write(t, halfway, request[20:])
+		is.True(answered(asking))
+		is.True(answered(halfway))
+		is.NoErr(<-ended)
+		is.Equal(w.tracker.Counts(), Counts{})
+	})
+}
+
+// TestEndIsBounded checks that a request without an answer holds the end up no longer than it may.
+func TestEndIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, func(http.ResponseWriter, *http.Request) { time.Sleep(time.Minute) })
+		write(t, w.dial(), request)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(errors.Is(w.tracker.Await(ctx), context.DeadlineExceeded))
+		ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(errors.Is(w.tracker.End(ctx), context.DeadlineExceeded))
+		is.NoErr(w.server.Close())
+		time.Sleep(time.Minute)
+		is.NoErr(w.tracker.Await(t.Context()))
+	})
+}
+
+// TestWhatHasComeIsNotClosedUnread checks that a connection with a request that the process has not got to is not taken for idle, and that
+// nothing is acted on that is read as the connection is closed.
+func TestWhatHasComeIsNotClosedUnread(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close() //nolint:errcheck // nothing comes over it
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	is.NoErr(err)
+	defer client.Close() //nolint:errcheck // nothing comes over it
+	var tracker Tracker
+	accepted, err := tracker.Listener(listener).Accept()
+	is.NoErr(err)
+	connection := accepted.(*conn)
+	is.True(!hasInput(connection.Conn))
+	write(t, client, request)
+	for !hasInput(connection.Conn) {
+		runtime.Gosched()
+	}
+	is.Equal(tracker.closeIdle(), 1)
+	n, err := connection.Read(make([]byte, len(request)))
+	is.NoErr(err)
+	is.Equal(n, len(request))
+	is.Equal(tracker.closeIdle(), 1)
+	is.True(!connection.ended) // it was read and is not answered
+	_, err = connection.Write([]byte("answer"))
+	is.NoErr(err)
+	is.Equal(tracker.closeIdle(), 1)
+	is.True(connection.ended)
+	_, err = connection.Read(make([]byte, 1))
+	is.True(errors.Is(err, net.ErrClosed))
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,11 +107,37 @@
 type Forwarder struct {
 	config Config
 	hedges hedgeBudget
+	// cut ends with CutOff.
+	cut    context.Context
+	cutOff context.CancelFunc
 }
 
 // New returns a forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config}
+	cut, cutOff := context.WithCancel(context.Background())
+	return &Forwarder{config: config, cut: cut, cutOff: cutOff}
+}
+
+// CutOff ends the requests under way as if their time were over, so that each is still answered with what is known of it, and refuses those
+// that come later. A process calls it shortly before it ends.
+func (f *Forwarder) CutOff() {
+	f.cutOff()
+}
+
+// untilCut returns a context that ends with another, and when requests are cut off. Attempts that end so are settled: their engines did
+// nothing wrong.
+func (f *Forwarder) untilCut(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, settle := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(f.cut, func() { settle(errSettled) })
+	return ctx, func(cause error) {
+		stop()
+		settle(cause)
+	}
+}
+
+// refused is the answer to a request that comes after requests were cut off.
+func refused() Answer {
+	return Answer{Outcome: NotRun, Cause: causeStopped}
 }
 
 const (
@@ -131,9 +157,12 @@
 
 // Do carries a request whose answer is passed on whole.
 func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
+	if f.cut.Err() != nil {
+		return refused()
+	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	runCtx, settle := context.WithCancelCause(deadlineCtx)
+	runCtx, settle := f.untilCut(deadlineCtx)
 	defer settle(errSettled)
 	f.hedges.earn()
 	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
@@ -453,6 +482,7 @@
 	causeNoEngine = "no engine of the pool takes work"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
+	causeStopped  = "the process stops"
 )
 
 // errSettled says that an attempt is of no use any more since the request is settled.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,8 +30,13 @@
 // Stream carries a request whose answer is passed on event by event. The outcome is Answered for a stream that came to its
 // end, and for a failure that an engine answered; Lost for a stream that was cut short after it began.
 func (f *Forwarder) Stream(ctx context.Context, request StreamRequest, receiver StreamReceiver) Answer {
-	runCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	if f.cut.Err() != nil {
+		return refused()
+	}
+	deadlineCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	runCtx, settle := f.untilCut(deadlineCtx)
+	defer settle(errSettled)
 	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.strikes())
 	if standing == quarantine.Withheld {
 		return withheld(request.Call, wait)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -43,6 +44,8 @@
 type Ingress struct {
 	config Config
 	bodies *bodies
+	// stop is nil until the process is to stop.
+	stop atomic.Pointer[stop]
 }
 
 // New returns an ingress.
@@ -149,22 +152,27 @@
 	gapAims = 2
 )
 
-// request makes the forwarder's request. budget is the time that the caller waits, 0 if it did not say.
-func (i *Ingress) request(route catalog.Route, call engineapi.Call, received time.Time, budget time.Duration) forward.Request {
-	hold := holdUnbounded
+// hold returns how long a request of a route may be held. budget is the time that the caller waits, 0 if it did not say.
+func hold(route catalog.Route, budget time.Duration) time.Duration {
+	bound := holdUnbounded
 	if route.Timeout > 0 {
-		hold = route.Timeout
+		bound = route.Timeout
 	}
 	if budget > 0 {
-		hold = min(hold, budget)
+		bound = min(bound, budget)
 	}
+	return bound
+}
+
+// request makes the forwarder's request. budget is the time that the caller waits, 0 if it did not say.
+func (i *Ingress) request(route catalog.Route, call engineapi.Call, received time.Time, budget time.Duration) forward.Request {
 	patience := patienceUnaimed
 	if route.Aim > 0 {
 		patience = time.Duration(patienceShare * float64(route.Aim))
 	}
 	call.Priority = engineapi.NoPriority
 	return forward.Request{
-		Pool: i.config.Splitter.Pick(route), Call: call, Deadline: received.Add(hold), Patience: patience, Aim: route.Aim,
+		Pool: i.config.Splitter.Pick(route), Call: call, Deadline: received.Add(hold(route, budget)), Patience: patience, Aim: route.Aim,
 		MaxAttempts: route.MaxAttempts, MayRepeat: route.MayRepeat(),
 	}
 }
--- /dev/null
+++ b/internal/ingress/stop.go
@@ -0,0 +1,62 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/catalog"
+)
+
+// lateAfter is how long after the order to stop requests are taken whatever time they may need. Callers are still sent here for two to
+// three seconds, since the platform asks once a second whether a process is ready and needs two misses; most requests are done long before
+// the time they may take. Who comes later holds a connection from before, and finds another process at once.
+const lateAfter = 2500 * time.Millisecond
+
+// stop is a planned stop under way.
+type stop struct {
+	ordered time.Time
+	cut     time.Time
+}
+
+// Stop says that the process was ordered to stop now, and that what is under way at a moment is cut off then.
+func (i *Ingress) Stop(cut time.Time) {
+	i.stop.Store(&stop{ordered: time.Now(), cut: cut})
+}
+
+// Stopping tells whether the process was ordered to stop.
+func (i *Ingress) Stopping() bool {
+	return i.stop.Load() != nil
+}
+
+// CutOff ends the requests under way, each with an answer that says what is known of it, and refuses those that come later.
+func (i *Ingress) CutOff() {
+	i.config.Forwarder.CutOff()
+}
+
+// Outlasts tells whether a request that was received at a moment may need more time than the process has left. It is to be refused at once:
+// it has not run, and other processes have that time.
+func (i *Ingress) Outlasts(requestID string, route catalog.Route, received time.Time, budget time.Duration) bool {
+	stopping := i.stop.Load()
+	if stopping == nil || received.Before(stopping.ordered.Add(lateAfter)) {
+		return false
+	}
+	bound := hold(route, budget)
+	if !received.Add(bound).After(stopping.cut) {
+		return false
+	}
+	i.config.Logger.Info("request refused, the process stops", "request", requestID, "route", route.Name, "may_take", bound,
+		"left", time.Until(stopping.cut).Round(time.Millisecond))
+	return true
+}
+
+// Bound bounds a call that is not carried to an engine: by the time that its caller waits, a bound of its own, and the end of the process.
+func (i *Ingress) Bound(ctx context.Context, budget, most time.Duration) (context.Context, context.CancelFunc) {
+	if budget > 0 {
+		most = min(most, budget)
+	}
+	end := time.Now().Add(most)
+	if stopping := i.stop.Load(); stopping != nil && stopping.cut.Before(end) {
+		end = stopping.cut
+	}
+	return context.WithDeadline(ctx, end)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,10 +71,9 @@
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
 	// teller tells what tenants' requests this process has run, nil if that is not reported.
-	teller   *usage.Teller
-	metrics  *metrics
-	ready    atomic.Bool
-	draining atomic.Bool
+	teller  *usage.Teller
+	metrics *metrics
+	ready   atomic.Bool
 }
 
 // New returns a replica; Run starts it.
@@ -354,7 +353,7 @@
 // Ready tells whether callers may be sent here: the configuration and the engines are known, and no stop was ordered. A
 // replica that was ready stays so while the store is away.
 func (r *Replica) Ready() bool {
-	if r.draining.Load() {
+	if r.ingress.Stopping() {
 		return false
 	}
 	if !r.ready.Load() && r.catalog.Current() != nil && r.directory.Known() {
@@ -365,14 +364,10 @@
 	return r.ready.Load()
 }
 
-// Drain says that the replica is to stop: it is not ready any more, and answers end their connections.
-func (r *Replica) Drain() {
-	r.draining.Store(true)
-}
-
-// Draining tells whether the replica is to stop.
-func (r *Replica) Draining() bool {
-	return r.draining.Load()
+// Drain says that the replica is to stop, and when what is under way is cut off: it is not ready any more, answers end their connections, and
+// what can't be done in time is refused.
+func (r *Replica) Drain(cut time.Time) {
+	r.ingress.Stop(cut)
 }
 
 // Ingress meets requests of callers.
