Mend the same cause in the planned stop of the own wire

Change: the node tracks connections by internal/clientconn, closes what is quiet, and answers the rest. Its own count of connections goes. The test of that count now runs a server over the network of the tests and holds the same three waits. Figures: with the shutdown in its place TestARequestAcrossTheLameDuckPeriodIsAnswered ends with EOF, now with both answers. Conclusion: both interfaces end their callers' connections in one way.

--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -28,22 +30,90 @@
 	is.Equal(answer(), "close")
 }
 
+// apiNode returns a node of which nothing runs but its API server.
+func apiNode(t *testing.T, fabric *simnet.Network) *Node {
+	listener, err := fabric.Host("10.0.0.1", "zone", "region").Listen("10.0.0.1:80")
+	is.New(t).NoErr(err)
+	n := &Node{listeners: listeners{api: listener}}
+	n.apiServer = &http.Server{
+		Handler: endingConnections(http.NotFoundHandler(), n.stopping.Load), ReadHeaderTimeout: readHeaderTimeout, ConnState: n.connections.Observe,
+	}
+	t.Cleanup(func() { _ = n.apiServer.Close() })
+	go func() { _ = n.apiServer.Serve(n.connections.Listener(listener)) }()
+	return n
+}
+
+func dialAPI(t *testing.T, fabric *simnet.Network) net.Conn {
+	conn, err := fabric.Host("10.0.0.2", "zone", "region").DialContext(t.Context(), "10.0.0.1:80")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+const apiRequest = "GET / HTTP/1.1\r\nHost: node\r\n\r\n"
+
+// TestIdleConnectionsAreGivenTheLameDuckPeriod checks how long a stop waits for connections: not at all if none is open, until clients have
+// closed them, or for the period.
 func TestIdleConnectionsAreGivenTheLameDuckPeriod(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		connections := newClientConnections()
-		took := func() time.Duration {
+		took := func(use func(fabric *simnet.Network)) time.Duration {
+			fabric := simnet.New(simnet.Options{})
+			n := apiNode(t, fabric)
+			n.stopping.Store(true)
+			use(fabric)
+			time.Sleep(time.Millisecond) // connections are accepted
 			began := time.Now()
-			connections.await(t.Context())
+			is.NoErr(n.shutdownAPI(t.Context()))
 			return time.Since(began)
 		}
-		is.Equal(took(), time.Duration(0)) // none is open
-		connections.track(nil, http.StateNew)
-		connections.track(nil, http.StateNew)
-		is.Equal(took(), lameDuckPeriod)
-		connections.track(nil, http.StateClosed)
-		time.AfterFunc(time.Second, func() { connections.track(nil, http.StateClosed) })
-		is.Equal(took(), time.Second) // the last one closed
+		is.Equal(took(func(*simnet.Network) {}), time.Duration(0))
+		is.Equal(took(func(fabric *simnet.Network) { dialAPI(t, fabric) }).Round(100*time.Millisecond), lameDuckPeriod)
+		closed := took(func(fabric *simnet.Network) {
+			first, second := dialAPI(t, fabric), dialAPI(t, fabric)
+			is.NoErr(first.Close())
+			time.AfterFunc(time.Second, func() { _ = second.Close() })
+		})
+		is.Equal(closed.Round(100*time.Millisecond), time.Second)
+	})
+}
+
+// A stopping node closed connections in place of answering requests that it had read, as soon as the period for idle connections was over: it
+// shut its HTTP server down, which reads what is under way to its end and then closes. The same cause ended requests of the users'
+// platform without an answer.
+
+// TestARequestAcrossTheLameDuckPeriodIsAnswered sends the halves of a request before and after the end of the period, on a connection that was
+// used before and on a new one.
+func TestARequestAcrossTheLameDuckPeriodIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fabric := simnet.New(simnet.Options{})
+		n := apiNode(t, fabric)
+		kept, fresh := dialAPI(t, fabric), dialAPI(t, fabric)
+		keptAnswers := bufio.NewReader(kept)
+		_, err := kept.Write([]byte(apiRequest))
+		is.NoErr(err)
+		answer, err := http.ReadResponse(keptAnswers, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		is.NoErr(err)
+		n.stopping.Store(true)
+		ended := make(chan error, 1)
+		go func() { ended <- n.shutdownAPI(t.Context()) }()
+		time.Sleep(lameDuckPeriod - 100*time.Millisecond)
+		for _, conn := range []net.Conn{kept, fresh} {
+			_, err := conn.Write([]byte(apiRequest[:20]))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		for conn, answers := range map[net.Conn]*bufio.Reader{kept: keptAnswers, fresh: bufio.NewReader(fresh)} {
+			_, err := conn.Write([]byte(apiRequest[20:]))
+			is.NoErr(err)
+			answer, err := http.ReadResponse(answers, nil)
+			is.NoErr(err)
+			is.True(answer.Close)
+		}
+		is.NoErr(<-ended)
 	})
 }
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -67,7 +67,7 @@
 	n.spawn(ctx, "shards", n.shards.Run)
 	n.spawn(ctx, "dispatch", n.dispatcher.Run)
 	n.spawn(ctx, "peer server", func(context.Context) error { return n.peerServer.Serve(n.listeners.peer) })
-	n.spawn(ctx, "api server", func(context.Context) error { return n.apiServer.Serve(n.listeners.api) })
+	n.spawn(ctx, "api server", func(context.Context) error { return n.apiServer.Serve(n.connections.Listener(n.listeners.api)) })
 	n.spawn(ctx, "metrics server", func(context.Context) error { return n.metrics.Serve(n.listeners.metrics) })
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/accounting"
 	"github.com/hillfork/hillfork/internal/bundle"
+	"github.com/hillfork/hillfork/internal/clientconn"
 	"github.com/hillfork/hillfork/internal/dispatch"
 	"github.com/hillfork/hillfork/internal/gateway"
 	"github.com/hillfork/hillfork/internal/machines"
@@ -70,7 +71,7 @@
 	gateway    *gateway.Gateway
 
 	listeners   listeners
-	connections *clientConnections
+	connections clientconn.Tracker
 	apiServer   *http.Server
 	metrics     *http.Server
 
@@ -190,11 +191,10 @@
 	})
 	n.register()
 	n.registerMetrics()
-	n.connections = newClientConnections()
 	n.apiServer = &http.Server{
 		Handler:           endingConnections(n.gateway.Handler(), n.stopping.Load),
 		ReadHeaderTimeout: readHeaderTimeout,
-		ConnState:         n.connections.track,
+		ConnState:         n.connections.Observe,
 	}
 	n.metrics = &http.Server{Handler: n.statusHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	return nil
