--- a/internal/fencing/window.go
+++ b/internal/fencing/window.go
@@ -8,34 +8,33 @@
 )
 
 // suspended tells how long the machine has been suspended.
-var suspended = uptime.Suspended
+var suspended uptime.Meter = uptime.Suspended
 
 // Window is the time within which a call may be sent that was announced. It lasts SendWindow from its beginning, before the announcement
 // is written, and ends for a machine that was paused or suspended meanwhile: another owner may act by then.
 type Window struct {
-	began     time.Time
-	suspended time.Duration
+	began uptime.Mark
 }
 
 // BeginWindow begins a window.
 func BeginWindow() Window {
-	return Window{began: time.Now(), suspended: suspended()}
+	return Window{began: suspended.Mark()}
 }
 
 // From returns the window as it is where it began at a later moment. A suspension since BeginWindow still ends it.
 func (w Window) From(began time.Time) Window {
-	w.began = began
+	w.began = w.began.Moved(began)
 	return w
 }
 
 // Age is how long ago the window began, time in suspension included.
 func (w Window) Age() time.Duration {
-	return time.Since(w.began) + uptime.Between(w.suspended, suspended())
+	return w.began.Age()
 }
 
 // Until is when the window ends, by the steady clock as it runs now.
 func (w Window) Until() time.Time {
-	return w.began.Add(SendWindow - uptime.Between(w.suspended, suspended()))
+	return w.began.At().Add(SendWindow)
 }
 
 // Over tells whether nothing may be sent any more.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,7 +33,7 @@
 }
 
 // suspended tells how long the machine has been suspended.
-var suspended = uptime.Suspended
+var suspended uptime.Meter = uptime.Suspended
 
 // errStale says that the store answered with records older than those read already.
 var errStale = errors.New("store answered with older records than before")
@@ -74,9 +74,7 @@
 	mutex     sync.Mutex
 	end       int64
 	caughtUp  bool
-	confirmed time.Time
-	// suspended is how long the machine had been suspended then.
-	suspended time.Duration
+	confirmed uptime.Mark
 	connected bool
 	// heard says that a call was answered or failed before; returned is when the store answered again after it had not.
 	heard    bool
@@ -222,7 +220,7 @@
 	f.end = end
 	if caughtUp {
 		f.caughtUp = true
-		f.confirmed, f.suspended = time.Now(), suspended()
+		f.confirmed = suspended.Mark()
 	}
 	f.advanced.Notify()
 }
@@ -253,11 +251,11 @@
 }
 
 // ago returns how long ago a moment was, or never if there was none.
-func ago(moment time.Time) string {
+func ago(moment uptime.Mark) string {
 	if moment.IsZero() {
 		return "never"
 	}
-	return time.Since(moment).Round(time.Millisecond).String()
+	return moment.Age().Round(time.Millisecond).String()
 }
 
 // Returned is when the store answered again after it had not: now while what its first answer brought is applied, zero if it
@@ -297,10 +295,7 @@
 func (f *Follower) Confirmed() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.confirmed.IsZero() {
-		return f.confirmed
-	}
-	return f.confirmed.Add(-uptime.Between(f.suspended, suspended()))
+	return f.confirmed.At()
 }
 
 // WaitFor waits until all records below end have been applied, and everything that was there at some moment.
--- a/internal/uptime/uptime.go
+++ b/internal/uptime/uptime.go
@@ -40,6 +40,46 @@
 	return now - then
 }
 
+// Meter tells how long the machine has been suspended, as Suspended does.
+type Meter func() time.Duration
+
+// Mark returns the mark of this moment.
+func (m Meter) Mark() Mark {
+	return Mark{at: time.Now(), suspended: m(), meter: m}
+}
+
+// Mark is a moment that keeps its age over suspensions. The zero value is no moment.
+type Mark struct {
+	at        time.Time
+	suspended time.Duration
+	meter     Meter
+}
+
+// IsZero tells whether the mark is no moment.
+func (m Mark) IsZero() bool {
+	return m.at.IsZero()
+}
+
+// Moved returns the mark at another moment. A suspension since the mark counts as one since that moment too.
+func (m Mark) Moved(at time.Time) Mark {
+	m.at = at
+	return m
+}
+
+// At returns when the mark was, by the steady clock as it runs now: a suspension since then moves it back. It is the zero time for no
+// moment.
+func (m Mark) At() time.Time {
+	if m.IsZero() {
+		return time.Time{}
+	}
+	return m.at.Add(-Between(m.suspended, m.meter()))
+}
+
+// Age is how long ago the mark was, time in suspension included.
+func (m Mark) Age() time.Duration {
+	return time.Since(m.At())
+}
+
 func read(clock int32) (time.Duration, bool) {
 	var now unix.Timespec
 	if err := unix.ClockGettime(clock, &now); err != nil {
