--- a/internal/quarantine/silence.go
+++ b/internal/quarantine/silence.go
@@ -14,7 +14,7 @@
 	silenceFor = 10 * time.Second
 	// silenceLeast is how long an engine must have said nothing to a call. Calls are given up sooner for reasons of the caller's.
 	silenceLeast = 300 * time.Millisecond
-	// silenceLook is how often it is looked for that.
+	// silenceLook is how often it is looked whether engines of calls that were given up have ended.
 	silenceLook = 500 * time.Millisecond
 	// silencesMost bounds the calls that are watched so, some 200 bytes each: an engine that falls silent leaves as many as it has
 	// places.
