Show in a test, red, that an announcement waits for all later ones

Cause: announcer.announce writes for all that wait and returns only when nothing waits any more. On a slow store with orders coming all the while, the window of its own order is over by then, so the order is not sent and is planned anew (safe, slower). A whole roller on such a store was not run.

--- a/internal/weightroll/announcer_test.go
+++ b/internal/weightroll/announcer_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/matryer/is"
 )
@@ -73,6 +74,35 @@
 	})
 }
 
+// TestAnAnnouncementWaitsForNoLaterOne tells of an order that was tried again and again. On a slow store orders came all the while; the
+// call that found nobody writing wrote for all, and returned only when nothing waited any more. By then the window of its own order was
+// over, so the order was not sent and was planned anew. The evidence: with an append of 200 ms and an announcement every 50 ms for two
+// windows, the first call returned after 2.2 s, although its record was in the store after 200 ms; all others returned within 400 ms, the
+// append under way and their own.
+func TestAnAnnouncementWaitsForNoLaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		writer := &slowAppender{took: 200 * time.Millisecond}
+		a := announcer{writer: writer}
+		var running sync.WaitGroup
+		for began := time.Now(); time.Since(began) < 2*fencing.SendWindow; time.Sleep(50 * time.Millisecond) {
+			called := time.Now()
+			running.Go(func() {
+				from, took, err := a.announce(t.Context(), keyedlog.Record{Key: called.String()})
+				is.NoErr(err)
+				is.Equal(time.Now(), from.Add(took))
+				is.True(time.Since(called) <= 2*writer.took)
+			})
+		}
+		running.Wait()
+		written := 0
+		for _, records := range writer.appends {
+			written += len(records)
+		}
+		is.Equal(written, 40)
+	})
+}
+
 // TestAFailedAppendFailsAllItsAnnouncements checks that nobody takes an announcement for written that is not, or waits for ever.
 func TestAFailedAppendFailsAllItsAnnouncements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
