Pass the turn to write announcements on after each append

Change: a call makes one append, of its own record and what waits beside it, and passes the turn to the first call that waits. How records share appends is as before. Conclusion: mended at the announcer. What it is worth on a slow store was not measured.

--- a/internal/weightroll/announcer.go
+++ b/internal/weightroll/announcer.go
@@ -24,15 +24,15 @@
 
 	mutex   sync.Mutex
 	waiting []*announcing
-	// writing says that a call of announce writes for all.
+	// writing says that a call of announce has the turn to write.
 	writing bool
 }
 
 // announcing is a record on its way.
 type announcing struct {
 	record keyedlog.Record
-	// done is closed once the record is written or failed.
-	done chan struct{}
+	// turn is closed when its call is to make the next append, done once the record is written or failed.
+	turn, done chan struct{}
 	// began is from before the append that wrote it, took how long that took.
 	began time.Time
 	took  time.Duration
@@ -40,49 +40,57 @@
 }
 
 // announce writes a record, and returns a moment before which it was not in the store and how long the append took from there. An
-// error is the end of all writing.
+// error is the end of all writing. A call makes the append with its own record and what waits beside it, and passes the turn on: the
+// window of its order runs, so it must not wait for what comes later.
 func (a *announcer) announce(ctx context.Context, record keyedlog.Record) (began time.Time, took time.Duration, err error) {
-	own := &announcing{record: record, done: make(chan struct{})}
+	own := &announcing{record: record, turn: make(chan struct{}), done: make(chan struct{})}
 	a.mutex.Lock()
 	a.waiting = append(a.waiting, own)
-	leads := !a.writing
-	a.writing = true
+	if !a.writing {
+		a.pass()
+	}
 	a.mutex.Unlock()
-	if leads {
-		a.writeAll(ctx)
+	select {
+	case <-own.turn:
+		a.write(ctx)
+	case <-own.done:
 	}
-	<-own.done
 	return own.began, own.took, own.err
 }
 
-// writeAll writes until nothing waits.
-func (a *announcer) writeAll(ctx context.Context) {
-	for {
-		batch := a.take()
-		if len(batch) == 0 {
-			return
-		}
-		records := make([]keyedlog.Record, len(batch))
-		for i, next := range batch {
-			records[i] = next.record
-		}
-		began := time.Now()
-		_, err := a.writer.Append(ctx, records)
-		took := time.Since(began)
-		for _, written := range batch {
-			written.began, written.took, written.err = began, took, err
-			close(written.done)
-		}
+// write makes one append and passes the turn on. The caller's own record is the first that waits.
+func (a *announcer) write(ctx context.Context) {
+	batch := a.take()
+	records := make([]keyedlog.Record, len(batch))
+	for i, next := range batch {
+		records[i] = next.record
+	}
+	began := time.Now()
+	_, err := a.writer.Append(ctx, records)
+	took := time.Since(began)
+	for _, written := range batch {
+		written.began, written.took, written.err = began, took, err
+		close(written.done)
 	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.pass()
 }
 
-// take returns the announcements to write next, none if none wait: then nobody writes any more.
+// take returns the announcements to write next.
 func (a *announcer) take() []*announcing {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	count := min(len(a.waiting), announcementsMost)
 	batch := a.waiting[:count:count]
 	a.waiting = a.waiting[count:]
-	a.writing = count > 0
 	return batch
 }
+
+// pass gives the turn to the first that waits. If none waits, nobody has it. The mutex must be held.
+func (a *announcer) pass() {
+	a.writing = len(a.waiting) > 0
+	if a.writing {
+		close(a.waiting[0].turn)
+	}
+}
