Smooth the time of a load in one place

Cause: Board.learn and roller.learnLoad each wrote the same formula for the usual time of a load. Change: both call smoothed. What they start from, and that the board bounds a load that is overdue, stays with them. Conclusion: behaviour is unchanged.

--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -124,7 +124,7 @@
 		b.usual = took
 		return
 	}
-	b.usual += time.Duration(loadSmoothing * float64(min(took, overdueLoads*b.usual)-b.usual))
+	b.usual = smoothed(b.usual, min(took, overdueLoads*b.usual))
 }
 
 // last returns the newest announcement for an engine.
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -149,7 +149,12 @@
 	if polls == 0 {
 		r.quickest = max(reportEvery, time.Duration(loadShortening*float64(r.quickest)))
 	}
-	r.usual += time.Duration(loadSmoothing * float64(took-r.usual))
+	r.usual = smoothed(r.usual, took)
+}
+
+// smoothed returns the usual time of a load after one more load.
+func smoothed(usual, took time.Duration) time.Duration {
+	return usual + time.Duration(loadSmoothing*float64(took-usual))
 }
 
 // serving tells all nodes that the engine serves the version. The next order need not wait for that.
