Receive an engine's answer in one loop for samples and requests

Cause: attempt.receive and requestRun.relay were the same loop, but for what took each chunk. Change: assembler.receive is that loop; keep and send are handed to it. Conclusion: behaviour is unchanged.

--- a/internal/dispatch/assembler.go
+++ b/internal/dispatch/assembler.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"errors"
+	"io"
+
 	"github.com/hillfork/hillfork/internal/mutation"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
@@ -40,6 +43,26 @@
 	return a.total >= 0 && a.tokens.Next() >= a.total
 }
 
+// receive hands the chunks of a stream to take, in order, until the answer is whole. It ends with the first error of either, and with
+// io.ErrUnexpectedEOF where the stream ends before the answer.
+func (a *assembler) receive(stream platform.ChunkStream, take func(platform.Chunk) error) error {
+	for !a.whole() {
+		chunk, err := stream.Receive()
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		for _, ready := range a.add(chunk) {
+			if err := take(ready); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // add takes a chunk in and returns the chunks that are ready now: in order, without a gap or an overlap.
 func (a *assembler) add(chunk platform.Chunk) []platform.Chunk {
 	foreign := chunk.RequestID != a.requestID || chunk.Attempt != a.attempt
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"time"
@@ -256,7 +255,7 @@
 	defer func() { _ = stream.Close() }()
 	order := newAssembler(a.requestID, a.assignment.Attempt, len(a.assignment.Resume))
 	order.mutations = owner.config.Mutations
-	err = a.receive(stream, order)
+	err = order.receive(stream, a.keep)
 	owner.dispatcher.counters.countDrops(order)
 	if err != nil {
 		owner.cancelAtEngine(a.requestID, a.assignment.Attempt)
@@ -264,24 +263,6 @@
 	return err
 }
 
-func (a *attempt) receive(stream platform.ChunkStream, order *assembler) error {
-	for !order.whole() {
-		chunk, err := stream.Receive()
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		for _, ready := range order.add(chunk) {
-			if err := a.keep(ready); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
 // keep adds the tokens of a chunk to the answer, if their version may be delivered.
 func (a *attempt) keep(chunk platform.Chunk) error {
 	owner := a.link.owner
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/bundle"
@@ -188,7 +187,7 @@
 		return r.fail(ctx, err)
 	}
 	order := newAssembler(r.engineRequestID, r.request.Attempt, len(r.request.Resume))
-	err = r.relay(stream, order)
+	err = order.receive(stream, r.send)
 	r.owner.dispatcher.counters.countDrops(order)
 	if err != nil {
 		return r.fail(ctx, err)
@@ -196,25 +195,7 @@
 	return r.sendOutcome(peerapi.OutcomeCompleted, "")
 }
 
-// relay sends the tokens of the stream on, in order, until the answer is whole.
-func (r *requestRun) relay(stream platform.ChunkStream, order *assembler) error {
-	for !order.whole() {
-		chunk, err := stream.Receive()
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		for _, ready := range order.add(chunk) {
-			if err := r.send(ready); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
+// send sends a chunk on, if its version may be delivered.
 func (r *requestRun) send(chunk platform.Chunk) error {
 	if err := r.owner.checkVersion(r.request.Workload, r.workload.Model, chunk.Version); err != nil {
 		return err
