Wait by package pause where packages had a wait of their own

Cause: bundle, machines, peer, simnet, the stand-ins' faults and the lab each had the same wait for a time or the end of a context. Change: they call pause.For. Where the error of the context is wanted they take it from there. The packages changed pass under -race -cpu=1. Conclusion: behaviour is unchanged. Waits that watch further channels stay where they are.

--- a/internal/bundle/follower.go
+++ b/internal/bundle/follower.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/mutation"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
@@ -110,7 +111,7 @@
 
 // Run follows the stream until ctx ends, and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := &backoff.ExponentialBackOff{
+	retry := &backoff.ExponentialBackOff{
 		InitialInterval:     retryFirst,
 		RandomizationFactor: backoff.DefaultRandomizationFactor,
 		Multiplier:          backoff.DefaultMultiplier,
@@ -123,10 +124,10 @@
 		}
 		if err != nil {
 			errorlog.Warn(f.logger, "bundle stream cannot be read", err)
-			sleep(ctx, pause.NextBackOff())
+			pause.For(ctx, retry.NextBackOff())
 			continue
 		}
-		pause.Reset()
+		retry.Reset()
 		f.snapshotIfDue(ctx)
 	}
 	return oops.Wrap(ctx.Err())
@@ -143,7 +144,7 @@
 		return err
 	}
 	if f.reached() == before {
-		sleep(ctx, minPoll-time.Since(began))
+		pause.For(ctx, minPoll-time.Since(began))
 	}
 	return nil
 }
@@ -373,16 +374,3 @@
 		return proofOf(chainOf(f.fold.links, f.current)), true
 	}
 }
-
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/bundle/propose.go
+++ b/internal/bundle/propose.go
@@ -11,6 +11,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/samber/oops"
 )
@@ -208,7 +209,7 @@
 func (f *Follower) settle(ctx context.Context, payload []byte, settled func(*Fold) (bool, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	pause := backoff.ExponentialBackOff{
+	retry := backoff.ExponentialBackOff{
 		InitialInterval:     retryFirst,
 		RandomizationFactor: backoff.DefaultRandomizationFactor,
 		Multiplier:          backoff.DefaultMultiplier,
@@ -230,7 +231,7 @@
 			continue
 		}
 		errorlog.Warn(f.logger, "bundle record not settled yet", errors.Join(readError, appendError))
-		sleep(ctx, pause.NextBackOff())
+		pause.For(ctx, retry.NextBackOff())
 		if ctx.Err() != nil {
 			return unsettled(maybeWritten, errors.Join(readError, appendError))
 		}
--- a/internal/lab/cluster/callers.go
+++ b/internal/lab/cluster/callers.go
@@ -13,6 +13,7 @@
 	"github.com/hillfork/hillfork/internal/lab/check"
 	"github.com/hillfork/hillfork/internal/lab/trace"
 	"github.com/hillfork/hillfork/internal/lab/workload"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/platform"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
 	"github.com/hillfork/hillfork/internal/standin/engine"
@@ -197,12 +198,5 @@
 
 // sleepUntil waits for a time; false says that ctx ended first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, time.Until(at))
 }
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -19,6 +19,7 @@
 
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/mutation"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/placement"
 	"github.com/hillfork/hillfork/internal/platform"
 )
@@ -114,24 +115,13 @@
 		case <-timer.C:
 			return nil
 		case <-facts:
-			if err := sleep(ctx, factsDelay); err != nil {
-				return err
+			if !pause.For(ctx, factsDelay) {
+				return ctx.Err()
 			}
 		}
 	}
 }
 
-func sleep(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // nextDelay spreads reads by a fifth around the interval, so that the nodes of a deployment read at different moments.
 func (d *Directory) nextDelay() time.Duration {
 	d.mutex.Lock()
--- a/internal/network/simnet/listener.go
+++ b/internal/network/simnet/listener.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 const (
@@ -187,7 +189,10 @@
 	for {
 		changed, blocked := n.checkPath(from, to)
 		if !blocked {
-			return sleep(ctx, n.transitDelay(from, to))
+			if !pause.For(ctx, n.transitDelay(from, to)) {
+				return ctx.Err()
+			}
+			return nil
 		}
 		select {
 		case <-changed:
@@ -202,14 +207,3 @@
 	defer n.mu.RUnlock()
 	return n.changed, from.paused || to.paused || n.isCut(from, to)
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 const (
@@ -99,20 +100,11 @@
 			return err
 		default:
 			errorlog.Warn(s.options.Logger, "peer accept failed", err)
-			s.pause()
+			pause.For(s.context, acceptPause)
 		}
 	}
 }
 
-func (s *Server) pause() {
-	timer := time.NewTimer(acceptPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.context.Done():
-	}
-}
-
 func (s *Server) addListener(listener net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/fault/gate.go
+++ b/internal/standin/fault/gate.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // ErrUnavailable is what a service answers while it is down. It says nothing about whether the call took effect.
@@ -95,12 +97,8 @@
 	if duration <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, duration) {
 		return ctx.Err()
 	}
+	return nil
 }
