Look whether a channel is closed by package broadcast

Cause: dispatch and placement each had the same isClosed. Change: broadcast.Closed is it. Tests of dispatch call it by that name; what they assert is as it was. Conclusion: behaviour is unchanged. internal/node has a third copy (closed), left to whoever works there.

--- a/internal/broadcast/broadcast.go
+++ b/internal/broadcast/broadcast.go
@@ -22,3 +22,13 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Closed tells whether a channel that carries nothing has been closed.
+func Closed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
@@ -168,7 +169,7 @@
 	} else {
 		owner.stopIntake()
 	}
-	superseded := isClosed(owner.shard.Done())
+	superseded := broadcast.Closed(owner.shard.Done())
 	if !superseded && ctx.Err() == nil {
 		d.release(ctx, owner)
 	}
--- a/internal/dispatch/execute_test.go
+++ b/internal/dispatch/execute_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
 	"github.com/hillfork/hillfork/internal/platform"
@@ -207,15 +208,15 @@
 				is.Equal(len(failures), 2) // training work is handed back at once, with its tokens
 				is.True(len(failures[0].Partial) > 0)
 				time.Sleep(defaultTiming.Settle + 5*time.Second)
-				is.True(!isClosed(long.done))
+				is.True(!broadcast.Closed(long.done))
 				is.NoErr(w.Drain(t.Context()))
-				synctest.Wait()              // the handler returns in the same instant, in a goroutine of its own
-				is.True(isClosed(long.done)) // a drain that is over has nothing left, whoever has the engine by now
+				synctest.Wait()                      // the handler returns in the same instant, in a goroutine of its own
+				is.True(broadcast.Closed(long.done)) // a drain that is over has nothing left, whoever has the engine by now
 				tokens, last, _ := long.wait(nil)
 				is.Equal(last.Outcome, peerapi.OutcomeCompleted)
 				is.Equal(len(tokens), 3000)
 				time.Sleep(time.Minute)
-				is.True(isClosed(claimed.done))
+				is.True(broadcast.Closed(claimed.done))
 				is.Equal(len(w.Engines()), 0)
 				status, _ := w.engines["e1"].Status(t.Context())
 				is.Equal(status.Running, 0)
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/policy"
 )
@@ -266,21 +267,12 @@
 				return
 			}
 		}
-		if isClosed(abandoned.granted) {
+		if broadcast.Closed(abandoned.granted) {
 			s.releaseLocked(load, 1)
 		}
 	})
 }
 
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
-
 // finish gives an interactive request's slot back and learns how long it was held.
 func (s *slotTable) finish(workload string, held time.Duration) {
 	const weight = 8 // of the past against the newest
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -73,7 +74,7 @@
 					t.Skip()
 				}
 				i := rapid.IntRange(0, len(tickets)-1).Draw(t, "i")
-				if isClosed(tickets[i].granted) {
+				if broadcast.Closed(tickets[i].granted) {
 					table.finish("s", time.Second)
 				} else {
 					table.abandon(tickets[i])
@@ -83,7 +84,7 @@
 			"": func(t *rapid.T) {
 				granted := 0
 				for _, admitted := range tickets {
-					if isClosed(admitted.granted) {
+					if broadcast.Closed(admitted.granted) {
 						granted++
 					}
 				}
@@ -117,7 +118,7 @@
 		table.setBacklog("a", 0, 1, 100)
 		first, err := table.enqueue("s", 0)
 		is.NoErr(err)
-		is.True(isClosed(first.granted))
+		is.True(broadcast.Closed(first.granted))
 		table.finish("s", time.Second)
 		is.Equal(table.reserve("a", 100), 3) // one slot stays free for the next request
 		time.Sleep(2*peakWindow + time.Second)
@@ -145,7 +146,7 @@
 				}
 			}
 			for name, queue := range queues {
-				if isClosed(queue[0].granted) {
+				if broadcast.Closed(queue[0].granted) {
 					time.Sleep(time.Second)
 					served[name]++
 					queues[name] = queue[1:]
--- a/internal/dispatch/steadiness.go
+++ b/internal/dispatch/steadiness.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/hillfork/hillfork/internal/broadcast"
+)
 
 // steadiness tells whether the view of the members has been the same for long enough to claim engines by it. While a
 // cluster starts, or a zone dies, every node's view changes for some seconds; were each to claim at once what its view of
@@ -29,7 +33,7 @@
 // observe notes whether the members have changed since it was last called; changed is closed at their next change, and
 // joined says that most of the others are known. It returns how long to wait before engines may be claimed, 0 for no wait.
 func (s *steadiness) observe(changed <-chan struct{}, joined bool, now time.Time) time.Duration {
-	if s.changed != nil && isClosed(s.changed) {
+	if s.changed != nil && broadcast.Closed(s.changed) {
 		s.lastChange = now
 		if s.unsteadySince.IsZero() {
 			s.unsteadySince = now
--- a/internal/dispatch/training_test.go
+++ b/internal/dispatch/training_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/bundle"
 	"github.com/hillfork/hillfork/internal/peer"
 	"github.com/hillfork/hillfork/internal/peerapi"
@@ -230,7 +231,7 @@
 		is.NoErr(w.engines["e1"].Load(t.Context(), other))
 		w.set(func() { w.latest = 6; w.opener.epoch = 2 })
 		time.Sleep(30 * time.Second)
-		is.True(isClosed(first.done))
+		is.True(broadcast.Closed(first.done))
 		is.Equal(w.Engines()[0].Epoch, uint64(3)) // it claimed anew and orders above the other
 		is.Equal(w.Engines()[0].Served["m"], uint64(6))
 	})
--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hillfork/hillfork/internal/broadcast"
 	"github.com/hillfork/hillfork/internal/membership"
 )
 
@@ -48,7 +49,7 @@
 func (r *Rendezvous) current() *index {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.index != nil && !isClosed(r.changed) {
+	if r.index != nil && !broadcast.Closed(r.changed) {
 		return r.index
 	}
 	// The channel is taken before the members, so that a change in between leads to one more build, never to a stale index.
@@ -57,15 +58,6 @@
 	return r.index
 }
 
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
-
 // placeable returns the members that may own keys.
 func placeable(members []membership.Member) []Member {
 	result := make([]Member, 0, len(members))
