Change the version of an engine in one place

Cause: Directory.SetServes and Directory.Correct each copied an engine's versions to change one. Change: both call setVersion. Conclusion: behaviour is unchanged.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,14 +130,8 @@
 	if !ok || found.engine.Versions[model] >= version {
 		return
 	}
-	versions := maps.Clone(found.engine.Versions)
-	if versions == nil {
-		versions = make(map[string]int64)
-	}
-	versions[model] = version
-	found.engine.Versions = versions
 	delete(found.loading, model)
-	d.engineChanged(found.engine.Pool)
+	d.setVersion(found, model, version)
 }
 
 // Correct records that an engine began a run under a version of a model that is older than believed. The engine's own word
@@ -149,7 +143,15 @@
 	if !ok || found.engine.Versions[model] <= version {
 		return
 	}
+	d.setVersion(found, model, version)
+}
+
+// setVersion gives an engine another version of a model. Engines that were handed out keep the versions they had. The mutex must be held.
+func (d *Directory) setVersion(found *entry, model string, version int64) {
 	versions := maps.Clone(found.engine.Versions)
+	if versions == nil {
+		versions = make(map[string]int64)
+	}
 	versions[model] = version
 	found.engine.Versions = versions
 	d.engineChanged(found.engine.Pool)
