Ask the store for the newest configuration before an item is given up for its route

Cause: an execution looked its routes up in the catalog as it stood. Without one (the process has just begun and the operator's records can't be read) the look for the scorer's route was a nil pointer dereference; with an older one a route that came since was taken for gone, and items of an accepted job were listed as dead. Change: jobrun/place.go confirms by the store that the catalog is the newest before a missing route counts as ended, for items and scorers alike, and waits where the store does not tell or no catalog is known. jobrun.Config names the catalog's follower. Conclusion: an owner that is behind waits; one that is not gives up one read of the store later than before.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -143,7 +143,7 @@
 
 // untilGivenUp bounds the run by the time at which the item may be given up.
 func (e *execution) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
-	route, known := e.route()
+	route, known := e.itemRoute()
 	if !known || route.MaxWait <= 0 {
 		return context.WithCancel(ctx)
 	}
@@ -187,12 +187,11 @@
 			return true
 		}
 		route, ok := e.route()
-		if !ok || len(route.Targets) == 0 {
-			if e.runner.config.Catalog.Current() != nil {
+		if !ok {
+			if e.ended(ctx, e.route) {
 				e.runner.config.Logger.Info("item given up, its route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
 				return false
 			}
-			pause.For(ctx, retryMost)
 			continue
 		}
 		if e.waitingSince.IsZero() {
@@ -296,7 +295,7 @@
 	if version < e.view.Spec.MinVersion {
 		return errVersion
 	}
-	if route, ok := e.route(); ok && route.SingleVersion && len(e.versions) > 0 && e.versions[0] != version {
+	if route, ok := e.itemRoute(); ok && route.SingleVersion && len(e.versions) > 0 && e.versions[0] != version {
 		return errVersion
 	}
 	return nil
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -3,18 +3,64 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
+// catalogTimeout bounds one look whether the catalog is the newest: a page of the store, and a read that it holds open.
+const catalogTimeout = 2 * time.Second
+
+// route returns the item's route, false if the catalog has none that leads anywhere.
 func (e *execution) route() (catalog.Route, bool) {
+	route, ok := e.itemRoute()
+	return route, ok && len(route.Targets) > 0
+}
+
+// itemRoute returns the item's route, also one that leads nowhere.
+func (e *execution) itemRoute() (catalog.Route, bool) {
+	return e.match(e.view.Spec.Host, e.item.Path)
+}
+
+// scorerRoute returns the route of the item's scorer.
+func (e *execution) scorerRoute() (catalog.Route, bool) {
+	return e.match(e.item.Scorer.Host, e.item.Scorer.Path)
+}
+
+func (e *execution) match(host, path string) (catalog.Route, bool) {
 	current := e.runner.config.Catalog.Current()
 	if current == nil {
 		return catalog.Route{}, false
 	}
-	return current.Match(e.view.Spec.Host, e.item.Path)
+	return current.Match(host, path)
+}
+
+// ended tells whether the newest catalog has no route of a kind. A process may not have read yet what the job was accepted under, so
+// that it asks the store first; it waits a little where the store does not tell.
+func (e *execution) ended(ctx context.Context, route func() (catalog.Route, bool)) bool {
+	confirmCtx, cancel := context.WithTimeout(ctx, catalogTimeout)
+	defer cancel()
+	operator := keyedlog.Partition{Topic: keyedlog.TopicOperator}
+	err := follow.Confirm(confirmCtx, e.runner.config.Log, operator, e.runner.config.CatalogFollower)
+	if err != nil {
+		errorlog.Debug(e.runner.config.Logger, "catalog not confirmed", err, "job", e.view.Spec.ID, "item", e.item.ID)
+		pause.For(ctx, retryMost)
+		return false
+	}
+	if _, found := route(); found {
+		return false
+	}
+	if e.runner.config.Catalog.Current() == nil {
+		pause.For(ctx, retryMost)
+		return false
+	}
+	return true
 }
 
 func (e *execution) want(route catalog.Route) fleet.Want {
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -40,12 +40,14 @@
 	// Index tells which jobs there are; IndexFollower keeps it in step.
 	Index         *job.Index
 	IndexFollower Follower
-	Catalog       *catalog.Holder
-	Splitter      *catalog.Splitter
-	Directory     *fleet.Directory
-	Queue         *Queue
-	Client        engineapi.Client
-	Forwarder     *forward.Forwarder
+	// Catalog is what the operator has configured; CatalogFollower keeps it in step.
+	Catalog         *catalog.Holder
+	CatalogFollower Follower
+	Splitter        *catalog.Splitter
+	Directory       *fleet.Directory
+	Queue           *Queue
+	Client          engineapi.Client
+	Forwarder       *forward.Forwarder
 	// Quarantine watches items whose engines end, nil for none.
 	Quarantine *quarantine.Quarantine
 	Zone       string
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -19,10 +19,13 @@
 		return "", true
 	}
 	for ctx.Err() == nil {
-		current := e.runner.config.Catalog.Current()
-		route, ok := current.Match(scorer.Host, scorer.Path)
+		route, ok := e.scorerRoute()
 		if !ok {
-			return "", false
+			if e.ended(ctx, e.scorerRoute) {
+				e.runner.config.Logger.Info("item given up, its scorer's route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
+				return "", false
+			}
+			continue
 		}
 		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
 		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -117,6 +117,7 @@
 	}
 	indexFollower := follower(keyedlog.JobIndex, indexApplier{n.index})
 	follower(jobsPartition(), ledgerApplier{n.ledger})
+	operator := follower(keyedlog.Partition{Topic: keyedlog.TopicOperator}, ledgerApplier{job.NewLedger(n.index, 0)})
 	routes := catalog.NewHolder()
 	routes.Set(catalog.New(1, []catalog.Route{
 		{
@@ -134,7 +135,7 @@
 	held.Attach(follower(keyedlog.Crashes, held))
 	w.running.Go(func() { held.Run(w.ctx) })
 	n.holder = jobrun.NewHolder(jobrun.Config{
-		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: routes, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
+		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: routes, CatalogFollower: operator, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
 		Directory: n.directory, Queue: queue, Client: w.engines,
 		Forwarder:  forward.New(forward.Config{Client: w.engines, Directory: n.directory, Quarantine: held, Logger: logger}),
 		Quarantine: held,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -114,7 +114,7 @@
 		RecordBytes: config.RecordBytes, CallBytes: config.CallBytes, Logger: config.Logger,
 	})
 	runners := jobrun.NewHolder(jobrun.Config{
-		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog,
+		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
 		Quarantine: r.quarantine, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
 		Retention: config.Settings.Retention, Measures: r.metrics.measures(), Logger: config.Logger,
