Test trials of withheld requests that were not made, red

Cause: by reading. A withheld item waits for a trial, of which there is one within its step and the next ten minutes later. The trial counts as made once its claim is in the log, also where the claimant had no answer of the log, or the engine turned the item away. Change: TestATrialThatWasNotMadeIsNotLost in quarantine, TestAnItemThatWasTurnedAwayAtItsTrialIsTriedAgain in jobrun. Conclusion: an innocent item under which three engines ended stands at no engine until its step is over.

--- a/internal/jobrun/quarantine_test.go
+++ b/internal/jobrun/quarantine_test.go
@@ -112,3 +112,30 @@
 		owner.release()
 	})
 }
+
+// TestAnItemThatWasTurnedAwayAtItsTrialIsTriedAgain has three engines end under an item by chance. The engine that it goes to for its trial
+// turns it away for a moment, as one that is full does: the trial counted as made, and the item stood at no engine for the ten minutes
+// before the next one.
+func TestAnItemThatWasTurnedAwayAtItsTrialIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4)
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		one := spec("one", 1)
+		one.Items[0].Body = []byte(crashPrompt)
+		for _, model := range w.models[:3] {
+			w.engines.Behave(model.ID, memoryengine.Behaviour{
+				Pace: pace, Crashes: func(call engineapi.Call) bool { return string(call.Body) == crashPrompt },
+			})
+		}
+		last := w.models[3].ID
+		w.engines.Behave(last, memoryengine.Behaviour{Full: true})
+		w.submit(one)
+		time.Sleep(4500 * time.Millisecond)
+		w.engines.Behave(last, memoryengine.Behaviour{Pace: pace})
+		time.Sleep(3 * time.Second)
+		owner.checkWhole(one)
+		owner.release()
+	})
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -465,3 +465,39 @@
 		is.Equal(m.standing("x"), quarantine.Clear)
 	})
 }
+
+// TestATrialThatWasNotMadeIsNotLost has a machine ask for a trial of which it learns nothing: its claim is in the log, the answer is not. The
+// next trial comes ten minutes later, so that an item under which engines ended by chance stood at no engine until its step's time
+// was over. The machine whose claim is the first in the log makes the trial as soon as it learns so, once.
+func TestATrialThatWasNotMadeIsNotLost(t *testing.T) {
+	for _, fault := range []memorylog.Fault{memorylog.LostAfter, memorylog.LostLate, memorylog.LostBefore} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				first, second := w.machine("1"), w.machine("2")
+				first.crash("a", call("x"))
+				first.crash("b", call("x"))
+				time.Sleep(3 * time.Second)
+				w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+					if call.Operation == "append" {
+						return fault
+					}
+					return memorylog.None
+				})
+				is.Equal(first.standing("x"), quarantine.Withheld)
+				w.store.Heal()
+				admitted := 0
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					for _, m := range []*machine{second, first} {
+						if m.standing("x") != quarantine.Withheld {
+							admitted++
+						}
+					}
+				}
+				is.Equal(admitted, 1)
+			})
+		})
+	}
+}
