Keep a trial that was not made for the next call of its content

Cause: a trial counted as made with its claim. Where the claimant had no answer of the log, or its call reached no engine that ran it, nobody made the trial, and the next one comes ten minutes later. Change: a history knows the claims of its own process and which trial that process has made; a trial of its own that was not made is for the next call of the content. jobrun gives a trial back for items and scorers' calls that were not run. Conclusion: each trial is made once at most, as before, and no longer lost to an answer or a full engine. internal/forward gives none back yet: a caller's retry goes to another machine as a rule.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -212,6 +212,12 @@
 			pause.For(ctx, withheldLook)
 			continue
 		}
+		if runCtx.Err() != nil {
+			e.runner.config.Quarantine.NotRun(e.call())
+			cancel()
+			place.Release()
+			continue
+		}
 		engine := place.Engine
 		before := len(e.events)
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
@@ -404,6 +410,7 @@
 }
 
 func (e *execution) turnedAway(result eventrun.Result) {
+	e.runner.config.Quarantine.NotRun(e.call())
 	directory := e.runner.config.Directory
 	if result.Err != nil {
 		directory.Failed(e.engine.ID)
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -27,7 +27,8 @@
 			}
 			continue
 		}
-		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
+		request := e.scoreRequest(ctx, route)
+		answer := e.runner.config.Forwarder.Do(ctx, request)
 		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
 			return answer.Reply.Stamp, true
 		}
@@ -36,6 +37,9 @@
 				"failures", answer.Failures)
 			return "", false
 		}
+		if answer.Outcome == forward.NotRun {
+			e.runner.config.Quarantine.NotRun(request.Call)
+		}
 		if answer.Outcome == forward.Withheld {
 			pause.For(ctx, min(answer.RetryAfter, withheldLook))
 			continue
--- a/internal/quarantine/history.go
+++ b/internal/quarantine/history.go
@@ -12,12 +12,15 @@
 	ended map[string]bool
 	// trials holds the claims to trials by their keys, with their places in the log.
 	trials map[eventKey]int64
+	// own holds the claims of this process; made is the last trial of its own that it has made, 0 if there is none.
+	own  map[string]bool
+	made int
 	// last is when this process learned of the last end or trial.
 	last time.Time
 }
 
 func newHistory() *history {
-	return &history{ended: make(map[string]bool), trials: make(map[eventKey]int64)}
+	return &history{ended: make(map[string]bool), trials: make(map[eventKey]int64), own: make(map[string]bool)}
 }
 
 // add takes an event that stands at an offset; one that is known already changes nothing.
@@ -59,11 +62,33 @@
 
 // crashes sums the history up. Claims to the same trial count as one.
 func (h *history) crashes() policy.Crashes {
-	trials := 0
+	return policy.Crashes{Engines: len(h.ended), Trials: h.lastTrial(), Last: h.last}
+}
+
+// lastTrial returns the number of the last trial that was claimed, 0 if none was.
+func (h *history) lastTrial() int {
+	last := 0
 	for key := range h.trials {
-		trials = max(trials, key.trial)
+		last = max(last, key.trial)
+	}
+	return last
+}
+
+// take takes the last trial if it is this process's and was not made yet. It returns whether it was.
+func (h *history) take() bool {
+	last := h.lastTrial()
+	if last <= h.made || !h.own[h.first(last)] {
+		return false
+	}
+	h.made = last
+	return true
+}
+
+// giveBack undoes take: the trial was not made after all.
+func (h *history) giveBack() {
+	if h.made > 0 && h.made == h.lastTrial() {
+		h.made--
 	}
-	return policy.Crashes{Engines: len(h.ended), Trials: trials, Last: h.last}
 }
 
 // first returns the claim that won a trial: the first in the log.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -127,6 +127,8 @@
 		return Clear, 0
 	case access == policy.AccessFree:
 		return Suspect, 0
+	case q.takeTrial(content):
+		return Suspect, 0
 	case access == policy.AccessTrial && q.claim(ctx, content, crashes.Trials+1, call.RequestID):
 		return Suspect, 0
 	case access == policy.AccessTrial:
@@ -160,7 +162,7 @@
 }
 
 // claim asks for a trial. It returns whether this claim is the first in the log. Of the calls of one content that come meanwhile none asks
-// too.
+// too. A claim of whose fate nothing was learned may be the first all the same; then the trial is for the next call.
 func (q *Quarantine) claim(ctx context.Context, content Content, trial int, requestID string) bool {
 	if !q.beginClaim(content) {
 		return false
@@ -169,11 +171,12 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	key := eventKey{content: content, trial: trial, claim: q.config.Machine + "#" + strconv.FormatUint(rand.Uint64(), 36)}
+	q.note(key)
 	appended, err := q.config.Log.Append(ctx, keyedlog.Crashes, []keyedlog.Record{q.record(key)}, nil)
 	if err == nil {
 		err = q.follower.WaitUntil(ctx, appended.Offset+1)
 	}
-	won := err == nil && q.firstClaim(content, trial) == key.claim
+	won := err == nil && q.takeTrial(content)
 	q.config.Logger.Info("trial of a withheld request", "request", requestID, "content", content, "trial", trial, "won", won)
 	if err != nil {
 		errorlog.Warn(q.config.Logger, "trial not claimed", err, "content", content)
@@ -197,13 +200,34 @@
 	delete(q.claims, content)
 }
 
-func (q *Quarantine) firstClaim(content Content, trial int) string {
+// note remembers a claim as this process's own.
+func (q *Quarantine) note(key eventKey) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if known, ok := q.histories[key.content]; ok {
+		known.own[key.claim] = true
+	}
+}
+
+// takeTrial tells whether the last trial of a content is this process's and was not made yet, and takes it.
+func (q *Quarantine) takeTrial(content Content) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	known, ok := q.histories[content]
+	return ok && known.take()
+}
+
+// NotRun takes that a call that was admitted has reached no engine that ran it: if it was a trial, that was not made.
+func (q *Quarantine) NotRun(call engineapi.Call) {
+	if q == nil || q.Contents() == 0 {
+		return
+	}
+	content := ContentOf(call)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if known, ok := q.histories[content]; ok {
-		return known.first(trial)
+		known.giveBack()
 	}
-	return ""
 }
 
 // Broke takes that a call was sent to an engine and the engine's answer broke off or never came, for the given cause, and looks whether
