Test that an open job does not expire, red

Cause: by reading. The users' page keeps results until a time after the job was sent 'and for as long as the batch job is open'; Index.Expired returns every job that is older than the retention. Change: TestAnOpenJobDoesNotExpire. Figures: red on: 1 job expired that has 2 items of which none is listed. Conclusion: a job of which results are still to come is dropped 2.5 minutes after it was sent and answered 404 from then on.

--- a/internal/job/index_test.go
+++ b/internal/job/index_test.go
@@ -167,3 +167,26 @@
 		_ = index.Trained()
 	})
 }
+
+// TestAnOpenJobDoesNotExpire checks that a job of which more may be listed stays for as long as that is so, however long ago it was accepted:
+// its owner dropped it with its results, and nodes answered that it did not exist.
+func TestAnOpenJobDoesNotExpire(t *testing.T) {
+	is := is.New(t)
+	partition := keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: 3}
+	index := job.NewIndex()
+	offset := int64(0)
+	apply := func(record keyedlog.Record, err error) {
+		is.NoErr(err)
+		record.Offset = offset
+		offset++
+		is.NoErr(index.Apply(record, false))
+	}
+	apply(job.EncodeEntry(job.NewEntry(spec("one", 2), partition, 0, 3, 100), "t"))
+	index.Advanced(offset)
+	later := time.Now().Add(time.Hour)
+	is.Equal(len(index.Expired(3, later)), 0)
+	apply(job.EncodeEnd("one"), nil)
+	is.Equal(len(index.Expired(3, later)), 0)
+	apply(job.EncodeSettled("one", 9, job.Took{}))
+	is.Equal(len(index.Expired(3, later)), 1)
+}
