Let only jobs of which nothing more is listed expire

Cause: Index.Expired asked for a job's age alone. Change: it asks whether the job is settled too. TestAnExpiredJobLeavesNothing took a job that was never settled for an expired one, which is the fault: it settles the job now, checks that it does not expire before, and checks the settled record among what is dropped.

--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -252,13 +252,13 @@
 	JobKeys   []string
 }
 
-// Expired returns the jobs of a partition that were accepted before a moment.
+// Expired returns the jobs of a partition that were accepted before a moment and of which nothing more is listed.
 func (x *Index) Expired(partition int, before time.Time) []Expired {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var all []Expired
 	for id, found := range x.jobs {
-		if !found.known || found.status.Entry.Partition != partition || !found.status.AcceptedAt.Before(before) {
+		if !found.known || !found.status.Settled || found.status.Entry.Partition != partition || !found.status.AcceptedAt.Before(before) {
 			continue
 		}
 		all = append(all, Expired{JobID: id, IndexKeys: slices.Clone(found.keys), JobKeys: found.status.Entry.keys()})
--- a/internal/job/index_test.go
+++ b/internal/job/index_test.go
@@ -99,6 +99,12 @@
 	index := newIndex(t, indexHistory(t), false)
 	is.Equal(len(index.Expired(3, time.Now().Add(-time.Minute))), 0)
 	is.Equal(len(index.Expired(4, time.Now().Add(time.Minute))), 0)
+	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 1)
+	settled, err := job.EncodeSettled("one", 30, job.Took{})
+	is.NoErr(err)
+	settled.Offset = int64(len(indexHistory(t)))
+	is.NoErr(index.Apply(settled, false))
+	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 2)
 	dropped := make(map[string]bool)
 	for _, expired := range index.Expired(3, time.Now().Add(time.Minute)) {
 		for _, key := range slices.Concat(expired.IndexKeys, expired.JobKeys) {
@@ -110,7 +116,7 @@
 		_, known := index.Job(expired.JobID)
 		is.True(!known)
 	}
-	for _, record := range indexHistory(t) {
+	for _, record := range append(indexHistory(t), settled) {
 		is.True(dropped[record.Key])
 	}
 	for _, records := range [][]keyedlog.Record{wholeRecords(t, "one", 5), wholeRecords(t, "two", 2)} {
