--- a/internal/job/index_test.go
+++ b/internal/job/index_test.go
@@ -99,6 +99,12 @@
 	index := newIndex(t, indexHistory(t), false)
 	is.Equal(len(index.Expired(3, time.Now().Add(-time.Minute))), 0)
 	is.Equal(len(index.Expired(4, time.Now().Add(time.Minute))), 0)
+	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 1)
+	settled, err := job.EncodeSettled("one", 30, job.Took{})
+	is.NoErr(err)
+	settled.Offset = int64(len(indexHistory(t)))
+	is.NoErr(index.Apply(settled, false))
+	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 2)
 	dropped := make(map[string]bool)
 	for _, expired := range index.Expired(3, time.Now().Add(time.Minute)) {
 		for _, key := range slices.Concat(expired.IndexKeys, expired.JobKeys) {
@@ -110,7 +116,7 @@
 		_, known := index.Job(expired.JobID)
 		is.True(!known)
 	}
-	for _, record := range indexHistory(t) {
+	for _, record := range append(indexHistory(t), settled) {
 		is.True(dropped[record.Key])
 	}
 	for _, records := range [][]keyedlog.Record{wholeRecords(t, "one", 5), wholeRecords(t, "two", 2)} {
@@ -167,3 +173,26 @@
 		_ = index.Trained()
 	})
 }
+
+// TestAnOpenJobDoesNotExpire checks that a job of which more may be listed stays for as long as that is so, however long ago it was accepted:
+// its owner dropped it with its results, and nodes answered that it did not exist.
+func TestAnOpenJobDoesNotExpire(t *testing.T) {
+	is := is.New(t)
+	partition := keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: 3}
+	index := job.NewIndex()
+	offset := int64(0)
+	apply := func(record keyedlog.Record, err error) {
+		is.NoErr(err)
+		record.Offset = offset
+		offset++
+		is.NoErr(index.Apply(record, false))
+	}
+	apply(job.EncodeEntry(job.NewEntry(spec("one", 2), partition, 0, 3, 100), "t"))
+	index.Advanced(offset)
+	later := time.Now().Add(time.Hour)
+	is.Equal(len(index.Expired(3, later)), 0)
+	apply(job.EncodeEnd("one"), nil)
+	is.Equal(len(index.Expired(3, later)), 0)
+	apply(job.EncodeSettled("one", 9, job.Took{}))
+	is.Equal(len(index.Expired(3, later)), 1)
+}
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -19,12 +19,16 @@
 		return "", true
 	}
 	for ctx.Err() == nil {
-		current := e.runner.config.Catalog.Current()
-		route, ok := current.Match(scorer.Host, scorer.Path)
+		route, ok := e.scorerRoute()
 		if !ok {
-			return "", false
+			if e.ended(ctx, e.scorerRoute) {
+				e.runner.config.Logger.Info("item given up, its scorer's route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
+				return "", false
+			}
+			continue
 		}
-		answer := e.runner.config.Forwarder.Do(ctx, e.scoreRequest(ctx, route))
+		request := e.scoreRequest(ctx, route)
+		answer := e.runner.config.Forwarder.Do(ctx, request)
 		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
 			return answer.Reply.Stamp, true
 		}
@@ -33,6 +37,9 @@
 				"failures", answer.Failures)
 			return "", false
 		}
+		if answer.Outcome == forward.NotRun {
+			e.runner.config.Quarantine.NotRun(request.Call)
+		}
 		if answer.Outcome == forward.Withheld {
 			pause.For(ctx, min(answer.RetryAfter, withheldLook))
 			continue
