--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -219,25 +219,23 @@
 	}
 }
 
-// goesOn takes the result of a read, and tells whether to read on: the read was ended to close the connection, and something has come.
+// goesOn takes the result of a read, and tells whether to read on: between two requests the read was ended, by endIfIdle or for having been idle
+// too long, and the next request has come.
 func (c *conn) goesOn(n int, err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	between := !c.active && !c.asked
 	if n > 0 {
 		c.asked, c.used = true, time.Now()
 	}
 	c.left = c.left || n == 0 && err != nil && !byServer(err)
-	ending := c.ending
-	c.ending = false
-	if !ending {
-		return false
-	}
-	interrupted := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && hasInput(c.Conn)
-	if n > 0 || interrupted {
-		// The deadline of the end is taken back; one of the server's before it is of no use to a process that stops.
+	saved := between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && hasInput(c.Conn)
+	if saved || c.ending && n > 0 {
+		// The request has the time that the server gives it from here on.
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
-	return interrupted
+	c.ending = false
+	return saved
 }
 
 // Write writes an answer.
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -166,4 +166,12 @@
 	is.Equal(tracker.endIdle(), 1)
 	_, err = connection.Read(make([]byte, 1))
 	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // nothing has come
+	write(t, client, request)
+	for !hasInput(connection.Conn) {
+		runtime.Gosched()
+	}
+	is.NoErr(connection.SetReadDeadline(time.Now()))
+	n, err = connection.Read(make([]byte, len(request)))
+	is.NoErr(err) // it came as the server's time for idle connections was over
+	is.Equal(n, len(request))
 }
