Test how long an item stands at no engine beside free ones, red

Cause: by reading. An item declines a slow engine for as long as that would delay it, which has no bound: an item of many events that gave its place up to another one waits until a quick engine has room. Change: TestNoItemWaitsLongBesideFreeEngines: one quick engine, full of items of 7 s, and two that are six times slower and free.

--- /dev/null
+++ b/internal/jobrun/decline_test.go
@@ -0,0 +1,74 @@
+package jobrun_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+)
+
+// hinted returns a job of so many items of so many events each, as many as their hint says.
+func hinted(id string, items, events int) job.Spec {
+	hinted := spec(id, items)
+	for i := range hinted.Items {
+		hinted.Items[i].LengthHint = events
+		hinted.Items[i].Header = map[string]string{"Model": modelName, memoryengine.EventsHeader: strconv.Itoa(events)}
+	}
+	return hinted
+}
+
+// TestNoItemWaitsLongBesideFreeEngines has one quick engine, full of long items for 7 s, and two slow ones that are free. One item more comes,
+// and an item gives its place up to it. That one declined the slow engines for as long as they would delay it, and stood at no
+// engine for 6 s; callers allow 5 s where engines are free. It begins on a slow engine in time, and may move on to the quick one when
+// that has room.
+func TestNoItemWaitsLongBesideFreeEngines(t *testing.T) {
+	const (
+		events     = 240
+		allowed    = 4 * time.Second
+		quickSlots = 4
+		stepTime   = 9 * time.Second
+		look       = 50 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0)
+		for i, factor := range []time.Duration{1, 6, 6} {
+			engine := fleet.Engine{ID: fmt.Sprint("model", i), Pool: "models", Slots: quickSlots, Versions: map[string]int64{modelName: 2}}
+			w.models = append(w.models, engine)
+			w.engines.Add(engine, memoryengine.Behaviour{Pace: factor * pace})
+		}
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.submit(hinted("warm", 3*quickSlots, eventCount))
+		time.Sleep(10 * time.Second)
+		long := hinted("long", quickSlots+1, events)
+		w.submit(long)
+		waited, longest := make(map[string]time.Duration), make(map[string]time.Duration)
+		for passed := time.Duration(0); passed < stepTime; passed += look {
+			time.Sleep(look)
+			listed := make(map[string]bool)
+			for _, result := range owner.results(long.ID) {
+				listed[result.ItemID] = true
+			}
+			for _, item := range long.Items {
+				if listed[item.ID] || w.engines.Running(item.ID) > 0 {
+					waited[item.ID] = 0
+					continue
+				}
+				waited[item.ID] += look
+				longest[item.ID] = max(longest[item.ID], waited[item.ID])
+			}
+		}
+		for _, item := range long.Items {
+			if longest[item.ID] > allowed {
+				t.Errorf("%s stood at no engine for %v", item.ID, longest[item.ID])
+			}
+		}
+		owner.release()
+	})
+}
