Bound how long work declines slow engines

Cause: policy.Declines had no bound but the delay, which for an item of some hundred events is many seconds. Change: work declines slow engines for 3 s at most (declinesMost). Figures: TestNoItemWaitsLongBesideFreeEngines red before (5.95 s), green now. Conclusion: an item begins on a slow engine after 3 s and moves on when a quicker one has room, where it stood still before.

--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -40,11 +40,15 @@
 
 // Declines tells whether work that has waited so long waits on for a quicker engine rather than begin on one that delays it.
 // It waits no longer than the delay, so that it ends no later than the delay after the best time, however long quicker
-// engines stay full (the ski rental rule: at most twice what knowing would have cost).
+// engines stay full (the ski rental rule: at most twice what knowing would have cost), and never longer than declinesMost.
 func Declines(waited, delay time.Duration) bool {
-	return waited < delay
+	return waited < min(delay, declinesMost)
 }
 
+// declinesMost is how long work declines slow engines at most. Callers allow 5 s at no engine beside free ones, of which placing takes
+// some tenths; work that begins on a slow engine moves on once a quicker one has room.
+const declinesMost = 3 * time.Second
+
 const (
 	// moveGainLeast is what a move must save: it reads the prompt and the text again and opens a stream, which takes some tens
 	// of milliseconds of two engines.
