--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -41,10 +41,15 @@
 func (a applier) Advanced(end int64) { a.index.Advanced(end) }
 
 func newNode(t *testing.T, store *memorylog.Store, name string) *node {
+	return newNodeOver(t, store.For(name))
+}
+
+// newNodeOver returns a node that reaches the store by a log of its own.
+func newNodeOver(t *testing.T, store keyedlog.Log) *node {
 	index := job.NewIndex()
 	ctx, cancel := context.WithCancel(context.Background())
 	follower := follow.New(follow.Config{
-		Log: storetimeout.New(store.For(name)), Partition: keyedlog.JobIndex, Applier: applier{index}, Wait: time.Second,
+		Log: storetimeout.New(store), Partition: keyedlog.JobIndex, Applier: applier{index}, Wait: time.Second,
 		Logger: log.New(io.Discard),
 	})
 	var running atomic.Int32
@@ -54,7 +59,7 @@
 		follower.Run(ctx)
 	}()
 	service := jobs.New(jobs.Config{
-		Log: storetimeout.New(store.For(name)), Index: index, IndexFollower: follower, RecordBytes: 300, CallBytes: callBytes,
+		Log: storetimeout.New(store), Index: index, IndexFollower: follower, RecordBytes: 300, CallBytes: callBytes,
 		Logger: log.New(io.Discard),
 	})
 	t.Cleanup(func() {
