Keep what was read of a job for the next call

Cause: a reader that was given up before it was in step was forgotten with all it had read. Change: it ends as before, so that it reads no further for nobody; its ledger and place are kept for 5 s, and the next call goes on there. follow.Follower tells its place (Applied). Conclusion: calls on a job that is slow to read add up at each node.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -303,6 +303,13 @@
 	return f.confirmed.Add(-uptime.Between(f.suspended, suspended()))
 }
 
+// Applied returns an offset below which all records have been applied, 0 before the first ones.
+func (f *Follower) Applied() int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.end
+}
+
 // WaitFor waits until all records below end have been applied, and everything that was there at some moment.
 func (f *Follower) WaitFor(ctx context.Context, end int64) error {
 	return f.await(ctx, func() bool { return f.end >= end && f.caughtUp })
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -71,13 +71,15 @@
 
 	mutex   sync.Mutex
 	readers map[string]*reader
+	// parked holds readers that were given up of late.
+	parked  map[string]*reader
 	reading sync.WaitGroup
 }
 
 // New returns a service.
 func New(config Config) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader)}
+	return &Service{config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader)}
 }
 
 // Close ends all reading.
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -23,6 +23,8 @@
 	idleAfter = 5 * time.Second
 	// idleLook is how often that is looked at.
 	idleLook = time.Second
+	// parkedFor is how long a part of a job's results that was read is kept for the next call, which comes at once as a rule.
+	parkedFor = 5 * time.Second
 )
 
 // reader follows the results of one job while it is asked for. All processes together read a job as often as there are nodes
@@ -72,7 +74,11 @@
 		found.waiting++
 		return found
 	}
-	ledger := job.NewLedger(s.config.Index, status.Entry.Partition)
+	ledger, from := job.NewLedger(s.config.Index, status.Entry.Partition), status.Entry.Next
+	if parked, ok := s.parked[id]; ok && parked.entry == status.Entry {
+		delete(s.parked, id)
+		ledger, from = parked.ledger, max(from, parked.follower.Applied())
+	}
 	size := 0
 	if status.Settled {
 		size = settledBytes
@@ -80,7 +86,7 @@
 	started := &reader{
 		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}),
 		follower: follow.New(follow.Config{
-			Log: s.config.Log, Partition: partitionOf(status.Entry), From: status.Entry.Next, Wait: readWait, Spacing: readSpacing,
+			Log: s.config.Log, Partition: partitionOf(status.Entry), From: from, Wait: readWait, Spacing: readSpacing,
 			Bytes: size,
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
@@ -96,7 +102,8 @@
 }
 
 // left takes that a call waits no more. A reader that nobody waits for, and that was given up before it was in step, ends at
-// once: its callers ask elsewhere, and what it would still read is taken from them.
+// once: its callers ask elsewhere, and what it would still read is taken from them. What it has read is kept for a moment: a job that
+// takes longer to read than a call waits is read by several.
 func (s *Service) left(r *reader, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -107,9 +114,23 @@
 	r.cancel()
 	if s.readers[r.entry.JobID] == r {
 		delete(s.readers, r.entry.JobID)
+		s.park(r)
 	}
 }
 
+// park keeps what a reader has read. The mutex must be held.
+func (s *Service) park(r *reader) {
+	id := r.entry.JobID
+	s.parked[id] = r
+	time.AfterFunc(parkedFor, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.parked[id] == r {
+			delete(s.parked, id)
+		}
+	})
+}
+
 // read follows a job until all its results are here, and keeps them until nobody has asked for long.
 func (s *Service) read(ctx context.Context, r *reader) {
 	defer r.cancel()
