Test that a job is read alone after the store has forgotten, red

Where the store has dropped the records of a job, a node reads the newest record of every key of the partition, of all jobs that it keeps: anew for each body, and anew for each call on results that is not done in its 2 s. Change: TestAJobIsReadAloneAfterTheStoreHasForgotten. Figures: red: 154 calls for the results of one job beside 40 others (pages of three records), where few are needed. Conclusion: the cost of a read grows with what the partition keeps; on a thin link it may take longer than a call waits, for good.

--- a/internal/jobs/reader_test.go
+++ b/internal/jobs/reader_test.go
@@ -213,3 +213,42 @@
 		is.Equal(listing.Next, 1)
 	})
 }
+
+// TestAJobIsReadAloneAfterTheStoreHasForgotten has the store drop its history while a partition holds many other jobs. Of a job that is asked
+// for, a node then read the newest record of every key of the partition, for its results and for each body: some 10 MB after half a
+// minute of four trainers, more than a call waits for on a thin link.
+func TestAJobIsReadAloneAfterTheStoreHasForgotten(t *testing.T) {
+	const others, pagesMost = 40, 3
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore()
+		gateway := newNode(t, store, "gateway")
+		for number := range others {
+			id := fmt.Sprintf("other%02d", number)
+			is.Equal(gateway.service.Submit(t.Context(), spec(id)), jobs.Done)
+			list(t, store, id, 0, "i1")
+		}
+		is.Equal(gateway.service.Submit(t.Context(), spec("one")), jobs.Done)
+		list(t, store, "one", 0, "i1")
+		list(t, store, "one", 1, "i3")
+		settle(t, store, "one")
+		store.Forget()
+		other := newNode(t, store, "other")
+		time.Sleep(time.Second)
+		var reads atomic.Int32
+		countReads(store, "other", &reads)
+		listing, outcome := other.service.Results(t.Context(), "one", 0, 0)
+		is.Equal(outcome, jobs.Done)
+		is.Equal(listing.Next, 2)
+		// One read says that the history is gone, and one that nothing follows.
+		is.True(reads.Load() <= pagesMost+2)
+		reads.Store(0)
+		body, outcome := other.service.Body(t.Context(), "one", "i2")
+		is.Equal(outcome, jobs.Done)
+		is.Equal(len(body), 500)
+		// The submission has eleven records of two kinds, three to a page.
+		is.True(reads.Load() <= pagesMost+4)
+		_, outcome = other.service.Body(t.Context(), "one", "none")
+		is.Equal(outcome, jobs.NotFound)
+	})
+}
