Read a job alone where the store has forgotten its records

Cause: a reader of a job that finds its records dropped read the newest record of every key of the partition, and so did each read of a body. Change: pages of newest records may be asked for keys of a prefix; a reader asks for the results of its job, the read of a body for the submission. An owner, who needs all jobs, reads as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	Applier   Applier
 	// From is the offset of the first record that matters, 0 if the newest record of each key does.
 	From int64
+	// Prefix is what the keys begin with whose newest records matter where the store has dropped what was not read; empty for all keys.
+	Prefix string
 	// Bytes is about how much one read returns at most, 0 for as much as the store gives.
 	Bytes int
 	// Wait is how long the store may hold a read open.
@@ -177,10 +180,10 @@
 	}
 }
 
-// catchUp reads the newest record of every key. Keys that were known and are gone have been dropped.
+// catchUp reads the newest record of every key that matters. Keys that were known and are gone have been dropped.
 func (f *Follower) catchUp(ctx context.Context) error {
 	seen := make(map[string]bool)
-	first, err := pages(ctx, f.config.Log, f.config.Partition, func(record keyedlog.Record) {
+	first, err := pages(ctx, f.config.Log, f.config.Partition, f.config.Prefix, func(record keyedlog.Record) {
 		seen[record.Key] = true
 		f.apply(record, true)
 	})
@@ -191,7 +194,7 @@
 		return errStale
 	}
 	for key, offset := range f.offsets {
-		if !seen[key] && offset < first {
+		if !seen[key] && offset < first && strings.HasPrefix(key, f.config.Prefix) {
 			f.apply(keyedlog.Record{Offset: first - 1, Key: key}, true)
 		}
 	}
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
@@ -14,7 +15,7 @@
 	for from < to {
 		batch, err := log.Read(ctx, partition, keyedlog.Span{From: from, Bytes: size})
 		if errors.Is(err, keyedlog.ErrTrimmed) {
-			return newest(ctx, log, partition, applier)
+			return NewestOf(ctx, log, partition, "", applier)
 		}
 		if err != nil {
 			return err
@@ -35,7 +36,7 @@
 // NewestBelow applies the newest record of each key of a partition, if the store answers with all that lie below an offset.
 func NewestBelow(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, below int64, applier Applier) error {
 	var records []keyedlog.Record
-	end, err := pages(ctx, log, partition, func(record keyedlog.Record) { records = append(records, record) })
+	end, err := pages(ctx, log, partition, "", func(record keyedlog.Record) { records = append(records, record) })
 	if err != nil {
 		return err
 	}
@@ -49,17 +50,22 @@
 	return nil
 }
 
-// newest applies the newest record of each key of a partition.
-func newest(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, applier Applier) error {
-	_, err := pages(ctx, log, partition, func(record keyedlog.Record) { applier.Apply(record, true) })
+// NewestOf applies the newest record of each key of a partition that begins with a prefix.
+func NewestOf(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, prefix string, applier Applier) error {
+	_, err := pages(ctx, log, partition, prefix, func(record keyedlog.Record) { applier.Apply(record, true) })
 	return err
 }
 
-// pages gives the newest record of each key of a partition, and returns the partition's end when the first page was read.
+// pages gives the newest record of each key of a partition that begins with a prefix, and returns the partition's end when the first page
+// was read. The store gives keys in their order, so that those of a prefix lie together.
 func pages(
-	ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, give func(record keyedlog.Record),
+	ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, prefix string, give func(record keyedlog.Record),
 ) (end int64, err error) {
 	after := ""
+	if prefix != "" {
+		// A page begins after a key, and the prefix may be one.
+		after = prefix[:len(prefix)-1]
+	}
 	for first := true; ; first = false {
 		page, err := log.Newest(ctx, partition, after)
 		if err != nil {
@@ -69,8 +75,13 @@
 			end = page.End
 		}
 		for _, record := range page.Records {
-			give(record)
 			after = record.Key
+			switch {
+			case strings.HasPrefix(record.Key, prefix):
+				give(record)
+			case record.Key > prefix:
+				return end, nil
+			}
 		}
 		if !page.More || len(page.Records) == 0 {
 			return end, nil
--- a/internal/follow/span_test.go
+++ b/internal/follow/span_test.go
@@ -78,3 +78,36 @@
 		is.True(len(forgotten.offsets) >= 40)
 	})
 }
+
+// TestTheNewestOfAPrefix checks which keys are read of a partition whose keys begin alike.
+func TestTheNewestOfAPrefix(t *testing.T) {
+	tests := []struct {
+		prefix string
+		want   []string
+	}{
+		{"r/one", []string{"r/one", "r/one/1", "r/one/10", "r/one/2", "r/one/2#0", "r/one1"}},
+		{"r/one/", []string{"r/one/1", "r/one/10", "r/one/2", "r/one/2#0"}},
+		{"r/two/", nil},
+		{"~", nil},
+		{"", []string{"a", "r", "r/on", "r/one", "r/one/1", "r/one/10", "r/one/2", "r/one/2#0", "r/one1", "r/onf", "z"}},
+	}
+	for _, test := range tests {
+		t.Run(test.prefix, func(t *testing.T) {
+			is := is.New(t)
+			store := memorylog.New(memorylog.Config{Partitions: 1})
+			for _, key := range []string{"z", "r/one/2", "r/one/10", "r/one", "a", "r/one1", "r/on", "r", "r/one/1", "r/onf", "r/one/2#0"} {
+				put(t, store, key, "value")
+			}
+			store.Forget()
+			read := new(keys)
+			is.NoErr(follow.NewestOf(t.Context(), store.For("test"), partition, test.prefix, read))
+			is.Equal([]string(*read), test.want)
+		})
+	}
+}
+
+// keys notes the keys of the records that it is given.
+type keys []string
+
+func (k *keys) Apply(record keyedlog.Record, _ bool) { *k = append(*k, record.Key) }
+func (k *keys) Advanced(int64)                       {}
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -133,7 +133,16 @@
 
 // IsResult tells whether a key is one of a result of a job, or of a part of one.
 func IsResult(key, jobID string) bool {
-	return strings.HasPrefix(key, keyResult+separator+jobID+separator)
+	return strings.HasPrefix(key, ResultPrefix(jobID))
+}
+
+// ResultPrefix is what the keys of a job's results begin with, and no others.
+func ResultPrefix(jobID string) string { return keyResult + separator + jobID + separator }
+
+// SubmissionPrefixes is what the keys of a job's submission begin with. Those of a job with a longer id may begin so too: IsSubmission
+// tells them apart.
+func SubmissionPrefixes(jobID string) []string {
+	return []string{specKey(jobID), keyItem + separator + jobID + separator}
 }
 
 // IsSubmission tells whether a key is that of a job's submission, or of a part of it.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -31,10 +31,8 @@
 	if err == nil {
 		return item, nil
 	}
-	// Records of others lie between, an item is in parts, or the store has dropped the records: read all of it.
 	submission := &jobApplier{id: entry.JobID, ledger: job.NewLedger(s.config.Index, entry.Partition), wanted: job.IsSubmission}
-	err = follow.Range(ctx, s.config.Log, partitionOf(entry), entry.Offset, entry.Next, entry.Bytes, submission)
-	if err != nil {
+	if err := s.submission(ctx, entry, submission, err); err != nil {
 		return nil, err
 	}
 	whole, found := submission.ledger.Item(entry.JobID, itemID)
@@ -44,6 +42,20 @@
 	return &whole, nil
 }
 
+// submission reads all of a submission of which an item could not be read by its place, for the given cause: records of others lie
+// between, the item is in parts, or the store has dropped the records.
+func (s *Service) submission(ctx context.Context, entry job.Entry, applier follow.Applier, cause error) error {
+	if !errors.Is(cause, keyedlog.ErrTrimmed) {
+		return follow.Range(ctx, s.config.Log, partitionOf(entry), entry.Offset, entry.Next, entry.Bytes, applier)
+	}
+	for _, prefix := range job.SubmissionPrefixes(entry.JobID) {
+		if err := follow.NewestOf(ctx, s.config.Log, partitionOf(entry), prefix, applier); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // singleItem reads an item by its place. It fails if the submission's records don't lie one after another.
 func (s *Service) singleItem(ctx context.Context, entry job.Entry, itemID string) (*job.Item, bool, error) {
 	first, err := s.record(ctx, entry, entry.Offset, headerBytes+idBytes*entry.Items)
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -87,7 +87,7 @@
 		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}),
 		follower: follow.New(follow.Config{
 			Log: s.config.Log, Partition: partitionOf(status.Entry), From: from, Wait: readWait, Spacing: readSpacing,
-			Bytes: size,
+			Bytes: size, Prefix: job.ResultPrefix(id),
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
 			}},
--- a/internal/jobs/reader_test.go
+++ b/internal/jobs/reader_test.go
@@ -246,7 +246,7 @@
 		body, outcome := other.service.Body(t.Context(), "one", "i2")
 		is.Equal(outcome, jobs.Done)
 		is.Equal(len(body), 500)
-		// The submission has eleven records of two kinds, three to a page.
+		// The submission lies under two prefixes, three records to a page.
 		is.True(reads.Load() <= pagesMost+4)
 		_, outcome = other.service.Body(t.Context(), "one", "none")
 		is.Equal(outcome, jobs.NotFound)
