Test that a range that is gone is read once, red

Each of the four parts that an owner reads at once at a takeover falls back to the newest record of every key of the partition by itself. Change: TestARangeThatIsGoneIsReadOnce. Conclusion: a takeover of what the store has forgotten takes four times as long as it needs, during which its items stand at no engine.

--- a/internal/follow/span_test.go
+++ b/internal/follow/span_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,28 @@
 
 func (k *keys) Apply(record keyedlog.Record, _ bool) { *k = append(*k, record.Key) }
 func (k *keys) Advanced(int64)                       {}
+
+// TestARangeThatIsGoneIsReadOnce reads a range in parts of which the store has dropped the records. Each part read the newest record of every
+// key then, the same ones four times over: an owner that took a partition over from a store that keeps some seconds of history had
+// its items wait for that.
+func TestARangeThatIsGoneIsReadOnce(t *testing.T) {
+	const records, perPage = 60, 3
+	is := is.New(t)
+	store := memorylog.New(memorylog.Config{Partitions: 1})
+	var end int64
+	for number := range records {
+		end = put(t, store, fmt.Sprintf("key%02d", number), "value")
+	}
+	store.Forget()
+	var pages atomic.Int32
+	store.SetRule(func(call memorylog.Call) memorylog.Fault {
+		if call.Operation == "newest" {
+			pages.Add(1)
+		}
+		return memorylog.None
+	})
+	read := new(keys)
+	is.NoErr(follow.RangeTogether(t.Context(), store.For("test"), partition, 0, end, read))
+	is.Equal(len(*read), records)
+	is.Equal(pages.Load(), int32(records/perPage))
+}
