Read a job by the newest records of its results

Cause: a node that is asked for a job read the partition from the job's submission on, of which most is other jobs' records. Change: a job that is settled, or older than a second, is read by the newest records of the keys of its results, and from the log from there on. The reading of newest records goes on with the page that failed; a reader that is given up is parked with its follower, so that this holds over calls too. TestLargeJobsAreReadOverAThinLink gives the jobs results of 8 MB of their own in place of others' records (these are not read any more); without the parking it is red as before. TestPagesGoOnWhereTheyFailed is new. Conclusion: a read costs what the job's results are.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,6 +73,9 @@
 	next    int64
 	started bool
 	offsets map[string]int64
+	// pager reads the newest records while they are being read, seen holds the keys that it has given.
+	pager *pager
+	seen  map[string]bool
 
 	mutex     sync.Mutex
 	end       int64
@@ -97,7 +100,7 @@
 	}
 }
 
-// Run follows until the context ends.
+// Run follows until the context ends. After it has returned it may be called again, and goes on where it was.
 func (f *Follower) Run(ctx context.Context) {
 	if f.idle() && f.config.IdleSpread > 0 {
 		f.rest(ctx, rand.N(f.config.IdleSpread))
@@ -127,7 +130,7 @@
 	}
 	batch, err := f.config.Log.Read(ctx, f.config.Partition, keyedlog.Span{From: f.next, Wait: wait, Bytes: f.config.Bytes})
 	if errors.Is(err, keyedlog.ErrTrimmed) {
-		f.started = false
+		f.started, f.pager = false, nil
 		f.config.Logger.Info("store dropped records that were not read; reading the newest of each key",
 			"partition", f.config.Partition, "from", f.next)
 		return nil
@@ -180,16 +183,21 @@
 	}
 }
 
-// catchUp reads the newest record of every key that matters. Keys that were known and are gone have been dropped.
+// catchUp reads the newest record of every key that matters. Keys that were known and are gone have been dropped. Where it failed it goes on
+// with the page that it lacks.
 func (f *Follower) catchUp(ctx context.Context) error {
-	seen := make(map[string]bool)
-	first, err := pages(ctx, f.config.Log, f.config.Partition, f.config.Prefix, func(record keyedlog.Record) {
-		seen[record.Key] = true
+	if f.pager == nil {
+		f.pager, f.seen = newPager(f.config.Log, f.config.Partition, f.config.Prefix), make(map[string]bool)
+	}
+	err := f.pager.read(ctx, func(record keyedlog.Record) {
+		f.seen[record.Key] = true
 		f.apply(record, true)
 	})
 	if err != nil {
 		return err
 	}
+	first, seen := f.pager.end, f.seen
+	f.pager, f.seen = nil, nil
 	if first < f.next {
 		return errStale
 	}
@@ -306,13 +314,6 @@
 	return f.confirmed.Add(-uptime.Between(f.suspended, suspended()))
 }
 
-// Applied returns an offset below which all records have been applied, 0 before the first ones.
-func (f *Follower) Applied() int64 {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.end
-}
-
 // WaitFor waits until all records below end have been applied, and everything that was there at some moment.
 func (f *Follower) WaitFor(ctx context.Context, end int64) error {
 	return f.await(ctx, func() bool { return f.end >= end && f.caughtUp })
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -245,3 +245,36 @@
 		is.Equal(inStep(idle), processes)
 	})
 }
+
+// TestPagesGoOnWhereTheyFailed has one page of the newest records fail, while a key changes that lies on a page before: the pages before it
+// are not read again, and what changed is read from the log.
+func TestPagesGoOnWhereTheyFailed(t *testing.T) {
+	const records, perPage, failing = 30, 3, 7
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		for number := range records {
+			put(t, store, fmt.Sprintf("key%02d", number), "old")
+		}
+		var pages atomic.Int32
+		store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Operation != "newest" {
+				return memorylog.None
+			}
+			if pages.Add(1) == failing {
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		state := newState()
+		follower := start(t, store, state)
+		time.Sleep(time.Millisecond)
+		is.Equal(pages.Load(), int32(failing))
+		put(t, store, "key00", "new")
+		time.Sleep(2 * time.Second)
+		is.True(follower.CaughtUp())
+		is.Equal(pages.Load(), int32(records/perPage+1))
+		is.Equal(state.read()["key00"], "new")
+		is.Equal(len(state.read()), records)
+	})
+}
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -63,34 +63,58 @@
 }
 
 // pages gives the newest record of each key of a partition that begins with a prefix, and returns the partition's end when the first page
-// was read. The store gives keys in their order, so that those of a prefix lie together.
+// was read.
 func pages(
 	ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, prefix string, give func(record keyedlog.Record),
 ) (end int64, err error) {
-	after := ""
+	pager := newPager(log, partition, prefix)
+	err = pager.read(ctx, give)
+	return pager.end, err
+}
+
+// pager reads the newest record of each key of a partition that begins with a prefix, page by page. The store gives keys in their order, so
+// that those of a prefix lie together.
+type pager struct {
+	log       keyedlog.Log
+	partition keyedlog.Partition
+	prefix    string
+	// after is the last key that was read; begun says that a page was, end is the partition's end then: whatever changes later lies at or
+	// after it.
+	after string
+	begun bool
+	end   int64
+}
+
+func newPager(log keyedlog.Log, partition keyedlog.Partition, prefix string) *pager {
+	started := &pager{log: log, partition: partition, prefix: prefix}
 	if prefix != "" {
 		// A page begins after a key, and the prefix may be one.
-		after = prefix[:len(prefix)-1]
+		started.after = prefix[:len(prefix)-1]
 	}
-	for first := true; ; first = false {
-		page, err := log.Newest(ctx, partition, after)
+	return started
+}
+
+// read gives all records. If it fails, the next call goes on with the page that failed.
+func (p *pager) read(ctx context.Context, give func(record keyedlog.Record)) error {
+	for {
+		page, err := p.log.Newest(ctx, p.partition, p.after)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		if first {
-			end = page.End
+		if !p.begun {
+			p.begun, p.end = true, page.End
 		}
 		for _, record := range page.Records {
-			after = record.Key
+			p.after = record.Key
 			switch {
-			case strings.HasPrefix(record.Key, prefix):
+			case strings.HasPrefix(record.Key, p.prefix):
 				give(record)
-			case record.Key > prefix:
-				return end, nil
+			case record.Key > p.prefix:
+				return nil
 			}
 		}
 		if !page.More || len(page.Records) == 0 {
-			return end, nil
+			return nil
 		}
 	}
 }
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -23,6 +23,9 @@
 	idleAfter = 5 * time.Second
 	// idleLook is how often that is looked at.
 	idleLook = time.Second
+	// freshFor is how long after its acceptance a job is read from its submission on, which takes one call. Later, records of others take
+	// many times what its results do; the newest records of these take two calls or three.
+	freshFor = time.Second
 	// parkedFor is how long a part of a job's results that was read is kept for the next call, which comes at once as a rule.
 	parkedFor = 5 * time.Second
 )
@@ -39,6 +42,9 @@
 	waiting int
 	// complete is closed once all results are here that there will ever be.
 	complete chan struct{}
+	// ended is closed once the follower has ended; before is that of the parked reader that this one goes on for, nil for none.
+	ended  chan struct{}
+	before chan struct{}
 }
 
 // jobApplier takes the records of one job of a kind.
@@ -74,19 +80,32 @@
 		found.waiting++
 		return found
 	}
-	ledger, from := job.NewLedger(s.config.Index, status.Entry.Partition), status.Entry.Next
-	if parked, ok := s.parked[id]; ok && parked.entry == status.Entry {
-		delete(s.parked, id)
-		ledger, from = parked.ledger, max(from, parked.follower.Applied())
+	// A parked reader that was in step after all has stood still since.
+	started, ok := s.parked[id]
+	if ok && started.entry == status.Entry && !started.follower.CaughtUp() {
+		started = started.resumed()
+	} else {
+		started = s.newReader(status)
 	}
+	delete(s.parked, id)
+	ctx, cancel := context.WithCancel(s.ctx)
+	started.cancel, started.waiting = cancel, 1
+	s.readers[id] = started
+	s.reading.Go(func() { s.read(ctx, started) })
+	return started
+}
+
+// newReader returns a reader that has read nothing yet.
+func (s *Service) newReader(status job.Status) *reader {
+	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, status.Entry.Partition)
 	size := 0
 	if status.Settled {
 		size = settledBytes
 	}
-	started := &reader{
-		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}),
+	return &reader{
+		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
 		follower: follow.New(follow.Config{
-			Log: s.config.Log, Partition: partitionOf(status.Entry), From: from, Wait: readWait, Spacing: readSpacing,
+			Log: s.config.Log, Partition: partitionOf(status.Entry), From: startOf(status), Wait: readWait, Spacing: readSpacing,
 			Bytes: size, Prefix: job.ResultPrefix(id),
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
@@ -94,11 +113,22 @@
 			Logger: s.config.Logger,
 		}),
 	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	started.cancel, started.waiting = cancel, 1
-	s.readers[id] = started
-	s.reading.Go(func() { s.read(ctx, started) })
-	return started
+}
+
+// resumed returns a reader that goes on where a parked one was.
+func (r *reader) resumed() *reader {
+	return &reader{
+		entry: r.entry, ledger: r.ledger, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
+		ended: make(chan struct{}),
+	}
+}
+
+// startOf returns where the reading of a job begins: with the newest records, 0, unless there is little behind its submission.
+func startOf(status job.Status) int64 {
+	if status.Settled || time.Since(status.AcceptedAt) > freshFor {
+		return 0
+	}
+	return status.Entry.Next
 }
 
 // left takes that a call waits no more. A reader that nobody waits for, and that was given up before it was in step, ends at
@@ -165,7 +195,13 @@
 func (s *Service) untilSettled(ctx context.Context, r *reader) {
 	followCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.reading.Go(func() { r.follower.Run(followCtx) })
+	s.reading.Go(func() {
+		defer close(r.ended)
+		if r.before != nil {
+			<-r.before
+		}
+		r.follower.Run(followCtx)
+	})
 	for {
 		changed := s.config.Index.Changed()
 		if status, known := s.config.Index.Job(r.entry.JobID); known && status.Settled {
