--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -58,6 +58,8 @@
 	Late time.Duration
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// PageRecords is how many of the newest records a page holds; few if it is 0, so that tests meet several pages.
+	PageRecords int
 }
 
 // Store is the store. It is safe for concurrent use.
@@ -87,6 +89,9 @@
 
 // New returns an empty store.
 func New(config Config) *Store {
+	if config.PageRecords == 0 {
+		config.PageRecords = fewRecords
+	}
 	return &Store{
 		config: config, partitions: make(map[keyedlog.Partition]*partition), groups: make(map[string]*group),
 		rule: func(Call) Fault { return None },
@@ -324,8 +329,8 @@
 	return records
 }
 
-// pageRecords is how many records a page holds; few, so that tests meet several pages.
-const pageRecords = 3
+// fewRecords is how many records a page holds if the configuration names no number.
+const fewRecords = 3
 
 // Newest returns the newest records of keys after a key.
 func (v *view) Newest(ctx context.Context, name keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
@@ -340,7 +345,7 @@
 		if strings.Compare(key, afterKey) <= 0 {
 			continue
 		}
-		if len(page.Records) == pageRecords {
+		if len(page.Records) == v.store.config.PageRecords {
 			page.More = true
 			break
 		}
