--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/broadcast"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -27,6 +28,10 @@
 	// quietLeast is how long nothing has to have come over a connection before it is taken for idle. The first request of a new connection
 	// and the rest of one that is being sent come within a round trip: 40 ms between distant regions, and a peer's pause for processor time.
 	quietLeast = 100 * time.Millisecond
+	// acceptLook is how often the end of a listener looks whether connections wait, acceptMost how long it leaves them: a process with a
+	// fifth of a core accepts some thousand a second.
+	acceptLook = time.Millisecond
+	acceptMost = 300 * time.Millisecond
 )
 
 // Tracker knows the open connections of one http.Server. Its Listener and its Observe have to be those of the server. It is safe for
@@ -43,7 +48,7 @@
 type Counts struct {
 	// Open are those that are open now.
 	Open int
-	// Unanswered are those that the server closed after it had read from them what it has not begun to answer.
+	// Unanswered are those from which something was read that no answer has begun to: open ones, and ones that the server has closed so.
 	Unanswered int
 }
 
@@ -53,10 +58,15 @@
 	defer t.mutex.Unlock()
 	counts := t.counts
 	counts.Open = len(t.open)
+	for c := range t.open {
+		if c.unanswered() {
+			counts.Unanswered++
+		}
+	}
 	return counts
 }
 
-// Listener returns a listener whose connections the tracker knows.
+// Listener returns a listener whose connections the tracker knows. Its Close leaves time for connections that wait to be accepted.
 func (t *Tracker) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, tracker: t}
 }
@@ -77,6 +87,15 @@
 	return c, nil
 }
 
+// Close closes the listener once no connection waits to be accepted, or after acceptMost. Those that wait would be reset, with the requests that
+// were sent over them: of 600 connections to a process that stood still for 600 ms before it closed its listener 598 were.
+func (l *listener) Close() error {
+	for began := time.Now(); isReadable(l.Listener) && time.Since(began) < acceptMost; {
+		time.Sleep(acceptLook)
+	}
+	return l.Listener.Close()
+}
+
 func (t *Tracker) opened(c *conn) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -162,8 +181,9 @@
 	net.Conn
 
 	mutex sync.Mutex
-	// active says that the server has read a request whose answer is not finished.
-	active bool
+	// active says that the server has read a request whose answer is not finished; answering that its answer has begun, served that a request
+	// was read on this connection before.
+	active, answering, served bool
 	// asked says that bytes were read since the last ones were written; left says that the client has ended its side.
 	asked, left bool
 	// used is when the connection was accepted, or bytes were last read or written.
@@ -175,7 +195,7 @@
 func (c *conn) setActive(active bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.active = active
+	c.active, c.answering, c.served = active, false, true
 }
 
 // endIfIdle has the connection ended if nothing was read from it that is not answered, and nothing came lately. The goroutine that reads from it
@@ -193,20 +213,37 @@
 
 // hasInput tells whether bytes have come over a connection that were not read yet. Of connections that are not the system's it can't tell.
 func hasInput(connection net.Conn) bool {
-	system, ok := connection.(syscall.Conn)
+	found := false
+	control(connection, func(descriptor int) {
+		n, _, err := unix.Recvfrom(descriptor, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		found = n > 0 && err == nil
+	})
+	return found
+}
+
+// isReadable tells whether connections wait at a listener to be accepted. Of listeners that are not the system's it can't tell.
+func isReadable(listener net.Listener) bool {
+	found := false
+	control(listener, func(descriptor int) {
+		waiting := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		n, err := unix.Poll(waiting, 0)
+		found = n > 0 && err == nil && waiting[0].Revents&unix.POLLIN != 0
+	})
+	return found
+}
+
+// control looks at the descriptor of a socket, if it is one of the system's and open.
+func control(socket any, look func(descriptor int)) {
+	system, ok := socket.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	found := false
-	err = raw.Control(func(descriptor uintptr) {
-		n, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = n > 0 && err == nil
-	})
-	return found && err == nil
+	// The error says that the socket is closed: then there is nothing to look at.
+	_ = raw.Control(func(descriptor uintptr) { look(int(descriptor)) })
 }
 
 // Read reads what the client sends. It fails once the connection is to end and nothing has come; the server then closes it.
@@ -224,9 +261,10 @@
 func (c *conn) goesOn(n int, err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	between := !c.active && !c.asked
+	between := !c.active && !c.asked && (c.served || c.ending)
 	if n > 0 {
-		c.asked, c.used = true, time.Now()
+		// What comes after the beginning of an answer is the rest of its request.
+		c.asked, c.used = c.asked || !c.answering, time.Now()
 	}
 	c.left = c.left || n == 0 && err != nil && !byServer(err)
 	saved := between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && hasInput(c.Conn)
@@ -243,7 +281,10 @@
 	n, err := c.Conn.Write(content)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.asked, c.used = c.asked && err != nil, time.Now()
+	if err == nil {
+		c.asked, c.answering = false, c.active
+	}
+	c.used = time.Now()
 	return n, err
 }
 
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -80,7 +80,7 @@
 		time.Sleep(time.Second / 2)
 		is.NoErr(leaving.Close())
 		time.Sleep(time.Second / 4)
-		is.Equal(w.tracker.Counts(), Counts{Open: 3})
+		is.Equal(w.tracker.Counts(), Counts{Open: 3, Unanswered: 1}) // the one whose client waits
 		is.NoErr(w.server.Close())
 		synctest.Wait()
 		time.Sleep(time.Second)
@@ -170,6 +170,8 @@
 	for !hasInput(connection.Conn) {
 		runtime.Gosched()
 	}
+	tracker.Observe(connection, http.StateActive)
+	tracker.Observe(connection, http.StateIdle)
 	is.NoErr(connection.SetReadDeadline(time.Now()))
 	n, err = connection.Read(make([]byte, len(request)))
 	is.NoErr(err) // it came as the server's time for idle connections was over
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -296,7 +296,7 @@
 	case <-e.forwarder.config.Directory.Changed():
 	case <-ctx.Done():
 	}
-	return true
+	return ctx.Err() == nil
 }
 
 // hedgeDelay is how long to wait for the running attempts before another engine is tried as well.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -114,7 +114,7 @@
 	case <-s.forwarder.config.Directory.Changed():
 	case <-ctx.Done():
 	}
-	return true
+	return ctx.Err() == nil
 }
 
 func (s *streamExchange) runOn(ctx context.Context, engine fleet.Engine) eventrun.Result {
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 )
 
@@ -12,16 +11,6 @@
 // their clients.
 const lameDuckPeriod = 5 * time.Second
 
-// endingConnections lets each answer of a stopping node end its connection.
-func endingConnections(next http.Handler, isStopping func() bool) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if isStopping() {
-			writer.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(writer, request)
-	})
-}
-
 // shutdownAPI refuses new connections, lets clients use up those that they hold, and closes the rest once nothing is under way there. It does not
 // shut the server down, which would close connections in place of answering what was read from them.
 func (n *Node) shutdownAPI(ctx context.Context) error {
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/clientconn"
 	"github.com/hillfork/hillfork/internal/network/simnet"
 	"github.com/hillfork/hillfork/internal/platform/connectadapter"
 	"github.com/matryer/is"
@@ -19,7 +20,7 @@
 func TestAnswersOfAStoppingNodeEndTheirConnections(t *testing.T) {
 	is := is.New(t)
 	var stopping atomic.Bool
-	handler := endingConnections(http.NotFoundHandler(), stopping.Load)
+	handler := clientconn.Ending(http.NotFoundHandler(), stopping.Load)
 	answer := func() string {
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/", nil))
@@ -36,7 +37,7 @@
 	is.New(t).NoErr(err)
 	n := &Node{listeners: listeners{api: listener}}
 	n.apiServer = &http.Server{
-		Handler: endingConnections(http.NotFoundHandler(), n.stopping.Load), ReadHeaderTimeout: readHeaderTimeout, ConnState: n.connections.Observe,
+		Handler: clientconn.Ending(http.NotFoundHandler(), n.stopping.Load), ReadHeaderTimeout: readHeaderTimeout, ConnState: n.connections.Observe,
 	}
 	t.Cleanup(func() { _ = n.apiServer.Close() })
 	go func() { _ = n.apiServer.Serve(n.connections.Listener(listener)) }()
