Test when an item is given up whose route its owner learns late, red

Cause: by reading. The time at which an item may be given up is worked out once, from the route as it is known when the item begins. Change: TestAnItemIsGivenUpInTimeByAnOwnerThatLearnsItsRouteLate; nodes of these tests may begin without routes. Conclusion: an owner that has no configuration yet gives its items up never, and tells engines no time.

--- a/internal/jobrun/jobrun_test.go
+++ b/internal/jobrun/jobrun_test.go
@@ -377,3 +377,25 @@
 		next.release()
 	})
 }
+
+// TestAnItemIsGivenUpInTimeByAnOwnerThatLearnsItsRouteLate has the owner take up a job before it knows the configuration: the item had no time
+// at which it may be given up, and engines were given no bound on its runs.
+func TestAnItemIsGivenUpInTimeByAnOwnerThatLearnsItsRouteLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1)
+		w.engines.Behave("model0", memoryengine.Behaviour{Full: true})
+		w.unconfigured = true
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.submit(spec("one", 2))
+		time.Sleep(time.Second)
+		owner.configure(w)
+		time.Sleep(maxWait - 1100*time.Millisecond)
+		is.Equal(len(owner.results("one")), 0)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(len(owner.results("one")), 2)
+		owner.release()
+	})
+}
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -44,8 +44,10 @@
 	scorers []fleet.Engine
 	// singleVersion makes the route allow texts of one version only.
 	singleVersion bool
-	ctx           context.Context
-	running       *sync.WaitGroup
+	// unconfigured starts nodes without routes.
+	unconfigured bool
+	ctx          context.Context
+	running      *sync.WaitGroup
 }
 
 func newWorld(t *testing.T, modelEngines int) *world {
@@ -81,6 +83,7 @@
 	directory *fleet.Directory
 	log       keyedlog.Log
 	holder    *jobrun.Holder
+	routes    *catalog.Holder
 	work      ownership.Work
 	cancel    context.CancelFunc
 }
@@ -118,24 +121,17 @@
 	indexFollower := follower(keyedlog.JobIndex, indexApplier{n.index})
 	follower(jobsPartition(), ledgerApplier{n.ledger})
 	operator := follower(keyedlog.Partition{Topic: keyedlog.TopicOperator}, ledgerApplier{job.NewLedger(n.index, 0)})
-	routes := catalog.NewHolder()
-	routes.Set(catalog.New(1, []catalog.Route{
-		{
-			Name: "items", Host: "h", Prefix: "/items/", Kind: catalog.KindJobs, MaxAttempts: attempts, MaxWait: maxWait,
-			SingleVersion: w.singleVersion, Targets: []catalog.Target{{Pool: "models", Weight: 1}},
-		},
-		{
-			Name: "score", Host: "h", Prefix: "/score/", Kind: catalog.KindRepeatable, MaxAttempts: 4, Aim: 150 * time.Millisecond,
-			Targets: []catalog.Target{{Pool: "scorers", Weight: 1}},
-		},
-	}, nil, catalog.Limits{}))
+	n.routes = catalog.NewHolder()
+	if !w.unconfigured {
+		n.configure(w)
+	}
 	queue := jobrun.NewQueue(n.directory)
 	w.running.Go(func() { queue.Run(w.ctx) })
 	held := quarantine.New(quarantine.Config{Log: n.log, Prober: w.engines, Directory: n.directory, Machine: name, Logger: logger})
 	held.Attach(follower(keyedlog.Crashes, held))
 	w.running.Go(func() { held.Run(w.ctx) })
 	n.holder = jobrun.NewHolder(jobrun.Config{
-		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: routes, CatalogFollower: operator, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
+		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: n.routes, CatalogFollower: operator, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
 		Directory: n.directory, Queue: queue, Client: w.engines,
 		Forwarder:  forward.New(forward.Config{Client: w.engines, Directory: n.directory, Quarantine: held, Logger: logger}),
 		Quarantine: held,
@@ -144,6 +140,20 @@
 	return n
 }
 
+// configure gives a node its routes.
+func (n *node) configure(w *world) {
+	n.routes.Set(catalog.New(1, []catalog.Route{
+		{
+			Name: "items", Host: "h", Prefix: "/items/", Kind: catalog.KindJobs, MaxAttempts: attempts, MaxWait: maxWait,
+			SingleVersion: w.singleVersion, Targets: []catalog.Target{{Pool: "models", Weight: 1}},
+		},
+		{
+			Name: "score", Host: "h", Prefix: "/score/", Kind: catalog.KindRepeatable, MaxAttempts: 4, Aim: 150 * time.Millisecond,
+			Targets: []catalog.Target{{Pool: "scorers", Weight: 1}},
+		},
+	}, nil, catalog.Limits{}))
+}
+
 // own makes the node the owner of the jobs' partition under an epoch.
 func (n *node) own(epoch int64) {
 	ctx, cancel := context.WithCancel(n.world.ctx)
