Work out when an item may be given up once its route is known

Cause: an execution took an unknown route for one without a bound. Change: an item waits for its route, or for the store's word that it has none, before it begins. Conclusion: items of an owner that begins without a configuration have their bound.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -116,6 +116,7 @@
 
 // run brings the item to a result and lists it, unless the context ends before.
 func (e *execution) run(ctx context.Context) {
+	e.awaitRoute(ctx)
 	runCtx, cancel := e.untilGivenUp(ctx)
 	defer cancel()
 	result := e.produce(runCtx)
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -28,6 +28,15 @@
 	return e.match(e.view.Spec.Host, e.item.Path)
 }
 
+// awaitRoute waits until the item's route is known, or that it has ended: it says when the item may be given up.
+func (e *execution) awaitRoute(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, found := e.itemRoute(); found || e.ended(ctx, e.itemRoute) {
+			return
+		}
+	}
+}
+
 // scorerRoute returns the route of the item's scorer.
 func (e *execution) scorerRoute() (catalog.Route, bool) {
 	return e.match(e.item.Scorer.Host, e.item.Scorer.Path)
