Test that a text of one version does not wait for good, red

Cause: by reading. An item whose result may hold one version waits for an engine of the version of its text as long as one is listed, whether that takes the item or not. Change: TestATextOfOneVersionDoesNotWaitForGood. Conclusion: the item stands at no engine until its step is over.

--- a/internal/jobrun/decline_test.go
+++ b/internal/jobrun/decline_test.go
@@ -72,3 +72,28 @@
 		owner.release()
 	})
 }
+
+// TestATextOfOneVersionDoesNotWaitForGood has an item break off whose result may hold one version only. The one engine that still serves the
+// version of its text turns it away for long; another one is free. The item waited for the first for as long as that was listed.
+func TestATextOfOneVersionDoesNotWaitForGood(t *testing.T) {
+	const allowed = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.singleVersion = true
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.engines.Behave("model1", memoryengine.Behaviour{Full: true, Load: time.Millisecond})
+		one := spec("one", 1)
+		w.submit(one)
+		time.Sleep(10 * pace)
+		w.load("model1", 3)
+		owner.directory.SetServes("model1", modelName, 3)
+		w.engines.Behave("model1", memoryengine.Behaviour{Pace: pace})
+		w.engines.Behave("model0", memoryengine.Behaviour{Down: true})
+		w.engines.Behave("model0", memoryengine.Behaviour{Full: true})
+		time.Sleep(allowed)
+		owner.checkWhole(one)
+		owner.release()
+	})
+}
