Test that items that are turned away go elsewhere, red

An item that was turned away five times comes back after 300 ms, an engine that turned work away is left alone for 150 ms; the engine that the item's group prefers is asked again for good, beside a free one. Change: TestItemsThatAreTurnedAwayGoElsewhere. Conclusion: such an item stands at no engine while its preferred one is full, which users count as lost after 5 s.

--- a/internal/jobrun/decline_test.go
+++ b/internal/jobrun/decline_test.go
@@ -97,3 +97,28 @@
 		owner.release()
 	})
 }
+
+// TestItemsThatAreTurnedAwayGoElsewhere has both engines turn away all that comes, as engines that others fill, until one of them is free. Items
+// whose group prefers the other one asked that again and again: by then they came back only after the time for which an engine that
+// turned work away is left alone.
+func TestItemsThatAreTurnedAwayGoElsewhere(t *testing.T) {
+	const jobs, full, allowed = 12, 2 * time.Second, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.engines.Behave("model0", memoryengine.Behaviour{Full: true})
+		for number := range jobs {
+			w.engines.Behave("model1", memoryengine.Behaviour{Full: true})
+			one := spec(fmt.Sprint("job", number), 1)
+			one.Items[0].Group = fmt.Sprint("group", number)
+			w.submit(one)
+			time.Sleep(full)
+			w.engines.Behave("model1", memoryengine.Behaviour{Pace: pace})
+			time.Sleep(allowed)
+			owner.checkWhole(one)
+		}
+		owner.release()
+	})
+}
