Send items that were turned away to other engines first

Cause: an engine that turned work away is left alone for 150 ms, an item that was turned away five times waits 300 ms; and a text of one version waited for engines of its version while one was listed. Change: an item that was turned away asks other engines first, for one wait (300 ms), then all. Its wait goes on over a place where it was not run. A text of one version that has waited for 3 s starts anew where an engine of another version has room. Conclusion: no item waits for one engine beside free ones that it was shown not to take.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -30,6 +30,9 @@
 	gapMost = 1500 * time.Millisecond
 	// moveLook is how often an item on a slow engine looks for a better one.
 	moveLook = 250 * time.Millisecond
+	// exactMost is how long a text of one version waits for an engine of its version. Callers allow an item 5 s at no engine beside free
+	// ones, of which placing takes some tenths.
+	exactMost = 3 * time.Second
 	// placeAgain is how long an item waits for an engine before it looks again at what it needs.
 	placeAgain = 300 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a run that brought nothing.
@@ -100,7 +103,9 @@
 	next *Place
 	// yielded is how often the item was asked to give its place up.
 	yielded atomic.Int32
+	// exclude holds the engine that is not to be asked next; refused says that it turned the item away.
 	exclude []string
+	refused bool
 }
 
 func newExecution(r *runner, view job.View, open job.OpenItem, carried bool) *execution {
@@ -205,6 +210,7 @@
 		}
 		if place == nil {
 			cancel()
+			e.asksAgain()
 			continue
 		}
 		if e.withheld(runCtx) {
@@ -224,12 +230,17 @@
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
 			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
+		waitingSince := e.waitingSince
 		e.waitingSince = time.Time{}
 		e.hold()
 		result := e.runOn(runCtx, engine, route)
 		cancel()
 		place.Release()
 		e.letGo()
+		if result.Ending == eventrun.EndedNotRun {
+			// The item waits on: it has been at no engine.
+			e.waitingSince = waitingSince
+		}
 		if done, whole := e.judge(ctx, route, result); done {
 			return whole
 		}
@@ -384,7 +395,7 @@
 			"version", e.current)
 	}
 	e.brokenAt = time.Now()
-	e.exclude = nil
+	e.exclude, e.refused = nil, false
 	switch result.Ending {
 	case eventrun.EndedWhole:
 		directory.Succeeded(e.engine.ID, 0)
@@ -410,7 +421,10 @@
 	return false, false
 }
 
+// turnedAway takes that the engine did not run the item. Others are asked first: the engine is left alone for less long than an item that
+// was turned away often waits.
 func (e *execution) turnedAway(result eventrun.Result) {
+	e.exclude, e.refused = []string{e.engine.ID}, true
 	e.runner.config.Quarantine.NotRun(e.call())
 	directory := e.runner.config.Directory
 	if result.Err != nil {
@@ -420,6 +434,13 @@
 	directory.SetLoading(e.engine.ID, e.view.Spec.Model, time.Now().Add(loadingPause))
 }
 
+// asksAgain has the engine that turned the item away asked again, where no other one has taken it.
+func (e *execution) asksAgain() {
+	if e.refused {
+		e.exclude, e.refused = nil, false
+	}
+}
+
 // failed counts an answer of the engine that the item failed; it returns true if the item is given up for it.
 func (e *execution) failed(route catalog.Route, status int) bool {
 	if status == http.StatusUnprocessableEntity {
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -83,10 +83,11 @@
 	return want
 }
 
-// place returns what the next run needs. Between runs only, a text that no engine can go on with starts anew.
+// place returns what the next run needs. Between runs only, a text that no engine can go on with starts anew, and one that has waited
+// for long where engines of other versions may run the item.
 func (e *execution) place(route catalog.Route) fleet.Want {
 	want := e.want(route)
-	if want.ExactVersion != 0 && !e.servedAnywhere(want) {
+	if want.ExactVersion != 0 && (!e.servedAnywhere(want) || e.waitsInVain(want)) {
 		e.restart()
 		want = e.want(route)
 	}
@@ -117,6 +118,26 @@
 	return e.runner.left(e.item.LengthHint, len(e.events))
 }
 
+// waitsInVain tells whether an item that wants one version has waited for long, and an engine of another version has room for it.
+func (e *execution) waitsInVain(want fleet.Want) bool {
+	if time.Since(e.waitingSince) < exactMost {
+		return false
+	}
+	directory := e.runner.config.Directory
+	others := want
+	others.ExactVersion, others.Exclude = 0, nil
+	for _, engine := range directory.Pool(want.Pool) {
+		if engine.Serves(want.Model) == want.ExactVersion {
+			others.Exclude = append(others.Exclude, engine.ID)
+		}
+	}
+	engine, found := directory.Acquire(others)
+	if found {
+		directory.Release(engine.ID)
+	}
+	return found
+}
+
 // servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
 func (e *execution) servedAnywhere(want fleet.Want) bool {
 	for _, engine := range e.runner.config.Directory.Pool(want.Pool) {
@@ -131,7 +152,7 @@
 func (e *execution) restart() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.runner.config.Logger.Info("item starts anew, no engine serves its version", "job", e.view.Spec.ID, "item", e.item.ID,
+	e.runner.config.Logger.Info("item starts anew, no engine of its version takes it", "job", e.view.Spec.ID, "item", e.item.ID,
 		"events", len(e.events), "versions", e.versions)
 	e.events, e.versions, e.kept, e.line = nil, nil, 0, 0
 }
