Tell callers how long an idle connection may be used, shorter than a stop leaves it open

Cause: a request may cross the close of a connection that was idle since before the order to stop. Callers mind the time that Keep-Alive gives, and answers gave none.

--- a/internal/clientconn/ending.go
+++ b/internal/clientconn/ending.go
@@ -1,12 +1,22 @@
 package clientconn
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
 
 // Ending has each answer end its connection while a stop is under way, also where its request came before: otherwise the connection would be
-// closed under the client without a word when it may send its next request.
-func Ending(next http.Handler, isStopping func() bool) http.Handler {
+// closed under the client without a word when it may send its next request. Before that, answers tell for how many whole seconds an idle
+// connection may be used again, if there are any: a client that minds it never sends a request that crosses the close of its
+// connection, where a stop waits longer than that before it closes what is idle.
+func Ending(next http.Handler, isStopping func() bool, keep time.Duration) http.Handler {
+	keepAlive := ""
+	if seconds := int64(keep / time.Second); seconds > 0 {
+		keepAlive = "timeout=" + strconv.FormatInt(seconds, 10)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer := &endingWriter{ResponseWriter: w, isStopping: isStopping}
+		answer := &endingWriter{ResponseWriter: w, isStopping: isStopping, keepAlive: keepAlive}
 		next.ServeHTTP(answer, r)
 		answer.begin()
 	})
@@ -16,14 +26,21 @@
 type endingWriter struct {
 	http.ResponseWriter
 	isStopping func() bool
+	keepAlive  string
 	begun      bool
 }
 
 func (e *endingWriter) begin() {
-	if !e.begun && e.isStopping() {
-		e.Header().Set("Connection", "close")
+	if e.begun {
+		return
 	}
 	e.begun = true
+	switch {
+	case e.isStopping():
+		e.Header().Set("Connection", "close")
+	case e.keepAlive != "":
+		e.Header().Set("Keep-Alive", e.keepAlive)
+	}
 }
 
 // WriteHeader writes the head.
--- a/internal/clientconn/ending_test.go
+++ b/internal/clientconn/ending_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,10 +30,13 @@
 			Ending(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				stopping.Store(orderedMeanwhile)
 				answer(w)
-			}), stopping.Load).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+			}), stopping.Load, 3200*time.Millisecond).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 			if got := recorder.Header().Get("Connection") == "close"; got != orderedMeanwhile {
 				t.Errorf("%s: ends its connection: %v", name, got)
 			}
+			if got := recorder.Header().Get("Keep-Alive") == "timeout=3"; got == orderedMeanwhile {
+				t.Errorf("%s: tells how long its connection may be used: %v", name, got)
+			}
 		}
 	}
 }
@@ -42,6 +46,6 @@
 	is := is.New(t)
 	recorder := httptest.NewRecorder()
 	nothing := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	Ending(nothing, func() bool { return true }).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	Ending(nothing, func() bool { return true }, 0).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 	is.Equal(recorder.Header().Get("Connection"), "close")
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -370,6 +370,11 @@
 	r.ingress.Stop(cut)
 }
 
+// GracePeriod is how long the process has for a planned stop.
+func (r *Replica) GracePeriod() time.Duration {
+	return r.config.Settings.GracePeriod
+}
+
 // Ingress meets requests of callers.
 func (r *Replica) Ingress() *ingress.Ingress {
 	return r.ingress
