Send no work to engines that are gone until a trial passes

Cause: an engine that failed was only asked last, for 0.5 to 4 s. Where all others were full it was the only one with room, and took work again and again that it refused. Change: policy.Breaker ejects an engine at a refused connection, or at three failures in work; after 0.3 to 2 s one trial goes there. Where more than half of the engines fit for some work are ejected, ejections count for the cost only. Work that must not run twice is no trial. Log lines `engine ejected` and `engine taken back`, metric hillfork_engines_ejected.

--- a/internal/eventrun/eventrun.go
+++ b/internal/eventrun/eventrun.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,18 @@
 	Err error
 }
 
+// Cause says why the run was not whole.
+func (r Result) Cause() string {
+	switch {
+	case r.Err != nil:
+		return r.Ending.String() + ": " + r.Err.Error()
+	case r.Status != 0 && r.Status != http.StatusOK:
+		return r.Ending.String() + " with status " + strconv.Itoa(r.Status)
+	default:
+		return r.Ending.String()
+	}
+}
+
 // Receiver takes what an engine answers.
 type Receiver interface {
 	// Head takes the head of an answer that is a stream.
--- /dev/null
+++ b/internal/fleet/ejection_test.go
@@ -0,0 +1,226 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/matryer/is"
+)
+
+// owner plays an owner of items over a directory: it asks for engines for all that wait, and has a look again as often as queues do.
+type owner struct {
+	directory *fleet.Directory
+	waiting   int
+	sent      map[string]int
+}
+
+func (o *owner) assign(want fleet.Want) []fleet.Engine {
+	wants := make([]fleet.Want, o.waiting)
+	for i := range wants {
+		wants[i] = want
+	}
+	var given []fleet.Engine
+	for _, engine := range o.directory.Assign(wants) {
+		if engine.ID == "" {
+			continue
+		}
+		o.waiting--
+		o.sent[engine.ID]++
+		given = append(given, engine)
+	}
+	return given
+}
+
+// TestGoneEngineIsNotHammered has 60 items wait before ten engines that are full and one that refuses connections and so always has room.
+// Each item that was refused waits again after 50 ms, as items do. Where nothing is ejected, 640 runs are sent to the gone engine in 4 s;
+// here 11: one for each of its places, and trials at 0.3, 0.9 and 2.1 s. As the full engines' runs end, all items get places. A run's place
+// is given back before its failure is told, as owners do.
+func TestGoneEngineIsNotHammered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		for i := range 10 {
+			directory.Upsert(fleet.Engine{ID: fmt.Sprint("live", i), Pool: "p", Slots: 8})
+		}
+		o := &owner{directory: directory, waiting: 80, sent: make(map[string]int)}
+		want := fleet.Want{Pool: "p", Share: 1, Events: 50}
+		full := o.assign(want)
+		is.Equal(len(full), 80)
+		directory.Upsert(fleet.Engine{ID: "gone", Pool: "p", Slots: 8})
+		o.waiting = 60
+		play := func(lasts time.Duration, placed func(fleet.Engine)) {
+			for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				for _, engine := range o.assign(want) {
+					if engine.ID != "gone" {
+						placed(engine)
+						continue
+					}
+					directory.Release("gone")
+					directory.Failed("gone", policy.FailureToConnect, "refused")
+					o.waiting++
+				}
+			}
+		}
+		play(4*time.Second, func(fleet.Engine) {})
+		is.True(o.sent["gone"] > 8) // it is tried again
+		is.True(o.sent["gone"] <= 8+4)
+		is.Equal(directory.Ejected(), 1)
+
+		// 60 of the runs end; the items that waited take their places.
+		for _, engine := range full[:60] {
+			directory.Release(engine.ID)
+		}
+		play(100*time.Millisecond, func(fleet.Engine) {})
+		is.Equal(o.waiting, 0)
+	})
+}
+
+// ejected returns a directory over engines of which some were ejected.
+func ejected(engines int, gone ...string) *fleet.Directory {
+	directory := fleet.NewDirectory()
+	for i := range engines {
+		directory.Upsert(fleet.Engine{ID: fmt.Sprint(i), Pool: "p", Slots: 2, Versions: map[string]int64{"m": 1, "n": 1}})
+	}
+	for _, id := range gone {
+		directory.Failed(id, policy.FailureToConnect, "refused")
+	}
+	return directory
+}
+
+// TestOneTrialAtATime checks that one piece of work of all that wait is sent to an engine whose ejection is over, of whatever kind they are,
+// and the rest once it has shown that it does its work.
+func TestOneTrialAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := ejected(3, "0")
+		var told []fleet.Ejection
+		directory.WatchEjections(func(ejection fleet.Ejection) { told = append(told, ejection) })
+		m := fleet.Want{Pool: "p", Model: "m", Share: 1}
+		n := fleet.Want{Pool: "p", Model: "n", Share: 1}
+		placed := func(wants ...fleet.Want) int {
+			count := 0
+			for _, engine := range directory.Assign(wants) {
+				if engine.ID == "0" {
+					count++
+				}
+			}
+			return count
+		}
+		is.Equal(placed(m, m, n, n, m, n), 0) // the others are full from here on
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(placed(m, n, m, n), 1)
+		is.Equal(placed(m, n), 0)
+		_, found := directory.Acquire(m)
+		is.True(!found)
+		directory.Paced("0", 40*time.Millisecond)
+		is.Equal(placed(m, n), 1) // its second place
+		is.Equal(directory.Ejected(), 0)
+		is.Equal(len(told), 1)
+		is.True(told[0].TakenBack)
+	})
+}
+
+// TestWorkThatMustNotRunTwiceIsNoTrial checks that such work leaves trials to other work, but not for ever, and that it goes to an ejected
+// engine where there is hardly another.
+func TestWorkThatMustNotRunTwiceIsNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		want := fleet.Want{Pool: "p", Exclude: []string{"1"}, NoTrial: true}
+		directory := ejected(2, "0")
+		_, found := directory.Acquire(want)
+		is.True(!found)
+		time.Sleep(4 * time.Second)
+		_, found = directory.Acquire(want)
+		is.True(!found)
+		time.Sleep(300 * time.Millisecond)
+		_, found = directory.Acquire(want)
+		is.True(found)
+
+		directory = ejected(1, "0")
+		_, found = directory.Acquire(want)
+		is.True(found)
+	})
+}
+
+// TestWhereMostEnginesAreEjectedNoneIs checks that work has an engine to try when more than half of those fit for it fail, and that a success
+// there counts: the link of whoever asks is the likelier fault.
+func TestWhereMostEnginesAreEjectedNoneIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		want := fleet.Want{Pool: "p", Model: "m", Share: 1}
+		directory := ejected(4, "0", "1")
+		for range 4 {
+			engine, found := directory.Acquire(want)
+			is.True(found)
+			is.True(engine.ID == "2" || engine.ID == "3")
+		}
+		_, found := directory.Acquire(want)
+		is.True(!found) // two of four full, two of four ejected
+
+		directory = ejected(4, "0", "1", "2", "3")
+		for range 8 {
+			_, found := directory.Acquire(want)
+			is.True(found)
+		}
+		directory.Succeeded("2", time.Second)
+		is.Equal(directory.Ejected(), 3)
+	})
+}
+
+// TestEnginesThatAreFullAreNotGone checks that engines that load or turned work away count as fit: with them left out, a refused engine
+// among a few live ones that are full would be asked for its free places alone.
+func TestEnginesThatAreFullAreNotGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := ejected(4, "0")
+		for _, id := range []string{"1", "2", "3"} {
+			directory.SetLoading(id, "m", time.Now().Add(time.Second))
+		}
+		_, found := directory.Acquire(fleet.Want{Pool: "p", Model: "m", Share: 1})
+		is.True(!found)
+		_, found = directory.Acquire(fleet.Want{Pool: "p", Exclude: []string{"1", "2", "3"}})
+		is.True(!found)
+	})
+}
+
+// TestRunningWorkIsNoTrial checks that a run moves to no engine that has yet to show that it is well, however quick that was.
+func TestRunningWorkIsNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := ejected(2)
+		for range 40 {
+			directory.Paced("0", 20*time.Millisecond)
+			directory.Paced("1", 80*time.Millisecond)
+		}
+		want := fleet.Want{Pool: "p", Share: 1, Events: 50}
+		directory.Failed("0", policy.FailureToConnect, "refused")
+		_, better := directory.AcquireBetter("1", want)
+		is.True(!better)
+		time.Sleep(time.Second)
+		_, better = directory.AcquireBetter("1", want)
+		is.True(!better)
+		directory.Acquire(fleet.Want{Pool: "p", Exclude: []string{"1"}})
+		directory.TurnedAway("0")
+		_, better = directory.AcquireBetter("1", want)
+		is.True(better)
+	})
+}
+
+// TestRenewedEnginesStartClosed checks that what was known of an engine is known no more once its record is another's: it was removed and
+// recorded again, or stands at another address.
+func TestRenewedEnginesStartClosed(t *testing.T) {
+	is := is.New(t)
+	directory := ejected(3, "0", "1")
+	is.Equal(directory.Ejected(), 2)
+	directory.Remove("0")
+	directory.Upsert(fleet.Engine{ID: "0", Pool: "p", Slots: 2})
+	is.Equal(directory.Ejected(), 1)
+	directory.Upsert(fleet.Engine{ID: "1", Pool: "p", Slots: 2})
+	is.Equal(directory.Ejected(), 1) // a record that is merely renewed says nothing of that
+	directory.Upsert(fleet.Engine{ID: "1", Pool: "p", Slots: 2, Address: "elsewhere"})
+	is.Equal(directory.Ejected(), 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,7 @@
 	// avoidUntil is until when the engine is tried last after failures.
 	avoidUntil time.Time
 	failures   int
+	breaker    policy.Breaker
 	pace       policy.Pace
 	// latency is the smoothed time of whole answers.
 	latency time.Duration
@@ -64,6 +65,9 @@
 	// changes.
 	paces  map[string]poolPace
 	sorted map[string][]Engine
+	// tell is told of ejections, nil for nobody; untold holds those of the call under way.
+	tell   func(Ejection)
+	untold []Ejection
 }
 
 // NewDirectory returns an empty directory.
@@ -89,6 +93,10 @@
 	engine.Draining = engine.Draining || found.engine.Draining
 	same := engine.Draining == found.engine.Draining && engine.Address == found.engine.Address &&
 		maps.Equal(engine.Versions, found.engine.Versions)
+	if engine.Address != found.engine.Address {
+		// Nothing is known of whoever answers there.
+		found.breaker = policy.Breaker{}
+	}
 	found.engine = engine
 	if !same {
 		d.engineChanged(engine.Pool)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/matryer/is"
 )
 
@@ -107,7 +108,7 @@
 		directory.Upsert(fleet.Engine{ID: "a", Pool: "p", Slots: 1, Zone: "z"})
 		directory.Upsert(fleet.Engine{ID: "b", Pool: "p", Slots: 1, Zone: "y"})
 		want := fleet.Want{Pool: "p", Zone: "z"}
-		directory.Failed("a")
+		directory.Failed("a", policy.FailureInWork, "broken")
 		picked, _ := directory.Acquire(want)
 		is.Equal(picked.ID, "b")
 		directory.Release("b")
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return Engine{}, false
 	}
-	d.engines[picked.Engine.ID].inFlight++
+	d.begin(picked.Engine.ID, now)
 	return picked.Engine, true
 }
 
@@ -57,7 +57,10 @@
 			surveys[key] = found
 		}
 		if given[i], ok = found.take(want, now); ok {
-			d.engines[given[i].ID].inFlight++
+			if d.begin(given[i].ID, now) {
+				// One trial at a time, whichever kind of work it is.
+				clear(surveys)
+			}
 		}
 	}
 	return given
@@ -132,10 +135,10 @@
 	want.OwnOnly = true
 	want.Exclude = []string{id}
 	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
+	if !found || picked.Avoided || picked.Trial || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
 		return Engine{}, false
 	}
-	d.engines[picked.Engine.ID].inFlight++
+	d.begin(picked.Engine.ID, now)
 	return picked.Engine, true
 }
 
@@ -149,7 +152,7 @@
 	quickest := newSurvey(candidates, want).quickest
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
+		if mayRun(candidate, want) && !candidate.Avoided && !candidate.Ejected && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
@@ -192,9 +195,12 @@
 		if !fits(found.engine, want) {
 			continue
 		}
+		state := found.breaker.State(now)
+		trial := state == policy.BreakerHalfOpen
 		candidates = append(candidates, Candidate{
 			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
 			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
+			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
 	}
 	return candidates
@@ -210,35 +216,13 @@
 	}
 }
 
-// Failed records that an engine failed a piece of work; it is tried last for a while.
-func (d *Directory) Failed(id string) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	found, ok := d.engines[id]
-	if !ok {
-		return
-	}
-	found.avoidUntil = time.Now().Add(min(avoidMax, avoidBase<<min(found.failures, 3)))
-	found.failures++
-}
-
-// Succeeded records a whole answer and how long it took.
-func (d *Directory) Succeeded(id string, latency time.Duration) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if found, ok := d.engines[id]; ok {
-		found.failures = 0
-		found.avoidUntil = time.Time{}
-		found.latency = smooth(found.latency, latency)
-	}
-}
-
-// Paced records the time between two events of a stream.
+// Paced records the time between two events of a stream. An event of a trial takes an ejected engine back.
 func (d *Directory) Paced(id string, gap time.Duration) {
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	defer d.unlock()
 	if found, ok := d.engines[id]; ok {
 		found.pace.Add(gap)
+		d.takenBack(found, found.breaker.Alive(time.Now()))
 	}
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -16,6 +16,9 @@
 	InFlight int
 	// Avoided says that the engine failed lately.
 	Avoided bool
+	// Ejected says that nothing is sent there for its failures; Trial that one piece of work is, to see whether it is well again.
+	Ejected bool
+	Trial   bool
 	// Loading says that it begins no request of the wanted model now.
 	Loading bool
 	// Pace is the time between its events, 0 if unknown; Latency the smoothed time of whole answers.
@@ -45,6 +48,8 @@
 	Since  time.Time
 	// OwnOnly leaves out engines that are kept up to date for other models.
 	OwnOnly bool
+	// NoTrial says that other work had better try whether an ejected engine is well again.
+	NoTrial bool
 }
 
 // slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
@@ -67,18 +72,21 @@
 	typical  time.Duration
 	// own says that one of them is kept up to date for the model of the work.
 	own bool
+	// panicking says that so many of them are ejected that ejections count for nothing but the cost.
+	panicking bool
 }
 
 // newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody.
 func newSurvey(candidates []Candidate, want Want) survey {
 	var found survey
 	var known []time.Duration
+	found.panicking = panicking(candidates, want)
 	for _, candidate := range candidates {
-		if !mayRun(candidate, want) {
+		if !mayRun(candidate, want) || barred(candidate, found) {
 			continue
 		}
 		found.own = found.own || !foreign(candidate, want)
-		if candidate.Pace > 0 && !candidate.Avoided {
+		if candidate.Pace > 0 && !candidate.Avoided && !candidate.Ejected {
 			known = append(known, candidate.Pace)
 		}
 	}
@@ -89,6 +97,28 @@
 	return found
 }
 
+// panicking tells whether work goes by no ejections, for how many of the engines fit for it are ejected. Those that load or that were tried
+// count too: they take work again sooner than all ejected ones together are well.
+func panicking(candidates []Candidate, want Want) bool {
+	ejected, fit := 0, 0
+	for _, candidate := range candidates {
+		if !fits(candidate.Engine, want) {
+			continue
+		}
+		fit++
+		if candidate.Ejected {
+			ejected++
+		}
+	}
+	return policy.IgnoreEjections(ejected, fit)
+}
+
+// barred tells whether an engine takes nothing of the work for its failures. It may have room, since all others are full: gone engines
+// were refused the same work again and again for that.
+func barred(candidate Candidate, known survey) bool {
+	return candidate.Ejected && !known.panicking
+}
+
 // foreign tells whether an engine is kept up to date for another model than that of the work. Its places are most likely taken by
 // work of which this node knows nothing.
 func foreign(candidate Candidate, want Want) bool {
@@ -128,7 +158,7 @@
 func choose(candidates []Candidate, known survey, want Want, now time.Time) (best int, bestCost float64, ok bool) {
 	best = -1
 	for i, candidate := range candidates {
-		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
+		if !hasRoom(candidate, want) || !mayRun(candidate, want) || barred(candidate, known) || !open(candidate, known, want, now) {
 			continue
 		}
 		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
@@ -187,7 +217,7 @@
 func cost(candidate Candidate, want Want, typicalPace time.Duration) float64 {
 	engine := candidate.Engine
 	total := float64(candidate.InFlight) / float64(max(1, engine.Slots))
-	if candidate.Avoided {
+	if candidate.Avoided || candidate.Ejected {
 		total += avoidedCost
 	}
 	if want.Events == 0 && typicalPace > 0 && float64(candidate.Pace) > slowFactor*float64(typicalPace) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -262,6 +262,7 @@
 func (e *exchange) start(ctx context.Context) bool {
 	engine, ok := e.forwarder.config.Directory.Acquire(fleet.Want{
 		Pool: e.request.Pool, Exclude: e.tried, Zone: e.forwarder.config.Zone,
+		NoTrial: !e.request.MayRepeat,
 	})
 	if !ok {
 		return false
@@ -315,16 +316,17 @@
 	e.standing = max(e.standing, result.standing)
 	switch {
 	case errors.Is(result.err, engineapi.ErrNotSent):
-		directory.Failed(result.engine.ID)
+		directory.Failed(result.engine.ID, result.failure(), e.cause)
 		e.turnedAway()
 	case result.err != nil:
-		directory.Failed(result.engine.ID)
+		directory.Failed(result.engine.ID, policy.FailureInWork, e.cause)
 		e.mayHaveRun = true
 	case result.reply.NotRun:
+		directory.TurnedAway(result.engine.ID)
 		e.turnedAway()
 	case result.reply.Stamp == "" && result.reply.Status < http.StatusMultipleChoices:
 		// A success without the engine's signature is none.
-		directory.Failed(result.engine.ID)
+		directory.Failed(result.engine.ID, policy.FailureInWork, e.cause)
 		e.mayHaveRun = true
 	case result.reply.Status >= http.StatusInternalServerError:
 		e.failures++
@@ -369,6 +371,14 @@
 	}
 }
 
+// failure says what an attempt that was not sent shows of the engine: no word came in the time that was left, or there is no connection.
+func (a *attempt) failure() policy.Failure {
+	if errors.Is(a.err, context.Canceled) || errors.Is(a.err, context.DeadlineExceeded) {
+		return policy.FailureInWork
+	}
+	return policy.FailureToConnect
+}
+
 // turnedAway takes back an attempt that has not run.
 func (e *exchange) turnedAway() {
 	e.sent--
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,6 +7,7 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/eventrun"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
@@ -99,6 +100,7 @@
 func (s *streamExchange) acquire() (fleet.Engine, bool) {
 	return s.forwarder.config.Directory.Acquire(fleet.Want{
 		Pool: s.request.Pool, Model: s.request.Model, Exclude: s.tried, Zone: s.forwarder.config.Zone,
+		NoTrial: !s.request.Resumable,
 	})
 }
 
@@ -178,7 +180,9 @@
 		s.sent--
 		s.refusals++
 		if result.Err != nil {
-			directory.Failed(engine.ID)
+			directory.Failed(engine.ID, policy.FailureToConnect, result.Cause())
+		} else {
+			directory.TurnedAway(engine.ID)
 		}
 	case eventrun.EndedByCaller:
 		s.mayHaveRun = true
@@ -190,7 +194,7 @@
 		s.status = result.Status
 	default:
 		s.mayHaveRun = true
-		directory.Failed(engine.ID)
+		directory.Failed(engine.ID, policy.FailureInWork, result.Cause())
 	}
 	return Answer{}, false
 }
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -405,13 +405,13 @@
 	case eventrun.EndedNotRun:
 		e.turnedAway(result)
 	case eventrun.EndedFailed:
-		return e.failed(route, result.Status), false
+		return e.failed(route, result), false
 	case eventrun.EndedByReceiver:
 		e.exclude = []string{e.engine.ID}
 	case eventrun.EndedBroken, eventrun.EndedSilent:
 		e.exclude = []string{e.engine.ID}
 		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
-			directory.Failed(e.engine.ID)
+			directory.Failed(e.engine.ID, policy.FailureInWork, result.Cause())
 		}
 		e.runner.config.Quarantine.Broke(ctx, e.call(), e.engine, result.Err, policy.ItemStrikes)
 		if result.Ending == eventrun.EndedSilent {
@@ -428,9 +428,10 @@
 	e.runner.config.Quarantine.NotRun(e.call())
 	directory := e.runner.config.Directory
 	if result.Err != nil {
-		directory.Failed(e.engine.ID)
+		directory.Failed(e.engine.ID, policy.FailureToConnect, result.Cause())
 		return
 	}
+	directory.TurnedAway(e.engine.ID)
 	directory.SetLoading(e.engine.ID, e.view.Spec.Model, time.Now().Add(loadingPause))
 }
 
@@ -442,12 +443,12 @@
 }
 
 // failed counts an answer of the engine that the item failed; it returns true if the item is given up for it.
-func (e *execution) failed(route catalog.Route, status int) bool {
-	if status == http.StatusUnprocessableEntity {
+func (e *execution) failed(route catalog.Route, result eventrun.Result) bool {
+	if result.Status == http.StatusUnprocessableEntity {
 		return true
 	}
-	if status != http.StatusInternalServerError {
-		e.runner.config.Directory.Failed(e.engine.ID)
+	if result.Status != http.StatusInternalServerError {
+		e.runner.config.Directory.Failed(e.engine.ID, policy.FailureInWork, result.Cause())
 		return false
 	}
 	e.mutex.Lock()
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -71,6 +71,13 @@
 	}, func() float64 { return float64(contents()) }))
 }
 
+// ejected has told how many engines take no work for their failures.
+func (m *metrics) ejected(engines func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "engines_ejected", Help: "Engines that take no work of this process for their failures.",
+	}, func() float64 { return float64(engines()) }))
+}
+
 // Metrics serves the replica's counters and histograms.
 func (r *Replica) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,6 +83,7 @@
 		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), index: job.NewIndex(),
 		metrics: newMetrics(),
 	}
+	r.watchEjections()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
@@ -136,6 +137,19 @@
 	return r
 }
 
+// watchEjections has it logged which engines take no work for their failures, and counted.
+func (r *Replica) watchEjections() {
+	r.metrics.ejected(r.directory.Ejected)
+	r.directory.WatchEjections(func(ejection fleet.Ejection) {
+		if ejection.TakenBack {
+			r.config.Logger.Info("engine taken back", "engine", ejection.EngineID, "failures", ejection.Failures)
+			return
+		}
+		r.config.Logger.Info("engine ejected", "engine", ejection.EngineID, "cause", ejection.Cause, "lasts", ejection.Lasts,
+			"failures", ejection.Failures)
+	})
+}
+
 // quarantineCrashes has requests withheld that crash engines, and returns the follower of what all machines tell of that.
 func (r *Replica) quarantineCrashes() *follow.Follower {
 	r.quarantine = quarantine.New(quarantine.Config{
