Make no trial where an item only asks whether there is an engine

Cause: looking for engines of another version acquires one and gives it back, which would use up the trial of an ejected one for 1.5 s. Change: it asks as work that is no trial. Conclusion: found by reading; TestWorkThatMustNotRunTwiceIsNoTrial holds what it rests on.

--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -125,7 +125,8 @@
 	}
 	directory := e.runner.config.Directory
 	others := want
-	others.ExactVersion, others.Exclude = 0, nil
+	// It asks only, and makes no trial.
+	others.ExactVersion, others.Exclude, others.NoTrial = 0, nil, true
 	for _, engine := range directory.Pool(want.Pool) {
 		if engine.Serves(want.Model) == want.ExactVersion {
 			others.Exclude = append(others.Exclude, engine.ID)
