Take an ejected engine back for an answer to its trial alone

Cause: any event of a stream that ran there before took the engine back while its trial was under way. An engine that begins nothing new goes on with old streams, and got work again at once. Change: an answer tells when its work was sent, and counts for the trial only if that was not before it. Conclusion: TestBreaker/a_run_that_was_sent_before_the_trial_takes_nothing_back and TestOneTrialAtATime fail without it. The cases of TestBreaker and TestWhereMostEnginesAreEjectedNoneIs that took whole answers for the trial's now have its first answer, which comes first.

--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -77,15 +77,24 @@
 	d.untold = append(d.untold, Ejection{EngineID: id, Cause: cause, Lasts: lasts, Failures: found.failures})
 }
 
-// Succeeded records a whole answer and how long it took.
-func (d *Directory) Succeeded(id string, latency time.Duration) {
+// Answered records that an engine began to answer work that was sent to it at a moment. It takes an ejected engine back if that was a trial.
+func (d *Directory) Answered(id string, sentAt time.Time) {
 	d.mutex.Lock()
 	defer d.unlock()
+	if found, ok := d.engines[id]; ok {
+		d.takenBack(found, found.breaker.Answer(sentAt, time.Now()))
+	}
+}
+
+// Succeeded records a whole answer and how long it took, 0 for a stream.
+func (d *Directory) Succeeded(id string, latency time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	found, ok := d.engines[id]
 	if !ok {
 		return
 	}
-	d.takenBack(found, found.breaker.Succeed(time.Now()))
+	found.breaker.Succeed()
 	found.failures = 0
 	found.avoidUntil = time.Time{}
 	found.latency = smooth(found.latency, latency)
@@ -93,11 +102,7 @@
 
 // TurnedAway records that an engine answered that it does not run a piece of work: it is there, and takes other work.
 func (d *Directory) TurnedAway(id string) {
-	d.mutex.Lock()
-	defer d.unlock()
-	if found, ok := d.engines[id]; ok {
-		d.takenBack(found, found.breaker.Alive(time.Now()))
-	}
+	d.Answered(id, time.Now())
 }
 
 // takenBack notes whether an engine takes work again. The mutex must be held.
--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -116,7 +116,9 @@
 		is.Equal(placed(m, n), 0)
 		_, found := directory.Acquire(m)
 		is.True(!found)
-		directory.Paced("0", 40*time.Millisecond)
+		directory.Answered("0", time.Now().Add(-time.Millisecond))
+		is.Equal(placed(m, n), 0) // an older run says nothing of the trial
+		directory.Answered("0", time.Now())
 		is.Equal(placed(m, n), 1) // its second place
 		is.Equal(directory.Ejected(), 0)
 		is.Equal(len(told), 1)
@@ -166,7 +168,7 @@
 			_, found := directory.Acquire(want)
 			is.True(found)
 		}
-		directory.Succeeded("2", time.Second)
+		directory.Answered("2", time.Now())
 		is.Equal(directory.Ejected(), 3)
 	})
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -216,13 +216,12 @@
 	}
 }
 
-// Paced records the time between two events of a stream. An event of a trial takes an ejected engine back.
+// Paced records the time between two events of a stream.
 func (d *Directory) Paced(id string, gap time.Duration) {
 	d.mutex.Lock()
-	defer d.unlock()
+	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
 		found.pace.Add(gap)
-		d.takenBack(found, found.breaker.Alive(time.Now()))
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -336,6 +336,7 @@
 		e.cleared(&result)
 	default:
 		e.ran(result.sentAt)
+		directory.Answered(result.engine.ID, result.sentAt)
 		directory.Succeeded(result.engine.ID, result.took)
 		e.cleared(&result)
 		return e.answered(&result), true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -65,6 +65,7 @@
 	// last is the number of the last event passed on.
 	last   int64
 	status int
+	sentAt time.Time
 	paced  time.Time
 	engine string
 	// offered holds every engine that the request was offered to; cause is how the last run ended, if not whole.
@@ -132,14 +133,14 @@
 	if s.request.Resumable && s.request.Gap > 0 {
 		limits.Gap = s.request.Gap
 	}
-	started := time.Now()
+	s.sentAt = time.Now()
 	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
 	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
 		standing := s.forwarder.config.Quarantine.Broke(ctx, call, engine, result.Err, s.request.strikes())
 		s.withheld = standing == quarantine.Withheld
 	}
 	if result.Ending == eventrun.EndedSilent {
-		s.forwarder.config.Quarantine.Silent(call, engine, time.Since(started))
+		s.forwarder.config.Quarantine.Silent(call, engine, time.Since(s.sentAt))
 	}
 	return result
 }
@@ -157,7 +158,9 @@
 // Event passes an event on.
 func (s *streamExchange) Event(event engineapi.Event) error {
 	now := time.Now()
-	if !s.paced.IsZero() {
+	if s.paced.IsZero() {
+		s.forwarder.config.Directory.Answered(s.engine, s.sentAt)
+	} else {
 		s.forwarder.config.Directory.Paced(s.engine, now.Sub(s.paced))
 	}
 	s.paced = now
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -93,6 +93,7 @@
 	// Only the goroutine of run touches these.
 	engine    fleet.Engine
 	current   int64
+	sentAt    time.Time
 	lastEvent time.Time
 	lookedAt  time.Time
 	brokenAt  time.Time
@@ -261,6 +262,7 @@
 	e.current = 0
 	e.lastEvent = time.Time{}
 	e.lookedAt = time.Now()
+	e.sentAt = e.lookedAt
 	call := e.call()
 	call.ResumeAfter = int64(len(e.events))
 	call.Priority = min(9, e.runner.config.Catalog.Priority(route, e.view.Spec.Tenant))
@@ -380,7 +382,9 @@
 		measures.resumed(now.Sub(e.brokenAt))
 		e.brokenAt = time.Time{}
 	}
-	if !e.lastEvent.IsZero() {
+	if e.lastEvent.IsZero() {
+		e.runner.config.Directory.Answered(e.engine.ID, e.sentAt)
+	} else {
 		e.runner.config.Directory.Paced(e.engine.ID, now.Sub(e.lastEvent))
 	}
 	e.lastEvent = now
--- a/internal/policy/breaker.go
+++ b/internal/policy/breaker.go
@@ -127,16 +127,16 @@
 	return lasts
 }
 
-// Succeed takes a whole answer, and returns whether it takes the engine back.
-func (b *Breaker) Succeed(now time.Time) bool {
+// Succeed takes a whole answer.
+func (b *Breaker) Succeed() {
 	b.strikes = max(0, b.strikes-successCounts)
-	return b.Alive(now)
 }
 
-// Alive takes that the engine does some of its work or turned some away, and returns whether that takes the engine back. One failure in work ejects it again
-// until it has shown more.
-func (b *Breaker) Alive(now time.Time) bool {
-	if b.until.IsZero() || b.trialAt.IsZero() {
+// Answer takes that the engine began to answer work that was sent at a moment, be it to turn it away, and returns whether that takes the
+// engine back: an engine that begins nothing new may go on with what it began before. One failure in work ejects it again until it has
+// shown more.
+func (b *Breaker) Answer(sentAt, now time.Time) bool {
+	if b.until.IsZero() || b.trialAt.IsZero() || sentAt.Before(b.trialAt) {
 		return false
 	}
 	b.until, b.trialAt = time.Time{}, time.Time{}
--- a/internal/policy/breaker_test.go
+++ b/internal/policy/breaker_test.go
@@ -21,8 +21,10 @@
 	begin := func(b *Breaker, now time.Time) { b.Begin(now) }
 	refused := func(b *Breaker, now time.Time) { b.Fail(FailureToConnect, now) }
 	broken := func(b *Breaker, now time.Time) { b.Fail(FailureInWork, now) }
-	whole := func(b *Breaker, now time.Time) { b.Succeed(now) }
-	event := func(b *Breaker, now time.Time) { b.Alive(now) }
+	whole := func(b *Breaker, now time.Time) { b.Succeed() }
+	event := func(b *Breaker, now time.Time) { b.Answer(now, now) }
+	// older is the first event of a run that was sent a while ago.
+	older := func(b *Breaker, now time.Time) { b.Answer(now.Add(-100*ms), now) }
 	tests := []struct {
 		name  string
 		steps []step
@@ -32,6 +34,15 @@
 		{"one trial at a time", []step{{0, refused, BreakerOpen}, {300 * ms, begin, BreakerOpen}, {1700 * ms, look, BreakerOpen}}},
 		{"a trial without a word makes room for the next", []step{{0, refused, BreakerOpen}, {300 * ms, begin, BreakerOpen}, {1800 * ms, look, BreakerHalfOpen}}},
 		{"an event of the trial takes back", []step{{0, refused, BreakerOpen}, {300 * ms, begin, BreakerOpen}, {340 * ms, event, BreakerClosed}}},
+		{"a run that was sent before the trial takes nothing back", []step{
+			{0, broken, BreakerClosed},
+			{0, broken, BreakerClosed},
+			{0, broken, BreakerOpen},
+			{300 * ms, begin, BreakerOpen},
+			{310 * ms, older, BreakerOpen},
+			{320 * ms, whole, BreakerOpen},
+			{400 * ms, older, BreakerClosed},
+		}},
 		{"a failed trial ejects for longer", []step{
 			{0, refused, BreakerOpen},
 			{300 * ms, begin, BreakerOpen},
@@ -46,7 +57,7 @@
 			{300 * ms, look, BreakerHalfOpen},
 			{310 * ms, refused, BreakerHalfOpen},
 		}},
-		{"success without any other engine takes back", []step{{0, refused, BreakerOpen}, {10 * ms, begin, BreakerOpen}, {50 * ms, whole, BreakerClosed}}},
+		{"success without any other engine takes back", []step{{0, refused, BreakerOpen}, {10 * ms, begin, BreakerOpen}, {50 * ms, event, BreakerClosed}}},
 		{"two broken runs are chance", []step{{0, broken, BreakerClosed}, {ms, broken, BreakerClosed}}},
 		{"three broken runs are none", []step{{0, broken, BreakerClosed}, {ms, broken, BreakerClosed}, {2 * ms, broken, BreakerOpen}}},
 		{"successes between take strikes off", []step{
@@ -120,7 +131,7 @@
 		for i := range 200 {
 			now = now.Add(100 * time.Millisecond)
 			if i%every != 0 {
-				breaker.Succeed(now)
+				breaker.Succeed()
 				continue
 			}
 			if breaker.Fail(FailureInWork, now) > 0 {
