--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,11 +15,13 @@
 
 // Engine is one incarnation of an engine as it recorded itself.
 type Engine struct {
-	// ID belongs to this incarnation alone.
-	ID      string
-	Pool    string
-	Address string
-	Zone    string
+	// ID names the engine. It may start again under it, and then knows nothing of before.
+	ID string
+	// StartedAt is when the incarnation started, by its own clock; zero if it does not say.
+	StartedAt time.Time
+	Pool      string
+	Address   string
+	Zone      string
 	// Slots is how many requests it works on at once.
 	Slots int
 	// Draining says that it takes no new work.
@@ -74,8 +76,14 @@
 	}
 }
 
+// Restarted tells whether an engine is a later incarnation than another under the same id. Where either does not say when it started, they
+// are taken for one.
+func (e Engine) Restarted(before Engine) bool {
+	return !e.StartedAt.IsZero() && !before.StartedAt.IsZero() && e.StartedAt.After(before.StartedAt)
+}
+
 // Upsert adds or updates an engine. Versions never fall within an incarnation: a lagging record does not undo what was
-// learned from the engine itself.
+// learned from the engine itself. A later incarnation takes the place of the one before, and a record of an earlier one changes nothing.
 func (d *Directory) Upsert(engine Engine) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -85,6 +93,14 @@
 		d.engineChanged(engine.Pool)
 		return
 	}
+	if found.engine.Restarted(engine) {
+		return
+	}
+	if engine.Restarted(found.engine) {
+		found.restart(engine)
+		d.engineChanged(engine.Pool)
+		return
+	}
 	engine.Versions = newest(found.engine.Versions, engine.Versions)
 	engine.Draining = engine.Draining || found.engine.Draining
 	same := engine.Draining == found.engine.Draining && engine.Address == found.engine.Address &&
@@ -95,6 +111,12 @@
 	}
 }
 
+// restart takes that an engine has started again: what it served, loaded and failed was another process. Work in flight is still counted
+// until whoever began it has heard that it broke off.
+func (e *entry) restart(engine Engine) {
+	*e = entry{engine: engine, inFlight: e.inFlight, loading: make(map[string]time.Time), pace: e.pace, latency: e.latency}
+}
+
 // engineChanged takes that the engines of a pool are others than before. The mutex must be held.
 func (d *Directory) engineChanged(pool string) {
 	delete(d.sorted, pool)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -219,3 +219,51 @@
 		is.True(found)
 	})
 }
+
+// TestARestartedEngineKnowsNothing: a process that starts again under its id serves what it then says, whatever was learnt of the one before;
+// and a record of the one before, read late, brings nothing back.
+func TestARestartedEngineKnowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		want := fleet.Want{Pool: "p", Model: "m", MinVersion: 3, Zone: "z", Share: 1}
+		first := engine("a", 3)
+		first.StartedAt = time.UnixMilli(1000)
+		directory.Upsert(first)
+		directory.SetServes("a", "m", 5)
+		directory.SetLoading("a", "m", time.Now().Add(time.Minute))
+		leaving := first
+		leaving.Draining = true
+		directory.Upsert(leaving)
+		directory.Failed("a")
+		_, found := directory.Acquire(want)
+		is.True(!found)
+
+		second := engine("a", 3)
+		second.StartedAt = time.UnixMilli(2000)
+		directory.Upsert(second)
+		directory.Upsert(leaving)
+		known, _ := directory.Engine("a")
+		is.Equal(known.Serves("m"), int64(3))
+		is.True(!known.Draining)
+		directory.Upsert(engine("b", 3))
+		for range 4 {
+			picked, found := directory.Acquire(want)
+			is.True(found)
+			is.Equal(picked.ID, "a") // neither loading nor avoided any more, and in order of ids
+			directory.Release("a")
+		}
+	})
+}
+
+// TestRestartedNeedsBothStarts: an entry that does not say when it started is taken for the incarnation that is known.
+func TestRestartedNeedsBothStarts(t *testing.T) {
+	is := is.New(t)
+	old, later, unsaid := engine("a", 1), engine("a", 1), engine("a", 1)
+	old.StartedAt, later.StartedAt = time.UnixMilli(1000), time.UnixMilli(1001)
+	is.True(later.Restarted(old))
+	is.True(!old.Restarted(later))
+	is.True(!old.Restarted(old))
+	is.True(!unsaid.Restarted(old))
+	is.True(!later.Restarted(unsaid))
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -391,6 +391,33 @@
 	}
 }
 
+// TestASilentEngineThatStartsAgain: a process that is back under its own id has ended as much as one that another stands in for; a
+// record of it as it was has not.
+func TestASilentEngineThatStartsAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		started  time.Time
+		standing quarantine.Standing
+	}{
+		"started again": {time.UnixMilli(2000), quarantine.Suspect},
+		"as it was":     {time.UnixMilli(1000), quarantine.Clear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				machine := newWorld(t).machine("1")
+				engine := fleet.Engine{ID: "one", Pool: "p", Address: "here", StartedAt: time.UnixMilli(1000)}
+				machine.directory.Upsert(engine)
+				machine.Silent(call("x"), engine, time.Second)
+				time.Sleep(time.Second)
+				engine.StartedAt = test.started
+				machine.directory.Upsert(engine)
+				time.Sleep(time.Second)
+				is.Equal(machine.standing("x"), test.standing)
+			})
+		})
+	}
+}
+
 // TestSilencesAreBounded has more calls given up than are watched.
 func TestSilencesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/silence.go
+++ b/internal/quarantine/silence.go
@@ -95,8 +95,11 @@
 	return ended
 }
 
-// replaced tells whether a new engine of the pool has the address of a silent one.
+// replaced tells whether a new engine of the pool has the address of a silent one, or the silent one has started again.
 func (q *Quarantine) replaced(silent silence) bool {
+	if known, listed := q.config.Directory.Engine(silent.engine.ID); listed && known.Restarted(silent.engine) {
+		return true
+	}
 	for _, other := range q.config.Directory.Pool(silent.engine.Pool) {
 		if other.Address == silent.engine.Address && !silent.others[other.ID] {
 			return true
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -116,6 +116,9 @@
 	if !found || known.Draining != engine.Draining {
 		a.news.add(engine, record.Offset, a.logger)
 	}
+	if found && engine.Restarted(known) {
+		a.logger.Info("engine restarted", "engine", engine.ID, "pool", engine.Pool, "address", engine.Address, "offset", record.Offset)
+	}
 	a.directory.Upsert(engine)
 }
 
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -19,7 +19,7 @@
 // order announces and sends an order and waits until the engine serves the version, and returns how long the engine took to
 // load: 0 if it served the version already or is not known to have begun when the order was sent.
 func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (time.Duration, error) {
-	sequence, known := r.sequenceOf(step.Engine.ID)
+	sequence, known := r.sequenceOf(step.Engine)
 	if !known {
 		report, err := r.report(ctx, step.Engine)
 		if err != nil {
@@ -30,7 +30,7 @@
 			return 0, nil
 		}
 		sequence = report.Sequence
-		r.setSequence(step.Engine.ID, sequence)
+		r.setSequence(step.Engine, sequence)
 	}
 	window, err := r.announce(ctx, pool, step, false)
 	if err != nil {
@@ -40,7 +40,7 @@
 	outcome, err := r.send(ctx, step, mode, sequence, window)
 	switch outcome {
 	case engineapi.OrderTaken:
-		r.setSequence(step.Engine.ID, sequence+1)
+		r.setSequence(step.Engine, sequence+1)
 	case engineapi.OrderHolds:
 		r.serving(ctx, pool, step)
 		return 0, nil
@@ -116,7 +116,7 @@
 	}
 	for polls := 0; pause.For(ctx, wait); polls++ {
 		wait = reportEvery
-		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
+		if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining || current.Restarted(step.Engine) {
 			return false
 		} else if current.Serves(step.Model) >= step.Version {
 			return true
@@ -180,17 +180,21 @@
 	return r.together[pool].proven()
 }
 
-func (r *roller) sequenceOf(id string) (int64, bool) {
+// sequenceOf returns how many orders an engine has taken, false if that is not known of this incarnation.
+func (r *roller) sequenceOf(engine fleet.Engine) (int64, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	sequence, known := r.sequences[id]
-	return sequence, known
+	taken, known := r.sequences[engine.ID]
+	if !known || engine.Restarted(taken.by) {
+		return 0, false
+	}
+	return taken.orders, true
 }
 
-func (r *roller) setSequence(id string, sequence int64) {
+func (r *roller) setSequence(engine fleet.Engine, orders int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.sequences[id] = sequence
+	r.sequences[engine.ID] = sequence{by: engine, orders: orders}
 }
 
 func (r *roller) forgetSequence(id string) {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -83,7 +83,7 @@
 		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int),
 		looked: make(map[string]shareLook), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
-		sequences: make(map[string]int64), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		sequences: make(map[string]sequence), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, quickest: loadUsual, namedAt: make(map[string]naming),
 	}
 	r.announcer.writer = r.writer
@@ -112,7 +112,7 @@
 	// publishing holds the pools whose assignment is being told.
 	publishing map[string]bool
 	// sequences holds how many orders an engine has taken, as far as this process knows.
-	sequences map[string]int64
+	sequences map[string]sequence
 	retryAt   map[string]time.Time
 	// usual is the smoothed time of a load, quickest the shortest.
 	usual    time.Duration
@@ -123,6 +123,12 @@
 	namedAt  map[string]naming
 }
 
+// sequence is how many orders an incarnation of an engine has taken since its start.
+type sequence struct {
+	by     fleet.Engine
+	orders int64
+}
+
 // naming is a version of a model and when this process learnt of it.
 type naming struct {
 	version int64
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -558,3 +558,23 @@
 		only.release()
 	})
 }
+
+// TestOrdersOfARestartedEngineAreCountedAnew: an engine that starts again under its id counts its orders from none, so that an order which
+// expects the earlier count would be refused.
+func TestOrdersOfARestartedEngineAreCountedAnew(t *testing.T) {
+	is := is.New(t)
+	r := &roller{sequences: make(map[string]sequence)}
+	first := fleet.Engine{ID: "a", StartedAt: time.UnixMilli(1000)}
+	r.setSequence(first, 7)
+	orders, known := r.sequenceOf(first)
+	is.Equal(orders, int64(7))
+	is.True(known)
+	second := first
+	second.StartedAt = time.UnixMilli(2000)
+	_, known = r.sequenceOf(second)
+	is.True(!known)
+	r.setSequence(second, 0)
+	orders, known = r.sequenceOf(second)
+	is.Equal(orders, int64(0))
+	is.True(known)
+}
