Read the results of a job from the position asked for

Cause: each call of a caller on a new connection comes to another replica, which read all results of the job from the store to answer with the newest, and then followed the partition for 5 s: all that others appended to it. Change: keys of results are padded, so that a reader pages from the position asked for; older keys are read as before, also mixed in one job. A reader is in step once the newest records are there, a full listing waits for no more, and a reader ends with its call unless calls on the job come back to the process within a second. The owner forgets keys of both kinds.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,9 @@
 	From int64
 	// Prefix is what the keys begin with whose newest records matter where the store has dropped what was not read; empty for all keys.
 	Prefix string
+	// After is a key that those keys lie after, empty if any does. Where it or Prefix is set, whoever waits is in step with the partition
+	// as it was when the newest records were asked for, and waits for none of the others that came since.
+	After string
 	// Bytes is about how much one read returns at most, 0 for as much as the store gives.
 	Bytes int
 	// Wait is how long the store may hold a read open.
@@ -185,7 +188,7 @@
 // with the page that it lacks.
 func (f *Follower) catchUp(ctx context.Context) error {
 	if f.pager == nil {
-		f.pager, f.seen = newPager(f.config.Log, f.config.Partition, f.config.Prefix), make(map[string]bool)
+		f.pager, f.seen = newPager(f.config.Log, f.config.Partition, f.config.Prefix, f.config.After), make(map[string]bool)
 	}
 	err := f.pager.read(ctx, func(record keyedlog.Record) {
 		f.seen[record.Key] = true
@@ -200,13 +203,13 @@
 		return errStale
 	}
 	for key, offset := range f.offsets {
-		if !seen[key] && offset < first && strings.HasPrefix(key, f.config.Prefix) {
+		if !seen[key] && offset < first && strings.HasPrefix(key, f.config.Prefix) && key > f.config.After {
 			f.apply(keyedlog.Record{Offset: first - 1, Key: key}, true)
 		}
 	}
 	f.next = first
 	f.started = true
-	f.reached(f.next, false)
+	f.reached(f.next, f.config.Prefix != "")
 	return nil
 }
 
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -67,7 +67,7 @@
 func pages(
 	ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, prefix string, give func(record keyedlog.Record),
 ) (end int64, err error) {
-	pager := newPager(log, partition, prefix)
+	pager := newPager(log, partition, prefix, "")
 	err = pager.read(ctx, give)
 	return pager.end, err
 }
@@ -85,9 +85,10 @@
 	end   int64
 }
 
-func newPager(log keyedlog.Log, partition keyedlog.Partition, prefix string) *pager {
-	started := &pager{log: log, partition: partition, prefix: prefix}
-	if prefix != "" {
+// newPager returns a pager that begins after a key, with the first key of the prefix if that is empty.
+func newPager(log keyedlog.Log, partition keyedlog.Partition, prefix, after string) *pager {
+	started := &pager{log: log, partition: partition, prefix: prefix, after: after}
+	if prefix != "" && after == "" {
 		// A page begins after a key, and the prefix may be one.
 		started.after = prefix[:len(prefix)-1]
 	}
--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -16,15 +16,17 @@
 	items  map[int]Item
 	// index maps items to their place in the spec.
 	index map[string]int
-	// results holds the listed results by position; listed maps items to positions. visible counts the positions from 0 on
-	// without a gap.
+	// results holds the listed results by position, from base on; listed maps items to positions. visible is the first position from base
+	// on that is not listed.
 	results  map[int]*Result
 	listed   map[string]int
+	base     int
 	visible  int
 	progress map[string]*Progress
-	// lines holds the texts of items that are not listed, by item; pieceKeys the keys of all their later pieces.
+	// lines holds the texts of items that are not listed, by item; extraKeys the keys of all their later pieces, and of results whose keys
+	// are not padded.
 	lines     map[string]lines
-	pieceKeys map[string]bool
+	extraKeys map[string]bool
 	// progressed counts the progress taken.
 	progressed int
 	changed    broadcast.Signal
@@ -139,7 +141,7 @@
 	if !ok {
 		found = &state{
 			items: make(map[int]Item), results: make(map[int]*Result), listed: make(map[string]int), progress: make(map[string]*Progress),
-			lines: make(map[string]lines), pieceKeys: make(map[string]bool), changed: broadcast.New(),
+			lines: make(map[string]lines), extraKeys: make(map[string]bool), changed: broadcast.New(),
 		}
 		f.jobs[id] = found
 	}
@@ -205,6 +207,10 @@
 	if err != nil || position < 0 {
 		return errKey
 	}
+	found := f.job(key.jobID)
+	if position < found.base {
+		return nil
+	}
 	if value, err = decompress(value); err != nil {
 		return err
 	}
@@ -212,7 +218,9 @@
 	if _, err := result.UnmarshalMsg(value); err != nil {
 		return err
 	}
-	found := f.job(key.jobID)
+	if key.whole != resultKey(key.jobID, position) {
+		found.extraKeys[key.whole] = true
+	}
 	if _, taken := found.results[position]; taken {
 		return nil
 	}
@@ -238,7 +246,7 @@
 	}
 	found := f.job(key.jobID)
 	if progress.From > 0 {
-		found.pieceKeys[key.whole] = true
+		found.extraKeys[key.whole] = true
 	}
 	if _, listed := found.listed[progress.ItemID]; listed {
 		return nil
@@ -279,7 +287,7 @@
 	case key.kind == keySpec:
 		found.changed.Notify()
 		delete(f.jobs, key.jobID)
-	case key.kind == keyProgress:
-		delete(found.pieceKeys, key.whole)
+	case key.kind == keyProgress || key.kind == keyResult:
+		delete(found.extraKeys, key.whole)
 	}
 }
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Begin has the results of a job held from a position on only. It comes before the job's first record.
+func (l *Ledger) Begin(id string, position int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found := l.fold.job(id)
+	found.base, found.visible = position, position
+}
+
+// Fills tells whether the results of a job from a position on, without a gap, have more than limit bytes: what follows changes no answer of
+// that size. The channel is closed at the next change of the job.
+func (l *Ledger) Fills(id string, from, limit int) (bool, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found := l.fold.job(id)
+	size := 0
+	for position := max(found.base, from); position < found.visible && size <= limit; position++ {
+		size += found.results[position].size()
+	}
+	return size > limit, found.changed.Changed()
+}
+
 // Listed returns how many results of a job can be read, and a channel that is closed at the next change of the job.
 func (l *Ledger) Listed(id string) (int, <-chan struct{}) {
 	l.mutex.Lock()
@@ -106,9 +127,9 @@
 	}
 	var results []*Result
 	size := 0
-	for position := max(0, from); position < found.visible; position++ {
+	for position := max(found.base, from); position < found.visible; position++ {
 		result := found.results[position]
-		size += len(result.Text) + resultOverhead
+		size += result.size()
 		if len(results) > 0 && size > limit {
 			break
 		}
@@ -117,9 +138,12 @@
 	return results
 }
 
-// resultOverhead is what a result takes in an answer besides its text.
+// resultOverhead is what a result takes in an answer besides its text, in bytes.
 const resultOverhead = 256
 
+// size is about what a result takes in an answer, in bytes.
+func (r *Result) size() int { return len(r.Text) + resultOverhead }
+
 // Item returns an item of a job.
 func (l *Ledger) Item(id, itemID string) (Item, bool) {
 	l.mutex.Lock()
@@ -178,15 +202,16 @@
 	return views
 }
 
-// PieceKeys returns the keys of the pieces of progress that a job has in the partition, in order.
-func (l *Ledger) PieceKeys(id string) []string {
+// ExtraKeys returns the keys that a job has in the partition and its entry doesn't name, in order: of pieces of progress, and of results
+// whose keys are not padded.
+func (l *Ledger) ExtraKeys(id string) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	found, ok := l.fold.jobs[id]
 	if !ok {
 		return nil
 	}
-	return slices.Sorted(maps.Keys(found.pieceKeys))
+	return slices.Sorted(maps.Keys(found.extraKeys))
 }
 
 // Seen tells whether an item was in another job.
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -95,7 +95,7 @@
 		}
 		r.settling[id] = true
 		took := r.takeTook(id)
-		r.writer.close(id, r.ledger.PieceKeys(id), func(end int64) {
+		r.writer.close(id, r.ledger.ExtraKeys(id), func(end int64) {
 			r.active.Go(func() { r.announceSettled(ctx, id, end, took) })
 		})
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -72,14 +72,19 @@
 	mutex   sync.Mutex
 	readers map[string]*reader
 	// parked holds readers that were given up of late.
-	parked  map[string]*reader
+	parked map[string]*reader
+	// recent holds the jobs that were asked for of late, each until its timer ends.
+	recent  map[string]*time.Timer
 	reading sync.WaitGroup
 }
 
 // New returns a service.
 func New(config Config) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader)}
+	return &Service{
+		config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader),
+		recent: make(map[string]*time.Timer),
+	}
 }
 
 // Close ends all reading.
@@ -291,10 +296,11 @@
 	if outcome != Done {
 		return Listing{}, outcome
 	}
-	reader := s.reader(status)
+	from = max(0, from)
+	reader := s.reader(status, from)
 	began := time.Now()
-	err := reader.inStep(ctx)
-	s.left(reader, err)
+	err := reader.ready(ctx, from, listingBytes)
+	defer func() { s.left(reader, err) }()
 	if took := time.Since(began); err == nil && took > slowRead {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry), "took", took.Round(time.Millisecond),
 			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
@@ -308,7 +314,7 @@
 	defer timer.Stop()
 	for wait > 0 {
 		listed, changed := reader.ledger.Listed(id)
-		if listed > from || listed == status.Entry.Items {
+		if listed > from || listed >= status.Entry.Items {
 			break
 		}
 		select {
--- /dev/null
+++ b/internal/jobs/position_test.go
@@ -0,0 +1,232 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/jobs"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+)
+
+// countingLog counts the records that reads bring.
+type countingLog struct {
+	keyedlog.Log
+	records atomic.Int64
+}
+
+func (l *countingLog) Read(ctx context.Context, partition keyedlog.Partition, span keyedlog.Span) (keyedlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, partition, span)
+	l.count(partition, len(batch.Records))
+	return batch, err
+}
+
+func (l *countingLog) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
+	page, err := l.Log.Newest(ctx, partition, afterKey)
+	l.count(partition, len(page.Records))
+	return page, err
+}
+
+func (l *countingLog) count(partition keyedlog.Partition, records int) {
+	if partition.Topic == keyedlog.TopicJobs {
+		l.records.Add(int64(records))
+	}
+}
+
+// listedJob is a job of many items in a store, with results listed from 0 on.
+type listedJob struct {
+	store  *memorylog.Store
+	spec   job.Spec
+	reader *node
+	log    *countingLog
+}
+
+// textOf is the text of the result at a position.
+func textOf(position int) string { return fmt.Sprint("text ", position) }
+
+// list lists the results from a position to before another. Those that plain names lie under keys as processes wrote them before.
+func (j *listedJob) list(t *testing.T, from, to int, plain func(position int) bool) {
+	t.Helper()
+	for position := from; position < to; position++ {
+		records, err := job.EncodeResult(
+			j.spec.ID, position, job.Result{ItemID: j.spec.Items[position].ID, Text: textOf(position)}, 1<<18)
+		if err == nil && plain(position) {
+			records[0].Key = fmt.Sprint(job.ResultPrefix(j.spec.ID), position)
+		}
+		if err == nil {
+			_, err = j.store.For("owner").Append(t.Context(), job.PartitionOf(j.spec, partitions, nil), records, nil)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func padded(int) bool { return false }
+
+// newListedJob submits a job of so many items, and waits until reads begin with the newest records.
+func newListedJob(t *testing.T, items int) *listedJob {
+	t.Helper()
+	store := memorylog.New(memorylog.Config{Partitions: partitions, Delay: 5 * time.Millisecond})
+	gateway := newNode(t, store, "gateway")
+	many := job.Spec{ID: "many", Host: "h", Model: "m"}
+	for place := range items {
+		many.Items = append(many.Items, job.Item{ID: fmt.Sprint("i", place), Path: "/p", Body: []byte("body")})
+	}
+	if outcome := gateway.service.Submit(t.Context(), many); outcome != jobs.Done {
+		t.Fatal(outcome)
+	}
+	time.Sleep(2 * time.Second)
+	counting := &countingLog{Log: store.For("reader")}
+	return &listedJob{store: store, spec: many, log: counting, reader: newNodeOver(t, counting)}
+}
+
+// check reads from a position and checks what comes.
+func (j *listedJob) check(t *testing.T, from, to int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	listing, outcome := j.reader.service.Results(ctx, j.spec.ID, from, 0)
+	if outcome != jobs.Done || listing.Total != len(j.spec.Items) || listing.Next != to || len(listing.Results) != to-from {
+		t.Fatalf("%v, %d results of %d, next %d, want %d", outcome, len(listing.Results), listing.Total, listing.Next, to)
+	}
+	for place, result := range listing.Results {
+		if result.Text != textOf(from+place) {
+			t.Errorf("position %d holds %q", from+place, result.Text)
+		}
+	}
+}
+
+// TestAReadBringsWhatLiesBehindItsPosition has the last of 200 results asked for. Each call of a caller comes to another process, which
+// read all results of the job for it: up to 1.1 s of a step on links of 45 to 60 Mbit/s.
+func TestAReadBringsWhatLiesBehindItsPosition(t *testing.T) {
+	// A page of the store holds three records.
+	const listed, asked, recordsMost = 200, 198, 6
+	for _, forgotten := range []bool{false, true} {
+		t.Run(fmt.Sprint("forgotten ", forgotten), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				many := newListedJob(t, listed+10)
+				many.list(t, 0, listed, padded)
+				if forgotten {
+					many.store.Forget()
+				}
+				many.check(t, asked, listed)
+				time.Sleep(5 * time.Second)
+				if records := many.log.records.Load(); records > recordsMost {
+					t.Errorf("%d records read for %d results", records, listed-asked)
+				}
+			})
+		})
+	}
+}
+
+// TestNothingIsReadBetweenCallsThatGoElsewhere has others fill the partition after one call: the process read all that they appended for
+// some seconds, at as many processes as a caller's calls come to.
+func TestNothingIsReadBetweenCallsThatGoElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		many := newListedJob(t, 100)
+		many.list(t, 0, 10, padded)
+		many.check(t, 10, 10)
+		before := many.log.records.Load()
+		many.list(t, 10, 50, padded)
+		time.Sleep(5 * time.Second)
+		if records := many.log.records.Load() - before; records > 0 {
+			t.Errorf("%d records read while nobody asked", records)
+		}
+		many.check(t, 45, 50)
+	})
+}
+
+// TestAReaderIsKeptForCallersThatComeBack checks that where calls come to one process the second has the reader kept: a third is answered
+// while the store is down.
+func TestAReaderIsKeptForCallersThatComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		many := newListedJob(t, 100)
+		many.list(t, 0, 10, padded)
+		for range 2 {
+			many.check(t, 5, 10)
+			time.Sleep(500 * time.Millisecond)
+		}
+		many.store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+		many.check(t, 5, 10)
+	})
+}
+
+// TestOlderKeysAreRead reads jobs of which all or some results lie under keys without padding.
+func TestOlderKeysAreRead(t *testing.T) {
+	const listed = 25
+	for name, plain := range map[string]func(position int) bool{
+		"all":   func(int) bool { return true },
+		"first": func(position int) bool { return position < 13 },
+		"last":  func(position int) bool { return position >= 13 },
+		"mixed": func(position int) bool { return position%3 == 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				many := newListedJob(t, listed)
+				many.list(t, 0, listed, plain)
+				for _, from := range []int{20, 0, 1, 9, 10, 13, 24, 25} {
+					many.check(t, from, listed)
+					time.Sleep(3 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestALowerPositionIsReadAfterAHigherOne has two callers at one process ask in turn, the later one for results before those that the
+// process reads.
+func TestALowerPositionIsReadAfterAHigherOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		many := newListedJob(t, 40)
+		many.list(t, 0, 20, padded)
+		for range 3 {
+			many.check(t, 18, 20)
+			many.check(t, 2, 20)
+			time.Sleep(300 * time.Millisecond)
+		}
+		waited := make(chan jobs.Listing, 1)
+		go func() {
+			listing, _ := many.reader.service.Results(t.Context(), many.spec.ID, 20, time.Second)
+			waited <- listing
+		}()
+		time.Sleep(100 * time.Millisecond)
+		many.check(t, 0, 20)
+		many.list(t, 20, 21, padded)
+		// Whoever waits goes on doing so while another reads from before.
+		if listing := <-waited; len(listing.Results) != 1 || listing.Next != 21 {
+			t.Errorf("%d results, next %d", len(listing.Results), listing.Next)
+		}
+	})
+}
+
+// TestAListingThatIsFullWaitsForNoMore has a job of some megabytes read from its beginning: a listing holds 0.9 MB.
+func TestAListingThatIsFullWaitsForNoMore(t *testing.T) {
+	const results, recordsMost = 100, 24
+	synctest.Test(t, func(t *testing.T) {
+		many := newListedJob(t, results)
+		for position := range results {
+			text := strings.Repeat(fmt.Sprintf("%09d ", position), 10<<10)
+			records, err := job.EncodeResult(many.spec.ID, position, job.Result{ItemID: many.spec.Items[position].ID, Text: text}, 1<<18)
+			if err == nil {
+				_, err = many.store.For("owner").Append(t.Context(), job.PartitionOf(many.spec, partitions, nil), records, nil)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		listing, outcome := many.reader.service.Results(t.Context(), many.spec.ID, 0, 0)
+		if outcome != jobs.Done || len(listing.Results) == 0 {
+			t.Fatalf("%v, %d results", outcome, len(listing.Results))
+		}
+		if records := many.log.records.Load(); records > recordsMost {
+			t.Errorf("%d records read for %d results", records, len(listing.Results))
+		}
+	})
+}
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -19,8 +19,12 @@
 	// of some megabytes takes a few reads, and the last one brings some 30 ms too much on a link of 60 Mbit/s.
 	// All that lies behind one that is not settled has to be read.
 	settledBytes = 512 << 10
-	// idleAfter is how long after the last call on a job its results are kept here. Callers read about twice a second.
-	idleAfter = 5 * time.Second
+	// idleAfter is how long after the last call on a job its results are kept here, if its callers come back to this process. Callers read
+	// about twice a second.
+	idleAfter = 2 * time.Second
+	// backWithin is how soon after a call the next one on the same job shows that its callers come back to this process: two of their
+	// rounds. Where each call comes to another process nothing is read between calls, and each reads what it brings.
+	backWithin = time.Second
 	// idleLook is how often that is looked at.
 	idleLook = time.Second
 	// freshFor is how long after its acceptance a job is read from its submission on, which takes one call. Later, records of others take
@@ -30,16 +34,20 @@
 	parkedFor = 5 * time.Second
 )
 
-// reader follows the results of one job while it is asked for. All processes together read a job as often as there are nodes
+// reader follows the results of one job from a position on while it is asked for. All processes together read a job as often as there are nodes
 // that are asked for it, not as often as there are nodes.
 type reader struct {
-	entry    job.Entry
+	entry job.Entry
+	// base is the position of the first result that is read.
+	base     int
 	ledger   *job.Ledger
 	follower *follow.Follower
 	cancel   context.CancelFunc
 	// asked is when the last call came, waiting counts the calls that wait for the reader to be in step.
 	asked   time.Time
 	waiting int
+	// returning says that callers come back to this process, so that the reader is kept between their calls.
+	returning bool
 	// complete is closed once all results are here that there will ever be.
 	complete chan struct{}
 	// ended is closed once the follower has ended; before is that of the parked reader that this one goes on for, nil for none.
@@ -70,43 +78,49 @@
 	return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: entry.Partition}
 }
 
-// reader returns the reader of a job, starting one if there is none.
-func (s *Service) reader(status job.Status) *reader {
+// reader returns the reader of a job that has its results from a position on, starting one if there is none.
+func (s *Service) reader(status job.Status, from int) *reader {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	id := status.Entry.JobID
-	if found, ok := s.readers[id]; ok {
+	if found, ok := s.readers[id]; ok && found.base <= from {
 		found.asked = time.Now()
 		found.waiting++
 		return found
 	}
+	// One that begins behind the position ends with its last caller.
+	if found, ok := s.readers[id]; ok && found.waiting == 0 {
+		found.cancel()
+	}
 	// A parked reader that was in step after all has stood still since.
 	started, ok := s.parked[id]
-	if ok && started.entry == status.Entry && !started.follower.CaughtUp() {
+	if ok && started.entry == status.Entry && started.base <= from && !started.follower.CaughtUp() {
 		started = started.resumed()
 	} else {
-		started = s.newReader(status)
+		started = s.newReader(status, from)
 	}
 	delete(s.parked, id)
 	ctx, cancel := context.WithCancel(s.ctx)
 	started.cancel, started.waiting = cancel, 1
+	_, started.returning = s.recent[id]
 	s.readers[id] = started
 	s.reading.Go(func() { s.read(ctx, started) })
 	return started
 }
 
-// newReader returns a reader that has read nothing yet.
-func (s *Service) newReader(status job.Status) *reader {
+// newReader returns a reader of the results from a position on that has read nothing yet.
+func (s *Service) newReader(status job.Status, from int) *reader {
 	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, status.Entry.Partition)
+	ledger.Begin(id, from)
 	size := 0
 	if status.Settled {
 		size = settledBytes
 	}
 	return &reader{
-		entry: status.Entry, ledger: ledger, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
+		entry: status.Entry, base: from, ledger: ledger, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
 		follower: follow.New(follow.Config{
-			Log: s.config.Log, Partition: partitionOf(status.Entry), From: startOf(status), Wait: readWait, Spacing: readSpacing,
-			Bytes: size, Prefix: job.ResultPrefix(id),
+			Log: s.config.Log, Partition: partitionOf(status.Entry), From: startOf(status, from), Wait: readWait, Spacing: readSpacing,
+			Bytes: size, Prefix: job.ResultPrefix(id), After: job.ResultsFrom(id, from),
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
 			}},
@@ -118,34 +132,55 @@
 // resumed returns a reader that goes on where a parked one was.
 func (r *reader) resumed() *reader {
 	return &reader{
-		entry: r.entry, ledger: r.ledger, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
+		entry: r.entry, base: r.base, ledger: r.ledger, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
 		ended: make(chan struct{}),
 	}
 }
 
-// startOf returns where the reading of a job begins: with the newest records, 0, unless there is little behind its submission.
-func startOf(status job.Status) int64 {
-	if status.Settled || time.Since(status.AcceptedAt) > freshFor {
+// startOf returns where the reading of a job from a position on begins: with the newest records, 0, unless there is little behind its
+// submission.
+func startOf(status job.Status, from int) int64 {
+	if from > 0 || status.Settled || time.Since(status.AcceptedAt) > freshFor {
 		return 0
 	}
 	return status.Entry.Next
 }
 
-// left takes that a call waits no more. A reader that nobody waits for, and that was given up before it was in step, ends at
-// once: its callers ask elsewhere, and what it would still read is taken from them. What it has read is kept for a moment: a job that
-// takes longer to read than a call waits is read by several.
+// left takes that a call waits no more. A reader that nobody waits for ends at once, unless its callers come back to this process: they
+// ask elsewhere, and what it would still read, all that others append to the partition, is taken from them. What one has read that was given
+// up before it was in step is kept for a moment: a job that takes longer to read than a call waits is read by several.
 func (s *Service) left(r *reader, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	r.waiting--
-	if err == nil || r.waiting > 0 {
+	id := r.entry.JobID
+	current := s.readers[id] == r
+	if r.waiting > 0 || current && err == nil && r.returning {
 		return
 	}
 	r.cancel()
-	if s.readers[r.entry.JobID] == r {
-		delete(s.readers, r.entry.JobID)
+	if !current {
+		return
+	}
+	delete(s.readers, id)
+	if err != nil {
 		s.park(r)
+		return
+	}
+	s.expectBack(id)
+}
+
+// expectBack remembers for a moment that a job was asked for. The mutex must be held.
+func (s *Service) expectBack(id string) {
+	if known, ok := s.recent[id]; ok {
+		known.Reset(backWithin)
+		return
 	}
+	s.recent[id] = time.AfterFunc(backWithin, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.recent, id)
+	})
 }
 
 // park keeps what a reader has read. The mutex must be held.
@@ -218,6 +253,26 @@
 	}
 }
 
+// ready waits until a reader can answer a call from a position on: all has been read that was listed when the reader was started, or the
+// results that were read fill an answer of limit bytes.
+func (r *reader) ready(ctx context.Context, from, limit int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stepped := make(chan error, 1)
+	go func() { stepped <- r.inStep(ctx) }()
+	for {
+		fills, changed := r.ledger.Fills(r.entry.JobID, from, limit)
+		if fills {
+			return nil
+		}
+		select {
+		case err := <-stepped:
+			return err
+		case <-changed:
+		}
+	}
+}
+
 // inStep waits until everything has been read that was listed when the reader was started, or the context ends.
 func (r *reader) inStep(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
