Bound what a replica holds for callers that read slowly

Cause: nothing bounded or counted what lies in answers that callers have not read: 200 listings of 0.9 MB are 180 MB, over which a process of 144 MB is killed, and a caller that takes nothing holds its answer, and the engine of its stream, without end.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/tenant"
+	"github.com/hillfork/hillfork/internal/unread"
 )
 
 // Config configures an ingress.
@@ -44,15 +45,19 @@
 type Ingress struct {
 	config Config
 	bodies *bodies
+	unread *unread.Budget
 	// stop is nil until the process is to stop.
 	stop atomic.Pointer[stop]
 }
 
 // New returns an ingress.
 func New(config Config) *Ingress {
-	return &Ingress{config: config, bodies: newBodies(config.MemoryBytes)}
+	return &Ingress{config: config, bodies: newBodies(config.MemoryBytes), unread: unread.New(config.MemoryBytes, config.Logger)}
 }
 
+// Unread returns the budget of what is held in answers that callers have not read.
+func (i *Ingress) Unread() *unread.Budget { return i.unread }
+
 // Match says what a request's route is.
 type Match int
 
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/jobrun"
+	"github.com/hillfork/hillfork/internal/unread"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -71,6 +72,21 @@
 	}, func() float64 { return float64(contents()) }))
 }
 
+// unread has told what is held for callers that read slowly, and what became of them.
+func (m *metrics) unread(figures func() unread.Figures) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "unread_bytes", Help: "Memory reserved for answers that callers have not read.",
+		}, func() float64 { return float64(figures().Held) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "unread_cut_total", Help: "Callers cut off because they took nothing of their answer.",
+		}, func() float64 { return float64(figures().Cut) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "unread_refused_total", Help: "Answers refused because callers' answers hold the memory.",
+		}, func() float64 { return float64(figures().Refused) }),
+	)
+}
+
 // Metrics serves the replica's counters and histograms.
 func (r *Replica) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -97,6 +97,7 @@
 		KeyBound: config.Settings.KeyBound, Confirmed: operator.Confirmed,
 		MemoryBytes: config.Settings.MemoryBytes, Logger: config.Logger,
 	})
+	r.metrics.unread(r.ingress.Unread().Figures)
 	r.queue = jobrun.NewQueue(r.directory)
 	board := weightroll.NewBoard(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
