--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -303,7 +303,7 @@
 	defer func() { s.left(reader, err) }()
 	if took := time.Since(began); err == nil && took > slowRead {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry), "took", took.Round(time.Millisecond),
-			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
+			"position", from, "records", reader.read.records.Load(), "bytes", reader.read.bytes.Load(), "from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
 	}
 	if err != nil {
 		errorlog.Warn(s.config.Logger, "results of a job were not read in time", err, "job", id, "partition", partitionOf(status.Entry),
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -42,7 +42,9 @@
 	base     int
 	ledger   *job.Ledger
 	follower *follow.Follower
-	cancel   context.CancelFunc
+	// read counts what the follower has read.
+	read   *measuredLog
+	cancel context.CancelFunc
 	// asked is when the last call came, waiting counts the calls that wait for the reader to be in step.
 	asked   time.Time
 	waiting int
@@ -112,14 +114,14 @@
 func (s *Service) newReader(status job.Status, from int) *reader {
 	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, status.Entry.Partition)
 	ledger.Begin(id, from)
-	size := 0
+	size, read := 0, &measuredLog{Log: s.config.Log}
 	if status.Settled {
 		size = settledBytes
 	}
 	return &reader{
-		entry: status.Entry, base: from, ledger: ledger, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
+		entry: status.Entry, base: from, ledger: ledger, read: read, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
 		follower: follow.New(follow.Config{
-			Log: s.config.Log, Partition: partitionOf(status.Entry), From: startOf(status, from), Wait: readWait, Spacing: readSpacing,
+			Log: read, Partition: partitionOf(status.Entry), From: startOf(status, from), Wait: readWait, Spacing: readSpacing,
 			Bytes: size, Prefix: job.ResultPrefix(id), After: job.ResultsFrom(id, from),
 			Applier: &jobApplier{id: id, ledger: ledger, wanted: job.IsResult, failed: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
@@ -132,7 +134,7 @@
 // resumed returns a reader that goes on where a parked one was.
 func (r *reader) resumed() *reader {
 	return &reader{
-		entry: r.entry, base: r.base, ledger: r.ledger, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
+		entry: r.entry, base: r.base, ledger: r.ledger, read: r.read, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
 		ended: make(chan struct{}),
 	}
 }
