Let machines stand by that larger ones leave no partition of jobs to

Cause: the store's group deals partitions evenly over all replicas, whatever their size. Owners of thousands of placements were machines of a fifth of a core while machines of 0.8 owned nothing.

Change: the name of a member of the group of jobs ends in its share of a processor, so that the list of owners tells anyone who holds what and how large it is. policy.StandsBy decides by it; internal/ownership looks once a second while it stands by, joins at once for partitions without an owner, and leaves once larger members have had room for some seconds. Machines of one size, or of unknown size, all take part as before; the group of weights and duties is as it was.

--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -148,6 +148,12 @@
 	Partitions []Partition
 }
 
+// Owner tells who holds a partition.
+type Owner struct {
+	Partition Partition
+	Member    string
+}
+
 // Log is the store. Calls last until the store answers or the context ends; package storetimeout bounds them.
 type Log interface {
 	// Partitions returns how many partitions a topic has.
@@ -161,6 +167,8 @@
 	Newest(ctx context.Context, partition Partition, afterKey string) (Page, error)
 	// Join joins a group or remains in it.
 	Join(ctx context.Context, request JoinRequest) (Membership, error)
+	// Owners lists who holds the partitions of a group, to members and others alike. A partition that nobody holds is left out.
+	Owners(ctx context.Context, group string) ([]Owner, error)
 	// Leave leaves a group at once.
 	Leave(ctx context.Context, group, member string) error
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -2,6 +2,10 @@
 // holds. What it tells is a hint with a generation: an owner writes under a fence of that generation, and the store refuses a
 // writer of a lower one, so that a process that was paused and believes to own a partition changes nothing. Members keep their
 // names over restarts: a process that is back before its lifetime has passed has its partitions at once, and nobody else's move.
+//
+// A group deals evenly, whatever the members' sizes. Where machines state their share of a processor, the small ones stand by while larger
+// ones hold all partitions and have more of a processor for each than they would give; see policy.StandsBy. The list of owners is all
+// that they go by: members' names tell their shares.
 package ownership
 
 import (
@@ -35,6 +39,8 @@
 	Log    keyedlog.Log
 	Group  string
 	Member string
+	// Share is what the machine has of a processor, in cores. 0 stands for not known: the manager then always is a member.
+	Share  float64
 	Topics []keyedlog.Topic
 	// Lifetime is how long the member may be silent before its partitions pass on.
 	Lifetime time.Duration
@@ -54,6 +60,12 @@
 // Manager keeps a process in a group.
 type Manager struct {
 	config Config
+	// member is the name in the group.
+	member string
+	// changed has a value when the group has a new generation that nobody has looked at.
+	changed chan struct{}
+	// takesPart tells whether the process is a member, for those who ask from other goroutines.
+	takesPart atomic.Bool
 
 	generation int64
 	held       map[keyedlog.Partition]*holding
@@ -72,7 +84,11 @@
 
 // New returns a manager; Run starts it.
 func New(config Config) *Manager {
-	return &Manager{config: config, held: make(map[keyedlog.Partition]*holding)}
+	config.Share = rounded(config.Share)
+	return &Manager{
+		config: config, member: memberName(config.Member, config.Share), changed: make(chan struct{}, 1),
+		held: make(map[keyedlog.Partition]*holding),
+	}
 }
 
 // Holds tells whether any partition is held, or its work is being released. It is safe for concurrent use.
@@ -80,8 +96,24 @@
 	return m.count.Load() > 0
 }
 
-// Run stays in the group until the context ends, then releases all partitions and leaves.
+// TakesPart tells whether the process is a member of the group, or tries to be. It is safe for concurrent use.
+func (m *Manager) TakesPart() bool {
+	return m.takesPart.Load()
+}
+
+// Run takes part in the group whenever the machine is needed there, until the context ends; then it has released all partitions and left.
 func (m *Manager) Run(ctx context.Context) {
+	for started := true; m.standBy(ctx, started); started = false {
+		m.takePart(ctx)
+	}
+}
+
+// takePart stays in the group until the context ends or larger members have room for all, then releases all partitions and leaves.
+func (m *Manager) takePart(ctx context.Context) {
+	m.takesPart.Store(true)
+	defer m.takesPart.Store(false)
+	dispensable, end := m.startWatch(ctx)
+	defer end()
 	ticker := time.NewTicker(m.config.Lifetime / joinsPerLifetime)
 	defer ticker.Stop()
 	for {
@@ -91,6 +123,9 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-dispensable:
+			m.leave()
+			return
 		case <-ctx.Done():
 			m.leave()
 			return
@@ -98,11 +133,31 @@
 	}
 }
 
+// startWatch has the group watched for larger members, if the machine's size is known. The channel is closed once they have room for
+// all partitions; end ends the watch.
+func (m *Manager) startWatch(ctx context.Context) (dispensable <-chan struct{}, end func()) {
+	if m.config.Share <= 0 {
+		return nil, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	found := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		if m.watch(ctx) {
+			close(found)
+		}
+	})
+	return found, func() {
+		cancel()
+		watching.Wait()
+	}
+}
+
 // join stays in the group, and tells whether partitions were released.
 func (m *Manager) join(ctx context.Context) bool {
 	sent := time.Now()
 	membership, err := m.config.Log.Join(ctx, keyedlog.JoinRequest{
-		Group: m.config.Group, Member: m.config.Member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
+		Group: m.config.Group, Member: m.member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
 		Generation: m.generation,
 	})
 	if err != nil {
@@ -128,7 +183,10 @@
 
 // take compares what is dealt with what is held, and tells whether partitions were released.
 func (m *Manager) take(ctx context.Context, membership keyedlog.Membership) bool {
-	m.generation = membership.Generation
+	if m.generation != membership.Generation {
+		m.generation = membership.Generation
+		m.announceChange()
+	}
 	listed := make(map[keyedlog.Partition]bool, len(membership.Partitions))
 	for _, partition := range membership.Partitions {
 		listed[partition] = true
@@ -150,6 +208,14 @@
 	return released
 }
 
+// announceChange has the watch look at the group.
+func (m *Manager) announceChange() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
 func superseded(work Work) bool {
 	select {
 	case <-work.Superseded():
@@ -196,9 +262,10 @@
 // leave releases everything and leaves the group, so that the others need not wait for the lifetime to pass.
 func (m *Manager) leave() {
 	m.releaseUnlisted(nil)
+	m.connected = false
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := m.config.Log.Leave(ctx, m.config.Group, m.config.Member); err != nil {
+	if err := m.config.Log.Leave(ctx, m.config.Group, m.member); err != nil {
 		errorlog.Warn(m.config.Logger, "group not left", err, "group", m.config.Group)
 		return
 	}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -71,6 +71,18 @@
 	}, func() float64 { return float64(contents()) }))
 }
 
+// member has told whether this replica takes part in owning partitions of jobs.
+func (m *metrics) member(takesPart func() bool) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "jobs_member", Help: "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.",
+	}, func() float64 {
+		if takesPart() {
+			return 1
+		}
+		return 0
+	}))
+}
+
 // Metrics serves the replica's counters and histograms.
 func (r *Replica) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -125,8 +125,10 @@
 	})
 	lifetime := memberLifetime(config.Settings.MemberLifetimeMin)
 	leased := max(lifetime, weightsShare*config.Settings.OrderLease/weightsParts)
-	r.own(jobsGroup, lifetime, holders{keyedlog.TopicJobs: runners})
-	r.own(weightsGroup, leased, holders{
+	r.own(jobsGroup, lifetime, config.Settings.ProcessorShare, holders{keyedlog.TopicJobs: runners})
+	r.metrics.member(r.managers[0].TakesPart)
+	// The owner of weights and duties does little, and hands over slowly: machines of any size take part.
+	r.own(weightsGroup, leased, 0, holders{
 		keyedlog.TopicWeights: rollers,
 		keyedlog.TopicDuties: duty.NewHolder(duty.Config{
 			Log: config.Log, Machine: holderName(config.Settings), Lease: config.Settings.OrderLease,
@@ -185,10 +187,10 @@
 	})}
 }
 
-// own has the partitions of some topics dealt by a group.
-func (r *Replica) own(group string, lifetime time.Duration, topics holders) {
+// own has the partitions of some topics dealt by a group, to the machines that have the processor for them if a share of one is given.
+func (r *Replica) own(group string, lifetime time.Duration, share float64, topics holders) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
-		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Topics: slices.Sorted(maps.Keys(topics)),
+		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Share: share, Topics: slices.Sorted(maps.Keys(topics)),
 		Lifetime: lifetime, Holder: hurrying{topics, r.weights}, Logger: r.config.Logger,
 	}))
 }
--- a/internal/standin/memorylog/group.go
+++ b/internal/standin/memorylog/group.go
@@ -77,6 +77,29 @@
 	return nil
 }
 
+// Owners lists who holds the partitions of a group. A member that was silent for its lifetime holds none any more, whether or not
+// there is another to take them.
+func (v *view) Owners(ctx context.Context, name string) ([]keyedlog.Owner, error) {
+	if _, _, err := v.meet(ctx, Call{Operation: "owners"}); err != nil {
+		return nil, err
+	}
+	v.store.mutex.Lock()
+	defer v.store.mutex.Unlock()
+	found, ok := v.store.groups[name]
+	if !ok {
+		return nil, nil
+	}
+	found.expire(time.Now())
+	found.pass()
+	var owners []keyedlog.Owner
+	for partition, holder := range found.held {
+		if _, alive := found.members[holder]; alive {
+			owners = append(owners, keyedlog.Owner{Partition: partition, Member: holder})
+		}
+	}
+	return owners, nil
+}
+
 // Redeal deals all partitions of all groups anew at once, without asking their holders.
 func (s *Store) Redeal() {
 	s.mutex.Lock()
--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -43,7 +43,7 @@
 
 // Call describes a call to a fault rule.
 type Call struct {
-	// Operation is "append", "read", "newest", "join" or "leave".
+	// Operation is "append", "read", "newest", "join", "leave" or "owners".
 	Operation string
 	// Caller is the name given to For.
 	Caller    string
--- a/internal/storepace/storepace.go
+++ b/internal/storepace/storepace.go
@@ -78,6 +78,14 @@
 	return page, err
 }
 
+// Owners lists who holds the partitions of a group. A machine that looks has its own pace, far below the rate, and a partition that
+// waits for an owner is not to wait for reads too; a refusal counts as one of a read.
+func (l *Log) Owners(ctx context.Context, group string) ([]keyedlog.Owner, error) {
+	owners, err := l.Log.Owners(ctx, group)
+	l.learn(err)
+	return owners, err
+}
+
 // Rate returns how many reads a second the process makes at most now.
 func (l *Log) Rate() float64 {
 	l.mutex.Lock()
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -154,3 +154,12 @@
 		return l.Log.Join(ctx, request)
 	})
 }
+
+// Owners lists who holds the partitions of a group, within the time that joins take.
+func (l *Log) Owners(ctx context.Context, group string) ([]keyedlog.Owner, error) {
+	ctx, cancel := context.WithTimeout(ctx, groupMost)
+	defer cancel()
+	return bound(ctx, l, &l.groups, func(ctx context.Context) ([]keyedlog.Owner, error) {
+		return l.Log.Owners(ctx, group)
+	})
+}
