Look again as soon as a join would when a machine starts without the store

Cause: a machine that looked first retried a failed look after 0.3 s, where one that joins at once retries after an eighth of the lifetime, so that machines of one size came back later after an outage than before.

Change: the retry of a machine that has just started is a join's. A test holds machines with and without a stated share to the same time.

--- a/internal/ownership/standby.go
+++ b/internal/ownership/standby.go
@@ -144,9 +144,9 @@
 	if m.config.Share <= 0 {
 		return ctx.Err() == nil
 	}
-	w := wait{patience: returnPatience}
+	w := wait{patience: returnPatience, retry: doubtInterval}
 	if started {
-		w.patience = startPatience
+		w.patience, w.retry = startPatience, m.config.Lifetime/joinsPerLifetime
 	}
 	for ctx.Err() == nil {
 		seen, err := m.look(ctx)
@@ -173,7 +173,10 @@
 // wait is the time for which a machine stands by.
 type wait struct {
 	// patience is how long too few larger members are left alone with the partitions.
-	patience  time.Duration
+	patience time.Duration
+	// retry is the time until the next look after one that failed: as between joins for a machine that has just started, which may be
+	// needed as soon as the store is back.
+	retry     time.Duration
 	announced bool
 	// interval is the time until the next look.
 	interval time.Duration
@@ -190,7 +193,7 @@
 		w.interval = doubtInterval
 	}
 	if seen.dispensable {
-		w.patience = returnPatience
+		w.patience, w.retry = returnPatience, doubtInterval
 	}
 	missing := lasts(&w.unowned, seen.unowned > 0, unownedFor)
 	needed := lasts(&w.needed, seen.unowned == 0 && !seen.dispensable, w.patience)
@@ -202,7 +205,7 @@
 // joins may not be. While the store is away joins are answered as little as looks are, and machines that join blindly would all be members
 // when it is back.
 func (w *wait) failed(err error, lifetime time.Duration) bool {
-	w.interval = doubtInterval
+	w.interval = w.retry
 	throttled := errors.Is(err, keyedlog.ErrThrottled)
 	if throttled {
 		w.interval = lookInterval
--- a/internal/ownership/standby_test.go
+++ b/internal/ownership/standby_test.go
@@ -217,6 +217,25 @@
 	})
 }
 
+// TestAMachineThatStartsWhileTheStoreIsAwayIsThereWithIt starts machines of one size while the store is down: they own all partitions once
+// four joins have passed since its return: one to be there, and three in which partitions pass on from the first to the others.
+func TestAMachineThatStartsWhileTheStoreIsAwayIsThereWithIt(t *testing.T) {
+	for _, share := range []float64{0, small} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := memorylog.New(memorylog.Config{Partitions: fleetPartitions})
+			store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
+			machines := startAll(store, "m", 3, share)
+			time.Sleep(5*lifetime + time.Millisecond)
+			store.Heal()
+			time.Sleep(lifetime / 2)
+			is.Equal(owners(machines...), fleetPartitions)
+			is.Equal(taking(machines), len(machines))
+			stopAll(machines)
+		})
+	}
+}
+
 // TestRefusedLooksDontKeepAMachineFromJoining has the store take no reads for being too many, while it takes joins.
 func TestRefusedLooksDontKeepAMachineFromJoining(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
