Join for missing owners only by what is seen of them

Cause: machines that stand by joined blindly once their looks had been refused as too many for a lifetime.

Change: a look that fails says nothing; the machine looks again. Members look each 2 s after a change in place of each second, and not together.

--- a/internal/ownership/standby.go
+++ b/internal/ownership/standby.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -39,7 +38,9 @@
 	leaveSpread       = time.Second
 	// attentiveFor is how long a member goes on looking after the group has changed: a larger member that finds nothing dealt to it asks
 	// after its own first look.
-	attentiveFor = 3 * time.Second
+	attentiveFor = 5 * time.Second
+	// attentiveInterval is the time between looks in that time: members of 300 equal machines make 300 reads a second together then.
+	attentiveInterval = 2 * time.Second
 	// calmInterval is the time between looks of a member while the group doesn't change.
 	calmInterval = 15 * time.Second
 	// askLifetime is how long a member that asks for partitions is seen after its last call; it calls with each look.
@@ -112,7 +113,9 @@
 		return sight{}, err
 	}
 	for _, owner := range asking {
-		held[owner.Member] += 0
+		if _, holds := held[owner.Member]; !holds {
+			held[owner.Member] = 0
+		}
 	}
 	return m.see(held), nil
 }
@@ -152,9 +155,9 @@
 		seen, err := m.look(ctx)
 		switch {
 		case err != nil:
-			if w.failed(err, m.config.Lifetime) {
-				return ctx.Err() == nil
-			}
+			// While the store is away, or refuses calls for being too many, joins are answered as little as looks are. Machines
+			// that join blindly would all be members when it is back, before they have seen that the larger ones still are.
+			w.interval = w.retry
 		case started && seen.listed, w.over(seen):
 			m.config.Logger.Info("taking part", "group", m.config.Group, "share", m.config.Share, "larger", seen.larger,
 				"unowned", seen.unowned, "listed", seen.listed)
@@ -180,14 +183,13 @@
 	announced bool
 	// interval is the time until the next look.
 	interval time.Duration
-	// unowned is since when partitions have had no owner, needed since when the larger members have had too little of a processor,
-	// refused since when looks have been refused for being too many. Zero where it is not so.
-	unowned, needed, refused time.Time
+	// unowned is since when partitions have had no owner, needed since when the larger members have had too little of a processor; zero
+	// where it is not so.
+	unowned, needed time.Time
 }
 
 // over tells whether the machine has to take part, by what it sees. One that sees no larger machine does so at once.
 func (w *wait) over(seen sight) bool {
-	w.refused = time.Time{}
 	w.interval = lookInterval
 	if seen.unowned > 0 {
 		w.interval = doubtInterval
@@ -201,18 +203,6 @@
 	return seen.all || missing || needed || largest
 }
 
-// failed notes a look that failed. It tells whether to take part all the same: reads were refused for a lifetime for being too many, which
-// joins may not be. While the store is away joins are answered as little as looks are, and machines that join blindly would all be members
-// when it is back.
-func (w *wait) failed(err error, lifetime time.Duration) bool {
-	w.interval = w.retry
-	throttled := errors.Is(err, keyedlog.ErrThrottled)
-	if throttled {
-		w.interval = lookInterval
-	}
-	return lasts(&w.refused, throttled, lifetime)
-}
-
 // lasts keeps since when something has been so, and tells whether that is long enough.
 func lasts(since *time.Time, so bool, enough time.Duration) bool {
 	if !so {
@@ -239,8 +229,11 @@
 	var roomy time.Time
 	for {
 		interval := calmInterval
-		if !roomy.IsZero() || asking.active || time.Since(changed) < attentiveFor {
+		switch {
+		case !roomy.IsZero() || asking.active:
 			interval = lookInterval
+		case time.Since(changed) < attentiveFor:
+			interval = attentiveInterval
 		}
 		news, ok := m.await(ctx, spread(interval))
 		if !ok {
@@ -269,13 +262,13 @@
 }
 
 // await waits until the group has changed, at most for an interval, and tells whether it has; ok is false if the context ended.
-// Changes that follow each other closely are looked at together.
+// Changes that follow each other closely are looked at together, and members don't look together.
 func (m *Manager) await(ctx context.Context, interval time.Duration) (changed, ok bool) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-m.changed:
-		return true, pause.For(ctx, spread(doubtInterval))
+		return true, pause.For(ctx, min(interval, attentiveInterval/2+rand.N(attentiveInterval)))
 	case <-timer.C:
 		return false, true
 	case <-ctx.Done():
--- a/internal/ownership/standby_test.go
+++ b/internal/ownership/standby_test.go
@@ -236,21 +236,29 @@
 	}
 }
 
-// TestRefusedLooksDontKeepAMachineFromJoining has the store take no reads for being too many, while it takes joins.
-func TestRefusedLooksDontKeepAMachineFromJoining(t *testing.T) {
+// TestAStoreThatRefusesForTooManyCallsDrawsNobodyIn has the store refuse all calls as too many for several lifetimes while the members
+// stay listed, as a store does that counts no time then: machines that stand by are not to join before they see that.
+func TestAStoreThatRefusesForTooManyCallsDrawsNobodyIn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := memorylog.New(memorylog.Config{Partitions: fleetPartitions})
+		larges := startAll(store, "large", fleetPartitions, large)
+		smalls := startAll(store, "small", 20, small)
+		time.Sleep(settled)
+		// The members' joins pass, so that they stay listed.
 		store.SetRule(func(call memorylog.Call) memorylog.Fault {
-			if call.Operation == "owners" {
+			if strings.HasPrefix(call.Caller, "small") {
 				return memorylog.Throttled
 			}
 			return memorylog.None
 		})
-		only := start(store, "only", small)
-		time.Sleep(2*lifetime + noticed)
-		is.Equal(only.holds(), fleetPartitions)
-		only.stop()
+		time.Sleep(6 * lifetime)
+		is.Equal(taking(smalls), 0)
+		store.Heal()
+		time.Sleep(settled)
+		is.Equal(taking(smalls), 0)
+		is.Equal(owners(larges...), fleetPartitions)
+		stopAll(larges, smalls)
 	})
 }
 
