Share among owners how quick engines are and what they hold there

Cause: owners of jobs place items on the same engines by their own work alone, and learn the pace of engines anew after each takeover. Change: each owner appends what it holds and has measured to a topic of the store, at most four times a second, and only owners of partitions read it. fleet.Directory ages the words by receipt, counts others' places in cost and room, and takes the median of others' paces where it has none. Work that has waited 2 s asks one engine that is full by others' word, one piece of work each 250 ms. Without SetTold the tests of it fail.

--- /dev/null
+++ b/internal/engineview/reader.go
@@ -0,0 +1,115 @@
+package engineview
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+const (
+	// readSpacing is the least time between two reads, so that each brings the records of several owners.
+	readSpacing = 100 * time.Millisecond
+	// readWait is how long the store may hold a read open.
+	readWait = 2 * time.Second
+	// idleAfter is how often a reader looks whether it still acts on what it reads.
+	idleAfter = time.Second
+)
+
+// Directory takes what others tell.
+type Directory interface {
+	SetTold(process string, engines []fleet.Told, recovered bool)
+}
+
+// ReaderConfig configures a reader.
+type ReaderConfig struct {
+	Log keyedlog.Log
+	// Machine names the machine whose own record is passed over.
+	Machine   string
+	Directory Directory
+	// Busy tells whether this process places items or deals engines. While it does not, nothing is read.
+	Busy   func() bool
+	Logger *log.Logger
+}
+
+// Reader reads what others tell while its process acts on it.
+type Reader struct {
+	config ReaderConfig
+	wanted chan struct{}
+	// unreadable holds who wrote records that could not be read, each of whom is logged once.
+	unreadable map[string]bool
+}
+
+// NewReader returns a reader; Run reads.
+func NewReader(config ReaderConfig) *Reader {
+	return &Reader{config: config, wanted: make(chan struct{}, 1), unreadable: make(map[string]bool)}
+}
+
+// Hurry has the reader begin at once. Whoever begins to act on what others tell calls it.
+func (r *Reader) Hurry() {
+	select {
+	case r.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads whenever this process acts on what others tell, until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-r.wanted:
+			r.follow(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow reads until the process does not act on it any more. It begins with the newest record of each key: those between mean nothing.
+func (r *Reader) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	follower := follow.New(follow.Config{
+		Log: r.config.Log, Partition: keyedlog.EngineViews, Applier: r, Wait: readWait, Spacing: readSpacing, Logger: r.config.Logger,
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		follower.Run(ctx)
+	}()
+	ticker := time.NewTicker(idleAfter)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			if !r.config.Busy() {
+				cancel()
+			}
+		case <-ctx.Done():
+		}
+	}
+	<-ended
+}
+
+// Apply takes a record.
+func (r *Reader) Apply(record keyedlog.Record, recovered bool) {
+	if record.Key == r.config.Machine {
+		return
+	}
+	told, err := decode(record.Value)
+	if err != nil {
+		if !r.unreadable[record.Key] {
+			errorlog.Warn(r.config.Logger, "view of engines skipped", err, "machine", record.Key, "offset", record.Offset)
+		}
+		r.unreadable[record.Key] = true
+		return
+	}
+	delete(r.unreadable, record.Key)
+	r.config.Directory.SetTold(record.Key, told, recovered)
+}
+
+// Advanced does nothing: each record stands for itself.
+func (r *Reader) Advanced(int64) {}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,8 @@
 	avoidUntil time.Time
 	failures   int
 	pace       policy.Pace
+	// paced is when the pace was measured last.
+	paced time.Time
 	// latency is the smoothed time of whole answers.
 	latency time.Duration
 }
@@ -64,6 +66,8 @@
 	// changes.
 	paces  map[string]poolPace
 	sorted map[string][]Engine
+	// others is what other processes tell of engines.
+	others others
 }
 
 // NewDirectory returns an empty directory.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -20,14 +20,24 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	want.asking = d.others.mayAsk(want, now)
 	picked, ok := Pick(d.candidates(want, now), want, now)
 	if !ok {
 		return Engine{}, false
 	}
-	d.engines[picked.Engine.ID].inFlight++
+	d.take(picked.Engine, want, now)
 	return picked.Engine, true
 }
 
+// take counts a piece of work as in flight at an engine. The mutex must be held.
+func (d *Directory) take(engine Engine, want Want, now time.Time) {
+	found := d.engines[engine.ID]
+	if want.asking && !hasPlace(found.inFlight+d.others.held[engine.ID], Candidate{Engine: engine}, want) {
+		d.others.asked = now
+	}
+	found.inFlight++
+}
+
 // Exists tells whether any engine may run the work, with or without room.
 func (d *Directory) Exists(want Want) bool {
 	now := time.Now()
@@ -56,8 +66,9 @@
 			found = newSurveyed(d.candidates(want, now), want)
 			surveys[key] = found
 		}
+		want.asking = d.others.mayAsk(want, now)
 		if given[i], ok = found.take(want, now); ok {
-			d.engines[given[i].ID].inFlight++
+			d.take(given[i], want, now)
 		}
 	}
 	return given
@@ -81,7 +92,7 @@
 	want.Exclude = nil
 	found := &surveyed{known: newSurvey(candidates, want)}
 	for _, candidate := range candidates {
-		if !mayRun(candidate, want) || !hasRoom(candidate, want) {
+		if !mayRun(candidate, want) || !hasPlace(candidate.InFlight, candidate, want) {
 			continue
 		}
 		if foreign(candidate, want) {
@@ -108,7 +119,7 @@
 	room := *from
 	engine := room[place].Engine
 	room[place].InFlight++
-	if !hasRoom(room[place], want) {
+	if !hasPlace(room[place].InFlight, room[place], want) {
 		*from = slices.Delete(room, place, place+1)
 	}
 	return engine, true
@@ -188,13 +199,15 @@
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
 	var candidates []Candidate
 	dealt := d.dealt[want.Pool]
+	d.others.look(now)
 	for _, found := range d.engines {
 		if !fits(found.engine, want) {
 			continue
 		}
 		candidates = append(candidates, Candidate{
-			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
-			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
+			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.others.held[found.engine.ID],
+			Avoided: now.Before(found.avoidUntil),
+			Loading: now.Before(found.loading[want.Model]), Pace: d.usualPace(found), Latency: found.latency,
 		})
 	}
 	return candidates
@@ -239,6 +252,7 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
 		found.pace.Add(gap)
+		found.paced = time.Now()
 	}
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -14,6 +14,8 @@
 	// Dealt is the model that the engine is kept up to date for, empty if that is not known.
 	Dealt    string
 	InFlight int
+	// Elsewhere is how many places work of other processes holds there by their word.
+	Elsewhere int
 	// Avoided says that the engine failed lately.
 	Avoided bool
 	// Loading says that it begins no request of the wanted model now.
@@ -45,6 +47,8 @@
 	Since  time.Time
 	// OwnOnly leaves out engines that are kept up to date for other models.
 	OwnOnly bool
+	// asking leaves what others hold by their word out of account.
+	asking bool
 }
 
 // slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
@@ -167,11 +171,19 @@
 	return version >= want.MinVersion
 }
 
+// hasRoom tells whether an engine has a place for the work, by what runs there of this process and, unless the engine is to be asked, of
+// others.
 func hasRoom(candidate Candidate, want Want) bool {
-	if want.Share <= 0 {
-		return true
+	busy := candidate.InFlight
+	if !want.asking {
+		busy += candidate.Elsewhere
 	}
-	return float64(candidate.InFlight) < max(1, want.Share*float64(candidate.Engine.Slots))
+	return hasPlace(busy, candidate, want)
+}
+
+// hasPlace tells whether a further piece of work still fits beside so many.
+func hasPlace(busy int, candidate Candidate, want Want) bool {
+	return want.Share <= 0 || float64(busy) < max(1, want.Share*float64(candidate.Engine.Slots))
 }
 
 // Parts of the cost, in units of a full engine. That is a second: a second's delay of the work weighs as much.
@@ -186,7 +198,7 @@
 // cost is lower for better engines: the filled part of the slots, plus what speaks against the engine.
 func cost(candidate Candidate, want Want, typicalPace time.Duration) float64 {
 	engine := candidate.Engine
-	total := float64(candidate.InFlight) / float64(max(1, engine.Slots))
+	total := float64(candidate.InFlight+candidate.Elsewhere) / float64(max(1, engine.Slots))
 	if candidate.Avoided {
 		total += avoidedCost
 	}
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -144,6 +144,17 @@
 	return place
 }
 
+// Held returns how many places items hold, by engine.
+func (q *Queue) Held() map[string]int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	held := make(map[string]int)
+	for place := range q.places {
+		held[place.Engine.ID]++
+	}
+	return held
+}
+
 // makeRoom asks runs that can wait to give their places up to items that can't, given in order of their rank. A place that is
 // being given up is for the first of them.
 func (q *Queue) makeRoom(waiting []*waiter) {
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -32,6 +32,8 @@
 	TopicUsage Topic = "usage"
 	// TopicCrashes holds which engines ended under which requests. One partition, which every process follows.
 	TopicCrashes Topic = "crashes"
+	// TopicEngineViews holds what owners of jobs know of engines, a record a machine. One partition.
+	TopicEngineViews Topic = "engineviews"
 )
 
 // Errors of a log. Any other error of a call with an effect leaves open whether the effect took place or will.
@@ -119,6 +121,9 @@
 // Crashes is the only partition of the engines that ended under requests.
 var Crashes = Partition{Topic: TopicCrashes}
 
+// EngineViews is the only partition of what owners of jobs know of engines.
+var EngineViews = Partition{Topic: TopicEngineViews}
+
 // Partition names one partition of a topic.
 type Partition struct {
 	Topic  Topic
--- a/internal/replica/hurrying_test.go
+++ b/internal/replica/hurrying_test.go
@@ -41,7 +41,7 @@
 		is.True(!orders.CaughtUp())
 
 		holder := &anyHolder{}
-		hurrying{holder, []*follow.Follower{orders}}.Gained(ctx, keyedlog.Partition{Topic: keyedlog.TopicJobs}, 1)
+		hurrying{holder, []hurried{orders}}.Gained(ctx, keyedlog.Partition{Topic: keyedlog.TopicJobs}, 1)
 		synctest.Wait()
 		is.True(orders.CaughtUp())
 		is.Equal(holder.gained, 1)
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/jobrun"
 	"github.com/prometheus/client_golang/prometheus"
@@ -71,6 +72,24 @@
 	}, func() float64 { return float64(contents()) }))
 }
 
+// views has told what is known of engines by the word of others, and how many records this process wrote of what it knows.
+func (m *metrics) views(written func() int64, known func() fleet.Hearsay) {
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "engine_views_written_total", Help: "Records written of what this process knows of engines.",
+		}, func() float64 { return float64(written()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "engine_paces_told", Help: "Engines whose pace is known by the word of others alone.",
+		}, func() float64 { return float64(known().Engines) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "engine_places_told", Help: "Places of engines that others hold by their word.",
+		}, func() float64 { return float64(known().Held) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "engine_views_age_seconds", Help: "Age of the newest word of others on engines, 0 without any.",
+		}, func() float64 { return known().Newest.Seconds() }),
+	)
+}
+
 // Metrics serves the replica's counters and histograms.
 func (r *Replica) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,6 +13,7 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/duty"
 	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/engineview"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/forward"
@@ -70,6 +71,9 @@
 	followers []*follow.Follower
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
+	// viewTeller and viewReader share with other owners what is known of engines.
+	viewTeller *engineview.Teller
+	viewReader *engineview.Reader
 	// teller tells what tenants' requests this process has run, nil if that is not reported.
 	teller  *usage.Teller
 	metrics *metrics
@@ -98,6 +102,7 @@
 		MemoryBytes: config.Settings.MemoryBytes, Logger: config.Logger,
 	})
 	r.queue = jobrun.NewQueue(r.directory)
+	r.shareViews()
 	board := weightroll.NewBoard(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
 	engines := &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
@@ -148,6 +153,18 @@
 	return follower
 }
 
+// shareViews has what owners know of engines told and read.
+func (r *Replica) shareViews() {
+	machine := holderName(r.config.Settings)
+	r.viewTeller = engineview.NewTeller(engineview.Config{
+		Log: r.config.Log, Machine: machine, Source: r.directory, Held: r.queue.Held, Logger: r.config.Logger,
+	})
+	r.viewReader = engineview.NewReader(engineview.ReaderConfig{
+		Log: r.config.Log, Machine: machine, Directory: r.directory, Busy: r.owns, Logger: r.config.Logger,
+	})
+	r.metrics.views(r.viewTeller.Written, r.directory.Hearsay)
+}
+
 // countUsage has the requests of tenants counted and told, if somebody takes reports of them, and returns the duty of reporting.
 func (r *Replica) countUsage() ([]duty.Duty, ingress.Meter) {
 	if r.config.Usage == nil {
@@ -189,7 +206,7 @@
 func (r *Replica) own(group string, lifetime time.Duration, topics holders) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
 		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Topics: slices.Sorted(maps.Keys(topics)),
-		Lifetime: lifetime, Holder: hurrying{topics, r.weights}, Logger: r.config.Logger,
+		Lifetime: lifetime, Holder: hurrying{topics, r.hurried()}, Logger: r.config.Logger,
 	}))
 }
 
@@ -201,16 +218,27 @@
 	return h[partition.Topic].Gained(ctx, partition, generation)
 }
 
-// hurrying has the orders read at once when a partition is gained: its owner chooses engines by what they serve.
+// hurrying has the orders and what others know of engines read at once when a partition is gained: its owner chooses engines by what they
+// serve, how quick they are and who holds them.
 type hurrying struct {
 	ownership.Holder
-	orders []*follow.Follower
+	readers []hurried
+}
+
+// hurried reads something that an owner acts on.
+type hurried interface {
+	Hurry()
+}
+
+// hurried returns what is to be read at once by a process that gains a partition.
+func (r *Replica) hurried() []hurried {
+	return append(convert[hurried](r.weights), r.viewReader)
 }
 
 // Gained starts the work of a partition.
 func (h hurrying) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
-	for _, follower := range h.orders {
-		follower.Hurry()
+	for _, reader := range h.readers {
+		reader.Hurry()
 	}
 	return h.Holder.Gained(ctx, partition, generation)
 }
@@ -273,9 +301,12 @@
 	if topic != keyedlog.TopicWeights && topic != keyedlog.TopicJobIndex {
 		return nil
 	}
-	return func() bool {
-		return slices.ContainsFunc(r.managers, (*ownership.Manager).Holds)
-	}
+	return r.owns
+}
+
+// owns tells whether this process holds any partition.
+func (r *Replica) owns() bool {
+	return slices.ContainsFunc(r.managers, (*ownership.Manager).Holds)
 }
 
 // followWeights follows the announcements for each pool of models that the catalog names, until the context ends.
@@ -336,6 +367,8 @@
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
+	running.Go(func() { r.viewTeller.Run(followCtx) })
+	running.Go(func() { r.viewReader.Run(followCtx) })
 	if r.teller != nil {
 		running.Go(func() { r.teller.Run(followCtx) })
 	}
