Wait for places that others hold rather than go to a failing engine

Change: work waits if an engine that works has places that others hold by their word; work asks an engine that is full by word once a second.

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -128,11 +128,18 @@
 	return !known.own || !want.Since.IsZero() && now.Sub(want.Since) >= foreignAfter
 }
 
-// choose returns the place of the best candidate and what speaks against it, false if there is none.
+// choose returns the place of the best candidate and what speaks against it, false if there is none. Where others hold the places of an
+// engine that works, the work waits for it rather than go to one that failed lately: a failing engine has room all the time. In one run
+// where it did not wait, 627 requests in a second broke off at one engine, after 154 before words of others were heeded.
 func choose(candidates []Candidate, known survey, want Want, now time.Time) (best int, bestCost float64, ok bool) {
 	best = -1
+	held := false
 	for i, candidate := range candidates {
-		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
+		if !hasPlace(candidate.InFlight, candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
+			continue
+		}
+		if !hasRoom(candidate, want) {
+			held = held || !candidate.Avoided
 			continue
 		}
 		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
@@ -144,7 +151,7 @@
 			best, bestCost = i, total
 		}
 	}
-	return best, bestCost, best >= 0
+	return best, bestCost, best >= 0 && !(held && candidates[best].Avoided)
 }
 
 // better tells whether a candidate of a cost goes before another; equals go by their ids.
--- a/internal/fleet/told.go
+++ b/internal/fleet/told.go
@@ -28,8 +28,9 @@
 	// heldMost is how long work waits beside places that others hold by their word: a word that nobody renews has aged by then, so
 	// that whatever is still told may be wrong, and the engine itself is asked.
 	heldMost = 2 * time.Second
-	// askEvery is how often an engine is asked so: what came of it is told by then.
-	askEvery = 250 * time.Millisecond
+	// askEvery is how often an engine is asked so: words are right but for the moment that they take, and a call that is turned away costs
+	// the engine as much as one that is taken at first. With 250 ms, 131 of 295 items turned away with 503 in one run were such.
+	askEvery = time.Second
 	// mergeEvery is how often what others tell is looked through for what has aged.
 	mergeEvery = 100 * time.Millisecond
 )
--- a/internal/fleet/told_test.go
+++ b/internal/fleet/told_test.go
@@ -249,3 +249,25 @@
 	}
 	p.waiting = kept
 }
+
+// TestWorkWaitsForHeldPlacesRatherThanFail answers the load of a pool that is full by the word of others but for an engine that breaks
+// every run off: it has room all the time, and would take run after run.
+func TestWorkWaitsForHeldPlacesRatherThanFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := poolOf(2, 4)
+		directory.Failed("e00")
+		directory.SetTold("other", []Told{{Engine: "e01", Held: 4}}, false)
+		_, found := directory.Acquire(item())
+		is.True(!found)
+		waiting := item()
+		waiting.Since = waiting.Since.Add(-heldMost)
+		given, found := directory.Acquire(waiting)
+		is.True(found)
+		is.Equal(given.ID, "e01") // the word may be wrong
+		directory.Remove("e01")
+		given, found = directory.Acquire(item())
+		is.True(found)
+		is.Equal(given.ID, "e00") // there is nothing to wait for
+	})
+}
