Tell an engine's usual pace apart from a short slowdown

Cause: policy.Pace was the median of the last 32 gaps, so that it followed each slowdown of some tenths of a second by other work on the engine's machine. Change: Pace keeps the usual pace as well, the median of what the pace was over 6 s, and since when the engine has been slower; Outlook forecasts that a slowdown lasts as long again as it has lasted. Placing, declining, moving and yielding go by the forecast or the usual pace. Pace.Learn takes another process's word. A move must save 0.4 s by the forecast in place of 0.3 s: a slowdown of 0.6 s to 2.5 times the pace forecasts 0.36 s at its end. Tests in which paces stood as durations give steady outlooks instead; what they ask for is the same. A short slowdown moves nothing (TestShortSlowdownMovesNothing, which fails without the usual pace).

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -121,10 +121,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	current, ok := d.engines[id]
-	if !ok || current.pace.Value() == 0 {
+	if !ok {
 		return Engine{}, false
 	}
-	if !policy.WorthMoving(want.Events, current.pace.Value(), d.paceOf(want.Pool, now).quickest) {
+	outlook := current.pace.Outlook(now)
+	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, now).quickest)) {
 		// No engine of the pool is quick enough, whatever may run there.
 		return Engine{}, false
 	}
@@ -132,7 +133,7 @@
 	want.OwnOnly = true
 	want.Exclude = []string{id}
 	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
+	if !found || picked.Avoided || !policy.WorthMoving(want.Events, outlook, picked.Outlook) {
 		return Engine{}, false
 	}
 	d.engines[picked.Engine.ID].inFlight++
@@ -146,17 +147,17 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	candidates := d.candidates(want, now)
-	quickest := newSurvey(candidates, want).quickest
+	quickest := policy.Steady(newSurvey(candidates, want).quickest)
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
+		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Outlook, quickest) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
 	return suitable
 }
 
-// TypicalPace returns the median pace of a pool's engines, 0 if none is known.
+// TypicalPace returns the median usual pace of a pool's engines, 0 if none is known.
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -194,7 +195,7 @@
 		}
 		candidates = append(candidates, Candidate{
 			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Avoided: now.Before(found.avoidUntil),
-			Loading: now.Before(found.loading[want.Model]), Pace: found.pace.Value(), Latency: found.latency,
+			Loading: now.Before(found.loading[want.Model]), Outlook: found.pace.Outlook(now), Latency: found.latency,
 		})
 	}
 	return candidates
@@ -238,11 +239,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
-		found.pace.Add(gap)
+		found.pace.Add(gap, time.Now())
 	}
 }
 
-// Pace returns the time between events of an engine, 0 if unknown.
+// Pace returns the time between events of an engine now, 0 if unknown.
 func (d *Directory) Pace(id string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -18,8 +18,8 @@
 	Avoided bool
 	// Loading says that it begins no request of the wanted model now.
 	Loading bool
-	// Pace is the time between its events, 0 if unknown; Latency the smoothed time of whole answers.
-	Pace    time.Duration
+	// Outlook is what is to be expected of its pace; Latency the smoothed time of whole answers.
+	Outlook policy.Outlook
 	Latency time.Duration
 }
 
@@ -62,7 +62,7 @@
 
 // survey is what the engines that may run a piece of work have in common, full or not.
 type survey struct {
-	// quickest and typical are paces, 0 if none is known.
+	// quickest and typical are usual paces, 0 if none is known.
 	quickest time.Duration
 	typical  time.Duration
 	// own says that one of them is kept up to date for the model of the work.
@@ -78,8 +78,8 @@
 			continue
 		}
 		found.own = found.own || !foreign(candidate, want)
-		if candidate.Pace > 0 && !candidate.Avoided {
-			known = append(known, candidate.Pace)
+		if candidate.Outlook.Known() && !candidate.Avoided {
+			known = append(known, candidate.Outlook.Usual)
 		}
 	}
 	if len(known) > 0 {
@@ -131,7 +131,7 @@
 		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
 			continue
 		}
-		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
+		delay := policy.Delay(want.Events, candidate.Outlook, known.quickest)
 		if policy.Declines(now.Sub(want.Since), delay) {
 			continue
 		}
@@ -190,7 +190,7 @@
 	if candidate.Avoided {
 		total += avoidedCost
 	}
-	if want.Events == 0 && typicalPace > 0 && float64(candidate.Pace) > slowFactor*float64(typicalPace) {
+	if want.Events == 0 && typicalPace > 0 && float64(candidate.Outlook.Now) > slowFactor*float64(typicalPace) {
 		total += slowCost
 	}
 	if engine.Zone != want.Zone {
