Tell items that hold their step from those with time

Cause: short items took the places of quick engines first come, waited for them beside slow places that stood idle, and moved to them; none of that made their step end sooner. Change: the owner works out every 0.25 s how many events each job is expected to last yet, from what is left of its items; it did so once, at the job's start. Want.Slack is three quarters of that at the quickest usual pace of the model's engines. Delay and moves count what goes beyond it; work within it prefers slow engines. Paces of other models' engines count only where a model has none of its own. "item placed" tells of left and critical. Deployments of TestStepsComeNearTheBound may have a few quick engines, with factors of their own; those that were there keep theirs.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,7 @@
 	known bool
 	// paces and sorted hold what was worked out of each pool: its paces, for a moment, and its engines in order of their ids, until one
 	// changes.
-	paces  map[string]poolPace
+	paces  map[poolModel]poolPace
 	sorted map[string][]Engine
 }
 
@@ -70,7 +70,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string),
-		paces: make(map[string]poolPace), sorted: make(map[string][]Engine),
+		paces: make(map[poolModel]poolPace), sorted: make(map[string][]Engine),
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -220,3 +220,77 @@
 		is.True(found)
 	})
 }
+
+// TestQuickPlacesAreLeftToWorkThatHoldsAStep answers a step of which a few items are much longer than the others, on 3 quick and 8 slow
+// engines: first come, the short ones took the quick places and the long ones waited. Callers wait for the longest item, thus each long
+// one gets a quick place, whatever comes before it; and no place stands idle while an item waits that has time for it.
+func TestQuickPlacesAreLeftToWorkThatHoldsAStep(t *testing.T) {
+	const (
+		quick, slow           = 27 * time.Millisecond, 60 * time.Millisecond
+		quickCount, slowCount = 3, 8
+		slots                 = 4
+		long, short           = 140.0, 20.0
+	)
+	slack := policy.Slack(long, quick)
+	tests := []struct {
+		name        string
+		long, short int
+		waiting     int
+	}{
+		{"there is room for all", 8, 32, 0},
+		{"quick places are left over", 2, 40, 0},
+		{"short items fill the pool", 4, 60, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				directory := fleet.NewDirectory()
+				for i := range quickCount + slowCount {
+					id, pace := string(rune('a'+i)), slow
+					if i < quickCount {
+						pace = quick
+					}
+					directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: slots})
+					directory.Paced(id, pace)
+				}
+				want := fleet.Want{Pool: "p", Share: 1, Since: time.Now(), Slack: slack, Events: short}
+				wants := slices.Repeat([]fleet.Want{want}, test.short)
+				want.Events = long
+				wants = append(wants, slices.Repeat([]fleet.Want{want}, test.long)...)
+				// The long ones come last; where there is less room than work the queue has them first.
+				if test.waiting > 0 {
+					slices.Reverse(wants)
+				}
+				waiting := 0
+				for i, engine := range directory.Assign(wants) {
+					if engine.ID == "" {
+						waiting++
+					}
+					if wants[i].Events == long {
+						is.True(engine.ID != "" && engine.ID < string(rune('a'+quickCount)))
+					}
+				}
+				is.Equal(waiting, test.waiting)
+			})
+		})
+	}
+}
+
+// TestWorkWithSlackStays checks that work moves only once it is past its slack.
+func TestWorkWithSlackStays(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	for id, pace := range map[string]time.Duration{"quick": 27 * time.Millisecond, "slow": 60 * time.Millisecond} {
+		directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 2})
+		directory.Paced(id, pace)
+	}
+	want := fleet.Want{Pool: "p", Share: 1, Events: 40, Slack: policy.Slack(140, directory.QuickestPace("p", ""))}
+	_, better := directory.AcquireBetter("slow", want)
+	is.True(!better)
+	is.True(directory.Suitable(want)["slow"])
+	want.Slack = policy.Slack(45, directory.QuickestPace("p", ""))
+	is.True(!directory.Suitable(want)["slow"])
+	_, better = directory.AcquireBetter("slow", want)
+	is.True(better)
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -125,7 +125,7 @@
 		return Engine{}, false
 	}
 	outlook := current.pace.Outlook(now)
-	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, now).quickest)) {
+	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, "", now).quickest), want.Slack) {
 		// No engine of the pool is quick enough, whatever may run there.
 		return Engine{}, false
 	}
@@ -133,7 +133,7 @@
 	want.OwnOnly = true
 	want.Exclude = []string{id}
 	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || !policy.WorthMoving(want.Events, outlook, picked.Outlook) {
+	if !found || picked.Avoided || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
 		return Engine{}, false
 	}
 	d.engines[picked.Engine.ID].inFlight++
@@ -150,7 +150,7 @@
 	quickest := policy.Steady(newSurvey(candidates, want).quickest)
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Outlook, quickest) {
+		if mayRun(candidate, want) && !candidate.Avoided && !policy.WorthMoving(want.Events, candidate.Outlook, quickest, want.Slack) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
@@ -161,26 +161,40 @@
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.paceOf(pool, time.Now()).typical
+	return d.paceOf(pool, "", time.Now()).typical
+}
+
+// QuickestPace returns the least usual pace of the engines of a pool that serve a model, and are kept up to date for it if any is; 0 if
+// none is known.
+func (d *Directory) QuickestPace(pool, model string) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.paceOf(pool, model, time.Now()).quickest
 }
 
 // paceEvery is how often the paces of a pool are looked at: each item asks for them several times a second, and they change with the
 // smoothed gaps of many events.
 const paceEvery = 100 * time.Millisecond
 
-// poolPace is what the engines of a pool have in common, and when it was looked at.
+// poolModel names the engines of a pool that serve a model, all of the pool if that is empty.
+type poolModel struct {
+	pool, model string
+}
+
+// poolPace is what such engines have in common, and when it was looked at.
 type poolPace struct {
 	survey
 	at time.Time
 }
 
-// paceOf returns the paces of a pool. The mutex must be held.
-func (d *Directory) paceOf(pool string, now time.Time) survey {
-	known, ok := d.paces[pool]
+// paceOf returns the paces of the engines of a pool that serve a model. The mutex must be held.
+func (d *Directory) paceOf(pool, model string, now time.Time) survey {
+	key := poolModel{pool, model}
+	known, ok := d.paces[key]
 	if !ok || now.Sub(known.at) >= paceEvery {
-		want := Want{Pool: pool}
+		want := Want{Pool: pool, Model: model, MinVersion: 1}
 		known = poolPace{survey: newSurvey(d.candidates(want, now), want), at: now}
-		d.paces[pool] = known
+		d.paces[key] = known
 	}
 	return known.survey
 }
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -43,6 +43,8 @@
 	// takes any engine at once.
 	Events float64
 	Since  time.Time
+	// Slack is how long the work may take from now on without holding what it is a part of, 0 if it has none or that is not known.
+	Slack time.Duration
 	// OwnOnly leaves out engines that are kept up to date for other models.
 	OwnOnly bool
 }
@@ -69,19 +71,28 @@
 	own bool
 }
 
-// newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody.
+// newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody,
+// those of engines of other models only where there is none of its own.
 func newSurvey(candidates []Candidate, want Want) survey {
 	var found survey
-	var known []time.Duration
+	var known, others []time.Duration
 	for _, candidate := range candidates {
 		if !mayRun(candidate, want) {
 			continue
 		}
-		found.own = found.own || !foreign(candidate, want)
-		if candidate.Outlook.Known() && !candidate.Avoided {
+		isForeign := foreign(candidate, want)
+		found.own = found.own || !isForeign
+		switch {
+		case !candidate.Outlook.Known() || candidate.Avoided:
+		case isForeign:
+			others = append(others, candidate.Outlook.Usual)
+		default:
 			known = append(known, candidate.Outlook.Usual)
 		}
 	}
+	if !found.own {
+		known = others
+	}
 	if len(known) > 0 {
 		slices.Sort(known)
 		found.quickest, found.typical = known[0], known[(len(known)-1)/2]
@@ -131,11 +142,11 @@
 		if !hasRoom(candidate, want) || !mayRun(candidate, want) || !open(candidate, known, want, now) {
 			continue
 		}
-		delay := policy.Delay(want.Events, candidate.Outlook, known.quickest)
+		delay := policy.Delay(want.Events, candidate.Outlook, known.quickest, want.Slack)
 		if policy.Declines(now.Sub(want.Since), delay) {
 			continue
 		}
-		total := cost(candidate, want, known.typical) + delay.Seconds()
+		total := cost(candidate, want, known.typical) + delay.Seconds() - spared(candidate, known, want)
 		if best < 0 || better(candidate, total, candidates[best], bestCost) {
 			best, bestCost = i, total
 		}
@@ -181,8 +192,20 @@
 	zoneCost     = 0.05
 	affinityCost = 0.2
 	spreadCost   = 0.04
+	// spareGain is more than a full engine: work that can afford it fills engines of half the quickest pace before it takes a place
+	// of a quicker one, and takes that rather than wait.
+	spareGain = 2.5
 )
 
+// spared is what speaks for an engine at which the work ends within its slack: the slower it is, the quicker are the places that are
+// left to work that has none.
+func spared(candidate Candidate, known survey, want Want) float64 {
+	if !policy.Fits(want.Events, candidate.Outlook, want.Slack) || candidate.Outlook.Usual < known.quickest {
+		return 0
+	}
+	return spareGain * (1 - float64(known.quickest)/float64(candidate.Outlook.Usual))
+}
+
 // cost is lower for better engines: the filled part of the slots, plus what speaks against the engine.
 func cost(candidate Candidate, want Want, typicalPace time.Duration) float64 {
 	engine := candidate.Engine
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -64,10 +65,9 @@
 	view   job.View
 	item   job.Item
 	// ordinal is the item's place in the submission.
-	ordinal int
-	rank    Rank
-	// critical is how many events the item's job is expected to last.
-	critical float64
+	ordinal  int
+	rank     Rank
+	critical *criticalEvents
 
 	mutex sync.Mutex
 	// events are the data of the item's events so far; versions those that produced them.
@@ -229,7 +229,8 @@
 		before := len(e.events)
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
-			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
+			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond),
+			"left", math.Round(e.left()), "critical", math.Round(e.critical.Value()))
 		waitingSince := e.waitingSince
 		e.waitingSince = time.Time{}
 		e.hold()
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -77,6 +77,7 @@
 		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
 		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude, Events: e.left(), Since: e.waitingSince,
 	}
+	want.Slack = policy.Slack(e.critical.Value(), e.runner.config.Directory.QuickestPace(want.Pool, want.Model))
 	if route.SingleVersion && len(e.versions) > 0 {
 		want.ExactVersion = e.versions[0]
 	}
@@ -107,7 +108,7 @@
 // rankOf returns the item's rank as of now.
 func (e *execution) rankOf(want fleet.Want) Rank {
 	rank := e.rank
-	rank.MayHold = policy.MayHold(want.Events, e.critical)
+	rank.MayHold = policy.MayHold(want.Events, e.critical.Value())
 	rank.Yielded = int(e.yielded.Load())
 	rank.LatestStart = policy.LatestStart(e.view.AcceptedAt, want.Events, e.runner.config.Directory.TypicalPace(want.Pool))
 	return rank
@@ -118,6 +119,17 @@
 	return e.runner.left(e.item.LengthHint, len(e.events))
 }
 
+// remaining is how many events are expected to come of the item from any goroutine's view, 0 once its text is whole or it is given up.
+func (e *execution) remaining() float64 {
+	e.mutex.Lock()
+	made, over := len(e.events), e.whole || e.settled
+	e.mutex.Unlock()
+	if over {
+		return 0
+	}
+	return e.runner.left(e.item.LengthHint, made)
+}
+
 // waitsInVain tells whether an item that wants one version has waited for long, and an engine of another version has room for it.
 func (e *execution) waitsInVain(want fleet.Want) bool {
 	if time.Since(e.waitingSince) < exactMost {
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -116,7 +116,11 @@
 
 type runningJob struct {
 	cancel context.CancelFunc
+	spec   *job.Spec
 	items  map[string]*execution
+	// carried holds the groups that the trainer waits for whatever others are whole.
+	carried  map[string]bool
+	critical *criticalEvents
 	// progressed is how much progress of the job has been looked at.
 	progressed int
 	// whole says that this process has run all items of the job from their beginning.
@@ -126,8 +130,8 @@
 const (
 	// scanLeast is the least time between two looks at all open jobs.
 	scanLeast = 5 * time.Millisecond
-	// checkpointEvery is how often the events of long items are kept for the next owner: what an owner's death costs a step of
-	// a few seconds. Items of one partition are kept by one append.
+	// checkpointEvery is how often the events of long items are kept for the next owner, and it is looked at how much is left of their
+	// jobs: what an owner's death costs a step of a few seconds. Items of one partition are kept by one append.
 	checkpointEvery = 250 * time.Millisecond
 	// keepTimeout bounds the keeping of progress when the partition was lost.
 	keepTimeout = time.Second
@@ -240,19 +244,21 @@
 	r.learnListed(view)
 	jobCtx, cancel := context.WithCancel(ctx)
 	running := &runningJob{
-		cancel: cancel, items: make(map[string]*execution), progressed: view.Progressed,
-		whole: view.Listed == 0 && view.Progressed == 0,
+		cancel: cancel, spec: view.Spec, items: make(map[string]*execution), progressed: view.Progressed,
+		whole: view.Listed == 0 && view.Progressed == 0, carried: r.carriedGroups(view.Spec), critical: &criticalEvents{},
 	}
-	carried := r.carriedGroups(view.Spec)
-	critical := r.criticalEvents(view.Spec, carried)
-	for _, open := range r.ledger.Open(view.Spec.ID) {
+	openItems := r.ledger.Open(view.Spec.ID)
+	for _, open := range openItems {
 		if kept := r.kept(view.Spec, open); kept != nil {
 			open.Progress = kept
 		}
-		execution := newExecution(r, view, open, carried[open.Item.Group])
-		execution.critical = critical
+		execution := newExecution(r, view, open, running.carried[open.Item.Group])
+		execution.critical = running.critical
 		running.items[open.Item.ID] = execution
-		go execution.run(jobCtx)
+	}
+	running.critical.look(running)
+	for _, open := range openItems {
+		go running.items[open.Item.ID].run(jobCtx)
 	}
 	r.config.Logger.Info("job started", "job", view.Spec.ID, "open_items", len(running.items), "listed", view.Listed,
 		"age", time.Since(view.AcceptedAt).Round(time.Millisecond))
@@ -298,19 +304,6 @@
 	return carried
 }
 
-// criticalEvents returns how many events a job is expected to last.
-func (r *runner) criticalEvents(spec *job.Spec, carried map[string]bool) float64 {
-	longest := make(map[string]float64)
-	for _, item := range spec.Items {
-		longest[item.Group] = max(longest[item.Group], r.left(item.LengthHint, 0))
-	}
-	groups := make([]policy.GroupLength, 0, len(longest))
-	for name, events := range longest {
-		groups = append(groups, policy.GroupLength{Events: events, Carried: carried[name]})
-	}
-	return policy.CriticalEvents(groups, spec.Desired)
-}
-
 // kept returns what is there of an item's text from an earlier job, nil if the job does not allow its versions or it is no further than
 // the item's own progress.
 func (r *runner) kept(spec *job.Spec, open job.OpenItem) *job.Progress {
@@ -350,6 +343,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for id, running := range r.jobs {
+		running.critical.look(running)
 		for _, execution := range running.items {
 			r.keepProgress(id, execution)
 		}
--- a/internal/jobrun/steptime_test.go
+++ b/internal/jobrun/steptime_test.go
@@ -23,6 +23,8 @@
 	slowest float64
 	groups  int
 	hint    string
+	// quick is how many engines are the quickest and all others the slowest, 0 if the others lie between.
+	quick int
 }
 
 const (
@@ -39,13 +41,20 @@
 )
 
 func (d deployment) String() string {
-	return fmt.Sprintf("%d engines of %d, x%g, %d groups, hint %s", d.engines, d.slots, d.slowest, d.groups, d.hint)
+	text := fmt.Sprintf("%d engines of %d, x%g, %d groups, hint %s", d.engines, d.slots, d.slowest, d.groups, d.hint)
+	if d.quick > 0 {
+		text += fmt.Sprintf(", %d quick", d.quick)
+	}
+	return text
 }
 
 // pace is that of an engine by its number.
 func (d deployment) pace(number int) time.Duration {
 	factor := 1.0
-	if d.engines > 1 {
+	if d.quick > 0 && number >= d.quick {
+		factor = d.slowest
+	}
+	if d.quick == 0 && d.engines > 1 {
 		factor += (d.slowest - 1) * float64(number) / float64(d.engines-1)
 	}
 	return time.Duration(factor * float64(20*time.Millisecond))
@@ -157,6 +166,10 @@
 	unknownFactor = 1.6
 	// loadedFactor is where engines are full: the bound leaves the groups of most work out, and steps run them like the others.
 	loadedFactor = 1.75
+	// toldFactor and guessedFactor are where a quarter of the engines are quick and their places are for the longest items, with lengths
+	// told exactly and badly: a trainer waits for the longest item, so that one that began on a slow engine costs all others.
+	toldFactor    = 1.05
+	guessedFactor = 1.25
 )
 
 // TestStepsComeNearTheBound plays steps on engines of other numbers, places and speeds, with lengths told exactly, badly or not at
@@ -166,14 +179,17 @@
 		deployment
 		factor float64
 	}{
-		{deployment{6, 12, 1.3, 28, hintExact}, spareFactor},
-		{deployment{6, 12, 1.3, 28, hintHalf}, spareFactor},
-		{deployment{6, 12, 1.3, 28, hintAbsent}, unknownFactor},
-		{deployment{20, 8, 1, 32, hintHalf}, spareFactor},
-		{deployment{2, 2, 1, 8, hintExact}, loadedFactor},
-		{deployment{4, 8, 4, 32, hintExact}, loadedFactor},
-		{deployment{8, 8, 3, 32, hintHalf}, loadedFactor},
-		{deployment{4, 4, 2, 24, hintAbsent}, loadedFactor},
+		{deployment{6, 12, 1.3, 28, hintExact, 0}, spareFactor},
+		{deployment{6, 12, 1.3, 28, hintHalf, 0}, spareFactor},
+		{deployment{6, 12, 1.3, 28, hintAbsent, 0}, unknownFactor},
+		{deployment{20, 8, 1, 32, hintHalf, 0}, spareFactor},
+		{deployment{2, 2, 1, 8, hintExact, 0}, loadedFactor},
+		{deployment{4, 8, 4, 32, hintExact, 0}, loadedFactor},
+		{deployment{8, 8, 3, 32, hintHalf, 0}, loadedFactor},
+		{deployment{4, 4, 2, 24, hintAbsent, 0}, loadedFactor},
+		{deployment{11, 12, 2.2, 32, hintExact, 3}, toldFactor},
+		{deployment{11, 12, 2.2, 32, hintHalf, 3}, guessedFactor},
+		{deployment{11, 8, 2.2, 32, hintHalf, 3}, loadedFactor},
 	}
 	for _, test := range tests {
 		t.Run(test.String(), func(t *testing.T) {
--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -133,12 +133,18 @@
 	return time.Duration(slow*float64(o.Now) + (events-slow)*float64(o.Usual))
 }
 
-// Delay is how much later work of so many events ends at an engine than at a steady pace, 0 if either is not known.
-func Delay(events float64, engine Outlook, quickest time.Duration) time.Duration {
+// Delay is how much later work of so many events ends at an engine than its slack allows, and than at a steady pace if that is longer;
+// 0 if either pace is not known.
+func Delay(events float64, engine Outlook, quickest, slack time.Duration) time.Duration {
 	if !engine.Known() || quickest <= 0 {
 		return 0
 	}
-	return max(0, engine.Time(events)-Steady(quickest).Time(events))
+	return max(0, engine.Time(events)-max(slack, Steady(quickest).Time(events)))
+}
+
+// Fits tells whether work of so many events ends at an engine within its slack.
+func Fits(events float64, engine Outlook, slack time.Duration) bool {
+	return slack > 0 && engine.Known() && engine.Time(events) <= slack
 }
 
 // Declines tells whether work that has waited so long waits on for a quicker engine rather than begin on one that delays it.
@@ -160,12 +166,13 @@
 	moveFactor = 1.15
 )
 
-// WorthMoving tells whether work of which so many events are left should go on at another engine.
-func WorthMoving(events float64, engine, other Outlook) bool {
+// WorthMoving tells whether work of which so many events are left should go on at another engine. What it would end there before its
+// slack is over saves nobody anything.
+func WorthMoving(events float64, engine, other Outlook, slack time.Duration) bool {
 	if !engine.Known() || !other.Known() {
 		return false
 	}
-	stays, moves := engine.Time(events), other.Time(events)
+	stays, moves := engine.Time(events), max(slack, other.Time(events))
 	return float64(stays) > moveFactor*float64(moves) && stays-moves >= moveGainLeast
 }
 
@@ -191,6 +198,13 @@
 	return events > 0 && events >= holdingShare*critical
 }
 
+// Slack returns how long one item of a step may take without being the one that holds it, 0 if the events that are left of the step
+// or the quickest pace of its engines are not known. It is the same share of the step from which on an item may hold it: an item
+// that turns out the longer of the two is seen to do so while it runs, and then goes on where it is quicker.
+func Slack(critical float64, quickest time.Duration) time.Duration {
+	return Steady(quickest).Time(holdingShare * critical)
+}
+
 // Yields tells whether a run gives its place up to an item that may hold its step, by the latest starts of both as of now and how
 // often the run's item has yielded before.
 func Yields(running, waiting time.Time, yielded int) bool {
--- a/internal/policy/pace_test.go
+++ b/internal/policy/pace_test.go
@@ -79,7 +79,7 @@
 	for range 1000 {
 		events := float64(1 + random.Intn(200))
 		free := time.Duration(random.Intn(5000)) * time.Millisecond
-		delay := policy.Delay(events, policy.Steady(slow), quick)
+		delay := policy.Delay(events, policy.Steady(slow), quick, 0)
 		work := time.Duration(events * float64(quick))
 		known := work + min(free, delay)
 		// Until it has waited for the delay it declines the slow engine.
@@ -118,7 +118,7 @@
 		for passed := time.Duration(0); passed < span; passed += gap / streams {
 			now = now.Add(gap / streams)
 			pace.Add(gap, now)
-			if moved < 0 && policy.WorthMoving(events, pace.Outlook(now), other) {
+			if moved < 0 && policy.WorthMoving(events, pace.Outlook(now), other, 0) {
 				moved = passed
 			}
 		}
@@ -153,11 +153,35 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(policy.WorthMoving(test.events, policy.Steady(test.pace), policy.Steady(test.other)), test.worth)
+			is.Equal(policy.WorthMoving(test.events, policy.Steady(test.pace), policy.Steady(test.other), 0), test.worth)
 		})
 	}
 }
 
+// TestOnlyWorkBeyondItsSlackInsists answers steps of which a few items are much the longest: the others took the quick engines' places first
+// come, waited for them beside slow engines that stood idle, and moved there, and none of that made their step end sooner.
+func TestOnlyWorkBeyondItsSlackInsists(t *testing.T) {
+	const quick, slow = 27 * time.Millisecond, 60 * time.Millisecond
+	is := is.New(t)
+	slack := policy.Slack(140, quick)
+	for _, events := range []float64{1, 20, 45} {
+		is.True(policy.Fits(events, policy.Steady(slow), slack))
+		is.Equal(policy.Delay(events, policy.Steady(slow), quick, slack), time.Duration(0))
+		is.True(!policy.WorthMoving(events, policy.Steady(slow), policy.Steady(quick), slack))
+	}
+	for _, events := range []float64{60, 100, 140} {
+		is.True(!policy.Fits(events, policy.Steady(slow), slack))
+		is.True(policy.Delay(events, policy.Steady(slow), quick, slack) > 0)
+		is.True(policy.WorthMoving(events, policy.Steady(slow), policy.Steady(quick), slack))
+	}
+	// The longest has none to lose at the quickest engine.
+	is.Equal(policy.Delay(140, policy.Steady(quick), quick, slack), time.Duration(0))
+	// Nothing is known.
+	is.Equal(policy.Slack(0, quick), time.Duration(0))
+	is.Equal(policy.Slack(140, 0), time.Duration(0))
+	is.True(!policy.Fits(1, policy.Steady(quick), 0))
+}
+
 func TestLatestStart(t *testing.T) {
 	is := is.New(t)
 	accepted := time.Unix(1000, 0)
