Give a run that turns out long the quick place of a short one

Cause: nothing tells of some items beforehand that they are much the longest. They began on slow engines and stayed for up to 9 s: a place that becomes free at a quick engine goes to an item that waits. Change: Queue.Reserve has the run that can wait longest, at an engine to which moving is worth it, give its place up to a run that may hold its step and is past its slack; the place is handed on, and can't be asked for again. Conclusion: TestARunThatTurnsOutLongGetsAQuickPlace and TestAReservationOfARunThatEndedIsGivenBack.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -157,6 +157,31 @@
 	return suitable
 }
 
+// Better returns the engines to which work that runs elsewhere is worth moving, full or not.
+func (d *Directory) Better(id string, want Want) map[string]bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	current, ok := d.engines[id]
+	if !ok {
+		return nil
+	}
+	outlook := current.pace.Outlook(now)
+	want.Exclude = []string{id}
+	candidates := d.candidates(want, now)
+	known := newSurvey(candidates, want)
+	better := make(map[string]bool)
+	for _, candidate := range candidates {
+		if !mayRun(candidate, want) || candidate.Avoided || known.own && foreign(candidate, want) {
+			continue
+		}
+		if policy.WorthMoving(want.Events, outlook, candidate.Outlook, want.Slack) {
+			better[candidate.Engine.ID] = true
+		}
+	}
+	return better
+}
+
 // TypicalPace returns the median usual pace of a pool's engines, 0 if none is known.
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -101,6 +101,8 @@
 	fruitless    int
 	// next is the place that the item moves to, nil if none was acquired.
 	next *Place
+	// reserved is what another run gives up for this one, nil if nothing.
+	reserved *Reservation
 	// yielded is how often the item was asked to give its place up.
 	yielded atomic.Int32
 	// exclude holds the engine that is not to be asked next; refused says that it turned the item away.
@@ -235,6 +237,7 @@
 		e.waitingSince = time.Time{}
 		e.hold()
 		result := e.runOn(runCtx, engine, route)
+		e.dropReserved()
 		cancel()
 		place.Release()
 		e.letGo()
@@ -333,17 +336,45 @@
 		e.versions = append(e.versions, e.current)
 	}
 	e.mutex.Unlock()
+	if e.findsBetter(now) {
+		return errMove
+	}
+	return nil
+}
+
+// findsBetter tells whether the item has a place to move to.
+func (e *execution) findsBetter(now time.Time) bool {
+	if e.reserved != nil {
+		if e.next = e.reserved.Take(); e.next != nil {
+			return true
+		}
+	}
 	if now.Sub(e.lookedAt) < moveLook {
-		return nil
+		return false
 	}
 	e.lookedAt = now
-	if route, ok := e.route(); ok {
-		want := e.want(route)
-		if e.next = e.runner.config.Queue.AcquireBetter(e.engine.ID, e.rankOf(want), want); e.next != nil {
-			return errMove
-		}
+	route, ok := e.route()
+	if !ok {
+		return false
+	}
+	want := e.want(route)
+	rank := e.rankOf(want)
+	queue := e.runner.config.Queue
+	if e.next = queue.AcquireBetter(e.engine.ID, rank, want); e.next != nil {
+		return true
+	}
+	if e.reserved == nil {
+		e.reserved = queue.Reserve(e.engine.ID, rank, want)
+	}
+	return false
+}
+
+// dropReserved gives back what was reserved for the run that ended.
+func (e *execution) dropReserved() {
+	if e.reserved != nil {
+		e.reserved.Drop()
+		e.reserved = nil
 	}
-	return nil
 }
 
 // yielder returns what makes the item give its place up, nil if it can't go on wherever there is room: a text of one version may
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -59,19 +59,54 @@
 	// yield asks the item to give the place up, nil if it must not; asked says that it was.
 	yield func()
 	asked bool
+	// heir gets the place once it is released, nil if anybody may.
+	heir *Reservation
 }
 
-// Release gives the place back. It does nothing the second time.
+// Release gives the place back, or on to whom it was promised. It does nothing the second time.
 func (p *Place) Release() {
 	p.queue.mutex.Lock()
 	_, held := p.queue.places[p]
 	delete(p.queue.places, p)
+	inherited := held && p.heir != nil && !p.heir.dropped
+	if inherited {
+		p.heir.given <- p.queue.take(p.Engine, p.heir.rank, nil)
+	}
 	p.queue.mutex.Unlock()
-	if held {
+	if held && !inherited {
 		p.queue.directory.Release(p.Engine.ID)
 	}
 }
 
+// Reservation is for an item that runs, of a place at a better engine that another run gives up. Drop must follow.
+type Reservation struct {
+	queue *Queue
+	rank  Rank
+	given chan *Place
+	// dropped is guarded by the queue's mutex.
+	dropped bool
+}
+
+// Take returns the place once it is there, nil before.
+func (r *Reservation) Take() *Place {
+	select {
+	case place := <-r.given:
+		return place
+	default:
+		return nil
+	}
+}
+
+// Drop gives the place back unless it was taken.
+func (r *Reservation) Drop() {
+	r.queue.mutex.Lock()
+	r.dropped = true
+	r.queue.mutex.Unlock()
+	if place := r.Take(); place != nil {
+		place.Release()
+	}
+}
+
 type waiter struct {
 	rank  Rank
 	want  fleet.Want
@@ -149,7 +184,7 @@
 func (q *Queue) makeRoom(waiting []*waiter) {
 	coming := 0
 	for place := range q.places {
-		if place.asked {
+		if place.asked && place.heir == nil {
 			coming++
 		}
 	}
@@ -172,17 +207,21 @@
 	if !next.rank.MayHold {
 		return nil
 	}
+	return q.leastUrgentAt(q.directory.Suitable(next.want), next.rank)
+}
+
+// leastUrgentAt returns the place at some engines of the run that can wait longest among those that yield to an item.
+func (q *Queue) leastUrgentAt(engines map[string]bool, rank Rank) *Place {
 	now := time.Now()
-	suitable := q.directory.Suitable(next.want)
 	var found *Place
 	var latest time.Time
 	for place := range q.places {
-		if place.asked || place.yield == nil || !suitable[place.Engine.ID] {
+		if place.asked || place.yield == nil || !engines[place.Engine.ID] {
 			continue
 		}
 		// A run's latest start moves on with what comes of it.
 		start := place.rank.LatestStart.Add(now.Sub(place.taken))
-		if policy.Yields(start, next.rank.LatestStart, place.rank.Yielded) && (found == nil || start.After(latest)) {
+		if policy.Yields(start, rank.LatestStart, place.rank.Yielded) && (found == nil || start.After(latest)) {
 			found, latest = place, start
 		}
 	}
@@ -221,6 +260,29 @@
 	return q.take(engine, rank, nil)
 }
 
+// Reserve has a run that can wait give its place up to an item that may hold its step and runs at a slower engine. It returns nil if
+// there is none. Freed places go to items that wait at once, so that an item which turned out long found no quick one for 6 s while
+// short ones held them all.
+func (q *Queue) Reserve(current string, rank Rank, want fleet.Want) *Reservation {
+	if !rank.MayHold {
+		return nil
+	}
+	better := q.directory.Better(current, want)
+	if len(better) == 0 {
+		return nil
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	place := q.leastUrgentAt(better, rank)
+	if place == nil {
+		return nil
+	}
+	place.asked = true
+	place.heir = &Reservation{queue: q, rank: rank, given: make(chan *Place, 1)}
+	place.yield()
+	return place.heir
+}
+
 // withdraw takes a waiter out, and gives back the place that it may have been given meanwhile.
 func (q *Queue) withdraw(next *waiter) {
 	q.mutex.Lock()
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -145,6 +145,90 @@
 	}
 }
 
+// TestARunThatTurnsOutLongGetsAQuickPlace answers items of which nothing tells beforehand that they are much the longest: they began on slow
+// engines and stayed there for up to 9 s while short ones came and went on the quick ones, since a place that becomes free goes to an
+// item that waits. Callers wait for the longest, thus it gets the place of a run that can wait, once and whoever else waits.
+func TestARunThatTurnsOutLongGetsAQuickPlace(t *testing.T) {
+	tests := []struct {
+		name string
+		// left is what is left of the run on the slow engine, slack in events of the quick one.
+		left, slack float64
+		mayHold     bool
+		reserves    bool
+	}{
+		{"it holds the step", 100, 75, true, true},
+		{"it may not", 100, 75, false, false},
+		{"it ends in time where it is", 30, 75, true, false},
+		{"little is left", 5, 0, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				queue, stop := queueOf(1, 2*testPace, testPace)
+				defer stop()
+				accepted := time.Now()
+				var asked atomic.Int32
+				short := <-acquire(queue, accepted, 20, func() { asked.Add(1) })
+				is.Equal(short.Engine.ID, "engine1")
+				long := <-acquire(queue, accepted.Add(-5*time.Second), 5, nil)
+				is.Equal(long.Engine.ID, "engine0")
+				rank := Rank{LatestStart: policy.LatestStart(accepted, test.left, testPace), MayHold: test.mayHold}
+				want := fleet.Want{Pool: "p", Share: 1, Events: test.left, Slack: policy.Steady(testPace).Time(test.slack)}
+				reserved := queue.Reserve("engine0", rank, want)
+				is.Equal(reserved != nil, test.reserves)
+				is.Equal(asked.Load() == 1, test.reserves)
+				waiting := acquire(queue, accepted, 10, nil)
+				time.Sleep(100 * time.Millisecond)
+				if !test.reserves {
+					short.Release()
+					(<-waiting).Release()
+					long.Release()
+					return
+				}
+				is.True(reserved.Take() == nil)
+				is.True(queue.Reserve("engine0", rank, want) == nil)
+				short.Release()
+				place := reserved.Take()
+				is.Equal(place.Engine.ID, "engine1")
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(len(waiting), 0)
+				place.Release()
+				reserved.Drop()
+				(<-waiting).Release()
+				long.Release()
+				is.Equal(len(queue.places), 0)
+			})
+		})
+	}
+}
+
+// TestAReservationOfARunThatEndedIsGivenBack checks that a place that is given up for a run which has ended is there for others, whichever
+// comes first.
+func TestAReservationOfARunThatEndedIsGivenBack(t *testing.T) {
+	for _, droppedFirst := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			queue, stop := queueOf(1, 2*testPace, testPace)
+			defer stop()
+			short := <-acquire(queue, time.Now(), 20, func() {})
+			rank := Rank{LatestStart: policy.LatestStart(time.Now(), 100, testPace), MayHold: true}
+			reserved := queue.Reserve("engine0", rank, fleet.Want{Pool: "p", Share: 1, Events: 100})
+			if droppedFirst {
+				reserved.Drop()
+				short.Release()
+			} else {
+				short.Release()
+				reserved.Drop()
+			}
+			is.Equal(len(queue.places), 0)
+			place := <-acquire(queue, time.Now(), 100, nil)
+			is.Equal(place.Engine.ID, "engine1")
+			place.Release()
+		})
+	}
+}
+
 // TestFreePlacesDoNotWaitForItemsThatAskAgain lets items that have waited for long ask again all the time, as on a full pool. A place
 // that becomes free is given on at once.
 func TestFreePlacesDoNotWaitForItemsThatAskAgain(t *testing.T) {
