Expect no item to be longer than the longest known one

Cause: estimates of long items were 180 to 323 events where none has more than 145, since a ratio that short items came to was taken to hold for long ones. Steps seemed to last twice as long as they do, and the items that held them seemed to have time. Change: Lengths bounds what it expects by the longest of the last 256 items, once it knows 64. Test TestNoItemIsExpectedToBeLongerThanAny, which fails without the bound.

--- a/internal/policy/lengths.go
+++ b/internal/policy/lengths.go
@@ -10,12 +10,18 @@
 	// of arrival.
 	ratios []float64
 	order  []float64
+	// events are what the same items came to, in order of arrival.
+	events []int
 }
 
 // lengthsKept is how many items the distribution rests on: enough for its upper tenth to hold a few dozen, and few enough
 // to follow a model whose outputs grow as it is trained.
 const lengthsKept = 256
 
+// capAfter is how many items must be known before none is expected to be longer than the longest of them: of 64 items a few are of
+// the upper twentieth.
+const capAfter = 64
+
 // Learn takes an item that came to its end.
 func (l *Lengths) Learn(estimate, events int) {
 	if estimate <= 0 || events <= 0 {
@@ -24,12 +30,12 @@
 	if len(l.order) == lengthsKept {
 		place, _ := slices.BinarySearch(l.ratios, l.order[0])
 		l.ratios = slices.Delete(l.ratios, place, place+1)
-		l.order = l.order[1:]
+		l.order, l.events = l.order[1:], l.events[1:]
 	}
 	ratio := float64(events) / float64(estimate)
 	place, _ := slices.BinarySearch(l.ratios, ratio)
 	l.ratios = slices.Insert(l.ratios, place, ratio)
-	l.order = append(l.order, ratio)
+	l.order, l.events = append(l.order, ratio), append(l.events, events)
 }
 
 // Known tells whether any item was learnt from.
@@ -54,5 +60,14 @@
 	for _, ratio := range longer {
 		sum += ratio
 	}
-	return max(1, sum/float64(len(longer))*float64(estimate)-float64(made))
+	return max(1, l.capped(sum/float64(len(longer))*float64(estimate))-float64(made))
+}
+
+// capped bounds an expected length by the longest known one: engines end answers at some number of tokens, and a ratio that short items
+// came to says too much of long ones.
+func (l *Lengths) capped(expected float64) float64 {
+	if len(l.events) < capAfter {
+		return expected
+	}
+	return min(expected, float64(slices.Max(l.events)))
 }
--- a/internal/policy/lengths_test.go
+++ b/internal/policy/lengths_test.go
@@ -51,3 +51,21 @@
 	}
 	is.True(math.Abs(lengths.Left(100, 0)-30) < 1e-9)
 }
+
+// TestNoItemIsExpectedToBeLongerThanAny answers engines that end answers at some number of tokens: ratios that short items came to made steps
+// out to last twice as long as any item does, so that items which held them seemed to have time.
+func TestNoItemIsExpectedToBeLongerThanAny(t *testing.T) {
+	const most = 145
+	is := is.New(t)
+	var lengths policy.Lengths
+	random := rand.New(rand.NewSource(1))
+	for range 256 {
+		estimate := 10 + random.Intn(100)
+		lengths.Learn(estimate, min(most, max(1, int(float64(estimate)*math.Exp(0.8*random.NormFloat64())))))
+	}
+	is.True(lengths.Left(20, 0) < 60)
+	is.Equal(lengths.Left(1000, 0), float64(most))
+	is.Equal(lengths.Left(1000, 100), float64(most-100))
+	// What goes beyond it all the same has something left.
+	is.True(lengths.Left(1000, 2*most) >= 1)
+}
