--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -364,11 +364,20 @@
 		return true
 	}
 	if e.reserved == nil {
-		e.reserved = queue.Reserve(e.engine.ID, rank, want)
+		e.reserve(rank, want)
 	}
 	return false
 }
 
+// reserve has a run at a quicker engine give its place up, if the item may hold its step and any can wait.
+func (e *execution) reserve(rank Rank, want fleet.Want) {
+	e.reserved = e.runner.config.Queue.Reserve(e.engine.ID, rank, want)
+	if e.reserved != nil {
+		e.runner.config.Logger.Info("item asks for a quicker place", "job", e.view.Spec.ID, "item", e.item.ID, "engine", e.engine.ID,
+			"left", math.Round(want.Events), "critical", math.Round(e.critical.Value()), "slack", want.Slack.Round(time.Millisecond))
+	}
+}
+
 // dropReserved gives back what was reserved for the run that ended.
 func (e *execution) dropReserved() {
 	if e.reserved != nil {
