Let items with time take any place

Cause: items within their slack filled slow engines first, so that quick places stood idle while items ran slowly of which some turned out to hold their step. Runs that turn out long can take the places of short ones, so that none need be kept free. Change: work within its slack takes the least busy engine, whatever its pace. policy.Fits is gone.

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -146,7 +146,7 @@
 		if policy.Declines(now.Sub(want.Since), delay) {
 			continue
 		}
-		total := cost(candidate, want, known.typical) + delay.Seconds() - spared(candidate, known, want)
+		total := cost(candidate, want, known.typical) + delay.Seconds()
 		if best < 0 || better(candidate, total, candidates[best], bestCost) {
 			best, bestCost = i, total
 		}
@@ -192,20 +192,8 @@
 	zoneCost     = 0.05
 	affinityCost = 0.2
 	spreadCost   = 0.04
-	// spareGain is more than a full engine: work that can afford it fills engines of half the quickest pace before it takes a place
-	// of a quicker one, and takes that rather than wait.
-	spareGain = 2.5
 )
 
-// spared is what speaks for an engine at which the work ends within its slack: the slower it is, the quicker are the places that are
-// left to work that has none.
-func spared(candidate Candidate, known survey, want Want) float64 {
-	if !policy.Fits(want.Events, candidate.Outlook, want.Slack) || candidate.Outlook.Usual < known.quickest {
-		return 0
-	}
-	return spareGain * (1 - float64(known.quickest)/float64(candidate.Outlook.Usual))
-}
-
 // cost is lower for better engines: the filled part of the slots, plus what speaks against the engine.
 func cost(candidate Candidate, want Want, typicalPace time.Duration) float64 {
 	engine := candidate.Engine
--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -142,11 +142,6 @@
 	return max(0, engine.Time(events)-max(slack, Steady(quickest).Time(events)))
 }
 
-// Fits tells whether work of so many events ends at an engine within its slack.
-func Fits(events float64, engine Outlook, slack time.Duration) bool {
-	return slack > 0 && engine.Known() && engine.Time(events) <= slack
-}
-
 // Declines tells whether work that has waited so long waits on for a quicker engine rather than begin on one that delays it.
 // It waits no longer than the delay, so that it ends no later than the delay after the best time, however long quicker
 // engines stay full (the ski rental rule: at most twice what knowing would have cost), and never longer than declinesMost.
