--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -47,8 +47,8 @@
 		{"another zone rather than a busy engine", want, []fleet.Candidate{{Engine: far}, {Engine: engine("b", 3), InFlight: 1}}, "a"},
 		{
 			"a slow one last", want, []fleet.Candidate{
-				{Engine: engine("a", 3), Pace: 100 * time.Millisecond}, {Engine: engine("b", 3), Pace: 30 * time.Millisecond, InFlight: 3},
-				{Engine: engine("c", 3), Pace: 30 * time.Millisecond, InFlight: 4},
+				{Engine: engine("a", 3), Outlook: policy.Steady(100 * time.Millisecond)}, {Engine: engine("b", 3), Outlook: policy.Steady(30 * time.Millisecond), InFlight: 3},
+				{Engine: engine("c", 3), Outlook: policy.Steady(30 * time.Millisecond), InFlight: 4},
 			}, "b",
 		},
 	}
@@ -271,3 +271,73 @@
 	is.True(!unsaid.Restarted(old))
 	is.True(!later.Restarted(unsaid))
 }
+
+// TestQuickPlacesAreLeftToWorkThatHoldsAStep answers a step of which a few items are much longer than the others, on 3 quick and 8 slow
+// engines, which the queue gives in order of their lengths. Callers wait for the longest item, thus each long one gets a quick place; the
+// short ones have time for any place, so that none stands idle while an item waits.
+func TestQuickPlacesAreLeftToWorkThatHoldsAStep(t *testing.T) {
+	const (
+		quick, slow           = 27 * time.Millisecond, 60 * time.Millisecond
+		quickCount, slowCount = 3, 8
+		slots                 = 4
+		long, short           = 140.0, 20.0
+	)
+	slack := policy.Slack(long, quick)
+	tests := []struct {
+		name        string
+		long, short int
+		waiting     int
+	}{
+		{"there is room for all", 8, 32, 0},
+		{"quick places are left over", 2, 40, 0},
+		{"short items fill the pool", 4, 60, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				directory := fleet.NewDirectory()
+				for i := range quickCount + slowCount {
+					id, pace := string(rune('a'+i)), slow
+					if i < quickCount {
+						pace = quick
+					}
+					directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: slots})
+					directory.Paced(id, pace)
+				}
+				want := fleet.Want{Pool: "p", Share: 1, Since: time.Now(), Slack: slack, Events: long}
+				wants := slices.Repeat([]fleet.Want{want}, test.long)
+				want.Events = short
+				wants = append(wants, slices.Repeat([]fleet.Want{want}, test.short)...)
+				waiting := 0
+				for i, engine := range directory.Assign(wants) {
+					if engine.ID == "" {
+						waiting++
+					}
+					if wants[i].Events == long {
+						is.True(engine.ID != "" && engine.ID < string(rune('a'+quickCount)))
+					}
+				}
+				is.Equal(waiting, test.waiting)
+			})
+		})
+	}
+}
+
+// TestWorkWithSlackStays checks that work moves only once it is past its slack.
+func TestWorkWithSlackStays(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	for id, pace := range map[string]time.Duration{"quick": 27 * time.Millisecond, "slow": 60 * time.Millisecond} {
+		directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 2})
+		directory.Paced(id, pace)
+	}
+	want := fleet.Want{Pool: "p", Share: 1, Events: 40, Slack: policy.Slack(140, directory.QuickestPace("p", ""))}
+	_, better := directory.AcquireBetter("slow", want)
+	is.True(!better)
+	is.True(directory.Suitable(want)["slow"])
+	want.Slack = policy.Slack(45, directory.QuickestPace("p", ""))
+	is.True(!directory.Suitable(want)["slow"])
+	_, better = directory.AcquireBetter("slow", want)
+	is.True(better)
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -126,10 +126,11 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	current, ok := d.engines[id]
-	if !ok || current.pace.Value() == 0 {
+	if !ok {
 		return Engine{}, false
 	}
-	if !policy.WorthMoving(want.Events, current.pace.Value(), d.paceOf(want.Pool, now).quickest) {
+	outlook := current.pace.Outlook(now)
+	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, "", now).quickest), want.Slack) {
 		// No engine of the pool is quick enough, whatever may run there.
 		return Engine{}, false
 	}
@@ -137,7 +138,7 @@
 	want.OwnOnly = true
 	want.Exclude = []string{id}
 	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || picked.Trial || picked.Pace == 0 || !policy.WorthMoving(want.Events, current.pace.Value(), picked.Pace) {
+	if !found || picked.Avoided || picked.Trial || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
 		return Engine{}, false
 	}
 	d.begin(picked.Engine, want, now)
@@ -151,40 +152,80 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	candidates := d.candidates(want, now)
-	quickest := newSurvey(candidates, want).quickest
+	quickest := policy.Steady(newSurvey(candidates, want).quickest)
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && !candidate.Avoided && !candidate.Ejected && !policy.WorthMoving(want.Events, candidate.Pace, quickest) {
+		if mayRun(candidate, want) && !candidate.Avoided && !candidate.Ejected &&
+			!policy.WorthMoving(want.Events, candidate.Outlook, quickest, want.Slack) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
 	return suitable
 }
 
-// TypicalPace returns the median pace of a pool's engines, 0 if none is known.
+// Better returns the engines to which work that runs elsewhere is worth moving, full or not.
+func (d *Directory) Better(id string, want Want) map[string]bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	current, ok := d.engines[id]
+	if !ok {
+		return nil
+	}
+	outlook := current.pace.Outlook(now)
+	want.Exclude = []string{id}
+	candidates := d.candidates(want, now)
+	known := newSurvey(candidates, want)
+	better := make(map[string]bool)
+	for _, candidate := range candidates {
+		if !mayRun(candidate, want) || candidate.Avoided || candidate.Ejected || known.own && foreign(candidate, want) {
+			continue
+		}
+		if policy.WorthMoving(want.Events, outlook, candidate.Outlook, want.Slack) {
+			better[candidate.Engine.ID] = true
+		}
+	}
+	return better
+}
+
+// TypicalPace returns the median usual pace of a pool's engines, 0 if none is known.
 func (d *Directory) TypicalPace(pool string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.paceOf(pool, time.Now()).typical
+	return d.paceOf(pool, "", time.Now()).typical
+}
+
+// QuickestPace returns the least usual pace of the engines of a pool that serve a model, and are kept up to date for it if any is; 0 if
+// none is known.
+func (d *Directory) QuickestPace(pool, model string) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.paceOf(pool, model, time.Now()).quickest
 }
 
 // paceEvery is how often the paces of a pool are looked at: each item asks for them several times a second, and they change with the
 // smoothed gaps of many events.
 const paceEvery = 100 * time.Millisecond
 
-// poolPace is what the engines of a pool have in common, and when it was looked at.
+// poolModel names the engines of a pool that serve a model, all of the pool if that is empty.
+type poolModel struct {
+	pool, model string
+}
+
+// poolPace is what such engines have in common, and when it was looked at.
 type poolPace struct {
 	survey
 	at time.Time
 }
 
-// paceOf returns the paces of a pool. The mutex must be held.
-func (d *Directory) paceOf(pool string, now time.Time) survey {
-	known, ok := d.paces[pool]
+// paceOf returns the paces of the engines of a pool that serve a model. The mutex must be held.
+func (d *Directory) paceOf(pool, model string, now time.Time) survey {
+	key := poolModel{pool, model}
+	known, ok := d.paces[key]
 	if !ok || now.Sub(known.at) >= paceEvery {
-		want := Want{Pool: pool}
+		want := Want{Pool: pool, Model: model, MinVersion: 1}
 		known = poolPace{survey: newSurvey(d.candidates(want, now), want), at: now}
-		d.paces[pool] = known
+		d.paces[key] = known
 	}
 	return known.survey
 }
@@ -203,7 +244,7 @@
 		candidates = append(candidates, Candidate{
 			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.others.held[found.engine.ID],
 			Avoided: now.Before(found.avoidUntil),
-			Loading: now.Before(found.loading[want.Model]), Pace: d.usualPace(found), Latency: found.latency,
+			Loading: now.Before(found.loading[want.Model]), Outlook: d.outlook(found, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
 	}
@@ -225,12 +266,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
-		found.pace.Add(gap)
-		found.paced = time.Now()
+		now := time.Now()
+		if found.pace.Usual() == 0 {
+			found.pace.Learn(d.others.paces[id])
+		}
+		found.pace.Add(gap, now)
+		found.paced = now
 	}
 }
 
-// Pace returns the time between events of an engine, 0 if unknown.
+// Pace returns the time between events of an engine now, 0 if unknown.
 func (d *Directory) Pace(id string) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -23,8 +23,8 @@
 	Trial   bool
 	// Loading says that it begins no request of the wanted model now.
 	Loading bool
-	// Pace is the time between its events, 0 if unknown; Latency the smoothed time of whole answers.
-	Pace    time.Duration
+	// Outlook is what is to be expected of its pace; Latency the smoothed time of whole answers.
+	Outlook policy.Outlook
 	Latency time.Duration
 }
 
@@ -48,6 +48,8 @@
 	// takes any engine at once.
 	Events float64
 	Since  time.Time
+	// Slack is how long the work may take from now on without holding what it is a part of, 0 if it has none or that is not known.
+	Slack time.Duration
 	// OwnOnly leaves out engines that are kept up to date for other models.
 	OwnOnly bool
 	// NoTrial says that other work had better try whether an ejected engine is well again.
@@ -71,7 +73,7 @@
 
 // survey is what the engines that may run a piece of work have in common, full or not.
 type survey struct {
-	// quickest and typical are paces, 0 if none is known.
+	// quickest and typical are usual paces, 0 if none is known.
 	quickest time.Duration
 	typical  time.Duration
 	// own says that one of them is kept up to date for the model of the work.
@@ -80,20 +82,29 @@
 	panicking bool
 }
 
-// newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody.
+// newSurvey looks at the engines that may run a piece of work. The paces of those that failed lately count for nobody,
+// those of engines of other models only where there is none of its own.
 func newSurvey(candidates []Candidate, want Want) survey {
 	var found survey
-	var known []time.Duration
+	var known, others []time.Duration
 	found.panicking = panicking(candidates, want)
 	for _, candidate := range candidates {
 		if !mayRun(candidate, want) || barred(candidate, found) {
 			continue
 		}
-		found.own = found.own || !foreign(candidate, want)
-		if candidate.Pace > 0 && !candidate.Avoided && !candidate.Ejected {
-			known = append(known, candidate.Pace)
+		isForeign := foreign(candidate, want)
+		found.own = found.own || !isForeign
+		switch {
+		case !candidate.Outlook.Known() || candidate.Avoided || candidate.Ejected:
+		case isForeign:
+			others = append(others, candidate.Outlook.Usual)
+		default:
+			known = append(known, candidate.Outlook.Usual)
 		}
 	}
+	if !found.own {
+		known = others
+	}
 	if len(known) > 0 {
 		slices.Sort(known)
 		found.quickest, found.typical = known[0], known[(len(known)-1)/2]
@@ -172,7 +183,7 @@
 			held = held || !candidate.Avoided
 			continue
 		}
-		delay := policy.Delay(want.Events, candidate.Pace, known.quickest)
+		delay := policy.Delay(want.Events, candidate.Outlook, known.quickest, want.Slack)
 		if policy.Declines(now.Sub(want.Since), delay) {
 			continue
 		}
@@ -239,7 +250,7 @@
 	if candidate.Avoided || candidate.Ejected {
 		total += avoidedCost
 	}
-	if want.Events == 0 && typicalPace > 0 && float64(candidate.Pace) > slowFactor*float64(typicalPace) {
+	if want.Events == 0 && typicalPace > 0 && float64(candidate.Outlook.Now) > slowFactor*float64(typicalPace) {
 		total += slowCost
 	}
 	if engine.Zone != want.Zone {
--- a/internal/fleet/told.go
+++ b/internal/fleet/told.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/uptime"
 )
 
@@ -124,7 +125,7 @@
 	for id, found := range d.engines {
 		next := Told{Engine: id, Held: held[id]}
 		if !found.paced.IsZero() && now.Sub(found.paced) < paceFor {
-			next.Pace = found.pace.Value()
+			next.Pace = found.pace.Usual()
 		}
 		if next.Pace > 0 || next.Held > 0 {
 			told = append(told, next)
@@ -134,15 +135,24 @@
 	return told
 }
 
-// usualPace returns an engine's pace: what was measured here first, else the median of what others tell, 0 if nobody knows it. The
+// usualPace returns an engine's usual pace: what was measured here first, else the median of what others tell, 0 if nobody knows it. The
 // mutex must be held, and others looked through.
 func (d *Directory) usualPace(found *entry) time.Duration {
-	if own := found.pace.Value(); own > 0 {
+	if own := found.pace.Usual(); own > 0 {
 		return own
 	}
 	return d.others.paces[found.engine.ID]
 }
 
+// outlook returns what is to be expected of an engine: by what was measured here, else by the median of what others tell. The mutex must
+// be held, and others looked through.
+func (d *Directory) outlook(found *entry, now time.Time) policy.Outlook {
+	if found.pace.Usual() > 0 {
+		return found.pace.Outlook(now)
+	}
+	return policy.Steady(d.others.paces[found.engine.ID])
+}
+
 // UsualPaces returns the paces of a pool's engines as far as they are known, by what was measured here or else by others' word.
 func (d *Directory) UsualPaces(pool string) map[string]time.Duration {
 	d.mutex.Lock()
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -64,10 +65,9 @@
 	view   job.View
 	item   job.Item
 	// ordinal is the item's place in the submission.
-	ordinal int
-	rank    Rank
-	// critical is how many events the item's job is expected to last.
-	critical float64
+	ordinal  int
+	rank     Rank
+	critical *criticalEvents
 
 	mutex sync.Mutex
 	// events are the data of the item's events so far; versions those that produced them.
@@ -102,6 +102,8 @@
 	fruitless    int
 	// next is the place that the item moves to, nil if none was acquired.
 	next *Place
+	// reserved is what another run gives up for this one, nil if nothing.
+	reserved *Reservation
 	// yielded is how often the item was asked to give its place up.
 	yielded atomic.Int32
 	// exclude holds the engine that is not to be asked next; refused says that it turned the item away.
@@ -230,11 +232,13 @@
 		before := len(e.events)
 		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
 			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
-			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond))
+			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond),
+			"left", math.Round(e.left()), "critical", math.Round(e.critical.Value()))
 		waitingSince := e.waitingSince
 		e.waitingSince = time.Time{}
 		e.hold()
 		result := e.runOn(runCtx, engine, route)
+		e.dropReserved()
 		cancel()
 		place.Release()
 		e.letGo()
@@ -334,17 +338,54 @@
 		e.versions = append(e.versions, e.current)
 	}
 	e.mutex.Unlock()
+	if e.findsBetter(now) {
+		return errMove
+	}
+	return nil
+}
+
+// findsBetter tells whether the item has a place to move to.
+func (e *execution) findsBetter(now time.Time) bool {
+	if e.reserved != nil {
+		if e.next = e.reserved.Take(); e.next != nil {
+			return true
+		}
+	}
 	if now.Sub(e.lookedAt) < moveLook {
-		return nil
+		return false
 	}
 	e.lookedAt = now
-	if route, ok := e.route(); ok {
-		want := e.want(route)
-		if e.next = e.runner.config.Queue.AcquireBetter(e.engine.ID, e.rankOf(want), want); e.next != nil {
-			return errMove
-		}
+	route, ok := e.route()
+	if !ok {
+		return false
+	}
+	want := e.want(route)
+	rank := e.rankOf(want)
+	queue := e.runner.config.Queue
+	if e.next = queue.AcquireBetter(e.engine.ID, rank, want); e.next != nil {
+		return true
+	}
+	if e.reserved == nil {
+		e.reserve(rank, want)
+	}
+	return false
+}
+
+// reserve has a run at a quicker engine give its place up, if the item may hold its step and any can wait.
+func (e *execution) reserve(rank Rank, want fleet.Want) {
+	e.reserved = e.runner.config.Queue.Reserve(e.engine.ID, rank, want)
+	if e.reserved != nil {
+		e.runner.config.Logger.Info("item asks for a quicker place", "job", e.view.Spec.ID, "item", e.item.ID, "engine", e.engine.ID,
+			"left", math.Round(want.Events), "critical", math.Round(e.critical.Value()), "slack", want.Slack.Round(time.Millisecond))
+	}
+}
+
+// dropReserved gives back what was reserved for the run that ended.
+func (e *execution) dropReserved() {
+	if e.reserved != nil {
+		e.reserved.Drop()
+		e.reserved = nil
 	}
-	return nil
 }
 
 // yielder returns what makes the item give its place up, nil if it can't go on wherever there is room: a text of one version may
