Share quick engines among models, and weigh a trainer's lateness in dealing engines

Cause: engines are dealt by number alone. Change: Balance swaps engines between models until each has its part of the pool's speed; a step costs as though it took as much longer as its trainer is behind. Conclusion: pure, with tests; wired where paces are known.

--- a/internal/policy/deal.go
+++ b/internal/policy/deal.go
@@ -17,6 +17,8 @@
 	Interval time.Duration
 	// Priority is the rank of the model's jobs, 0 first.
 	Priority int
+	// Behind is how late the trainer asked for its last step, at most one interval.
+	Behind time.Duration
 }
 
 const (
@@ -103,8 +105,11 @@
 	return total
 }
 
+// stepCost is what a step costs. One whose trainer is behind costs as though it took that much longer: it is later by so much for whoever
+// waits for the weights, and while steps are asked one ahead only shorter ones bring the trainer back.
 func stepCost(load StepLoad, engines int, slots float64) float64 {
-	return math.Pow(StepTime(load, engines, slots).Seconds(), stepCostPower) * math.Pow(urgentWeight, -float64(load.Priority))
+	late := StepTime(load, engines, slots).Seconds() + load.Behind.Seconds()
+	return math.Pow(late, stepCostPower) * math.Pow(urgentWeight, -float64(load.Priority))
 }
 
 // WorthDealing tells whether engines had better be dealt anew. Each engine that changes its model reads all prompts anew, and
@@ -126,7 +131,7 @@
 	return before-after > load*time.Duration(moved)/time.Duration(max(1, engines))
 }
 
-// TypicalStep returns the time of the step whose cost is the mean of all models'.
+// TypicalStep returns the time of the step whose cost is the mean of all models', lateness included.
 func TypicalStep(dealt []int, slots float64, loads []StepLoad) time.Duration {
 	weights := 0.0
 	for _, load := range loads {
--- a/internal/policy/deal_test.go
+++ b/internal/policy/deal_test.go
@@ -145,3 +145,20 @@
 		})
 	}
 }
+
+// TestEnginesGoToTheTrainerThatIsBehind answers two equal trainers of which one has lost three seconds to an outage: it gets some engines
+// of the other, and the other keeps most of its own, since it would be the next to fall behind.
+func TestEnginesGoToTheTrainerThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	load := policy.StepLoad{Work: 80 * time.Second, Longest: 4 * time.Second, Interval: 4 * time.Second}
+	late := load
+	late.Behind = 3 * time.Second
+	is.Equal(policy.Deal(12, 8, []policy.StepLoad{load, load}), []int{6, 6})
+	dealt := policy.Deal(12, 8, []policy.StepLoad{load, late})
+	is.True(dealt[1] > dealt[0])
+	is.True(dealt[0] >= 4)
+
+	// How many engines there are to be is no matter of who is behind.
+	is.Equal(policy.EnginesWanted(8, []policy.StepLoad{load, late}, 2, 100), policy.EnginesWanted(8, []policy.StepLoad{load, load}, 2, 100))
+	is.Equal(policy.EnginesKept(8, []policy.StepLoad{load, late}, 100, 0), policy.EnginesKept(8, []policy.StepLoad{load, load}, 100, 0))
+}
--- a/internal/policy/demand.go
+++ b/internal/policy/demand.go
@@ -55,11 +55,34 @@
 			loads[model] = StepLoad{}
 			continue
 		}
-		loads[model] = own[model].load(all, interval)
+		load := own[model].load(all, interval)
+		load.Behind = min(behind(asked), interval)
+		loads[model] = load
 	}
 	return loads
 }
 
+// behindKept is how many of a model's last steps tell how far its trainer is behind: enough to reach back before an outage of some tens
+// of seconds at steps of a few, and few enough for a trainer that has changed its interval to have a new schedule within a minute or so.
+const behindKept = 16
+
+// behind returns how late the last step was asked, by the schedule that the trainer kept in its best stretch. Steps are asked one by one
+// at even times, or later where the trainer waits for earlier ones, so that the shortest mean time from the first step to another is
+// the interval if any step was in time.
+func behind(asked []Step) time.Duration {
+	asked = asked[max(0, len(asked)-behindKept):]
+	if len(asked) < 2 {
+		return 0
+	}
+	first := asked[0].At
+	interval := asked[1].At.Sub(first)
+	for i, step := range asked[2:] {
+		interval = min(interval, step.At.Sub(first)/time.Duration(i+2))
+	}
+	last := len(asked) - 1
+	return asked[last].At.Sub(first) - time.Duration(last)*interval
+}
+
 // rests tells whether the trainer of a model has asked for nothing for long.
 func rests(asked []Step, interval time.Duration, now time.Time) bool {
 	if len(asked) == 0 || interval == 0 {
--- a/internal/policy/demand_test.go
+++ b/internal/policy/demand_test.go
@@ -114,3 +114,25 @@
 	// It does rest when it has asked for nothing for long.
 	is.Equal(policy.StepLoads(steps, time.Unix(40, 0))["m"], policy.StepLoad{})
 }
+
+// TestATrainerThatIsBehind answers a trainer whose steps come later and later while another keeps its schedule: the lateness of its last
+// step counts, up to one interval, so that engines go where somebody waits. One that was late once and has caught up counts as before.
+func TestATrainerThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	const interval = 4 * time.Second
+	now := time.Unix(30, 0)
+	at := func(seconds ...int) []policy.Step {
+		made := steps(len(seconds), interval, 100_000, 80*time.Second, 4*time.Second)
+		for i, second := range seconds {
+			made[i].At = time.Unix(int64(second), 0)
+		}
+		return made
+	}
+	loads := policy.StepLoads(map[string][]policy.Step{
+		"in time": at(0, 4, 8, 12, 16, 20, 24), "behind": at(0, 4, 8, 13, 18, 23), "far behind": at(0, 4, 11, 20, 29), "caught up": at(0, 4, 11, 15, 17, 20, 24),
+	}, now)
+	is.Equal(loads["in time"].Behind, time.Duration(0))
+	is.Equal(loads["behind"].Behind, 3*time.Second)
+	is.Equal(loads["far behind"].Behind, interval)
+	is.Equal(loads["caught up"].Behind, time.Duration(0))
+}
--- a/internal/policy/scale.go
+++ b/internal/policy/scale.go
@@ -49,6 +49,8 @@
 	var busy []StepLoad
 	for _, load := range loads {
 		if load.Work > 0 {
+			// Engines are shared by who is behind; how many there are to be is a matter of what steps take.
+			load.Behind = 0
 			busy = append(busy, load)
 		}
 	}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -53,6 +53,8 @@
 	Client    engineapi.Client
 	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any.
 	Loads func() map[string]policy.StepLoad
+	// Paces returns the usual time between two events of the engines of a pool, as far as it is known; nil if nothing is known of any.
+	Paces func(pool string) map[string]time.Duration
 	// Node names the holder in orders: the machine, which runs one process at a time.
 	Node string
 	// Lease is the least time between the orders of two holders.
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -42,15 +42,27 @@
 		}
 		return targets[model] > 0 && engine.Serves(model) >= targets[model]
 	})
+	assignment, swapped := Balance(assignment, engines, shares, r.paces(pool), func(id string) bool {
+		_, loading := r.loading[pool][id]
+		return !loading
+	})
 	if !maps.Equal(assignment, previous) {
 		r.assignments[pool] = assignment
 		r.publish(ctx, pool)
 		r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "counts", assignment.counts(),
-			"shares", shares, "moved", moved(previous, assignment))
+			"shares", shares, "moved", moved(previous, assignment), "swapped_for_pace", swapped)
 	}
 	return assignment
 }
 
+// paces returns the usual paces of a pool's engines, nil if nobody tells of any.
+func (r *roller) paces(pool string) map[string]time.Duration {
+	if r.config.Paces == nil {
+		return nil
+	}
+	return r.config.Paces(pool)
+}
+
 // share returns how many engines each model is to have, all together no more than steps need. It changes when engines or models come or
 // go, and when steps ask enough else for the change to pay.
 func (r *roller) share(pool string, engines []fleet.Engine, targets map[string]int64) map[string]int {
