Count a run on a slow engine as slow, not as lost, in the account of a step

Cause: explain booked runs that brought less than half of what the quickest engine brings as lost; on a pool with engines of half the pace that hid slow engines behind a word that means deaths. Change: lost are runs of which nothing was kept, and those whose owner died.

--- a/internal/explain/steps.go
+++ b/internal/explain/steps.go
@@ -381,8 +381,9 @@
 	took := run.Until.Sub(run.Began)
 	useful := min(took, time.Duration(run.Kept-run.After)*quickest)
 	p.Working += useful
-	if run.Orphaned || useful < took/2 {
-		// Its owner died, or most of it brought nothing that was kept.
+	if run.Orphaned || run.Kept == run.After {
+		// Its owner died, or it brought nothing that was kept. A run at an engine of less than half the quickest pace is slow, however
+		// much of its time that takes.
 		p.Lost += took - useful
 		return
 	}
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -73,6 +73,21 @@
 	is.True(strings.Contains(text.String(), "held to its end by item i2 of group g2, 60 events"))
 }
 
+// TestARunOnASlowEngineIsNotLost: what came of it is kept when the item moves on, so that what an operator has to look for is a slow engine and
+// no death.
+func TestARunOnASlowEngineIsNotLost(t *testing.T) {
+	is := is.New(t)
+	lines := append(stepLines(), at(1099)+" INFO run ended early job=j1 item=i2 engine=quick ending=stopped events=20")
+	lines[5] = at(1100) + " INFO item placed job=j1 item=i2 group=g2 engine=slow resume_after=20"
+	lines = append(lines, at(3499)+" INFO run ended early job=j1 item=i2 engine=slow ending=stopped events=40",
+		at(3500)+" INFO item placed job=j1 item=i2 group=g2 engine=quick resume_after=40")
+	path := readDay(t, lines).Steps[0].Path
+	// 20 events of 40 ms in 999 ms, then 20 in 2399 ms, then 20 in 1 s.
+	is.Equal(path.Working, 2400*time.Millisecond)
+	is.Equal(path.Slow, 1998*time.Millisecond)
+	is.Equal(path.Lost, time.Duration(0))
+}
+
 // TestMissingLinesAreNamed takes lines away and checks that nothing is told that they don't show.
 func TestMissingLinesAreNamed(t *testing.T) {
 	without := func(word string) []string {
