Tell the order giver the paces of engines

Cause: Balance has nothing to go by without them. Change: the roller's paces are those of the directory, measured or told.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -127,7 +127,7 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](r.weights), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
+		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Paces: r.directory.UsualPaces, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
 		OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	lifetime := memberLifetime(config.Settings.MemberLifetimeMin)
