Swap engines between models only where one is off by more than a swap moves

Change: from 1.25 times. The test of a loading engine has three quick engines on one side in place of two, and names the whole assignment.

--- a/internal/weightroll/balance.go
+++ b/internal/weightroll/balance.go
@@ -13,9 +13,9 @@
 	// paceRatioLeast is how much quicker one engine must be than another for the two to be swapped between models. Measured paces of
 	// equal engines differ by a few percent.
 	paceRatioLeast = 1.3
-	// swapShare is the part of what a swap moves by which one model must have too much and the other too little. Above a half, the swap
-	// leaves both nearer to their part than they were, and is not undone when a share changes by one engine.
-	swapShare = 0.75
+	// swapShare is how many times what a swap moves one model must have too much and the other too little. Above a half, the swap leaves both
+	// nearer to their part than they were; above one, it is not undone when the shares of models change by an engine.
+	swapShare = 1.25
 )
 
 // Balance swaps engines between the models of an assignment until each has its part of the pool's speed, and returns the assignment with how
--- a/internal/weightroll/balance_test.go
+++ b/internal/weightroll/balance_test.go
@@ -61,16 +61,19 @@
 // TestALoadingEngineIsNotSwapped: its load would be for nothing.
 func TestALoadingEngineIsNotSwapped(t *testing.T) {
 	is := is.New(t)
-	pool := engines(4, nil)
+	pool := engines(6, nil)
 	paces := map[string]time.Duration{
-		"e00": 20 * time.Millisecond, "e01": 20 * time.Millisecond, "e02": 60 * time.Millisecond, "e03": 60 * time.Millisecond,
+		"e00": 20 * time.Millisecond, "e01": 20 * time.Millisecond, "e02": 20 * time.Millisecond,
+		"e03": 60 * time.Millisecond, "e04": 60 * time.Millisecond, "e05": 60 * time.Millisecond,
 	}
-	assignment := Assignment{"e00": "a", "e01": "a", "e02": "b", "e03": "b"}
-	shares := map[string]int{"a": 2, "b": 2}
-	balanced, swaps := Balance(assignment, pool, shares, paces, func(id string) bool { return id != "e00" })
+	assignment := Assignment{"e00": "a", "e01": "a", "e02": "a", "e03": "b", "e04": "b", "e05": "b"}
+	shares := map[string]int{"a": 3, "b": 3}
+	balanced, swaps := Balance(assignment, pool, shares, paces, func(id string) bool { return id == "e01" || id == "e05" })
 	is.Equal(swaps, 1)
-	is.Equal(balanced["e00"], "a")
-	is.Equal(balanced["e01"], "b")
+	is.Equal(balanced, Assignment{"e00": "a", "e01": "b", "e02": "a", "e03": "b", "e04": "b", "e05": "a"})
+
+	_, swaps = Balance(assignment, pool, shares, paces, func(id string) bool { return id == "e05" })
+	is.Equal(swaps, 0)
 }
 
 // TestEqualEnginesStay: paces of equal engines that differ by what measuring them does move nothing, and neither does knowing none.
