--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -173,6 +173,43 @@
 	})
 }
 
+// TestEnginesAreTakenBackUnderLoad has all of four engines fail at once, as when the link of whoever asks is lost, and three of them answer
+// again from then on. Three requests come every 20 ms and are answered after 100 ms, so that there is always newer work than what is
+// answered; one that is refused is sent to another engine. The three are taken back, and the one that is gone gets trials alone.
+func TestEnginesAreTakenBackUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := ejected(4, "0", "1", "2", "3")
+		refused := 0
+		send := func() {
+			engine, found := directory.Acquire(fleet.Want{Pool: "p"})
+			is.True(found)
+			if engine.ID == "0" {
+				refused++
+				directory.Failed("0", policy.FailureToConnect, "refused")
+				directory.Release("0")
+				engine, found = directory.Acquire(fleet.Want{Pool: "p", Exclude: []string{"0"}})
+				is.True(found)
+			}
+			sentAt := time.Now()
+			time.AfterFunc(100*time.Millisecond, func() {
+				directory.Answered(engine.ID, sentAt)
+				directory.Succeeded(engine.ID, 100*time.Millisecond)
+				directory.Release(engine.ID)
+			})
+		}
+		for range 250 {
+			for range 3 {
+				send()
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Log("refused", refused)
+		is.Equal(directory.Ejected(), 1)
+		is.True(refused <= 40) // those of the first 100 ms, and trials
+	})
+}
+
 // TestEnginesThatAreFullAreNotGone checks that engines that load or turned work away count as fit: with them left out, a refused engine
 // among a few live ones that are full would be asked for its free places alone.
 func TestEnginesThatAreFullAreNotGone(t *testing.T) {
@@ -212,6 +249,30 @@
 	})
 }
 
+// TestRunningWorkGoesByEnginesOnTrial checks that a run moves to a quick engine that works although an idler one, as quick, waits for a trial
+// for which there is no work.
+func TestRunningWorkGoesByEnginesOnTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := ejected(3)
+		for range 40 {
+			directory.Paced("0", 20*time.Millisecond)
+			directory.Paced("1", 80*time.Millisecond)
+			directory.Paced("2", 20*time.Millisecond)
+		}
+		_, found := directory.Acquire(fleet.Want{Pool: "p", Exclude: []string{"0", "1"}})
+		is.True(found)
+		directory.Failed("0", policy.FailureToConnect, "refused")
+		for range 3 {
+			time.Sleep(3 * time.Second)
+			engine, better := directory.AcquireBetter("1", fleet.Want{Pool: "p", Share: 1, Events: 100})
+			is.True(better)
+			is.Equal(engine.ID, "2")
+			directory.Release(engine.ID)
+		}
+	})
+}
+
 // TestRenewedEnginesStartClosed checks that what was known of an engine is known no more once its record is another's: it was removed and
 // recorded again, or stands at another address.
 func TestRenewedEnginesStartClosed(t *testing.T) {
--- a/internal/policy/breaker_test.go
+++ b/internal/policy/breaker_test.go
@@ -43,6 +43,12 @@
 			{320 * ms, whole, BreakerOpen},
 			{400 * ms, older, BreakerClosed},
 		}},
+		{"work that is sent after the trial takes nothing from its answer", []step{
+			{0, refused, BreakerOpen},
+			{300 * ms, begin, BreakerOpen},
+			{350 * ms, begin, BreakerOpen},
+			{400 * ms, older, BreakerClosed},
+		}},
 		{"a failed trial ejects for longer", []step{
 			{0, refused, BreakerOpen},
 			{300 * ms, begin, BreakerOpen},
