--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -137,8 +137,15 @@
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
-	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || picked.Trial || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
+	candidates := d.candidates(want, now)
+	for _, candidate := range candidates {
+		// It runs where it is, and tries no engine. Such ones are idle, and would be picked before those that work.
+		if candidate.Avoided || candidate.Trial {
+			want.Exclude = append(want.Exclude, candidate.Engine.ID)
+		}
+	}
+	picked, found := Pick(candidates, want, now)
+	if !found || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
 		return Engine{}, false
 	}
 	d.begin(picked.Engine, want, now)
--- a/internal/policy/breaker.go
+++ b/internal/policy/breaker.go
@@ -14,8 +14,10 @@
 	ejections int
 	until     time.Time
 	closedAt  time.Time
-	// trialAt is when work was sent there that tells how the engine stands, zero if there is none.
+	// trialAt is when work was sent there last that tells how the engine stands, triedAt when the first such was since it was ejected;
+	// zero if there is none.
 	trialAt time.Time
+	triedAt time.Time
 }
 
 // BreakerState is how an engine stands.
@@ -93,6 +95,9 @@
 	}
 	trial := b.State(now) == BreakerHalfOpen
 	b.trialAt = now
+	if b.triedAt.IsZero() {
+		b.triedAt = now
+	}
 	return trial
 }
 
@@ -123,7 +128,7 @@
 	lasts := min(ejectionMost, ejectionLeast<<min(b.ejections, 8))
 	b.ejections++
 	b.until = now.Add(lasts)
-	b.trialAt = time.Time{}
+	b.trialAt, b.triedAt = time.Time{}, time.Time{}
 	return lasts
 }
 
@@ -133,13 +138,13 @@
 }
 
 // Answer takes that the engine began to answer work that was sent at a moment, be it to turn it away, and returns whether that takes the
-// engine back: an engine that begins nothing new may go on with what it began before. One failure in work ejects it again until it has
-// shown more.
+// engine back: an engine that begins nothing new may go on with what it began before. What was sent meanwhile takes nothing from that.
+// One failure in work ejects it again until it has shown more.
 func (b *Breaker) Answer(sentAt, now time.Time) bool {
-	if b.until.IsZero() || b.trialAt.IsZero() || sentAt.Before(b.trialAt) {
+	if b.until.IsZero() || b.triedAt.IsZero() || sentAt.Before(b.triedAt) {
 		return false
 	}
-	b.until, b.trialAt = time.Time{}, time.Time{}
+	b.until, b.trialAt, b.triedAt = time.Time{}, time.Time{}, time.Time{}
 	b.closedAt = now
 	b.strikes, b.struckAt = strikesMost-1, now
 	return true
