--- a/internal/jobrun/decline_test.go
+++ b/internal/jobrun/decline_test.go
@@ -10,6 +10,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+	"github.com/matryer/is"
 )
 
 // hinted returns a job of so many items of so many events each, as many as their hint says.
@@ -98,6 +99,47 @@
 	})
 }
 
+// TestATextOfOneVersionIsNotGivenUpForAFullEngine has an item break off whose result may hold one version only. Its engine turns it away for
+// 4 s; the other engine serves another version and is full of work of another process, which says so all the while. The text goes on where
+// it began: nothing is won by starting anew.
+func TestATextOfOneVersionIsNotGivenUpForAFullEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		w.singleVersion = true
+		owner := w.node("owner")
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.engines.Behave("model1", memoryengine.Behaviour{Full: true, Load: time.Millisecond})
+		one := spec("one", 1)
+		w.submit(one)
+		time.Sleep(10 * pace)
+		w.load("model1", 3)
+		owner.directory.SetServes("model1", modelName, 3)
+		w.engines.Behave("model0", memoryengine.Behaviour{Down: true})
+		w.engines.Behave("model0", memoryengine.Behaviour{Full: true})
+		for range 40 {
+			owner.directory.SetTold("other", []fleet.Told{{Engine: "model1", Held: 4}}, false)
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.engines.Behave("model0", memoryengine.Behaviour{Pace: pace})
+		for range 20 {
+			owner.directory.SetTold("other", []fleet.Told{{Engine: "model1", Held: 4}}, false)
+			time.Sleep(100 * time.Millisecond)
+		}
+		owner.checkWhole(one)
+		var resumed []int64
+		for _, run := range w.engines.Runs() {
+			if run.RequestID == one.Items[0].ID {
+				resumed = append(resumed, run.ResumeAfter)
+			}
+		}
+		is.True(len(resumed) > 1)
+		is.True(resumed[len(resumed)-1] > 0) // from where it broke off
+		owner.release()
+	})
+}
+
 // TestItemsThatAreTurnedAwayGoElsewhere has both engines turn away all that comes, as engines that others fill, until one of them is free. Items
 // whose group prefers the other one asked that again and again: by then they came back only after the time for which an engine that
 // turned work away is left alone.
