--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -29,6 +29,15 @@
 	return picked.Engine, true
 }
 
+// HasRoom tells whether a piece of work would be given an engine, by what is known of places that others hold. Nothing is begun.
+func (d *Directory) HasRoom(want Want) bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	_, found := Pick(d.candidates(want, now), want, now)
+	return found
+}
+
 // Exists tells whether any engine may run the work, with or without room.
 func (d *Directory) Exists(want Want) bool {
 	now := time.Now()
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -137,18 +137,14 @@
 	}
 	directory := e.runner.config.Directory
 	others := want
-	// It asks only, and makes no trial.
+	// It looks only, and makes no trial.
 	others.ExactVersion, others.Exclude, others.NoTrial = 0, nil, true
 	for _, engine := range directory.Pool(want.Pool) {
 		if engine.Serves(want.Model) == want.ExactVersion {
 			others.Exclude = append(others.Exclude, engine.ID)
 		}
 	}
-	engine, found := directory.Acquire(others)
-	if found {
-		directory.Release(engine.ID)
-	}
-	return found
+	return directory.HasRoom(others)
 }
 
 // servedAnywhere tells whether an engine serves the wanted version, tried or not, loading or not.
