--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -255,7 +255,9 @@
 	case place := <-next.given:
 		return place, nil
 	case <-ctx.Done():
-		q.withdraw(next)
+		if place := q.withdraw(next); place != nil {
+			return place, nil
+		}
 		return nil, ctx.Err()
 	}
 }
@@ -294,8 +296,9 @@
 	return place.heir
 }
 
-// withdraw takes a waiter out, and gives back the place that it may have been given meanwhile.
-func (q *Queue) withdraw(next *waiter) {
+// withdraw takes a waiter out, and returns the place that it has been given meanwhile, nil if none: given back unused, one at an engine on trial
+// would keep others away as a trial without a word does.
+func (q *Queue) withdraw(next *waiter) *Place {
 	q.mutex.Lock()
 	if next.place >= 0 && next.place < q.waiting.Len() && q.waiting[next.place] == next {
 		heap.Remove(&q.waiting, next.place)
@@ -303,8 +306,9 @@
 	q.mutex.Unlock()
 	select {
 	case place := <-next.given:
-		place.Release()
+		return place
 	default:
+		return nil
 	}
 }
 
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -266,3 +266,31 @@
 		synctest.Wait()
 	})
 }
+
+// TestATrialIsNotLostToAWaitThatEnds has an engine's ejection end as the wait of an item does. Whether or not that item gets the place, the
+// engine takes an item at once: a place that was given and not taken would keep all away for the time of a trial without a word.
+func TestATrialIsNotLostToAWaitThatEnds(t *testing.T) {
+	for range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			queue, stop := queueOf(1, testPace, testPace)
+			defer stop()
+			full := <-acquire(queue, time.Now(), 10, nil)
+			defer full.Release()
+			gone := map[string]string{"engine0": "engine1", "engine1": "engine0"}[full.Engine.ID]
+			queue.directory.Failed(gone, policy.FailureToConnect, "refused")
+			wait := func(most time.Duration) *Place {
+				ctx, cancel := context.WithTimeout(t.Context(), most)
+				defer cancel()
+				place, _ := queue.Acquire(ctx, Rank{}, fleet.Want{Pool: "p", Share: 1, Since: time.Now()}, nil)
+				return place
+			}
+			place := wait(300 * time.Millisecond)
+			if place == nil {
+				place = wait(200 * time.Millisecond)
+			}
+			is.True(place != nil)
+			place.Release()
+		})
+	}
+}
