Go by others' word of an engine's pace once the own is old

What was measured of an engine before a machine ran nothing there for long counted before all fresh words, for good: an order giver that once met it slowed dealt it as a slow one.

--- a/internal/fleet/told.go
+++ b/internal/fleet/told.go
@@ -135,11 +135,17 @@
 	return told
 }
 
-// usualPace returns an engine's usual pace: what was measured here first, else the median of what others tell, 0 if nobody knows it. The
+// goesByOwn tells whether what was measured here of an engine counts rather than others' word: it was measured lately, or they have none. The
 // mutex must be held, and others looked through.
-func (d *Directory) usualPace(found *entry) time.Duration {
-	if own := found.pace.Usual(); own > 0 {
-		return own
+func (d *Directory) goesByOwn(found *entry, now time.Time) bool {
+	return found.pace.Usual() > 0 && (now.Sub(found.paced) < paceFor || d.others.paces[found.engine.ID] == 0)
+}
+
+// usualPace returns an engine's usual pace: what was measured here, else the median of what others tell, 0 if nobody knows it. The mutex
+// must be held, and others looked through.
+func (d *Directory) usualPace(found *entry, now time.Time) time.Duration {
+	if d.goesByOwn(found, now) {
+		return found.pace.Usual()
 	}
 	return d.others.paces[found.engine.ID]
 }
@@ -147,23 +153,24 @@
 // outlook returns what is to be expected of an engine: by what was measured here, else by the median of what others tell. The mutex must
 // be held, and others looked through.
 func (d *Directory) outlook(found *entry, now time.Time) policy.Outlook {
-	if found.pace.Usual() > 0 {
+	if d.goesByOwn(found, now) {
 		return found.pace.Outlook(now)
 	}
 	return policy.Steady(d.others.paces[found.engine.ID])
 }
 
-// UsualPaces returns the paces of a pool's engines as far as they are known, by what was measured here or else by others' word.
+// UsualPaces returns the paces of a pool's engines as far as they are known, by what was measured here lately or else by others' word.
 func (d *Directory) UsualPaces(pool string) map[string]time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.others.look(time.Now())
+	now := time.Now()
+	d.others.look(now)
 	paces := make(map[string]time.Duration)
 	for id, found := range d.engines {
 		if found.engine.Pool != pool {
 			continue
 		}
-		if pace := d.usualPace(found); pace > 0 {
+		if pace := d.usualPace(found, now); pace > 0 {
 			paces[id] = pace
 		}
 	}
--- a/internal/fleet/told_test.go
+++ b/internal/fleet/told_test.go
@@ -117,6 +117,24 @@
 	is.Equal(directory.Tell(map[string]int{"e01": 2})[1], Told{Engine: "e01", Held: 2})
 }
 
+// TestAnOldPaceGivesWayToFreshWords checks that what was measured here of an engine while it was slowed counts for as long as it is told to others,
+// and not before their word for good: whoever deals engines may run nothing there again.
+func TestAnOldPaceGivesWayToFreshWords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := poolOf(1, 4)
+		directory.Paced("e00", 90*time.Millisecond)
+		tell := func() { directory.SetTold("other", []Told{{Engine: "e00", Pace: 30 * time.Millisecond}}, false) }
+		tell()
+		is.Equal(directory.UsualPaces("p")["e00"], 90*time.Millisecond)
+		time.Sleep(paceFor)
+		is.Equal(directory.UsualPaces("p")["e00"], 90*time.Millisecond) // nobody knows better
+		tell()
+		is.Equal(directory.UsualPaces("p")["e00"], 30*time.Millisecond)
+		is.Equal(directory.QuickestPace("p", ""), 30*time.Millisecond)
+	})
+}
+
 // TestANewOwnerBeginsAtQuickEngines answers the load of an owner that takes a partition over: with 16 items for the 16 places of the
 // two quick engines of eight it begins there, although it has measured nothing.
 func TestANewOwnerBeginsAtQuickEngines(t *testing.T) {
