--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -210,6 +210,37 @@
 	})
 }
 
+// TestGoneEnginesAreNotHammeredWhereMostAre has 20 items wait before two engines that are full and three that refuse connections. That these are
+// more than a half sends no work there while the others do theirs: the gone ones get their first runs, and trials.
+func TestGoneEnginesAreNotHammeredWhereMostAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		for i := range 2 {
+			directory.Upsert(fleet.Engine{ID: fmt.Sprint("live", i), Pool: "p", Slots: 8})
+		}
+		o := &owner{directory: directory, waiting: 16, sent: make(map[string]int)}
+		want := fleet.Want{Pool: "p", Share: 1, Events: 50}
+		is.Equal(len(o.assign(want)), 16)
+		for i := range 3 {
+			directory.Upsert(fleet.Engine{ID: fmt.Sprint("gone", i), Pool: "p", Slots: 8})
+		}
+		o.waiting = 20
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for _, engine := range o.assign(want) {
+				directory.Release(engine.ID)
+				directory.Failed(engine.ID, policy.FailureToConnect, "refused")
+				o.waiting++
+			}
+		}
+		for i := range 3 {
+			is.True(o.sent[fmt.Sprint("gone", i)] <= 8+4)
+		}
+		_, found := directory.Acquire(fleet.Want{Pool: "p", Share: 1, Exclude: []string{"live0", "live1"}})
+		is.True(found) // where none else may run it
+	})
+}
+
 // TestEnginesThatAreFullAreNotGone checks that engines that load or turned work away count as fit: with them left out, a refused engine
 // among a few live ones that are full would be asked for its free places alone.
 func TestEnginesThatAreFullAreNotGone(t *testing.T) {
