--- a/internal/weightroll/balance.go
+++ b/internal/weightroll/balance.go
@@ -75,13 +75,14 @@
 	return found
 }
 
-// excess returns by how much the engines of each model are quicker, all together, than its part of the pool's speed.
+// excess returns by how much the engines of each model are quicker, all together, than its part of the pool's speed. It adds in one order: where
+// a swap just pays or just does not, the last digits of the sums would have it made at one of many plans.
 func (s speeds) excess(assignment Assignment, shares map[string]int) map[string]float64 {
 	total, count := 0.0, 0
 	over := make(map[string]float64)
-	for id, speed := range s {
-		total += speed
-		over[assignment[id]] += speed
+	for _, id := range slices.SortedFunc(maps.Keys(s), strings.Compare) {
+		total += s[id]
+		over[assignment[id]] += s[id]
 	}
 	for _, share := range shares {
 		count += share
