--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -29,6 +29,15 @@
 	return picked.Engine, true
 }
 
+// HasRoom tells whether a piece of work would be given an engine, by what is known of places that others hold. Nothing is begun.
+func (d *Directory) HasRoom(want Want) bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	_, found := Pick(d.candidates(want, now), want, now)
+	return found
+}
+
 // Exists tells whether any engine may run the work, with or without room.
 func (d *Directory) Exists(want Want) bool {
 	now := time.Now()
@@ -137,8 +146,15 @@
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
-	picked, found := Pick(d.candidates(want, now), want, now)
-	if !found || picked.Avoided || picked.Trial || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
+	candidates := d.candidates(want, now)
+	for _, candidate := range candidates {
+		// It runs where it is, and tries no engine. Such ones are idle, and would be picked before those that work.
+		if candidate.Avoided || candidate.Trial {
+			want.Exclude = append(want.Exclude, candidate.Engine.ID)
+		}
+	}
+	picked, found := Pick(candidates, want, now)
+	if !found || !policy.WorthMoving(want.Events, outlook, picked.Outlook, want.Slack) {
 		return Engine{}, false
 	}
 	d.begin(picked.Engine, want, now)
