Call what owners share of engines views of peers

Cause: told, telling, Hearsay and Teller are not words of the field; a reader has to work out what they stand for. Change: fleet.Told is EngineView, telling peerView, Hearsay PeerSummary, SetTold SetPeerView, Tell LocalView; engineview.Teller is Publisher; the spans of time are TTLs and intervals. Conclusion: log lines and metrics keep their names.

--- a/internal/engineview/engineview_test.go
+++ b/internal/engineview/engineview_test.go
@@ -22,7 +22,7 @@
 // owner is a process that owns jobs, with what it holds.
 type owner struct {
 	directory *fleet.Directory
-	teller    *Teller
+	publisher *Publisher
 	reader    *Reader
 	held      atomic.Int64
 	owning    atomic.Bool
@@ -35,7 +35,7 @@
 	o := &owner{directory: fleet.NewDirectory()}
 	o.owning.Store(true)
 	o.directory.Upsert(fleet.Engine{ID: "e", Pool: "p", Slots: 4})
-	o.teller = NewTeller(Config{
+	o.publisher = NewPublisher(PublisherConfig{
 		Log: store.For(name), Machine: name, Source: o.directory, Held: o.places, Logger: log.New(logs),
 	})
 	o.reader = NewReader(ReaderConfig{
@@ -44,7 +44,7 @@
 	o.reader.Hurry()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
-	running.Go(func() { o.teller.Run(ctx) })
+	running.Go(func() { o.publisher.Run(ctx) })
 	running.Go(func() { o.reader.Run(ctx) })
 	o.stop = func() {
 		cancel()
@@ -69,8 +69,8 @@
 	return found
 }
 
-// told is how long a word takes at most: the teller's time, the reader's and two ways through the store.
-const told = tellEvery + readSpacing + 2*storeDelay
+// told is how long a word takes at most: the publisher's time, the reader's and two ways through the store.
+const told = publishInterval + readSpacing + 2*storeDelay
 
 const storeDelay = 10 * time.Millisecond
 
@@ -91,14 +91,14 @@
 		is.True(a.hasRoom()) // its own record tells it nothing
 		time.Sleep(10 * time.Second)
 		is.True(!b.hasRoom()) // the word is renewed
-		is.True(store.Appends() <= 1+int(10*time.Second/renewEvery))
+		is.True(store.Appends() <= 1+int(10*time.Second/renewInterval))
 		a.held.Store(0)
 		time.Sleep(told)
 		is.True(b.hasRoom())
 		written := store.Appends()
 		time.Sleep(10 * time.Second)
 		is.Equal(store.Appends(), written) // nothing more is told
-		is.Equal(a.teller.Written(), int64(written))
+		is.Equal(a.publisher.Written(), int64(written))
 		a.held.Store(4)
 		time.Sleep(told)
 		is.True(!b.hasRoom())
@@ -194,10 +194,10 @@
 // uses most.
 func TestRecordsStaySmall(t *testing.T) {
 	is := is.New(t)
-	of := func(engines int) []fleet.Told {
-		var told []fleet.Told
+	of := func(engines int) []fleet.EngineView {
+		var told []fleet.EngineView
 		for i := range engines {
-			told = append(told, fleet.Told{Engine: fmt.Sprintf("i-%010d", i), Pace: 34567 * time.Microsecond, Held: i % 9})
+			told = append(told, fleet.EngineView{Engine: fmt.Sprintf("i-%010d", i), Pace: 34567 * time.Microsecond, Held: i % 9})
 		}
 		return told
 	}
@@ -207,8 +207,8 @@
 	back, err := decode(small)
 	is.NoErr(err)
 	is.Equal(back, of(45))
-	most := bounded(of(900))
-	is.Equal(len(most), enginesMost)
+	most := mostHeld(of(900))
+	is.Equal(len(most), maxEngines)
 	for _, next := range most {
 		is.True(next.Held >= 6) // places beyond the bound are of engines that are used less
 	}
@@ -218,9 +218,9 @@
 	none, err := encode(nil)
 	is.NoErr(err)
 	is.True(none == nil)
-	wrong, err := encode([]fleet.Told{{Engine: "e", Pace: -time.Second, Held: -3}})
+	wrong, err := encode([]fleet.EngineView{{Engine: "e", Pace: -time.Second, Held: -3}})
 	is.NoErr(err)
 	back, err = decode(wrong)
 	is.NoErr(err)
-	is.Equal(back, []fleet.Told{{Engine: "e"}})
+	is.Equal(back, []fleet.EngineView{{Engine: "e"}})
 }
--- /dev/null
+++ b/internal/engineview/publisher.go
@@ -0,0 +1,142 @@
+package engineview
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+const (
+	// publishInterval is the least time between two records: with the way through the store, others know of a place within some 0.4 s, while
+	// items hold it for seconds. The owners of sixteen partitions of jobs write at most 64 records a second.
+	publishInterval = 250 * time.Millisecond
+	// renewInterval is how often what is held is told although nothing changed, well within the time for which it counts.
+	renewInterval = 500 * time.Millisecond
+	// publishAfterLast is for how long after its last item a process tells the paces that it measured: until its word on them has passed to
+	// those who come after it.
+	publishAfterLast = 30 * time.Second
+	// paceChange is the part by which a pace has to change to be told at once; medians of gaps vary by a few hundredths.
+	paceChange = 0.1
+	// leaveTimeout bounds the last record of a process that ends.
+	leaveTimeout = time.Second
+)
+
+// Source is what a process knows of engines.
+type Source interface {
+	LocalView(held map[string]int) []fleet.EngineView
+}
+
+// PublisherConfig configures a publisher.
+type PublisherConfig struct {
+	Log keyedlog.Log
+	// Machine names the machine that the process runs on.
+	Machine string
+	Source  Source
+	// Held returns how many places items hold, by engine.
+	Held   func() map[string]int
+	Logger *log.Logger
+}
+
+// Publisher tells others what this process knows of engines.
+type Publisher struct {
+	config      PublisherConfig
+	published   []fleet.EngineView
+	publishedAt time.Time
+	busyAt      time.Time
+	failing     bool
+	written     atomic.Int64
+}
+
+// NewPublisher returns a publisher; Run tells.
+func NewPublisher(config PublisherConfig) *Publisher {
+	return &Publisher{config: config}
+}
+
+// Written returns how many records were written.
+func (p *Publisher) Written() int64 {
+	return p.written.Load()
+}
+
+// Run tells until the context ends, and then that nothing is held any more.
+func (p *Publisher) Run(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.update(ctx)
+		case <-ctx.Done():
+			p.leave(ctx)
+			return
+		}
+	}
+}
+
+// update tells what there is to tell, if it is other than before or has to be renewed.
+func (p *Publisher) update(ctx context.Context) {
+	now := time.Now()
+	held := p.config.Held()
+	if len(held) > 0 {
+		p.busyAt = now
+	}
+	var next []fleet.EngineView
+	if !p.busyAt.IsZero() && now.Sub(p.busyAt) < publishAfterLast {
+		next = mostHeld(p.config.Source.LocalView(held))
+	}
+	if changed(p.published, next) || len(held) > 0 && now.Sub(p.publishedAt) >= renewInterval {
+		p.publish(ctx, next)
+	}
+}
+
+func (p *Publisher) leave(ctx context.Context) {
+	if len(p.published) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	p.publish(ctx, nil)
+}
+
+// publish writes a record. One that could not be written is told again at the next look, as it is then.
+func (p *Publisher) publish(ctx context.Context, next []fleet.EngineView) {
+	value, err := encode(next)
+	if err == nil {
+		_, err = p.config.Log.Append(ctx, keyedlog.EngineViews, []keyedlog.Record{{Key: p.config.Machine, Value: value}}, nil)
+	}
+	if err != nil {
+		if !p.failing {
+			errorlog.Warn(p.config.Logger, "view of engines not told", err, "engines", len(next))
+		}
+		p.failing = true
+		return
+	}
+	if len(p.published) == 0 || len(next) == 0 {
+		p.config.Logger.Info("view of engines told", "engines", len(next), "written", p.written.Load()+1)
+	}
+	p.failing = false
+	p.published, p.publishedAt = next, time.Now()
+	p.written.Add(1)
+}
+
+// changed tells whether what is to be told is other than what was by enough to matter. Both are in order of their engines' ids.
+func changed(told, next []fleet.EngineView) bool {
+	if len(told) != len(next) {
+		return true
+	}
+	for i, before := range told {
+		after := next[i]
+		if before.Engine != after.Engine || before.Held != after.Held {
+			return true
+		}
+		if math.Abs(float64(after.Pace-before.Pace)) > paceChange*float64(before.Pace) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/engineview/reader.go
+++ b/internal/engineview/reader.go
@@ -16,13 +16,13 @@
 	readSpacing = 100 * time.Millisecond
 	// readWait is how long the store may hold a read open.
 	readWait = 2 * time.Second
-	// idleAfter is how often a reader looks whether it still acts on what it reads.
-	idleAfter = time.Second
+	// idleCheck is how often a reader looks whether it still acts on what it reads.
+	idleCheck = time.Second
 )
 
 // Directory takes what others tell.
 type Directory interface {
-	SetTold(process string, engines []fleet.Told, recovered bool)
+	SetPeerView(process string, engines []fleet.EngineView, recovered bool)
 }
 
 // ReaderConfig configures a reader.
@@ -80,7 +80,7 @@
 		defer close(ended)
 		follower.Run(ctx)
 	}()
-	ticker := time.NewTicker(idleAfter)
+	ticker := time.NewTicker(idleCheck)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -108,7 +108,7 @@
 		return
 	}
 	delete(r.unreadable, record.Key)
-	r.config.Directory.SetTold(record.Key, told, recovered)
+	r.config.Directory.SetPeerView(record.Key, told, recovered)
 }
 
 // Advanced does nothing: each record stands for itself.
--- a/internal/engineview/records.go
+++ b/internal/engineview/records.go
@@ -30,11 +30,11 @@
 	Held int `msg:"held"`
 }
 
-// enginesMost bounds a record to some 5 KB: items of one owner rarely hold places at more engines.
-const enginesMost = 256
+// maxEngines bounds a record to some 5 KB: items of one owner rarely hold places at more engines.
+const maxEngines = 256
 
 // encode returns the record of what is told, nil for nothing: the key is dropped.
-func encode(told []fleet.Told) ([]byte, error) {
+func encode(told []fleet.EngineView) ([]byte, error) {
 	if len(told) == 0 {
 		return nil, nil
 	}
@@ -46,7 +46,7 @@
 }
 
 // decode returns what a record tells. Numbers that mean nothing count as unknown.
-func decode(value []byte) ([]fleet.Told, error) {
+func decode(value []byte) ([]fleet.EngineView, error) {
 	if value == nil {
 		return nil, nil
 	}
@@ -54,24 +54,24 @@
 	if _, err := record.UnmarshalMsg(value); err != nil {
 		return nil, err
 	}
-	told := make([]fleet.Told, 0, len(record.Engines))
+	told := make([]fleet.EngineView, 0, len(record.Engines))
 	for _, next := range record.Engines {
-		told = append(told, fleet.Told{
+		told = append(told, fleet.EngineView{
 			Engine: next.ID, Pace: time.Duration(max(0, next.Pace)) * time.Microsecond, Held: max(0, next.Held),
 		})
 	}
 	return told, nil
 }
 
-// bounded returns what is told of the engines with the most places held. It is in order of their ids, as told is.
-func bounded(told []fleet.Told) []fleet.Told {
-	if len(told) <= enginesMost {
+// mostHeld returns what is told of the engines with the most places held. It is in order of their ids, as told is.
+func mostHeld(told []fleet.EngineView) []fleet.EngineView {
+	if len(told) <= maxEngines {
 		return told
 	}
-	slices.SortFunc(told, func(a, b fleet.Told) int {
+	slices.SortFunc(told, func(a, b fleet.EngineView) int {
 		return cmp.Or(cmp.Compare(b.Held, a.Held), strings.Compare(a.Engine, b.Engine))
 	})
-	told = told[:enginesMost]
-	slices.SortFunc(told, func(a, b fleet.Told) int { return strings.Compare(a.Engine, b.Engine) })
+	told = told[:maxEngines]
+	slices.SortFunc(told, func(a, b fleet.EngineView) int { return strings.Compare(a.Engine, b.Engine) })
 	return told
 }
--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -53,8 +53,8 @@
 // begin counts a piece of work at an engine, and returns whether it is a trial. The mutex must be held.
 func (d *Directory) begin(engine Engine, want Want, now time.Time) bool {
 	found := d.engines[engine.ID]
-	if want.asking && !hasPlace(found.inFlight+d.others.held[engine.ID], Candidate{Engine: engine}, want) {
-		d.others.asked = now
+	if want.probing && !hasPlace(found.inFlight+d.peers.held[engine.ID], Candidate{Engine: engine}, want) {
+		d.peers.probedAt = now
 	}
 	found.inFlight++
 	return found.breaker.Begin(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,8 +72,8 @@
 	// tell is told of ejections, nil for nobody; untold holds those of the call under way.
 	tell   func(Ejection)
 	untold []Ejection
-	// others is what other processes tell of engines.
-	others others
+	// peers is what other processes tell of engines.
+	peers peers
 }
 
 // NewDirectory returns an empty directory.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	want.asking = d.others.mayAsk(want, now)
+	want.probing = d.peers.mayProbe(want, now)
 	picked, ok := Pick(d.candidates(want, now), want, now)
 	if !ok {
 		return Engine{}, false
@@ -57,7 +57,7 @@
 			found = newSurveyed(d.candidates(want, now), want)
 			surveys[key] = found
 		}
-		want.asking = d.others.mayAsk(want, now)
+		want.probing = d.peers.mayProbe(want, now)
 		if given[i], ok = found.take(want, now); ok {
 			if d.begin(given[i], want, now) {
 				// One trial at a time, whichever kind of work it is.
@@ -234,7 +234,7 @@
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
 	var candidates []Candidate
 	dealt := d.dealt[want.Pool]
-	d.others.look(now)
+	d.peers.refresh(now)
 	for _, found := range d.engines {
 		if !fits(found.engine, want) {
 			continue
@@ -242,7 +242,7 @@
 		state := found.breaker.State(now)
 		trial := state == policy.BreakerHalfOpen
 		candidates = append(candidates, Candidate{
-			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.others.held[found.engine.ID],
+			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.peers.held[found.engine.ID],
 			Avoided: now.Before(found.avoidUntil),
 			Loading: now.Before(found.loading[want.Model]), Outlook: d.outlook(found, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
@@ -268,7 +268,7 @@
 	if found, ok := d.engines[id]; ok {
 		now := time.Now()
 		if found.pace.Usual() == 0 {
-			found.pace.Learn(d.others.paces[id])
+			found.pace.Learn(d.peers.paces[id])
 		}
 		found.pace.Add(gap, now)
 		found.paced = now
--- a/internal/fleet/told_test.go
+++ b/internal/fleet/peers_test.go
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		directory := poolOf(2, 4)
-		directory.SetTold("other", []Told{{Engine: "e00", Held: 4}, {Engine: "e01", Held: 3}}, false)
+		directory.SetPeerView("other", []EngineView{{Engine: "e00", Held: 4}, {Engine: "e01", Held: 3}}, false)
 		first, found := directory.Acquire(item())
 		is.True(found)
 		is.Equal(first.ID, "e01")
@@ -37,29 +37,29 @@
 		is.True(!found) // both are full by what is known
 		is.Equal(directory.Assign([]Want{item()})[0].ID, "")
 
-		directory.SetTold("other", nil, false)
+		directory.SetPeerView("other", nil, false)
 		_, found = directory.Acquire(item())
 		is.True(found) // its word has ended
 	})
 }
 
 // TestAWordThatIsNotRenewedAges checks that a process which has died, or is cut off, keeps no place for good: of what it held
-// nothing counts after heldFor, of its paces after paceFor.
+// nothing counts after heldTTL, of its paces after paceTTL.
 func TestAWordThatIsNotRenewedAges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		directory := poolOf(1, 4)
-		directory.SetTold("other", []Told{{Engine: "e00", Held: 4, Pace: 20 * time.Millisecond}}, false)
-		time.Sleep(heldFor - time.Millisecond)
+		directory.SetPeerView("other", []EngineView{{Engine: "e00", Held: 4, Pace: 20 * time.Millisecond}}, false)
+		time.Sleep(heldTTL - time.Millisecond)
 		_, found := directory.Acquire(item())
 		is.True(!found)
-		time.Sleep(mergeEvery)
+		time.Sleep(mergeInterval)
 		_, found = directory.Acquire(item())
 		is.True(found)
 		is.Equal(directory.TypicalPace("p"), 20*time.Millisecond)
-		time.Sleep(paceFor)
+		time.Sleep(paceTTL)
 		is.Equal(directory.TypicalPace("p"), time.Duration(0))
-		is.Equal(directory.Hearsay(), Hearsay{})
+		is.Equal(directory.PeerSummary(), PeerSummary{})
 	})
 }
 
@@ -73,9 +73,9 @@
 		suspended = func() time.Duration { return slept }
 		defer func() { suspended = before }()
 		directory := poolOf(1, 4)
-		directory.SetTold("other", []Told{{Engine: "e00", Held: 4}}, false)
-		slept = heldFor
-		time.Sleep(mergeEvery)
+		directory.SetPeerView("other", []EngineView{{Engine: "e00", Held: 4}}, false)
+		slept = heldTTL
+		time.Sleep(mergeInterval)
 		_, found := directory.Acquire(item())
 		is.True(found)
 	})
@@ -88,15 +88,15 @@
 		is := is.New(t)
 		directory := poolOf(1, 4)
 		waiting := item()
-		for time.Since(waiting.Since) < heldMost {
-			directory.SetTold("other", []Told{{Engine: "e00", Held: 4}}, false)
+		for time.Since(waiting.Since) < probeAfter {
+			directory.SetPeerView("other", []EngineView{{Engine: "e00", Held: 4}}, false)
 			is.Equal(directory.Assign([]Want{waiting})[0].ID, "")
-			time.Sleep(mergeEvery)
+			time.Sleep(mergeInterval)
 		}
-		directory.SetTold("other", []Told{{Engine: "e00", Held: 4}}, false)
+		directory.SetPeerView("other", []EngineView{{Engine: "e00", Held: 4}}, false)
 		given := directory.Assign([]Want{item(), waiting, waiting})
 		is.Equal([]string{given[0].ID, given[1].ID, given[2].ID}, []string{"", "e00", ""})
-		time.Sleep(askEvery)
+		time.Sleep(probeInterval)
 		is.Equal(directory.Assign([]Want{waiting})[0].ID, "e00")
 	})
 }
@@ -108,13 +108,13 @@
 	directory := poolOf(2, 4)
 	directory.Paced("e00", 10*time.Millisecond)
 	for i, pace := range []time.Duration{20, 90, 30} {
-		told := []Told{{Engine: "e00", Pace: pace * time.Millisecond}, {Engine: "e01", Pace: pace * time.Millisecond, Held: 9}}
-		directory.SetTold(fmt.Sprint("other", i), told, true)
+		told := []EngineView{{Engine: "e00", Pace: pace * time.Millisecond}, {Engine: "e01", Pace: pace * time.Millisecond, Held: 9}}
+		directory.SetPeerView(fmt.Sprint("other", i), told, true)
 	}
 	is.Equal(directory.UsualPaces("p"), map[string]time.Duration{"e00": 10 * time.Millisecond, "e01": 30 * time.Millisecond})
-	is.Equal(directory.Hearsay().Held, 0)
-	is.Equal(directory.Hearsay().Engines, 1)
-	is.Equal(directory.Tell(map[string]int{"e01": 2})[1], Told{Engine: "e01", Held: 2})
+	is.Equal(directory.PeerSummary().Held, 0)
+	is.Equal(directory.PeerSummary().Engines, 1)
+	is.Equal(directory.LocalView(map[string]int{"e01": 2})[1], EngineView{Engine: "e01", Held: 2})
 }
 
 // TestANewOwnerBeginsAtQuickEngines answers the load of an owner that takes a partition over: with 16 items for the 16 places of the
@@ -122,15 +122,15 @@
 func TestANewOwnerBeginsAtQuickEngines(t *testing.T) {
 	is := is.New(t)
 	directory := poolOf(8, 8)
-	var told []Told
+	var told []EngineView
 	for i := range 8 {
 		pace := 40 * time.Millisecond
 		if i%4 == 3 {
 			pace /= 2
 		}
-		told = append(told, Told{Engine: fmt.Sprintf("e%02d", i), Pace: pace})
+		told = append(told, EngineView{Engine: fmt.Sprintf("e%02d", i), Pace: pace})
 	}
-	directory.SetTold("before", told, true)
+	directory.SetPeerView("before", told, true)
 	want := item()
 	want.Events = 300
 	used := make(map[string]int)
@@ -184,10 +184,10 @@
 			}
 		}
 		busy := make(map[string]int)
-		var told [][][]Told
+		var told [][][]EngineView
 		for range 30 * time.Second / tick {
 			now := time.Now()
-			words := make([][]Told, owners)
+			words := make([][]EngineView, owners)
 			for i, owner := range all {
 				for _, id := range owner.ending[now] {
 					owner.held[id]--
@@ -195,14 +195,14 @@
 					owner.directory.Release(id)
 				}
 				owner.place(now, busy, places, again, tick, &count)
-				words[i] = owner.directory.Tell(owner.held)
+				words[i] = owner.directory.LocalView(owner.held)
 			}
 			told = append(told, words)
 			if late := len(told) - delay; share && late >= 0 {
 				for i, owner := range all {
 					for j, word := range told[late] {
 						if i != j {
-							owner.directory.SetTold(fmt.Sprint(j), word, false)
+							owner.directory.SetPeerView(fmt.Sprint(j), word, false)
 						}
 					}
 				}
@@ -258,11 +258,11 @@
 		is := is.New(t)
 		directory := poolOf(2, 4)
 		directory.Failed("e00", policy.FailureInWork, "broke off")
-		directory.SetTold("other", []Told{{Engine: "e01", Held: 4}}, false)
+		directory.SetPeerView("other", []EngineView{{Engine: "e01", Held: 4}}, false)
 		_, found := directory.Acquire(item())
 		is.True(!found)
 		waiting := item()
-		waiting.Since = waiting.Since.Add(-heldMost)
+		waiting.Since = waiting.Since.Add(-probeAfter)
 		given, found := directory.Acquire(waiting)
 		is.True(found)
 		is.Equal(given.ID, "e01") // the word may be wrong
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -54,8 +54,8 @@
 	OwnOnly bool
 	// NoTrial says that other work had better try whether an ejected engine is well again.
 	NoTrial bool
-	// asking leaves what others hold by their word out of account.
-	asking bool
+	// probing leaves what others hold by their word out of account.
+	probing bool
 }
 
 // slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
@@ -223,7 +223,7 @@
 // others.
 func hasRoom(candidate Candidate, want Want) bool {
 	busy := candidate.InFlight
-	if !want.asking {
+	if !want.probing {
 		busy += candidate.Elsewhere
 	}
 	return hasPlace(busy, candidate, want)
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -108,7 +108,7 @@
 }
 
 // views has told what is known of engines by the word of others, and how many records this process wrote of what it knows.
-func (m *metrics) views(written func() int64, known func() fleet.Hearsay) {
+func (m *metrics) views(written func() int64, known func() fleet.PeerSummary) {
 	m.registry.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "engine_views_written_total", Help: "Records written of what this process knows of engines.",
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,9 +71,9 @@
 	followers []*follow.Follower
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
-	// viewTeller and viewReader share with other owners what is known of engines.
-	viewTeller *engineview.Teller
-	viewReader *engineview.Reader
+	// viewPublisher and viewReader share with other owners what is known of engines.
+	viewPublisher *engineview.Publisher
+	viewReader    *engineview.Reader
 	// teller tells what tenants' requests this process has run, nil if that is not reported.
 	teller  *usage.Teller
 	metrics *metrics
@@ -173,13 +173,13 @@
 // shareViews has what owners know of engines told and read.
 func (r *Replica) shareViews() {
 	machine := holderName(r.config.Settings)
-	r.viewTeller = engineview.NewTeller(engineview.Config{
+	r.viewPublisher = engineview.NewPublisher(engineview.PublisherConfig{
 		Log: r.config.Log, Machine: machine, Source: r.directory, Held: r.queue.Held, Logger: r.config.Logger,
 	})
 	r.viewReader = engineview.NewReader(engineview.ReaderConfig{
 		Log: r.config.Log, Machine: machine, Directory: r.directory, Busy: r.owns, Logger: r.config.Logger,
 	})
-	r.metrics.views(r.viewTeller.Written, r.directory.Hearsay)
+	r.metrics.views(r.viewPublisher.Written, r.directory.PeerSummary)
 }
 
 // countUsage has the requests of tenants counted and told, if somebody takes reports of them, and returns the duty of reporting.
@@ -384,7 +384,7 @@
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
-	running.Go(func() { r.viewTeller.Run(followCtx) })
+	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
 	if r.teller != nil {
 		running.Go(func() { r.teller.Run(followCtx) })
