--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -81,17 +81,17 @@
 }
 
 // unread has told what is held for callers that read slowly, and what became of them.
-func (m *metrics) unread(figures func() unread.Figures) {
+func (m *metrics) unread(stats func() unread.Stats) {
 	m.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: metricsNamespace, Name: "unread_bytes", Help: "Memory reserved for answers that callers have not read.",
-		}, func() float64 { return float64(figures().Held) }),
+		}, func() float64 { return float64(stats().Held) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "unread_cut_total", Help: "Callers cut off because they took nothing of their answer.",
-		}, func() float64 { return float64(figures().Cut) }),
+		}, func() float64 { return float64(stats().Cut) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "unread_refused_total", Help: "Answers refused because callers' answers hold the memory.",
-		}, func() float64 { return float64(figures().Refused) }),
+		}, func() float64 { return float64(stats().Refused) }),
 	)
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -102,7 +102,7 @@
 		KeyBound: config.Settings.KeyBound, Confirmed: operator.Confirmed,
 		MemoryBytes: config.Settings.MemoryBytes, Logger: config.Logger,
 	})
-	r.metrics.unread(r.ingress.Unread().Figures)
+	r.metrics.unread(r.ingress.Unread().Stats)
 	r.queue = jobrun.NewQueue(r.directory)
 	r.shareViews()
 	board := weightroll.NewBoard(r.directory)
--- a/internal/unread/stream_test.go
+++ b/internal/unread/stream_test.go
@@ -26,7 +26,7 @@
 		budget := newBudget(memory)
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			controller := http.NewResponseController(w)
-			err := budget.Progress(controller, func() error {
+			err := budget.WithDeadline(controller, func() error {
 				if _, err := io.WriteString(w, "event"); err != nil {
 					return err
 				}
--- a/internal/unread/unread_test.go
+++ b/internal/unread/unread_test.go
@@ -19,12 +19,12 @@
 // smaller, and a caller of little is served.
 func TestManyLargeAnswersLeaveRoomForSmallOnes(t *testing.T) {
 	budget := newBudget(memory)
-	var holds []*unread.Hold
+	var holds []*unread.Reservation
 	for caller := range 200 {
 		if hold, ok := budget.Reserve(megabyte, 1); ok {
 			holds = append(holds, hold)
 		}
-		if held := budget.Figures().Held; held > memory*15/100 {
+		if held := budget.Stats().Held; held > memory*15/100 {
 			t.Fatalf("%d bytes held", held)
 		}
 		if caller == 100 {
@@ -41,7 +41,7 @@
 	for _, hold := range holds {
 		hold.Release()
 	}
-	if held := budget.Figures().Held; held != 0 {
+	if held := budget.Stats().Held; held != 0 {
 		t.Errorf("%d bytes held after all", held)
 	}
 }
@@ -49,11 +49,11 @@
 // TestWhatDoesNotFitIsRefused checks that an answer that can't be smaller is refused at once, and what has run is counted all the same.
 func TestWhatDoesNotFitIsRefused(t *testing.T) {
 	budget := newBudget(memory)
-	run := budget.Count(memory)
+	run := budget.Charge(memory)
 	if !budget.Full() {
 		t.Error("not full")
 	}
-	if _, ok := budget.Reserve(1, 1); ok || budget.Figures().Refused != 1 {
+	if _, ok := budget.Reserve(1, 1); ok || budget.Stats().Refused != 1 {
 		t.Error("an answer was taken")
 	}
 	run.Release()
