--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -268,7 +268,7 @@
 	if found, ok := d.engines[id]; ok {
 		now := time.Now()
 		if found.pace.Usual() == 0 {
-			found.pace.Learn(d.peers.paces[id])
+			found.pace.Seed(d.peers.paces[id])
 		}
 		found.pace.Add(gap, now)
 		found.paced = now
--- a/internal/policy/breaker.go
+++ b/internal/policy/breaker.go
@@ -2,26 +2,25 @@
 
 import "time"
 
-// Breaker tells whether work is sent to an engine that failed. It is closed while the engine takes work. Failures eject the engine: nothing
-// is sent there for a time, then one trial, on whose end it depends whether the engine is taken back. The zero value is closed. It is not
-// safe for concurrent use.
+// Breaker is a circuit breaker for one engine. It is closed while the engine takes work. Failures eject the engine: the breaker is open for a
+// time, then half open for one trial, whose end closes or opens it again. The zero value is closed. It is not safe for concurrent use.
 type Breaker struct {
-	// strikes are the failures that count, less what successes have taken off; struckAt is when the last one was counted.
+	// strikes counts failures, less successCounts for each whole answer since; struckAt is when the last failure was counted.
 	strikes  float64
 	struckAt time.Time
-	// ejections counts those without a quiet time between; until is when the last one is over, zero while closed; closedAt when the
-	// engine was taken back last.
+	// ejections counts those less than ejectionMemory apart; until is when the last one is over, zero while the breaker is closed; closedAt
+	// is when it was closed last.
 	ejections int
 	until     time.Time
 	closedAt  time.Time
-	// trialAt is when work was sent there that tells how the engine stands, zero if there is none.
+	// trialAt is when the last trial was sent, zero if there was none since the ejection.
 	trialAt time.Time
 }
 
-// BreakerState is how an engine stands.
+// BreakerState is the state of a breaker.
 type BreakerState int
 
-// States of an engine.
+// States of a breaker.
 const (
 	// BreakerClosed lets all work through.
 	BreakerClosed BreakerState = iota
@@ -31,23 +30,23 @@
 	BreakerOpen
 )
 
-// Failure is what a failed piece of work shows of its engine.
+// Failure is a kind of failure of an engine.
 type Failure int
 
 // Failures of engines.
 const (
 	// FailureInWork says that the engine may have begun the work: it broke off, fell silent or answered with an error of its own.
 	FailureInWork Failure = iota
-	// FailureToConnect says that no connection came about: nothing was run, and nobody else gets through either.
+	// FailureToConnect says that no connection was made: nothing was run, and other work would not get a connection either.
 	FailureToConnect
 )
 
 const (
-	// strikesMost is how many failures in work eject an engine. One or two are met by chance: by a stream cut with its machine's link,
-	// or by a request that engines end under, of which each engine sees one.
+	// strikesMost is how many failures in work eject an engine. One or two happen to engines in order: a link breaks, or a request crashes
+	// the engine, of which each engine sees one.
 	strikesMost = 3
-	// successCounts is how much of a strike a whole answer takes off. An engine is ejected if it fails more than a third of its work
-	// for long: a caller's request, that is sent three times, then fails oftener than once in 27.
+	// successCounts is the part of a strike that a whole answer takes off. An engine that fails more than a third of its work for long is
+	// ejected: a caller's request, which is sent three times, would fail more often than once in 27.
 	successCounts = 0.5
 	// strikeMemory is how long strikes count after the last one: the length of a long run, so that failures of runs that stood side by
 	// side add up and those of separate incidents don't.
@@ -61,14 +60,14 @@
 	// ejectionMemory is how long an engine must stay taken back for its next ejection to be a first one: it has ended some long runs
 	// by then.
 	ejectionMemory = 10 * time.Second
-	// trialMost is how long a trial without a word keeps others away, such as one whose caller has gone: somewhat longer than a run may be
+	// trialMost is how long a trial without an answer holds off the next one, in case its caller has gone: somewhat longer than a run may be
 	// silent.
 	trialMost = 1500 * time.Millisecond
-	// trialOverdue is how long an engine waits for a trial by work that may be repeated, where there may be none.
+	// trialOverdue is how long only work that may be repeated is sent as a trial; then any work is, since there may be no such work.
 	trialOverdue = 4 * time.Second
 )
 
-// State tells how the engine stands.
+// State returns the breaker's state.
 func (b *Breaker) State(now time.Time) BreakerState {
 	switch {
 	case b.until.IsZero():
@@ -80,13 +79,13 @@
 	}
 }
 
-// TrialOverdue tells whether the engine has waited for a trial for so long that any work may be one.
+// TrialOverdue tells whether the engine has waited for a trial for trialOverdue, so that any work may be one.
 func (b *Breaker) TrialOverdue(now time.Time) bool {
 	return b.State(now) == BreakerHalfOpen && now.Sub(b.until) >= trialOverdue
 }
 
-// Begin takes that work is sent to the engine, and returns whether that is the one trial. Work that is sent although the engine is
-// ejected, since there was no other, tells as much as a trial.
+// Begin records that work is sent to the engine, and returns whether it is the trial. Work that is sent while the breaker is open, since no
+// other engine is left, decides as a trial does.
 func (b *Breaker) Begin(now time.Time) bool {
 	if b.until.IsZero() {
 		return false
@@ -96,8 +95,8 @@
 	return trial
 }
 
-// Fail takes a failure, and returns for how long it ejects the engine, 0 if it does not. Work that was sent before the engine was
-// ejected says nothing new.
+// Fail records a failure, and returns for how long it ejects the engine, 0 if it does not. Failures of work that was sent before the engine
+// was ejected don't count.
 func (b *Breaker) Fail(failure Failure, now time.Time) time.Duration {
 	if !b.until.IsZero() {
 		if b.trialAt.IsZero() {
@@ -127,14 +126,14 @@
 	return lasts
 }
 
-// Succeed takes a whole answer.
+// Succeed records a whole answer.
 func (b *Breaker) Succeed() {
 	b.strikes = max(0, b.strikes-successCounts)
 }
 
-// Answer takes that the engine began to answer work that was sent at a moment, be it to turn it away, and returns whether that takes the
-// engine back: an engine that begins nothing new may go on with what it began before. One failure in work ejects it again until it has
-// shown more.
+// Answer records that the engine began to answer work that was sent at sentAt, or turned it away, and returns whether that closes the
+// breaker. Answers to work from before the trial don't: an engine that begins nothing new may go on with older work. One failure in work
+// ejects the engine again until whole answers have taken strikes off.
 func (b *Breaker) Answer(sentAt, now time.Time) bool {
 	if b.until.IsZero() || b.trialAt.IsZero() || sentAt.Before(b.trialAt) {
 		return false
@@ -145,11 +144,11 @@
 	return true
 }
 
-// ejectedMost is the share of the engines fit for some work from which on ejections are ignored: where more than a half fail at once, what
-// they have in common, most likely the link of whoever asks or a zone, fails rather than each of them.
+// ejectedMost is the share of the engines fit for some work above which ejections are ignored. Where more than a half fail at once, most
+// likely this process's link or a zone fails rather than each engine.
 const ejectedMost = 0.5
 
-// IgnoreEjections tells whether work goes by no ejections, where so many of the engines fit for it are ejected.
+// IgnoreEjections tells whether work ignores ejections, by how many of the engines fit for it are ejected.
 func IgnoreEjections(ejected, fit int) bool {
 	return float64(ejected) > ejectedMost*float64(fit)
 }
--- a/internal/policy/demand.go
+++ b/internal/policy/demand.go
@@ -62,13 +62,12 @@
 	return loads
 }
 
-// behindKept is how many of a model's last steps tell how far its trainer is behind: enough to reach back before an outage of some tens
-// of seconds at steps of a few, and few enough for a trainer that has changed its interval to have a new schedule within a minute or so.
+// behindKept is how many of a model's last steps show how far its trainer is behind. At steps of a few seconds they reach back before an
+// outage of some tens of seconds, and a trainer that changes its interval has a new schedule within a minute or so.
 const behindKept = 16
 
-// behind returns how late the last step was asked, by the schedule that the trainer kept in its best stretch. Steps are asked one by one
-// at even times, or later where the trainer waits for earlier ones, so that the shortest mean time from the first step to another is
-// the interval if any step was in time.
+// behind returns how late the last step was asked. Trainers ask for steps at even times, or later where they wait for earlier ones, so
+// that the shortest mean time from the first step to another one is the trainer's interval if any step was in time.
 func behind(asked []Step) time.Duration {
 	asked = asked[max(0, len(asked)-behindKept):]
 	if len(asked) < 2 {
--- a/internal/policy/lengths.go
+++ b/internal/policy/lengths.go
@@ -18,8 +18,8 @@
 // to follow a model whose outputs grow as it is trained.
 const lengthsKept = 256
 
-// capAfter is how many items must be known before none is expected to be longer than the longest of them: of 64 items a few are of
-// the upper twentieth.
+// capAfter is how many items must be known before expected lengths are capped by the longest of them: of 64 items a few are among the
+// longest twentieth.
 const capAfter = 64
 
 // Learn takes an item that came to its end.
@@ -63,8 +63,8 @@
 	return max(1, l.capped(sum/float64(len(longer))*float64(estimate))-float64(made))
 }
 
-// capped bounds an expected length by the longest known one: engines end answers at some number of tokens, and a ratio that short items
-// came to says too much of long ones.
+// capped bounds an expected length, in events, by the longest known one: engines end answers at some number of tokens, and the ratios of
+// short items are too high for long ones.
 func (l *Lengths) capped(expected float64) float64 {
 	if len(l.events) < capAfter {
 		return expected
--- a/internal/policy/pace_test.go
+++ b/internal/policy/pace_test.go
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	var pace policy.Pace
 	is.Equal(pace.Outlook(time.Unix(1000, 0)), policy.Outlook{})
-	pace.Learn(learnt)
+	pace.Seed(learnt)
 	is.Equal(pace.Outlook(time.Unix(1000, 0)), policy.Steady(learnt))
 	now := time.Unix(1000, 0)
 	stream := func(count int) {
@@ -55,7 +55,7 @@
 		}
 		is.Equal(pace.Outlook(now), policy.Steady(slow))
 	}
-	pace.Learn(learnt)
+	pace.Seed(learnt)
 	is.Equal(pace.Usual(), slow)
 }
 
--- a/internal/policy/standby.go
+++ b/internal/policy/standby.go
@@ -16,9 +16,9 @@
 	return max(0, partitions)
 }
 
-// StandsBy tells whether a machine of a share does better to leave the partitions to others: all have an owner, and the members with
-// strictly larger shares have at least as much of a processor for each partition as the machine would give one. The group deals evenly,
-// whatever the sizes, so that a partition that is dealt to a small machine runs at that machine's pace while larger ones hold none.
+// StandsBy tells whether a machine with a share, in cores, leaves the partitions to others: all partitions have an owner, and the members
+// with larger shares have at least as many cores for each partition as the machine would give one. The group deals partitions evenly
+// whatever the sizes, so that one that is dealt to a small machine has little of a processor while larger machines hold none.
 //
 // Members of the machine's own size don't count: machines of one size all take part, and so does a machine of unknown size. Of two
 // sizes the larger one always takes part, so that no two machines stand by for each other.
@@ -35,8 +35,8 @@
 	return larger/float64(partitions) >= share
 }
 
-// AsksFor tells whether a member that holds no partition is to ask for some: smaller members hold some. Members that hold none are
-// not seen by the others, which would go on for good.
+// AsksFor tells whether a member that holds no partition asks for some, since smaller members hold some. Members without partitions are not
+// in the list of owners, so that the smaller ones would never leave otherwise.
 func AsksFor(members []GroupMember, share float64) bool {
 	for _, member := range members {
 		if member.Partitions > 0 && member.Share > 0 && member.Share < share {
