Shorten the long functions of items and results, and plain their comments

Cause: generate placed, ran and judged an item in 63 lines, results of the front and of the service did two things each; heir, look and by are not what a reader expects; lines of up to 182 columns. Conclusion: what runs is the same, in the same order.

--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -43,8 +43,8 @@
 	return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: int(hash.Sum32() % uint32(partitions))}
 }
 
-// positionDigits pads the positions in the keys of results, so that the store's order of keys is that of positions: a job has fewer than
-// 100 million items, which as a submission would take gigabytes.
+// positionDigits is how many digits the positions in the keys of results are padded to, so that the store's order of keys is that of
+// positions. A job has fewer than 100 million items: a submission of so many would take gigabytes.
 const positionDigits = 8
 
 func resultKey(jobID string, position int) string {
@@ -54,8 +54,8 @@
 // afterParts sorts after all that follows a position in the keys of its result.
 const afterParts = "~"
 
-// ResultsFrom returns a key after which all results of a job from a position on lie, empty where that holds for any key. Results whose
-// keys are not padded, as processes wrote them before, lie after it whatever their position.
+// ResultsFrom returns a key after which all results of a job from a position on lie, empty for the first position. Results under keys that
+// are not padded, which processes of other versions write, lie after it whatever their position.
 func ResultsFrom(jobID string, position int) string {
 	if position <= 0 {
 		return ""
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Begin has the results of a job held from a position on only. It comes before the job's first record.
+// Begin has the ledger hold a job's results from a position on only. It must be called before the job's first record is applied.
 func (l *Ledger) Begin(id string, position int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -96,8 +96,8 @@
 	found.base, found.visible = position, position
 }
 
-// Fills tells whether the results of a job from a position on, without a gap, have more than limit bytes: what follows changes no answer of
-// that size. The channel is closed at the next change of the job.
+// Fills tells whether the results of a job from a position on, up to the first gap, have more than limit bytes. The channel is closed at the
+// next change of the job.
 func (l *Ledger) Fills(id string, from, limit int) (bool, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -202,8 +202,8 @@
 	return views
 }
 
-// ExtraKeys returns the keys that a job has in the partition and its entry doesn't name, in order: of pieces of progress, and of results
-// whose keys are not padded.
+// ExtraKeys returns the keys of a job in the partition that can't be derived from its entry, in order: those of pieces of progress, and
+// those of results that are not padded.
 func (l *Ledger) ExtraKeys(id string) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/jobrun/critical.go
+++ b/internal/jobrun/critical.go
@@ -7,7 +7,8 @@
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
-// criticalEvents is how many events a job is expected to last yet. The zero value knows nothing. It is safe for concurrent use.
+// criticalEvents is how many events are expected to be left of the items that a job waits for. The zero value stands for not known. It is
+// safe for concurrent use.
 type criticalEvents struct {
 	bits atomic.Uint64
 }
@@ -17,8 +18,8 @@
 	return math.Float64frombits(c.bits.Load())
 }
 
-// look works the events out from what is left of the job's items. Items that do not run are listed.
-func (c *criticalEvents) look(running *runningJob) {
+// update sets the events by what is left of the job's items. Items without an execution are listed, and have none left.
+func (c *criticalEvents) update(running *runningJob) {
 	longest := make(map[string]float64)
 	for _, item := range running.spec.Items {
 		events := 0.0
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -102,7 +102,7 @@
 	fruitless    int
 	// next is the place that the item moves to, nil if none was acquired.
 	next *Place
-	// reserved is what another run gives up for this one, nil if nothing.
+	// reserved is the place that another run gives up for this one, nil if none.
 	reserved *Reservation
 	// yielded is how often the item was asked to give its place up.
 	yielded atomic.Int32
@@ -228,24 +228,8 @@
 			place.Release()
 			continue
 		}
-		engine := place.Engine
 		before := len(e.events)
-		e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
-			"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", before,
-			"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond),
-			"left", math.Round(e.left()), "critical", math.Round(e.critical.Value()))
-		waitingSince := e.waitingSince
-		e.waitingSince = time.Time{}
-		e.hold()
-		result := e.runOn(runCtx, engine, route)
-		e.dropReserved()
-		cancel()
-		place.Release()
-		e.letGo()
-		if result.Ending == eventrun.EndedNotRun {
-			// The item waits on: it has been at no engine.
-			e.waitingSince = waitingSince
-		}
+		result := e.runAt(runCtx, cancel, place, route)
 		if done, whole := e.judge(ctx, route, result); done {
 			return whole
 		}
@@ -254,6 +238,28 @@
 	return false
 }
 
+// runAt runs the item at a place, and then ends the run's context and releases the place.
+func (e *execution) runAt(ctx context.Context, cancel context.CancelFunc, place *Place, route catalog.Route) eventrun.Result {
+	engine := place.Engine
+	e.runner.config.Logger.Info("item placed", "job", e.view.Spec.ID, "item", e.item.ID, "group", e.item.Group, "engine", engine.ID,
+		"version", engine.Serves(e.view.Spec.Model), "min_version", e.view.Spec.MinVersion, "resume_after", len(e.events),
+		"epoch", e.runner.writer.Epoch(), "waited", time.Since(e.waitingSince).Round(time.Millisecond),
+		"left", math.Round(e.left()), "critical", math.Round(e.critical.Value()))
+	waitingSince := e.waitingSince
+	e.waitingSince = time.Time{}
+	e.hold()
+	result := e.runOn(ctx, engine, route)
+	e.dropReserved()
+	cancel()
+	place.Release()
+	e.letGo()
+	if result.Ending == eventrun.EndedNotRun {
+		// The item waits on: it has been at no engine.
+		e.waitingSince = waitingSince
+	}
+	return result
+}
+
 // withheld tells whether the item is to go to no engine now, since engines have ended under it. It is asked once a place is there, so
 // that a trial that is given is made.
 func (e *execution) withheld(ctx context.Context) bool {
@@ -344,7 +350,7 @@
 	return nil
 }
 
-// findsBetter tells whether the item has a place to move to.
+// findsBetter tells whether there is a better place for the item, which is then in next.
 func (e *execution) findsBetter(now time.Time) bool {
 	if e.reserved != nil {
 		if e.next = e.reserved.Take(); e.next != nil {
@@ -371,7 +377,7 @@
 	return false
 }
 
-// reserve has a run at a quicker engine give its place up, if the item may hold its step and any can wait.
+// reserve asks a run at a quicker engine to give its place up, if the item may hold its step and any such run can wait.
 func (e *execution) reserve(rank Rank, want fleet.Want) {
 	e.reserved = e.runner.config.Queue.Reserve(e.engine.ID, rank, want)
 	if e.reserved != nil {
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -119,7 +119,7 @@
 	return e.runner.left(e.item.LengthHint, len(e.events))
 }
 
-// remaining is how many events are expected to come of the item from any goroutine's view, 0 once its text is whole or it is given up.
+// remaining returns how many events are expected to come of the item, 0 once its text is whole or it is given up. Any goroutine may call it.
 func (e *execution) remaining() float64 {
 	e.mutex.Lock()
 	made, over := len(e.events), e.whole || e.settled
@@ -137,7 +137,7 @@
 	}
 	directory := e.runner.config.Directory
 	others := want
-	// It asks only, and makes no trial.
+	// Nothing is sent by this, so that it is no trial.
 	others.ExactVersion, others.Exclude, others.NoTrial = 0, nil, true
 	for _, engine := range directory.Pool(want.Pool) {
 		if engine.Serves(want.Model) == want.ExactVersion {
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -59,29 +59,30 @@
 	// yield asks the item to give the place up, nil if it must not; asked says that it was.
 	yield func()
 	asked bool
-	// heir gets the place once it is released, nil if anybody may.
-	heir *Reservation
+	// reservation gets the place once it is released, nil if any item may.
+	reservation *Reservation
 }
 
-// Release gives the place back, or on to whom it was promised. It does nothing the second time.
+// Release gives the place back, or to its reservation. It does nothing the second time.
 func (p *Place) Release() {
 	p.queue.mutex.Lock()
 	_, held := p.queue.places[p]
 	delete(p.queue.places, p)
-	inherited := held && p.heir != nil && !p.heir.dropped
-	if inherited {
-		p.heir.given <- p.queue.take(p.Engine, p.heir.rank, nil)
+	passedOn := held && p.reservation != nil && !p.reservation.dropped
+	if passedOn {
+		p.reservation.given <- p.queue.take(p.Engine, p.reservation.rank, nil)
 	}
 	p.queue.mutex.Unlock()
-	if held && !inherited {
+	if held && !passedOn {
 		p.queue.directory.Release(p.Engine.ID)
 	}
 }
 
-// Reservation is for an item that runs, of a place at a better engine that another run gives up. Drop must follow.
+// Reservation is the claim of an item that runs to a place at a better engine, which another run gives up. Drop must follow.
 type Reservation struct {
 	queue *Queue
 	rank  Rank
+	// given holds the place once the other run has released it.
 	given chan *Place
 	// dropped is guarded by the queue's mutex.
 	dropped bool
@@ -195,7 +196,7 @@
 func (q *Queue) makeRoom(waiting []*waiter) {
 	coming := 0
 	for place := range q.places {
-		if place.asked && place.heir == nil {
+		if place.asked && place.reservation == nil {
 			coming++
 		}
 	}
@@ -221,7 +222,7 @@
 	return q.leastUrgentAt(q.directory.Suitable(next.want), next.rank)
 }
 
-// leastUrgentAt returns the place at some engines of the run that can wait longest among those that yield to an item.
+// leastUrgentAt returns the place, at one of some engines, of the run that can wait longest of those that yield to an item of a rank.
 func (q *Queue) leastUrgentAt(engines map[string]bool, rank Rank) *Place {
 	now := time.Now()
 	var found *Place
@@ -271,9 +272,8 @@
 	return q.take(engine, rank, nil)
 }
 
-// Reserve has a run that can wait give its place up to an item that may hold its step and runs at a slower engine. It returns nil if
-// there is none. Freed places go to items that wait at once, so that an item which turned out long found no quick one for 6 s while
-// short ones held them all.
+// Reserve asks a run that can wait to give its place up to an item that may hold its step and runs at a slower engine. It returns nil if
+// there is no such run. Without a reservation the place would go to an item that waits: freed places are taken at once.
 func (q *Queue) Reserve(current string, rank Rank, want fleet.Want) *Reservation {
 	if !rank.MayHold {
 		return nil
@@ -289,9 +289,9 @@
 		return nil
 	}
 	place.asked = true
-	place.heir = &Reservation{queue: q, rank: rank, given: make(chan *Place, 1)}
+	place.reservation = &Reservation{queue: q, rank: rank, given: make(chan *Place, 1)}
 	place.yield()
-	return place.heir
+	return place.reservation
 }
 
 // withdraw takes a waiter out, and gives back the place that it may have been given meanwhile.
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -130,8 +130,8 @@
 const (
 	// scanLeast is the least time between two looks at all open jobs.
 	scanLeast = 5 * time.Millisecond
-	// checkpointEvery is how often the events of long items are kept for the next owner, and it is looked at how much is left of their
-	// jobs: what an owner's death costs a step of a few seconds. Items of one partition are kept by one append.
+	// checkpointEvery is how often the events of long items are kept for the next owner, and the critical events of jobs are updated. It
+	// bounds what an owner's death costs a step of a few seconds. Items of one partition are kept by one append.
 	checkpointEvery = 250 * time.Millisecond
 	// keepTimeout bounds the keeping of progress when the partition was lost.
 	keepTimeout = time.Second
@@ -256,7 +256,7 @@
 		execution.critical = running.critical
 		running.items[open.Item.ID] = execution
 	}
-	running.critical.look(running)
+	running.critical.update(running)
 	for _, open := range openItems {
 		go running.items[open.Item.ID].run(jobCtx)
 	}
@@ -343,7 +343,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for id, running := range r.jobs {
-		running.critical.look(running)
+		running.critical.update(running)
 		for _, execution := range running.items {
 			r.keepProgress(id, execution)
 		}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -73,7 +73,7 @@
 	readers map[string]*reader
 	// parked holds readers that were given up of late.
 	parked map[string]*reader
-	// recent holds the jobs that were asked for of late, each until its timer ends.
+	// recent holds the jobs whose last call is less than backWithin ago, each until its timer ends.
 	recent  map[string]*time.Timer
 	reading sync.WaitGroup
 }
@@ -302,29 +302,16 @@
 	err := reader.ready(ctx, from, listingBytes)
 	defer func() { s.left(reader, err) }()
 	if took := time.Since(began); err == nil && took > slowRead {
-		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry), "took", took.Round(time.Millisecond),
-			"position", from, "records", reader.read.records.Load(), "bytes", reader.read.bytes.Load(), "from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
+		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry),
+			"took", took.Round(time.Millisecond), "position", from, "records", reader.read.records.Load(), "bytes", reader.read.bytes.Load(),
+			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
 	}
 	if err != nil {
 		errorlog.Warn(s.config.Logger, "results of a job were not read in time", err, "job", id, "partition", partitionOf(status.Entry),
 			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
 		return Listing{}, Unsure
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for wait > 0 {
-		listed, changed := reader.ledger.Listed(id)
-		if listed > from || listed >= status.Entry.Items {
-			break
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			wait = 0
-		case <-ctx.Done():
-			wait = 0
-		}
-	}
+	reader.awaitResult(ctx, from, wait)
 	results := reader.ledger.Results(id, from, listingBytes)
 	return Listing{Total: status.Entry.Items, Results: results, Next: from + len(results)}, Done
 }
--- a/internal/jobs/measured.go
+++ b/internal/jobs/measured.go
@@ -8,7 +8,7 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
-// measuredLog counts what reads of one job bring, results of the job or not.
+// measuredLog counts the records and bytes that reads for one job return, those of other jobs included.
 type measuredLog struct {
 	keyedlog.Log
 	records, bytes atomic.Int64
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -22,8 +22,8 @@
 	// idleAfter is how long after the last call on a job its results are kept here, if its callers come back to this process. Callers read
 	// about twice a second.
 	idleAfter = 2 * time.Second
-	// backWithin is how soon after a call the next one on the same job shows that its callers come back to this process: two of their
-	// rounds. Where each call comes to another process nothing is read between calls, and each reads what it brings.
+	// backWithin is how soon after a call the next one on the same job must come to show that its callers come back to this process: two
+	// of their polls. Where each call comes to another process nothing is read between calls.
 	backWithin = time.Second
 	// idleLook is how often that is looked at.
 	idleLook = time.Second
@@ -34,8 +34,8 @@
 	parkedFor = 5 * time.Second
 )
 
-// reader follows the results of one job from a position on while it is asked for. All processes together read a job as often as there are nodes
-// that are asked for it, not as often as there are nodes.
+// reader follows the results of one job from a position on while it is asked for. A job is read once by each process that is asked for it,
+// not by all processes.
 type reader struct {
 	entry job.Entry
 	// base is the position of the first result that is read.
@@ -119,7 +119,8 @@
 		size = settledBytes
 	}
 	return &reader{
-		entry: status.Entry, base: from, ledger: ledger, read: read, asked: time.Now(), complete: make(chan struct{}), ended: make(chan struct{}),
+		entry: status.Entry, base: from, ledger: ledger, read: read, asked: time.Now(),
+		complete: make(chan struct{}), ended: make(chan struct{}),
 		follower: follow.New(follow.Config{
 			Log: read, Partition: partitionOf(status.Entry), From: startOf(status, from), Wait: readWait, Spacing: readSpacing,
 			Bytes: size, Prefix: job.ResultPrefix(id), After: job.ResultsFrom(id, from),
@@ -134,8 +135,8 @@
 // resumed returns a reader that goes on where a parked one was.
 func (r *reader) resumed() *reader {
 	return &reader{
-		entry: r.entry, base: r.base, ledger: r.ledger, read: r.read, follower: r.follower, before: r.ended, asked: time.Now(), complete: make(chan struct{}),
-		ended: make(chan struct{}),
+		entry: r.entry, base: r.base, ledger: r.ledger, read: r.read, follower: r.follower, before: r.ended, asked: time.Now(),
+		complete: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -148,9 +149,10 @@
 	return status.Entry.Next
 }
 
-// left takes that a call waits no more. A reader that nobody waits for ends at once, unless its callers come back to this process: they
-// ask elsewhere, and what it would still read, all that others append to the partition, is taken from them. What one has read that was given
-// up before it was in step is kept for a moment: a job that takes longer to read than a call waits is read by several.
+// left records that a call no longer waits for the reader; err is that of the call. A reader that nobody waits for ends at once, unless its
+// callers come back to this process: it would go on reading all that is appended to the partition, for callers that ask elsewhere. What a
+// reader has read that was given up before it was in step is kept for a moment, for the next call on a job that takes longer to read than
+// one call waits.
 func (s *Service) left(r *reader, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -172,7 +174,7 @@
 	s.expectBack(id)
 }
 
-// expectBack remembers for a moment that a job was asked for. The mutex must be held.
+// expectBack remembers for backWithin that a job was asked for. The mutex must be held.
 func (s *Service) expectBack(id string) {
 	if known, ok := s.recent[id]; ok {
 		known.Reset(backWithin)
@@ -255,8 +257,8 @@
 	}
 }
 
-// ready waits until a reader can answer a call from a position on: all has been read that was listed when the reader was started, or the
-// results that were read fill an answer of limit bytes.
+// ready waits until the reader can answer a call from a position on: it has read all that was listed when it was started, or results of
+// more than limit bytes.
 func (r *reader) ready(ctx context.Context, from, limit int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -275,6 +277,28 @@
 	}
 }
 
+// awaitResult waits until a result from a position on is listed or no more can be, for at most a time or until the context ends.
+func (r *reader) awaitResult(ctx context.Context, from int, most time.Duration) {
+	if most <= 0 {
+		return
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		listed, changed := r.ledger.Listed(r.entry.JobID)
+		if listed > from || listed >= r.entry.Items {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // inStep waits until everything has been read that was listed when the reader was started, or the context ends.
 func (r *reader) inStep(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/weightroll/balance.go
+++ b/internal/weightroll/balance.go
@@ -13,15 +13,15 @@
 	// paceRatioLeast is how much quicker one engine must be than another for the two to be swapped between models. Measured paces of
 	// equal engines differ by a few percent.
 	paceRatioLeast = 1.3
-	// swapShare is the part of what a swap moves by which one model must have too much and the other too little. Above a half, the swap
-	// leaves both nearer to their part than they were, and is not undone when a share changes by one engine.
+	// swapShare is the part of the speed moved by a swap that one model must have too much and the other too little. Above a half, a swap
+	// brings both models nearer to their parts and is not undone when a share changes by one engine.
 	swapShare = 0.75
 )
 
-// Balance swaps engines between the models of an assignment until each has its part of the pool's speed, and returns the assignment with how
-// many pairs were swapped. The longest item of a step runs on one engine to its end, so that a model without quick engines is late
-// whatever their number. An engine whose pace is not known counts as a typical one. Only engines that mayMove are swapped; each costs
-// one load more than it would have had.
+// Balance swaps engines between the models of an assignment until each model has its part of the pool's speed, and returns the assignment
+// and how many pairs were swapped. A step ends with its longest item, which runs on one engine, so that a model without quick engines is
+// late however many it has. An engine of unknown pace counts as a typical one. Only engines for which mayMove returns true are swapped;
+// each costs a load of weights.
 func Balance(
 	assignment Assignment, engines []fleet.Engine, shares map[string]int, paces map[string]time.Duration, mayMove func(id string) bool,
 ) (Assignment, int) {
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -185,7 +185,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	taken, known := r.sequences[engine.ID]
-	if !known || engine.Restarted(taken.by) {
+	if !known || engine.Restarted(taken.engine) {
 		return 0, false
 	}
 	return taken.orders, true
@@ -194,7 +194,7 @@
 func (r *roller) setSequence(engine fleet.Engine, orders int64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.sequences[engine.ID] = sequence{by: engine, orders: orders}
+	r.sequences[engine.ID] = sequence{engine: engine, orders: orders}
 }
 
 func (r *roller) forgetSequence(id string) {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -113,7 +113,7 @@
 	loading map[string]map[string]string
 	// publishing holds the pools whose assignment is being told.
 	publishing map[string]bool
-	// sequences holds how many orders an engine has taken, as far as this process knows.
+	// sequences holds how many orders each engine has taken, by engine, as far as this process knows.
 	sequences map[string]sequence
 	retryAt   map[string]time.Time
 	// usual is the smoothed time of a load, quickest the shortest.
@@ -127,7 +127,7 @@
 
 // sequence is how many orders an incarnation of an engine has taken since its start.
 type sequence struct {
-	by     fleet.Engine
+	engine fleet.Engine
 	orders int64
 }
 
