Say in fleet what peers report and what a breaker decides

Change: Directory.OnEjection, pendingEjections, takeBack, pacedAt; comments of peers, ejection, pick and fleet. The measured figures of choose and probeInterval stay. Conclusion: names and comments only.

--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -6,21 +6,21 @@
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
-// Ejection says that an engine takes no work for a while, or that it is taken back.
+// Ejection is an event of an engine's circuit breaker: the engine was ejected, or taken back.
 type Ejection struct {
 	EngineID string
-	// TakenBack says that the engine takes work again.
+	// TakenBack says that the engine takes work again, false that it was ejected.
 	TakenBack bool
-	// Cause is what the last piece of work failed of; Lasts is for how long nothing is sent to the engine.
+	// Cause says why the last piece of work failed; Lasts is how long nothing is sent to the engine. Both are empty if it was taken back.
 	Cause string
 	Lasts time.Duration
-	// Failures counts those since the engine's last whole answer.
+	// Failures counts failures since the engine's last whole answer.
 	Failures int
 }
 
-// WatchEjections has ejections told from now on, without a lock held. It must be called before the directory is used.
-func (d *Directory) WatchEjections(tell func(Ejection)) {
-	d.tell = tell
+// OnEjection sets the function to call after each ejection, without a lock held. It must be called before the directory is used.
+func (d *Directory) OnEjection(call func(Ejection)) {
+	d.onEjection = call
 }
 
 // Ejected counts the engines that were ejected and have not been taken back.
@@ -37,16 +37,16 @@
 	return count
 }
 
-// unlock releases the mutex and tells what came of ejections while it was held.
+// unlock releases the mutex and reports the ejections that were recorded while it was held.
 func (d *Directory) unlock() {
-	untold := d.untold
-	d.untold = nil
+	pending := d.pendingEjections
+	d.pendingEjections = nil
 	d.mutex.Unlock()
-	if d.tell == nil {
+	if d.onEjection == nil {
 		return
 	}
-	for _, ejection := range untold {
-		d.tell(ejection)
+	for _, ejection := range pending {
+		d.onEjection(ejection)
 	}
 }
 
@@ -60,7 +60,7 @@
 	return found.breaker.Begin(now)
 }
 
-// Failed records that an engine failed a piece of work, and of what. It is tried last for a while, or not at all if it was ejected for it.
+// Failed records that an engine failed a piece of work, and why. The engine is tried last for a while, or not at all if that ejects it.
 func (d *Directory) Failed(id string, failure policy.Failure, cause string) {
 	now := time.Now()
 	d.mutex.Lock()
@@ -77,15 +77,17 @@
 	}
 	// The trial decides when the engine is asked again.
 	found.avoidUntil = time.Time{}
-	d.untold = append(d.untold, Ejection{EngineID: id, Cause: cause, Lasts: lasts, Failures: found.failures})
+	d.pendingEjections = append(d.pendingEjections, Ejection{EngineID: id, Cause: cause, Lasts: lasts, Failures: found.failures})
 }
 
-// Answered records that an engine began to answer work that was sent to it at a moment. It takes an ejected engine back if that was a trial.
+// Answered records that an engine began to answer work that was sent at sentAt. An ejected engine is taken back if that was its trial.
 func (d *Directory) Answered(id string, sentAt time.Time) {
 	d.mutex.Lock()
 	defer d.unlock()
 	if found, ok := d.engines[id]; ok {
-		d.takenBack(found, found.breaker.Answer(sentAt, time.Now()))
+		if found.breaker.Answer(sentAt, time.Now()) {
+			d.takeBack(found)
+		}
 	}
 }
 
@@ -103,16 +105,13 @@
 	found.latency = smooth(found.latency, latency)
 }
 
-// TurnedAway records that an engine answered that it does not run a piece of work: it is there, and takes other work.
+// TurnedAway records that an engine answered that it does not run a piece of work. It may run other work.
 func (d *Directory) TurnedAway(id string) {
 	d.Answered(id, time.Now())
 }
 
-// takenBack notes whether an engine takes work again. The mutex must be held.
-func (d *Directory) takenBack(found *entry, back bool) {
-	if !back {
-		return
-	}
-	d.untold = append(d.untold, Ejection{EngineID: found.engine.ID, TakenBack: true, Failures: found.failures})
+// takeBack records that an engine takes work again. The mutex must be held.
+func (d *Directory) takeBack(found *entry) {
+	d.pendingEjections = append(d.pendingEjections, Ejection{EngineID: found.engine.ID, TakenBack: true, Failures: found.failures})
 	d.changed.Notify()
 }
--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -98,7 +98,7 @@
 		is := is.New(t)
 		directory := ejected(3, "0")
 		var told []fleet.Ejection
-		directory.WatchEjections(func(ejection fleet.Ejection) { told = append(told, ejection) })
+		directory.OnEjection(func(ejection fleet.Ejection) { told = append(told, ejection) })
 		m := fleet.Want{Pool: "p", Model: "m", Share: 1}
 		n := fleet.Want{Pool: "p", Model: "n", Share: 1}
 		placed := func(wants ...fleet.Want) int {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,7 @@
 
 // Engine is one incarnation of an engine as it recorded itself.
 type Engine struct {
-	// ID names the engine. It may start again under it, and then knows nothing of before.
+	// ID names the engine. An engine that starts again may keep its id, and then has the state of a new one.
 	ID string
 	// StartedAt is when the incarnation started, by its own clock; zero if it does not say.
 	StartedAt time.Time
@@ -50,8 +50,8 @@
 	failures   int
 	breaker    policy.Breaker
 	pace       policy.Pace
-	// paced is when the pace was measured last.
-	paced time.Time
+	// pacedAt is when the pace was measured last.
+	pacedAt time.Time
 	// latency is the smoothed time of whole answers.
 	latency time.Duration
 }
@@ -69,10 +69,10 @@
 	// changes.
 	paces  map[poolModel]poolPace
 	sorted map[string][]Engine
-	// tell is told of ejections, nil for nobody; untold holds those of the call under way.
-	tell   func(Ejection)
-	untold []Ejection
-	// peers is what other processes tell of engines.
+	// onEjection is called for each ejection, nil for no call; pendingEjections holds those recorded since the mutex was locked.
+	onEjection       func(Ejection)
+	pendingEjections []Ejection
+	// peers holds what other processes report of engines.
 	peers peers
 }
 
@@ -84,8 +84,8 @@
 	}
 }
 
-// Restarted tells whether an engine is a later incarnation than another under the same id. Where either does not say when it started, they
-// are taken for one.
+// Restarted tells whether an engine is a later incarnation than another one with its id. Where either does not say when it started, they
+// count as the same one.
 func (e Engine) Restarted(before Engine) bool {
 	return !e.StartedAt.IsZero() && !before.StartedAt.IsZero() && e.StartedAt.After(before.StartedAt)
 }
@@ -114,7 +114,7 @@
 	same := engine.Draining == found.engine.Draining && engine.Address == found.engine.Address &&
 		maps.Equal(engine.Versions, found.engine.Versions)
 	if engine.Address != found.engine.Address {
-		// Nothing is known of whoever answers there.
+		// The failures were those of another address.
 		found.breaker = policy.Breaker{}
 	}
 	found.engine = engine
@@ -123,13 +123,13 @@
 	}
 }
 
-// restart takes that an engine has started again: what it served, loaded and failed was another process. Work in flight is still counted
-// until whoever began it has heard that it broke off.
+// restart replaces an engine by a later incarnation: versions, loads and failures were those of another process. Work in flight stays
+// counted until its caller releases it.
 func (e *entry) restart(engine Engine) {
-	*e = entry{engine: engine, inFlight: e.inFlight, loading: make(map[string]time.Time), pace: e.pace, paced: e.paced, latency: e.latency}
+	*e = entry{engine: engine, inFlight: e.inFlight, loading: make(map[string]time.Time), pace: e.pace, pacedAt: e.pacedAt, latency: e.latency}
 }
 
-// engineChanged takes that the engines of a pool are others than before. The mutex must be held.
+// engineChanged records that the engines of a pool have changed. The mutex must be held.
 func (d *Directory) engineChanged(pool string) {
 	delete(d.sorted, pool)
 	d.changed.Notify()
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -163,7 +163,7 @@
 	return suitable
 }
 
-// Better returns the engines to which work that runs elsewhere is worth moving, full or not.
+// Better returns the engines at which work that runs elsewhere ends so much earlier that moving it pays, full or not.
 func (d *Directory) Better(id string, want Want) map[string]bool {
 	now := time.Now()
 	d.mutex.Lock()
@@ -271,7 +271,7 @@
 			found.pace.Seed(d.peers.paces[id])
 		}
 		found.pace.Add(gap, now)
-		found.paced = now
+		found.pacedAt = now
 	}
 }
 
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -9,57 +9,59 @@
 	"github.com/hillfork/hillfork/internal/uptime"
 )
 
-// Told is what a process tells others of one engine.
+// EngineView is what a process reports to others of one engine.
 type EngineView struct {
 	// Engine is the engine's id.
 	Engine string
 	// Pace is the usual time between two events of a stream there, 0 if it was not measured lately.
 	Pace time.Duration
-	// Held is how many places items of that process hold there.
+	// Held is how many of the engine's places items of that process hold.
 	Held int
 }
 
 const (
-	// heldTTL is how long another process's word on what it holds counts after it came: it is renewed three times in that time, so
-	// that one which was not renewed is of a process that is gone or cut off.
+	// heldTTL is how long the places that a peer reports count after its view came. Views are renewed three times in that time, so that
+	// a peer whose view is older is gone or cut off.
 	heldTTL = 1500 * time.Millisecond
-	// paceTTL is how long its word on paces counts, and how long after the last event of an engine its pace is told. What an engine
-	// usually takes belongs to its machine; steps of a trainer follow each other within tens of seconds.
+	// paceTTL is how long the paces that a peer reports count, and how long after an engine's last event its pace is reported. The usual
+	// pace belongs to the engine's machine, and steps of a trainer follow each other within tens of seconds.
 	paceTTL = 30 * time.Second
-	// probeAfter is how long work waits beside places that others hold by their word: a word that nobody renews has aged by then, so
-	// that whatever is still told may be wrong, and the engine itself is asked.
+	// probeAfter is how long work waits for places that peers report to hold before it is sent to the engine all the same, since the views
+	// may be wrong. It is longer than heldTTL, so that views of peers that are gone have expired by then.
 	probeAfter = 2 * time.Second
-	// probeInterval is how often an engine is asked so: words are right but for the moment that they take, and a call that is turned away costs
-	// the engine as much as one that is taken at first. With 250 ms, 131 of 295 items turned away with 503 in one run were such.
+	// probeInterval is the least time between two such probes. Views are mostly right, and an engine spends as much on a call that it
+	// turns away as on the start of one that it takes: with 250 ms, 131 of 295 items turned away with 503 are probes.
 	probeInterval = time.Second
-	// mergeInterval is how often what others tell is looked through for what has aged.
+	// mergeInterval is how often the views of peers are summed up again, without those that have expired: well below heldTTL.
 	mergeInterval = 100 * time.Millisecond
 )
 
-// suspended tells how long the machine has been suspended.
+// suspended tells how long the machine has been suspended: views age in that time too.
 var suspended uptime.Meter = uptime.Suspended
 
-// peerView is what one process told last.
+// peerView is the last view of one process.
 type peerView struct {
 	engines []EngineView
-	at      uptime.Mark
-	// recovered says that it may have been told long before it was read.
+	// at is when it was read.
+	at uptime.Mark
+	// recovered says that it may have been written long before that.
 	recovered bool
 }
 
-// peers is what other processes tell of engines, by their names. The zero value is empty.
+// peers holds what other processes report of engines. The zero value is empty.
 type peers struct {
+	// views maps processes to their views.
 	views map[string]peerView
-	// paces and held sum up what is not too old, as of merged.
+	// paces and held map engines to their median pace and the places held there, of the views that had not expired at merged.
 	paces  map[string]time.Duration
 	held   map[string]int
 	merged time.Time
-	// probedAt is when an engine was asked last that is full by others' word.
+	// probedAt is when work was last sent to an engine that is full by the views.
 	probedAt time.Time
 }
 
-// SetPeerView takes what another process tells of engines in place of all that it told before; no engines end its word. A word that was
-// recovered, read after the fact, says nothing of what is held now.
+// SetPeerView replaces the view of another process; no engines remove it. The places of a recovered view, which may have been written long
+// ago, don't count.
 func (d *Directory) SetPeerView(process string, engines []EngineView, recovered bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -75,35 +77,35 @@
 	d.changed.Notify()
 }
 
-// mayProbe tells whether work asks an engine that is full by others' word. One piece of work at a time does, so that work does not wait for
-// good because of a wrong word, and full engines are not beset where the word is right.
+// mayProbe tells whether work may be sent to an engine that is full by the views of peers. One piece of work in each probeInterval may, so
+// that no work waits for good because of a wrong view, and few calls reach full engines.
 func (p *peers) mayProbe(want Want, now time.Time) bool {
 	return !want.Since.IsZero() && now.Sub(want.Since) >= probeAfter && now.Sub(p.probedAt) >= probeInterval
 }
 
-// refresh sums up anew if that was not done just now.
+// refresh sums the views up again if the sums are older than mergeInterval.
 func (p *peers) refresh(now time.Time) {
 	if len(p.views) > 0 && now.Sub(p.merged) >= mergeInterval {
 		p.merge(now)
 	}
 }
 
-// merge sums up what is not too old, and forgets what is.
+// merge sums up the views that have not expired, and drops the others.
 func (p *peers) merge(now time.Time) {
 	p.merged = now
 	p.held = make(map[string]int)
 	paces := make(map[string][]time.Duration)
-	for process, told := range p.views {
-		age := told.at.Age()
+	for process, view := range p.views {
+		age := view.at.Age()
 		if age >= paceTTL {
 			delete(p.views, process)
 			continue
 		}
-		for _, engine := range told.engines {
+		for _, engine := range view.engines {
 			if engine.Pace > 0 {
 				paces[engine.Engine] = append(paces[engine.Engine], engine.Pace)
 			}
-			if age < heldTTL && !told.recovered {
+			if age < heldTTL && !view.recovered {
 				p.held[engine.Engine] += engine.Held
 			}
 		}
@@ -115,28 +117,28 @@
 	}
 }
 
-// LocalView returns what this process has to tell of engines, in order of their ids: where its items hold so many places, and what it measured
-// lately.
+// LocalView returns this process's view of engines, in order of their ids: the places that its items hold there, as given, and the paces that
+// it has measured within paceTTL.
 func (d *Directory) LocalView(held map[string]int) []EngineView {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var told []EngineView
+	var views []EngineView
 	for id, found := range d.engines {
 		next := EngineView{Engine: id, Held: held[id]}
-		if !found.paced.IsZero() && now.Sub(found.paced) < paceTTL {
+		if !found.pacedAt.IsZero() && now.Sub(found.pacedAt) < paceTTL {
 			next.Pace = found.pace.Usual()
 		}
 		if next.Pace > 0 || next.Held > 0 {
-			told = append(told, next)
+			views = append(views, next)
 		}
 	}
-	slices.SortFunc(told, func(a, b EngineView) int { return strings.Compare(a.Engine, b.Engine) })
-	return told
+	slices.SortFunc(views, func(a, b EngineView) int { return strings.Compare(a.Engine, b.Engine) })
+	return views
 }
 
-// usualPace returns an engine's usual pace: what was measured here first, else the median of what others tell, 0 if nobody knows it. The
-// mutex must be held, and others looked through.
+// usualPace returns an engine's usual pace as it was measured here, else the median of its peers' views, 0 if neither is known. The mutex
+// must be held, and peers refreshed.
 func (d *Directory) usualPace(found *entry) time.Duration {
 	if own := found.pace.Usual(); own > 0 {
 		return own
@@ -144,8 +146,8 @@
 	return d.peers.paces[found.engine.ID]
 }
 
-// outlook returns what is to be expected of an engine: by what was measured here, else by the median of what others tell. The mutex must
-// be held, and others looked through.
+// outlook returns what is to be expected of an engine by the pace that was measured here, else by the median of its peers' views. The mutex
+// must be held, and peers refreshed.
 func (d *Directory) outlook(found *entry, now time.Time) policy.Outlook {
 	if found.pace.Usual() > 0 {
 		return found.pace.Outlook(now)
@@ -153,7 +155,7 @@
 	return policy.Steady(d.peers.paces[found.engine.ID])
 }
 
-// UsualPaces returns the paces of a pool's engines as far as they are known, by what was measured here or else by others' word.
+// UsualPaces returns the usual paces of a pool's engines, by id, as far as they are known here or from peers.
 func (d *Directory) UsualPaces(pool string) map[string]time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -170,16 +172,16 @@
 	return paces
 }
 
-// PeerSummary is what the directory knows by others' word alone.
+// PeerSummary counts what the directory knows from peers alone.
 type PeerSummary struct {
-	// Engines is of how many engines only others know the pace, Held how many places others hold.
+	// Engines counts engines whose pace only peers know, Held the places that peers hold.
 	Engines int
 	Held    int
-	// Newest is how old the newest word is, 0 if there is none.
+	// Newest is the age of the newest view, 0 if there is none.
 	Newest time.Duration
 }
 
-// PeerSummary returns what is known by others' word.
+// PeerSummary returns what is known from peers.
 func (d *Directory) PeerSummary() PeerSummary {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -192,8 +194,8 @@
 		known.Held += d.peers.held[id]
 	}
 	first := true
-	for _, told := range d.peers.views {
-		if age := told.at.Age(); first || age < known.Newest {
+	for _, view := range d.peers.views {
+		if age := view.at.Age(); first || age < known.Newest {
 			known.Newest, first = age, false
 		}
 	}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -14,11 +14,11 @@
 	// Dealt is the model that the engine is kept up to date for, empty if that is not known.
 	Dealt    string
 	InFlight int
-	// Elsewhere is how many places work of other processes holds there by their word.
+	// Elsewhere is how many places other processes report to hold there.
 	Elsewhere int
 	// Avoided says that the engine failed lately.
 	Avoided bool
-	// Ejected says that nothing is sent there for its failures; Trial that one piece of work is, to see whether it is well again.
+	// Ejected says that its circuit breaker is open, so that nothing is sent there; Trial that the breaker lets one piece of work through.
 	Ejected bool
 	Trial   bool
 	// Loading says that it begins no request of the wanted model now.
@@ -52,9 +52,9 @@
 	Slack time.Duration
 	// OwnOnly leaves out engines that are kept up to date for other models.
 	OwnOnly bool
-	// NoTrial says that other work had better try whether an ejected engine is well again.
+	// NoTrial says that the work should not be the trial of an ejected engine, such as work that can't be repeated.
 	NoTrial bool
-	// probing leaves what others hold by their word out of account.
+	// probing says that the work ignores the places that other processes report to hold.
 	probing bool
 }
 
@@ -78,7 +78,7 @@
 	typical  time.Duration
 	// own says that one of them is kept up to date for the model of the work.
 	own bool
-	// panicking says that so many of them are ejected that ejections count for nothing but the cost.
+	// panicking says that so many of them are ejected that ejections only add to the cost.
 	panicking bool
 }
 
@@ -112,8 +112,8 @@
 	return found
 }
 
-// panicking tells whether work goes by no ejections, for how many of the engines fit for it are ejected. Those that load or that were tried
-// count too: they take work again sooner than all ejected ones together are well.
+// panicking tells whether so many of the engines fit for the work are ejected that it ignores ejections. Engines that load or that were
+// tried count as fit: they take work again sooner than the ejected ones.
 func panicking(candidates []Candidate, want Want) bool {
 	ejected, fit := 0, 0
 	for _, candidate := range candidates {
@@ -128,8 +128,8 @@
 	return policy.IgnoreEjections(ejected, fit)
 }
 
-// barred tells whether an engine takes nothing of the work for its failures. It may have room, since all others are full: gone engines
-// were refused the same work again and again for that.
+// barred tells whether an engine takes none of the work since it is ejected. It is not a last resort where all others are full: an engine
+// that is gone always has room, and would fail the same work again and again.
 func barred(candidate Candidate, known survey) bool {
 	return candidate.Ejected && !known.panicking
 }
@@ -169,14 +169,15 @@
 	return !known.own || !want.Since.IsZero() && now.Sub(want.Since) >= foreignAfter
 }
 
-// choose returns the place of the best candidate and what speaks against it, false if there is none. Where others hold the places of an
-// engine that works, the work waits for it rather than go to one that failed lately: a failing engine has room all the time. In one run
-// where it did not wait, 627 requests in a second broke off at one engine, after 154 before words of others were heeded.
+// choose returns the index of the best candidate and its cost, false if there is none. Where other processes hold the places of an engine
+// that works, the work waits for it rather than go to one that failed lately: a failing engine has room all the time. Without that wait,
+// 627 requests in a second break off at one engine.
 func choose(candidates []Candidate, known survey, want Want, now time.Time) (best int, bestCost float64, ok bool) {
 	best = -1
 	held := false
 	for i, candidate := range candidates {
-		if !hasPlace(candidate.InFlight, candidate, want) || !mayRun(candidate, want) || barred(candidate, known) || !open(candidate, known, want, now) {
+		if !hasPlace(candidate.InFlight, candidate, want) || !mayRun(candidate, want) ||
+			barred(candidate, known) || !open(candidate, known, want, now) {
 			continue
 		}
 		if !hasRoom(candidate, want) {
@@ -204,7 +205,7 @@
 	return !candidate.Loading && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID)
 }
 
-// fits tells whether an engine is one for the work, by what it recorded of itself.
+// fits tells whether an engine's own record allows the work.
 func fits(engine Engine, want Want) bool {
 	if engine.Pool != want.Pool || engine.Draining {
 		return false
@@ -219,8 +220,7 @@
 	return version >= want.MinVersion
 }
 
-// hasRoom tells whether an engine has a place for the work, by what runs there of this process and, unless the engine is to be asked, of
-// others.
+// hasRoom tells whether an engine has a place for the work beside that of this process and, unless the work probes, of others.
 func hasRoom(candidate Candidate, want Want) bool {
 	busy := candidate.InFlight
 	if !want.probing {
@@ -229,7 +229,7 @@
 	return hasPlace(busy, candidate, want)
 }
 
-// hasPlace tells whether a further piece of work still fits beside so many.
+// hasPlace tells whether a further piece of work fits beside busy others.
 func hasPlace(busy int, candidate Candidate, want Want) bool {
 	return want.Share <= 0 || float64(busy) < max(1, want.Share*float64(candidate.Engine.Slots))
 }
--- a/internal/jobrun/ejection_test.go
+++ b/internal/jobrun/ejection_test.go
@@ -22,7 +22,7 @@
 		w.engines.Behave("model1", memoryengine.Behaviour{Down: true})
 		owner := w.node("owner")
 		ejections, back := 0, 0
-		owner.directory.WatchEjections(func(ejection fleet.Ejection) {
+		owner.directory.OnEjection(func(ejection fleet.Ejection) {
 			if ejection.TakenBack {
 				back++
 			} else {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -148,7 +148,7 @@
 // watchEjections has it logged which engines take no work for their failures, and counted.
 func (r *Replica) watchEjections() {
 	r.metrics.ejected(r.directory.Ejected)
-	r.directory.WatchEjections(func(ejection fleet.Ejection) {
+	r.directory.OnEjection(func(ejection fleet.Ejection) {
 		if ejection.TakenBack {
 			r.config.Logger.Info("engine taken back", "engine", ejection.EngineID, "failures", ejection.Failures)
 			return
