Say what engineview publishes, and take the groups out of New

Change: comments and local names of engineview; registers in the comments of metrics; Replica.joinGroups; policy.Median is exported and used by fleet. Conclusion: no change of what runs.

--- a/internal/engineview/publisher.go
+++ b/internal/engineview/publisher.go
@@ -13,21 +13,21 @@
 )
 
 const (
-	// publishInterval is the least time between two records: with the way through the store, others know of a place within some 0.4 s, while
-	// items hold it for seconds. The owners of sixteen partitions of jobs write at most 64 records a second.
+	// publishInterval is the least time between two records. With the time that the store takes, others know of a place within some 0.4 s,
+	// while items hold it for seconds; the owners of sixteen partitions of jobs write at most 64 records a second.
 	publishInterval = 250 * time.Millisecond
-	// renewInterval is how often what is held is told although nothing changed, well within the time for which it counts.
+	// renewInterval is how often a view with places held is published although nothing has changed: well within the 1.5 s for which it counts.
 	renewInterval = 500 * time.Millisecond
-	// publishAfterLast is for how long after its last item a process tells the paces that it measured: until its word on them has passed to
-	// those who come after it.
+	// publishAfterLast is how long after its last item a process publishes the paces that it measured, so that the next owners of its
+	// partitions read them.
 	publishAfterLast = 30 * time.Second
-	// paceChange is the part by which a pace has to change to be told at once; medians of gaps vary by a few hundredths.
+	// paceChange is the part by which a pace has to change for a new record: medians of gaps vary by a few hundredths.
 	paceChange = 0.1
 	// leaveTimeout bounds the last record of a process that ends.
 	leaveTimeout = time.Second
 )
 
-// Source is what a process knows of engines.
+// Source returns a process's own view of engines, given how many places its items hold at each.
 type Source interface {
 	LocalView(held map[string]int) []fleet.EngineView
 }
@@ -35,7 +35,7 @@
 // PublisherConfig configures a publisher.
 type PublisherConfig struct {
 	Log keyedlog.Log
-	// Machine names the machine that the process runs on.
+	// Machine names the machine that the process runs on, and keys its record.
 	Machine string
 	Source  Source
 	// Held returns how many places items hold, by engine.
@@ -43,17 +43,20 @@
 	Logger *log.Logger
 }
 
-// Publisher tells others what this process knows of engines.
+// Publisher publishes this process's view of engines. Only Written may be called while Run runs.
 type Publisher struct {
-	config      PublisherConfig
+	config PublisherConfig
+	// published is the view that others have, written at publishedAt.
 	published   []fleet.EngineView
 	publishedAt time.Time
-	busyAt      time.Time
-	failing     bool
-	written     atomic.Int64
+	// busyAt is when an item held a place last.
+	busyAt time.Time
+	// failing says that the last record could not be written.
+	failing bool
+	written atomic.Int64
 }
 
-// NewPublisher returns a publisher; Run tells.
+// NewPublisher returns a publisher; Run starts it.
 func NewPublisher(config PublisherConfig) *Publisher {
 	return &Publisher{config: config}
 }
@@ -63,7 +66,7 @@
 	return p.written.Load()
 }
 
-// Run tells until the context ends, and then that nothing is held any more.
+// Run publishes until the context ends, and then that no places are held any more.
 func (p *Publisher) Run(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
@@ -78,7 +81,7 @@
 	}
 }
 
-// update tells what there is to tell, if it is other than before or has to be renewed.
+// update publishes the view if it has changed or has to be renewed.
 func (p *Publisher) update(ctx context.Context) {
 	now := time.Now()
 	held := p.config.Held()
@@ -94,6 +97,7 @@
 	}
 }
 
+// leave removes this process's view, if others have one.
 func (p *Publisher) leave(ctx context.Context) {
 	if len(p.published) == 0 {
 		return
@@ -103,7 +107,7 @@
 	p.publish(ctx, nil)
 }
 
-// publish writes a record. One that could not be written is told again at the next look, as it is then.
+// publish writes a record. After a failure the next update writes the view as it is then.
 func (p *Publisher) publish(ctx context.Context, next []fleet.EngineView) {
 	value, err := encode(next)
 	if err == nil {
@@ -124,12 +128,12 @@
 	p.written.Add(1)
 }
 
-// changed tells whether what is to be told is other than what was by enough to matter. Both are in order of their engines' ids.
-func changed(told, next []fleet.EngineView) bool {
-	if len(told) != len(next) {
+// changed tells whether two views differ by enough for a new record. Both are in order of their engines' ids.
+func changed(last, next []fleet.EngineView) bool {
+	if len(last) != len(next) {
 		return true
 	}
-	for i, before := range told {
+	for i, before := range last {
 		after := next[i]
 		if before.Engine != after.Engine || before.Held != after.Held {
 			return true
--- a/internal/engineview/reader.go
+++ b/internal/engineview/reader.go
@@ -16,11 +16,11 @@
 	readSpacing = 100 * time.Millisecond
 	// readWait is how long the store may hold a read open.
 	readWait = 2 * time.Second
-	// idleCheck is how often a reader looks whether it still acts on what it reads.
+	// idleCheck is how often a reader checks whether its process still uses the views.
 	idleCheck = time.Second
 )
 
-// Directory takes what others tell.
+// Directory takes the views of other processes.
 type Directory interface {
 	SetPeerView(process string, engines []fleet.EngineView, recovered bool)
 }
@@ -28,7 +28,7 @@
 // ReaderConfig configures a reader.
 type ReaderConfig struct {
 	Log keyedlog.Log
-	// Machine names the machine whose own record is passed over.
+	// Machine names the machine that the process runs on, whose own record is skipped.
 	Machine   string
 	Directory Directory
 	// Busy tells whether this process places items or deals engines. While it does not, nothing is read.
@@ -36,20 +36,20 @@
 	Logger *log.Logger
 }
 
-// Reader reads what others tell while its process acts on it.
+// Reader reads the views of others while its process uses them.
 type Reader struct {
 	config ReaderConfig
 	wanted chan struct{}
-	// unreadable holds who wrote records that could not be read, each of whom is logged once.
+	// unreadable holds the machines whose last record could not be decoded; each is logged once.
 	unreadable map[string]bool
 }
 
-// NewReader returns a reader; Run reads.
+// NewReader returns a reader; Run starts it.
 func NewReader(config ReaderConfig) *Reader {
 	return &Reader{config: config, wanted: make(chan struct{}, 1), unreadable: make(map[string]bool)}
 }
 
-// Hurry has the reader begin at once. Whoever begins to act on what others tell calls it.
+// Hurry has the reader begin at once. It must be called when the process begins to use the views.
 func (r *Reader) Hurry() {
 	select {
 	case r.wanted <- struct{}{}:
@@ -57,7 +57,7 @@
 	}
 }
 
-// Run reads whenever this process acts on what others tell, until the context ends.
+// Run reads after each Hurry for as long as the process is busy, until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -68,7 +68,7 @@
 	}
 }
 
-// follow reads until the process does not act on it any more. It begins with the newest record of each key: those between mean nothing.
+// follow reads until the process is not busy any more. It begins with the newest record of each key, since only that counts.
 func (r *Reader) follow(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -94,12 +94,12 @@
 	<-ended
 }
 
-// Apply takes a record.
+// Apply passes a record on to the directory.
 func (r *Reader) Apply(record keyedlog.Record, recovered bool) {
 	if record.Key == r.config.Machine {
 		return
 	}
-	told, err := decode(record.Value)
+	views, err := decode(record.Value)
 	if err != nil {
 		if !r.unreadable[record.Key] {
 			errorlog.Warn(r.config.Logger, "view of engines skipped", err, "machine", record.Key, "offset", record.Offset)
@@ -108,8 +108,8 @@
 		return
 	}
 	delete(r.unreadable, record.Key)
-	r.config.Directory.SetPeerView(record.Key, told, recovered)
+	r.config.Directory.SetPeerView(record.Key, views, recovered)
 }
 
-// Advanced does nothing: each record stands for itself.
+// Advanced does nothing, since records don't depend on each other.
 func (r *Reader) Advanced(int64) {}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -60,8 +60,8 @@
 	probedAt time.Time
 }
 
-// SetPeerView replaces the view of another process; no engines remove it. The places of a recovered view, which may have been written long
-// ago, don't count.
+// SetPeerView replaces the view of another process; no engines remove it. The places of a recovered view, which may be long out of date,
+// don't count.
 func (d *Directory) SetPeerView(process string, engines []EngineView, recovered bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -112,13 +112,12 @@
 	}
 	p.paces = make(map[string]time.Duration, len(paces))
 	for id, known := range paces {
-		slices.Sort(known)
-		p.paces[id] = known[(len(known)-1)/2]
+		p.paces[id] = policy.Median(known)
 	}
 }
 
-// LocalView returns this process's view of engines, in order of their ids: the places that its items hold there, as given, and the paces that
-// it has measured within paceTTL.
+// LocalView returns this process's view of engines, in order of their ids: the places that its items hold there, as given, and the paces
+// that it has measured within paceTTL.
 func (d *Directory) LocalView(held map[string]int) []EngineView {
 	now := time.Now()
 	d.mutex.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,8 +48,8 @@
 	From int64
 	// Prefix is what the keys begin with whose newest records matter where the store has dropped what was not read; empty for all keys.
 	Prefix string
-	// After is a key that those keys lie after, empty if any does. Where it or Prefix is set, whoever waits is in step with the partition
-	// as it was when the newest records were asked for, and waits for none of the others that came since.
+	// After is the key after which those keys lie, empty for all. Where it or Prefix is set, callers that wait for the follower wait for what
+	// the partition held when the newest records were asked for, not for records that came since.
 	After string
 	// Bytes is about how much one read returns at most, 0 for as much as the store gives.
 	Bytes int
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -96,8 +96,8 @@
 	found.base, found.visible = position, position
 }
 
-// Fills tells whether the results of a job from a position on, up to the first gap, have more than limit bytes. The channel is closed at the
-// next change of the job.
+// Fills tells whether the results of a job from a position on, up to the first gap, have more than limit bytes. The channel is closed at
+// the next change of the job.
 func (l *Ledger) Fills(id string, from, limit int) (bool, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -119,7 +119,8 @@
 	return e.runner.left(e.item.LengthHint, len(e.events))
 }
 
-// remaining returns how many events are expected to come of the item, 0 once its text is whole or it is given up. Any goroutine may call it.
+// remaining returns how many events are expected to come of the item, 0 once its text is whole or it is given up. Any goroutine may call
+// it.
 func (e *execution) remaining() float64 {
 	e.mutex.Lock()
 	made, over := len(e.events), e.whole || e.settled
--- a/internal/policy/breaker.go
+++ b/internal/policy/breaker.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Breaker is a circuit breaker for one engine. It is closed while the engine takes work. Failures eject the engine: the breaker is open for a
-// time, then half open for one trial, whose end closes or opens it again. The zero value is closed. It is not safe for concurrent use.
+// Breaker is a circuit breaker for one engine. It is closed while the engine takes work. Failures eject the engine: the breaker is open for
+// a time, then half open for one trial, whose end closes or opens it again. The zero value is closed. It is not safe for concurrent use.
 type Breaker struct {
 	// strikes counts failures, less successCounts for each whole answer since; struckAt is when the last failure was counted.
 	strikes  float64
--- a/internal/policy/demand.go
+++ b/internal/policy/demand.go
@@ -44,7 +44,7 @@
 			intervals = append(intervals, gap)
 		}
 	}
-	usual := median(intervals)
+	usual := Median(intervals)
 	loads := make(map[string]StepLoad, len(steps))
 	for model, asked := range steps {
 		interval := usual
@@ -160,8 +160,8 @@
 	return last[len(last)-1].At.Sub(last[0].At) / time.Duration(len(last)-1)
 }
 
-// median returns the middle of some times, the lower one of two, 0 if there are none.
-func median(times []time.Duration) time.Duration {
+// Median returns the middle of some times, the lower one of two, 0 if there are none. The slice is not changed.
+func Median(times []time.Duration) time.Duration {
 	if len(times) == 0 {
 		return 0
 	}
--- a/internal/policy/pace.go
+++ b/internal/policy/pace.go
@@ -55,7 +55,7 @@
 	p.samples[p.sampled%paceSamples] = pace
 	p.sampled++
 	p.sampledAt = now
-	p.usual = median(p.samples[:min(p.sampled, paceSamples)])
+	p.usual = Median(p.samples[:min(p.sampled, paceSamples)])
 	switch {
 	case float64(pace) < slowedFactor*float64(p.usual):
 		p.slowedAt = time.Time{}
@@ -78,7 +78,7 @@
 // Value returns the current pace, 0 if nothing was measured.
 func (p *Pace) Value() time.Duration {
 	if p.stale {
-		p.median, p.stale = median(p.gaps[:min(p.count, paceGaps)]), false
+		p.median, p.stale = Median(p.gaps[:min(p.count, paceGaps)]), false
 	}
 	return p.median
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -73,14 +73,14 @@
 	}, func() float64 { return float64(contents()) }))
 }
 
-// ejected has told how many engines take no work for their failures.
+// ejected registers the number of engines that are ejected.
 func (m *metrics) ejected(engines func() int) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: metricsNamespace, Name: "engines_ejected", Help: "Engines that take no work of this process for their failures.",
 	}, func() float64 { return float64(engines()) }))
 }
 
-// unread has told what is held for callers that read slowly, and what became of them.
+// unread registers the counts of the budget of unread answers.
 func (m *metrics) unread(stats func() unread.Stats) {
 	m.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -95,7 +95,7 @@
 	)
 }
 
-// member has told whether this replica takes part in owning partitions of jobs.
+// member registers whether this replica takes part in owning partitions of jobs.
 func (m *metrics) member(takesPart func() bool) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: metricsNamespace, Name: "jobs_member", Help: "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.",
@@ -107,7 +107,7 @@
 	}))
 }
 
-// views has told what is known of engines by the word of others, and how many records this process wrote of what it knows.
+// views registers what is known of engines from peers alone, and how many records of its own view this process wrote.
 func (m *metrics) views(written func() int64, known func() fleet.PeerSummary) {
 	m.registry.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,7 +71,7 @@
 	followers []*follow.Follower
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
-	// viewPublisher and viewReader share with other owners what is known of engines.
+	// viewPublisher and viewReader share views of engines with other owners.
 	viewPublisher *engineview.Publisher
 	viewReader    *engineview.Reader
 	// teller tells what tenants' requests this process has run, nil if that is not reported.
@@ -127,25 +127,31 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](r.weights), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Paces: r.directory.UsualPaces, Node: holderName(config.Settings), Lease: config.Settings.OrderLease,
-		OnRolled: r.metrics.rolled, Logger: config.Logger,
+		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Paces: r.directory.UsualPaces,
+		Node: holderName(config.Settings), Lease: config.Settings.OrderLease, OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
-	lifetime := memberLifetime(config.Settings.MemberLifetimeMin)
-	leased := max(lifetime, weightsShare*config.Settings.OrderLease/weightsParts)
-	r.own(jobsGroup, lifetime, config.Settings.ProcessorShare, holders{keyedlog.TopicJobs: runners})
+	r.joinGroups(runners, rollers, reporting)
+	return r
+}
+
+// joinGroups has the partitions of jobs, weights and duties dealt among the replicas.
+func (r *Replica) joinGroups(runners, rollers ownership.Holder, reporting []duty.Duty) {
+	settings := r.config.Settings
+	lifetime := memberLifetime(settings.MemberLifetimeMin)
+	leased := max(lifetime, weightsShare*settings.OrderLease/weightsParts)
+	r.own(jobsGroup, lifetime, settings.ProcessorShare, holders{keyedlog.TopicJobs: runners})
 	r.metrics.member(r.managers[0].TakesPart)
 	// The owner of weights and duties does little, and hands over slowly: machines of any size take part.
 	r.own(weightsGroup, leased, 0, holders{
 		keyedlog.TopicWeights: rollers,
 		keyedlog.TopicDuties: duty.NewHolder(duty.Config{
-			Log: config.Log, Machine: holderName(config.Settings), Lease: config.Settings.OrderLease,
-			Duties: slices.Concat(reporting, r.orderEngines()), Logger: config.Logger,
+			Log: r.config.Log, Machine: holderName(settings), Lease: settings.OrderLease,
+			Duties: slices.Concat(reporting, r.orderEngines()), Logger: r.config.Logger,
 		}),
 	})
-	return r
 }
 
-// watchEjections has it logged which engines take no work for their failures, and counted.
+// watchEjections has ejections of engines logged and counted.
 func (r *Replica) watchEjections() {
 	r.metrics.ejected(r.directory.Ejected)
 	r.directory.OnEjection(func(ejection fleet.Ejection) {
@@ -170,7 +176,7 @@
 	return follower
 }
 
-// shareViews has what owners know of engines told and read.
+// shareViews creates the publisher and the reader of views of engines.
 func (r *Replica) shareViews() {
 	machine := holderName(r.config.Settings)
 	r.viewPublisher = engineview.NewPublisher(engineview.PublisherConfig{
@@ -219,7 +225,8 @@
 	})}
 }
 
-// own has the partitions of some topics dealt by a group, to the machines that have the processor for them if a share of one is given.
+// own has the partitions of some topics dealt by a group. share is what this machine has of a processor, in cores; with 0 it takes part in
+// any case.
 func (r *Replica) own(group string, lifetime time.Duration, share float64, topics holders) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
 		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Share: share, Topics: slices.Sorted(maps.Keys(topics)),
@@ -235,8 +242,8 @@
 	return h[partition.Topic].Gained(ctx, partition, generation)
 }
 
-// hurrying has the orders and what others know of engines read at once when a partition is gained: its owner chooses engines by what they
-// serve, how quick they are and who holds them.
+// hurrying has the orders and the views of engines read at once when a partition is gained: its owner chooses engines by what they serve,
+// their pace and the places held there.
 type hurrying struct {
 	ownership.Holder
 	readers []hurried
--- a/internal/unread/write.go
+++ b/internal/unread/write.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// WithDeadline calls write, whose bytes the reader has to take within CutAfter. The error is os.ErrDeadlineExceeded if the reader was cut off.
+// WithDeadline calls write, whose bytes the reader has to take within CutAfter. The error is os.ErrDeadlineExceeded if the reader was cut
+// off.
 func (b *Budget) WithDeadline(controller *http.ResponseController, write func() error) error {
 	if err := deadline(controller, time.Now().Add(CutAfter)); err != nil {
 		return err
