--- a/internal/engineview/engineview_test.go
+++ b/internal/engineview/engineview_test.go
@@ -69,8 +69,8 @@
 	return found
 }
 
-// told is how long a word takes at most: the publisher's time, the reader's and two ways through the store.
-const told = publishInterval + readSpacing + 2*storeDelay
+// viewDelay is how long a view takes to reach others at most: the publisher's time, the reader's and two ways through the store.
+const viewDelay = publishInterval + readSpacing + 2*storeDelay
 
 const storeDelay = 10 * time.Millisecond
 
@@ -84,33 +84,33 @@
 		store := newStore()
 		a, b := newOwner(t, store, "a", io.Discard), newOwner(t, store, "b", io.Discard)
 		time.Sleep(time.Second)
-		is.Equal(store.Appends(), 0) // there is nothing to tell
+		is.Equal(store.Appends(), 0) // there is nothing to publish
 		a.held.Store(4)
-		time.Sleep(told)
+		time.Sleep(viewDelay)
 		is.True(!b.hasRoom())
-		is.True(a.hasRoom()) // its own record tells it nothing
+		is.True(a.hasRoom()) // its own record is skipped
 		time.Sleep(10 * time.Second)
-		is.True(!b.hasRoom()) // the word is renewed
+		is.True(!b.hasRoom()) // the view is renewed
 		is.True(store.Appends() <= 1+int(10*time.Second/renewInterval))
 		a.held.Store(0)
-		time.Sleep(told)
+		time.Sleep(viewDelay)
 		is.True(b.hasRoom())
 		written := store.Appends()
 		time.Sleep(10 * time.Second)
-		is.Equal(store.Appends(), written) // nothing more is told
+		is.Equal(store.Appends(), written) // nothing more is published
 		is.Equal(a.publisher.Written(), int64(written))
 		a.held.Store(4)
-		time.Sleep(told)
+		time.Sleep(viewDelay)
 		is.True(!b.hasRoom())
 		a.stop()
-		time.Sleep(told)
+		time.Sleep(viewDelay)
 		is.True(b.hasRoom()) // a process that ends says so
 		b.stop()
 	})
 }
 
-// TestWordsAgeWhileTheStoreIsAway checks that owners that hear nothing decide as if they were alone, and hear again once the store is back.
-func TestWordsAgeWhileTheStoreIsAway(t *testing.T) {
+// TestViewsAgeWhileTheStoreIsAway checks that owners that hear nothing decide as if they were alone, and hear again once the store is back.
+func TestViewsAgeWhileTheStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newStore()
@@ -181,7 +181,7 @@
 		}
 		a := newOwner(t, store, "a", io.Discard)
 		a.held.Store(4)
-		time.Sleep(told)
+		time.Sleep(viewDelay)
 		is.True(!b.hasRoom())
 		a.stop()
 		b.stop()
@@ -195,11 +195,11 @@
 func TestRecordsStaySmall(t *testing.T) {
 	is := is.New(t)
 	of := func(engines int) []fleet.EngineView {
-		var told []fleet.EngineView
+		var views []fleet.EngineView
 		for i := range engines {
-			told = append(told, fleet.EngineView{Engine: fmt.Sprintf("i-%010d", i), Pace: 34567 * time.Microsecond, Held: i % 9})
+			views = append(views, fleet.EngineView{Engine: fmt.Sprintf("i-%010d", i), Pace: 34567 * time.Microsecond, Held: i % 9})
 		}
-		return told
+		return views
 	}
 	small, err := encode(of(45))
 	is.NoErr(err)
--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -24,7 +24,7 @@
 }
 
 // TestPlacesHeldElsewhereAreTaken answers the load of several owners whose items fill the same engines: a place that another owner
-// holds is not asked for, while its word is fresh and the work has not waited for long.
+// holds is not asked for while that owner's view is fresh and the work has not waited for long.
 func TestPlacesHeldElsewhereAreTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -39,13 +39,13 @@
 
 		directory.SetPeerView("other", nil, false)
 		_, found = directory.Acquire(item())
-		is.True(found) // its word has ended
+		is.True(found) // its view was removed
 	})
 }
 
-// TestAWordThatIsNotRenewedAges checks that a process which has died, or is cut off, keeps no place for good: of what it held
-// nothing counts after heldTTL, of its paces after paceTTL.
-func TestAWordThatIsNotRenewedAges(t *testing.T) {
+// TestAViewThatIsNotRenewedExpires checks that a process which has died, or is cut off, keeps no place for ever: the places that it held
+// don't count after heldTTL, its paces after paceTTL.
+func TestAViewThatIsNotRenewedExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		directory := poolOf(1, 4)
@@ -63,9 +63,8 @@
 	})
 }
 
-// TestTimeInSuspensionAgesAWord checks that a machine that was suspended, whose steady clock stood still, doesn't believe what it was
-// told before.
-func TestTimeInSuspensionAgesAWord(t *testing.T) {
+// TestTimeInSuspensionAgesAView checks that a machine that was suspended, whose steady clock stood still, doesn't use views from before.
+func TestTimeInSuspensionAgesAView(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var slept time.Duration
@@ -81,9 +80,9 @@
 	})
 }
 
-// TestAWrongWordKeepsNoWorkWaiting checks that work which has waited for longer than a dead process's word counts asks engines
-// themselves, whatever others go on telling, one piece of it at a time.
-func TestAWrongWordKeepsNoWorkWaiting(t *testing.T) {
+// TestAWrongViewKeepsNoWorkWaiting checks that work which has waited for longer than a dead process's view counts probes engines, whatever
+// others go on publishing, one piece of it at a time.
+func TestAWrongViewKeepsNoWorkWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		directory := poolOf(1, 4)
@@ -101,15 +100,15 @@
 	})
 }
 
-// TestPacesOfOthers checks whose word counts: what was measured here, else the median of the others. What was read after the fact says
-// nothing of what is held now.
+// TestPacesOfOthers checks which pace counts: the one that was measured here, else the median of the others'. Places of a recovered view
+// don't count.
 func TestPacesOfOthers(t *testing.T) {
 	is := is.New(t)
 	directory := poolOf(2, 4)
 	directory.Paced("e00", 10*time.Millisecond)
 	for i, pace := range []time.Duration{20, 90, 30} {
-		told := []EngineView{{Engine: "e00", Pace: pace * time.Millisecond}, {Engine: "e01", Pace: pace * time.Millisecond, Held: 9}}
-		directory.SetPeerView(fmt.Sprint("other", i), told, true)
+		views := []EngineView{{Engine: "e00", Pace: pace * time.Millisecond}, {Engine: "e01", Pace: pace * time.Millisecond, Held: 9}}
+		directory.SetPeerView(fmt.Sprint("other", i), views, true)
 	}
 	is.Equal(directory.UsualPaces("p"), map[string]time.Duration{"e00": 10 * time.Millisecond, "e01": 30 * time.Millisecond})
 	is.Equal(directory.PeerSummary().Held, 0)
@@ -122,15 +121,15 @@
 func TestANewOwnerBeginsAtQuickEngines(t *testing.T) {
 	is := is.New(t)
 	directory := poolOf(8, 8)
-	var told []EngineView
+	var views []EngineView
 	for i := range 8 {
 		pace := 40 * time.Millisecond
 		if i%4 == 3 {
 			pace /= 2
 		}
-		told = append(told, EngineView{Engine: fmt.Sprintf("e%02d", i), Pace: pace})
+		views = append(views, EngineView{Engine: fmt.Sprintf("e%02d", i), Pace: pace})
 	}
-	directory.SetPeerView("before", told, true)
+	directory.SetPeerView("before", views, true)
 	want := item()
 	want.Events = 300
 	used := make(map[string]int)
@@ -141,14 +140,14 @@
 }
 
 // TestOwnersThatKnowEachOtherMeetFewFullEngines answers the load of four owners whose steps of 128 items begin a second apart, on 44
-// engines of 8 places, each item running for 4 to 8 s. An item that comes to a full engine is turned away and asks again 100 ms later. Each owner
-// hears what the others hold 300 ms late, as by way of the store. An item may be turned away once in two on average, which costs it 50 ms
-// of a run of seconds, and a place that comes free is asked for by several owners until its new holder is heard of; owners that don't know each
-// other have ten times as many turned away.
+// engines of 8 places, each item running for 4 to 8 s. An item that comes to a full engine is turned away and asks again 100 ms later. Each
+// owner reads the views of the others 300 ms late, as by way of the store. An item may be turned away once in two on average, which costs it
+// 50 ms of a run of seconds: a place that comes free is asked for by several owners until its new holder is known. Owners that don't know
+// each other have ten times as many turned away.
 func TestOwnersThatKnowEachOtherMeetFewFullEngines(t *testing.T) {
 	is := is.New(t)
 	apart, together := placeSteps(t, false), placeSteps(t, true)
-	t.Logf("turned away without word of others: %d of %d, with it: %d of %d", apart.rejected, apart.arrived, together.rejected, together.arrived)
+	t.Logf("turned away without views of others: %d of %d, with it: %d of %d", apart.rejected, apart.arrived, together.rejected, together.arrived)
 	is.Equal(apart.arrived-apart.rejected, 4*128)
 	is.Equal(together.arrived-together.rejected, 4*128)
 	is.True(2*together.rejected <= 4*128)
@@ -184,10 +183,10 @@
 			}
 		}
 		busy := make(map[string]int)
-		var told [][][]EngineView
+		var published [][][]EngineView
 		for range 30 * time.Second / tick {
 			now := time.Now()
-			words := make([][]EngineView, owners)
+			views := make([][]EngineView, owners)
 			for i, owner := range all {
 				for _, id := range owner.ending[now] {
 					owner.held[id]--
@@ -195,14 +194,14 @@
 					owner.directory.Release(id)
 				}
 				owner.place(now, busy, places, again, tick, &count)
-				words[i] = owner.directory.LocalView(owner.held)
+				views[i] = owner.directory.LocalView(owner.held)
 			}
-			told = append(told, words)
-			if late := len(told) - delay; share && late >= 0 {
+			published = append(published, views)
+			if late := len(published) - delay; share && late >= 0 {
 				for i, owner := range all {
-					for j, word := range told[late] {
+					for j, view := range published[late] {
 						if i != j {
-							owner.directory.SetPeerView(fmt.Sprint(j), word, false)
+							owner.directory.SetPeerView(fmt.Sprint(j), view, false)
 						}
 					}
 				}
@@ -251,7 +250,7 @@
 	p.waiting = kept
 }
 
-// TestWorkWaitsForHeldPlacesRatherThanFail answers the load of a pool that is full by the word of others but for an engine that breaks
+// TestWorkWaitsForHeldPlacesRatherThanFail answers the load of a pool that is full by the views of others but for an engine that breaks
 // every run off: it has room all the time, and would take run after run.
 func TestWorkWaitsForHeldPlacesRatherThanFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -265,7 +264,7 @@
 		waiting.Since = waiting.Since.Add(-probeAfter)
 		given, found := directory.Acquire(waiting)
 		is.True(found)
-		is.Equal(given.ID, "e01") // the word may be wrong
+		is.Equal(given.ID, "e01") // the view may be wrong
 		directory.Remove("e01")
 		given, found = directory.Acquire(item())
 		is.True(found)
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -114,13 +114,13 @@
 			Namespace: metricsNamespace, Name: "engine_views_written_total", Help: "Records written of what this process knows of engines.",
 		}, func() float64 { return float64(written()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_paces_told", Help: "Engines whose pace is known by the word of others alone.",
+			Namespace: metricsNamespace, Name: "engine_paces_told", Help: "Engines whose pace is known from other owners alone.",
 		}, func() float64 { return float64(known().Engines) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_places_told", Help: "Places of engines that others hold by their word.",
+			Namespace: metricsNamespace, Name: "engine_places_told", Help: "Places of engines that other owners report to hold.",
 		}, func() float64 { return float64(known().Held) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_views_age_seconds", Help: "Age of the newest word of others on engines, 0 without any.",
+			Namespace: metricsNamespace, Name: "engine_views_age_seconds", Help: "Age of the newest view of engines of another owner, 0 without any.",
 		}, func() float64 { return known().Newest.Seconds() }),
 	)
 }
