--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -104,7 +104,7 @@
 	found := l.fold.job(id)
 	size := 0
 	for position := max(found.base, from); position < found.visible && size <= limit; position++ {
-		size += found.results[position].size()
+		size += found.results[position].Size()
 	}
 	return size > limit, found.changed.Changed()
 }
@@ -129,7 +129,7 @@
 	size := 0
 	for position := max(found.base, from); position < found.visible; position++ {
 		result := found.results[position]
-		size += result.size()
+		size += result.Size()
 		if len(results) > 0 && size > limit {
 			break
 		}
@@ -138,11 +138,11 @@
 	return results
 }
 
-// resultOverhead is what a result takes in an answer besides its text, in bytes.
-const resultOverhead = 256
+// ResultOverhead is what a result takes in an answer besides its text, in bytes.
+const ResultOverhead = 256
 
-// size is about what a result takes in an answer, in bytes.
-func (r *Result) size() int { return len(r.Text) + resultOverhead }
+// Size returns about how many bytes a result takes in an answer.
+func (r *Result) Size() int { return len(r.Text) + ResultOverhead }
 
 // Item returns an item of a job.
 func (l *Ledger) Item(id, itemID string) (Item, bool) {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -66,63 +66,55 @@
 	return func(took time.Duration) { histogram.Observe(took.Seconds()) }
 }
 
-// quarantine has told how many contents are remembered.
+// gauge registers a gauge that is read when the metrics are asked for.
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
+}
+
+// counter registers a counter that is read when the metrics are asked for.
+func (m *metrics) counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, read))
+}
+
+// quarantine registers the number of contents in quarantine.
 func (m *metrics) quarantine(contents func() int) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: metricsNamespace, Name: "quarantine_contents", Help: "Contents of requests under which engines ended.",
-	}, func() float64 { return float64(contents()) }))
+	m.gauge("quarantine_contents", "Contents of requests under which engines ended.", func() float64 { return float64(contents()) })
 }
 
 // ejected registers the number of engines that are ejected.
 func (m *metrics) ejected(engines func() int) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: metricsNamespace, Name: "engines_ejected", Help: "Engines that take no work of this process for their failures.",
-	}, func() float64 { return float64(engines()) }))
+	m.gauge("engines_ejected", "Engines that take no work of this process for their failures.", func() float64 { return float64(engines()) })
 }
 
 // unread registers the counts of the budget of unread answers.
 func (m *metrics) unread(stats func() unread.Stats) {
-	m.registry.MustRegister(
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "unread_bytes", Help: "Memory reserved for answers that callers have not read.",
-		}, func() float64 { return float64(stats().Held) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "unread_cut_total", Help: "Callers cut off because they took nothing of their answer.",
-		}, func() float64 { return float64(stats().Cut) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "unread_refused_total", Help: "Answers refused because callers' answers hold the memory.",
-		}, func() float64 { return float64(stats().Refused) }),
-	)
+	m.gauge("unread_bytes", "Memory reserved for answers that callers have not read.", func() float64 { return float64(stats().Held) })
+	m.counter("unread_cut_total", "Callers cut off because they took nothing of their answer.", func() float64 { return float64(stats().Cut) })
+	m.counter("unread_refused_total", "Answers refused because callers' answers hold the memory.", func() float64 {
+		return float64(stats().Refused)
+	})
 }
 
 // member registers whether this replica takes part in owning partitions of jobs.
 func (m *metrics) member(takesPart func() bool) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: metricsNamespace, Name: "jobs_member", Help: "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.",
-	}, func() float64 {
+	m.gauge("jobs_member", "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.", func() float64 {
 		if takesPart() {
 			return 1
 		}
 		return 0
-	}))
+	})
 }
 
 // views registers what is known of engines from peers alone, and how many records of its own view this process wrote.
 func (m *metrics) views(written func() int64, known func() fleet.PeerSummary) {
-	m.registry.MustRegister(
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "engine_views_written_total", Help: "Records written of what this process knows of engines.",
-		}, func() float64 { return float64(written()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_paces_told", Help: "Engines whose pace is known from other owners alone.",
-		}, func() float64 { return float64(known().Engines) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_places_told", Help: "Places of engines that other owners report to hold.",
-		}, func() float64 { return float64(known().Held) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "engine_views_age_seconds", Help: "Age of the newest view of engines of another owner, 0 without any.",
-		}, func() float64 { return known().Newest.Seconds() }),
-	)
+	m.counter("engine_views_written_total", "Records written of what this process knows of engines.", func() float64 {
+		return float64(written())
+	})
+	m.gauge("engine_paces_told", "Engines whose pace is known from other owners alone.", func() float64 { return float64(known().Engines) })
+	m.gauge("engine_places_told", "Places of engines that other owners report to hold.", func() float64 { return float64(known().Held) })
+	m.gauge("engine_views_age_seconds", "Age of the newest view of engines of another owner, 0 without any.", func() float64 {
+		return known().Newest.Seconds()
+	})
 }
 
 // Metrics serves the replica's counters and histograms.
