Wrap long comments and plain the last ones

Cause: comment lines of up to 152 columns; comments that spoke of who tells. Change: comments only. Conclusion: no code line has changed.

--- a/internal/engineview/engineview_test.go
+++ b/internal/engineview/engineview_test.go
@@ -190,8 +190,8 @@
 	})
 }
 
-// TestRecordsStaySmall checks that an owner of 45 engines tells less than 2 KB at a time, and of the largest fleets only the engines that it
-// uses most.
+// TestRecordsStaySmall checks that an owner of 45 engines tells less than 2 KB at a time, and of the largest fleets only the engines that
+// it uses most.
 func TestRecordsStaySmall(t *testing.T) {
 	is := is.New(t)
 	of := func(engines int) []fleet.EngineView {
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -73,8 +73,8 @@
 	is.True(strings.Contains(text.String(), "held to its end by item i2 of group g2, 60 events"))
 }
 
-// TestARunOnASlowEngineIsNotLost: what came of it is kept when the item moves on, so that what an operator has to look for is a slow engine and
-// no death.
+// TestARunOnASlowEngineIsNotLost: what came of it is kept when the item moves on, so that what an operator has to look for is a slow
+// engine and no death.
 func TestARunOnASlowEngineIsNotLost(t *testing.T) {
 	is := is.New(t)
 	lines := append(stepLines(), at(1099)+" INFO run ended early job=j1 item=i2 engine=quick ending=stopped events=20")
--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -91,8 +91,8 @@
 	return directory
 }
 
-// TestOneTrialAtATime checks that one piece of work of all that wait is sent to an engine whose ejection is over, of whatever kind they are,
-// and the rest once it has shown that it does its work.
+// TestOneTrialAtATime checks that one piece of work of all that wait is sent to an engine whose ejection is over, of whatever kind they
+// are, and the rest once it has shown that it does its work.
 func TestOneTrialAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -148,8 +148,8 @@
 	})
 }
 
-// TestWhereMostEnginesAreEjectedNoneIs checks that work has an engine to try when more than half of those fit for it fail, and that a success
-// there counts: the link of whoever asks is the likelier fault.
+// TestWhereMostEnginesAreEjectedNoneIs checks that work has an engine to try when more than half of those fit for it fail, and that a
+// success there counts: the link of whoever asks is the likelier fault.
 func TestWhereMostEnginesAreEjectedNoneIs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -221,8 +221,8 @@
 	})
 }
 
-// TestARestartedEngineKnowsNothing: a process that starts again under its id serves what it then says, whatever was learnt of the one before;
-// and a record of the one before, read late, brings nothing back.
+// TestARestartedEngineKnowsNothing: a process that starts again under its id serves what it then says, whatever was learnt of the one
+// before; and a record of the one before, read late, brings nothing back.
 func TestARestartedEngineKnowsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -141,9 +141,9 @@
 
 // TestOwnersThatKnowEachOtherMeetFewFullEngines answers the load of four owners whose steps of 128 items begin a second apart, on 44
 // engines of 8 places, each item running for 4 to 8 s. An item that comes to a full engine is turned away and asks again 100 ms later. Each
-// owner reads the views of the others 300 ms late, as by way of the store. An item may be turned away once in two on average, which costs it
-// 50 ms of a run of seconds: a place that comes free is asked for by several owners until its new holder is known. Owners that don't know
-// each other have ten times as many turned away.
+// owner reads the views of the others 300 ms late, as by way of the store. An item may be turned away once in two on average, which costs
+// it 50 ms of a run of seconds: a place that comes free is asked for by several owners until its new holder is known. Owners that don't
+// know each other have ten times as many turned away.
 func TestOwnersThatKnowEachOtherMeetFewFullEngines(t *testing.T) {
 	is := is.New(t)
 	apart, together := placeSteps(t, false), placeSteps(t, true)
--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -16,15 +16,15 @@
 	items  map[int]Item
 	// index maps items to their place in the spec.
 	index map[string]int
-	// results holds the listed results by position, from base on; listed maps items to positions. visible is the first position from base
-	// on that is not listed.
+	// results holds the listed results by position, from base on; listed maps items to positions. visible is the first position from base on
+	// without a result.
 	results  map[int]*Result
 	listed   map[string]int
 	base     int
 	visible  int
 	progress map[string]*Progress
-	// lines holds the texts of items that are not listed, by item; extraKeys the keys of all their later pieces, and of results whose keys
-	// are not padded.
+	// lines holds the texts of items that are not listed, by item; extraKeys the keys that can't be derived from the job's entry, those of
+	// later pieces of progress and of results that are not padded.
 	lines     map[string]lines
 	extraKeys map[string]bool
 	// progressed counts the progress taken.
--- a/internal/job/keys_test.go
+++ b/internal/job/keys_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// TestKeysOfResultsLieInOrder checks that the keys of results, and of parts of them, lie in the order of their positions, and that those from
-// a position on, and none before, lie after the key that stands for it.
+// TestKeysOfResultsLieInOrder checks that the keys of results, and of parts of them, lie in the order of their positions, and that those
+// from a position on, and none before, lie after the key that stands for it.
 func TestKeysOfResultsLieInOrder(t *testing.T) {
 	positions := []int{0, 1, 2, 9, 10, 11, 99, 100, 12345, 99999998}
 	var keys []string
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// TestARunThatTurnsOutLongGetsAQuickPlace answers items of which nothing tells beforehand that they are much the longest: they began on slow
-// engines and stayed there for up to 9 s while short ones came and went on the quick ones, since a place that becomes free goes to an
+// TestARunThatTurnsOutLongGetsAQuickPlace answers items of which nothing tells beforehand that they are much the longest: they began on
+// slow engines and stayed there for up to 9 s while short ones came and went on the quick ones, since a place that becomes free goes to an
 // item that waits. Callers wait for the longest, thus it gets the place of a run that can wait, once and whoever else waits.
 func TestARunThatTurnsOutLongGetsAQuickPlace(t *testing.T) {
 	tests := []struct {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -3,9 +3,9 @@
 // writer of a lower one, so that a process that was paused and believes to own a partition changes nothing. Members keep their
 // names over restarts: a process that is back before its lifetime has passed has its partitions at once, and nobody else's move.
 //
-// A group deals evenly, whatever the members' sizes. Where machines state their share of a processor, the small ones stand by while larger
-// ones hold all partitions and have more of a processor for each than they would give; see policy.StandsBy. The list of owners is all
-// that they go by: members' names tell their shares.
+// A group deals evenly, whatever the members' sizes. Where machines state their share of a processor, small ones stand by while larger ones
+// hold all partitions and have more of a processor for each than the small ones would give; see policy.StandsBy. Machines decide that by
+// the list of owners alone, since members' names contain their shares.
 package ownership
 
 import (
@@ -39,7 +39,7 @@
 	Log    keyedlog.Log
 	Group  string
 	Member string
-	// Share is what the machine has of a processor, in cores. 0 stands for not known: the manager then always is a member.
+	// Share is what the machine has of a processor, in cores; 0 if that is not known, which makes it a member at all times.
 	Share  float64
 	Topics []keyedlog.Topic
 	// Lifetime is how long the member may be silent before its partitions pass on.
@@ -62,14 +62,14 @@
 	config Config
 	// member is the name in the group.
 	member string
-	// changed has a value when the group has a new generation that nobody has looked at.
+	// changed has a value when the group has a new generation since watch read it.
 	changed chan struct{}
-	// takesPart tells whether the process is a member, for those who ask from other goroutines.
+	// takesPart is TakesPart, which any goroutine may call.
 	takesPart atomic.Bool
 
 	generation int64
 	held       map[keyedlog.Partition]*holding
-	// count is how many partitions are held, for those who ask from other goroutines.
+	// count is how many partitions are held, for Holds, which any goroutine may call.
 	count atomic.Int32
 	// heard is when the last join that was answered was sent.
 	heard     time.Time
@@ -208,7 +208,7 @@
 	return released
 }
 
-// announceChange has the watch look at the group.
+// announceChange has watch read the group.
 func (m *Manager) announceChange() {
 	select {
 	case m.changed <- struct{}{}:
--- a/internal/policy/lengths_test.go
+++ b/internal/policy/lengths_test.go
@@ -52,8 +52,8 @@
 	is.True(math.Abs(lengths.Left(100, 0)-30) < 1e-9)
 }
 
-// TestNoItemIsExpectedToBeLongerThanAny answers engines that end answers at some number of tokens: ratios that short items came to made steps
-// out to last twice as long as any item does, so that items which held them seemed to have time.
+// TestNoItemIsExpectedToBeLongerThanAny answers engines that end answers at some number of tokens: ratios that short items came to made
+// steps out to last twice as long as any item does, so that items which held them seemed to have time.
 func TestNoItemIsExpectedToBeLongerThanAny(t *testing.T) {
 	const most = 145
 	is := is.New(t)
--- a/internal/policy/pace_test.go
+++ b/internal/policy/pace_test.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// TestOnlyWorkBeyondItsSlackInsists answers steps of which a few items are much the longest: the others took the quick engines' places first
-// come, waited for them beside slow engines that stood idle, and moved there, and none of that made their step end sooner.
+// TestOnlyWorkBeyondItsSlackInsists answers steps of which a few items are much the longest: the others took the quick engines' places
+// first come, waited for them beside slow engines that stood idle, and moved there, and none of that made their step end sooner.
 func TestOnlyWorkBeyondItsSlackInsists(t *testing.T) {
 	const quick, slow = 27 * time.Millisecond, 60 * time.Millisecond
 	is := is.New(t)
--- a/internal/replica/settings.go
+++ b/internal/replica/settings.go
@@ -20,7 +20,7 @@
 	// MemoryBytes is the most memory the process may use.
 	MemoryBytes    int64
 	MaxDescriptors int
-	// ProcessorShare is what the process has of a processor, in cores; 0 if that is not told.
+	// ProcessorShare is what the process has of a processor, in cores; 0 if the settings don't state it.
 	ProcessorShare float64
 	// GracePeriod is the time between the order to stop and the kill.
 	GracePeriod time.Duration
--- a/internal/unread/stream_test.go
+++ b/internal/unread/stream_test.go
@@ -13,8 +13,8 @@
 	"github.com/hillfork/hillfork/internal/unread"
 )
 
-// TestAStreamThatPausesIsWhole has an answer pause, and end, long after its reader took the last of it: the time to take a part is not one to
-// wait for the next.
+// TestAStreamThatPausesIsWhole has an answer pause, and end, long after its reader took the last of it: the time to take a part is not one
+// to wait for the next.
 func TestAStreamThatPausesIsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const address = "10.1.0.1:80"
--- a/internal/weightroll/balance_test.go
+++ b/internal/weightroll/balance_test.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// TestBalanceKeepsShares checks on any pool that a balance moves no engine to where none was, keeps the numbers of each model, swaps nothing the
-// second time, and leaves no model further from its part than the one furthest off was.
+// TestBalanceKeepsShares checks on any pool that a balance moves no engine to where none was, keeps the numbers of each model, swaps
+// nothing the second time, and leaves no model further from its part than the one furthest off was.
 func TestBalanceKeepsShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		pool := engines(rapid.IntRange(2, 40).Draw(t, "engines"), nil)
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -53,7 +53,7 @@
 	Client    engineapi.Client
 	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any.
 	Loads func() map[string]policy.StepLoad
-	// Paces returns the usual time between two events of the engines of a pool, as far as it is known; nil if nothing is known of any.
+	// Paces returns the usual time between two events of a pool's engines, by id, as far as it is known. A nil function stands for none.
 	Paces func(pool string) map[string]time.Duration
 	// Node names the holder in orders: the machine, which runs one process at a time.
 	Node string
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -55,7 +55,7 @@
 	return assignment
 }
 
-// paces returns the usual paces of a pool's engines, nil if nobody tells of any.
+// paces returns the usual paces of a pool's engines by id, nil if none is known.
 func (r *roller) paces(pool string) map[string]time.Duration {
 	if r.config.Paces == nil {
 		return nil
