--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -372,7 +372,7 @@
 	}
 }
 
-// failure says what an attempt that was not sent shows of the engine: no word came in the time that was left, or there is no connection.
+// failure returns the kind of failure of an attempt that was not sent: the time was over before there was a connection, or none was made.
 func (a *attempt) failure() policy.Failure {
 	if errors.Is(a.err, context.Canceled) || errors.Is(a.err, context.DeadlineExceeded) {
 		return policy.FailureInWork
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// TestARunThatTurnsOutLongGetsAQuickPlace answers items of which nothing tells beforehand that they are much the longest: they began on
-// slow engines and stayed there for up to 9 s while short ones came and went on the quick ones, since a place that becomes free goes to an
-// item that waits. Callers wait for the longest, thus it gets the place of a run that can wait, once and whoever else waits.
+// TestARunThatTurnsOutLongGetsAQuickPlace answers items that turn out much the longest only while they run, on slow engines. Without a
+// reservation they stay there for up to 9 s while short ones come and go on the quick ones, since a place that becomes free goes to an item
+// that waits. Callers wait for the longest, so that it gets the place of a run that can wait, once and whoever else waits.
 func TestARunThatTurnsOutLongGetsAQuickPlace(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/jobs/position_test.go
+++ b/internal/jobs/position_test.go
@@ -50,7 +50,7 @@
 // textOf is the text of the result at a position.
 func textOf(position int) string { return fmt.Sprint("text ", position) }
 
-// list lists the results from a position to before another. Those that plain names lie under keys as processes wrote them before.
+// list lists the results from a position to before another. Those for which plain is true lie under keys without padding.
 func (j *listedJob) list(t *testing.T, from, to int, plain func(position int) bool) {
 	t.Helper()
 	for position := from; position < to; position++ {
@@ -103,8 +103,8 @@
 	}
 }
 
-// TestAReadBringsWhatLiesBehindItsPosition has the last of 200 results asked for. Each call of a caller comes to another process, which
-// read all results of the job for it: up to 1.1 s of a step on links of 45 to 60 Mbit/s.
+// TestAReadBringsWhatLiesBehindItsPosition has the last of 200 results asked for. Each call of a caller comes to another process. To read all
+// results of the job for it takes up to 1.1 s of a step on links of 45 to 60 Mbit/s.
 func TestAReadBringsWhatLiesBehindItsPosition(t *testing.T) {
 	// A page of the store holds three records.
 	const listed, asked, recordsMost = 200, 198, 6
@@ -126,8 +126,8 @@
 	}
 }
 
-// TestNothingIsReadBetweenCallsThatGoElsewhere has others fill the partition after one call: the process read all that they appended for
-// some seconds, at as many processes as a caller's calls come to.
+// TestNothingIsReadBetweenCallsThatGoElsewhere has others fill the partition after one call. A process that reads on between calls reads all
+// that they append, at as many processes as a caller's calls come to.
 func TestNothingIsReadBetweenCallsThatGoElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		many := newListedJob(t, 100)
