--- a/internal/jobs/position_test.go
+++ b/internal/jobs/position_test.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// TestAReadBringsWhatLiesBehindItsPosition has the last of 200 results asked for. Each call of a caller comes to another process. To read all
-// results of the job for it takes up to 1.1 s of a step on links of 45 to 60 Mbit/s.
+// TestAReadBringsWhatLiesBehindItsPosition has the last of 200 results asked for. Each call of a caller comes to another process. To read
+// all results of the job for it takes up to 1.1 s of a step on links of 45 to 60 Mbit/s.
 func TestAReadBringsWhatLiesBehindItsPosition(t *testing.T) {
 	// A page of the store holds three records.
 	const listed, asked, recordsMost = 200, 198, 6
@@ -126,8 +126,8 @@
 	}
 }
 
-// TestNothingIsReadBetweenCallsThatGoElsewhere has others fill the partition after one call. A process that reads on between calls reads all
-// that they append, at as many processes as a caller's calls come to.
+// TestNothingIsReadBetweenCallsThatGoElsewhere has others fill the partition after one call. A process that reads on between calls reads
+// all that they append, at as many processes as a caller's calls come to.
 func TestNothingIsReadBetweenCallsThatGoElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		many := newListedJob(t, 100)
