--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -91,14 +91,14 @@
 	return directory
 }
 
-// TestOneTrialAtATime checks that one piece of work of all that wait is sent to an engine whose ejection is over, of whatever kind they are,
-// and the rest once it has shown that it does its work.
+// TestOneTrialAtATime checks that one piece of work of all that wait is sent to an engine whose ejection is over, of whatever kind they
+// are, and the rest once it has shown that it does its work.
 func TestOneTrialAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		directory := ejected(3, "0")
 		var told []fleet.Ejection
-		directory.WatchEjections(func(ejection fleet.Ejection) { told = append(told, ejection) })
+		directory.OnEjection(func(ejection fleet.Ejection) { told = append(told, ejection) })
 		m := fleet.Want{Pool: "p", Model: "m", Share: 1}
 		n := fleet.Want{Pool: "p", Model: "n", Share: 1}
 		placed := func(wants ...fleet.Want) int {
@@ -148,8 +148,8 @@
 	})
 }
 
-// TestWhereMostEnginesAreEjectedNoneIs checks that work has an engine to try when more than half of those fit for it fail, and that a success
-// there counts: the link of whoever asks is the likelier fault.
+// TestWhereMostEnginesAreEjectedNoneIs checks that work has an engine to try when more than half of those fit for it fail, and that a
+// success there counts: the link of whoever asks is the likelier fault.
 func TestWhereMostEnginesAreEjectedNoneIs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/jobrun/decline_test.go
+++ b/internal/jobrun/decline_test.go
@@ -119,12 +119,12 @@
 		w.engines.Behave("model0", memoryengine.Behaviour{Down: true})
 		w.engines.Behave("model0", memoryengine.Behaviour{Full: true})
 		for range 40 {
-			owner.directory.SetTold("other", []fleet.Told{{Engine: "model1", Held: 4}}, false)
+			owner.directory.SetPeerView("other", []fleet.EngineView{{Engine: "model1", Held: 4}}, false)
 			time.Sleep(100 * time.Millisecond)
 		}
 		w.engines.Behave("model0", memoryengine.Behaviour{Pace: pace})
 		for range 20 {
-			owner.directory.SetTold("other", []fleet.Told{{Engine: "model1", Held: 4}}, false)
+			owner.directory.SetPeerView("other", []fleet.EngineView{{Engine: "model1", Held: 4}}, false)
 			time.Sleep(100 * time.Millisecond)
 		}
 		owner.checkWhole(one)
--- a/internal/policy/pace_test.go
+++ b/internal/policy/pace_test.go
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	var pace policy.Pace
 	is.Equal(pace.Outlook(time.Unix(1000, 0)), policy.Outlook{})
-	pace.Learn(learnt)
+	pace.Seed(learnt)
 	is.Equal(pace.Outlook(time.Unix(1000, 0)), policy.Steady(learnt))
 	now := time.Unix(1000, 0)
 	stream := func(count int) {
@@ -55,7 +55,7 @@
 		}
 		is.Equal(pace.Outlook(now), policy.Steady(slow))
 	}
-	pace.Learn(learnt)
+	pace.Seed(learnt)
 	is.Equal(pace.Usual(), slow)
 }
 
@@ -158,8 +158,8 @@
 	}
 }
 
-// TestOnlyWorkBeyondItsSlackInsists answers steps of which a few items are much the longest: the others took the quick engines' places first
-// come, waited for them beside slow engines that stood idle, and moved there, and none of that made their step end sooner.
+// TestOnlyWorkBeyondItsSlackInsists answers steps of which a few items are much the longest: the others took the quick engines' places
+// first come, waited for them beside slow engines that stood idle, and moved there, and none of that made their step end sooner.
 func TestOnlyWorkBeyondItsSlackInsists(t *testing.T) {
 	const quick, slow = 27 * time.Millisecond, 60 * time.Millisecond
 	is := is.New(t)
--- a/internal/weightroll/balance.go
+++ b/internal/weightroll/balance.go
@@ -13,15 +13,17 @@
 	// paceRatioLeast is how much quicker one engine must be than another for the two to be swapped between models. Measured paces of
 	// equal engines differ by a few percent.
 	paceRatioLeast = 1.3
-	// swapShare is how many times what a swap moves one model must have too much and the other too little. Above a half, the swap leaves both
-	// nearer to their part than they were; above one, it is not undone when the shares of models change by an engine.
-	swapShare = 1.25
+	// swapFrom is how many times the speed moved by a swap one of the two models must be off its part. Above one, a swap is not undone when
+	// the shares of models change by an engine.
+	swapFrom = 1.25
+	// swapLeast is the same for the other one of the two. From a half on, a swap takes neither further from its part.
+	swapLeast = 0.5
 )
 
-// Balance swaps engines between the models of an assignment until each has its part of the pool's speed, and returns the assignment with how
-// many pairs were swapped. The longest item of a step runs on one engine to its end, so that a model without quick engines is late
-// whatever their number. An engine whose pace is not known counts as a typical one. Only engines that mayMove are swapped; each costs
-// one load more than it would have had.
+// Balance swaps engines between the models of an assignment until each model has its part of the pool's speed, and returns the assignment
+// and how many pairs were swapped. A step ends with its longest item, which runs on one engine, so that a model without quick engines is
+// late however many it has. An engine of unknown pace counts as a typical one. Only engines for which mayMove returns true are swapped;
+// each costs a load of weights.
 func Balance(
 	assignment Assignment, engines []fleet.Engine, shares map[string]int, paces map[string]time.Duration, mayMove func(id string) bool,
 ) (Assignment, int) {
@@ -108,7 +110,8 @@
 			if moves <= best || over[to] >= 0 || known[fast] < paceRatioLeast*known[other] || !mayMove(other) {
 				continue
 			}
-			if over[from] >= swapShare*moves && -over[to] >= swapShare*moves {
+			tooMuch, tooLittle := over[from]/moves, -over[to]/moves
+			if max(tooMuch, tooLittle) >= swapFrom && min(tooMuch, tooLittle) >= swapLeast {
 				quick, slow, best, found = fast, other, moves, true
 			}
 		}
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -53,7 +53,7 @@
 	Client    engineapi.Client
 	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any.
 	Loads func() map[string]policy.StepLoad
-	// Paces returns the usual time between two events of the engines of a pool, as far as it is known; nil if nothing is known of any.
+	// Paces returns the usual time between two events of a pool's engines, by id, as far as it is known. A nil function stands for none.
 	Paces func(pool string) map[string]time.Duration
 	// Node names the holder in orders: the machine, which runs one process at a time.
 	Node string
@@ -113,7 +113,7 @@
 	loading map[string]map[string]string
 	// publishing holds the pools whose assignment is being told.
 	publishing map[string]bool
-	// sequences holds how many orders an engine has taken, as far as this process knows.
+	// sequences holds how many orders each engine has taken, by engine, as far as this process knows.
 	sequences map[string]sequence
 	retryAt   map[string]time.Time
 	// usual is the smoothed time of a load, quickest the shortest.
@@ -127,7 +127,7 @@
 
 // sequence is how many orders an incarnation of an engine has taken since its start.
 type sequence struct {
-	by     fleet.Engine
+	engine fleet.Engine
 	orders int64
 }
 
