--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -123,7 +123,9 @@
 		is := is.New(t)
 		directory := poolOf(1, 4)
 		directory.Paced("e00", 90*time.Millisecond)
-		tell := func() { directory.SetPeerView("other", []EngineView{{Engine: "e00", Pace: 30 * time.Millisecond}}, false) }
+		tell := func() {
+			directory.SetPeerView("other", []EngineView{{Engine: "e00", Pace: 30 * time.Millisecond}}, false)
+		}
 		tell()
 		is.Equal(directory.UsualPaces("p")["e00"], 90*time.Millisecond)
 		time.Sleep(paceTTL)
