--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -189,6 +189,10 @@
 		return nil
 	}
 	outlook := current.pace.Outlook(now)
+	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, "", now).quickest), want.Slack) {
+		// As in AcquireBetter: in a pool of thousands of engines the look at each is dear, and items look four times a second.
+		return nil
+	}
 	want.Exclude = []string{id}
 	candidates := d.candidates(want, now)
 	known := newSurvey(candidates, want)
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -83,7 +83,7 @@
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}),
 		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int),
-		looked: make(map[string]shareLook), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
+		looked: make(map[string]shareLook), balancedAt: make(map[string]time.Time), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
 		together: make(map[string]*concurrency), waiting: make(map[string]int),
 		sequences: make(map[string]sequence), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, quickest: loadUsual, namedAt: make(map[string]naming),
@@ -107,8 +107,9 @@
 	assignments map[string]Assignment
 	// shares maps pools to how many engines each model is to have.
 	shares map[string]map[string]int
-	// looked holds when these were last worked out, by pool.
-	looked map[string]shareLook
+	// looked holds when these were last worked out, by pool; balancedAt when engines were last compared by pace.
+	looked     map[string]shareLook
+	balancedAt map[string]time.Time
 	// loading maps pools to the engines that are being ordered, with the model.
 	loading map[string]map[string]string
 	// publishing holds the pools whose assignment is being told.
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -42,10 +42,7 @@
 		}
 		return targets[model] > 0 && engine.Serves(model) >= targets[model]
 	})
-	assignment, swapped := Balance(assignment, engines, shares, r.paces(pool), func(id string) bool {
-		_, loading := r.loading[pool][id]
-		return !loading
-	})
+	assignment, swapped := r.balance(pool, assignment, engines, shares)
 	if !maps.Equal(assignment, previous) {
 		r.assignments[pool] = assignment
 		r.publish(ctx, pool)
@@ -55,6 +52,25 @@
 	return assignment
 }
 
+// balanceEvery is how often engines are compared by pace: a plan is made ten times a second and more, usual paces change over seconds, and
+// a pool may have thousands of engines.
+const balanceEvery = time.Second
+
+// balance swaps engines between models by their paces, unless that was done just now.
+func (r *roller) balance(
+	pool string, assignment Assignment, engines []fleet.Engine, shares map[string]int,
+) (balanced Assignment, swapped int) {
+	now := time.Now()
+	if now.Sub(r.balancedAt[pool]) < balanceEvery {
+		return assignment, 0
+	}
+	r.balancedAt[pool] = now
+	return Balance(assignment, engines, shares, r.paces(pool), func(id string) bool {
+		_, loading := r.loading[pool][id]
+		return !loading
+	})
+}
+
 // paces returns the usual paces of a pool's engines by id, nil if none is known.
 func (r *roller) paces(pool string) map[string]time.Duration {
 	if r.config.Paces == nil {
