Ask once whether a move can pay before looking at the engines of a pool

Cause: AcquireBetter and Better each had the same look at the current engine and at the pool's quickest pace; the second was added as a copy of the first. Change: one function for both, improvable. Behaviour is as before.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -128,21 +128,29 @@
 	return engine, true
 }
 
+// improvable returns the outlook of the engine at which work runs, and whether any engine of the pool is quick enough for a move to pay,
+// whatever may run there. That spares the look at each engine: a pool may have thousands, and items ask four times a second. The mutex must
+// be held.
+func (d *Directory) improvable(id string, want Want, now time.Time) (outlook policy.Outlook, ok bool) {
+	current, ok := d.engines[id]
+	if !ok {
+		return policy.Outlook{}, false
+	}
+	outlook = current.pace.Outlook(now)
+	quickest := policy.Steady(d.paceOf(want.Pool, "", now).quickest)
+	return outlook, policy.WorthMoving(want.Events, outlook, quickest, want.Slack)
+}
+
 // AcquireBetter picks an engine at which work that runs elsewhere ends so much earlier that it is worth moving, and counts it as
 // in flight there. Release must follow.
 func (d *Directory) AcquireBetter(id string, want Want) (Engine, bool) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	current, ok := d.engines[id]
+	outlook, ok := d.improvable(id, want, now)
 	if !ok {
 		return Engine{}, false
 	}
-	outlook := current.pace.Outlook(now)
-	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, "", now).quickest), want.Slack) {
-		// No engine of the pool is quick enough, whatever may run there.
-		return Engine{}, false
-	}
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
@@ -184,15 +192,10 @@
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	current, ok := d.engines[id]
+	outlook, ok := d.improvable(id, want, now)
 	if !ok {
 		return nil
 	}
-	outlook := current.pace.Outlook(now)
-	if !policy.WorthMoving(want.Events, outlook, policy.Steady(d.paceOf(want.Pool, "", now).quickest), want.Slack) {
-		// As in AcquireBetter: in a pool of thousands of engines the look at each is dear, and items look four times a second.
-		return nil
-	}
 	want.Exclude = []string{id}
 	candidates := d.candidates(want, now)
 	known := newSurvey(candidates, want)
