Time reads out by what reads of their topic take

Cause: one estimate of how long an answer takes served all reads. The small ones of the operator's records, of which there are many, set it to some 120 ms and reset its backoff, so that a page of all engines was given up before it could come, thrown away and asked for again: at 985 replicas a collapse that keeps itself up. It grows with processes x bytes of a page; with few processes a page comes within the time. Ruled out: a longer timeout for all, which would lengthen what a lost answer of a small read costs. Change: an estimate for each topic. The stand-in of the store can share a rate of bytes among its reads.

--- a/internal/standin/memorylog/memorylog.go
+++ b/internal/standin/memorylog/memorylog.go
@@ -60,6 +60,9 @@
 	Delay time.Duration
 	// PageRecords is how many of the newest records a page holds; few if it is 0, so that tests meet several pages.
 	PageRecords int
+	// ReadRate is how many bytes a second all reads together get, 0 for no bound. Answers leave one after the other, and those that nobody
+	// waits for any more take their time all the same.
+	ReadRate int
 }
 
 // Store is the store. It is safe for concurrent use.
@@ -71,6 +74,9 @@
 	partitions map[keyedlog.Partition]*partition
 	groups     map[string]*group
 	appends    int
+	// linkFree is when the last answer that was begun has left, sent how many bytes of records were asked for.
+	linkFree time.Time
+	sent     int64
 }
 
 type partition struct {
@@ -112,6 +118,43 @@
 	return s.appends
 }
 
+// Sent returns how many bytes of records were read, keys included.
+func (s *Store) Sent() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.sent
+}
+
+// transfer waits until an answer of a size has left the store.
+func (s *Store) transfer(ctx context.Context, size int) error {
+	s.mutex.Lock()
+	s.sent += int64(size)
+	if s.config.ReadRate == 0 {
+		s.mutex.Unlock()
+		return nil
+	}
+	now := time.Now()
+	if s.linkFree.Before(now) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(time.Duration(float64(size) / float64(s.config.ReadRate) * float64(time.Second)))
+	wait := s.linkFree.Sub(now)
+	s.mutex.Unlock()
+	if !pause.For(ctx, wait) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// sizeOf returns how many bytes records have, keys included.
+func sizeOf(records []keyedlog.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return size
+}
+
 // Heal lets all calls through again.
 func (s *Store) Heal() {
 	s.SetRule(func(Call) Fault { return None })
@@ -299,7 +342,7 @@
 		}
 		left := time.Until(deadline)
 		if len(records) > 0 || left <= 0 {
-			return keyedlog.Batch{Records: records, End: end}, nil
+			return keyedlog.Batch{Records: records, End: end}, v.store.transfer(ctx, sizeOf(records))
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -337,6 +380,11 @@
 	if _, _, err := v.meet(ctx, Call{Operation: "newest", Partition: name}); err != nil {
 		return keyedlog.Page{}, err
 	}
+	page := v.page(name, afterKey)
+	return page, v.store.transfer(ctx, sizeOf(page.Records))
+}
+
+func (v *view) page(name keyedlog.Partition, afterKey string) keyedlog.Page {
 	v.store.mutex.Lock()
 	defer v.store.mutex.Unlock()
 	found := v.store.partition(name)
@@ -351,5 +399,5 @@
 		}
 		page.Records = append(page.Records, found.newest[key])
 	}
-	return page, nil
+	return page
 }
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -23,10 +23,12 @@
 type Log struct {
 	keyedlog.Log
 	writes estimator
-	reads  estimator
 	groups estimator
 
 	mutex sync.Mutex
+	// reads holds an estimator for each topic: a page of all engines takes many times as long as one of the operator's records, and would be
+	// given up and asked for again by the time that those take.
+	reads map[keyedlog.Topic]*estimator
 	// underWay holds the calls that wait for an answer, heard is when one came last, returned when one came after the store was away.
 	underWay map[*call]struct{}
 	heard    time.Time
@@ -69,6 +71,21 @@
 	return answer, err
 }
 
+// readsOf returns the estimator of a topic's reads.
+func (l *Log) readsOf(topic keyedlog.Topic) *estimator {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.reads == nil {
+		l.reads = make(map[keyedlog.Topic]*estimator)
+	}
+	found, ok := l.reads[topic]
+	if !ok {
+		found = &estimator{}
+		l.reads[topic] = found
+	}
+	return found
+}
+
 // begin notes a call.
 func (l *Log) begin(cancel context.CancelFunc) *call {
 	own := &call{began: time.Now(), cancel: cancel}
@@ -119,7 +136,7 @@
 
 // Newest returns a page of the newest records, within the time that pages take.
 func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
-	return bound(ctx, l, &l.reads, func(ctx context.Context) (keyedlog.Page, error) {
+	return bound(ctx, l, l.readsOf(partition.Topic), func(ctx context.Context) (keyedlog.Page, error) {
 		return l.Log.Newest(ctx, partition, afterKey)
 	})
 }
@@ -131,17 +148,18 @@
 func (l *Log) Read(
 	ctx context.Context, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
+	reads := l.readsOf(partition.Topic)
 	if span.Wait == 0 {
-		return bound(ctx, l, &l.reads, func(ctx context.Context) (keyedlog.Batch, error) {
+		return bound(ctx, l, reads, func(ctx context.Context) (keyedlog.Batch, error) {
 			return l.Log.Read(ctx, partition, span)
 		})
 	}
-	allowed := l.reads.timeout()
+	allowed := reads.timeout()
 	callCtx, cancel := context.WithTimeout(ctx, span.Wait+readSlack+allowed)
 	defer cancel()
 	batch, err := l.Log.Read(callCtx, partition, span)
 	if err != nil && ctx.Err() == nil && callCtx.Err() != nil {
-		l.reads.expired(allowed)
+		reads.expired(allowed)
 	}
 	return batch, err
 }
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -175,3 +175,27 @@
 		is.True(failures <= 4)
 	})
 }
+
+// TestLargePagesHaveTimeoutsOfTheirOwn reads small pages of one topic all the while, and pages of another that take three times as long as
+// any timeout that the small ones lead to. None of the large ones may be given up: each would be sent in vain and asked for again.
+func TestLargePagesHaveTimeoutsOfTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 36_000
+		store := memorylog.New(memorylog.Config{Partitions: 1, ReadRate: size * 10 / 4, PageRecords: 1, Delay: 4 * time.Millisecond})
+		large := keyedlog.Partition{Topic: keyedlog.TopicEngines}
+		_, err := store.For("writer").Append(t.Context(), large, []keyedlog.Record{{Key: "k", Value: make([]byte, size)}}, nil)
+		is.NoErr(err)
+		log := New(store.For("node"))
+		for range 50 {
+			_, err := log.Newest(t.Context(), partition, "")
+			is.NoErr(err)
+		}
+		for range 5 {
+			_, err := log.Newest(t.Context(), large, "")
+			is.NoErr(err)
+			_, err = log.Newest(t.Context(), partition, "")
+			is.NoErr(err)
+		}
+	})
+}
