Publish a short list of engines for replicas that only send requests

Cause: every replica read every engine's own record: some 550 B, in which eight models' versions stand, at a start and again with each load of weights. Ruled out: heartbeats, which leave no record. Change: only replicas whose partitions have them act on engines read the engines' own records: their number goes by partitions, not by the fleet. They keep a short list in the store of the engines that requests are sent to, some 45 B each, without versions; the owner of a partition of it at once, others after 0.4 to 1.2 s if nobody did. All others read that list, after a start a page of it from anywhere, and no orders of weights unless requests go to the pool. Entries tell the offset they were made of, so that no fence is needed. Conclusion: a replica that owns nothing no longer pays for loads of weights, nor for engines that it sends nothing to.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -144,3 +144,17 @@
 	}
 	return route.Priority
 }
+
+// RequestedPools returns the pools that callers' requests are sent to, unlike those that only run items of jobs.
+func (c *Catalog) RequestedPools() map[string]bool {
+	pools := make(map[string]bool)
+	for _, route := range c.Routes {
+		if route.Kind == KindJobs {
+			continue
+		}
+		for _, target := range route.Targets {
+			pools[target.Pool] = true
+		}
+	}
+	return pools
+}
--- /dev/null
+++ b/internal/enginelist/enginelist_test.go
@@ -0,0 +1,197 @@
+package enginelist_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/enginelist"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
+	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+const pool = "application"
+
+var partition = enginelist.PartitionOf(pool, 1)
+
+// process is one that has the list, and keeps it if it reads engines' own records.
+type process struct {
+	list      *enginelist.List
+	keeper    *enginelist.Keeper
+	directory *fleet.Directory
+	stop      func()
+}
+
+// startProcess starts one that reads all of the list if whole is set.
+func startProcess(t *testing.T, store *memorylog.Store, name string, whole bool) *process {
+	directory := fleet.NewDirectory()
+	list := enginelist.NewList(directory, 1)
+	list.SetPools(map[string]bool{pool: true})
+	logger := log.New(io.Discard)
+	p := &process{
+		list: list, directory: directory,
+		keeper: enginelist.NewKeeper(enginelist.KeeperConfig{Log: store.For(name), List: list, Logger: logger}),
+	}
+	config := follow.Config{
+		Log: store.For(name), Partition: partition, Wait: time.Second, Logger: logger,
+		Applier: enginelist.NewReader(list, partition.Number, whole, logger),
+	}
+	if !whole {
+		config.Sample = enginelist.HashKey(name)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { follow.New(config).Run(ctx) })
+	running.Go(func() { p.keeper.Run(ctx) })
+	p.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	return p
+}
+
+func engine(number int) fleet.Engine {
+	return fleet.Engine{
+		ID: fmt.Sprint("engine-", number), Pool: pool, Zone: "zone-a", Slots: 6,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 8080).String(),
+	}
+}
+
+// own has a process read that there are engines, from an offset on.
+func (p *process) own(offset int64, engines ...fleet.Engine) {
+	for i, next := range engines {
+		p.directory.Upsert(next)
+		p.list.Own(next, offset+int64(i))
+	}
+	p.list.OwnRead(offset + int64(len(engines)))
+}
+
+func some(count int) []fleet.Engine {
+	var engines []fleet.Engine
+	for i := range count {
+		engines = append(engines, engine(i))
+	}
+	return engines
+}
+
+// TestAnotherProcessKeepsTheListWhenTheFirstInChargeIsGone has two processes read the engines' own records, of which the one in charge
+// ends before it has written what changes.
+func TestAnotherProcessKeepsTheListWhenTheFirstInChargeIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		first, second := startProcess(t, store, "first", true), startProcess(t, store, "second", true)
+		reader := startProcess(t, store, "reader", false)
+		first.keeper.Gained(t.Context(), partition, 1)
+		first.own(0, some(20)...)
+		second.own(0, some(20)...)
+		is.True(!reader.directory.Known())
+		time.Sleep(300 * time.Millisecond)
+		is.True(reader.directory.Known())
+		is.Equal(len(reader.directory.Pool(pool)), 20)
+		is.Equal(second.keeper.Written(), int64(0))
+
+		first.stop()
+		leaving := engine(3)
+		leaving.Draining = true
+		second.own(20, leaving)
+		second.directory.Remove("engine-4")
+		second.list.OwnGone("engine-4")
+		time.Sleep(1500 * time.Millisecond)
+		known, found := reader.directory.Engine("engine-3")
+		is.True(found && known.Draining)
+		_, found = reader.directory.Engine("engine-4")
+		is.True(!found)
+		second.stop()
+		reader.stop()
+	})
+}
+
+// TestALateWriterIsPutRight has a process that was suspended write what it knew long ago over what is true now.
+func TestALateWriterIsPutRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		late := startProcess(t, store, "late", true)
+		late.own(0, engine(1))
+		time.Sleep(2 * time.Second)
+		late.stop()
+		stale := store.Records(partition)[0]
+
+		keeper, reader := startProcess(t, store, "keeper", true), startProcess(t, store, "reader", false)
+		keeper.keeper.Gained(t.Context(), partition, 2)
+		leaving := engine(1)
+		leaving.Draining = true
+		leaving.Address = "10.9.9.9:80"
+		keeper.own(7, leaving)
+		time.Sleep(time.Second)
+		_, err := store.For("late").Append(t.Context(), partition, []keyedlog.Record{stale}, nil)
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+		known, _ := reader.directory.Engine("engine-1")
+		is.Equal(known.Address, "10.9.9.9:80")
+		time.Sleep(1500 * time.Millisecond)
+		newcomer := startProcess(t, store, "newcomer", false)
+		time.Sleep(100 * time.Millisecond)
+		known, _ = newcomer.directory.Engine("engine-1")
+		is.Equal(known.Address, "10.9.9.9:80")
+		keeper.stop()
+		reader.stop()
+		newcomer.stop()
+	})
+}
+
+// TestALargeListIsReadInPart starts a process before a list of many pages: it reads enough of it, anywhere, and not all.
+func TestALargeListIsReadInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		keeper := startProcess(t, store, "keeper", true)
+		keeper.keeper.Gained(t.Context(), partition, 1)
+		keeper.own(0, some(4000)...)
+		time.Sleep(2 * time.Second)
+		for i := range 20 {
+			reader := startProcess(t, store, fmt.Sprint("reader-", i), false)
+			time.Sleep(time.Second)
+			is.True(reader.directory.Known())
+			engines := len(reader.directory.Pool(pool))
+			is.True(engines >= 500 && engines < 1000)
+			reader.stop()
+		}
+		keeper.stop()
+	})
+}
+
+// TestAnOwnerGoesByEnginesThemselves has a process that has the list begin to read the engines' own records, and end that again.
+func TestAnOwnerGoesByEnginesThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		keeper, other := startProcess(t, store, "keeper", true), startProcess(t, store, "other", true)
+		keeper.keeper.Gained(t.Context(), partition, 1)
+		keeper.own(0, some(3)...)
+		time.Sleep(time.Second)
+		is.Equal(len(other.directory.Pool(pool)), 3)
+
+		// It reads that one engine is gone and one is new before the keeper does.
+		other.own(1, engine(1), engine(2), engine(9))
+		_, found := other.directory.Engine("engine-0")
+		is.True(!found)
+		is.Equal(len(other.directory.Pool(pool)), 3)
+		other.list.OwnUnread()
+		is.Equal(len(other.directory.Pool(pool)), 3)
+		_, found = other.directory.Engine("engine-9")
+		is.True(!found)
+		keeper.stop()
+		other.stop()
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,6 +51,9 @@
 	// After is the key after which those keys lie, empty for all. Where it or Prefix is set, callers that wait for the follower wait for what
 	// the partition held when the newest records were asked for, not for records that came since.
 	After string
+	// Sample is the key after which a process that needs only some of the keys reads a page of newest records, and another one from the first
+	// key on where that page reaches the last; empty to read all. What is appended later is read whole.
+	Sample string
 	// Bytes is about how much one read returns at most, 0 for as much as the store gives.
 	Bytes int
 	// Wait is how long the store may hold a read open.
@@ -190,7 +193,12 @@
 	if f.pager == nil {
 		f.pager, f.seen = newPager(f.config.Log, f.config.Partition, f.config.Prefix, f.config.After), make(map[string]bool)
 	}
-	err := f.pager.read(ctx, func(record keyedlog.Record) {
+	read := f.pager.read
+	if f.config.Sample != "" {
+		f.pager.after = f.config.Sample
+		read = f.pager.sample
+	}
+	err := read(ctx, func(record keyedlog.Record) {
 		f.seen[record.Key] = true
 		f.apply(record, true)
 	})
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// sample gives the records of the page that begins where the pager stands, and of the first page too if that one reaches the last key. The
+// keys between the two are left out.
+func (p *pager) sample(ctx context.Context, give func(record keyedlog.Record)) error {
+	page, err := p.log.Newest(ctx, p.partition, p.after)
+	if err != nil {
+		return err
+	}
+	p.begun, p.end = true, page.End
+	for _, record := range page.Records {
+		give(record)
+	}
+	if page.More {
+		return nil
+	}
+	page, err = p.log.Newest(ctx, p.partition, "")
+	if err != nil {
+		return err
+	}
+	for _, record := range page.Records {
+		give(record)
+	}
+	return nil
+}
+
 // lastKey sorts after every key, so that a page after it holds nothing but the partition's end.
 const lastKey = "~"
 
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -34,6 +34,9 @@
 	TopicCrashes Topic = "crashes"
 	// TopicEngineViews holds what owners of jobs know of engines, a record a machine. One partition.
 	TopicEngineViews Topic = "engineviews"
+	// TopicEngineList holds a short entry of each engine to which requests are sent, for processes that don't read the engines' own records.
+	// The engines of a pool lie in one partition.
+	TopicEngineList Topic = "enginelist"
 )
 
 // Errors of a log. Any other error of a call with an effect leaves open whether the effect took place or will.
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/enginelist"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/job"
@@ -90,7 +91,9 @@
 type engineApplier struct {
 	decoder   RecordDecoder
 	directory *fleet.Directory
-	logger    *log.Logger
+	// list is told of each record.
+	list   *enginelist.List
+	logger *log.Logger
 	// returned is when the store answered again after it had not.
 	returned func() time.Time
 	// news is what the read under way has brought.
@@ -120,6 +123,7 @@
 		a.logger.Info("engine restarted", "engine", engine.ID, "pool", engine.Pool, "address", engine.Address, "offset", record.Offset)
 	}
 	a.directory.Upsert(engine)
+	a.list.Own(engine, record.Offset)
 }
 
 // dropped takes that an engine's record was dropped.
@@ -163,13 +167,26 @@
 func (a *engineApplier) remove(record keyedlog.Record) {
 	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset)
 	a.directory.Remove(record.Key)
+	a.list.OwnGone(record.Key)
 }
 
-func (a *engineApplier) Advanced(int64) {
+// Advanced takes that all records below an offset have been applied.
+func (a *engineApplier) Advanced(end int64) {
 	a.news.write(a.logger)
+	a.list.OwnRead(end)
 	a.directory.SetKnown()
 }
 
+// end forgets the engines that are kept for a while.
+func (a *engineApplier) end() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, timer := range a.lapsed {
+		timer.Stop()
+	}
+	clear(a.lapsed)
+}
+
 // indexApplier takes the records of the index of jobs.
 type indexApplier struct {
 	index  *job.Index
@@ -204,12 +221,14 @@
 // a replica must be in step again within seconds of its end.
 var waits = map[keyedlog.Topic]time.Duration{
 	keyedlog.TopicOperator: time.Second, keyedlog.TopicEngines: time.Second, keyedlog.TopicJobIndex: time.Second,
-	keyedlog.TopicWeights: 2 * time.Second, keyedlog.TopicCrashes: 2 * time.Second,
+	keyedlog.TopicWeights: 2 * time.Second, keyedlog.TopicCrashes: 2 * time.Second, keyedlog.TopicEngineList: time.Second,
 }
 
 // spacings is the least time between two reads that brought records. Every engine writes about once a second, and nobody needs
 // to know sooner than this that one leaves.
-var spacings = map[keyedlog.Topic]time.Duration{keyedlog.TopicEngines: 200 * time.Millisecond}
+var spacings = map[keyedlog.Topic]time.Duration{
+	keyedlog.TopicEngines: 200 * time.Millisecond, keyedlog.TopicEngineList: 200 * time.Millisecond,
+}
 
 // idleSpacing is the least time between two reads that brought records of jobs or orders at a process that owns no partition. It
 // has to be well under the second or so for which a load takes an engine away, so that a process that is dealt a partition starts
--- a/internal/replica/records_test.go
+++ b/internal/replica/records_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/enginelist"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
@@ -38,7 +39,8 @@
 			is.NoErr(err)
 		}
 		logger := log.New(io.Discard)
-		engines := &engineApplier{decoder: engineDecoder{}, directory: fleet.NewDirectory(), logger: logger}
+		directory := fleet.NewDirectory()
+		engines := &engineApplier{decoder: engineDecoder{}, directory: directory, list: enginelist.NewList(directory, 1), logger: logger}
 		follower := follow.New(follow.Config{
 			Log: store.For("replica"), Partition: partition, Applier: engines, Wait: time.Second, Logger: logger,
 		})
@@ -100,8 +102,9 @@
 func TestOneReadIsFewLines(t *testing.T) {
 	is := is.New(t)
 	var output bytes.Buffer
+	directory := fleet.NewDirectory()
 	engines := &engineApplier{
-		decoder: engineDecoder{}, directory: fleet.NewDirectory(), logger: logging.New(&output, "info", "text"),
+		decoder: engineDecoder{}, directory: directory, list: enginelist.NewList(directory, 1), logger: logging.New(&output, "info", "text"),
 		returned: func() time.Time { return time.Time{} },
 	}
 	const count = 300
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,6 +13,7 @@
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/duty"
 	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/enginelist"
 	"github.com/hillfork/hillfork/internal/engineview"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
@@ -61,16 +62,22 @@
 	config    Config
 	catalog   *catalog.Holder
 	directory *fleet.Directory
-	index     *job.Index
-	ingress   *ingress.Ingress
-	jobs      *jobs.Service
-	queue     *jobrun.Queue
+	// list is the list of engines as the store has it, keeper writes it.
+	list    *enginelist.List
+	keeper  *enginelist.Keeper
+	index   *job.Index
+	ingress *ingress.Ingress
+	jobs    *jobs.Service
+	queue   *jobrun.Queue
 	// quarantine withholds requests that crash engines.
 	quarantine *quarantine.Quarantine
 	// followers run for good; weights, by partition, run once a pool of models has its orders there.
 	followers []*follow.Follower
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
+	// holdings are the partitions held; duties is how many duties there are.
+	holdings *holdings
+	duties   int
 	// viewPublisher and viewReader share views of engines with other owners.
 	viewPublisher *engineview.Publisher
 	viewReader    *engineview.Reader
@@ -85,8 +92,10 @@
 	config.Log = storepace.New(storetimeout.New(config.Log), config.Settings.StoreReadsPerS)
 	r := &Replica{
 		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), index: job.NewIndex(),
-		metrics: newMetrics(),
+		metrics: newMetrics(), holdings: newHoldings(),
 	}
+	r.list = enginelist.NewList(r.directory, r.listPartitions())
+	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
@@ -107,10 +116,7 @@
 	r.shareViews()
 	board := weightroll.NewBoard(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
-	engines := &engineApplier{decoder: config.Decoder, directory: r.directory, logger: config.Logger}
-	engineFollower := r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, engines)
-	engines.returned = engineFollower.Returned
-	r.followers = append(r.followers, indexFollower, engineFollower, operator, crashFollower)
+	r.followers = append(r.followers, indexFollower, operator, crashFollower)
 	for number := range config.Log.Partitions(keyedlog.TopicWeights) {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number}
 		r.weights = append(r.weights, r.follow(partition, &weightApplier{board: board, logger: config.Logger}))
@@ -141,13 +147,15 @@
 	leased := max(lifetime, weightsShare*settings.OrderLease/weightsParts)
 	r.own(jobsGroup, lifetime, settings.ProcessorShare, holders{keyedlog.TopicJobs: runners})
 	r.metrics.member(r.managers[0].TakesPart)
-	// The owner of weights and duties does little, and hands over slowly: machines of any size take part.
+	duties := slices.Concat(reporting, r.orderEngines())
+	r.duties = len(duties)
+	// The owner of weights, duties and the list of engines does little, and hands over slowly: machines of any size take part.
 	r.own(weightsGroup, leased, 0, holders{
 		keyedlog.TopicWeights: rollers,
 		keyedlog.TopicDuties: duty.NewHolder(duty.Config{
-			Log: r.config.Log, Machine: holderName(settings), Lease: settings.OrderLease,
-			Duties: slices.Concat(reporting, r.orderEngines()), Logger: r.config.Logger,
+			Log: r.config.Log, Machine: holderName(settings), Lease: settings.OrderLease, Duties: duties, Logger: r.config.Logger,
 		}),
+		keyedlog.TopicEngineList: r.keeper,
 	})
 }
 
@@ -183,7 +191,7 @@
 		Log: r.config.Log, Machine: machine, Source: r.directory, Held: r.queue.Held, Logger: r.config.Logger,
 	})
 	r.viewReader = engineview.NewReader(engineview.ReaderConfig{
-		Log: r.config.Log, Machine: machine, Directory: r.directory, Busy: r.owns, Logger: r.config.Logger,
+		Log: r.config.Log, Machine: machine, Directory: r.directory, Busy: r.acts, Logger: r.config.Logger,
 	})
 	r.metrics.views(r.viewPublisher.Written, r.directory.PeerSummary)
 }
@@ -230,7 +238,7 @@
 func (r *Replica) own(group string, lifetime time.Duration, share float64, topics holders) {
 	r.managers = append(r.managers, ownership.New(ownership.Config{
 		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Share: share, Topics: slices.Sorted(maps.Keys(topics)),
-		Lifetime: lifetime, Holder: hurrying{topics, r.hurried()}, Logger: r.config.Logger,
+		Lifetime: lifetime, Holder: noted{hurrying{topics, r.hurried()}, r.holdings}, Logger: r.config.Logger,
 	}))
 }
 
@@ -312,11 +320,16 @@
 
 // follow returns a follower of a partition.
 func (r *Replica) follow(partition keyedlog.Partition, applier follow.Applier) *follow.Follower {
-	return follow.New(follow.Config{
+	return follow.New(r.followConfig(partition, applier))
+}
+
+// followConfig returns how a partition is followed.
+func (r *Replica) followConfig(partition keyedlog.Partition, applier follow.Applier) follow.Config {
+	return follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: waits[partition.Topic],
 		Spacing: spacings[partition.Topic], Busy: r.busy(partition.Topic), IdleSpacing: idleSpacing, IdleSpread: idleSpread,
 		Logger: r.config.Logger,
-	})
+	}
 }
 
 // busy returns what tells whether this process acts on each record of a topic at once, nil if it always does. Jobs and orders are the
@@ -325,36 +338,7 @@
 	if topic != keyedlog.TopicWeights && topic != keyedlog.TopicJobIndex {
 		return nil
 	}
-	return r.owns
-}
-
-// owns tells whether this process holds any partition.
-func (r *Replica) owns() bool {
-	return slices.ContainsFunc(r.managers, (*ownership.Manager).Holds)
-}
-
-// followWeights follows the announcements for each pool of models that the catalog names, until the context ends.
-func (r *Replica) followWeights(ctx context.Context) {
-	var running sync.WaitGroup
-	defer running.Wait()
-	followed := make(map[int]bool)
-	for {
-		changed := r.catalog.Changed()
-		if current := r.catalog.Current(); current != nil {
-			for _, pool := range current.Pools {
-				number := weightroll.PartitionOf(pool.Name, len(r.weights)).Number
-				if len(pool.Models) > 0 && !followed[number] {
-					followed[number] = true
-					running.Go(func() { r.weights[number].Run(ctx) })
-				}
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
+	return r.acts
 }
 
 func convert[T any, F any](followers []F) []T {
@@ -388,6 +372,9 @@
 	for _, follower := range r.followers {
 		running.Go(func() { follower.Run(followCtx) })
 	}
+	running.Go(func() { r.readEngines(followCtx) })
+	running.Go(func() { r.followList(followCtx) })
+	running.Go(func() { r.keeper.Run(followCtx) })
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
