Place and plan in large pools by the engines that may matter

Cause: each placement looked at every engine of a pool, and each plan of loads at every engine again for each step: 24 ms and 74 ms at 7,777 engines, several times a second under one lock, where the machine has 0.2 to 0.8 cores. It grows with engines x placements and engines x loads; with some hundred engines it is a millisecond. Change: a process considers the engines that are kept up to date for the work's model, and some hundred others in an order of its own that stays the same while engines come and go. A plan looks at the engines that models have or miss, takes the steps of each model in order once, and is put off for a few times as long as it took. The list of a pool in order of ids is changed where an engine has, not sorted anew. Conclusion: a pool up to consideredMost engines is treated as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,8 +4,6 @@
 
 import (
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -41,7 +39,9 @@
 
 // entry is an engine with what this node has seen of it.
 type entry struct {
-	engine   Engine
+	engine Engine
+	// rank is the engine's place in this process's own order of engines.
+	rank     float64
 	inFlight int
 	// loading holds until when an order keeps the engine from beginning requests of a model.
 	loading map[string]time.Time
@@ -65,10 +65,9 @@
 	dealt map[string]map[string]string
 	// known says that the list was read at least once.
 	known bool
-	// paces and sorted hold what was worked out of each pool: its paces, for a moment, and its engines in order of their ids, until one
-	// changes.
-	paces  map[poolModel]poolPace
-	sorted map[string][]Engine
+	// paces holds the paces of each pool, for a moment; pools the engines of each, until one comes or goes.
+	paces map[poolModel]poolPace
+	pools map[string]*enginePool
 	// onEjection is called for each ejection, nil for no call; pendingEjections holds those recorded since the mutex was locked.
 	onEjection       func(Ejection)
 	pendingEjections []Ejection
@@ -80,7 +79,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string),
-		paces: make(map[poolModel]poolPace), sorted: make(map[string][]Engine),
+		paces: make(map[poolModel]poolPace), pools: make(map[string]*enginePool),
 	}
 }
 
@@ -97,16 +96,17 @@
 	defer d.mutex.Unlock()
 	found, ok := d.engines[engine.ID]
 	if !ok {
-		d.engines[engine.ID] = &entry{engine: engine, loading: make(map[string]time.Time)}
-		d.engineChanged(engine.Pool)
+		d.engines[engine.ID] = &entry{engine: engine, rank: unitHash("", engine.ID), loading: make(map[string]time.Time)}
+		d.poolChanged(engine.Pool)
 		return
 	}
 	if found.engine.Restarted(engine) {
 		return
 	}
 	if engine.Restarted(found.engine) {
+		before := found.engine.Pool
 		found.restart(engine)
-		d.engineChanged(engine.Pool)
+		d.movedFrom(before, found)
 		return
 	}
 	engine.Versions = newest(found.engine.Versions, engine.Versions)
@@ -117,21 +117,40 @@
 		// The failures were those of another address.
 		found.breaker = policy.Breaker{}
 	}
+	before := found.engine.Pool
 	found.engine = engine
-	if !same {
-		d.engineChanged(engine.Pool)
+	if !same || before != engine.Pool {
+		d.movedFrom(before, found)
 	}
 }
 
 // restart replaces an engine by a later incarnation: versions, loads and failures were those of another process. Work in flight stays
 // counted until its caller releases it.
 func (e *entry) restart(engine Engine) {
-	*e = entry{engine: engine, inFlight: e.inFlight, loading: make(map[string]time.Time), pace: e.pace, pacedAt: e.pacedAt, latency: e.latency}
+	*e = entry{engine: engine, rank: e.rank, inFlight: e.inFlight, loading: make(map[string]time.Time), pace: e.pace, pacedAt: e.pacedAt, latency: e.latency}
 }
 
-// engineChanged records that the engines of a pool have changed. The mutex must be held.
-func (d *Directory) engineChanged(pool string) {
-	delete(d.sorted, pool)
+// poolChanged records that an engine of a pool has come or gone. The mutex must be held.
+func (d *Directory) poolChanged(name string) {
+	delete(d.pools, name)
+	d.changed.Notify()
+}
+
+// movedFrom records that an engine which was in a pool has changed. The mutex must be held.
+func (d *Directory) movedFrom(before string, found *entry) {
+	if before != found.engine.Pool {
+		d.poolChanged(before)
+		d.poolChanged(found.engine.Pool)
+		return
+	}
+	d.engineChanged(found)
+}
+
+// engineChanged records that an engine has changed. The mutex must be held.
+func (d *Directory) engineChanged(found *entry) {
+	if known, ok := d.pools[found.engine.Pool]; ok {
+		known.stale[found.engine.ID] = true
+	}
 	d.changed.Notify()
 }
 
@@ -152,7 +171,7 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
 		delete(d.engines, id)
-		d.engineChanged(found.engine.Pool)
+		d.poolChanged(found.engine.Pool)
 	}
 }
 
@@ -188,7 +207,7 @@
 	}
 	versions[model] = version
 	found.engine.Versions = versions
-	d.engineChanged(found.engine.Pool)
+	d.engineChanged(found)
 }
 
 // SetDealt records for which model each engine of a pool is kept up to date. Work of that model goes there first. The map must not
@@ -197,6 +216,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.dealt[pool] = models
+	if known, ok := d.pools[pool]; ok {
+		known.own = nil
+	}
 	d.changed.Notify()
 }
 
@@ -255,18 +277,7 @@
 func (d *Directory) Pool(pool string) []Engine {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if engines, ok := d.sorted[pool]; ok {
-		return engines
-	}
-	var engines []Engine
-	for _, found := range d.engines {
-		if found.engine.Pool == pool {
-			engines = append(engines, found.engine)
-		}
-	}
-	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
-	d.sorted[pool] = engines
-	return engines
+	return d.poolOf(pool).sortedEngines(d.engines)
 }
 
 // Changed returns a channel that is closed at the next change of engines, versions or load.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -253,12 +253,12 @@
 	return known.survey
 }
 
-// candidates returns the engines that fit a piece of work as they stand. The mutex must be held.
+// candidates returns the engines that are considered for a piece of work and fit it, as they stand. The mutex must be held.
 func (d *Directory) candidates(want Want, now time.Time) []Candidate {
 	var candidates []Candidate
 	dealt := d.dealt[want.Pool]
 	d.peers.refresh(now)
-	for _, found := range d.engines {
+	for _, found := range d.considered(want) {
 		if !fits(found.engine, want) {
 			continue
 		}
@@ -313,8 +313,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var least time.Duration
-	for _, found := range d.engines {
-		if found.engine.Pool == pool && found.latency > 0 && (least == 0 || found.latency < least) {
+	for _, found := range d.poolOf(pool).order {
+		if found.latency > 0 && (least == 0 || found.latency < least) {
 			least = found.latency
 		}
 	}
--- a/internal/weightroll/plan.go
+++ b/internal/weightroll/plan.go
@@ -61,6 +61,32 @@
 	return assignment
 }
 
+// relevant returns the engines of a pool to which an assignment may give a model: those that have one, and as many of the others, by zones,
+// as models miss. Of thousands of engines steps need some hundreds, and a plan is made many times a second.
+func relevant(engines []fleet.Engine, previous Assignment, shares map[string]int) []fleet.Engine {
+	missing := maps.Clone(shares)
+	var chosen, others []fleet.Engine
+	for _, engine := range engines {
+		if model, assigned := previous[engine.ID]; assigned {
+			chosen = append(chosen, engine)
+			missing[model]--
+		}
+	}
+	needed := 0
+	for _, count := range missing {
+		needed += max(0, count)
+	}
+	if needed == 0 {
+		return chosen
+	}
+	for _, engine := range engines {
+		if _, assigned := previous[engine.ID]; !assigned {
+			others = append(others, engine)
+		}
+	}
+	return append(chosen, sortedByZone(others)[:min(needed, len(others))]...)
+}
+
 // counts returns how many engines each model has.
 func (a Assignment) counts() map[string]int {
 	counts := make(map[string]int)
@@ -136,8 +162,8 @@
 	}
 	counts := input.Assignment.counts()
 	fresh := make(map[string]int)
-	var behind []Step
-	for _, engine := range sortedByZone(input.Engines) {
+	behind := make(map[string][]rankedStep)
+	for i, engine := range sortedByZone(input.Engines) {
 		model, assigned := input.Assignment[engine.ID]
 		if !assigned || engine.Draining {
 			continue
@@ -147,31 +173,49 @@
 			continue
 		}
 		if _, busy := input.Loading[engine.ID]; !busy {
-			behind = append(behind, Step{Engine: engine, Model: model, Version: input.Targets[model]})
+			behind[model] = append(behind[model], rankedStep{Step{Engine: engine, Model: model, Version: input.Targets[model]}, i})
+			waiting++
 		}
 	}
-	for len(behind) > 0 && len(input.Loading)+len(steps) < input.AtOnce {
-		next := 0
-		for i, step := range behind {
-			if less(step, behind[next], counts, loading, fresh) {
-				next = i
+	for _, ranked := range behind {
+		slices.SortStableFunc(ranked, func(a, b rankedStep) int { return cmp.Compare(b.gap(), a.gap()) })
+	}
+	for waiting > 0 && len(input.Loading)+len(steps) < input.AtOnce {
+		// Of each model the first one goes next.
+		var next rankedStep
+		for _, ranked := range behind {
+			if next.Model == "" || less(ranked[0], next, counts, loading, fresh) {
+				next = ranked[0]
 			}
 		}
-		steps = append(steps, behind[next])
-		loading[behind[next].Model]++
-		behind = slices.Delete(behind, next, next+1)
+		steps = append(steps, next.Step)
+		loading[next.Model]++
+		waiting--
+		if behind[next.Model] = behind[next.Model][1:]; len(behind[next.Model]) == 0 {
+			delete(behind, next.Model)
+		}
 	}
-	return steps, len(behind)
+	return steps, waiting
+}
+
+// rankedStep is a step with its engine's place among all.
+type rankedStep struct {
+	Step
+	place int
+}
+
+// gap is by how many versions the engine is behind.
+func (s rankedStep) gap() int64 {
+	return s.Version - s.Engine.Serves(s.Model)
 }
 
-// less compares what is loading and up to date of two models as parts of the engines that they have.
-func less(a, b Step, counts, loading, fresh map[string]int) bool {
+// less compares what is loading and up to date of two models as parts of the engines that they have, then how far the engines are behind.
+func less(a, b rankedStep, counts, loading, fresh map[string]int) bool {
 	ofA, ofB := counts[a.Model], counts[b.Model]
-	if loading[a.Model]*ofB != loading[b.Model]*ofA {
-		return loading[a.Model]*ofB < loading[b.Model]*ofA
-	}
-	if fresh[a.Model]*ofB != fresh[b.Model]*ofA {
-		return fresh[a.Model]*ofB < fresh[b.Model]*ofA
-	}
-	return a.Version-a.Engine.Serves(a.Model) > b.Version-b.Engine.Serves(b.Model)
+	return cmp.Or(
+		cmp.Compare(loading[a.Model]*ofB, loading[b.Model]*ofA),
+		cmp.Compare(fresh[a.Model]*ofB, fresh[b.Model]*ofA),
+		cmp.Compare(b.gap(), a.gap()),
+		cmp.Compare(a.place, b.place),
+	) < 0
 }
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -13,6 +13,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
@@ -34,6 +35,9 @@
 	overdueLoads = 4
 	// replanEvery is how often the plan is looked at when nothing is known to have changed.
 	replanEvery = 100 * time.Millisecond
+	// planRest is how many times as long as a plan took the next one is put off at least: of a pool of thousands plans take milliseconds, and
+	// each load that ends asks for one.
+	planRest = 4
 	// forgetAfter is how long announcements for engines that are gone are kept, in leases.
 	forgetAfter = 4
 )
@@ -152,7 +156,11 @@
 	cleanup := time.NewTicker(r.config.Lease)
 	defer cleanup.Stop()
 	for {
+		began := time.Now()
 		r.plan(ctx)
+		if !pause.For(ctx, planRest*time.Since(began)) {
+			return
+		}
 		select {
 		case <-r.config.Catalog.Changed():
 		case <-r.wake:
@@ -203,9 +211,9 @@
 		loading = make(map[string]string)
 		r.loading[pool.Name] = loading
 	}
-	ready := engines[:0:0]
+	var ready []fleet.Engine
 	for _, engine := range engines {
-		if !now.Before(r.retryAt[engine.ID]) && !now.Before(r.allowedAt(engine.ID)) {
+		if assignment[engine.ID] != "" && !now.Before(r.retryAt[engine.ID]) && !now.Before(r.allowedAt(engine.ID)) {
 			ready = append(ready, engine)
 		}
 	}
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -36,6 +36,7 @@
 		previous = r.config.Directory.Dealt(pool)
 	}
 	shares := r.share(pool, engines, targets)
+	engines = relevant(engines, previous, shares)
 	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
 		if _, loading := r.loading[pool][engine.ID]; loading {
 			return true
