Let one replica alone send work to a cold engine, no faster than it bears

Change: the rate comes from the configuration. A cold engine takes work of the model alone that it is kept up to date for, so from the one owner of that model's jobs, and no more of it in a second than it bears; an owner that takes over may add as much. Other engines take the rest. Single requests, which come to all replicas, use warm engines; a pool of which all are cold gets none (open). Conclusion: the rate holds as far as replicas know how long an engine is cold: its record tells it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -75,6 +75,8 @@
 	Name string
 	// MaxConnections is what each engine accepts from all callers together.
 	MaxConnections int
+	// ColdRate is how many requests a second an engine bears while it is cold, from all processes together; 0 for no bound.
+	ColdRate float64
 	// Models are the models that the pool's engines can hold; empty for application servers.
 	Models []string
 	// Scaling says how many engines may be ordered, nil if none can be.
--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -50,14 +50,16 @@
 	}
 }
 
-// begin counts a piece of work at an engine, and returns whether it is a trial. The mutex must be held.
+// begin counts a piece of work at an engine, and returns whether the engine may take less now than its places show: the work is a trial, or
+// the engine is cold. The mutex must be held.
 func (d *Directory) begin(engine Engine, want Want, now time.Time) bool {
 	found := d.engines[engine.ID]
 	if want.probing && !hasPlace(found.inFlight+d.peers.held[engine.ID], Candidate{Engine: engine}, want) {
 		d.peers.probedAt = now
 	}
 	found.inFlight++
-	return found.breaker.Begin(now)
+	cold := d.noteBegin(found, now)
+	return found.breaker.Begin(now) || cold
 }
 
 // Failed records that an engine failed a piece of work, and why. The engine is tried last for a while, or not at all if that ejects it.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,8 @@
 	pacedAt time.Time
 	// latency is the smoothed time of whole answers.
 	latency time.Duration
+	// began is when work began there of late, while it is cold.
+	began []time.Time
 }
 
 // Directory holds the engines. It is safe for concurrent use.
@@ -63,6 +65,8 @@
 	changed broadcast.Signal
 	// dealt maps engines, known or not, to the models that they are kept up to date for, by pool.
 	dealt map[string]map[string]string
+	// coldRates holds how many requests a second a cold engine bears, by pool, where that is bounded.
+	coldRates map[string]float64
 	// known says that the list was read at least once.
 	known bool
 	// paces holds the paces of each pool, for a moment; pools the engines of each, until one comes or goes.
@@ -78,7 +82,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string),
+		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string), coldRates: make(map[string]float64),
 		paces: make(map[poolModel]poolPace), pools: make(map[string]*enginePool),
 	}
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -69,7 +69,7 @@
 		want.probing = d.peers.mayProbe(want, now)
 		if given[i], ok = found.take(want, now); ok {
 			if d.begin(given[i], want, now) {
-				// One trial at a time, whichever kind of work it is.
+				// One trial at a time, whichever kind of work it is, and no more than a cold engine bears.
 				clear(surveys)
 			}
 		}
@@ -266,7 +266,7 @@
 		trial := state == policy.BreakerHalfOpen
 		candidates = append(candidates, Candidate{
 			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.peers.held[found.engine.ID],
-			Avoided: now.Before(found.avoidUntil),
+			Avoided: now.Before(found.avoidUntil), Spared: d.spared(found, want, now),
 			Loading: now.Before(found.loading[want.Model]), Outlook: d.outlook(found, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -23,6 +23,8 @@
 	Trial   bool
 	// Loading says that it begins no request of the wanted model now.
 	Loading bool
+	// Spared says that it is cold and takes none of the work now.
+	Spared bool
 	// Outlook is what is to be expected of its pace; Latency the smoothed time of whole answers.
 	Outlook policy.Outlook
 	Latency time.Duration
@@ -206,7 +208,7 @@
 }
 
 func mayRun(candidate Candidate, want Want) bool {
-	return !candidate.Loading && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID)
+	return !candidate.Loading && !candidate.Spared && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID)
 }
 
 // fits tells whether an engine's own record allows the work.
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -38,9 +38,10 @@
 
 // operatorApplier takes the operator's records.
 type operatorApplier struct {
-	decoder RecordDecoder
-	holder  *catalog.Holder
-	logger  *log.Logger
+	decoder   RecordDecoder
+	holder    *catalog.Holder
+	directory *fleet.Directory
+	logger    *log.Logger
 }
 
 func (a *operatorApplier) Apply(record keyedlog.Record, recovered bool) {
@@ -63,6 +64,9 @@
 		return
 	}
 	if a.holder.Set(next) {
+		for _, pool := range next.Pools {
+			a.directory.SetColdRate(pool.Name, pool.ColdRate)
+		}
 		a.logger.Info("configuration in force", "version", next.Version, "routes", len(next.Routes), "offset", record.Offset,
 			"recovered", recovered)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -103,7 +103,7 @@
 		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
-		decoder: config.Decoder, holder: r.catalog, logger: config.Logger,
+		decoder: config.Decoder, holder: r.catalog, directory: r.directory, logger: config.Logger,
 	})
 	reporting, meter := r.countUsage()
 	r.ingress = ingress.New(ingress.Config{
