Ask for no more records than come before a read is given up

Cause: a read asked for a megabyte whatever the link; where that takes longer than the read's time what came was thrown away and asked for again, for good. It holds while megabytes come within a second or two. Change: each topic has a window of bytes, doubled while reads come in time, halved by one that doesn't, then widened by a sixteenth. Conclusion: a backlog is read at what the link gives. Pages of newest records can't be bounded: the store's interface knows no size.

--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -26,9 +26,9 @@
 	groups estimator
 
 	mutex sync.Mutex
-	// reads holds an estimator for each topic: a page of all engines takes many times as long as one of the operator's records, and would be
+	// reads holds what is known of each topic's reads: a page of all engines takes many times as long as one of the operator's records, and would be
 	// given up and asked for again by the time that those take.
-	reads map[keyedlog.Topic]*estimator
+	reads map[keyedlog.Topic]*topicReads
 	// underWay holds the calls that wait for an answer, heard is when one came last, returned when one came after the store was away.
 	underWay map[*call]struct{}
 	heard    time.Time
@@ -71,16 +71,22 @@
 	return answer, err
 }
 
-// readsOf returns the estimator of a topic's reads.
-func (l *Log) readsOf(topic keyedlog.Topic) *estimator {
+// topicReads is what is known of the reads of a topic: how long they take, and how many bytes come in time.
+type topicReads struct {
+	estimator
+	window window
+}
+
+// readsOf returns what is known of a topic's reads.
+func (l *Log) readsOf(topic keyedlog.Topic) *topicReads {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.reads == nil {
-		l.reads = make(map[keyedlog.Topic]*estimator)
+		l.reads = make(map[keyedlog.Topic]*topicReads)
 	}
 	found, ok := l.reads[topic]
 	if !ok {
-		found = &estimator{}
+		found = &topicReads{}
 		l.reads[topic] = found
 	}
 	return found
@@ -136,34 +142,58 @@
 
 // Newest returns a page of the newest records, within the time that pages take.
 func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
-	return bound(ctx, l, l.readsOf(partition.Topic), func(ctx context.Context) (keyedlog.Page, error) {
+	return bound(ctx, l, &l.readsOf(partition.Topic).estimator, func(ctx context.Context) (keyedlog.Page, error) {
 		return l.Log.Newest(ctx, partition, afterKey)
 	})
 }
 
-// Read returns records, within the time that the store was asked to wait and what pages take. A read that is not held open
-// measures the store as a page does. A held read that brings nothing in its time lengthens the reads after it: all processes
-// read the same records at once, and a store whose link is full answers late; processes that gave up early and asked again
-// would fill the link with answers that nobody takes.
+// Read returns records, within the time that the store was asked to wait and what pages take, and no more than come in that time. A read
+// that is not held open measures the store as a page does. A held read that brings nothing in its time lengthens the reads after it: all
+// processes read the same records at once, and a store whose link is full answers late; processes that gave up early and asked again would
+// fill the link with answers that nobody takes.
 func (l *Log) Read(
 	ctx context.Context, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
-	reads := l.readsOf(partition.Topic)
+	known := l.readsOf(partition.Topic)
+	span.Bytes = known.window.size(span.Bytes)
+	batch, err := l.readWithin(ctx, known, partition, span)
+	switch {
+	case err == nil:
+		known.window.answered(batchBytes(batch))
+	case ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded):
+		known.window.expired(span.Bytes)
+	}
+	return batch, err
+}
+
+// readWithin makes one read within its time.
+func (l *Log) readWithin(
+	ctx context.Context, known *topicReads, partition keyedlog.Partition, span keyedlog.Span,
+) (keyedlog.Batch, error) {
 	if span.Wait == 0 {
-		return bound(ctx, l, reads, func(ctx context.Context) (keyedlog.Batch, error) {
+		return bound(ctx, l, &known.estimator, func(ctx context.Context) (keyedlog.Batch, error) {
 			return l.Log.Read(ctx, partition, span)
 		})
 	}
-	allowed := reads.timeout()
+	allowed := known.timeout()
 	callCtx, cancel := context.WithTimeout(ctx, span.Wait+readSlack+allowed)
 	defer cancel()
 	batch, err := l.Log.Read(callCtx, partition, span)
 	if err != nil && ctx.Err() == nil && callCtx.Err() != nil {
-		reads.expired(allowed)
+		known.expired(allowed)
 	}
 	return batch, err
 }
 
+// batchBytes returns how many bytes the records of a batch have.
+func batchBytes(batch keyedlog.Batch) int {
+	bytes := 0
+	for _, record := range batch.Records {
+		bytes += len(record.Key) + len(record.Value)
+	}
+	return bytes
+}
+
 // Join joins a group or remains in it, within the time that joins take.
 func (l *Log) Join(ctx context.Context, request keyedlog.JoinRequest) (keyedlog.Membership, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(groupMost, request.Lifetime/groupShare))
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -199,3 +199,34 @@
 		}
 	})
 }
+
+// TestABacklogIsReadOnASlowLink has a process that was away read megabytes of records over a link that brings a fifth of what one read may
+// return before it is given up. It must be through in little more than the bytes take, and nearly all of them must be of use.
+func TestABacklogIsReadOnASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const (
+			records    = 400
+			recordSize = 10 << 10
+			total      = records * recordSize
+			bytesPerS  = 100 << 10
+			useful     = 0.8
+		)
+		store := memorylog.New(memorylog.Config{Partitions: 1, ReadRate: bytesPerS, Delay: 4 * time.Millisecond})
+		engines := keyedlog.Partition{Topic: keyedlog.TopicEngines}
+		for range records {
+			_, err := store.For("writer").Append(t.Context(), engines, []keyedlog.Record{{Key: "k", Value: make([]byte, recordSize)}}, nil)
+			is.NoErr(err)
+		}
+		log := New(store.For("node"))
+		started := time.Now()
+		for next := int64(0); next < records && time.Since(started) < time.Minute; {
+			batch, err := log.Read(t.Context(), engines, keyedlog.Span{From: next, Wait: time.Second})
+			if err == nil {
+				next += int64(len(batch.Records))
+			}
+		}
+		is.True(time.Since(started).Seconds() < total/bytesPerS/useful)
+		is.True(float64(store.Sent()) < total/useful)
+	})
+}
