Send nothing new to the engines of an evacuated zone

Cause: nothing read the operator's record that evacuates a zone. Change: its engines count as ones that leave until the record is dropped: they get no new work, items and requests go elsewhere. Conclusion: what runs there ends there, as at engines that leave.

--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -70,3 +70,39 @@
 		is.True(ok)
 	})
 }
+
+// TestAnEvacuatedZoneGetsNothingNew evacuates a zone and takes it back, with an engine that comes meanwhile.
+func TestAnEvacuatedZoneGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	d.Upsert(Engine{ID: "a1", Pool: "p", Zone: "a", Slots: 8, Versions: map[string]int64{"m": 1}})
+	d.Upsert(Engine{ID: "b1", Pool: "p", Zone: "b", Slots: 8, Versions: map[string]int64{"m": 1}})
+	zones := func() (zones string) {
+		for range 8 {
+			engine, ok := d.Acquire(Want{Pool: "p", Model: "m", Share: 0.5})
+			if ok {
+				zones += engine.Zone
+			}
+		}
+		for _, id := range []string{"a1", "a2", "b1"} {
+			for range 8 {
+				d.Release(id)
+			}
+		}
+		return zones
+	}
+	is.Equal(len(zones()), 8)
+	d.SetEvacuated("a", true)
+	d.Upsert(Engine{ID: "a2", Pool: "p", Zone: "a", Slots: 8, Versions: map[string]int64{"m": 1}})
+	is.Equal(zones(), "bbbb")
+	for _, engine := range d.Pool("p") {
+		is.Equal(engine.Draining, engine.Zone == "a")
+	}
+	known, _ := d.Engine("a1")
+	is.True(known.Draining)
+	is.True(d.Exists(Want{Pool: "p", Model: "m"}))
+	d.SetEvacuated("b", true)
+	is.True(!d.Exists(Want{Pool: "p", Model: "m"}))
+	d.SetEvacuated("a", false)
+	is.Equal(zones(), "aaaaaaaa")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	changed broadcast.Signal
 	// dealt maps engines, known or not, to the models that they are kept up to date for, by pool.
 	dealt map[string]map[string]string
+	// evacuated holds the zones whose engines take no new work.
+	evacuated map[string]bool
 	// coldRates holds how many requests a second a cold engine bears, by pool, where that is bounded.
 	coldRates map[string]float64
 	// known says that the list was read at least once.
@@ -83,7 +85,8 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		engines: make(map[string]*entry), changed: broadcast.New(), dealt: make(map[string]map[string]string), coldRates: make(map[string]float64),
-		paces: make(map[poolModel]poolPace), pools: make(map[string]*enginePool),
+		evacuated: make(map[string]bool),
+		paces:     make(map[poolModel]poolPace), pools: make(map[string]*enginePool),
 	}
 }
 
@@ -273,7 +276,30 @@
 	if !ok {
 		return Engine{}, false
 	}
-	return found.engine, true
+	return d.standing(found), true
+}
+
+// SetEvacuated says whether a zone is evacuated: its engines count as ones that leave until it is taken back.
+func (d *Directory) SetEvacuated(zone string, evacuated bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.evacuated[zone] == evacuated {
+		return
+	}
+	if evacuated {
+		d.evacuated[zone] = true
+	} else {
+		delete(d.evacuated, zone)
+	}
+	clear(d.pools)
+	d.changed.Notify()
+}
+
+// standing returns an engine as it stands for those who choose one. The mutex must be held.
+func (d *Directory) standing(found *entry) Engine {
+	engine := found.engine
+	engine.Draining = engine.Draining || d.evacuated[engine.Zone]
+	return engine
 }
 
 // Pool returns the engines of a pool in order of their ids. The slice must not be changed; it is the same one while no engine of the pool
@@ -281,7 +307,7 @@
 func (d *Directory) Pool(pool string) []Engine {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.poolOf(pool).sortedEngines(d.engines)
+	return d.sortedEngines(d.poolOf(pool))
 }
 
 // Changed returns a channel that is closed at the next change of engines, versions or load.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -44,7 +44,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, found := range d.engines {
-		if fits(found.engine, want) && !now.Before(found.loading[want.Model]) && !slices.Contains(want.Exclude, found.engine.ID) {
+		if fits(d.standing(found), want) && !now.Before(found.loading[want.Model]) && !slices.Contains(want.Exclude, found.engine.ID) {
 			return true
 		}
 	}
@@ -259,13 +259,14 @@
 	dealt := d.dealt[want.Pool]
 	d.peers.refresh(now)
 	for _, found := range d.considered(want) {
-		if !fits(found.engine, want) {
+		engine := d.standing(found)
+		if !fits(engine, want) {
 			continue
 		}
 		state := found.breaker.State(now)
 		trial := state == policy.BreakerHalfOpen
 		candidates = append(candidates, Candidate{
-			Engine: found.engine, Dealt: dealt[found.engine.ID], InFlight: found.inFlight, Elsewhere: d.peers.held[found.engine.ID],
+			Engine: engine, Dealt: dealt[engine.ID], InFlight: found.inFlight, Elsewhere: d.peers.held[engine.ID],
 			Avoided: now.Before(found.avoidUntil), Spared: d.spared(found, want, now),
 			Loading: now.Before(found.loading[want.Model]), Outlook: d.outlook(found, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -84,13 +84,13 @@
 	return engines[:max(0, min(most, len(engines)))]
 }
 
-// sortedEngines returns the engines in order of their ids. The slice is not changed later.
-func (p *enginePool) sortedEngines(engines map[string]*entry) []Engine {
+// sortedEngines returns the engines of a pool in order of their ids. The slice is not changed later. The mutex must be held.
+func (d *Directory) sortedEngines(p *enginePool) []Engine {
 	switch {
 	case p.sorted == nil:
 		p.sorted = make([]Engine, 0, len(p.order))
 		for _, found := range p.order {
-			p.sorted = append(p.sorted, found.engine)
+			p.sorted = append(p.sorted, d.standing(found))
 		}
 		slices.SortFunc(p.sorted, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
 	case len(p.stale) > 0:
@@ -98,7 +98,7 @@
 		for id := range p.stale {
 			at, found := slices.BinarySearchFunc(p.sorted, id, func(engine Engine, id string) int { return strings.Compare(engine.ID, id) })
 			if found {
-				p.sorted[at] = engines[id].engine
+				p.sorted[at] = d.standing(d.engines[id])
 			}
 		}
 	}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -22,13 +22,14 @@
 	OperatorUnknown OperatorRecord = iota
 	OperatorConfiguration
 	OperatorVersion
+	OperatorEvacuation
 )
 
 // RecordDecoder decodes the records that others write into the store.
 type RecordDecoder interface {
 	// Catalog decodes the operator's configuration.
 	Catalog(value []byte) (*catalog.Catalog, error)
-	// OperatorKey tells what a record of the operator's topic holds, and of which model.
+	// OperatorKey tells what a record of the operator's topic holds, and of which model or zone.
 	OperatorKey(key string) (OperatorRecord, string)
 	// NamedVersion decodes a version that a trainer has named.
 	NamedVersion(value []byte) (int64, error)
@@ -45,7 +46,11 @@
 }
 
 func (a *operatorApplier) Apply(record keyedlog.Record, recovered bool) {
-	kind, model := a.decoder.OperatorKey(record.Key)
+	kind, name := a.decoder.OperatorKey(record.Key)
+	if kind == OperatorEvacuation {
+		a.evacuate(record, name)
+		return
+	}
 	if record.Value == nil {
 		return
 	}
@@ -53,10 +58,17 @@
 	case OperatorConfiguration:
 		a.configure(record, recovered)
 	case OperatorVersion:
-		a.name(record, model)
+		a.name(record, name)
 	}
 }
 
+// evacuate takes that a zone is evacuated, or taken back where the record was dropped.
+func (a *operatorApplier) evacuate(record keyedlog.Record, zone string) {
+	evacuated := record.Value != nil
+	a.directory.SetEvacuated(zone, evacuated)
+	a.logger.Info("zone evacuated", "zone", zone, "evacuated", evacuated, "offset", record.Offset)
+}
+
 func (a *operatorApplier) configure(record keyedlog.Record, recovered bool) {
 	next, err := a.decoder.Catalog(record.Value)
 	if err != nil {
