Plan loads and order engines only once all engines are known

Cause: a replica that takes the orders of weights over begins to read the engines' own records then. It planned by those that it had met: the others dropped out of its dealing and were replaced, each at the cost of a load. The same holds for the duty that orders engines. Change: the directory says that it is partial until the engines' own records were read to their end, and again once they aren't read any more. Plans and orders of engines wait.

--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -77,6 +77,7 @@
 
 // NewList returns an empty list that tells a directory which engines there are.
 func NewList(directory *fleet.Directory, partitions int) *List {
+	directory.SetPartial(true)
 	return &List{
 		directory: directory, partitions: partitions, listed: make(map[string]listed), known: make(map[int]bool),
 		whole: make(map[int]bool), complete: make(map[int]bool),
@@ -121,6 +122,7 @@
 		return
 	}
 	l.reading, l.settled, l.since = true, false, time.Now()
+	l.directory.SetPartial(false)
 	l.compareAll()
 }
 
@@ -146,6 +148,7 @@
 		return
 	}
 	l.reading = false
+	l.directory.SetPartial(true)
 	for id := range l.own {
 		if _, exists := l.listed[id]; !exists {
 			l.directory.Remove(id)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,8 +69,10 @@
 	evacuated map[string]bool
 	// coldRates holds how many requests a second a cold engine bears, by pool, where that is bounded.
 	coldRates map[string]float64
-	// known says that the list was read at least once.
-	known bool
+	// known says that the list was read at least once; partial that there may be engines, or versions that they serve, of which nothing is
+	// known.
+	known   bool
+	partial bool
 	// paces holds the paces of each pool, for a moment; pools the engines of each, until one comes or goes.
 	paces map[poolModel]poolPace
 	pools map[string]*enginePool
@@ -268,6 +270,22 @@
 	return d.known
 }
 
+// SetPartial says whether there may be engines of which nothing is known, or not what they serve. Who deals or orders engines by how many
+// there are must not then.
+func (d *Directory) SetPartial(partial bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.partial = partial
+	d.changed.Notify()
+}
+
+// Partial tells whether there may be engines of which nothing is known, or not what they serve.
+func (d *Directory) Partial() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.partial
+}
+
 // Engine returns an engine by id.
 func (d *Directory) Engine(id string) (Engine, bool) {
 	d.mutex.Lock()
--- a/internal/weightroll/size_test.go
+++ b/internal/weightroll/size_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/fleet"
@@ -98,3 +99,30 @@
 	shares["model0"] = 30
 	deal(105)
 }
+
+// TestNobodyIsOrderedWhileEnginesAreMissing has an order giver take over that has met half of the engines so far. It must not order others in
+// the place of those that it has not met.
+func TestNobodyIsOrderedWhileEnginesAreMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 8)
+		next := w.node("next")
+		directory := next.holder.config.Directory
+		directory.SetPartial(true)
+		for _, engine := range w.pool[4:] {
+			directory.Remove(engine.ID)
+		}
+		next.own(1)
+		next.catalog.SetVersion(model, 2)
+		time.Sleep(2 * time.Second)
+		is.Equal(len(w.engines.Orders()), 0)
+
+		for _, engine := range w.pool[4:] {
+			directory.Upsert(engine)
+		}
+		directory.SetPartial(false)
+		time.Sleep(8 * loadTime)
+		is.Equal(len(w.engines.Orders()), 8)
+		next.release()
+	})
+}
