Order dealt engines at once after a takeover, and deal none anew until all are known

Cause: with plans that waited until all engines were known, loads stood still after a takeover for as long as 10,000 records take to read. Change: while engines may be missing the dealing of the predecessor stands: the engines of it that are known are ordered, no others are dealt.

--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -178,8 +178,7 @@
 // plan starts the orders that are due in the pools of the partition.
 func (r *roller) plan(ctx context.Context) {
 	current := r.config.Catalog.Current()
-	if current == nil || r.config.Directory.Partial() {
-		// Engines that are not known yet would be replaced by others, each at the cost of a load.
+	if current == nil {
 		return
 	}
 	named := r.config.Catalog.Versions()
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -35,6 +35,10 @@
 		// A successor goes on from what its predecessor dealt.
 		previous = r.config.Directory.Dealt(pool)
 	}
+	if r.config.Directory.Partial() {
+		// Dealt engines that are not known yet would be replaced, each at the cost of a load; the ones that are known need not wait for them.
+		return previous
+	}
 	shares := r.share(pool, engines, targets)
 	engines = relevant(engines, previous, shares)
 	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
