Tell urgent news to neighbours too, so that it passes nobody by

Cause: urgent news went to random peers alone. Each node sends a record ten times or so, so that in a cluster of 50 one in several hundred pieces of news left some node out, which then waited for a comparison of records. The end of a planned leaving was hurried on only by those who heard of it in a full record. Change: two of the three datagrams go to the node's neighbours in the order of names, at no more datagrams; the end of a leaving is urgent however it was heard of.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -22,7 +22,7 @@
 // gossipUrgently sends urgent news to a few members, and again soon as long as there is any.
 func (p *protocol) gossipUrgently(now time.Time) {
 	p.urgentAt = time.Time{}
-	for _, node := range p.pickPeers(p.config.Timing.FanOut) {
+	for _, node := range p.pickUrgentPeers() {
 		if p.urgent.empty() || !p.budget.allowsOptional() {
 			break
 		}
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -56,6 +56,27 @@
 	return picked
 }
 
+// pickUrgentPeers returns the peers that urgent news goes to: some at random, then this node's neighbours in the order of names. Random
+// choices alone leave out some node now and then, however few they are; a neighbour that has the news does not.
+func (p *protocol) pickUrgentPeers() []string {
+	neighbours := p.neighbours()
+	picked := p.pickPeers(max(1, p.config.Timing.FanOut-len(neighbours)), neighbours...)
+	return append(picked, neighbours...)
+}
+
+// neighbours returns the peers next to this node in the order of names, whose ends are joined: two, or one where there is no other.
+func (p *protocol) neighbours() []string {
+	current := p.currentPeers()
+	nodes := slices.Concat(current.local, current.remote)
+	if len(nodes) == 0 {
+		return nil
+	}
+	slices.Sort(nodes)
+	above, _ := slices.BinarySearch(nodes, p.config.Self.Node)
+	below := above + len(nodes) - 1
+	return slices.Compact([]string{nodes[above%len(nodes)], nodes[below%len(nodes)]})
+}
+
 // pickAnywhere returns a random peer of any zone.
 func (p *protocol) pickAnywhere(exclude []string) (string, bool) {
 	current := p.currentPeers()
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -277,6 +277,10 @@
 	record.Refutation = short.Refutation
 	record.Condition = short.Condition
 	p.set(now, record, false)
+	if record.Leaving && record.Condition == conditionDead {
+		// The end of a planned leaving is urgent however it was heard of.
+		p.hurry(now, memberKey(record.Node))
+	}
 	if short.Condition == conditionSuspect {
 		p.beginSuspicion(now, held, short.Suspecter)
 	}
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -241,3 +242,45 @@
 	}
 	return false
 }
+
+// TestUrgentNewsPassesNobodyBy plays the planned leaving of a node, and its end, in many small clusters: the last node to hear of either must do
+// so in time, whatever the random choices are.
+func TestUrgentNewsPassesNobodyBy(t *testing.T) {
+	is := is.New(t)
+	const (
+		size, zones   = 50, 3
+		leavingWithin = 2 * time.Second
+		endWithin     = 3 * time.Second
+	)
+	for cluster := uint64(200); cluster < 260; cluster++ {
+		s := newSimulation(t, size, zones, nil)
+		for number, node := range s.nodes {
+			node.random = rand.New(rand.NewPCG(cluster, uint64(number)))
+		}
+		s.introduceAll()
+		s.run(time.Second)
+		leaver := s.nodes[9]
+		knows := func(state State) int {
+			return s.count(func(node *protocol) bool {
+				held := node.members[leaver.config.Self.Node]
+				return held.record.state() == state
+			})
+		}
+		leaver.leave(s.now)
+		s.collect(leaver)
+		s.run(leavingWithin)
+		is.Equal(knows(StateLeaving), size)
+
+		leaver.farewell(s.now)
+		s.collect(leaver)
+		s.stop(leaver)
+		s.run(endWithin)
+		is.Equal(knows(StateDead), size-1)
+	}
+}
+
+// stop takes a node out of the simulation.
+func (s *simulation) stop(node *protocol) {
+	delete(s.byAddress, netip.MustParseAddrPort(node.config.Self.GossipAddress))
+	s.nodes = slices.DeleteFunc(s.nodes, func(other *protocol) bool { return other == node })
+}
