Bound how long small members stay once larger ones are back

Three waits added up without a bound: a change of the group put a look off by up to 3 s more than its interval, looks found the time of leaving passed up to 1.1 s late, and a look at a moment when some partition was on its way counted as if there were no room, so that members left a few at each look. Change: a change of the group only brings a look forward; the look comes when the time to leave does; partitions on their way leave the wait as it was, and the next look comes in 0.3 s.

--- a/internal/ownership/standby_test.go
+++ b/internal/ownership/standby_test.go
@@ -169,6 +169,29 @@
 	})
 }
 
+// TestLargeMachinesAreBackBeforeMachinesHaveSettled cuts all large machines off from the store and has them back, many times: members look at the
+// group at random moments, and none of the plays may take longer than the others are given.
+func TestLargeMachinesAreBackBeforeMachinesHaveSettled(t *testing.T) {
+	const plays = 40
+	for range plays {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := memorylog.New(memorylog.Config{Partitions: fleetPartitions})
+			larges := startAll(store, "large", fleetPartitions, large)
+			smalls := startAll(store, "small", 20, small)
+			defer stopAll(smalls, larges)
+			time.Sleep(settled)
+			cut(store, "large")
+			time.Sleep(lifetime + noticed)
+			store.Heal()
+			time.Sleep(settled)
+			synctest.Wait()
+			is.Equal(owners(larges...), fleetPartitions)
+			is.Equal(taking(smalls), 0)
+		})
+	}
+}
+
 // TestTooFewLargeMachinesGetHelp leaves three of many large machines: each partition would get less of a processor there than a machine of
 // the middle size gives, and more than a small one gives.
 func TestTooFewLargeMachinesGetHelp(t *testing.T) {
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
@@ -33,9 +32,14 @@
 	later := rand.N(leaveJitter)
 	changed := time.Now()
 	var dispensableSince time.Time
+	moving := false
 	for {
-		interval := watchInterval(changed, !dispensableSince.IsZero() || asking.active)
-		news, ok := m.await(ctx, jittered(interval))
+		wait := jittered(watchInterval(changed, !dispensableSince.IsZero() || asking.active, moving))
+		if !dispensableSince.IsZero() {
+			due := time.Until(dispensableSince.Add(m.leaveAfter() + later))
+			wait = min(wait, max(recheckInterval, due))
+		}
+		news, ok := m.await(ctx, wait)
 		if !ok {
 			return false
 		}
@@ -48,11 +52,10 @@
 			changed = time.Now()
 			continue
 		}
-		enough := leaveIdleAfter
-		if m.Holds() {
-			enough = leaveHoldingAfter
-		}
-		if sustained(&dispensableSince, group.dispensable, enough+later) {
+		// Partitions on their way from one member to another don't tell whether the larger ones have room. The next look comes soon, or
+		// members that wait to leave would do so a few at each look.
+		moving = group.unowned > 0
+		if !moving && sustained(&dispensableSince, group.dispensable, m.leaveAfter()+later) {
 			m.config.Logger.Info("leaving partitions to larger members", "group", m.config.Group, "share", m.config.Share, "larger", group.larger,
 				"held", m.count.Load())
 			return true
@@ -61,10 +64,20 @@
 	}
 }
 
+// leaveAfter is how long larger members must have had room before this member leaves.
+func (m *Manager) leaveAfter() time.Duration {
+	if m.Holds() {
+		return leaveHoldingAfter
+	}
+	return leaveIdleAfter
+}
+
 // watchInterval returns the time until the next read of a group that last changed at a moment; pending says that the member may leave or
-// asks for partitions.
-func watchInterval(changed time.Time, pending bool) time.Duration {
+// asks for partitions, moving that some have no owner.
+func watchInterval(changed time.Time, pending, moving bool) time.Duration {
 	switch {
+	case pending && moving:
+		return recheckInterval
 	case pending:
 		return lookInterval
 	case time.Since(changed) < activeFor:
@@ -75,16 +88,24 @@
 }
 
 // await waits until the group has changed, at most for an interval, and tells whether it has; ok is false if the context ended.
-// It waits a random time more after a change, so that one read sees changes that follow each other closely and members don't read together.
+// It waits a random time more after a change, so that one read sees changes that follow each other closely and members don't read together,
+// but not beyond the interval: changes that go on would put the read off.
 func (m *Manager) await(ctx context.Context, interval time.Duration) (changed, ok bool) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	select {
-	case <-m.changed:
-		return true, pause.For(ctx, min(interval, activeInterval/2+rand.N(activeInterval)))
-	case <-timer.C:
-		return false, true
-	case <-ctx.Done():
-		return false, false
+	var spread <-chan time.Time
+	for {
+		select {
+		case <-m.changed:
+			if !changed {
+				changed, spread = true, time.After(activeInterval/2+rand.N(activeInterval))
+			}
+		case <-spread:
+			return changed, true
+		case <-timer.C:
+			return changed, true
+		case <-ctx.Done():
+			return false, false
+		}
 	}
 }
