--- a/internal/replica/records_test.go
+++ b/internal/replica/records_test.go
@@ -98,6 +98,35 @@
 	})
 }
 
+// TestManyEnginesAreCounted checks that a process which begins to read the records of thousands of engines writes no more lines than for some
+// hundreds, and that these still tell of all.
+func TestManyEnginesAreCounted(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	logger := logging.New(&output, "info", "text")
+	const count = 10000
+	var found news
+	for i := range count {
+		found.add(fleet.Engine{ID: fmt.Sprint("engine", i), Pool: "drafter"}, int64(i), logger)
+	}
+	found.write(logger)
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	is.Equal(len(lines), newsLines+1)
+	named := 0
+	for _, line := range lines[:newsLines] {
+		is.True(len(line) < 2*newsBytes)
+		named += strings.Count(line, "pool=")
+	}
+	is.True(strings.Contains(lines[newsLines], fmt.Sprintf("drafter:%d", count-named)))
+	is.True(strings.Contains(lines[newsLines], fmt.Sprint("last_offset=", count-1)))
+
+	// The next read names engines again.
+	output.Reset()
+	found.add(fleet.Engine{ID: "one"}, count, logger)
+	found.write(logger)
+	is.True(strings.Contains(output.String(), "one pool="))
+}
+
 // TestOneReadIsFewLines checks that what one read brings of many engines takes few lines of bounded size that name every engine.
 func TestOneReadIsFewLines(t *testing.T) {
 	is := is.New(t)
