Keep work in the regions that its route or tenant names

Change: routes and tenants carry regions; both bind. Engines take the region of their zone from the settings, and the choice of an engine, in pools of any size, leaves out those of other or unknown regions. Work that no engine may run is refused as not run, or waits as items do.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -55,6 +56,8 @@
 	RunDeadline time.Duration
 	// Public says that requests need no key.
 	Public bool
+	// Regions are those whose engines may run the route's requests, nil for all.
+	Regions []string
 }
 
 // MayRepeat tells whether a request of the route may run more than once.
@@ -147,6 +150,24 @@
 	return route.Priority
 }
 
+// Regions returns the regions whose engines may run the work of a tenant on a route, nil for all: both the route and the tenant bind.
+func (c *Catalog) Regions(route Route, tenantName string) []string {
+	known, ok := c.Tenants.Named(tenantName)
+	switch {
+	case !ok || known.Regions == nil:
+		return route.Regions
+	case route.Regions == nil:
+		return known.Regions
+	}
+	common := []string{}
+	for _, region := range route.Regions {
+		if slices.Contains(known.Regions, region) {
+			common = append(common, region)
+		}
+	}
+	return common
+}
+
 // RequestedPools returns the pools that callers' requests are sent to, unlike those that only run items of jobs.
 func (c *Catalog) RequestedPools() map[string]bool {
 	pools := make(map[string]bool)
--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -48,6 +48,15 @@
 	return current.Priority(route, tenantName)
 }
 
+// Regions returns the regions whose engines may run the work of a tenant on a route, nil for all, by the catalog in force.
+func (h *Holder) Regions(route Route, tenantName string) []string {
+	current := h.Current()
+	if current == nil {
+		return route.Regions
+	}
+	return current.Regions(route, tenantName)
+}
+
 // SetVersion records that a version of a model was named, and tells whether it is newer.
 func (h *Holder) SetVersion(model string, version int64) bool {
 	h.mutex.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,8 @@
 	Pool      string
 	Address   string
 	Zone      string
+	// Region is the region of the zone, empty if that is not known; the directory fills it in.
+	Region string
 	// Slots is how many requests it works on at once.
 	Slots int
 	// Draining says that it takes no new work.
@@ -65,6 +67,8 @@
 	changed broadcast.Signal
 	// dealt maps engines, known or not, to the models that they are kept up to date for, by pool.
 	dealt map[string]map[string]string
+	// regions maps zones to regions.
+	regions map[string]string
 	// evacuated holds the zones whose engines take no new work.
 	evacuated map[string]bool
 	// coldRates holds how many requests a second a cold engine bears, by pool, where that is bounded.
@@ -92,6 +96,13 @@
 	}
 }
 
+// SetRegions says in which regions zones lie. It comes before the first engine.
+func (d *Directory) SetRegions(regions map[string]string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.regions = regions
+}
+
 // Restarted tells whether an engine is a later incarnation than another one with its id. Where either does not say when it started, they
 // count as the same one.
 func (e Engine) Restarted(before Engine) bool {
@@ -103,6 +114,7 @@
 func (d *Directory) Upsert(engine Engine) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	engine.Region = d.regions[engine.Zone]
 	found, ok := d.engines[engine.ID]
 	if !ok {
 		d.engines[engine.ID] = &entry{engine: engine, rank: unitHash("", engine.ID), loading: make(map[string]time.Time)}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/policy"
@@ -60,7 +61,7 @@
 	given := make([]Engine, len(wants))
 	surveys := make(map[kind]*surveyed)
 	for i, want := range wants {
-		key := kind{want.Pool, want.Model, want.MinVersion, want.ExactVersion}
+		key := kind{want.Pool, want.Model, want.MinVersion, want.ExactVersion, want.Regions == nil, strings.Join(want.Regions, " ")}
 		found, ok := surveys[key]
 		if !ok {
 			found = newSurveyed(d.candidates(want, now), want)
@@ -81,6 +82,9 @@
 type kind struct {
 	pool, model       string
 	minVersion, exact int64
+	// anywhere says that no regions are bound, regions names those that are.
+	anywhere bool
+	regions  string
 }
 
 // surveyed holds the engines with room for work of one kind: those that are kept up to date for its model or for none, and the others,
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -38,6 +38,8 @@
 	MinVersion int64
 	// ExactVersion, if not 0, allows this version alone.
 	ExactVersion int64
+	// Regions are those whose engines may run the work, nil for all. An engine of an unknown region runs none that is bound to some.
+	Regions []string
 	// Exclude holds ids of engines that were tried.
 	Exclude []string
 	// Zone is preferred among engines that are equally busy.
@@ -60,6 +62,11 @@
 	probing bool
 }
 
+// allows tells whether engines of a region may run the work.
+func (w Want) allows(region string) bool {
+	return w.Regions == nil || region != "" && slices.Contains(w.Regions, region)
+}
+
 // slowFactor is how many times the median pace makes an engine slow for work of which no number of events is expected.
 const slowFactor = 1.8
 
@@ -213,7 +220,7 @@
 
 // fits tells whether an engine's own record allows the work.
 func fits(engine Engine, want Want) bool {
-	if engine.Pool != want.Pool || engine.Draining {
+	if engine.Pool != want.Pool || engine.Draining || !want.allows(engine.Region) {
 		return false
 	}
 	if want.Model == "" {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -56,13 +56,13 @@
 	}
 	dealt := d.dealt[want.Pool]
 	if want.Model == "" || len(dealt) == 0 {
-		return p.order[:consideredMost]
+		return first(p.order, consideredMost, want)
 	}
 	if p.own == nil {
 		p.sortOut(dealt)
 	}
 	own := p.own[want.Model]
-	return slices.Concat(own, first(p.spare, consideredMost-len(own)), first(p.foreign, foreignMost))
+	return slices.Concat(own, first(p.spare, consideredMost-len(own), want), first(p.foreign, foreignMost, want))
 }
 
 // sortOut sorts the engines out by the models that they are kept up to date for.
@@ -79,9 +79,21 @@
 	}
 }
 
-// first returns at most so many of some engines.
-func first(engines []*entry, most int) []*entry {
-	return engines[:max(0, min(most, len(engines)))]
+// first returns at most so many of some engines, of the regions that work is bound to.
+func first(engines []*entry, most int, want Want) []*entry {
+	if want.Regions == nil {
+		return engines[:max(0, min(most, len(engines)))]
+	}
+	var allowed []*entry
+	for _, found := range engines {
+		if len(allowed) >= most {
+			break
+		}
+		if want.allows(found.engine.Region) {
+			allowed = append(allowed, found)
+		}
+	}
+	return allowed
 }
 
 // sortedEngines returns the engines of a pool in order of their ids. The slice is not changed later. The mutex must be held.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -94,7 +94,7 @@
 // start sends the request to the best engine that was not tried; it returns false if there is none.
 func (e *exchange) start(ctx context.Context) bool {
 	engine, ok := e.forwarder.config.Directory.Acquire(fleet.Want{
-		Pool: e.request.Pool, Exclude: e.tried, Zone: e.forwarder.config.Zone,
+		Pool: e.request.Pool, Regions: e.request.Regions, Exclude: e.tried, Zone: e.forwarder.config.Zone,
 		NoTrial: !e.request.MayRepeat,
 	})
 	if !ok {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -45,7 +45,9 @@
 // Request is one request of a caller.
 type Request struct {
 	Pool string
-	Call engineapi.Call
+	// Regions are those whose engines may run the request, nil for all.
+	Regions []string
+	Call    engineapi.Call
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
 	// Patience is how long to wait for an engine with room before the request is refused.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -100,7 +100,7 @@
 
 func (s *streamExchange) acquire() (fleet.Engine, bool) {
 	return s.forwarder.config.Directory.Acquire(fleet.Want{
-		Pool: s.request.Pool, Model: s.request.Model, Exclude: s.tried, Zone: s.forwarder.config.Zone,
+		Pool: s.request.Pool, Regions: s.request.Regions, Model: s.request.Model, Exclude: s.tried, Zone: s.forwarder.config.Zone,
 		NoTrial: !s.request.Resumable,
 	})
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -177,7 +177,7 @@
 	}
 	call.Priority = engineapi.NoPriority
 	return forward.Request{
-		Pool: i.config.Splitter.Pick(route), Call: call, Deadline: received.Add(hold(route, budget)), Patience: patience, Aim: route.Aim,
+		Pool: i.config.Splitter.Pick(route), Regions: i.config.Catalog.Regions(route, call.Tenant), Call: call, Deadline: received.Add(hold(route, budget)), Patience: patience, Aim: route.Aim,
 		MaxAttempts: route.MaxAttempts, MayRepeat: route.MayRepeat(),
 	}
 }
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -74,7 +74,7 @@
 
 func (e *execution) want(route catalog.Route) fleet.Want {
 	want := fleet.Want{
-		Pool: e.runner.config.Splitter.Pick(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
+		Pool: e.runner.config.Splitter.Pick(route), Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
 		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude, Events: e.left(), Since: e.waitingSince,
 	}
 	want.Slack = policy.Slack(e.critical.Value(), e.runner.config.Directory.QuickestPace(want.Pool, want.Model))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -94,6 +94,7 @@
 		config: config, catalog: catalog.NewHolder(), directory: fleet.NewDirectory(), index: job.NewIndex(),
 		metrics: newMetrics(), holdings: newHoldings(),
 	}
+	r.directory.SetRegions(config.Settings.Regions)
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -13,6 +13,8 @@
 	// Priority ranks the tenant's work, 0 first, in place of its route's. It counts only if Ranked is set.
 	Priority int
 	Ranked   bool
+	// Regions are those whose engines may run the tenant's requests, nil for all.
+	Regions []string
 	// Keys are the API keys by which the tenant's requests are known.
 	Keys []Digest
 }
