Tell in announcements how old orders are, so that a successor need not wait a whole lease

Cause: an order giver orders no engine within a lease (and the window of an order) of another's last order, counted from when it read the announcement. Change: an announcement tells by its giver's steady clock when it was written and when the order was announced. A reader knows by the newest record of a giver, and by those of later givers, how old an order is at least; no clocks of different machines are compared, and a clock that stands still only makes orders younger.

--- a/internal/weightroll/announcer_test.go
+++ b/internal/weightroll/announcer_test.go
@@ -38,12 +38,12 @@
 		is := is.New(t)
 		const later = announcementsMost + 10
 		writer := &slowAppender{took: 200 * time.Millisecond}
-		a := announcer{writer: writer}
+		a := newAnnouncer(writer)
 		started := time.Now()
 		var running sync.WaitGroup
 		announce := func(name string, began time.Duration) {
 			running.Go(func() {
-				from, took, err := a.announce(t.Context(), keyedlog.Record{Key: name})
+				from, took, err := a.announce(t.Context(), Announcement{EngineID: name})
 				is.NoErr(err)
 				is.Equal(from.Sub(started), began)
 				is.Equal(took, writer.took)
@@ -66,7 +66,7 @@
 
 		// What comes when nothing is under way is written at once.
 		running.Go(func() {
-			from, _, err := a.announce(t.Context(), keyedlog.Record{Key: "last"})
+			from, _, err := a.announce(t.Context(), Announcement{EngineID: "last"})
 			is.NoErr(err)
 			is.Equal(from.Sub(started), 3*writer.took)
 		})
@@ -83,12 +83,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		writer := &slowAppender{took: 200 * time.Millisecond}
-		a := announcer{writer: writer}
+		a := newAnnouncer(writer)
 		var running sync.WaitGroup
 		for began := time.Now(); time.Since(began) < 2*fencing.SendWindow; time.Sleep(50 * time.Millisecond) {
 			called := time.Now()
 			running.Go(func() {
-				from, took, err := a.announce(t.Context(), keyedlog.Record{Key: called.String()})
+				from, took, err := a.announce(t.Context(), Announcement{EngineID: called.String()})
 				is.NoErr(err)
 				is.Equal(time.Now(), from.Add(took))
 				is.True(time.Since(called) <= 2*writer.took)
@@ -108,14 +108,42 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		errEnded := errors.New("superseded")
-		a := announcer{writer: &slowAppender{took: time.Second, err: errEnded}}
+		a := newAnnouncer(&slowAppender{took: time.Second, err: errEnded})
 		var running sync.WaitGroup
 		for i := range 5 {
 			running.Go(func() {
-				_, _, err := a.announce(t.Context(), keyedlog.Record{Key: fmt.Sprint(i)})
+				_, _, err := a.announce(t.Context(), Announcement{EngineID: fmt.Sprint(i)})
 				is.Equal(err, errEnded)
 			})
 		}
 		running.Wait()
 	})
 }
+
+// TestRecordsTellWhenTheLastOrderWasAnnounced writes that an engine serves a version after its next order was announced: whoever reads only the
+// newest record must not take that order for older than it is.
+func TestRecordsTellWhenTheLastOrderWasAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		writer := new(slowAppender)
+		a := newAnnouncer(writer)
+		a.started = time.Now()
+		announce := func(version int64, serving bool) Announcement {
+			_, _, err := a.announce(t.Context(), Announcement{EngineID: "e", Version: version, Serving: serving})
+			is.NoErr(err)
+			var written Announcement
+			_, err = written.UnmarshalMsg(writer.appends[len(writer.appends)-1][0].Value)
+			is.NoErr(err)
+			return written
+		}
+		announce(2, true)
+		time.Sleep(time.Second)
+		is.Equal(announce(2, false).Ordered, time.Second)
+		time.Sleep(time.Second)
+		is.Equal(announce(3, false).Ordered, 2*time.Second)
+		time.Sleep(time.Second)
+		late := announce(2, true)
+		is.Equal(late.Ordered, 2*time.Second)
+		is.Equal(late.Written, 3*time.Second)
+	})
+}
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -1,7 +1,10 @@
 package weightroll
 
 import (
+	"cmp"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +31,8 @@
 	mutex   sync.Mutex
 	orders  map[string]seenOrder
 	skipped int
+	// began holds a moment by which each order giver had its epoch, by what its records tell.
+	began map[orderGiver]time.Time
 	// atOnce maps pools to how many of their engines might load at once.
 	atOnce map[string]int
 	// usual is the smoothed time from the announcement of an order to that of its engine serving, 0 before one was measured.
@@ -38,11 +43,22 @@
 type seenOrder struct {
 	Announcement
 	seenAt time.Time
+	// announcedBy is a moment by which the order had been announced, seenAt or an earlier one; last fills it in.
+	announcedBy time.Time
 }
 
+// orderGiver is who ordered the engines of a pool under an epoch.
+type orderGiver struct {
+	pool  string
+	epoch int64
+}
+
+// giversMost is how many order givers are remembered.
+const giversMost = 16
+
 // NewBoard returns an empty board that tells a directory what engines load and serve.
 func NewBoard(directory *fleet.Directory) *Board {
-	return &Board{directory: directory, orders: make(map[string]seenOrder), atOnce: make(map[string]int)}
+	return &Board{directory: directory, orders: make(map[string]seenOrder), began: make(map[orderGiver]time.Time), atOnce: make(map[string]int)}
 }
 
 // Apply folds a record. An error says that it was skipped.
@@ -68,6 +84,7 @@
 		return err
 	}
 	b.mutex.Lock()
+	b.noteClock(order, now)
 	seen := seenOrder{Announcement: order, seenAt: now}
 	if order.Serving {
 		// That an engine serves is no new order.
@@ -127,11 +144,49 @@
 	b.usual = smoothed(b.usual, min(took, overdueLoads*b.usual))
 }
 
+// noteClock takes what a record tells of when its owner began. A record is read after it was written, so that the owner had begun by the
+// moment of reading less what its clock showed; a clock that stood still during a suspension only makes that later. The mutex must be held.
+func (b *Board) noteClock(order Announcement, now time.Time) {
+	if order.Written <= 0 {
+		return
+	}
+	giver := orderGiver{order.Pool, order.Epoch}
+	began := now.Add(-order.Written)
+	if known, ok := b.began[giver]; ok && !began.Before(known) {
+		return
+	}
+	b.began[giver] = began
+	if len(b.began) > giversMost {
+		delete(b.began, slices.MinFunc(slices.Collect(maps.Keys(b.began)), func(a, b orderGiver) int { return cmp.Compare(a.epoch, b.epoch) }))
+	}
+}
+
+// announcedBy returns a moment by which an order had been announced. Whoever has read an order just now knows by the newest record of its giver
+// how old it is at least, and that it is older than the next giver. The mutex must be held.
+func (b *Board) announcedBy(order seenOrder) time.Time {
+	by := order.seenAt
+	for giver, began := range b.began {
+		switch {
+		case giver.pool != order.Pool || giver.epoch < order.Epoch:
+			continue
+		case giver.epoch == order.Epoch && order.Ordered <= 0:
+			continue
+		case giver.epoch == order.Epoch:
+			began = began.Add(order.Ordered)
+		}
+		if began.Before(by) {
+			by = began
+		}
+	}
+	return by
+}
+
 // last returns the newest announcement for an engine.
 func (b *Board) last(engineID string) (seenOrder, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	order, ok := b.orders[engineID]
+	order.announcedBy = b.announcedBy(order)
 	return order, ok
 }
 
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -9,7 +9,6 @@
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fencing"
 	"github.com/hillfork/hillfork/internal/fleet"
-	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
 )
 
@@ -68,13 +67,9 @@
 		EngineID: step.Engine.ID, Pool: pool, Model: step.Model, Version: step.Version, Epoch: r.writer.Epoch(),
 		Holder: r.config.Node, Serving: serving, Together: r.togetherOf(pool),
 	}
-	value, err := record.MarshalMsg(nil)
-	if err != nil {
-		return fencing.Window{}, err
-	}
 	for {
 		window := fencing.BeginWindow()
-		began, took, err := r.announcer.announce(ctx, keyedlog.Record{Key: step.Engine.ID, Value: value})
+		began, took, err := r.announcer.announce(ctx, record)
 		if err != nil {
 			return fencing.Window{}, err
 		}
--- a/internal/weightroll/records.go
+++ b/internal/weightroll/records.go
@@ -6,6 +6,8 @@
 // the machine of its predecessor goes on at once, since the one before is gone with all its connections.
 package weightroll
 
+import "time"
+
 //go:generate go tool msgp -tests=false
 
 // Announcement is the record of an engine's newest order.
@@ -19,6 +21,10 @@
 	Holder string `msg:"holder"`
 	// Serving says that the engine has been seen to serve the version.
 	Serving bool `msg:"serving"`
+	// Written and Ordered are by the owner's steady clock since it had its epoch: when the record was about to be written, and when that of the
+	// order was; 0 if unknown. Whoever reads them, and when, records of one owner tell by them how far apart they are.
+	Written time.Duration `msg:"written"`
+	Ordered time.Duration `msg:"ordered"`
 	// Together is how many engines of the pool might load at once, so that the next order giver need not find out anew.
 	Together int `msg:"together"`
 }
--- a/internal/weightroll/records_gen.go
+++ b/internal/weightroll/records_gen.go
@@ -66,6 +66,18 @@
 				err = msgp.WrapError(err, "Serving")
 				return
 			}
+		case "written":
+			z.Written, err = dc.ReadDuration()
+			if err != nil {
+				err = msgp.WrapError(err, "Written")
+				return
+			}
+		case "ordered":
+			z.Ordered, err = dc.ReadDuration()
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
 		case "together":
 			z.Together, err = dc.ReadInt()
 			if err != nil {
@@ -85,9 +97,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 10
 	// write "engine"
-	err = en.Append(0x88, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	err = en.Append(0x8a, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	if err != nil {
 		return
 	}
@@ -156,6 +168,26 @@
 		err = msgp.WrapError(err, "Serving")
 		return
 	}
+	// write "written"
+	err = en.Append(0xa7, 0x77, 0x72, 0x69, 0x74, 0x74, 0x65, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteDuration(z.Written)
+	if err != nil {
+		err = msgp.WrapError(err, "Written")
+		return
+	}
+	// write "ordered"
+	err = en.Append(0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteDuration(z.Ordered)
+	if err != nil {
+		err = msgp.WrapError(err, "Ordered")
+		return
+	}
 	// write "together"
 	err = en.Append(0xa8, 0x74, 0x6f, 0x67, 0x65, 0x74, 0x68, 0x65, 0x72)
 	if err != nil {
@@ -172,9 +204,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "engine"
-	o = append(o, 0x88, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
+	o = append(o, 0x8a, 0xa6, 0x65, 0x6e, 0x67, 0x69, 0x6e, 0x65)
 	o = msgp.AppendString(o, z.EngineID)
 	// string "pool"
 	o = append(o, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
@@ -194,6 +226,12 @@
 	// string "serving"
 	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendBool(o, z.Serving)
+	// string "written"
+	o = append(o, 0xa7, 0x77, 0x72, 0x69, 0x74, 0x74, 0x65, 0x6e)
+	o = msgp.AppendDuration(o, z.Written)
+	// string "ordered"
+	o = append(o, 0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendDuration(o, z.Ordered)
 	// string "together"
 	o = append(o, 0xa8, 0x74, 0x6f, 0x67, 0x65, 0x74, 0x68, 0x65, 0x72)
 	o = msgp.AppendInt(o, z.Together)
@@ -260,6 +298,18 @@
 				err = msgp.WrapError(err, "Serving")
 				return
 			}
+		case "written":
+			z.Written, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Written")
+				return
+			}
+		case "ordered":
+			z.Ordered, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
 		case "together":
 			z.Together, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -280,7 +330,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Announcement) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize + 9 + msgp.IntSize
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.EngineID) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Model) + 8 + msgp.Int64Size + 6 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Holder) + 8 + msgp.BoolSize + 8 + msgp.DurationSize + 8 + msgp.DurationSize + 9 + msgp.IntSize
 	return
 }
 
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -92,7 +92,7 @@
 		sequences: make(map[string]sequence), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		usual: loadUsual, quickest: loadUsual, namedAt: make(map[string]naming),
 	}
-	r.announcer.writer = r.writer
+	r.announcer = newAnnouncer(r.writer)
 	r.active.Go(func() { r.run(runCtx) })
 	return r
 }
@@ -102,7 +102,7 @@
 	config    Config
 	partition keyedlog.Partition
 	writer    *fencing.Writer
-	announcer announcer
+	announcer *announcer
 	cancel    context.CancelFunc
 	active    sync.WaitGroup
 	wake      chan struct{}
@@ -147,6 +147,7 @@
 	if err != nil {
 		return
 	}
+	r.announcer.started = time.Now()
 	if err := r.config.Followers[r.partition.Number].WaitFor(ctx, end); err != nil {
 		return
 	}
@@ -262,14 +263,14 @@
 	return slices.ContainsFunc(route.Targets, func(target catalog.Target) bool { return target.Pool == pool })
 }
 
-// allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have ordered it. What an
+// allowedAt is when an engine may hear this holder: a lease after the last moment at which another may have announced an order to it. What an
 // earlier process of this machine ordered is this holder's own.
 func (r *roller) allowedAt(engineID string) time.Time {
 	last, ordered := r.config.Board.last(engineID)
 	if !ordered || last.Epoch == r.writer.Epoch() || last.Holder == r.config.Node {
 		return time.Time{}
 	}
-	return last.seenAt.Add(fencing.TurnAfter(r.config.Lease))
+	return last.announcedBy.Add(fencing.TurnAfter(r.config.Lease))
 }
 
 // carryOut brings one engine to a version. under is how many loads of the pool are under way, this one included.
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -271,13 +271,94 @@
 	for seed := range int64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				playTakeovers(t, rand.New(rand.NewSource(seed)))
+				playTakeovers(t, rand.New(rand.NewSource(seed)), false)
 			})
 		})
 	}
 }
 
-func playTakeovers(t *testing.T, random *rand.Rand) {
+// TestNoEngineHearsTwoHoldersOfWhichOneReadLate plays takeovers by processes that have read no announcement before they own the partition.
+func TestNoEngineHearsTwoHoldersOfWhichOneReadLate(t *testing.T) {
+	for seed := range int64(80) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playTakeovers(t, rand.New(rand.NewSource(seed)), true)
+			})
+		})
+	}
+}
+
+// TestASuccessorThatReadsLateKnowsWhichOrdersAreOld has an order giver vanish that loaded one engine after the other. A process that has read no
+// announcement before takes over: engines whose last order lies a lease before the newest one's are ordered at once, the others in turn.
+func TestASuccessorThatReadsLateKnowsWhichOrdersAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 10)
+		w.engines.ServeReaders(1)
+		first := w.node("first")
+		first.own(1)
+		first.catalog.SetVersion(model, 2)
+		time.Sleep(30 * time.Second)
+		before := make(map[string]time.Time)
+		var newest time.Time
+		for _, order := range w.engines.Orders() {
+			before[order.Engine], newest = order.At, order.At
+		}
+		is.Equal(len(before), len(w.pool))
+		first.cancel()
+
+		w.engines.ServeReaders(len(w.pool))
+		second := w.node("second")
+		second.catalog.SetVersion(model, 3)
+		tookOver := time.Now()
+		second.own(2)
+		time.Sleep(2 * lease)
+		old := 0
+		for _, order := range w.engines.Orders()[len(before):] {
+			if newest.Sub(before[order.Engine]) < fencing.TurnAfter(lease) {
+				continue
+			}
+			old++
+			is.True(order.At.Sub(tookOver) < lease)
+		}
+		is.True(old > 0)
+		judgeOrders(t, w.engines.Orders())
+		second.release()
+	})
+}
+
+// TestAGiverThatIsKilledKnowsOlderGivers has a second order giver, which had not ordered an engine yet, be killed and start again on its machine:
+// orders of the first one are older than all that the second one wrote.
+func TestAGiverThatIsKilledKnowsOlderGivers(t *testing.T) {
+	is := is.New(t)
+	board := NewBoard(fleet.NewDirectory())
+	now := time.Now()
+	read := func(order Announcement) {
+		board.mutex.Lock()
+		defer board.mutex.Unlock()
+		board.noteClock(order, now)
+		board.orders[order.EngineID] = seenOrder{Announcement: order, seenAt: now}
+	}
+	read(Announcement{EngineID: "old", Pool: "pool", Epoch: 4, Written: 9 * time.Second, Ordered: 9 * time.Second})
+	read(Announcement{EngineID: "new", Pool: "pool", Epoch: 5, Written: 6 * time.Second, Ordered: 5 * time.Second})
+	// One of another pool has the same epoch by chance, and began long ago.
+	read(Announcement{EngineID: "other", Pool: "another", Epoch: 4, Written: time.Hour, Ordered: time.Minute})
+	// A giver that tells no times says nothing.
+	read(Announcement{EngineID: "mute", Pool: "mute", Epoch: 7})
+
+	ages := make(map[string]time.Duration)
+	for _, id := range []string{"old", "new", "other", "mute"} {
+		order, known := board.last(id)
+		is.True(known)
+		ages[id] = now.Sub(order.announcedBy)
+	}
+	is.Equal(ages["old"], 6*time.Second)
+	is.Equal(ages["new"], time.Second)
+	is.Equal(ages["other"], time.Hour-time.Minute)
+	is.Equal(ages["mute"], time.Duration(0))
+}
+
+func playTakeovers(t *testing.T, random *rand.Rand, readLate bool) {
 	is := is.New(t)
 	w := newWorld(t, 4)
 	nodes := []*node{w.node("a"), w.node("b"), w.node("c")}
@@ -315,6 +396,11 @@
 				nodes[place] = next
 			}
 		}
+		if readLate && !slices.Contains(held, next) {
+			next = w.node(next.name)
+			next.catalog.SetVersion(model, version)
+			nodes[place] = next
+		}
 		if place != owner || random.Intn(2) == 0 {
 			generation++
 		}
