Time loads by their giver's clock, so that engines that load get no work

Cause: a replica learns how long loads take from when it reads an order and the word that the engine serves, and keeps work off an engine for 1.3 times as long. One that was behind reads both together: a hundred loads that seem to take no time bring the usual time to nothing, and from then on it gives work to engines that load, until enough loads were read in time. Grows with loads x reads that are late. Change: the time of a load is the difference of two times by the giver's clock, which announcements tell; and an engine counts as loading from when its order was announced, not from when that was read. Figures: TestLoadsReadTogetherTakeAsLongAsOthers, red before. Conclusion: TestEnginesAreLeftAloneWhileTheyLoad holds unchanged for givers that tell no times.

--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -97,7 +97,7 @@
 	if order.Together > 0 {
 		b.atOnce[order.Pool] = order.Together
 	}
-	until := now.Add(b.loading())
+	until := b.announcedBy(seen).Add(b.loading())
 	b.mutex.Unlock()
 	if order.Serving {
 		b.directory.SetServes(order.EngineID, order.Model, order.Version)
@@ -133,7 +133,7 @@
 
 // learn takes that an engine serves what it was ordered to load. The mutex must be held.
 func (b *Board) learn(ordered seenOrder, serving Announcement, now time.Time) {
-	took := now.Sub(ordered.seenAt)
+	took := loadTook(ordered, serving, now)
 	if ordered.Serving || ordered.Version != serving.Version || ordered.Model != serving.Model || took <= 0 {
 		return
 	}
@@ -144,6 +144,20 @@
 	b.usual = smoothed(b.usual, min(took, overdueLoads*b.usual))
 }
 
+// loadTook returns how long a load took, 0 if that is not known. It goes by the giver's clock: a process that is behind reads order and answer
+// together, and a hundred loads that seem to take no time would have it give work to engines that load.
+func loadTook(ordered seenOrder, serving Announcement, now time.Time) time.Duration {
+	switch {
+	case serving.Written <= 0:
+		// The giver tells no times.
+		return now.Sub(ordered.seenAt)
+	case serving.Ordered <= 0:
+		return 0
+	default:
+		return serving.Written - serving.Ordered
+	}
+}
+
 // noteClock takes what a record tells of when its owner began. A record is read after it was written, so that the owner had begun by the
 // moment of reading less what its clock showed; a clock that stood still during a suspension only makes that later. The mutex must be held.
 func (b *Board) noteClock(order Announcement, now time.Time) {
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -526,6 +526,48 @@
 	})
 }
 
+// TestLoadsReadTogetherTakeAsLongAsOthers has a process that was behind read the orders of a hundred engines with the words that they serve, all
+// at once, then the next orders in time: it gives the engines no work while they load.
+func TestLoadsReadTogetherTakeAsLongAsOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const engines, took = 100, 1100 * time.Millisecond
+		directory := fleet.NewDirectory()
+		board := NewBoard(directory)
+		read := func(id int, written, ordered time.Duration, version int64, serving bool) {
+			name := fmt.Sprint("engine", id)
+			directory.Upsert(fleet.Engine{ID: name, Pool: poolName})
+			value, err := (&Announcement{
+				EngineID: name, Pool: poolName, Model: model, Version: version, Epoch: 1, Serving: serving, Written: written, Ordered: ordered,
+			}).MarshalMsg(nil)
+			is.NoErr(err)
+			is.NoErr(board.Apply(keyedlog.Record{Key: name, Value: value}))
+		}
+		clock := time.Now()
+		at := func() time.Duration { return time.Since(clock) + time.Second }
+		time.Sleep(4 * time.Second)
+		for id := range engines {
+			ordered := at() - 2*time.Second
+			read(id, ordered, ordered, 2, false)
+			read(id, ordered+took, ordered, 2, true)
+			time.Sleep(time.Microsecond)
+		}
+		time.Sleep(4 * time.Second)
+		ordered := at()
+		for id := range engines {
+			read(id, ordered, ordered, 3, false)
+		}
+		time.Sleep(took - time.Millisecond)
+		for id := range engines {
+			is.True(directory.Loading(fmt.Sprint("engine", id), model))
+		}
+		time.Sleep(took)
+		for id := range engines {
+			is.True(!directory.Loading(fmt.Sprint("engine", id), model))
+		}
+	})
+}
+
 // limit returns how many engines of the pool the node lets load together.
 func (n *node) limit() int {
 	r := n.work.(*roller)
