Have replicas that were cut off read the newest configuration alone

Cause: a replica that was cut off from the store read each configuration that it had missed, 40 KB a version: replicas x versions x size. Change: a replica that was cut off reads as many bytes of what it has missed as the newest record of each key takes, and these alone if that was not enough: never more than twice what it needs, and no more than before where little was missed. The log tells the bytes of a configuration. Conclusion: holds at any number of versions; one configuration for each replica at once remains.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -54,6 +54,8 @@
 	// Sample is the key after which a process that needs only some of the keys reads a page of newest records, and another one from the first
 	// key on where that page reaches the last; empty to read all. What is appended later is read whole.
 	Sample string
+	// NewestOnly says that only the newest record of each key matters: a process that was cut off from the store need not read all it has missed.
+	NewestOnly bool
 	// Bytes is about how much one read returns at most, 0 for as much as the store gives.
 	Bytes int
 	// Wait is how long the store may hold a read open.
@@ -79,6 +81,8 @@
 	next    int64
 	started bool
 	offsets map[string]int64
+	// backlog is kept where only the newest records matter.
+	backlog backlog
 	// pager reads the newest records while they are being read, seen holds the keys that it has given.
 	pager *pager
 	seen  map[string]bool
@@ -127,12 +131,18 @@
 	if !f.started {
 		return f.catchUp(ctx)
 	}
-	wait := f.config.Wait
+	span := keyedlog.Span{From: f.next, Wait: f.config.Wait, Bytes: f.config.Bytes}
 	if !f.inStep() {
 		// Ask what there is, so that the process learns at once that it is in step, or that the store is back.
-		wait = 0
+		span.Wait = 0
 	}
-	batch, err := f.config.Log.Read(ctx, f.config.Partition, keyedlog.Span{From: f.next, Wait: wait, Bytes: f.config.Bytes})
+	if f.config.NewestOnly && !f.Connected() {
+		f.backlog.begin()
+	}
+	if bound := f.backlog.left(); bound > 0 {
+		span.Bytes = bound
+	}
+	batch, err := f.config.Log.Read(ctx, f.config.Partition, span)
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		f.started, f.pager = false, nil
 		f.config.Logger.Info("store dropped records that were not read; reading the newest of each key",
@@ -146,6 +156,14 @@
 		f.apply(record, false)
 	}
 	f.next += int64(len(batch.Records))
+	switch missed := batch.End - f.next; {
+	case missed <= 0:
+		f.backlog.end()
+	case f.backlog.spent():
+		f.backlog.end()
+		f.started, f.pager = false, nil
+		f.config.Logger.Info("skipping to the newest record of each key", "partition", f.config.Partition, "from", f.next, "missed", missed)
+	}
 	f.reached(f.next, f.next >= batch.End)
 	if len(batch.Records) > 0 && f.next >= batch.End {
 		f.space(ctx)
@@ -232,6 +250,9 @@
 	} else {
 		f.offsets[record.Key] = record.Offset
 	}
+	if f.config.NewestOnly {
+		f.backlog.note(record)
+	}
 	f.config.Applier.Apply(record, recovered)
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -278,3 +279,102 @@
 		is.Equal(len(state.read()), records)
 	})
 }
+
+// countingLog counts the bytes of the records that are read.
+type countingLog struct {
+	keyedlog.Log
+	bytes atomic.Int64
+}
+
+func (c *countingLog) Read(ctx context.Context, partition keyedlog.Partition, span keyedlog.Span) (keyedlog.Batch, error) {
+	batch, err := c.Log.Read(ctx, partition, span)
+	c.count(batch.Records)
+	return batch, err
+}
+
+func (c *countingLog) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
+	page, err := c.Log.Newest(ctx, partition, afterKey)
+	c.count(page.Records)
+	return page, err
+}
+
+func (c *countingLog) count(records []keyedlog.Record) {
+	for _, record := range records {
+		c.bytes.Add(int64(len(record.Key) + len(record.Value)))
+	}
+}
+
+// TestWhoWasCutOffReadsTheNewestAlone answers the load of many processes that the store turned away while a large record was written several
+// times: each reads some of its versions at most when it is served again, and small records alone are read as they stand.
+func TestWhoWasCutOffReadsTheNewestAlone(t *testing.T) {
+	const large, small = 40 << 10, 60
+	for name, test := range map[string]struct {
+		// larges and smalls are how many records are written while the process is cut off.
+		larges, smalls int
+		most           int64
+	}{
+		"many large ones":  {12, 30, 3*large + 60*small},
+		"one large one":    {1, 30, 2*large + 60*small},
+		"small ones alone": {0, 30, 40 * small},
+		"nothing":          {0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memorylog.New(memorylog.Config{Partitions: 2})
+				counted := &countingLog{Log: storetimeout.New(store.For("reader"))}
+				seen := newState()
+				follower := startWith(t, store, seen, func(config *follow.Config) {
+					config.Log, config.NewestOnly = counted, true
+				})
+				write := func(larges, smalls, round int) {
+					for i := range max(larges, smalls) {
+						if i < larges {
+							put(t, store, "large", strings.Repeat(string(rune('a'+round)), large-i))
+						}
+						if i < smalls {
+							put(t, store, fmt.Sprint("small", i%8), fmt.Sprintf("%*d", small, 100*round+i))
+						}
+					}
+				}
+				write(2, 100, 0)
+				time.Sleep(time.Second)
+				is.True(follower.CaughtUp())
+
+				store.SetRule(func(call memorylog.Call) memorylog.Fault {
+					if call.Caller == "reader" {
+						return memorylog.Down
+					}
+					return memorylog.None
+				})
+				time.Sleep(5 * time.Second)
+				before := counted.bytes.Load()
+				write(test.larges, test.smalls, 1)
+				store.Heal()
+				time.Sleep(2 * time.Second)
+				is.True(counted.bytes.Load()-before <= test.most)
+
+				// Nothing is missing, nothing went back, and records are read as they come again.
+				end := put(t, store, "last", "x")
+				is.NoErr(follower.WaitFor(t.Context(), end))
+				values := seen.read()
+				for key, value := range newestOf(t, store) {
+					is.Equal(values[key], value)
+				}
+				is.Equal(seen.back, 0)
+			})
+		})
+	}
+}
+
+// newestOf returns the newest values of the keys in the store.
+func newestOf(t *testing.T, store *memorylog.Store) map[string]string {
+	t.Helper()
+	page, err := store.For("test").Newest(t.Context(), partition, "")
+	is.New(t).NoErr(err)
+	values := make(map[string]string)
+	for _, record := range page.Records {
+		values[record.Key] = string(record.Value)
+	}
+	return values
+}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -79,8 +79,8 @@
 		for _, pool := range next.Pools {
 			a.directory.SetColdRate(pool.Name, pool.ColdRate)
 		}
-		a.logger.Info("configuration in force", "version", next.Version, "routes", len(next.Routes), "offset", record.Offset,
-			"recovered", recovered)
+		a.logger.Info("configuration in force", "version", next.Version, "routes", len(next.Routes), "bytes", len(record.Value),
+			"offset", record.Offset, "recovered", recovered)
 	}
 }
 
