Let no refusal shorten the time for which an engine is left to load

Cause: an item that an engine turned away put 150 ms in the place of the time that the engine's order said it loads. Change: the later of the two times counts. A process that begins to own learns what loads take from the ends that it reads alone.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -251,11 +251,12 @@
 	return d.dealt[pool]
 }
 
-// SetLoading records that an engine was ordered to load weights of a model and begins no request of it until then.
+// SetLoading records that an engine loads weights of a model and begins no request of it until then, or later if that is known. An item that
+// was turned away says only that the engine still loads.
 func (d *Directory) SetLoading(id, model string, until time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if found, ok := d.engines[id]; ok {
+	if found, ok := d.engines[id]; ok && until.After(found.loading[model]) {
 		found.loading[model] = until
 	}
 }
--- a/internal/weightroll/board.go
+++ b/internal/weightroll/board.go
@@ -88,10 +88,11 @@
 	seen := seenOrder{Announcement: order, seenAt: now}
 	if order.Serving {
 		// That an engine serves is no new order.
-		if known, ok := b.orders[order.EngineID]; ok {
-			seen.seenAt = known.seenAt
-			b.learn(known, order, now)
+		last, read := b.orders[order.EngineID]
+		if read {
+			seen.seenAt = last.seenAt
 		}
+		b.learn(last, read, order, now)
 	}
 	b.orders[order.EngineID] = seen
 	if order.Together > 0 {
@@ -131,30 +132,32 @@
 	return time.Duration(loadingSlack * float64(b.usual))
 }
 
-// learn takes that an engine serves what it was ordered to load. The mutex must be held.
-func (b *Board) learn(ordered seenOrder, serving Announcement, now time.Time) {
-	took := loadTook(ordered, serving, now)
-	if ordered.Serving || ordered.Version != serving.Version || ordered.Model != serving.Model || took <= 0 {
+// learn takes that an engine serves what it was ordered to load, by its last announcement if one was read. The mutex must be held.
+func (b *Board) learn(last seenOrder, read bool, serving Announcement, now time.Time) {
+	if read && (last.Serving || last.Version != serving.Version || last.Model != serving.Model) {
 		return
 	}
-	if b.usual == 0 {
+	took := loadTook(last, read, serving, now)
+	switch {
+	case took <= 0:
+	case b.usual == 0:
 		b.usual = took
-		return
+	default:
+		b.usual = smoothed(b.usual, min(took, overdueLoads*b.usual))
 	}
-	b.usual = smoothed(b.usual, min(took, overdueLoads*b.usual))
 }
 
 // loadTook returns how long a load took, 0 if that is not known. It goes by the giver's clock: a process that is behind reads order and answer
-// together, and a hundred loads that seem to take no time would have it give work to engines that load.
-func loadTook(ordered seenOrder, serving Announcement, now time.Time) time.Duration {
+// together, or the answer alone, and a hundred loads that seem to take no time would have it give work to engines that load.
+func loadTook(last seenOrder, read bool, serving Announcement, now time.Time) time.Duration {
 	switch {
-	case serving.Written <= 0:
+	case serving.Ordered > 0:
+		return serving.Written - serving.Ordered
+	case serving.Written == 0 && read:
 		// The giver tells no times.
-		return now.Sub(ordered.seenAt)
-	case serving.Ordered <= 0:
-		return 0
+		return now.Sub(last.seenAt)
 	default:
-		return serving.Written - serving.Ordered
+		return 0
 	}
 }
 
--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -568,6 +568,32 @@
 	})
 }
 
+// TestAnOwnerKnowsFromTheStartWhatLoadsTake has a process that begins to own read the newest announcement of each engine alone, of loads that take
+// longer than is assumed before any was measured.
+func TestAnOwnerKnowsFromTheStartWhatLoadsTake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const took = 2 * loadUsual
+		directory := fleet.NewDirectory()
+		directory.Upsert(fleet.Engine{ID: "e", Pool: poolName})
+		board := NewBoard(directory)
+		read := func(id string, written, ordered time.Duration, serving bool) {
+			value, err := (&Announcement{
+				EngineID: id, Pool: poolName, Model: model, Version: 3, Epoch: 1, Serving: serving, Written: written, Ordered: ordered,
+			}).MarshalMsg(nil)
+			is.NoErr(err)
+			is.NoErr(board.Apply(keyedlog.Record{Key: id, Value: value}))
+		}
+		for i := range 20 {
+			ordered := time.Duration(i+1) * time.Second
+			read(fmt.Sprint("other", i), ordered+took, ordered, true)
+		}
+		read("e", time.Minute, time.Minute, false)
+		time.Sleep(took - time.Millisecond)
+		is.True(directory.Loading("e", model))
+	})
+}
+
 // limit returns how many engines of the pool the node lets load together.
 func (n *node) limit() int {
 	r := n.work.(*roller)
