--- a/internal/weightroll/roller_test.go
+++ b/internal/weightroll/roller_test.go
@@ -498,6 +498,15 @@
 	})
 }
 
+// readBy has a board read an announcement.
+func readBy(t *testing.T, board *Board, announcement Announcement) {
+	t.Helper()
+	is := is.New(t)
+	value, err := announcement.MarshalMsg(nil)
+	is.NoErr(err)
+	is.NoErr(board.Apply(keyedlog.Record{Key: announcement.EngineID, Value: value}))
+}
+
 // TestEnginesAreLeftAloneWhileTheyLoad checks that a board learns how long loads take, and offers an engine no work for as long, and
 // not for much longer if it never says that it serves.
 func TestEnginesAreLeftAloneWhileTheyLoad(t *testing.T) {
@@ -507,9 +516,7 @@
 		directory.Upsert(fleet.Engine{ID: "e", Pool: poolName})
 		board := NewBoard(directory)
 		announce := func(version int64, serving bool) {
-			value, err := (&Announcement{EngineID: "e", Model: model, Version: version, Serving: serving}).MarshalMsg(nil)
-			is.NoErr(err)
-			is.NoErr(board.Apply(keyedlog.Record{Key: "e", Value: value}))
+			readBy(t, board, Announcement{EngineID: "e", Model: model, Version: version, Serving: serving})
 		}
 		const slow = 2 * time.Second
 		for version := range int64(10) {
@@ -537,11 +544,9 @@
 		read := func(id int, written, ordered time.Duration, version int64, serving bool) {
 			name := fmt.Sprint("engine", id)
 			directory.Upsert(fleet.Engine{ID: name, Pool: poolName})
-			value, err := (&Announcement{
+			readBy(t, board, Announcement{
 				EngineID: name, Pool: poolName, Model: model, Version: version, Epoch: 1, Serving: serving, Written: written, Ordered: ordered,
-			}).MarshalMsg(nil)
-			is.NoErr(err)
-			is.NoErr(board.Apply(keyedlog.Record{Key: name, Value: value}))
+			})
 		}
 		clock := time.Now()
 		at := func() time.Duration { return time.Since(clock) + time.Second }
@@ -578,11 +583,9 @@
 		directory.Upsert(fleet.Engine{ID: "e", Pool: poolName})
 		board := NewBoard(directory)
 		read := func(id string, written, ordered time.Duration, serving bool) {
-			value, err := (&Announcement{
+			readBy(t, board, Announcement{
 				EngineID: id, Pool: poolName, Model: model, Version: 3, Epoch: 1, Serving: serving, Written: written, Ordered: ordered,
-			}).MarshalMsg(nil)
-			is.NoErr(err)
-			is.NoErr(board.Apply(keyedlog.Record{Key: id, Value: value}))
+			})
 		}
 		for i := range 20 {
 			ordered := time.Duration(i+1) * time.Second
