--- a/internal/explain/fleet.go
+++ b/internal/explain/fleet.go
@@ -68,7 +68,8 @@
 
 // Fleet is what lines tell of all replicas.
 type Fleet struct {
-	// Replicas are in the order of their states, then of their names.
+	// Replicas are in the order of their states; in each the ones that are furthest behind with the configuration come first, then those that
+	// lost something of the store the longest ago.
 	Replicas []*Replica `json:"replicas"`
 	// Last is the time of the last line.
 	Last time.Time `json:"last"`
@@ -249,12 +250,47 @@
 		}
 	}
 	slices.SortFunc(f.Replicas, func(a, b *Replica) int {
-		return cmp.Or(cmp.Compare(slices.Index(states, a.State), slices.Index(states, b.State)), strings.Compare(a.Name, b.Name))
+		return cmp.Or(
+			cmp.Compare(slices.Index(states, a.State), slices.Index(states, b.State)), cmp.Compare(b.Behind, a.Behind),
+			compareLosses(a.OldestLoss, b.OldestLoss), strings.Compare(a.Name, b.Name),
+		)
 	})
 }
 
-// WriteFleet prints how many replicas are in each state, and a line for each that is not plainly serving: it is in another state, owns
-// a partition, is behind with the configuration, or has refused requests.
+// compareLosses orders moments of losses, those that are not known last.
+func compareLosses(a, b time.Time) int {
+	if a.IsZero() != b.IsZero() {
+		return cmp.Compare(unknown(a), unknown(b))
+	}
+	return a.Compare(b)
+}
+
+func unknown(moment time.Time) int {
+	if moment.IsZero() {
+		return 1
+	}
+	return 0
+}
+
+// configurations tells how many replicas have each configuration, the oldest first.
+func (f *Fleet) configurations() string {
+	counts := make(map[int64]int)
+	for _, replica := range f.Replicas {
+		counts[replica.Configuration]++
+	}
+	var told []string
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		told = append(told, fmt.Sprintf("%d at %d", version, counts[version]))
+	}
+	return strings.Join(told, ", ")
+}
+
+// rowsMost is how many replicas of one state the table lists: of hundreds that lost the store together a few tell what happened.
+const rowsMost = 20
+
+// WriteFleet prints how many replicas are in each state and have each configuration, and a line for those that are not plainly serving: they
+// are in another state, own a partition, are behind with the configuration, or have refused requests. Of each state it lists the first
+// rowsMost and counts the others.
 func (f *Fleet) WriteFleet(output io.Writer) error {
 	if len(f.Replicas) == 0 {
 		return ErrNoReplicas
@@ -270,12 +306,20 @@
 	if _, err := fmt.Fprintf(output, "%d replicas: %s\n", len(f.Replicas), strings.Join(summary, ", ")); err != nil {
 		return err
 	}
+	if _, err := fmt.Fprintf(output, "configurations: %s\n", f.configurations()); err != nil {
+		return err
+	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "replica\tstate\tfor\tquiet\tstarts\tconfiguration\tsettled\trefused\tlosses\toldest loss\tlost\tgained\towned")
+	listed := make(map[State]int)
 	for _, replica := range f.Replicas {
 		if replica.plain() {
 			continue
 		}
+		listed[replica.State]++
+		if listed[replica.State] > rowsMost {
+			continue
+		}
 		configuration := strconv.FormatInt(replica.Configuration, 10)
 		if replica.Behind > 0 {
 			configuration += fmt.Sprintf(" (%d behind)", replica.Behind)
@@ -288,7 +332,17 @@
 			seconds(f.Last.Sub(replica.Since)), seconds(replica.Quiet), replica.Starts, configuration, replica.Settled,
 			replica.Refused, replica.Losses, oldest, list(replica.Lost), list(replica.Gained), list(replica.Owned))
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, state := range states {
+		if more := listed[state] - rowsMost; more > 0 {
+			if _, err := fmt.Fprintf(output, "and %d more %s\n", more, state); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 // plain tells whether nothing of the replica wants a look.
--- a/internal/explain/fleet_test.go
+++ b/internal/explain/fleet_test.go
@@ -94,3 +94,34 @@
 
 	is.Equal((&explain.Fleet{}).WriteFleet(&output), explain.ErrNoReplicas)
 }
+
+// TestALargeFleetIsToldInFewLines has most of a thousand replicas lose the store at different moments, and some be behind with the
+// configuration: the table lists those that need a look first, and counts the others.
+func TestALargeFleetIsToldInFewLines(t *testing.T) {
+	is := is.New(t)
+	const replicas, cut = 985, 600
+	var input strings.Builder
+	for i := range replicas {
+		lines := "started; ready; configuration in force version=7"
+		if i%100 == 99 {
+			lines = "started; ready; configuration in force version=6"
+		}
+		if i < cut {
+			lines += fmt.Sprintf("; store partition lost partition=operator/0 confirmed_ago=%dms", 1+i)
+		}
+		input.WriteString(logOf(fmt.Sprintf("front-%03d", i), lines))
+	}
+	fleet, err := explain.ReadFleet(strings.NewReader(input.String()))
+	is.NoErr(err)
+	var output bytes.Buffer
+	is.NoErr(fleet.WriteFleet(&output))
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	is.True(len(lines) < 40)
+	is.Equal(lines[0], "985 replicas: 600 cut off, 0 in takeover, 0 starting, 385 serving, 0 stopped")
+	is.Equal(lines[1], "configurations: 6 at 9, 7 at 976")
+	// The six that are cut off and behind come first, the one that lost the store first of all at the top; then the others in that order.
+	is.True(strings.HasPrefix(lines[3], "front-599 "))
+	is.True(strings.HasPrefix(lines[8], "front-099 "))
+	is.True(strings.HasPrefix(lines[9], "front-598 "))
+	is.Equal(lines[len(lines)-1], "and 580 more cut off")
+}
