Deal no engines to models before it is known which jobs there are

Cause: a replica that has just started reads the index of jobs up to two seconds late unless it acts, and one that was given the orders of a pool planned before it had read it: of models whose steps it did not know it dealt, and loaded, all engines. Grows with engines x takeovers. Change: as while engines are missing, a giver keeps to what was dealt until it has read the index, and whoever is dealt a partition reads it at once. Conclusion: TestATakeoverKeepsToTheDealingWhileJobsAreUnknown, red before.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -63,12 +63,14 @@
 	catalog   *catalog.Holder
 	directory *fleet.Directory
 	// list is the list of engines as the store has it, keeper writes it.
-	list    *enginelist.List
-	keeper  *enginelist.Keeper
-	index   *job.Index
-	ingress *ingress.Ingress
-	jobs    *jobs.Service
-	queue   *jobrun.Queue
+	list   *enginelist.List
+	keeper *enginelist.Keeper
+	index  *job.Index
+	// indexFollower reads the index of jobs.
+	indexFollower *follow.Follower
+	ingress       *ingress.Ingress
+	jobs          *jobs.Service
+	queue         *jobrun.Queue
 	// quarantine withholds requests that crash engines.
 	quarantine *quarantine.Quarantine
 	// followers run for good; weights, by partition, run once a pool of models has its orders there.
@@ -117,6 +119,7 @@
 	r.shareViews()
 	board := weightroll.NewBoard(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
+	r.indexFollower = indexFollower
 	r.followers = append(r.followers, indexFollower, operator, crashFollower)
 	for number := range config.Log.Partitions(keyedlog.TopicWeights) {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicWeights, Number: number}
@@ -134,7 +137,7 @@
 	})
 	rollers := weightroll.NewHolder(weightroll.Config{
 		Log: config.Log, Followers: convert[weightroll.Follower](r.weights), Board: board, Catalog: r.catalog,
-		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, Paces: r.directory.UsualPaces,
+		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, JobsKnown: indexFollower.CaughtUp, Paces: r.directory.UsualPaces,
 		Node: holderName(config.Settings), Lease: config.Settings.OrderLease, OnRolled: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.joinGroups(runners, rollers, reporting)
@@ -251,8 +254,8 @@
 	return h[partition.Topic].Gained(ctx, partition, generation)
 }
 
-// hurrying has the orders and the views of engines read at once when a partition is gained: its owner chooses engines by what they serve,
-// their pace and the places held there.
+// hurrying has the orders, the views of engines and the index of jobs read at once when a partition is gained: its owner chooses engines by what
+// they serve, their pace and the places held there, and deals them by what steps ask.
 type hurrying struct {
 	ownership.Holder
 	readers []hurried
@@ -265,7 +268,7 @@
 
 // hurried returns what is to be read at once by a process that gains a partition.
 func (r *Replica) hurried() []hurried {
-	return append(convert[hurried](r.weights), r.viewReader)
+	return append(convert[hurried](r.weights), r.viewReader, r.indexFollower)
 }
 
 // Gained starts the work of a partition.
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -55,8 +55,10 @@
 	Catalog   *catalog.Holder
 	Directory *fleet.Directory
 	Client    engineapi.Client
-	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any.
-	Loads func() map[string]policy.StepLoad
+	// Loads returns what the steps of each model ask of engines, nil if nothing is known of any. JobsKnown tells whether it was read which jobs
+	// there are, so that Loads can be gone by; a nil function stands for always.
+	Loads     func() map[string]policy.StepLoad
+	JobsKnown func() bool
 	// Paces returns the usual time between two events of a pool's engines, by id, as far as it is known. A nil function stands for none.
 	Paces func(pool string) map[string]time.Duration
 	// Node names the holder in orders: the machine, which runs one process at a time.
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -35,8 +35,9 @@
 		// A successor goes on from what its predecessor dealt.
 		previous = r.config.Directory.Dealt(pool)
 	}
-	if r.config.Directory.Partial() {
-		// Dealt engines that are not known yet would be replaced, each at the cost of a load; the ones that are known need not wait for them.
+	if r.config.Directory.Partial() || r.config.JobsKnown != nil && !r.config.JobsKnown() {
+		// Dealt engines that are not known yet would be replaced, each at the cost of a load; the ones that are known need not wait for them. So
+		// would all engines be dealt, and loaded, of models whose steps are not known yet.
 		return previous
 	}
 	shares := r.share(pool, engines, targets)
--- a/internal/weightroll/size_test.go
+++ b/internal/weightroll/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -131,3 +132,26 @@
 		next.release()
 	})
 }
+
+// TestATakeoverKeepsToTheDealingWhileJobsAreUnknown has an order giver take over that knows all engines and has not read yet which jobs there are:
+// it must not deal and load engines for steps that it merely doesn't know.
+func TestATakeoverKeepsToTheDealingWhileJobsAreUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 8)
+		next := w.node("next")
+		var known atomic.Bool
+		next.holder.config.JobsKnown = known.Load
+		dealt := Assignment{w.pool[0].ID: model, w.pool[6].ID: model}
+		next.holder.config.Directory.SetDealt(poolName, dealt)
+		next.own(1)
+		next.catalog.SetVersion(model, 2)
+		time.Sleep(4 * loadTime)
+		is.Equal(w.versions(), []int64{2, 1, 1, 1, 1, 1, 2, 1})
+
+		known.Store(true)
+		time.Sleep(8 * loadTime)
+		is.Equal(len(w.engines.Orders()), 8)
+		next.release()
+	})
+}
