--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -117,6 +117,14 @@
 	return found.visible, found.changed.Changed()
 }
 
+// Missing returns the first position of a job without a result, and how many results lie behind it.
+func (l *Ledger) Missing(id string) (position, behind int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found := l.fold.job(id)
+	return found.visible, len(found.results) - (found.visible - found.base)
+}
+
 // Results returns the results from a position on, at least one if there is one, and then up to limit bytes of text.
 func (l *Ledger) Results(id string, from, limit int) []*Result {
 	l.mutex.Lock()
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -90,12 +90,16 @@
 		if r.settling[id] {
 			continue
 		}
-		if listed, _ := r.ledger.Listed(id); !status.Ended && listed < status.Entry.Items {
+		listed, _ := r.ledger.Listed(id)
+		if !status.Ended && listed < status.Entry.Items {
 			continue
 		}
 		r.settling[id] = true
 		took := r.takeTook(id)
-		r.writer.close(id, r.ledger.ExtraKeys(id), func(end int64) {
+		needless := r.ledger.ExtraKeys(id)
+		r.writer.close(id, needless, func(end int64) {
+			r.config.Logger.Info("job closed", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "listed", listed,
+				"ended", status.Ended, "dropped", len(needless), "dropped_first", first(needless))
 			r.active.Go(func() { r.announceSettled(ctx, id, end, took) })
 		})
 	}
@@ -140,6 +144,14 @@
 	}
 }
 
+// first returns the first of some keys, empty if there is none.
+func first(keys []string) string {
+	if len(keys) == 0 {
+		return ""
+	}
+	return keys[0]
+}
+
 // dropped returns the records that drop keys.
 func dropped(keys []string) []keyedlog.Record {
 	records := make([]keyedlog.Record, len(keys))
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -312,10 +312,30 @@
 		return Listing{}, Unsure
 	}
 	reader.awaitResult(ctx, from, wait)
+	s.checkWhole(reader)
 	results := reader.ledger.Results(id, from, listingBytes)
 	return Listing{Total: status.Entry.Items, Results: results, Next: from + len(results)}, Done
 }
 
+// checkWhole logs that results of a settled job are missing: one that was not ended has all of them, and none has a gap. It logs once a
+// reader.
+func (s *Service) checkWhole(r *reader) {
+	select {
+	case <-r.complete:
+	default:
+		return
+	}
+	status, known := s.config.Index.Job(r.entry.JobID)
+	position, behind := r.ledger.Missing(r.entry.JobID)
+	if !known || behind == 0 && (status.Ended || position >= r.entry.Items) {
+		return
+	}
+	r.missed.Do(func() {
+		s.config.Logger.Error("results of a settled job are missing", "job", r.entry.JobID, "partition", partitionOf(r.entry),
+			"position", position, "behind", behind, "items", r.entry.Items, "from", r.base, "ended", status.Ended, "settled_end", status.SettledEnd)
+	})
+}
+
 // Body returns the body of an item.
 func (s *Service) Body(ctx context.Context, id, itemID string) ([]byte, Outcome) {
 	status, outcome := s.lookUp(ctx, id)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,6 +31,27 @@
 type node struct {
 	service *jobs.Service
 	index   *job.Index
+	lines   *lines
+}
+
+// lines keeps the log of a node.
+type lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write takes a part of the log.
+func (l *lines) Write(part []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(part)
+}
+
+// count returns how often the log has a text.
+func (l *lines) count(text string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return strings.Count(l.text.String(), text)
 }
 
 type applier struct {
@@ -58,9 +81,10 @@
 		defer running.Add(-1)
 		follower.Run(ctx)
 	}()
+	written := &lines{}
 	service := jobs.New(jobs.Config{
 		Log: storetimeout.New(store), Index: index, IndexFollower: follower, RecordBytes: 300, CallBytes: callBytes,
-		Logger: log.New(io.Discard),
+		Logger: log.New(written),
 	})
 	t.Cleanup(func() {
 		cancel()
@@ -70,7 +94,7 @@
 			t.Error("the follower runs on")
 		}
 	})
-	return &node{index: index, service: service}
+	return &node{index: index, service: service, lines: written}
 }
 
 func newStore() *memorylog.Store {
--- a/internal/jobs/position_test.go
+++ b/internal/jobs/position_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -230,3 +231,59 @@
 		}
 	})
 }
+
+// TestMissingResultsAreLogged reads settled jobs of which results are there or not.
+func TestMissingResultsAreLogged(t *testing.T) {
+	const items = 12
+	for name, test := range map[string]struct {
+		listed  []int
+		ended   bool
+		missing bool
+	}{
+		"whole":              {listed: []int{0, items}},
+		"ended early":        {listed: []int{0, 5}, ended: true},
+		"gap":                {listed: []int{0, 5, 7, items}, missing: true},
+		"gap, ended":         {listed: []int{0, 5, 7, 9}, ended: true, missing: true},
+		"none, not ended":    {missing: true},
+		"not all, not ended": {listed: []int{0, 5}, missing: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				many := newListedJob(t, items)
+				for span := range slices.Chunk(test.listed, 2) {
+					many.list(t, span[0], span[1], padded)
+				}
+				many.settle(t, test.ended)
+				for range 3 {
+					_, _ = many.reader.service.Results(t.Context(), many.spec.ID, 0, 0)
+					time.Sleep(500 * time.Millisecond)
+				}
+				if lines := many.reader.lines.count("results of a settled job are missing"); (lines > 0) != test.missing {
+					t.Errorf("%d lines", lines)
+				}
+			})
+		})
+	}
+}
+
+// settle has the index say that nothing more is listed of the job.
+func (j *listedJob) settle(t *testing.T, ended bool) {
+	t.Helper()
+	owner := j.store.For("owner")
+	last, err := owner.Append(t.Context(), job.PartitionOf(j.spec, partitions, nil), []keyedlog.Record{job.EncodeLast(j.spec.ID)}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := job.EncodeSettled(j.spec.ID, last.End, job.Took{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	records := []keyedlog.Record{record}
+	if ended {
+		records = append(records, job.EncodeEnd(j.spec.ID))
+	}
+	if _, err := owner.Append(t.Context(), keyedlog.JobIndex, records, nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+}
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
@@ -50,6 +51,8 @@
 	waiting int
 	// returning says that callers come back to this process, so that the reader is kept between their calls.
 	returning bool
+	// missed has it logged once that results are missing.
+	missed sync.Once
 	// complete is closed once all results are here that there will ever be.
 	complete chan struct{}
 	// ended is closed once the follower has ended; before is that of the parked reader that this one goes on for, nil for none.
