Drop results when their job expires, not when it is closed

The ledger noted keys that the job's entry does not tell (later pieces of progress, and since unpadded results) in one set, and an owner that closes a job drops that set as what only the job's run needed. So an owner of this build that closed a job which one of production's build had listed dropped its results. A set that came to mean two things: not told by the entry, and needed by nobody. Change: what goes at the close is the pieces of progress, by what they are. Results go at expiry alone, under either key. TestExpiredResultsOfBothKindsAreForgotten asserted the set that held both; it is replaced by TestResultsOfBothKindsGoAtExpiry, which asserts as much of expiry, and that closing drops no result.

--- a/internal/job/fold.go
+++ b/internal/job/fold.go
@@ -23,10 +23,9 @@
 	base     int
 	visible  int
 	progress map[string]*Progress
-	// lines holds the texts of items that are not listed, by item; extraKeys the keys that can't be derived from the job's entry, those of
-	// later pieces of progress and of results that are not padded.
+	// lines holds the texts of items that are not listed, by item; pieceKeys the keys of all their later pieces.
 	lines     map[string]lines
-	extraKeys map[string]bool
+	pieceKeys map[string]bool
 	// progressed counts the progress taken.
 	progressed int
 	changed    broadcast.Signal
@@ -141,7 +140,7 @@
 	if !ok {
 		found = &state{
 			items: make(map[int]Item), results: make(map[int]*Result), listed: make(map[string]int), progress: make(map[string]*Progress),
-			lines: make(map[string]lines), extraKeys: make(map[string]bool), changed: broadcast.New(),
+			lines: make(map[string]lines), pieceKeys: make(map[string]bool), changed: broadcast.New(),
 		}
 		f.jobs[id] = found
 	}
@@ -218,9 +217,6 @@
 	if _, err := result.UnmarshalMsg(value); err != nil {
 		return err
 	}
-	if key.whole != resultKey(key.jobID, position) {
-		found.extraKeys[key.whole] = true
-	}
 	if _, taken := found.results[position]; taken {
 		return nil
 	}
@@ -246,7 +242,7 @@
 	}
 	found := f.job(key.jobID)
 	if progress.From > 0 {
-		found.extraKeys[key.whole] = true
+		found.pieceKeys[key.whole] = true
 	}
 	if _, listed := found.listed[progress.ItemID]; listed {
 		return nil
@@ -287,7 +283,7 @@
 	case key.kind == keySpec:
 		found.changed.Notify()
 		delete(f.jobs, key.jobID)
-	case key.kind == keyProgress || key.kind == keyResult:
-		delete(found.extraKeys, key.whole)
+	case key.kind == keyProgress:
+		delete(found.pieceKeys, key.whole)
 	}
 }
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -270,7 +270,7 @@
 func (e *Entry) keys() []string {
 	var keys []string
 	for place := range e.Items {
-		keys = append(keys, resultKey(e.JobID, place), progressKey(e.JobID, place), itemKey(e.JobID, place))
+		keys = append(keys, resultKey(e.JobID, place), plainResultKey(e.JobID, place), progressKey(e.JobID, place), itemKey(e.JobID, place))
 	}
 	return append(keys, settledKey(e.JobID), specKey(e.JobID))
 }
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -51,6 +51,11 @@
 	return fmt.Sprintf("%s%0*d", ResultPrefix(jobID), positionDigits, position)
 }
 
+// plainResultKey is the key under which an earlier version keeps a result. Both lie side by side while replicas are replaced.
+func plainResultKey(jobID string, position int) string {
+	return ResultPrefix(jobID) + strconv.Itoa(position)
+}
+
 // afterParts sorts after all that follows a position in the keys of its result.
 const afterParts = "~"
 
--- a/internal/job/keys_test.go
+++ b/internal/job/keys_test.go
@@ -32,10 +32,12 @@
 	}
 }
 
-// TestExpiredResultsOfBothKindsAreForgotten checks that what an entry's keys leave out is told by the ledger.
-func TestExpiredResultsOfBothKindsAreForgotten(t *testing.T) {
+// TestResultsOfBothKindsGoAtExpiry checks that a job which is closed loses no results, and one that expires loses those under keys of either
+// kind.
+func TestResultsOfBothKindsGoAtExpiry(t *testing.T) {
 	ledger := NewLedger(NewIndex(), 0)
-	for position, key := range []string{"r/one/0", resultKey("one", 1), "r/one/2"} {
+	keys := []string{"r/one/0", resultKey("one", 1), "r/one/2"}
+	for position, key := range keys {
 		records, err := EncodeResult("one", position, Result{ItemID: fmt.Sprint("i", position)}, 1<<18)
 		if err != nil {
 			t.Fatal(err)
@@ -45,8 +47,14 @@
 			t.Fatal(err)
 		}
 	}
-	if extra := ledger.ExtraKeys("one"); !slices.Equal(extra, []string{"r/one/0", "r/one/2"}) {
-		t.Errorf("extra keys: %v", extra)
+	if pieces := ledger.PieceKeys("one"); len(pieces) > 0 {
+		t.Errorf("keys that go when the job is closed: %v", pieces)
+	}
+	entry := Entry{JobID: "one", Items: len(keys)}
+	for _, key := range keys {
+		if !slices.Contains(entry.keys(), key) {
+			t.Errorf("%s stays when the job expires", key)
+		}
 	}
 	if listed, _ := ledger.Listed("one"); listed != 3 {
 		t.Errorf("%d listed", listed)
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -210,16 +210,16 @@
 	return views
 }
 
-// ExtraKeys returns the keys of a job in the partition that can't be derived from its entry, in order: those of pieces of progress, and
-// those of results that are not padded.
-func (l *Ledger) ExtraKeys(id string) []string {
+// PieceKeys returns the keys of the pieces of progress that a job has in the partition, in order. Nobody needs them once all is listed that
+// will be.
+func (l *Ledger) PieceKeys(id string) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	found, ok := l.fold.jobs[id]
 	if !ok {
 		return nil
 	}
-	return slices.Sorted(maps.Keys(found.extraKeys))
+	return slices.Sorted(maps.Keys(found.pieceKeys))
 }
 
 // Seen tells whether an item was in another job.
--- a/internal/job/lines_test.go
+++ b/internal/job/lines_test.go
@@ -41,6 +41,6 @@
 		is.Equal(len(open), 1)
 		is.Equal(open[0].Progress.Events, []string{"a2", "b2", "c2", "d2"})
 		is.Equal(open[0].Progress.Versions, []int64{2})
-		is.Equal(ledger.ExtraKeys("one"), []string{"p/one/0/1", "p/one/0/2"})
+		is.Equal(ledger.PieceKeys("one"), []string{"p/one/0/1", "p/one/0/2"})
 	}
 }
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -96,7 +96,7 @@
 		}
 		r.settling[id] = true
 		took := r.takeTook(id)
-		needless := r.ledger.ExtraKeys(id)
+		needless := r.ledger.PieceKeys(id)
 		r.writer.close(id, needless, func(end int64) {
 			r.config.Logger.Info("job closed", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "listed", listed,
 				"ended", status.Ended, "dropped", len(needless), "dropped_first", first(needless))
