--- a/internal/standin/memorylog/group.go
+++ b/internal/standin/memorylog/group.go
@@ -10,10 +10,10 @@
 )
 
 // group deals partitions to members. A partition that is dealt to another member passes on once its holder has joined with
-// the generation that took it away, has left, or has been silent for its lifetime.
+// the generation that took it away, has left, or has been silent for its lifetime. The partitions of a topic are dealt among the members that
+// name it.
 type group struct {
 	generation int64
-	topics     []keyedlog.Topic
 	members    map[string]*member
 	// dealt maps partitions to the member that is to hold them, held to the one that does.
 	dealt map[keyedlog.Partition]string
@@ -23,6 +23,7 @@
 type member struct {
 	heard    time.Time
 	lifetime time.Duration
+	topics   []keyedlog.Topic
 	// generation is the newest that the member has named.
 	generation int64
 }
@@ -45,7 +46,7 @@
 		known = &member{}
 		found.members[request.Member] = known
 	}
-	known.heard, known.lifetime, known.generation = time.Now(), request.Lifetime, request.Generation
+	known.heard, known.lifetime, known.topics, known.generation = time.Now(), request.Lifetime, request.Topics, request.Generation
 	if !ok {
 		found.deal(v)
 	}
@@ -111,8 +112,12 @@
 		}
 		found.generation++
 		for name := range found.dealt {
-			place := slices.Index(names, found.dealt[name])
-			found.dealt[name] = names[(place+1)%len(names)]
+			able := found.able(names, name.Topic)
+			if len(able) == 0 {
+				continue
+			}
+			place := slices.Index(able, found.dealt[name])
+			found.dealt[name] = able[(place+1)%len(able)]
 			found.held[name] = found.dealt[name]
 		}
 	}
@@ -122,8 +127,7 @@
 	found, ok := s.groups[request.Group]
 	if !ok {
 		found = &group{
-			topics: request.Topics, members: make(map[string]*member), dealt: make(map[keyedlog.Partition]string),
-			held: make(map[keyedlog.Partition]string),
+			members: make(map[string]*member), dealt: make(map[keyedlog.Partition]string), held: make(map[keyedlog.Partition]string),
 		}
 		s.groups[request.Group] = found
 	}
@@ -139,6 +143,11 @@
 	return names
 }
 
+// able returns those of some members that name a topic.
+func (g *group) able(names []string, topic keyedlog.Topic) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !slices.Contains(g.members[name].topics, topic) })
+}
+
 // expire drops members that were silent for their lifetime.
 func (g *group) expire(now time.Time) {
 	changed := false
@@ -158,14 +167,7 @@
 	g.generation++
 	names := g.names()
 	if v != nil {
-		for _, topic := range g.topics {
-			for number := range v.Partitions(topic) {
-				name := keyedlog.Partition{Topic: topic, Number: number}
-				if _, known := g.dealt[name]; !known {
-					g.dealt[name] = ""
-				}
-			}
-		}
+		g.learnPartitions(v)
 	}
 	if len(names) == 0 {
 		return
@@ -173,22 +175,38 @@
 	quota := (len(g.dealt) + len(names) - 1) / len(names)
 	counts := make(map[string]int)
 	for name, holder := range g.dealt {
-		if _, alive := g.members[holder]; alive && counts[holder] < quota {
+		known, alive := g.members[holder]
+		if alive && counts[holder] < quota && slices.Contains(known.topics, name.Topic) {
 			counts[holder]++
 			continue
 		}
 		g.dealt[name] = ""
 	}
 	for name, holder := range g.dealt {
-		if holder != "" {
+		able := g.able(names, name.Topic)
+		if holder != "" || len(able) == 0 {
 			continue
 		}
-		least := slices.MinFunc(names, func(a, b string) int { return counts[a] - counts[b] })
+		least := slices.MinFunc(able, func(a, b string) int { return counts[a] - counts[b] })
 		g.dealt[name] = least
 		counts[least]++
 	}
 }
 
+// learnPartitions takes the partitions of all topics that members name.
+func (g *group) learnPartitions(v *view) {
+	for _, known := range g.members {
+		for _, topic := range known.topics {
+			for number := range v.Partitions(topic) {
+				name := keyedlog.Partition{Topic: topic, Number: number}
+				if _, known := g.dealt[name]; !known {
+					g.dealt[name] = ""
+				}
+			}
+		}
+	}
+}
+
 // pass hands partitions over where the old holder allows it.
 func (g *group) pass() {
 	for name, to := range g.dealt {
