Test that a job whose close is interrupted keeps the places of older results

Cause: a soak of two builds saw results change places (place 2 held one item and holds another). Owners that dropped an older build's results as they closed a job, and ended before the index said so, left a job with gaps; once the store had forgotten its history, the next owner ran those items again and listed them elsewhere. Change: a test of it in virtual time.

--- a/internal/jobrun/partition_test.go
+++ b/internal/jobrun/partition_test.go
@@ -1,6 +1,7 @@
 package jobrun_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/standin/memoryengine"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/matryer/is"
 )
@@ -255,3 +257,55 @@
 		})
 	}
 }
+
+// TestAnInterruptedCloseKeepsOlderResultsInPlace has an owner end between closing a job, some of whose results an earlier version listed, and
+// saying so in the index, and the store forget its history: the next owner closes the job again by the newest records.
+func TestAnInterruptedCloseKeepsOlderResultsInPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const items, older = 8, 4
+		w := newWorld(t, 2)
+		first, second := w.node("first"), w.node("second")
+		one := spec("one", items)
+		w.submit(one)
+		for position := range older {
+			w.listOlder(one, position, one.Items[older-1-position])
+		}
+		w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Caller == "first" && call.Partition == keyedlog.JobIndex && call.Operation == "append" {
+				return memorylog.Down
+			}
+			return memorylog.None
+		})
+		first.own(1)
+		time.Sleep(3 * time.Second)
+		first.release()
+		w.store.Forget()
+		second.own(2)
+		time.Sleep(3 * time.Second)
+		// A node that followed the job holds what the store has dropped.
+		later := w.node("later")
+		time.Sleep(time.Second)
+		later.checkWhole(one)
+		for position, result := range later.results("one") {
+			if position < older {
+				is.Equal(result.ItemID, one.Items[older-1-position].ID)
+			}
+		}
+		status, _ := later.index.Job("one")
+		is.True(status.Settled)
+		second.release()
+	})
+}
+
+// listOlder lists a result as an earlier version does, under a key without padding.
+func (w *world) listOlder(spec job.Spec, position int, item job.Item) {
+	w.test.Helper()
+	records, err := job.EncodeResult(spec.ID, position, job.Result{
+		ItemID: item.ID, Text: strings.Join(memoryengine.Text(item.ID, eventCount), "\n"), Versions: []int64{2}, Score: memoryengine.Stamp,
+	}, 1<<18)
+	if err == nil {
+		records[0].Key = job.ResultPrefix(spec.ID) + strconv.Itoa(position)
+	}
+	w.append(jobsPartition(), records, err)
+}
