Read entries of the engine list, and views of engines, that have fields more or less

Both records are msgp tuples, and a reader of tuples refuses one whose length differs: the first build that adds a field would have its entries skipped by this one, so that replicas of this build that only send requests would know none of the engines that it lists. Change: both are variable tuples: fields that a reader does not know are skipped, missing ones are zero. What is written is the same. TestEntriesOfOtherVersionsAreRead fails before: 'wanted array of size 9; got 10'. Conclusion: fields may be added at the end. The other records in the store are maps, whose unknown fields were skipped already.

--- a/internal/enginelist/records.go
+++ b/internal/enginelist/records.go
@@ -9,9 +9,10 @@
 
 //go:generate go tool msgp -tests=false -unexported
 
-//msgp:tuple entry
+//msgp:vartuple entry
 
-// entry is the record of one engine, under its id. As an array it takes some 45 bytes, a tenth of the engine's own record.
+// entry is the record of one engine, under its id. As an array it takes some 45 bytes, a tenth of the engine's own record. Fields may be added
+// at its end: versions that don't know them leave them out, and take those that are missing for zero.
 type entry struct {
 	Pool string `msg:"pool"`
 	// Address is an address and port in the binary form of netip.
--- a/internal/enginelist/records_gen.go
+++ b/internal/enginelist/records_gen.go
@@ -14,54 +14,85 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	z.Pool, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Pool")
-		return
-	}
-	z.Address, err = dc.ReadBytes(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	z.Zone, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	z.Slots, err = dc.ReadInt()
-	if err != nil {
-		err = msgp.WrapError(err, "Slots")
-		return
-	}
-	z.Draining, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Draining")
-		return
-	}
-	z.Preemptible, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Preemptible")
-		return
-	}
-	z.StartedAt, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "StartedAt")
-		return
-	}
-	z.ColdUntil, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "ColdUntil")
-		return
-	}
-	z.Offset, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "Offset")
-		return
+	for zb0001 > 0 {
+		z.Pool, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Pool")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Address, err = dc.ReadBytes(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Zone, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Zone")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Slots, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Slots")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Draining, err = dc.ReadBool()
+		if err != nil {
+			err = msgp.WrapError(err, "Draining")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Preemptible, err = dc.ReadBool()
+		if err != nil {
+			err = msgp.WrapError(err, "Preemptible")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.StartedAt, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "StartedAt")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.ColdUntil, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "ColdUntil")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Offset, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Offset")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			if err = dc.Skip(); err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	return
 }
@@ -146,54 +177,86 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	z.Pool, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Pool")
-		return
-	}
-	z.Address, bts, err = msgp.ReadBytesBytes(bts, z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	z.Zone, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	z.Slots, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Slots")
-		return
-	}
-	z.Draining, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Draining")
-		return
-	}
-	z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Preemptible")
-		return
-	}
-	z.StartedAt, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "StartedAt")
-		return
-	}
-	z.ColdUntil, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ColdUntil")
-		return
-	}
-	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Offset")
-		return
+	for zb0001 > 0 {
+		z.Pool, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Pool")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Address, bts, err = msgp.ReadBytesBytes(bts, z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Zone, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zone")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Slots, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Slots")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Draining")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Preemptible, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Preemptible")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.StartedAt, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "StartedAt")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.ColdUntil, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ColdUntil")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Offset")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
--- a/internal/engineview/records.go
+++ b/internal/engineview/records.go
@@ -14,14 +14,15 @@
 
 //go:generate go tool msgp -tests=false -unexported
 
-//msgp:tuple engine
+//msgp:vartuple engine
 
 // view is the record of one process.
 type view struct {
 	Engines []engine `msg:"engines"`
 }
 
-// engine is the part of a view on one engine. As an array it takes some 20 bytes, so that a view of 45 engines takes 1 KB.
+// engine is the part of a view on one engine. As an array it takes some 20 bytes, so that a view of 45 engines takes 1 KB. Fields may be added
+// at its end: versions that don't know them leave them out, and take those that are missing for zero.
 type engine struct {
 	ID string `msg:"id"`
 	// Pace is the usual time between two events in microseconds, 0 if unknown.
--- a/internal/engineview/records_gen.go
+++ b/internal/engineview/records_gen.go
@@ -14,24 +14,37 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.ID, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Pace, err = dc.ReadInt64()
-	if err != nil {
-		err = msgp.WrapError(err, "Pace")
-		return
-	}
-	z.Held, err = dc.ReadInt()
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
+	for zb0001 > 0 {
+		z.ID, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Pace, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Pace")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Held, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Held")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			if err = dc.Skip(); err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	return
 }
@@ -80,24 +93,38 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.ID, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	z.Pace, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Pace")
-		return
-	}
-	z.Held, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
+	for zb0001 > 0 {
+		z.ID, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "ID")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Pace, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Pace")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		z.Held, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Held")
+			return
+		}
+		if zb0001--; zb0001 == 0 {
+			break
+		}
+		for ; zb0001 > 0; zb0001-- {
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	o = bts
 	return
@@ -146,24 +173,37 @@
 					err = msgp.WrapError(err, "Engines", za0001)
 					return
 				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Engines[za0001].ID, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "ID")
-					return
-				}
-				z.Engines[za0001].Pace, err = dc.ReadInt64()
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "Pace")
-					return
-				}
-				z.Engines[za0001].Held, err = dc.ReadInt()
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "Held")
-					return
+				for zb0003 > 0 {
+					z.Engines[za0001].ID, err = dc.ReadString()
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "ID")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					z.Engines[za0001].Pace, err = dc.ReadInt64()
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "Pace")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					z.Engines[za0001].Held, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "Held")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					for ; zb0003 > 0; zb0003-- {
+						if err = dc.Skip(); err != nil {
+							err = msgp.WrapError(err)
+							return
+						}
+					}
 				}
 			}
 		default:
@@ -269,24 +309,38 @@
 					err = msgp.WrapError(err, "Engines", za0001)
 					return
 				}
-				if zb0003 != 3 {
-					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-					return
-				}
-				z.Engines[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "ID")
-					return
-				}
-				z.Engines[za0001].Pace, bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "Pace")
-					return
-				}
-				z.Engines[za0001].Held, bts, err = msgp.ReadIntBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Engines", za0001, "Held")
-					return
+				for zb0003 > 0 {
+					z.Engines[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "ID")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					z.Engines[za0001].Pace, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "Pace")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					z.Engines[za0001].Held, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Engines", za0001, "Held")
+						return
+					}
+					if zb0003--; zb0003 == 0 {
+						break
+					}
+					for ; zb0003 > 0; zb0003-- {
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err)
+							return
+						}
+					}
 				}
 			}
 		default:
