--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +22,6 @@
 	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
-	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 	"github.com/hillfork/hillfork/internal/scaler"
 	"github.com/hillfork/hillfork/internal/storepace"
@@ -33,12 +30,6 @@
 	"github.com/hillfork/hillfork/internal/weightroll"
 )
 
-// The groups of replicas in the store.
-const (
-	jobsGroup    = "hillfork-jobs"
-	weightsGroup = "hillfork-weights"
-)
-
 // Config configures a replica.
 type Config struct {
 	Settings Settings
@@ -144,25 +135,6 @@
 	return r
 }
 
-// joinGroups has the partitions of jobs, weights and duties dealt among the replicas.
-func (r *Replica) joinGroups(runners, rollers ownership.Holder, reporting []duty.Duty) {
-	settings := r.config.Settings
-	lifetime := memberLifetime(settings.MemberLifetimeMin)
-	leased := max(lifetime, weightsShare*settings.OrderLease/weightsParts)
-	r.own(jobsGroup, lifetime, settings.ProcessorShare, holders{keyedlog.TopicJobs: runners})
-	r.metrics.member(r.managers[0].TakesPart)
-	duties := slices.Concat(reporting, r.orderEngines())
-	r.duties = len(duties)
-	// The owner of weights, duties and the list of engines does little, and hands over slowly: machines of any size take part.
-	r.own(weightsGroup, leased, 0, holders{
-		keyedlog.TopicWeights: rollers,
-		keyedlog.TopicDuties: duty.NewHolder(duty.Config{
-			Log: r.config.Log, Machine: holderName(settings), Lease: settings.OrderLease, Duties: duties, Logger: r.config.Logger,
-		}),
-		keyedlog.TopicEngineList: r.keeper,
-	})
-}
-
 // watchEjections has ejections of engines logged and counted.
 func (r *Replica) watchEjections() {
 	r.metrics.ejected(r.directory.Ejected)
@@ -218,15 +190,6 @@
 	return []duty.Duty{reporter}, counter
 }
 
-// weightsShare of weightsParts is the part of the order lease for which the partition of weights waits for its owner. Another
-// machine may order an engine only a lease after its last order, so that for most engines nothing is lost by waiting; a process that
-// is back before, as after a loss of power, goes on at once. Engines whose last order is older than that lose it, so it is not the
-// whole lease.
-const (
-	weightsShare = 2
-	weightsParts = 3
-)
-
 // orderEngines returns the duty of ordering engines, if any can be ordered.
 func (r *Replica) orderEngines() []duty.Duty {
 	if r.config.Engines == nil {
@@ -237,91 +200,6 @@
 	})}
 }
 
-// own has the partitions of some topics dealt by a group. share is what this machine has of a processor, in cores; with 0 it takes part in
-// any case.
-func (r *Replica) own(group string, lifetime time.Duration, share float64, topics holders) {
-	r.managers = append(r.managers, ownership.New(ownership.Config{
-		Log: r.config.Log, Group: group, Member: holderName(r.config.Settings), Share: share, Topics: slices.Sorted(maps.Keys(topics)),
-		Lifetime: lifetime, Holder: noted{hurrying{topics, r.hurried()}, r.holdings}, Logger: r.config.Logger,
-	}))
-}
-
-// holders start the work of partitions by their topics.
-type holders map[keyedlog.Topic]ownership.Holder
-
-// Gained starts the work of a partition.
-func (h holders) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
-	return h[partition.Topic].Gained(ctx, partition, generation)
-}
-
-// hurrying has the orders, the views of engines and the index of jobs read at once when a partition is gained: its owner chooses engines by what
-// they serve, their pace and the places held there, and deals them by what steps ask.
-type hurrying struct {
-	ownership.Holder
-	readers []hurried
-}
-
-// hurried reads something that an owner acts on.
-type hurried interface {
-	Hurry()
-}
-
-// hurried returns what is to be read at once by a process that gains a partition.
-func (r *Replica) hurried() []hurried {
-	return append(convert[hurried](r.weights), r.viewReader, r.indexFollower)
-}
-
-// Gained starts the work of a partition.
-func (h hurrying) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
-	for _, reader := range h.readers {
-		reader.Hurry()
-	}
-	return h.Holder.Gained(ctx, partition, generation)
-}
-
-// models returns the models of all pools, in order.
-func (r *Replica) models() []string {
-	current := r.catalog.Current()
-	if current == nil {
-		return nil
-	}
-	var models []string
-	for _, pool := range current.Pools {
-		models = append(models, pool.Models...)
-	}
-	slices.Sort(models)
-	return slices.Compact(models)
-}
-
-// stepLoads tells what the steps of each model ask of engines, by those of which the index knows.
-func (r *Replica) stepLoads() map[string]policy.StepLoad {
-	current := r.catalog.Current()
-	steps := make(map[string][]policy.Step)
-	priorities := make(map[string]int)
-	for _, model := range r.models() {
-		steps[model] = nil
-	}
-	for model, jobs := range r.index.Trained() {
-		for _, status := range jobs {
-			steps[model] = append(steps[model], policy.Step{
-				At: status.AcceptedAt, Tokens: float64(status.Entry.Work), Items: status.Took.Items, Longest: status.Took.Longest,
-				Open: !status.Ended && !status.Settled,
-			})
-		}
-		if current != nil {
-			last := jobs[len(jobs)-1].Entry
-			route, _ := current.Match(last.Host, last.Path)
-			priorities[model] = current.Priority(route, last.Tenant)
-		}
-	}
-	loads := policy.StepLoads(steps, time.Now())
-	for model, load := range loads {
-		load.Priority = priorities[model]
-		loads[model] = load
-	}
-	return loads
-}
-
 // follow returns a follower of a partition.
 func (r *Replica) follow(partition keyedlog.Partition, applier follow.Applier) *follow.Follower {
 	return follow.New(r.followConfig(partition, applier))
@@ -353,20 +231,6 @@
 	return converted
 }
 
-// holderName names the machine as a member of the group and as a giver of orders. A process that is started again before its
-// predecessor's lifetime has passed finds its partitions as they were; fences tell the two apart. A machine that comes in another's
-// place under its name has another address, and is another holder.
-func holderName(settings Settings) string {
-	return settings.Node + "@" + settings.IP
-}
-
-// lifetimeFactor leaves room above the store's least for a few slow joins in a row.
-const lifetimeFactor = 1.25
-
-func memberLifetime(least time.Duration) time.Duration {
-	return time.Duration(lifetimeFactor * float64(least))
-}
-
 // Run follows the store and owns what the group deals, until the context ends. Then it hands over what it owns and goes on
 // following until stop is closed, so that requests under way are served.
 func (r *Replica) Run(ctx context.Context, stop <-chan struct{}) {
--- /dev/null
+++ b/internal/replica/steploads.go
@@ -0,0 +1,51 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+// models returns the models of all pools, in order.
+func (r *Replica) models() []string {
+	current := r.catalog.Current()
+	if current == nil {
+		return nil
+	}
+	var models []string
+	for _, pool := range current.Pools {
+		models = append(models, pool.Models...)
+	}
+	slices.Sort(models)
+	return slices.Compact(models)
+}
+
+// stepLoads tells what the steps of each model ask of engines, by those of which the index knows.
+func (r *Replica) stepLoads() map[string]policy.StepLoad {
+	current := r.catalog.Current()
+	steps := make(map[string][]policy.Step)
+	priorities := make(map[string]int)
+	for _, model := range r.models() {
+		steps[model] = nil
+	}
+	for model, jobs := range r.index.Trained() {
+		for _, status := range jobs {
+			steps[model] = append(steps[model], policy.Step{
+				At: status.AcceptedAt, Tokens: float64(status.Entry.Work), Items: status.Took.Items, Longest: status.Took.Longest,
+				Open: !status.Ended && !status.Settled,
+			})
+		}
+		if current != nil {
+			last := jobs[len(jobs)-1].Entry
+			route, _ := current.Match(last.Host, last.Path)
+			priorities[model] = current.Priority(route, last.Tenant)
+		}
+	}
+	loads := policy.StepLoads(steps, time.Now())
+	for model, load := range loads {
+		load.Priority = priorities[model]
+		loads[model] = load
+	}
+	return loads
+}
