Write no entry of the engine list again before it has been read back

Cause: an entry that still differed 1 s after it was written was written again, by the process in charge and by each that acts on engines, whatever of the list they had read by then; and the mark that a list is whole was written ten times a second until it came back. All replicas read all of that. Where the store's reads are full, as at a start of a thousand replicas, what is written comes back late, is written again, and fills the reads further. Change: an entry is written again only once what was written of it has been read back and it differs still; what says something new goes at once. A process that is not in charge mends only when it has read the list to its end. Conclusion: the list is written as often as it changes.

--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -34,6 +34,11 @@
 
 // startProcess starts one that reads all of the list if whole is set.
 func startProcess(t *testing.T, store *memorylog.Store, name string, whole bool) *process {
+	return startChanged(t, store, name, whole, nil)
+}
+
+// startChanged starts one whose way to follow the list is changed.
+func startChanged(t *testing.T, store *memorylog.Store, name string, whole bool, change func(*follow.Config)) *process {
 	directory := fleet.NewDirectory()
 	list := enginelist.NewList(directory, 1)
 	list.SetPools(map[string]bool{pool: true})
@@ -42,16 +47,19 @@
 		list: list, directory: directory,
 		keeper: enginelist.NewKeeper(enginelist.KeeperConfig{Log: store.For(name), List: list, Logger: logger}),
 	}
-	config := follow.Config{
-		Log: store.For(name), Partition: partition, Wait: time.Second, Logger: logger,
-		Applier: enginelist.NewReader(list, partition.Number, whole, logger),
-	}
+	reader := enginelist.NewReader(list, partition.Number, whole, logger)
+	config := follow.Config{Log: store.For(name), Partition: partition, Wait: time.Second, Logger: logger, Applier: reader}
 	if !whole {
 		config.Sample = enginelist.HashKey(name)
 	}
+	if change != nil {
+		change(&config)
+	}
+	follower := follow.New(config)
+	reader.Attach(follower)
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
-	running.Go(func() { follow.New(config).Run(ctx) })
+	running.Go(func() { follower.Run(ctx) })
 	running.Go(func() { p.keeper.Run(ctx) })
 	p.stop = func() {
 		cancel()
@@ -145,6 +153,74 @@
 	})
 }
 
+// slowLog takes long to bring records.
+type slowLog struct {
+	keyedlog.Log
+	takes time.Duration
+}
+
+func (l slowLog) Read(ctx context.Context, partition keyedlog.Partition, span keyedlog.Span) (keyedlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, partition, span)
+	time.Sleep(l.takes)
+	return batch, err
+}
+
+// TestAListThatIsReadLateIsWrittenOnce has many processes read that there are many engines, while what is written to the list takes seconds to
+// come back. All readers of the list read whatever is written again: at a thousand replicas that alone fills the store.
+func TestAListThatIsReadLateIsWrittenOnce(t *testing.T) {
+	const (
+		processes = 8
+		engines   = 100
+	)
+	synctest.Test(t, func(t *testing.T) {
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		var started []*process
+		for number := range processes {
+			started = append(started, startChanged(t, store, fmt.Sprint("process", number), true, func(config *follow.Config) {
+				config.Log = slowLog{config.Log, 3 * time.Second}
+			}))
+		}
+		time.Sleep(5 * time.Second)
+		started[0].keeper.Gained(t.Context(), partition, 1)
+		for _, process := range started {
+			process.own(0, some(engines)...)
+		}
+		time.Sleep(20 * time.Second)
+		written := 0
+		for _, process := range started {
+			written += int(process.keeper.Written())
+			process.stop()
+		}
+		// The one more says that the list is whole.
+		if written > engines+1 {
+			t.Errorf("%d entries written for %d engines", written, engines)
+		}
+	})
+}
+
+// TestALeavingIsWrittenAtOnceThoughTheListIsReadLate has an engine leave soon after it was listed, before the process that keeps the list has
+// read that back.
+func TestALeavingIsWrittenAtOnceThoughTheListIsReadLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		keeper := startChanged(t, store, "keeper", true, func(config *follow.Config) { config.Log = slowLog{config.Log, 3 * time.Second} })
+		reader := startProcess(t, store, "reader", false)
+		keeper.keeper.Gained(t.Context(), partition, 1)
+		time.Sleep(5 * time.Second)
+		keeper.own(0, some(20)...)
+		time.Sleep(300 * time.Millisecond)
+		leaving := engine(3)
+		leaving.Draining = true
+		keeper.own(20, leaving)
+		time.Sleep(300 * time.Millisecond)
+		known, _ := reader.directory.Engine("engine-3")
+		is.True(known.Draining)
+		keeper.stop()
+		reader.stop()
+	})
+}
+
 // TestALateWriterIsPutRight has a process that was suspended write what it knew long ago over what is true now.
 func TestALateWriterIsPutRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/enginelist/keeper.go
+++ b/internal/enginelist/keeper.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
 )
@@ -17,8 +19,13 @@
 	keepInterval = 100 * time.Millisecond
 	// appendMost bounds the records of one append, some 60 KB.
 	appendMost = 1000
+	// confirmTimeout bounds how long a process that is not in charge waits to be in step with the list before it mends it.
+	confirmTimeout = 300 * time.Millisecond
 )
 
+// errNotRead says that a partition of the list is not being read.
+var errNotRead = errors.New("engine list is not read")
+
 // KeeperConfig configures a keeper.
 type KeeperConfig struct {
 	Log    keyedlog.Log
@@ -62,9 +69,31 @@
 	}
 }
 
-// mend writes what is due. A partition that can't be written holds up none of the others.
+// mend writes what is due: at once what this process is first in charge of, and for others what differs still once the list was read to its
+// end. A process that is behind takes for missing what others have written since, and all readers of the list would read it again.
 func (k *Keeper) mend(ctx context.Context) {
-	for number, records := range k.config.List.mends(k.isInCharge) {
+	k.write(ctx, k.config.List.mends(k.isInCharge, k.isInCharge))
+	for _, number := range k.config.List.overdue(k.isInCharge) {
+		if k.confirm(ctx, number) == nil {
+			k.write(ctx, k.config.List.mends(func(other int) bool { return other == number }, k.isInCharge))
+		}
+	}
+}
+
+// confirm waits until all that a partition holds now was read.
+func (k *Keeper) confirm(ctx context.Context, number int) error {
+	follower := k.config.List.follower(number)
+	if follower == nil {
+		return errNotRead
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return follow.Confirm(ctx, k.config.Log, keyedlog.Partition{Topic: keyedlog.TopicEngineList, Number: number}, follower)
+}
+
+// write appends records. A partition that can't be written holds up none of the others.
+func (k *Keeper) write(ctx context.Context, mends map[int][]keyedlog.Record) {
+	for number, records := range mends {
 		partition := keyedlog.Partition{Topic: keyedlog.TopicEngineList, Number: number}
 		for len(records) > 0 {
 			count := min(appendMost, len(records))
@@ -79,7 +108,7 @@
 
 // append writes records and tells whether they were. What was not is due again later.
 func (k *Keeper) append(ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record) bool {
-	_, err := k.config.Log.Append(ctx, partition, records, nil)
+	appended, err := k.config.Log.Append(ctx, partition, records, nil)
 	if err != nil {
 		if !k.failing && ctx.Err() == nil {
 			errorlog.Warn(k.config.Logger, "engine list not written", err, "partition", partition, "entries", len(records))
@@ -88,6 +117,7 @@
 		return false
 	}
 	k.failing = false
+	k.config.List.written(partition.Number, records, appended.End)
 	k.written.Add(int64(len(records)))
 	k.config.Logger.Info("engine list written", "partition", partition, "entries", len(records), "in_charge", k.isInCharge(partition.Number))
 	return true
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -11,11 +11,14 @@
 package enginelist
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
@@ -48,8 +51,12 @@
 	listed map[string]listed
 	known  map[int]bool
 	whole  map[int]bool
-	// complete holds the partitions that were written whole.
-	complete map[int]bool
+	// followers bring the partitions that are being read, readTo is up to where each was read.
+	followers map[int]follow.Reader
+	readTo    map[int]int64
+	// complete holds the partitions that were written whole, completeTo the offset below which this process wrote that last.
+	complete   map[int]bool
+	completeTo map[int]int64
 	// pools are those that requests are sent to, nil while that is not known.
 	pools map[string]bool
 	// own holds the engines by their own records, below ownEnd. They count while reading is set; what is listed beside them is too much once
@@ -76,6 +83,11 @@
 type difference struct {
 	// due is when this process mends the entry if it is not first in charge, retry when it does so again.
 	due, retry time.Time
+	// sent is what this process wrote of the engine last, nil for nothing; sentGone says that it wrote that the engine is gone. Either lies below
+	// the offset writtenTo.
+	sent      *sighting
+	sentGone  bool
+	writtenTo int64
 }
 
 // NewList returns an empty list that tells a directory which engines there are.
@@ -83,7 +95,7 @@
 	directory.SetPartial(true)
 	return &List{
 		directory: directory, partitions: partitions, listed: make(map[string]listed), known: make(map[int]bool),
-		whole: make(map[int]bool), complete: make(map[int]bool),
+		whole: make(map[int]bool), complete: make(map[int]bool), completeTo: make(map[int]int64), followers: make(map[int]follow.Reader), readTo: make(map[int]int64),
 		own: make(map[string]sighting), gone: make(map[string]bool), differences: make(map[string]*difference),
 	}
 }
@@ -204,11 +216,33 @@
 	l.tellKnown()
 }
 
+// read takes what brings a partition, from now on.
+func (l *List) read(partition int, follower follow.Reader) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.followers[partition] = follower
+}
+
+// follower returns what brings a partition, nil if it is not read.
+func (l *List) follower(partition int) follow.Reader {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.followers[partition]
+}
+
+// advanced takes that all entries of a partition below an offset were read.
+func (l *List) advanced(partition int, end int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.readTo[partition] = end
+}
+
 // unread takes that a partition is not read any more.
 func (l *List) unread(partition int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.whole, partition)
+	delete(l.followers, partition)
 }
 
 // put takes an entry. The mutex must be held.
@@ -288,9 +322,44 @@
 	}
 }
 
-// mends returns the records that bring the list to what it should be, by partition, as far as this process is to write them now: the first
-// one in charge of a partition at once, others once the entry has differed for long enough.
-func (l *List) mends(inCharge func(partition int) bool) map[int][]keyedlog.Record {
+// overdue returns the partitions that this process is not first in charge of, and of which entries have differed for long enough for it to mend
+// them.
+func (l *List) overdue(inCharge func(partition int) bool) []int {
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.reading {
+		return nil
+	}
+	overdue := make(map[int]bool)
+	for id, found := range l.differences {
+		if number := l.partitionOf(id); !inCharge(number) && !now.Before(found.due) && l.writable(id, number, found, now) {
+			overdue[number] = true
+		}
+	}
+	return slices.Collect(maps.Keys(overdue))
+}
+
+// writable tells whether an entry may be written: its partition was read whole, and there is something to say that this process has not written,
+// or what it wrote has been read back. Until then nothing tells that it is missing, and all readers of the list would read it again. The
+// mutex must be held.
+func (l *List) writable(id string, partition int, found *difference, now time.Time) bool {
+	readBack := !now.Before(found.retry) && found.writtenTo <= l.readTo[partition]
+	return l.whole[partition] && (readBack || l.hasNews(id, found))
+}
+
+// hasNews tells whether an engine's own record says something that this process has not written. The mutex must be held.
+func (l *List) hasNews(id string, found *difference) bool {
+	own, exists := l.own[id]
+	if !exists {
+		return !found.sentGone
+	}
+	return found.sent == nil || found.sentGone || !found.sent.covers(own)
+}
+
+// mends returns the records that bring some partitions of the list to what they should be. Those in first charge of a partition mend at once,
+// others what has differed for long enough.
+func (l *List) mends(some, inCharge func(partition int) bool) map[int][]keyedlog.Record {
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -303,23 +372,38 @@
 	for id, found := range l.differences {
 		number := l.partitionOf(id)
 		unfinished[number] = true
-		if !l.whole[number] || now.Before(found.retry) || now.Before(found.due) && !inCharge(number) {
+		if !some(number) || !l.writable(id, number, found, now) || now.Before(found.due) && !inCharge(number) {
 			continue
 		}
 		found.retry = now.Add(rewriteAfter)
+		own, exists := l.own[id]
+		found.sent, found.sentGone = &own, !exists
 		if record, ok := l.mend(id); ok {
 			mends[number] = append(mends[number], record)
 		}
 	}
 	for pool := range l.pools {
 		number := PartitionOf(pool, l.partitions).Number
-		if l.whole[number] && !l.complete[number] && !unfinished[number] && inCharge(number) {
+		if some(number) && inCharge(number) && l.whole[number] && !l.complete[number] && !unfinished[number] && l.completeTo[number] <= l.readTo[number] {
 			mends[number] = []keyedlog.Record{{Key: keyComplete, Value: []byte{1}}}
 		}
 	}
 	return mends
 }
 
+// written takes that records of a partition were written below an offset.
+func (l *List) written(partition int, records []keyedlog.Record, end int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, record := range records {
+		if record.Key == keyComplete {
+			l.completeTo[partition] = end
+		} else if found := l.differences[idOf(record.Key)]; found != nil {
+			found.writtenTo = end
+		}
+	}
+}
+
 // notWritten takes that records were not written, so that they are due again soon.
 func (l *List) notWritten(records []keyedlog.Record) {
 	l.mutex.Lock()
--- a/internal/enginelist/reader.go
+++ b/internal/enginelist/reader.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
@@ -18,7 +19,7 @@
 	seen map[string]bool
 }
 
-// NewReader returns what takes the records of a partition of a list, the newest of all engines if whole is set. Close must follow.
+// NewReader returns what takes the records of a partition of a list, the newest of all engines if whole is set. Attach and Close must follow.
 func NewReader(list *List, partition int, whole bool, logger *log.Logger) *Reader {
 	return &Reader{list: list, partition: partition, whole: whole, logger: logger, seen: make(map[string]bool)}
 }
@@ -43,6 +44,12 @@
 		r.logger.Info("engine list known", "partition", r.partition, "entries", r.changes, "end", end, "whole", r.whole)
 	}
 	r.changes = 0
+	r.list.advanced(r.partition, end)
+}
+
+// Attach names what brings the records, before it runs.
+func (r *Reader) Attach(follower follow.Reader) {
+	r.list.read(r.partition, follower)
 }
 
 // Close says that no more records come.
--- a/internal/replica/engines.go
+++ b/internal/replica/engines.go
@@ -242,7 +242,9 @@
 			if !whole {
 				config.Sample = enginelist.HashKey(holderName(r.config.Settings))
 			}
-			follow.New(config).Run(ctx)
+			follower := follow.New(config)
+			reader.Attach(follower)
+			follower.Run(ctx)
 		})
 	}
 }
