Store the home set of a batch job in its entry

An entry holds its home set, and Entry.StorePartition returns the partition that stores the job. The index and the ledger compare partitions instead of numbers. The number of a home partition is stored with an offset beyond all partitions, so that a build that ignores the home set finds no partition there that anybody owns. Nothing writes such entries yet.

--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -196,12 +196,12 @@
 }
 
 // Unsettled returns the jobs of a partition that may get more results.
-func (x *Index) Unsettled(partition int) []Status {
+func (x *Index) Unsettled(partition keyedlog.Partition) []Status {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var unsettled []Status
 	for _, found := range x.jobs {
-		if found.hasEntry && !found.status.Settled && found.status.Entry.Partition == partition {
+		if found.hasEntry && !found.status.Settled && found.status.Entry.StorePartition() == partition {
 			unsettled = append(unsettled, found.status)
 		}
 	}
@@ -210,14 +210,14 @@
 
 // StartOffset returns the offset from which an owner has to read a partition that ends at end: the offset of the earliest
 // unsettled job, or of the newest settled job if that is lower, since its texts may be reused.
-func (x *Index) StartOffset(partition int, end int64) int64 {
+func (x *Index) StartOffset(partition keyedlog.Partition, end int64) int64 {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	start, newest := end, int64(-1)
 	for _, found := range x.jobs {
 		entry := found.status.Entry
 		switch {
-		case !found.hasEntry || entry.Partition != partition || entry.Offset >= end:
+		case !found.hasEntry || entry.StorePartition() != partition || entry.Offset >= end:
 		case found.status.Settled:
 			newest = max(newest, entry.Offset)
 		default:
@@ -257,12 +257,12 @@
 }
 
 // Expired returns the settled jobs of a partition that were accepted before the given time.
-func (x *Index) Expired(partition int, before time.Time) []Expired {
+func (x *Index) Expired(partition keyedlog.Partition, before time.Time) []Expired {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var all []Expired
 	for id, found := range x.jobs {
-		if !found.hasEntry || !found.status.Settled || found.status.Entry.Partition != partition || !found.status.AcceptedAt.Before(before) {
+		if !found.hasEntry || !found.status.Settled || found.status.Entry.StorePartition() != partition || !found.status.AcceptedAt.Before(before) {
 			continue
 		}
 		all = append(all, Expired{JobID: id, IndexKeys: slices.Clone(found.keys), JobKeys: found.status.Entry.keys()})
@@ -279,13 +279,37 @@
 	return append(keys, settledKey(e.JobID), specKey(e.JobID))
 }
 
+// homePartitionOffset is added to the numbers of partitions of home sets in entries. It exceeds the number of any partition,
+// so that a build that ignores Entry.Homes does not take the job for one in the partition of the same number of TopicJobs: no
+// process owns the partition that it looks in, and the store rejects reads of it.
+const homePartitionOffset = 1 << 20
+
+// StorePartition returns the partition that stores the job's records.
+func (e *Entry) StorePartition() keyedlog.Partition {
+	homes := keyedlog.HomeSet(e.Homes)
+	if homes == "" {
+		return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: e.Partition}
+	}
+	return keyedlog.Partition{Topic: homes.Topic(), Number: e.Partition - homePartitionOffset}
+}
+
+// setPartition sets the partition that stores the job's records, and the home set that its topic belongs to.
+func (e *Entry) setPartition(partition keyedlog.Partition) {
+	homes, _ := keyedlog.HomeSetOf(partition.Topic)
+	e.Homes, e.Partition = string(homes), partition.Number
+	if homes != "" {
+		e.Partition += homePartitionOffset
+	}
+}
+
 // NewEntry returns the index entry of a submission whose records occupy size bytes and lie at offsets from offset to before
 // next.
 func NewEntry(spec Spec, partition keyedlog.Partition, offset, next int64, size int) Entry {
 	entry := Entry{
-		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt, Partition: partition.Number,
+		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt,
 		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items), Tenant: spec.Tenant,
 	}
+	entry.setPartition(partition)
 	for _, item := range spec.Items {
 		entry.Path = item.Path
 		entry.Work += int64(item.work())
--- a/internal/job/index_test.go
+++ b/internal/job/index_test.go
@@ -21,7 +21,7 @@
 		status.AcceptedAt, status.Estimated = time.Time{}, false
 		text += fmt.Sprintln(id, known, status)
 	}
-	return text + fmt.Sprintln(len(index.Unsettled(3)), index.StartOffset(3, 30), index.Skipped())
+	return text + fmt.Sprintln(len(index.Unsettled(jobsPartition(3))), index.StartOffset(jobsPartition(3), 30), index.Skipped())
 }
 
 // TestIndexIndependentOfOrder checks that all processes agree on a job that was submitted twice, in whatever order they read
@@ -81,33 +81,33 @@
 		partition := keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: 1}
 		apply(job.EncodeEntry(job.NewEntry(spec(fmt.Sprint("job", i), 1), partition, at, at+2, 100), "t"))
 	}
-	is.Equal(index.StartOffset(1, 50), int64(10))
-	is.Equal(index.StartOffset(2, 50), int64(50))
+	is.Equal(index.StartOffset(jobsPartition(1), 50), int64(10))
+	is.Equal(index.StartOffset(jobsPartition(2), 50), int64(50))
 	apply(job.EncodeSettled("job0", 25, job.SlotTime{}))
 	apply(job.EncodeSettled("job1", 29, job.SlotTime{}))
 	// The text of the newest settled job may be reused.
-	is.Equal(index.StartOffset(1, 50), int64(20))
+	is.Equal(index.StartOffset(jobsPartition(1), 50), int64(20))
 	apply(job.EncodeSettled("job2", 45, job.SlotTime{}))
 	apply(job.EncodeSettled("job3", 49, job.SlotTime{}))
-	is.Equal(index.StartOffset(1, 50), int64(40))
+	is.Equal(index.StartOffset(jobsPartition(1), 50), int64(40))
 	// A job that was submitted after the end of the partition was read does not affect the offset.
-	is.Equal(index.StartOffset(1, 40), int64(30))
+	is.Equal(index.StartOffset(jobsPartition(1), 40), int64(30))
 }
 
 // TestExpiredJobDropsAllRecords checks that dropping the keys of an expired job drops every record of it.
 func TestExpiredJobDropsAllRecords(t *testing.T) {
 	is := is.New(t)
 	index := newIndex(t, indexHistory(t), false)
-	is.Equal(len(index.Expired(3, time.Now().Add(-time.Minute))), 0)
-	is.Equal(len(index.Expired(4, time.Now().Add(time.Minute))), 0)
-	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 1)
+	is.Equal(len(index.Expired(jobsPartition(3), time.Now().Add(-time.Minute))), 0)
+	is.Equal(len(index.Expired(jobsPartition(4), time.Now().Add(time.Minute))), 0)
+	is.Equal(len(index.Expired(jobsPartition(3), time.Now().Add(time.Minute))), 1)
 	settled, err := job.EncodeSettled("one", 30, job.SlotTime{})
 	is.NoErr(err)
 	settled.Offset = int64(len(indexHistory(t)))
 	is.NoErr(index.Apply(settled, false))
-	is.Equal(len(index.Expired(3, time.Now().Add(time.Minute))), 2)
+	is.Equal(len(index.Expired(jobsPartition(3), time.Now().Add(time.Minute))), 2)
 	dropped := make(map[string]bool)
-	for _, expired := range index.Expired(3, time.Now().Add(time.Minute)) {
+	for _, expired := range index.Expired(jobsPartition(3), time.Now().Add(time.Minute)) {
 		for _, key := range slices.Concat(expired.IndexKeys, expired.JobKeys) {
 			dropped[key] = true
 		}
@@ -191,9 +191,9 @@
 	apply(job.EncodeEntry(job.NewEntry(spec("one", 2), partition, 0, 3, 100), "t"))
 	index.Advanced(offset)
 	later := time.Now().Add(time.Hour)
-	is.Equal(len(index.Expired(3, later)), 0)
+	is.Equal(len(index.Expired(jobsPartition(3), later)), 0)
 	apply(job.EncodeEnd("one"), nil)
-	is.Equal(len(index.Expired(3, later)), 0)
+	is.Equal(len(index.Expired(jobsPartition(3), later)), 0)
 	apply(job.EncodeSettled("one", 9, job.SlotTime{}))
-	is.Equal(len(index.Expired(3, later)), 1)
+	is.Equal(len(index.Expired(jobsPartition(3), later)), 1)
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -55,6 +55,11 @@
 	return records
 }
 
+// jobsPartition returns the partition with a number of the topic of jobs without homes.
+func jobsPartition(number int) keyedlog.Partition {
+	return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: number}
+}
+
 // indexHistory returns the index records of the jobs of history.
 func indexHistory(t interface{ Fatal(...any) }) []keyedlog.Record {
 	var records []keyedlog.Record
@@ -65,7 +70,7 @@
 		record.Offset = int64(len(records))
 		records = append(records, record)
 	}
-	partition := keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: 3}
+	partition := jobsPartition(3)
 	must(job.EncodeEntry(job.NewEntry(spec("one", 5), partition, 0, 6, 1000), "z"))
 	must(job.EncodeEntry(job.NewEntry(spec("two", 2), partition, 6, 9, 400), "m"))
 	must(job.EncodeEntry(job.NewEntry(spec("one", 5), partition, 9, 15, 1000), "a"))
@@ -87,7 +92,7 @@
 
 // fold applies records to a ledger whose index contains both jobs.
 func fold(t interface{ Fatal(...any) }, records []keyedlog.Record) *job.Ledger {
-	ledger := job.NewLedger(newIndex(t, indexHistory(t), false), 3)
+	ledger := job.NewLedger(newIndex(t, indexHistory(t), false), jobsPartition(3))
 	for _, record := range records {
 		if err := ledger.Apply(record); err != nil {
 			t.Fatal(err)
@@ -237,7 +242,7 @@
 	is := is.New(t)
 	index := newIndex(t, indexHistory(t), false)
 	for partition := range 5 {
-		ledger := job.NewLedger(index, partition)
+		ledger := job.NewLedger(index, jobsPartition(partition))
 		for _, record := range history(t) {
 			is.NoErr(ledger.Apply(record))
 		}
--- a/internal/job/keys_test.go
+++ b/internal/job/keys_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
 // TestResultKeysSortByPosition checks that the keys of results and of their parts sort by position, and that ResultsAfterKey
@@ -35,7 +37,7 @@
 // TestExpiryDropsPaddedAndUnpaddedKeys checks that a job loses no results when it is closed, and that it loses results with
 // padded and unpadded keys when it expires.
 func TestExpiryDropsPaddedAndUnpaddedKeys(t *testing.T) {
-	ledger := NewLedger(NewIndex(), 0)
+	ledger := NewLedger(NewIndex(), keyedlog.Partition{Topic: keyedlog.TopicJobs})
 	keys := []string{"r/one/0", resultKey("one", 1), "r/one/2"}
 	for position, key := range keys {
 		records, err := EncodeResult("one", position, Result{ItemID: fmt.Sprint("i", position)}, 1<<18)
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -14,15 +14,15 @@
 // ended. It is safe for concurrent use. Its lock is acquired before the lock of the index.
 type Ledger struct {
 	index     *Index
-	partition int
+	partition keyedlog.Partition
 
 	mutex   sync.Mutex
 	fold    *fold
 	changed broadcast.Signal
 }
 
-// NewLedger returns an empty ledger for the partition with the given number.
-func NewLedger(index *Index, partition int) *Ledger {
+// NewLedger returns an empty ledger for a partition.
+func NewLedger(index *Index, partition keyedlog.Partition) *Ledger {
 	return &Ledger{index: index, partition: partition, fold: newFold(), changed: broadcast.New()}
 }
 
@@ -78,7 +78,7 @@
 // submission may have been written to several partitions, and the first entry names the one that applies.
 func (l *Ledger) lookUp(id string) (Status, bool) {
 	status, exists := l.index.Job(id)
-	return status, exists && status.Entry.Partition == l.partition
+	return status, exists && status.Entry.StorePartition() == l.partition
 }
 
 func (s *jobState) view(status Status) View {
--- a/internal/job/lines_test.go
+++ b/internal/job/lines_test.go
@@ -33,7 +33,7 @@
 			shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
 		})
 		index := newIndex(t, indexHistory(t), false)
-		ledger := job.NewLedger(index, 3)
+		ledger := job.NewLedger(index, jobsPartition(3))
 		for _, record := range shuffled {
 			is.NoErr(ledger.Apply(record))
 		}
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -71,7 +71,9 @@
 	Model string `msg:"model"`
 	// SubmittedAt is the wall-clock time of submission in milliseconds since 1970, at the node that accepted it.
 	SubmittedAt int64 `msg:"at"`
-	// Partition stores the job's records: the submission at offsets from Offset to before Next, all others from Next on.
+	// Partition is the number of the partition that stores the job's records: the submission at offsets from Offset to before
+	// Next, all others from Next on. StorePartition returns the partition; it must be used instead of this field, because the
+	// numbers of partitions of home sets are stored with an offset.
 	Partition int   `msg:"part"`
 	Offset    int64 `msg:"from"`
 	Next      int64 `msg:"next"`
@@ -82,6 +84,8 @@
 	Work  int64 `msg:"work"`
 	// Tenant is the tenant that owns the job; empty if it was submitted without a key.
 	Tenant string `msg:"tenant"`
+	// Homes is the keyedlog.HomeSet that the job is bound to, empty if it is bound to no region. It never changes.
+	Homes string `msg:"homes"`
 }
 
 // Settled is the index record which states that no more results of a job are listed: all are listed, or the job has ended.
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -96,6 +96,12 @@
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
+		case "homes":
+			z.Homes, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -109,9 +115,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Entry) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 13
 	// write "id"
-	err = en.Append(0x8c, 0xa2, 0x69, 0x64)
+	err = en.Append(0x8d, 0xa2, 0x69, 0x64)
 	if err != nil {
 		return
 	}
@@ -230,15 +236,25 @@
 		err = msgp.WrapError(err, "Tenant")
 		return
 	}
+	// write "homes"
+	err = en.Append(0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Homes)
+	if err != nil {
+		err = msgp.WrapError(err, "Homes")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "id"
-	o = append(o, 0x8c, 0xa2, 0x69, 0x64)
+	o = append(o, 0x8d, 0xa2, 0x69, 0x64)
 	o = msgp.AppendString(o, z.JobID)
 	// string "host"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
@@ -273,6 +289,9 @@
 	// string "tenant"
 	o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
 	o = msgp.AppendString(o, z.Tenant)
+	// string "homes"
+	o = append(o, 0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
+	o = msgp.AppendString(o, z.Homes)
 	return
 }
 
@@ -366,6 +385,12 @@
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
+		case "homes":
+			z.Homes, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -380,7 +405,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant)
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant) + 6 + msgp.StringPrefixSize + len(z.Homes)
 	return
 }
 
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -50,7 +50,7 @@
 // follower for later records. Items run only after everything is read, so several parts are read at once; if one fails, the
 // follower reads the whole range.
 func (r *runner) follow(ctx context.Context, end int64) *follow.Follower {
-	r.readFrom = r.config.Index.StartOffset(r.partition.Number, end)
+	r.readFrom = r.config.Index.StartOffset(r.partition, end)
 	from := end
 	if err := follow.RangeConcurrently(ctx, r.config.Log, r.partition, r.readFrom, end, applier{r}); err != nil {
 		errorlog.Debug(r.config.Logger, "parallel read failed, reading sequentially", err, "partition", r.partition, "from", r.readFrom, "end", end)
@@ -69,7 +69,7 @@
 		return
 	}
 	from := r.readFrom
-	for _, status := range r.config.Index.Unsettled(r.partition.Number) {
+	for _, status := range r.config.Index.Unsettled(r.partition) {
 		from = min(from, status.Entry.Offset)
 	}
 	if from == r.readFrom {
@@ -86,7 +86,7 @@
 // reads the partition past that offset for them. Nothing is listed after the record that is written here: the writer accepts no
 // further result of the job, and a later owner finds the job's end in the index.
 func (r *runner) settleJobs(ctx context.Context) {
-	for _, status := range r.config.Index.Unsettled(r.partition.Number) {
+	for _, status := range r.config.Index.Unsettled(r.partition) {
 		id := status.Entry.JobID
 		if r.settling[id] {
 			continue
@@ -133,7 +133,7 @@
 		return
 	}
 	defer r.expiring.Store(false)
-	for _, expired := range r.config.Index.Expired(r.partition.Number, time.Now().Add(-r.config.Retention-expireSlack)) {
+	for _, expired := range r.config.Index.Expired(r.partition, time.Now().Add(-r.config.Retention-expireSlack)) {
 		if err := r.appendUnfenced(ctx, tombstones(expired.JobKeys)); err != nil {
 			return
 		}
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -72,7 +72,7 @@
 func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
 	runCtx, cancel := context.WithCancel(ctx)
 	runner := &runner{
-		config: h.config, partition: partition, cancel: cancel, ledger: job.NewLedger(h.config.Index, partition.Number),
+		config: h.config, partition: partition, cancel: cancel, ledger: job.NewLedger(h.config.Index, partition),
 		writer: newWriter(fencing.New(fencing.Config{
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}), h.config.Limits, h.config.Logger),
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -108,7 +108,7 @@
 	n := &node{
 		world: w, name: name, index: job.NewIndex(), directory: fleet.NewDirectory(), log: storetimeout.New(w.store.For(name)),
 	}
-	n.ledger = job.NewLedger(n.index, jobsPartition().Number)
+	n.ledger = job.NewLedger(n.index, jobsPartition())
 	for _, engine := range append(append([]fleet.Engine(nil), w.models...), w.scorers...) {
 		n.directory.Upsert(engine)
 	}
@@ -119,7 +119,7 @@
 	}
 	indexFollower := follower(keyedlog.JobIndex, indexApplier{n.index})
 	follower(jobsPartition(), ledgerApplier{n.ledger})
-	operator := follower(keyedlog.Partition{Topic: keyedlog.TopicOperator}, ledgerApplier{job.NewLedger(n.index, 0)})
+	operator := follower(keyedlog.Partition{Topic: keyedlog.TopicOperator}, ledgerApplier{job.NewLedger(n.index, keyedlog.Partition{Topic: keyedlog.TopicJobs})})
 	n.routes = catalog.NewHolder()
 	if !w.withoutRoutes {
 		n.configure(w)
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -31,7 +31,7 @@
 	if err == nil {
 		return item, nil
 	}
-	submission := &jobApplier{id: entry.JobID, ledger: job.NewLedger(s.config.Index, entry.Partition), matches: job.IsSubmissionKey}
+	submission := &jobApplier{id: entry.JobID, ledger: job.NewLedger(s.config.Index, partitionOf(entry)), matches: job.IsSubmissionKey}
 	if err := s.submission(ctx, entry, submission, err); err != nil {
 		return nil, err
 	}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -221,7 +221,7 @@
 		is.Equal(<-done, jobs.Done)
 		synctest.Wait()
 		partition := job.PartitionOf(spec("one"), partitions, nil)
-		is.Equal(len(first.index.Unsettled(partition.Number)), 1)
+		is.Equal(len(first.index.Unsettled(partition)), 1)
 		is.Equal(first.service.Submit(t.Context(), spec("one")), jobs.Done)
 	})
 }
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -82,7 +82,7 @@
 func (a *jobApplier) Advanced(int64) {}
 
 func partitionOf(entry job.Entry) keyedlog.Partition {
-	return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: entry.Partition}
+	return entry.StorePartition()
 }
 
 // reader returns the reader of a job that covers its results from a position on, and starts one if there is none.
@@ -117,7 +117,7 @@
 
 // newReader returns a reader of the results from a position on that has not read anything yet.
 func (s *Service) newReader(status job.Status, from int) *reader {
-	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, status.Entry.Partition)
+	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, partitionOf(status.Entry))
 	ledger.StartAt(id, from)
 	size, readLog := 0, &countingLog{Log: s.config.Log}
 	if status.Settled {
