Keep batch jobs that are bound to regions at replicas of these regions

Cause: allowed regions of a route or tenant restricted engines only. The partition of a batch job could be owned by a replica of any region, which then held, cached and read the bodies of its items. Change: the replica that accepts a job computes its homes: the regions of the fleet that the routes of the job, of its items and of their scorers and its tenant have in common (catalog.JobRegions, catalog.Homes). A job whose homes are not the whole fleet is stored in the topic of its home set. A replica is a member of a group for each home set with its region that the configuration names or a job in the index has; it joins and leaves them as these change, and calls nothing while there is none. A submission is refused at once, with nothing stored, if the homes are empty, have no engine that stays, or no owner (read at most once a second). So that all replicas know the engines of a home, configurations with homes list the pools of jobs too, and replicas read the whole list. Scorers obey the regions of the job's tenant as well; before, only those of their own route.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,7 +4,6 @@
 package catalog
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -154,20 +153,8 @@
 // Regions returns the regions whose engines may run a tenant's work on a route, nil for all. If both the route and the tenant
 // limit regions, the result is the intersection, which may be empty but is not nil.
 func (c *Catalog) Regions(route Route, tenantName string) []string {
-	known, ok := c.Tenants.Named(tenantName)
-	switch {
-	case !ok || known.Regions == nil:
-		return route.Regions
-	case route.Regions == nil:
-		return known.Regions
-	}
-	common := []string{}
-	for _, region := range route.Regions {
-		if slices.Contains(known.Regions, region) {
-			common = append(common, region)
-		}
-	}
-	return common
+	known, _ := c.Tenants.Named(tenantName)
+	return commonRegions(route.Regions, known.Regions)
 }
 
 // RequestedPools returns the pools that receive requests of callers, without the pools that only run items of jobs.
--- /dev/null
+++ b/internal/catalog/homes.go
@@ -0,0 +1,126 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hillfork/hillfork/internal/keyedlog"
+)
+
+// commonRegions returns the regions that two lists have in common, where nil stands for all regions. If both are limited, the
+// result may be empty but is not nil.
+func commonRegions(a, b []string) []string {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	common := []string{}
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			common = append(common, region)
+		}
+	}
+	return common
+}
+
+// BindsRegions reports whether any route or tenant is bound to regions.
+func (c *Catalog) BindsRegions() bool {
+	return c.Tenants.BindsRegions() || slices.ContainsFunc(c.Routes, func(route Route) bool { return route.Regions != nil })
+}
+
+// JobRegions returns the regions in which a tenant's job may be held whose items and scorers use some routes, nil for all. An
+// empty result that is not nil means that the routes and the tenant have no region in common.
+func (c *Catalog) JobRegions(routes []Route, tenantName string) []string {
+	var regions []string
+	for _, route := range routes {
+		regions = commonRegions(regions, c.Regions(route, tenantName))
+	}
+	return regions
+}
+
+// Homes returns the home set of work that is allowed in some regions, nil for all, in a fleet of the given regions. Work that
+// is allowed in the whole fleet is bound to none. It returns false if the work is allowed nowhere in the fleet.
+func Homes(allowed, fleet []string) (homes keyedlog.HomeSet, possible bool) {
+	if allowed == nil {
+		return "", true
+	}
+	within := slices.DeleteFunc(slices.Clone(fleet), func(region string) bool { return !slices.Contains(allowed, region) })
+	switch len(within) {
+	case 0:
+		return "", false
+	case len(fleet):
+		return "", true
+	default:
+		return keyedlog.NewHomeSet(within), true
+	}
+}
+
+// HomeSets returns the home sets that jobs may have in a fleet of the given regions: those of each route of jobs with each
+// tenant, and what they have in common with the routes that a scorer may use.
+func (c *Catalog) HomeSets(fleet []string) []keyedlog.HomeSet {
+	if !c.BindsRegions() {
+		return nil
+	}
+	sets := make(map[keyedlog.HomeSet]bool)
+	for _, route := range c.Routes {
+		if route.Kind != KindJobs {
+			continue
+		}
+		for _, allowed := range c.regionsByTenant(route) {
+			c.addHomeSets(sets, allowed, fleet)
+		}
+	}
+	return slices.Sorted(maps.Keys(sets))
+}
+
+// addHomeSets adds the home set of some allowed regions, and those that a scorer's route narrows it to.
+func (c *Catalog) addHomeSets(sets map[keyedlog.HomeSet]bool, allowed, fleet []string) {
+	homes, possible := Homes(allowed, fleet)
+	if !possible || sets[homes] {
+		return
+	}
+	if homes != "" {
+		sets[homes] = true
+	}
+	for _, route := range c.Routes {
+		if route.Regions == nil || route.Kind != KindOnce && route.Kind != KindRepeatable {
+			continue
+		}
+		if narrower := commonRegions(allowed, route.Regions); allowed == nil || len(narrower) < len(allowed) {
+			c.addHomeSets(sets, narrower, fleet)
+		}
+	}
+}
+
+// regionsByTenant returns the different lists of regions that a route allows to its tenants and to callers without a tenant.
+func (c *Catalog) regionsByTenant(route Route) [][]string {
+	lists := [][]string{route.Regions}
+	seen := make(map[keyedlog.HomeSet]bool)
+	for _, known := range c.Tenants.All() {
+		if known.Regions == nil {
+			continue
+		}
+		if key := keyedlog.NewHomeSet(known.Regions); !seen[key] {
+			seen[key] = true
+			lists = append(lists, commonRegions(route.Regions, known.Regions))
+		}
+	}
+	return lists
+}
+
+// ListedPools returns the pools whose engines every process has to know: those that receive requests of callers, and those
+// that run jobs if any route or tenant is bound to regions, so that a job is refused at once if its homes have no engine.
+func (c *Catalog) ListedPools() map[string]bool {
+	pools := c.RequestedPools()
+	if !c.BindsRegions() {
+		return pools
+	}
+	for _, route := range c.Routes {
+		for _, target := range route.Targets {
+			pools[target.Pool] = true
+		}
+	}
+	return pools
+}
--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -41,7 +41,7 @@
 func startConfigured(t *testing.T, store *memorylog.Store, name string, whole bool, change func(*follow.Config)) *process {
 	directory := fleet.NewDirectory()
 	list := enginelist.NewList(directory, 1)
-	list.SetPools(map[string]bool{pool: true})
+	list.SetPools(map[string]bool{pool: true}, map[string]bool{pool: true})
 	logger := log.New(io.Discard)
 	p := &process{
 		list: list, directory: directory,
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -45,8 +45,10 @@
 	// wrote the record that says so.
 	complete   map[int]bool
 	completeTo map[int]int64
-	// pools holds the pools that requests are sent to, nil while they are not known.
-	pools map[string]bool
+	// pools holds the pools whose engines are listed, nil while they are not known; required holds those of them that have
+	// to be known before requests are served.
+	pools    map[string]bool
+	required map[string]bool
 	// ownRecords holds the engines by their own records, read up to ownRecordsEnd. They are used while readsOwnRecords
 	// is set. Entries without an own record are stale once settled is set too, lapsedGrace after readingSince.
 	ownRecords      map[string]engineState
@@ -78,11 +80,12 @@
 	}
 }
 
-// SetPools sets the pools that requests are sent to.
-func (l *List) SetPools(pools map[string]bool) {
+// SetPools sets the pools whose engines are listed, and those of them that have to be known before requests are served. An
+// earlier version may list none of the others.
+func (l *List) SetPools(pools, required map[string]bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.pools = pools
+	l.pools, l.required = pools, required
 	l.compareAll()
 	l.publishKnown()
 }
@@ -244,7 +247,7 @@
 	if l.pools == nil {
 		return
 	}
-	for pool := range l.pools {
+	for pool := range l.required {
 		if !l.known[PartitionOf(pool, l.partitions).Number] {
 			return
 		}
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -55,11 +56,17 @@
 	skipped  int
 	changed  broadcast.Signal
 	now      func() time.Time
+	// homes is the number of jobs of each home set; homesChanged is notified when a set is added or removed.
+	homes        map[keyedlog.HomeSet]int
+	homesChanged broadcast.Signal
 }
 
 // NewIndex returns an empty index.
 func NewIndex() *Index {
-	return &Index{jobs: make(map[string]*indexedJob), changed: broadcast.New(), now: time.Now}
+	return &Index{
+		jobs: make(map[string]*indexedJob), changed: broadcast.New(), now: time.Now, homes: make(map[keyedlog.HomeSet]int),
+		homesChanged: broadcast.New(),
+	}
 }
 
 var errIndexKey = errors.New("key is not that of a job index record")
@@ -84,6 +91,8 @@
 		return errIndexKey
 	}
 	kind, id := fields[0], fields[1]
+	before := x.homesOf(id)
+	defer func() { x.countHomes(before, x.homesOf(id)) }()
 	if record.Value == nil {
 		x.drop(id, record.Key)
 		return nil
@@ -110,6 +119,40 @@
 	}
 }
 
+// homesOf returns the home set of a job, empty if it has none or is not known.
+func (x *Index) homesOf(id string) keyedlog.HomeSet {
+	if found, ok := x.jobs[id]; ok {
+		return keyedlog.HomeSet(found.status.Entry.Homes)
+	}
+	return ""
+}
+
+// countHomes counts a job in another home set than before.
+func (x *Index) countHomes(before, after keyedlog.HomeSet) {
+	if before == after {
+		return
+	}
+	if before != "" {
+		if x.homes[before]--; x.homes[before] == 0 {
+			delete(x.homes, before)
+			x.homesChanged.Notify()
+		}
+	}
+	if after != "" {
+		if x.homes[after]++; x.homes[after] == 1 {
+			x.homesChanged.Notify()
+		}
+	}
+}
+
+// HomeSets returns the home sets of the jobs in the index, settled ones included: their records have to be deleted by an owner
+// at the end of their retention. The channel is closed when a set is added or removed.
+func (x *Index) HomeSets() ([]keyedlog.HomeSet, <-chan struct{}) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return slices.Sorted(maps.Keys(x.homes)), x.homesChanged.Changed()
+}
+
 // job returns the job with an id, creating it if necessary, and adds a key to its keys.
 func (x *Index) job(id, key string) *indexedJob {
 	found, ok := x.jobs[id]
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -44,6 +44,22 @@
 	return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: int(hash.Sum32() % uint32(partitions))}
 }
 
+// Names of the groups that own the partitions of jobs.
+const (
+	jobsGroup       = "hillfork-jobs"
+	homeGroupPrefix = "hillfork-homes-"
+	// homeGroupSuffix keeps the names apart from those that a group derives from its name for other groups.
+	homeGroupSuffix = ".jobs"
+)
+
+// GroupOf returns the name of the group that assigns the partitions of jobs of a home set to the processes of its regions.
+func GroupOf(homes keyedlog.HomeSet) string {
+	if homes == "" {
+		return jobsGroup
+	}
+	return homeGroupPrefix + string(homes) + homeGroupSuffix
+}
+
 // positionDigits is the number of digits to which the positions in the keys of results are padded, so that the store's key
 // order is the order of positions. A job has fewer than 100 million items: a submission of that many would take gigabytes.
 const positionDigits = 8
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/job"
@@ -34,9 +35,12 @@
 	Unsure
 	// NotFound means that no such job, or no such item, exists.
 	NotFound
+	// NoHome means that the submission had no effect and will have none, and that no region to which the job is bound can run
+	// it now.
+	NoHome
 )
 
-var outcomeNames = [...]string{"done", "refused", "unknown", "unsure", "not_found"}
+var outcomeNames = [...]string{"done", "refused", "unknown", "unsure", "not_found", "no_home"}
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
@@ -57,6 +61,11 @@
 	IndexFollower Follower
 	// Models returns the models that are trained, in order. A nil function means that there are none.
 	Models func() []string
+	// Catalog holds the operator's configuration, which states the regions that jobs are bound to; nil if they are bound to
+	// none. Regions are the regions of the fleet, Engines its engines.
+	Catalog *catalog.Holder
+	Regions []string
+	Engines EngineDirectory
 	// RecordBytes and CallBytes limit the size of one record and of one append.
 	RecordBytes int
 	CallBytes   int
@@ -68,6 +77,7 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
+	owners owners
 
 	mutex   sync.Mutex
 	readers map[string]*reader
@@ -81,10 +91,12 @@
 // New returns a service without readers; they start with the first calls.
 func New(config Config) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{
+	s := &Service{
 		config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader),
 		recentJobs: make(map[string]*time.Timer),
 	}
+	s.owners = owners{config: &s.config, known: make(map[keyedlog.HomeSet]ownersRead)}
+	return s
 }
 
 // Close stops all reads and waits until they have ended.
@@ -115,7 +127,8 @@
 }
 
 // Submit makes a submission durable: first its items, then the index entry that makes the job exist. Items without an entry
-// are not a job and never run. Submitting a job that already exists returns Done.
+// are not a job and never run. Submitting a job that already exists returns Done. A job that is bound to regions is stored in
+// the topic of its home set, which only processes of these regions own.
 func (s *Service) Submit(ctx context.Context, spec job.Spec) Outcome {
 	if status, known := s.config.Index.Job(spec.ID); known {
 		s.config.Logger.Info("job is known already", "job", spec.ID, "tenant", spec.Tenant, "owner", status.Entry.Tenant)
@@ -126,6 +139,12 @@
 	}
 	ctx, cancel := s.withStoreTimeout(ctx)
 	defer cancel()
+	homes, cause := s.homesOf(ctx, spec)
+	if cause != "" {
+		s.config.Logger.Info("job refused for its homes", "job", spec.ID, "route", spec.Route, "tenant", spec.Tenant, "homes", homes,
+			"cause", cause)
+		return NoHome
+	}
 	spec.SubmittedAt = time.Now().UnixMilli()
 	records, err := job.EncodeSpec(spec, s.config.RecordBytes)
 	if err != nil {
@@ -136,7 +155,8 @@
 	if s.config.Models != nil {
 		models = s.config.Models()
 	}
-	partition := job.PartitionOf(spec, s.config.Log.Partitions(keyedlog.TopicJobs), models)
+	partition := job.PartitionOf(spec, s.config.Log.Partitions(homes.Topic()), models)
+	partition.Topic = homes.Topic()
 	outcome := s.appendSubmission(ctx, spec, partition, records)
 	s.config.Logger.Info("job submitted", "job", spec.ID, "outcome", outcome, "partition", partition, "items", len(spec.Items),
 		"tenant", spec.Tenant, "bytes", job.Size(records), "model", spec.Model, "step", spec.Step, "wanted", spec.Desired,
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -68,6 +68,11 @@
 
 // newNodeWithLog returns a node that accesses the store through the given log.
 func newNodeWithLog(t *testing.T, store keyedlog.Log) *node {
+	return newNodeWithConfig(t, store, func(*jobs.Config) {})
+}
+
+// newNodeWithConfig returns a node whose configuration a function changes.
+func newNodeWithConfig(t *testing.T, store keyedlog.Log, change func(*jobs.Config)) *node {
 	index := job.NewIndex()
 	ctx, cancel := context.WithCancel(context.Background())
 	follower := follow.New(follow.Config{
@@ -81,10 +86,12 @@
 		follower.Run(ctx)
 	}()
 	output := &lines{}
-	service := jobs.New(jobs.Config{
+	config := jobs.Config{
 		Log: storetimeout.New(store), Index: index, IndexFollower: follower, RecordBytes: 300, CallBytes: callBytes,
 		Logger: log.New(output),
-	})
+	}
+	change(&config)
+	service := jobs.New(config)
 	t.Cleanup(func() {
 		cancel()
 		service.Close()
--- a/internal/replica/engines.go
+++ b/internal/replica/engines.go
@@ -94,17 +94,17 @@
 	if current == nil {
 		return false
 	}
-	requested := current.RequestedPools()
+	listed := current.ListedPools()
 	return r.holdings.any(func(partition keyedlog.Partition) bool {
-		switch partition.Topic {
-		case keyedlog.TopicJobs:
+		if _, holdsJobs := keyedlog.HomeSetOf(partition.Topic); holdsJobs {
 			return true
-		case keyedlog.TopicDuties:
+		}
+		if partition.Topic == keyedlog.TopicDuties {
 			return partition.Number < r.duties
 		}
 		for _, pool := range current.Pools {
 			if len(pool.Models) > 0 && partition == weightroll.PartitionOf(pool.Name, len(r.weights)) ||
-				requested[pool.Name] && partition == enginelist.PartitionOf(pool.Name, r.listPartitions()) {
+				listed[pool.Name] && partition == enginelist.PartitionOf(pool.Name, r.listPartitions()) {
 				return true
 			}
 		}
@@ -207,7 +207,7 @@
 	return false
 }
 
-// followList follows the list of engines for the pools that requests are sent to, until the context ends.
+// followList follows the list of engines until the context ends.
 func (r *Replica) followList(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -215,9 +215,9 @@
 	for {
 		changed := r.catalog.Changed()
 		if current := r.catalog.Current(); current != nil {
-			requested := current.RequestedPools()
-			r.list.SetPools(requested)
-			for pool := range requested {
+			listed := current.ListedPools()
+			r.list.SetPools(listed, current.RequestedPools())
+			for pool := range listed {
 				partition := enginelist.PartitionOf(pool, r.listPartitions())
 				if !followed[partition] {
 					followed[partition] = true
@@ -253,10 +253,14 @@
 
 // needsWholeList reports whether this process has to know all entries of a partition of the list: it acts on engines
 // and keeps the entries up to date, or the partition contains several pools, of which a part of the entries may lack
-// the smaller one.
+// the smaller one, or work is bound to regions, of which a part of the entries may lack the smaller one too.
 func (r *Replica) needsWholeList(partition keyedlog.Partition) bool {
+	current := r.catalog.Current()
+	if current.BindsRegions() {
+		return true
+	}
 	pools := 0
-	for pool := range r.catalog.Current().RequestedPools() {
+	for pool := range current.RequestedPools() {
 		if enginelist.PartitionOf(pool, r.listPartitions()) == partition {
 			pools++
 		}
--- a/internal/replica/groups.go
+++ b/internal/replica/groups.go
@@ -7,22 +7,20 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/duty"
+	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/ownership"
 )
 
-// Names of the groups of replicas in the store.
-const (
-	jobsGroup    = "hillfork-jobs"
-	weightsGroup = "hillfork-weights"
-)
+// weightsGroup is the name of the group that owns weights, duties and the list of engines.
+const weightsGroup = "hillfork-weights"
 
 // joinGroups sets up the groups that assign the partitions of jobs, weights and duties to the replicas.
-func (r *Replica) joinGroups(runners, rollers ownership.Holder, reporting []duty.Duty) {
+func (r *Replica) joinGroups(rollers ownership.Holder, reporting []duty.Duty) {
 	settings := r.config.Settings
 	lifetime := memberLifetime(settings.MinMemberLifetime)
 	weightsLifetime := max(lifetime, weightsShare*settings.OrderLease/weightsParts)
-	r.joinGroup(jobsGroup, lifetime, settings.ProcessorShare, topicHolders{keyedlog.TopicJobs: runners})
+	r.joinGroup(job.GroupOf(""), lifetime, settings.ProcessorShare, topicHolders{keyedlog.TopicJobs: r.runners})
 	r.metrics.member(r.managers[0].Participates)
 	duties := slices.Concat(reporting, r.orderEngines())
 	r.duties = len(duties)
@@ -49,10 +47,15 @@
 // joinGroup sets up a group that assigns the partitions of some topics. share is the machine's share of a processor, in
 // cores; with 0 the machine is always a member.
 func (r *Replica) joinGroup(group string, lifetime time.Duration, share float64, topics topicHolders) {
-	r.managers = append(r.managers, ownership.New(ownership.Config{
+	r.managers = append(r.managers, r.newManager(group, lifetime, share, topics))
+}
+
+// newManager returns the manager of a group.
+func (r *Replica) newManager(group string, lifetime time.Duration, share float64, topics topicHolders) *ownership.Manager {
+	return ownership.New(ownership.Config{
 		Log: r.config.Log, Group: group, Member: memberName(r.config.Settings), Share: share, Topics: slices.Sorted(maps.Keys(topics)),
 		Lifetime: lifetime, Holder: trackingHolder{promptingHolder{topics, r.promptReaders()}, r.holdings}, Logger: r.config.Logger,
-	}))
+	})
 }
 
 // topicHolders starts the work of partitions by topic.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -69,6 +69,8 @@
 	followers []*follow.Follower
 	weights   []*follow.Follower
 	managers  []*ownership.Manager
+	// runners starts the work of partitions of jobs, those of home sets included.
+	runners ownership.Holder
 	// holdings tracks the partitions held; duties is the number of duties.
 	holdings *holdings
 	duties   int
@@ -118,10 +120,11 @@
 		r.weights = append(r.weights, r.follow(partition, &weightApplier{board: board, logger: config.Logger}))
 	}
 	r.jobs = jobs.New(jobs.Config{
-		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Models: r.models,
+		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Models: r.models, Catalog: r.catalog, Engines: r.directory,
+		Regions:     config.Settings.regions(),
 		RecordBytes: config.RecordBytes, CallBytes: config.CallBytes, Logger: config.Logger,
 	})
-	runners := jobrun.NewHolder(jobrun.Config{
+	r.runners = jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
 		Quarantine: r.quarantine, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
@@ -132,7 +135,7 @@
 		Directory: r.directory, Client: config.Client, Loads: r.stepLoads, JobsKnown: indexFollower.CaughtUp, Paces: r.directory.UsualPaces,
 		Node: memberName(config.Settings), Lease: config.Settings.OrderLease, OnVersionServed: r.metrics.rolled, Logger: config.Logger,
 	})
-	r.joinGroups(runners, rollers, reporting)
+	r.joinGroups(rollers, reporting)
 	return r
 }
 
@@ -258,6 +261,7 @@
 	for _, manager := range r.managers {
 		owning.Go(func() { manager.Run(ctx) })
 	}
+	owning.Go(func() { r.runHomeGroups(ctx) })
 	owning.Wait()
 	<-stop
 	cancel()
--- a/internal/replica/settings.go
+++ b/internal/replica/settings.go
@@ -4,7 +4,11 @@
 // adapter implements the interfaces.
 package replica
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Settings holds the settings of a replica, which are fixed at its start.
 type Settings struct {
@@ -43,3 +47,17 @@
 	UsageWindow      time.Duration
 	UsageReportLimit time.Duration
 }
+
+// regions returns the regions of the fleet, sorted.
+func (s Settings) regions() []string {
+	regions := slices.Compact(slices.Sorted(maps.Values(s.Regions)))
+	return slices.DeleteFunc(regions, func(region string) bool { return region == "" })
+}
+
+// ownRegion returns the region of the machine, empty if it is not known.
+func (s Settings) ownRegion() string {
+	if region := s.Regions[s.Zone]; region != "" {
+		return region
+	}
+	return s.Region
+}
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -45,14 +45,17 @@
 // directory is a directory without tenants.
 type Directory struct {
 	tenants []Tenant
-	byKey   map[Digest]int
-	byName  map[string]int
+	// bound is set if a tenant is bound to regions.
+	bound  bool
+	byKey  map[Digest]int
+	byName map[string]int
 }
 
 // NewDirectory returns a directory of tenants. A key that is listed for two tenants belongs to the first.
 func NewDirectory(tenants []Tenant) *Directory {
 	d := &Directory{tenants: tenants, byKey: make(map[Digest]int), byName: make(map[string]int, len(tenants))}
 	for i, t := range tenants {
+		d.bound = d.bound || t.Regions != nil
 		if _, known := d.byName[t.Name]; !known {
 			d.byName[t.Name] = i
 		}
@@ -65,6 +68,19 @@
 	return d
 }
 
+// All returns the tenants. The slice must not be changed.
+func (d *Directory) All() []Tenant {
+	if d == nil {
+		return nil
+	}
+	return d.tenants
+}
+
+// BindsRegions reports whether a tenant is bound to regions.
+func (d *Directory) BindsRegions() bool {
+	return d != nil && d.bound
+}
+
 // Find returns the tenant that a key belongs to. The key is looked up by its digest, so that the duration of the look-up reveals
 // nothing about other keys.
 func (d *Directory) Find(key string) (Tenant, bool) {
