Refuse requests at once whose homes have no engine that stays

Cause: a request that is bound to regions in which every engine of its pool leaves, or which have none, waited for a slot for a quarter of its target before it was refused, although no engine could take it. Change: such a request is refused as not run as soon as no engine takes it, with a retry delay of 1 s and a cause of its own. Conclusion: TestRequestWithoutEngineInItsHomesIsRefusedAtOnce fails in the three cases with the check switched off; TestMayServe checks which engines count.

--- a/internal/explain/fleet.go
+++ b/internal/explain/fleet.go
@@ -77,8 +77,11 @@
 	Last time.Time `json:"last"`
 }
 
-// jobsPrefix is the prefix of the names of job partitions.
-const jobsPrefix = "jobs/"
+// jobsPrefix and homesPrefix are the prefixes of the names of job partitions, without and with homes.
+const (
+	jobsPrefix  = "jobs/"
+	homesPrefix = "jobs-"
+)
 
 // outcomeNotRun is the outcome of refused requests.
 const outcomeNotRun = "not_run"
@@ -98,6 +101,7 @@
 	"group lost":               func(r *Replica, line Line) { r.recordLoss(line.Fields["group"], line, "heard_ago") },
 	"store partition regained": func(r *Replica, line Line) { delete(r.lost, line.Fields["partition"]) },
 	"group joined":             func(r *Replica, line Line) { delete(r.lost, line.Fields["group"]) },
+	"group left":               func(r *Replica, line Line) { delete(r.lost, line.Fields["group"]) },
 	"request settled":          (*Replica).recordSettled,
 }
 
@@ -184,7 +188,7 @@
 // gainedJobs reports whether the replica was assigned a partition of jobs that it does not run yet.
 func (r *Replica) gainedJobs() bool {
 	for partition := range r.gained {
-		if strings.HasPrefix(partition, jobsPrefix) {
+		if strings.HasPrefix(partition, jobsPrefix) || strings.HasPrefix(partition, homesPrefix) {
 			return true
 		}
 	}
--- a/internal/fleet/regions_test.go
+++ b/internal/fleet/regions_test.go
@@ -65,3 +65,28 @@
 		})
 	}
 }
+
+// TestMayServe guards against requests and jobs that wait for engines which never come, and against the refusal of those whose engines are
+// only not known yet: leaving engines, evacuated zones and engines elsewhere don't count.
+func TestMayServe(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	directory.SetRegions(map[string]string{"recife-a": "recife", "fortaleza-a": "fortaleza"})
+	directory.SetPartial(true)
+	home := []string{"fortaleza"}
+	is.True(directory.MayServe("pool", home)) // no engine of the pool is known
+	directory.Upsert(fleet.Engine{ID: "elsewhere", Pool: "pool", Zone: "recife-a", Slots: 4})
+	is.True(!directory.MayServe("pool", home))
+	is.True(directory.MayServe("pool", nil))
+	directory.Upsert(fleet.Engine{ID: "here", Pool: "pool", Zone: "fortaleza-a", Slots: 4})
+	is.True(directory.MayServe("pool", home))
+	is.True(!directory.MayServe("pool", []string{}))
+	directory.SetEvacuated("fortaleza-a", true)
+	is.True(!directory.MayServe("pool", home))
+	directory.SetEvacuated("fortaleza-a", false)
+	directory.Upsert(fleet.Engine{ID: "here", Pool: "pool", Zone: "fortaleza-a", Slots: 4, Draining: true})
+	is.True(!directory.MayServe("pool", home))
+	directory.SetPartial(false)
+	directory.SetSynced()
+	is.True(!directory.MayServe("other", nil)) // all engines are known
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -117,9 +117,10 @@
 	return true
 }
 
-// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has ended.
+// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has ended,
+// and at once if no engine is left in the request's regions.
 func (e *exchange) awaitSlot(ctx context.Context) bool {
-	if time.Since(e.started) >= e.request.MaxSlotWait || ctx.Err() != nil {
+	if time.Since(e.started) >= e.request.MaxSlotWait || ctx.Err() != nil || e.forwarder.homeless(e.request) {
 		return false
 	}
 	// Every available engine was tried, so each may be tried again.
@@ -263,8 +264,7 @@
 		answer.Cause = causeNoEngine
 	}
 	if !e.mayHaveRun {
-		answer.Outcome = NotRun
-		answer.RetryAfter = retryAfter
+		return e.forwarder.refuse(e.request, answer)
 	}
 	return answer
 }
@@ -278,8 +278,7 @@
 		answer.Cause = causeSilent
 	}
 	if e.running == 0 && !e.mayHaveRun {
-		answer.Outcome = NotRun
-		answer.RetryAfter = retryAfter
+		return e.forwarder.refuse(e.request, answer)
 	}
 	return answer
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,8 @@
 const (
 	// retryAfter is the retry delay for a refused caller: engines free slots within fractions of a second.
 	retryAfter = 250 * time.Millisecond
+	// homeRetryAfter is the retry delay for a caller whose request has no engine in its regions: engines take seconds to come back.
+	homeRetryAfter = time.Second
 	// maxRejections is the number of rejected attempts after which a request is no longer sent to engines.
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
@@ -181,6 +183,21 @@
 	return answer
 }
 
+// homeless reports whether a request is bound to regions in which its pool has no engine that stays. Waiting for a slot is of no
+// use then.
+func (f *Forwarder) homeless(request Request) bool {
+	return request.Regions != nil && !f.config.Directory.MayServe(request.Pool, request.Regions)
+}
+
+// refuse completes the answer to a request that no engine has run.
+func (f *Forwarder) refuse(request Request, answer Answer) Answer {
+	answer.Outcome, answer.RetryAfter = NotRun, retryAfter
+	if f.homeless(request) {
+		answer.RetryAfter, answer.Cause = homeRetryAfter, causeNoHome
+	}
+	return answer
+}
+
 // send makes one attempt and reads the complete response.
 func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, crashLimit int) attempt {
 	started := time.Now()
@@ -225,6 +242,7 @@
 // Causes of outcomes that don't come from the error of an attempt.
 const (
 	causeNoEngine = "no engine of the pool takes work"
+	causeNoHome   = "no engine of the request's regions stays"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
 	causeStopped  = "the process stops"
--- /dev/null
+++ b/internal/forward/homes_test.go
@@ -0,0 +1,51 @@
+package forward_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+	"github.com/matryer/is"
+)
+
+// TestRequestWithoutEngineInItsHomesIsRefusedAtOnce guards against requests that wait for a slot at engines which leave, or which their
+// regions don't have: the wait takes a part of the target and no engine can end it. A request whose engines are only full waits as before.
+func TestRequestWithoutEngineInItsHomesIsRefusedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		draining bool
+		regions  []string
+		waits    bool
+	}{
+		{"leaving", true, []string{"home"}, false},
+		{"none", false, []string{"third"}, false},
+		{"no common region", false, []string{}, false},
+		{"full", false, []string{"home"}, true},
+		{"not bound", true, nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env := newTestEnv(map[string]memoryengine.Behaviour{"a": {Full: true}})
+				env.directory.SetRegions(map[string]string{"near": "home"})
+				env.directory.Upsert(fleet.Engine{ID: "a", Pool: "p", Zone: "near", Slots: 100, Draining: test.draining})
+				single := request(true)
+				single.Regions = test.regions
+				began := time.Now()
+				answer := env.forwarder.Do(t.Context(), single)
+				is.Equal(answer.Outcome, forward.NotRun)
+				is.Equal(time.Since(began) > 0, test.waits)
+				is.Equal(answer.RetryAfter >= time.Second, !test.waits)
+
+				began = time.Now()
+				answer = env.forwarder.Stream(t.Context(), forward.StreamRequest{Request: single}, &receiver{})
+				is.Equal(answer.Outcome, forward.NotRun)
+				is.Equal(time.Since(began) > 0, test.waits)
+				is.Equal(answer.RetryAfter >= time.Second, !test.waits)
+			})
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -110,7 +110,10 @@
 }
 
 func (s *streamExchange) awaitSlot(ctx context.Context) bool {
-	if ctx.Err() != nil || (time.Since(s.started) >= s.request.MaxSlotWait && !s.headSent) {
+	if ctx.Err() != nil {
+		return false
+	}
+	if !s.headSent && (time.Since(s.started) >= s.request.MaxSlotWait || s.forwarder.homeless(s.request.Request)) {
 		return false
 	}
 	s.tried = nil
@@ -209,7 +212,7 @@
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
 	case !s.mayHaveRun:
-		return Answer{Outcome: NotRun, RetryAfter: retryAfter, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
+		return s.forwarder.refuse(s.request.Request, Answer{Attempts: s.sent, Tried: s.offered, Cause: s.cause})
 	case ctx.Err() != nil:
 		return Answer{Outcome: TimedOut, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	default:
