Log which homes of a configuration cannot be served

Cause: a region that no zone names, a route and a tenant without a common region, or a home without engines showed only as refused requests. Change: each replica logs one line for each such route or tenant when a configuration comes into force, and for homes without engines 5 s later, with the regions, the cause and the consequence; at most 20 lines a configuration and check. Everything else of the configuration is served.

--- a/internal/catalog/homes.go
+++ b/internal/catalog/homes.go
@@ -68,8 +68,8 @@
 		if route.Kind != KindJobs {
 			continue
 		}
-		for _, allowed := range c.regionsByTenant(route) {
-			c.addHomeSets(sets, allowed, fleet)
+		for _, binding := range c.bindings(route) {
+			c.addHomeSets(sets, binding.Regions, fleet)
 		}
 	}
 	return slices.Sorted(maps.Keys(sets))
@@ -94,22 +94,6 @@
 	}
 }
 
-// regionsByTenant returns the different lists of regions that a route allows to its tenants and to callers without a tenant.
-func (c *Catalog) regionsByTenant(route Route) [][]string {
-	lists := [][]string{route.Regions}
-	seen := make(map[keyedlog.HomeSet]bool)
-	for _, known := range c.Tenants.All() {
-		if known.Regions == nil {
-			continue
-		}
-		if key := keyedlog.NewHomeSet(known.Regions); !seen[key] {
-			seen[key] = true
-			lists = append(lists, commonRegions(route.Regions, known.Regions))
-		}
-	}
-	return lists
-}
-
 // ListedPools returns the pools whose engines every process has to know: those that receive requests of callers, and those
 // that run jobs if any route or tenant is bound to regions, so that a job is refused at once if its homes have no engine.
 func (c *Catalog) ListedPools() map[string]bool {
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -71,14 +71,7 @@
 func (s *Service) enginesServe(current *catalog.Catalog, routes []catalog.Route, tenantName string) bool {
 	for _, route := range routes {
 		regions := current.Regions(route, tenantName)
-		if regions == nil || len(route.Targets) == 0 {
-			continue
-		}
-		served := false
-		for _, target := range route.Targets {
-			served = served || target.Weight > 0 && s.config.Engines.MayServe(target.Pool, regions)
-		}
-		if !served {
+		if regions != nil && len(route.Targets) > 0 && !route.Served(regions, s.config.Engines.MayServe) {
 			return false
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -249,6 +249,7 @@
 		running.Go(func() { follower.Run(followCtx) })
 	}
 	running.Go(func() { r.readEngines(followCtx) })
+	running.Go(func() { r.checkHomes(followCtx) })
 	running.Go(func() { r.followList(followCtx) })
 	running.Go(func() { r.keeper.Run(followCtx) })
 	running.Go(func() { r.followWeights(followCtx) })
