Name the home sets that items on other routes narrow jobs to

Cause: a job whose item lies under another route of jobs or streams than its submission could have homes that the configuration did not name, so that no group owned them and it was refused for ever. Change: all bound routes narrow home sets, not only those of single answers.

--- a/internal/catalog/homes.go
+++ b/internal/catalog/homes.go
@@ -58,7 +58,7 @@
 }
 
 // HomeSets returns the home sets that jobs may have in a fleet of the given regions: those of each route of jobs with each
-// tenant, and what they have in common with the routes that a scorer may use.
+// tenant, and what they have in common with the routes that an item or scorer may use.
 func (c *Catalog) HomeSets(fleet []string) []keyedlog.HomeSet {
 	if !c.BindsRegions() {
 		return nil
@@ -75,7 +75,7 @@
 	return slices.Sorted(maps.Keys(sets))
 }
 
-// addHomeSets adds the home set of some allowed regions, and those that a scorer's route narrows it to.
+// addHomeSets adds the home set of some allowed regions, and those that the route of an item or scorer narrows it to.
 func (c *Catalog) addHomeSets(sets map[keyedlog.HomeSet]bool, allowed, fleet []string) {
 	homes, possible := Homes(allowed, fleet)
 	if !possible || sets[homes] {
@@ -85,7 +85,7 @@
 		sets[homes] = true
 	}
 	for _, route := range c.Routes {
-		if route.Regions == nil || route.Kind != KindOnce && route.Kind != KindRepeatable {
+		if route.Regions == nil {
 			continue
 		}
 		if narrower := commonRegions(allowed, route.Regions); allowed == nil || len(narrower) < len(allowed) {
