--- a/internal/fleet/regions_test.go
+++ b/internal/fleet/regions_test.go
@@ -65,3 +65,44 @@
 		})
 	}
 }
+
+// TestMayServe guards against requests and jobs that wait for engines which never come, and against the refusal of those whose engines are
+// only not known yet: leaving engines, evacuated zones and engines elsewhere don't count.
+func TestMayServe(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	directory.SetRegions(map[string]string{"recife-a": "recife", "fortaleza-a": "fortaleza"})
+	home := []string{"fortaleza"}
+	is.True(directory.MayServe("pool", home)) // no engine of the pool is known
+	directory.Upsert(fleet.Engine{ID: "elsewhere", Pool: "pool", Zone: "recife-a", Slots: 4})
+	is.True(!directory.MayServe("pool", home))
+	here := fleet.Engine{ID: "here", Pool: "pool", Zone: "fortaleza-a", Slots: 4}
+	directory.Upsert(here)
+	is.True(directory.MayServe("pool", home) && directory.MayServe("pool", nil) && !directory.MayServe("pool", []string{}))
+	directory.SetEvacuated("fortaleza-a", true)
+	is.True(!directory.MayServe("pool", home))
+	directory.SetEvacuated("fortaleza-a", false)
+	here.Draining = true
+	directory.Upsert(here)
+	is.True(!directory.MayServe("pool", home))
+	directory.SetSynced()
+	is.True(!directory.MayServe("other", nil)) // all engines are known
+}
+
+// TestOtherRegionsCostMoreThanOtherZones guards against work that crosses regions although engines near it are as idle, and against a cost so
+// high that the engines of its own region fill up while those elsewhere are idle.
+func TestOtherRegionsCostMoreThanOtherZones(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	directory.SetRegions(map[string]string{"recife-a": "recife", "recife-b": "recife", "fortaleza-a": "fortaleza"})
+	for i := range 20 {
+		directory.Upsert(fleet.Engine{ID: fmt.Sprint(i), Pool: "pool", Zone: []string{"recife-b", "fortaleza-a"}[i%2], Slots: 8})
+	}
+	counts := make(map[string]int)
+	for i := range 100 {
+		engine, _ := directory.Acquire(fleet.Want{Pool: "pool", Zone: "recife-a", Share: 1})
+		counts[engine.Region]++
+		is.True(i >= 10 || engine.Region == "recife")
+	}
+	is.True(counts["fortaleza"] >= 30 && counts["recife"] > counts["fortaleza"])
+}
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -55,11 +56,17 @@
 	skipped  int
 	changed  broadcast.Signal
 	now      func() time.Time
+	// homes is the number of jobs of each home set; homesChanged is notified when a set is added or removed.
+	homes        map[keyedlog.HomeSet]int
+	homesChanged broadcast.Signal
 }
 
 // NewIndex returns an empty index.
 func NewIndex() *Index {
-	return &Index{jobs: make(map[string]*indexedJob), changed: broadcast.New(), now: time.Now}
+	return &Index{
+		jobs: make(map[string]*indexedJob), changed: broadcast.New(), now: time.Now, homes: make(map[keyedlog.HomeSet]int),
+		homesChanged: broadcast.New(),
+	}
 }
 
 var errIndexKey = errors.New("key is not that of a job index record")
@@ -84,6 +91,8 @@
 		return errIndexKey
 	}
 	kind, id := fields[0], fields[1]
+	before := x.homesOf(id)
+	defer func() { x.countHomes(before, x.homesOf(id)) }()
 	if record.Value == nil {
 		x.drop(id, record.Key)
 		return nil
@@ -110,6 +119,40 @@
 	}
 }
 
+// homesOf returns the home set of a job, empty if it has none or is not known.
+func (x *Index) homesOf(id string) keyedlog.HomeSet {
+	if found, ok := x.jobs[id]; ok {
+		return keyedlog.HomeSet(found.status.Entry.Homes)
+	}
+	return ""
+}
+
+// countHomes counts a job in another home set than before.
+func (x *Index) countHomes(before, after keyedlog.HomeSet) {
+	if before == after {
+		return
+	}
+	if before != "" {
+		if x.homes[before]--; x.homes[before] == 0 {
+			delete(x.homes, before)
+			x.homesChanged.Notify()
+		}
+	}
+	if after != "" {
+		if x.homes[after]++; x.homes[after] == 1 {
+			x.homesChanged.Notify()
+		}
+	}
+}
+
+// HomeSets returns the home sets of the jobs in the index, settled ones included: their records have to be deleted by an owner
+// at the end of their retention. The channel is closed when a set is added or removed.
+func (x *Index) HomeSets() ([]keyedlog.HomeSet, <-chan struct{}) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return slices.Sorted(maps.Keys(x.homes)), x.homesChanged.Changed()
+}
+
 // job returns the job with an id, creating it if necessary, and adds a key to its keys.
 func (x *Index) job(id, key string) *indexedJob {
 	found, ok := x.jobs[id]
@@ -196,12 +239,12 @@
 }
 
 // Unsettled returns the jobs of a partition that may get more results.
-func (x *Index) Unsettled(partition int) []Status {
+func (x *Index) Unsettled(partition keyedlog.Partition) []Status {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var unsettled []Status
 	for _, found := range x.jobs {
-		if found.hasEntry && !found.status.Settled && found.status.Entry.Partition == partition {
+		if found.hasEntry && !found.status.Settled && found.status.Entry.StorePartition() == partition {
 			unsettled = append(unsettled, found.status)
 		}
 	}
@@ -210,14 +253,14 @@
 
 // StartOffset returns the offset from which an owner has to read a partition that ends at end: the offset of the earliest
 // unsettled job, or of the newest settled job if that is lower, since its texts may be reused.
-func (x *Index) StartOffset(partition int, end int64) int64 {
+func (x *Index) StartOffset(partition keyedlog.Partition, end int64) int64 {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	start, newest := end, int64(-1)
 	for _, found := range x.jobs {
 		entry := found.status.Entry
 		switch {
-		case !found.hasEntry || entry.Partition != partition || entry.Offset >= end:
+		case !found.hasEntry || entry.StorePartition() != partition || entry.Offset >= end:
 		case found.status.Settled:
 			newest = max(newest, entry.Offset)
 		default:
@@ -257,12 +300,12 @@
 }
 
 // Expired returns the settled jobs of a partition that were accepted before the given time.
-func (x *Index) Expired(partition int, before time.Time) []Expired {
+func (x *Index) Expired(partition keyedlog.Partition, before time.Time) []Expired {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var all []Expired
 	for id, found := range x.jobs {
-		if !found.hasEntry || !found.status.Settled || found.status.Entry.Partition != partition || !found.status.AcceptedAt.Before(before) {
+		if !found.hasEntry || !found.status.Settled || found.status.Entry.StorePartition() != partition || !found.status.AcceptedAt.Before(before) {
 			continue
 		}
 		all = append(all, Expired{JobID: id, IndexKeys: slices.Clone(found.keys), JobKeys: found.status.Entry.keys()})
@@ -279,13 +322,37 @@
 	return append(keys, settledKey(e.JobID), specKey(e.JobID))
 }
 
+// homePartitionOffset is added to the numbers of partitions of home sets in entries. It exceeds the number of any partition,
+// so that a build that ignores Entry.Homes does not take the job for one in the partition of the same number of TopicJobs: no
+// process owns the partition that it looks in, and the store rejects reads of it.
+const homePartitionOffset = 1 << 20
+
+// StorePartition returns the partition that stores the job's records.
+func (e *Entry) StorePartition() keyedlog.Partition {
+	homes := keyedlog.HomeSet(e.Homes)
+	if homes == "" {
+		return keyedlog.Partition{Topic: keyedlog.TopicJobs, Number: e.Partition}
+	}
+	return keyedlog.Partition{Topic: homes.Topic(), Number: e.Partition - homePartitionOffset}
+}
+
+// setPartition sets the partition that stores the job's records, and the home set that its topic belongs to.
+func (e *Entry) setPartition(partition keyedlog.Partition) {
+	homes, _ := keyedlog.HomeSetOf(partition.Topic)
+	e.Homes, e.Partition = string(homes), partition.Number
+	if homes != "" {
+		e.Partition += homePartitionOffset
+	}
+}
+
 // NewEntry returns the index entry of a submission whose records occupy size bytes and lie at offsets from offset to before
 // next.
 func NewEntry(spec Spec, partition keyedlog.Partition, offset, next int64, size int) Entry {
 	entry := Entry{
-		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt, Partition: partition.Number,
+		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt,
 		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items), Tenant: spec.Tenant,
 	}
+	entry.setPartition(partition)
 	for _, item := range spec.Items {
 		entry.Path = item.Path
 		entry.Work += int64(item.work())
