Assign slots to all items of a starting job in one pass

Cause: items of a job entered the queue one by one and were assigned in several passes. Short items began first and were asked at once to yield to the longest items of their own job; each of these runs left a broken connection. Change: jobrun.Batch holds assignment back until all items of the jobs that start are in the queue, at most 100 ms after they were started; items that wait for a route or a scorer leave the batch. A run keeps its slot for 250 ms from an item that waited already when the slot was assigned. A run that is asked to yield before its request is sent does not send it.

--- /dev/null
+++ b/internal/jobrun/batch.go
@@ -0,0 +1,78 @@
+package jobrun
+
+import (
+	"sync"
+	"time"
+)
+
+// maxBatchHold bounds how long a batch holds assignment back once all its items were started. Items enter the queue within
+// milliseconds, on a throttled machine within tens of milliseconds; those that wait for something else leave the batch.
+const maxBatchHold = 100 * time.Millisecond
+
+// Batch holds the assignment of slots back until the items of the jobs that start have entered the queue, so that one pass
+// assigns slots to all of them in the order of their rank. If items were assigned one by one, short items would begin first and
+// be asked at once to yield to the longest items of their own job, each at the cost of a connection.
+type Batch struct {
+	queue *Queue
+	// missing is the number of items that have not entered the queue, plus one until Close; deadline is when the batch holds
+	// assignment back no longer, zero until Close. The queue's mutex guards both.
+	missing  int
+	deadline time.Time
+}
+
+// BeginBatch returns a batch without items. The caller must call Close once all items were added.
+func (q *Queue) BeginBatch() *Batch {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	batch := &Batch{queue: q, missing: 1}
+	q.batches[batch] = struct{}{}
+	return batch
+}
+
+// Add adds an item. It returns the function that the item calls once it waits in the queue, or once it will not enter the queue
+// soon. Further calls have no effect.
+func (b *Batch) Add() (arrived func()) {
+	b.queue.mutex.Lock()
+	defer b.queue.mutex.Unlock()
+	b.missing++
+	return sync.OnceFunc(b.arrived)
+}
+
+// Close ends the adding of items. The batch holds assignment back for maxBatchHold from now on, or until all items arrived.
+func (b *Batch) Close() {
+	b.queue.mutex.Lock()
+	b.deadline = time.Now().Add(maxBatchHold)
+	b.queue.mutex.Unlock()
+	b.arrived()
+}
+
+func (b *Batch) arrived() {
+	b.queue.mutex.Lock()
+	b.missing--
+	complete := b.missing == 0
+	if complete {
+		delete(b.queue.batches, b)
+	}
+	b.queue.mutex.Unlock()
+	if complete {
+		b.queue.wake()
+	}
+}
+
+// heldBack returns for how long at most assignment is held back for batches that are incomplete, 0 if it is not.
+func (q *Queue) heldBack() time.Duration {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var longest time.Duration
+	for batch := range q.batches {
+		remaining := maxBatchHold
+		if !batch.deadline.IsZero() {
+			remaining = time.Until(batch.deadline)
+		}
+		if remaining <= 0 {
+			delete(q.batches, batch)
+		}
+		longest = max(longest, remaining)
+	}
+	return longest
+}
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -69,6 +69,8 @@
 	ordinal  int
 	rank     Rank
 	critical *criticalEvents
+	// queued must be called once the item waits for a slot, or once it will not do so soon (see Batch).
+	queued func()
 
 	mutex sync.Mutex
 	// events holds the data of the item's events so far; versions holds the weight versions that produced them.
@@ -126,6 +128,7 @@
 
 // run executes the item and lists its result, unless the context ends first.
 func (e *execution) run(ctx context.Context) {
+	defer e.queued()
 	e.awaitRoute(ctx)
 	runCtx, cancel := e.withDeadline(ctx)
 	defer cancel()
@@ -171,6 +174,7 @@
 	if !e.generate(ctx) {
 		return dead
 	}
+	e.queued()
 	e.mutex.Lock()
 	e.complete = true
 	score := e.score
@@ -224,7 +228,7 @@
 			pause.For(ctx, withheldPollInterval)
 			continue
 		}
-		if runCtx.Err() != nil {
+		if runCtx.Err() != nil || !slot.MaySend() {
 			e.runner.config.Quarantine.ReportNotRun(e.call())
 			cancel()
 			slot.Release()
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -33,7 +33,11 @@
 // abandoned.
 func (e *execution) awaitRoute(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, found := e.itemRoute(); found || e.routeRemoved(ctx, e.itemRoute) {
+		if _, found := e.itemRoute(); found {
+			return
+		}
+		e.queued()
+		if e.routeRemoved(ctx, e.itemRoute) {
 			return
 		}
 	}
@@ -106,7 +110,10 @@
 func (e *execution) acquire(ctx context.Context, want fleet.Want, yield func()) (*Slot, error) {
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	return e.runner.config.Queue.Acquire(ctx, e.rankOf(want), want, yield)
+	queue := e.runner.config.Queue
+	next := queue.enqueue(e.rankOf(want), want, yield)
+	e.queued()
+	return queue.wait(ctx, next)
 }
 
 // rankOf returns the item's current rank.
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -48,6 +48,10 @@
 	slots    map[*Slot]struct{}
 	wakeup   chan struct{}
 	sequence int
+	// pass counts the passes of assignment.
+	pass int
+	// batches holds the batches that hold assignment back.
+	batches map[*Batch]struct{}
 }
 
 // Slot is an engine slot that an item holds. The holder must call Release.
@@ -57,6 +61,8 @@
 	queue      *Queue
 	rank       Rank
 	acquiredAt time.Time
+	// pass is the pass of assignment in which the slot was acquired.
+	pass int
 	// yield requests the item to give the slot up, nil if the item must keep it; yieldRequested reports that yield was called.
 	yield          func()
 	yieldRequested bool
@@ -79,6 +85,14 @@
 	}
 }
 
+// MaySend reports whether the holder may send its request. It returns false if the slot is being given up, which then costs no
+// connection.
+func (s *Slot) MaySend() bool {
+	s.queue.mutex.Lock()
+	defer s.queue.mutex.Unlock()
+	return !s.yieldRequested
+}
+
 // Reservation is the claim of a running item to a slot at a better engine that another run gives up. The holder must call Drop.
 type Reservation struct {
 	queue *Queue
@@ -113,15 +127,16 @@
 	rank  Rank
 	want  fleet.Want
 	yield func()
-	// sequence orders waiters of equal rank by arrival.
+	// sequence orders waiters of equal rank by arrival; firstPass is the first pass of assignment after it.
 	sequence  int
+	firstPass int
 	heapIndex int
 	granted   chan *Slot
 }
 
 // NewQueue returns a queue. It assigns slots while Run is running.
 func NewQueue(directory *fleet.Directory) *Queue {
-	return &Queue{directory: directory, slots: make(map[*Slot]struct{}), wakeup: make(chan struct{}, 1)}
+	return &Queue{directory: directory, slots: make(map[*Slot]struct{}), wakeup: make(chan struct{}, 1), batches: make(map[*Batch]struct{})}
 }
 
 // refreshInterval is how often slots are assigned when no change is known, since backoff and loading of engines end by time
@@ -133,6 +148,15 @@
 	timer := time.NewTimer(refreshInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
+		if remaining := q.heldBack(); remaining > 0 {
+			timer.Reset(remaining)
+			select {
+			case <-q.wakeup:
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		changed := q.directory.Changed()
 		if q.assignSlots() == 0 {
 			select {
@@ -155,6 +179,7 @@
 func (q *Queue) assignSlots() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.pass++
 	ordered := make([]*waiter, 0, q.waiting.Len())
 	wants := make([]fleet.Want, 0, q.waiting.Len())
 	for q.waiting.Len() > 0 {
@@ -177,7 +202,7 @@
 
 // addSlot records a slot that was acquired in the directory. The mutex must be held.
 func (q *Queue) addSlot(engine fleet.Engine, rank Rank, yield func()) *Slot {
-	slot := &Slot{Engine: engine, queue: q, rank: rank, acquiredAt: time.Now(), yield: yield}
+	slot := &Slot{Engine: engine, queue: q, rank: rank, acquiredAt: time.Now(), pass: q.pass, yield: yield}
 	q.slots[slot] = struct{}{}
 	return slot
 }
@@ -222,17 +247,29 @@
 	if !next.rank.MayBeCritical {
 		return nil
 	}
-	return q.leastUrgentAt(q.directory.SuitableEngines(next.want), next.rank)
+	now := time.Now()
+	return q.leastUrgentAt(q.directory.SuitableEngines(next.want), next.rank, func(slot *Slot) bool {
+		return now.Sub(slot.acquiredAt) < passInterval && next.waitedBefore(slot)
+	})
+}
+
+// passInterval is how long a run keeps its slot from an item that waited already when the slot was assigned. The engine did not
+// take that item then and would most likely not take it now either, while the run would lose its connection.
+const passInterval = 250 * time.Millisecond
+
+// waitedBefore reports whether the waiter's item waited already when a slot was assigned.
+func (w *waiter) waitedBefore(slot *Slot) bool {
+	return w.firstPass <= slot.pass || w.want.Since.Before(slot.acquiredAt)
 }
 
 // leastUrgentAt returns the slot of the run that can wait longest among those at the given engines that yield to an item of the
-// given rank, nil if there is none.
-func (q *Queue) leastUrgentAt(engines map[string]bool, rank Rank) *Slot {
+// given rank, nil if there is none. Slots for which keeps returns true are left to their runs.
+func (q *Queue) leastUrgentAt(engines map[string]bool, rank Rank, keeps func(*Slot) bool) *Slot {
 	now := time.Now()
 	var found *Slot
 	var latest time.Time
 	for slot := range q.slots {
-		if slot.yieldRequested || slot.yield == nil || !engines[slot.Engine.ID] {
+		if slot.yieldRequested || slot.yield == nil || !engines[slot.Engine.ID] || keeps(slot) {
 			continue
 		}
 		// A run's latest start advances with the events it has produced since.
@@ -246,16 +283,31 @@
 
 // Acquire waits for a slot. yield is called when the item should give the slot up, at any time until the slot is released.
 func (q *Queue) Acquire(ctx context.Context, rank Rank, want fleet.Want, yield func()) (*Slot, error) {
+	return q.wait(ctx, q.enqueue(rank, want, yield))
+}
+
+// enqueue adds a waiter, which must be passed to wait.
+func (q *Queue) enqueue(rank Rank, want fleet.Want, yield func()) *waiter {
 	next := &waiter{rank: rank, want: want, yield: yield, granted: make(chan *Slot, 1)}
 	q.mutex.Lock()
 	q.sequence++
-	next.sequence = q.sequence
+	next.sequence, next.firstPass = q.sequence, q.pass+1
 	heap.Push(&q.waiting, next)
 	q.mutex.Unlock()
+	q.wake()
+	return next
+}
+
+// wake makes Run assign slots.
+func (q *Queue) wake() {
 	select {
 	case q.wakeup <- struct{}{}:
 	default:
 	}
+}
+
+// wait waits until a slot is assigned to the waiter. It withdraws the waiter if the context ends before.
+func (q *Queue) wait(ctx context.Context, next *waiter) (*Slot, error) {
 	select {
 	case slot := <-next.granted:
 		return slot, nil
@@ -292,7 +344,7 @@
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	slot := q.leastUrgentAt(better, rank)
+	slot := q.leastUrgentAt(better, rank, func(*Slot) bool { return false })
 	if slot == nil {
 		return nil
 	}
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -208,12 +208,14 @@
 	if r.stopped {
 		return
 	}
+	batch := r.config.Queue.BeginBatch()
+	defer batch.Close()
 	listed := make(map[string]bool, len(open))
 	for _, view := range open {
 		listed[view.Spec.ID] = true
 		running, ok := r.jobs[view.Spec.ID]
 		if !ok {
-			r.jobs[view.Spec.ID] = r.startJob(ctx, view)
+			r.jobs[view.Spec.ID] = r.startJob(ctx, view, batch)
 			continue
 		}
 		if view.ProgressCount > running.progressSeen {
@@ -242,8 +244,8 @@
 	}
 }
 
-// startJob starts all items of a job that are not listed.
-func (r *runner) startJob(ctx context.Context, view job.View) *runningJob {
+// startJob starts all items of a job that are not listed, as part of a batch.
+func (r *runner) startJob(ctx context.Context, view job.View, batch *Batch) *runningJob {
 	r.writer.setPosition(view.Spec.ID, view.Listed)
 	r.recordListedLengths(view)
 	jobCtx, cancel := context.WithCancel(ctx)
@@ -258,6 +260,7 @@
 		}
 		execution := newExecution(r, view, open, running.carried[open.Item.Group])
 		execution.critical = running.critical
+		execution.queued = batch.Add()
 		running.items[open.Item.ID] = execution
 	}
 	running.critical.update(running)
