Ask runs to yield only for work that takes their slot

Cause: a waiting item that may be critical asked runs to yield at engines that would not take it: engines of another model, engines that the item still waits to avoid because they are slower, and engines whose slots other processes hold. Another, less urgent item took each slot, and the waiting item asked for the next one. Change: SuitableEngines applies the conditions of the choice itself, as if one slot of this process were free. Left: runs that are cut when their job ends break their connections.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -344,3 +344,48 @@
 	_, better = directory.AcquireBetter("slow", want)
 	is.True(better)
 }
+
+// TestRunYieldsOnlyWhereWaitingWorkTakesTheSlot covers work that waits while engines are full of runs that could yield. Runs at
+// engines that would not take the work used to yield to it again and again: another item took each slot that they gave up.
+func TestRunYieldsOnlyWhereWaitingWorkTakesTheSlot(t *testing.T) {
+	want := fleet.Want{Pool: "p", Share: 1, Model: "m", MinVersion: 1, Events: 20}
+	const longWait = 2 * time.Second
+	tests := []struct {
+		name       string
+		pace       time.Duration
+		model      string
+		heldByPeer int
+		waited     time.Duration
+		suitable   bool
+	}{
+		{"engine of its model", 40 * time.Millisecond, "m", 0, 0, true},
+		{"engine of another model", 40 * time.Millisecond, "other", 0, 0, false},
+		{"engine of another model after a long wait", 40 * time.Millisecond, "other", 0, longWait, false},
+		{"slower engine that the work waits to avoid", 50 * time.Millisecond, "m", 0, 0, false},
+		{"slower engine after a long wait", 50 * time.Millisecond, "m", 0, longWait, true},
+		{"engine that other processes fill", 40 * time.Millisecond, "m", 4, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				directory := fleet.NewDirectory()
+				for id, pace := range map[string]time.Duration{"own": 40 * time.Millisecond, "tested": test.pace} {
+					directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 4, Versions: map[string]int64{"m": 1}})
+					directory.RecordGap(id, pace)
+				}
+				for range 8 {
+					_, ok := directory.Acquire(fleet.Want{Pool: "p", Share: 1})
+					is.True(ok)
+				}
+				directory.SetAssignedModels("p", map[string]string{"own": "m", "tested": test.model})
+				if test.heldByPeer > 0 {
+					directory.SetPeerView("peer", []fleet.EngineView{{Engine: "tested", Held: test.heldByPeer}}, false)
+				}
+				want := want
+				want.Since = time.Now().Add(-test.waited)
+				is.Equal(directory.SuitableEngines(want)["tested"], test.suitable)
+			})
+		})
+	}
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -178,24 +178,35 @@
 	return picked.Engine, true
 }
 
-// SuitableEngines returns the engines, full or not, at which a piece of work would end about as early as at the fastest
-// one: moving it to the fastest would not pay.
+// SuitableEngines returns the engines that would take a piece of work now if this process released one of its slots there, and
+// at which the work would end about as early as at the fastest one: moving it to the fastest would not pay. A run at another
+// engine would yield for nothing: the work would keep waiting, and a less urgent one would take the slot.
 func (d *Directory) SuitableEngines(want Want) map[string]bool {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	candidates := d.candidates(want, now)
-	fastest := policy.ConstantPace(newCandidateStats(candidates, want).fastest)
+	stats := newCandidateStats(candidates, want)
+	fastest := policy.ConstantPace(stats.fastest)
 	suitable := make(map[string]bool)
 	for _, candidate := range candidates {
-		if mayRun(candidate, want) && !candidate.Avoided && !candidate.Ejected &&
-			!policy.WorthMoving(want.Events, candidate.Forecast, fastest, want.Slack) {
+		candidate.InFlight = max(0, candidate.InFlight-1)
+		if takes(candidate, stats, want, now) && !candidate.Avoided && !candidate.Ejected && !policy.WorthMoving(want.Events, candidate.Forecast, fastest, want.Slack) {
 			suitable[candidate.Engine.ID] = true
 		}
 	}
 	return suitable
 }
 
+// takes reports whether an engine takes a piece of work now, rather than leave it waiting for another.
+func takes(candidate Candidate, stats candidateStats, want Want, now time.Time) bool {
+	if !mayRun(candidate, want) || !modelAllows(candidate, stats, want, now) || !hasFreeSlot(candidate, want) {
+		return false
+	}
+	delay := policy.Delay(want.Events, candidate.Forecast, stats.fastest, want.Slack)
+	return !policy.KeepsWaiting(now.Sub(want.Since), delay)
+}
+
 // BetterEngines returns the engines, full or not, at which running work would end so much earlier that moving it pays.
 func (d *Directory) BetterEngines(id string, want Want) map[string]bool {
 	now := time.Now()
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -46,8 +46,10 @@
 	singleVersion bool
 	// withoutRoutes starts nodes without a catalog.
 	withoutRoutes bool
-	ctx           context.Context
-	running       *sync.WaitGroup
+	// client replaces the client of the engines, nil for none.
+	client  engineapi.Client
+	ctx     context.Context
+	running *sync.WaitGroup
 }
 
 func newWorld(t *testing.T, modelCount int) *world {
@@ -124,6 +126,10 @@
 	if !w.withoutRoutes {
 		n.configure(w)
 	}
+	var client engineapi.Client = w.engines
+	if w.client != nil {
+		client = w.client
+	}
 	queue := jobrun.NewQueue(n.directory)
 	w.running.Go(func() { queue.Run(w.ctx) })
 	held := quarantine.New(quarantine.Config{Log: n.log, Prober: w.engines, Directory: n.directory, Machine: name, Logger: logger})
@@ -131,7 +137,7 @@
 	w.running.Go(func() { held.Run(w.ctx) })
 	n.holder = jobrun.NewHolder(jobrun.Config{
 		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: n.routes, CatalogFollower: operator, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
-		Directory: n.directory, Queue: queue, Client: w.engines,
+		Directory: n.directory, Queue: queue, Client: client,
 		Forwarder:  forward.New(forward.Config{Client: w.engines, Directory: n.directory, Quarantine: held, Logger: logger}),
 		Quarantine: held,
 		Limits:     jobrun.Limits{RecordBytes: 1 << 18, CallBytes: 1 << 21}, Retention: time.Minute, Logger: logger,
