Count connections to engines

Cause: new connections to engines cost them time, and nothing told how many a replica opens or why they end. Change: platform.Connections tracks the connections of the engines' transport: opened, reused, and closed because the request was cancelled, while idle, or during a request. It also knows the idle connections to each engine. Three metrics.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -143,3 +143,21 @@
 	// Report requests the engine's report.
 	Report(ctx context.Context, engine fleet.Engine) (Report, error)
 }
+
+// ConnectionStats counts the connections to engines since the start of the process.
+type ConnectionStats struct {
+	// Opened is the number of connections that were opened, Reused the number of requests that used an idle one.
+	Opened, Reused int64
+	// ClosedCancelled is the number of connections that were closed because their request was cancelled, ClosedIdle of those
+	// closed while no request used them, ClosedBroken of those that ended during a request.
+	ClosedCancelled, ClosedIdle, ClosedBroken int64
+}
+
+// Connections knows the connections to engines.
+type Connections interface {
+	// Stats returns the counts so far.
+	Stats() ConnectionStats
+	// OnIdle sets the function that is called with the number of idle connections to an engine whenever it changes. The
+	// function must not call back.
+	OnIdle(report func(engineID string, idle int))
+}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/jobrun"
@@ -86,6 +87,22 @@
 	m.gauge("engines_ejected", "Engines that take no work of this process for their failures.", func() float64 { return float64(engines()) })
 }
 
+// connections registers the counts of connections to engines.
+func (m *metrics) connections(stats func() engineapi.ConnectionStats) {
+	m.counter("engine_connections_opened_total", "Connections opened to engines.", func() float64 { return float64(stats().Opened) })
+	m.counter("engine_connections_reused_total", "Requests to engines over an idle connection.", func() float64 { return float64(stats().Reused) })
+	for cause, count := range map[string]func() int64{
+		"cancelled": func() int64 { return stats().ClosedCancelled },
+		"idle":      func() int64 { return stats().ClosedIdle },
+		"broken":    func() int64 { return stats().ClosedBroken },
+	} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "engine_connections_closed_total", Help: "Connections to engines that were closed, by cause.",
+			ConstLabels: prometheus.Labels{"cause": cause},
+		}, func() float64 { return float64(count()) }))
+	}
+}
+
 // unread registers the metrics of the memory budget for unread answers.
 func (m *metrics) unread(stats func() unread.Stats) {
 	m.gauge("unread_bytes", "Memory reserved for answers that callers have not read.", func() float64 { return float64(stats().Held) })
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,8 @@
 	Settings Settings
 	Log      keyedlog.Log
 	Client   engineapi.Client
+	// Connections knows the connections of Client, nil if they are not known.
+	Connections engineapi.Connections
 	// Prober checks whether engines have ended.
 	Prober  quarantine.Prober
 	Decoder RecordDecoder
@@ -92,6 +94,9 @@
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
+	if config.Connections != nil {
+		r.metrics.connections(config.Connections.Stats)
+	}
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
