Ask engines that may be cold how long they stay so

Cause: An engine that turned cold while it ran, or returned cold with its zone, was sent full load until its record said so; replicas that only read the list of engines never learned it, because a record that differs in nothing but coldness was not written there. Until the response, an engine that returned counts as cold. The list of engines is written anew where an engine stays cold longer than its entry says. Pools without a cold rate are sent no checks.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -80,6 +80,10 @@
 	// ColdRate is the number of requests per second that an engine can process while it is cold, from all processes together; 0
 	// for no limit.
 	ColdRate float64
+	// ColdDuration is how long an engine is cold after its start.
+	ColdDuration time.Duration
+	// HealthPath is the path of the engines' health responses, empty if there are none.
+	HealthPath string
 	// Models are the models that the pool's engines can load; empty for application servers.
 	Models []string
 	// Scaling limits how many engines may be ordered, nil if none can be.
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -19,6 +19,8 @@
 	ErrNotSent = errors.New("engine: request was not sent")
 	// ErrForeignAnswer means that the answer carried the id of another request. The request may have run.
 	ErrForeignAnswer = errors.New("engine: answer belongs to another request")
+	// ErrOtherEngine means that another engine than the intended one answered.
+	ErrOtherEngine = errors.New("engine: answer of another engine")
 )
 
 // NoPriority is the Priority of a call that states none: the engine chooses its own.
@@ -132,6 +134,12 @@
 	Running  int
 }
 
+// Health is what an engine states of itself in a health response.
+type Health struct {
+	// ColdFor is how long the engine stays cold, 0 if it is not.
+	ColdFor time.Duration
+}
+
 // Client sends requests and orders to engines.
 type Client interface {
 	// Send sends a request and returns the status and headers of the answer.
--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -339,3 +339,38 @@
 		after.stop()
 	})
 }
+
+// TestReaderLearnsThatARunningEngineTurnsCold guards against full load on a cold engine from processes that read the list
+// only: the engine's record changes in nothing else. Heartbeats that say the same again must not be written.
+func TestReaderLearnsThatARunningEngineTurnsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		owner, reader := startProcess(t, store, "owner", true), startProcess(t, store, "reader", false)
+		defer owner.stop()
+		defer reader.stop()
+		owner.directory.SetColdLimit(pool, fleet.ColdLimit{Rate: 8.6})
+		owner.keeper.Gained(t.Context(), partition, 1)
+		owner.readOwnRecords(0, makeEngines(2)...)
+		time.Sleep(time.Second)
+		written := owner.keeper.Written()
+
+		cold := engine(1)
+		cold.ColdUntil = time.Now().Add(3 * time.Second)
+		owner.readOwnRecords(2, cold)
+		time.Sleep(300 * time.Millisecond)
+		known, _ := reader.directory.Engine(cold.ID)
+		is.True(cold.ColdUntil.Sub(known.ColdUntil).Abs() < 10*time.Millisecond)
+		is.Equal(owner.keeper.Written(), written+1)
+
+		for offset, jitter := range []time.Duration{200, -150, 50} {
+			cold.ColdUntil = cold.ColdUntil.Add(jitter * time.Millisecond)
+			owner.readOwnRecords(int64(3+offset), cold)
+			time.Sleep(time.Second)
+		}
+		cold.ColdUntil = time.Time{}
+		owner.readOwnRecords(6, cold)
+		time.Sleep(time.Second)
+		is.Equal(owner.keeper.Written(), written+1)
+	})
+}
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -92,6 +92,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	engine.Versions = nil
+	if !l.directory.LimitsCold(engine.Pool) {
+		// Nobody needs to know, and entries would be written for it alone.
+		engine.ColdUntil = time.Time{}
+	}
 	l.ownRecords[engine.ID] = engineState{engine, offset}
 	delete(l.gone, engine.ID)
 	l.compare(engine.ID)
--- a/internal/enginelist/sighting.go
+++ b/internal/enginelist/sighting.go
@@ -15,16 +15,22 @@
 }
 
 // covers reports whether an entry of the list contains everything that a reader of the list needs to know of an engine.
-// A later own record that differs only in its models needs no new entry.
+// A later own record that differs only in its models needs no new entry, nor does one that says the same of the engine's
+// coldness a heartbeat later.
 func (s engineState) covers(own engineState) bool {
 	if s.offset >= own.offset {
 		return true
 	}
 	a, b := s.engine, own.engine
 	return a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining &&
-		a.Preemptible == b.Preemptible && a.StartedAt.Equal(b.StartedAt)
+		a.Preemptible == b.Preemptible && a.StartedAt.Equal(b.StartedAt) &&
+		!b.ColdUntil.After(a.ColdUntil.Add(coldTolerance))
 }
 
+// coldTolerance is how much longer an engine may be cold than its entry says. The end is computed anew from each record,
+// as the time left when the record is read, which varies by some tenths of a second.
+const coldTolerance = 500 * time.Millisecond
+
 // encode returns the record of an engine.
 func (s engineState) encode() ([]byte, error) {
 	address, err := netip.ParseAddrPort(s.engine.Address)
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -23,7 +23,7 @@
 		start := time.Now()
 		process := func() *Directory {
 			d := NewDirectory()
-			d.SetColdRate("p", rate)
+			d.SetColdLimit("p", ColdLimit{Rate: rate})
 			d.Upsert(Engine{ID: "cold", Pool: "p", Slots: 8, Versions: map[string]int64{"a": 1, "b": 1}, ColdUntil: start.Add(coldFor)})
 			d.SetAssignedModels("p", map[string]string{"cold": "a"})
 			return d
--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -76,10 +76,12 @@
 	}
 	found.avoidUntil = now.Add(min(avoidMax, avoidBase<<min(found.failures, 3)))
 	found.failures++
+	found.cold.silentSince = time.Time{}
 	lasts := found.breaker.Fail(failure, now)
 	if lasts == 0 {
 		return
 	}
+	d.suspectEjected(found, now)
 	// The trial decides when the engine gets work again.
 	found.avoidUntil = time.Time{}
 	d.pendingEjections = append(d.pendingEjections, Ejection{EngineID: id, Cause: cause, OpenFor: lasts, Failures: found.failures})
@@ -91,9 +93,12 @@
 	d.mutex.Lock()
 	defer d.unlock()
 	if found, ok := d.engines[id]; ok {
-		if found.breaker.Answer(sentAt, time.Now()) {
+		now := time.Now()
+		if found.breaker.Answer(sentAt, now) {
 			d.readmit(found)
+			d.reachable(found, now)
 		}
+		d.responded(found, now.Sub(sentAt), now)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,8 +57,7 @@
 	paceMeasuredAt time.Time
 	// latency is the smoothed latency of complete responses.
 	latency time.Duration
-	// recentStarts are the times at which work started there within coldWindow, while it is cold.
-	recentStarts []time.Time
+	cold    coldState
 }
 
 // Directory holds the engines. It is safe for concurrent use.
@@ -71,8 +70,12 @@
 	regions  map[string]string
 	// evacuated holds the zones whose engines take no new work.
 	evacuated map[string]bool
-	// coldRates holds the number of requests per second that a cold engine can start, by pool, where that is limited.
-	coldRates map[string]float64
+	// coldLimits holds the limits of pools whose cold engines take less work; pendingChecks holds the engines whose
+	// health should be checked, and checksWanted tells that there are any.
+	coldLimits    map[string]ColdLimit
+	pendingChecks map[string]CheckCause
+	checksWanted  chan struct{}
+	zones         zones
 	// synced means that the list was read completely at least once; partial means that there may be unknown engines, or
 	// engines whose versions are unknown.
 	synced  bool
@@ -92,7 +95,8 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		engines: make(map[string]*entry), changed: broadcast.New(), assigned: make(map[string]map[string]string), coldRates: make(map[string]float64),
+		engines: make(map[string]*entry), changed: broadcast.New(), assigned: make(map[string]map[string]string),
+		coldLimits: make(map[string]ColdLimit), pendingChecks: make(map[string]CheckCause), checksWanted: make(chan struct{}, 1), zones: newZones(),
 		evacuated: make(map[string]bool),
 		paces:     make(map[poolModel]poolPace), pools: make(map[string]*enginePool),
 	}
@@ -120,13 +124,16 @@
 	engine.Region = d.regions[engine.Zone]
 	found, ok := d.engines[engine.ID]
 	if !ok {
-		d.engines[engine.ID] = &entry{engine: engine, rank: unitHash("", engine.ID), loadingUntil: make(map[string]time.Time)}
-		d.poolChanged(engine.Pool)
+		d.add(engine)
 		return
 	}
 	if found.engine.Restarted(engine) {
 		return
 	}
+	if engine.Zone != found.engine.Zone {
+		d.zones.remove(found.engine.Zone)
+		d.zones.add(engine.Zone, time.Now())
+	}
 	if engine.Restarted(found.engine) {
 		oldPool := found.engine.Pool
 		found.restart(engine)
@@ -148,6 +155,18 @@
 	}
 }
 
+// add adds an engine. The mutex must be held.
+func (d *Directory) add(engine Engine) {
+	now := time.Now()
+	added := &entry{engine: engine, rank: unitHash("", engine.ID), loadingUntil: make(map[string]time.Time)}
+	d.engines[engine.ID] = added
+	d.zones.add(engine.Zone, now)
+	if d.zones.returnedWithin(engine.Zone, d.coldLimits[engine.Pool].Duration, now) {
+		d.suspectReturned(added, now)
+	}
+	d.poolChanged(engine.Pool)
+}
+
 // restart replaces an engine by a later incarnation: versions, loads and failures belonged to another process. Work in
 // flight stays counted until its caller releases it.
 func (e *entry) restart(engine Engine) {
@@ -195,6 +214,7 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok {
 		delete(d.engines, id)
+		d.zones.remove(found.engine.Zone)
 		d.poolChanged(found.engine.Pool)
 	}
 }
@@ -325,15 +345,18 @@
 		d.evacuated[zone] = true
 	} else {
 		delete(d.evacuated, zone)
+		d.suspectZone(zone)
 	}
 	clear(d.pools)
 	d.changed.Notify()
 }
 
-// effectiveEngine returns an engine with evacuation taken into account. The mutex must be held.
+// effectiveEngine returns an engine with evacuation and what is known of its coldness taken into account. The mutex must
+// be held.
 func (d *Directory) effectiveEngine(found *entry) Engine {
 	engine := found.engine
 	engine.Draining = engine.Draining || d.evacuated[engine.Zone]
+	engine.ColdUntil = found.coldUntil()
 	return engine
 }
 
--- /dev/null
+++ b/internal/fleet/health.go
@@ -0,0 +1,216 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+// CheckCause is the reason why an engine's health should be checked.
+type CheckCause int
+
+// Causes of health checks.
+const (
+	// CheckReturned means that the engine returned with its zone, or is to be tried again after failures.
+	CheckReturned CheckCause = iota
+	// CheckLate means that the engine responds much later than usual.
+	CheckLate
+)
+
+var checkCauseNames = [...]string{"returned", "late"}
+
+// String returns the name used in logs.
+func (c CheckCause) String() string {
+	return checkCauseNames[c]
+}
+
+// HealthCheck is the request to check the health of an engine.
+type HealthCheck struct {
+	Engine Engine
+	Cause  CheckCause
+}
+
+const (
+	// maxSuspicion is how long an engine that was ejected counts as cold without a health response. The return of an
+	// unreachable engine can't be observed, so the suspicion must outlast the usual outage of a zone; it has to end in
+	// case that the engine never responds to health checks.
+	maxSuspicion = 30 * time.Second
+	// latePaceFactor and lateLatencyFactor are the multiples of an engine's usual pace, or of the latency of its complete
+	// responses if it has no pace, from which its response counts as late. minLate bounds both from below: a long prompt
+	// delays the first event by some tenths of a second at most.
+	latePaceFactor    = 8
+	lateLatencyFactor = 4
+	minLate           = 200 * time.Millisecond
+)
+
+// HealthChecks returns a channel that receives a value when health checks are requested.
+func (d *Directory) HealthChecks() <-chan struct{} {
+	return d.checksWanted
+}
+
+// TakeHealthChecks returns the health checks that were requested since the last call. A check that is not made is
+// requested again as long as work needs it.
+func (d *Directory) TakeHealthChecks() []HealthCheck {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	checks := make([]HealthCheck, 0, len(d.pendingChecks))
+	for id, cause := range d.pendingChecks {
+		if found, ok := d.engines[id]; ok {
+			checks = append(checks, HealthCheck{Engine: d.effectiveEngine(found), Cause: cause})
+		}
+	}
+	clear(d.pendingChecks)
+	return checks
+}
+
+// requestCheck requests a health check of an engine. The mutex must be held.
+func (d *Directory) requestCheck(found *entry, cause CheckCause) {
+	if earlier, pending := d.pendingChecks[found.engine.ID]; pending && earlier <= cause {
+		return
+	}
+	d.pendingChecks[found.engine.ID] = cause
+	select {
+	case d.checksWanted <- struct{}{}:
+	default:
+	}
+}
+
+// RecordHealth records the response of an engine to a health check that was sent at sentAt: the engine stays cold for
+// coldFor from now on. The response ends a suspicion that is older than the check. A response of another incarnation of
+// the engine is ignored.
+func (d *Directory) RecordHealth(engine Engine, sentAt time.Time, coldFor time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.engines[engine.ID]
+	if !ok || found.engine.Address != engine.Address || found.engine.Restarted(engine) {
+		return
+	}
+	now := time.Now()
+	found.cold.statedUntil = time.Time{}
+	if coldFor > 0 {
+		found.cold.statedUntil = now.Add(coldFor)
+	}
+	if !found.cold.suspectedAt.After(sentAt) {
+		found.cold.suspectedUntil = time.Time{}
+	}
+	d.engineChanged(found)
+}
+
+// checkCold requests a health check of an engine that is suspected to be cold, or responds late. isSender means that
+// this process may send the engine work while it is cold. The mutex must be held.
+func (d *Directory) checkCold(found *entry, limit ColdLimit, isSender bool, now time.Time) {
+	if !limit.Checked {
+		return
+	}
+	cold := &found.cold
+	switch {
+	case now.Before(cold.suspectedUntil):
+		if found.breaker.State(now) != policy.BreakerOpen && (isSender || now.Sub(cold.suspectedAt) >= cold.checkDelay) {
+			d.requestCheck(found, CheckReturned)
+		}
+	case !now.Before(found.coldUntil()) && !cold.silentSince.IsZero() && d.isLate(found, now.Sub(cold.silentSince), now):
+		d.requestCheck(found, CheckLate)
+	}
+}
+
+// suspectReturned makes an engine count as cold until a health response clears it, at most for the time for which
+// engines of its pool are cold, because it returned together with its zone. Processes that send it no work of its model
+// spread their checks over that time, each in its own order of engines: all processes see the zone return at once. The
+// mutex must be held.
+func (d *Directory) suspectReturned(found *entry, now time.Time) {
+	if limit, limited := d.coldLimits[found.engine.Pool]; limited {
+		delay := time.Duration(found.rank * float64(limit.Duration))
+		found.cold.suspect(now, limit.Duration, delay)
+	}
+}
+
+// suspectZone does the same for all engines of a zone, whose evacuation has ended. The mutex must be held.
+func (d *Directory) suspectZone(zone string) {
+	now := time.Now()
+	for _, found := range d.engines {
+		if found.engine.Zone == zone {
+			d.suspectReturned(found, now)
+		}
+	}
+}
+
+// suspectEjected makes an ejected engine count as cold until a health response clears it: it may have been unreachable
+// and return cold, when every process would send it a trial. The mutex must be held.
+func (d *Directory) suspectEjected(found *entry, now time.Time) {
+	if d.coldLimits[found.engine.Pool].Checked {
+		found.cold.suspect(now, maxSuspicion, 0)
+	}
+}
+
+func (c *coldState) suspect(now time.Time, period, checkDelay time.Duration) {
+	c.suspectedAt, c.suspectedUntil, c.checkDelay = now, now.Add(period), checkDelay
+}
+
+// reachable records that an engine that was suspected after its ejection has responded to work: it is cold no longer than
+// engines of its pool are after their start. The mutex must be held.
+func (d *Directory) reachable(found *entry, now time.Time) {
+	until := now.Add(d.coldLimits[found.engine.Pool].Duration)
+	if found.cold.suspectedUntil.After(until) {
+		found.cold.suspectedUntil = until
+	}
+}
+
+// responded records that an engine responded to work that it had for elapsed, 0 if that is not known, and requests a
+// health check if that is much longer than usual. The mutex must be held.
+func (d *Directory) responded(found *entry, elapsed time.Duration, now time.Time) {
+	found.cold.silentSince = time.Time{}
+	limit := d.coldLimits[found.engine.Pool]
+	if limit.Checked && !now.Before(found.coldUntil()) && d.isLate(found, elapsed, now) {
+		d.requestCheck(found, CheckLate)
+	}
+}
+
+// isLate reports whether an engine that has not responded for elapsed is much later than its pace suggests, and loads no
+// weights. The mutex must be held.
+func (d *Directory) isLate(found *entry, elapsed time.Duration, now time.Time) bool {
+	if elapsed < minLate {
+		return false
+	}
+	for _, until := range found.loadingUntil {
+		if now.Before(until) {
+			return false
+		}
+	}
+	if pace := d.usualPace(found, now); pace > 0 {
+		return elapsed >= latePaceFactor*pace
+	}
+	return found.latency > 0 && elapsed >= lateLatencyFactor*found.latency
+}
+
+// zones counts the known engines of each zone. A zone that has lost its last engine is absent until it has one again.
+type zones struct {
+	engines    map[string]int
+	absent     map[string]bool
+	returnedAt map[string]time.Time
+}
+
+func newZones() zones {
+	return zones{engines: make(map[string]int), absent: make(map[string]bool), returnedAt: make(map[string]time.Time)}
+}
+
+func (z *zones) add(zone string, now time.Time) {
+	z.engines[zone]++
+	if z.absent[zone] {
+		delete(z.absent, zone)
+		z.returnedAt[zone] = now
+	}
+}
+
+func (z *zones) remove(zone string) {
+	z.engines[zone]--
+	if z.engines[zone] == 0 {
+		delete(z.engines, zone)
+		z.absent[zone] = true
+	}
+}
+
+// returnedWithin reports whether a zone has returned within a period.
+func (z *zones) returnedWithin(zone string, period time.Duration, now time.Time) bool {
+	at, returned := z.returnedAt[zone]
+	return returned && now.Sub(at) < period
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -291,6 +291,9 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok && found.inFlight > 0 {
 		found.inFlight--
+		if found.inFlight == 0 {
+			found.cold.silentSince = time.Time{}
+		}
 		d.changed.Notify()
 	}
 }
@@ -305,6 +308,7 @@
 			found.pace.Seed(d.peers.paces[id])
 		}
 		found.pace.Add(gap, now)
+		found.cold.silentSince = time.Time{}
 		found.paceMeasuredAt = now
 	}
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -86,6 +86,12 @@
 	m.gauge("engines_ejected", "Engines that take no work of this process for their failures.", func() float64 { return float64(engines()) })
 }
 
+// cold registers the number of cold engines, and how many health checks were sent.
+func (m *metrics) cold(engines func() int, checks func() int64) {
+	m.gauge("engines_cold", "Engines that are cold, or suspected to be, in pools with a cold rate.", func() float64 { return float64(engines()) })
+	m.counter("health_checks_total", "Health checks sent to engines that may be cold.", func() float64 { return float64(checks()) })
+}
+
 // unread registers the metrics of the memory budget for unread answers.
 func (m *metrics) unread(stats func() unread.Stats) {
 	m.gauge("unread_bytes", "Memory reserved for answers that callers have not read.", func() float64 { return float64(stats().Held) })
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -77,7 +77,7 @@
 	}
 	if a.holder.Set(next) {
 		for _, pool := range next.Pools {
-			a.directory.SetColdRate(pool.Name, pool.ColdRate)
+			a.directory.SetColdLimit(pool.Name, coldLimit(pool))
 		}
 		a.logger.Info("configuration in force", "version", next.Version, "routes", len(next.Routes), "bytes", len(record.Value),
 			"offset", record.Offset, "recovered", recovered)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/healthcheck"
 	"github.com/hillfork/hillfork/internal/ingress"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/jobrun"
@@ -35,6 +36,8 @@
 	Settings Settings
 	Log      keyedlog.Log
 	Client   engineapi.Client
+	// Health sends health checks, nil if none can be sent.
+	Health healthcheck.Client
 	// Prober checks whether engines have ended.
 	Prober  quarantine.Prober
 	Decoder RecordDecoder
@@ -75,6 +78,8 @@
 	// viewPublisher and viewReader share views of engines with other owners.
 	viewPublisher *engineview.Publisher
 	viewReader    *engineview.Reader
+	// checker makes health checks of engines that may be cold.
+	checker *healthcheck.Checker
 	// teller publishes the usage of tenants' requests that this process has run, nil if it is not reported.
 	teller  *usage.Publisher
 	metrics *metrics
@@ -92,6 +97,7 @@
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
+	r.checkCold()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
@@ -251,6 +257,7 @@
 	running.Go(func() { r.quarantine.Run(followCtx) })
 	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
+	running.Go(func() { r.checker.Run(followCtx) })
 	if r.teller != nil {
 		running.Go(func() { r.teller.Run(followCtx) })
 	}
