Give each cold engine one sender whose term the store has confirmed

Cause: The successor of the only sender of a cold engine began at the full rate at once, and a process that was paused or cut off from the store went on as if it still owned the partition: together up to twice the rate in a second. Where all engines were cold, single requests waited in vain and were refused until one was warm. Change: The sender of an engine is the owner of one partition of jobs: that of the engine's model, or one chosen by the engine's ID in pools without models. It sends only while the store has confirmed its membership within the lifetime of members, counts a full window as used from the moment it takes over, and is asked again just before a run is sent. Slots that one run hands over to another count as starts. Single requests may use the cold engines of their process where no other engine may serve them; elsewhere they are refused at once until the first engine is warm.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -46,13 +46,19 @@
 	now := time.Now()
 	count := 0
 	for _, found := range d.engines {
-		if _, limited := d.coldLimits[found.engine.Pool]; limited && now.Before(found.coldUntil()) {
+		if d.isCold(found, now) {
 			count++
 		}
 	}
 	return count
 }
 
+// isCold reports whether an engine counts as cold in a pool that limits the work of cold engines. The mutex must be held.
+func (d *Directory) isCold(found *entry, now time.Time) bool {
+	_, limited := d.coldLimits[found.engine.Pool]
+	return limited && now.Before(found.coldUntil())
+}
+
 // coldState is what this process knows of the coldness of an engine besides the engine's record.
 type coldState struct {
 	// statedUntil is the time until which the engine is cold by its last health response. A record that was written
@@ -66,36 +72,137 @@
 	checkDelay     time.Duration
 	// silentSince is when work was started since which the engine has responded to nothing, zero if there is none.
 	silentSince time.Time
+	// reassignedAt is when the model that the engine is assigned to last changed, zero if it has not.
+	reassignedAt time.Time
 	// recentStarts are the times at which work started there within coldWindow.
 	recentStarts []time.Time
 }
 
 // coldUntil returns the time until which an engine counts as cold.
 func (e *entry) coldUntil() time.Time {
-	until := e.engine.ColdUntil
-	for _, other := range []time.Time{e.cold.statedUntil, e.cold.suspectedUntil} {
-		if other.After(until) {
-			until = other
-		}
+	return latest(e.statedColdUntil(), e.cold.suspectedUntil)
+}
+
+// statedColdUntil returns the time until which an engine is cold by its record and its last health response.
+func (e *entry) statedColdUntil() time.Time {
+	return latest(e.engine.ColdUntil, e.cold.statedUntil)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return until
+	return a
+}
+
+// SenderTerm is a period in which this process is the only one that may send work to a cold engine.
+type SenderTerm struct {
+	// Since is when the term began. Until is when it ends unless it is confirmed before: another process may have the
+	// next term from then on.
+	Since, Until time.Time
+}
+
+// reassignDelay is how long no work is sent to a cold engine after its model has changed: the sender for the earlier
+// model may read the change a second later, and what it sent then counts for a further window.
+const reassignDelay = time.Second + coldWindow
+
+// SetColdSenders sets the function that returns the term in which this process is the only sender of an engine with an
+// assigned model, empty if it has none, and false if it is not the sender. It is called with the directory's mutex held.
+// Without such a function every process counts as the sender for the models whose work it has. It must be set before the
+// first engine is added.
+func (d *Directory) SetColdSenders(term func(engine Engine, model string) (SenderTerm, bool)) {
+	d.senderTerm = term
 }
 
 // coldLimited reports whether a cold engine takes no more work of this kind now, and requests a health check where the
-// engine may be cold. Only one process may send a cold engine any work: the one that runs the jobs of the model that the
-// engine is assigned to. It uses the whole rate of the engine, so that processes need not coordinate. Single requests,
-// which arrive at all processes, use warm engines. The mutex must be held.
+// engine may be cold. Only one process may send a cold engine any work, as its SenderTerm says. It uses the whole rate of
+// the engine, so that processes need not coordinate. The mutex must be held.
 func (d *Directory) coldLimited(found *entry, want Want, now time.Time) bool {
 	limit, limited := d.coldLimits[found.engine.Pool]
 	if !limited {
 		return false
 	}
-	isSender := want.Model != "" && d.assigned[found.engine.Pool][found.engine.ID] == want.Model
+	term, isSender := d.termOf(found, want)
+	isSender = isSender && now.Before(term.Until)
 	d.checkCold(found, limit, isSender, now)
-	if !now.Before(found.coldUntil()) {
+	if !d.isCold(found, now) {
 		return false
 	}
-	return !isSender || len(found.startsInWindow(now)) >= limit.startsPerWindow()
+	// What the sender of the previous term has sent counts as a full window.
+	return !isSender || now.Before(term.Since.Add(coldWindow)) || now.Before(found.cold.reassignedAt.Add(reassignDelay)) ||
+		len(found.startsInWindow(now)) >= limit.startsPerWindow()
+}
+
+// termOf returns the term in which this process is the only sender of an engine, and false if it is not the sender or
+// must not send it work of this kind: an engine with an assigned model takes other models' work only while it is warm.
+// The mutex must be held.
+func (d *Directory) termOf(found *entry, want Want) (SenderTerm, bool) {
+	model := d.assigned[found.engine.Pool][found.engine.ID]
+	if want.Model != "" && want.Model != model {
+		return SenderTerm{}, false
+	}
+	if d.senderTerm == nil {
+		return SenderTerm{Until: time.Now().Add(coldWindow)}, want.Model != ""
+	}
+	return d.senderTerm(found.engine, model)
+}
+
+// MayStart reports whether work of a model that was assigned to an engine may still be sent there. It must not if the
+// engine is cold and the term of this process as its sender has ended, as after a pause of the process.
+func (d *Directory) MayStart(id, model string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	found, ok := d.engines[id]
+	if !ok {
+		return true
+	}
+	if !d.isCold(found, now) {
+		return true
+	}
+	term, isSender := d.termOf(found, Want{Model: model})
+	return isSender && now.Before(term.Until)
+}
+
+// HandOver reports whether other work may take over a slot that this process holds at an engine, and counts its start
+// there: a cold engine takes it only within its rate.
+func (d *Directory) HandOver(id string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	found, ok := d.engines[id]
+	if !ok {
+		return true
+	}
+	if d.coldLimited(found, Want{Model: d.assigned[found.engine.Pool][id]}, now) {
+		return false
+	}
+	d.recordStart(found, now)
+	return true
+}
+
+// AllCold reports whether all engines that may run a piece of work state that they are cold and their pool limits their
+// work, and if so, how long until the first of them is warm.
+func (d *Directory) AllCold(want Want) (wait time.Duration, allCold bool) {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if _, limited := d.coldLimits[want.Pool]; !limited {
+		return 0, false
+	}
+	for _, found := range d.considered(want) {
+		if !fits(d.effectiveEngine(found), want) {
+			continue
+		}
+		left := found.statedColdUntil().Sub(now)
+		if left <= 0 {
+			return 0, false
+		}
+		if !allCold || left < wait {
+			wait, allCold = left, true
+		}
+	}
+	return wait, allCold
 }
 
 // startsPerWindow returns how many requests a cold engine may start within coldWindow.
@@ -120,5 +227,18 @@
 		found.cold.silentSince = now
 	}
 	found.cold.recentStarts = append(found.startsInWindow(now), now)
-	return now.Before(found.coldUntil())
+	return d.isCold(found, now)
+}
+
+// recordReassigned records which engines of a pool change their model. The mutex must be held.
+func (d *Directory) recordReassigned(pool string, models map[string]string) {
+	if _, limited := d.coldLimits[pool]; !limited {
+		return
+	}
+	now := time.Now()
+	for id, model := range d.assigned[pool] {
+		if found, known := d.engines[id]; known && models[id] != model {
+			found.cold.reassignedAt = now
+		}
+	}
 }
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -107,3 +107,36 @@
 	d.SetEvacuated("a", false)
 	is.Equal(zones(), "aaaaaaaa")
 }
+
+// TestColdEngineCountsAllStarts guards against starts at a cold engine that do not count: those from before it turned
+// cold, and those in slots that one run hands over to another. After its model has changed, the sender for the earlier
+// model may still send, so there must be none until that can't be any more.
+func TestColdEngineCountsAllStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := NewDirectory()
+		d.SetColdLimit("p", ColdLimit{Rate: 4})
+		engine := Engine{ID: "e", Pool: "p", Slots: 8, Versions: map[string]int64{"a": 1, "b": 1}}
+		d.Upsert(engine)
+		d.SetAssignedModels("p", map[string]string{"e": "a"})
+		takes := func(want Want) bool {
+			_, ok := d.Acquire(want)
+			return ok
+		}
+		is.True(takes(Want{Pool: "p"}))
+		engine.ColdUntil = time.Now().Add(time.Minute)
+		d.Upsert(engine)
+		is.True(takes(Want{Pool: "p", Model: "a"}))
+		is.True(d.HandOver("e"))
+		is.True(d.HandOver("e"))
+		is.True(!d.HandOver("e"))
+		is.True(!takes(Want{Pool: "p", Model: "a"}))
+
+		time.Sleep(2 * coldWindow)
+		d.SetAssignedModels("p", map[string]string{"e": "b"})
+		is.True(!takes(Want{Pool: "p", Model: "b"}))
+		is.True(!d.MayStart("e", "a"))
+		time.Sleep(reassignDelay)
+		is.True(takes(Want{Pool: "p", Model: "b"}))
+	})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,7 +75,9 @@
 	coldLimits    map[string]ColdLimit
 	pendingChecks map[string]CheckCause
 	checksWanted  chan struct{}
-	zones         zones
+	// senderTerm returns the term in which this process is the only sender of a cold engine, nil if that is not known.
+	senderTerm func(engine Engine, model string) (SenderTerm, bool)
+	zones      zones
 	// synced means that the list was read completely at least once; partial means that there may be unknown engines, or
 	// engines whose versions are unknown.
 	synced  bool
@@ -260,6 +262,7 @@
 func (d *Directory) SetAssignedModels(pool string, models map[string]string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.recordReassigned(pool, models)
 	d.assigned[pool] = models
 	if known, ok := d.pools[pool]; ok {
 		known.own = nil
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -26,6 +26,8 @@
 	Loading bool
 	// ColdLimited means that it is cold and currently takes none of the work.
 	ColdLimited bool
+	// Cold means that it is cold and its pool limits the work of cold engines.
+	Cold bool
 	// Forecast is its expected pace; Latency is the smoothed latency of complete responses.
 	Forecast policy.Forecast
 	Latency  time.Duration
@@ -258,6 +260,7 @@
 // much.
 const (
 	avoidedCost  = 100
+	coldCost     = 50
 	slowCost     = 10
 	zoneCost     = 0.05
 	affinityCost = 0.2
@@ -271,6 +274,10 @@
 	if candidate.Avoided || candidate.Ejected {
 		total += avoidedCost
 	}
+	if candidate.Cold && want.Model == "" {
+		// Single requests use cold engines only where no other engine may serve them.
+		total += coldCost
+	}
 	if want.Events == 0 && typicalPace > 0 && float64(candidate.Forecast.Current) > slowFactor*float64(typicalPace) {
 		total += slowCost
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -50,6 +51,8 @@
 	// offered holds the engine of every attempt; cause is why the last attempt to end failed.
 	offered []string
 	cause   string
+	// retryAfter is the retry delay for a request that was not run, 0 for the default.
+	retryAfter time.Duration
 }
 
 // run starts attempts and handles their results until the request has an outcome.
@@ -59,7 +62,7 @@
 			if !e.mayStart() {
 				return e.settle()
 			}
-			if !e.start(ctx) && !e.awaitSlot(ctx) {
+			if !e.start(ctx) && (e.allCold() || !e.awaitSlot(ctx)) {
 				return e.settle()
 			}
 			continue
@@ -92,12 +95,32 @@
 	return !e.mayHaveRun || e.request.MayRepeat
 }
 
+// want returns the requirements of the request, without the engines that were tried.
+func (e *exchange) want() fleet.Want {
+	return fleet.Want{
+		Pool: e.request.Pool, Regions: e.request.Regions, Zone: e.forwarder.config.Zone, NoTrial: !e.request.MayRepeat,
+	}
+}
+
+// allCold reports whether the request has not run and all engines that may run it are cold. Waiting for one would take longer than a caller
+// needs to be sent elsewhere.
+func (e *exchange) allCold() bool {
+	if e.mayHaveRun {
+		return false
+	}
+	wait, allCold := e.forwarder.config.Directory.AllCold(e.want())
+	if allCold {
+		e.retryAfter = coldRetryAfter(wait)
+		e.cause = causeCold
+	}
+	return allCold
+}
+
 // start sends the request to the best engine that was not tried. It returns false if there is none.
 func (e *exchange) start(ctx context.Context) bool {
-	engine, ok := e.forwarder.config.Directory.Acquire(fleet.Want{
-		Pool: e.request.Pool, Regions: e.request.Regions, Exclude: e.tried, Zone: e.forwarder.config.Zone,
-		NoTrial: !e.request.MayRepeat,
-	})
+	want := e.want()
+	want.Exclude = e.tried
+	engine, ok := e.forwarder.config.Directory.Acquire(want)
 	if !ok {
 		return false
 	}
@@ -259,12 +282,12 @@
 	answer := Answer{
 		Outcome: Lost, Attempts: e.sent, Failures: e.failures, Tried: e.offered, Cause: e.cause, StartedAt: e.startedAt(),
 	}
-	if len(e.offered) == 0 {
+	if len(e.offered) == 0 && answer.Cause == "" {
 		answer.Cause = causeNoEngine
 	}
 	if !e.mayHaveRun {
 		answer.Outcome = NotRun
-		answer.RetryAfter = retryAfter
+		answer.RetryAfter = cmp.Or(e.retryAfter, retryAfter)
 	}
 	return answer
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,9 @@
 const (
 	// retryAfter is the retry delay for a refused caller: engines free slots within fractions of a second.
 	retryAfter = 250 * time.Millisecond
+	// maxColdRetryAfter limits the retry delay where all engines are cold: they are cold for some seconds, and another
+	// process may be the one that sends requests to one of them.
+	maxColdRetryAfter = 2 * time.Second
 	// maxRejections is the number of rejected attempts after which a request is no longer sent to engines.
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
@@ -156,6 +159,11 @@
 	hedgeLatencyFactor = 3
 )
 
+// coldRetryAfter returns the retry delay for a refused caller where the first engine is warm after wait.
+func coldRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, retryAfter), maxColdRetryAfter)
+}
+
 // Do sends a request and returns its complete response.
 func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
 	if f.cut.Err() != nil {
@@ -225,6 +233,7 @@
 // Causes of outcomes that don't come from the error of an attempt.
 const (
 	causeNoEngine = "no engine of the pool takes work"
+	causeCold     = "all engines of the pool are cold"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
 	causeStopped  = "the process stops"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -75,13 +76,15 @@
 	// offered holds the engine of every attempt; cause is how the last attempt ended, empty if its stream was complete.
 	offered []string
 	cause   string
+	// retryAfter is the retry delay for a stream that was not run, 0 for the default.
+	retryAfter time.Duration
 }
 
 func (s *streamExchange) run(ctx context.Context) Answer {
 	for s.mayStart() {
 		engine, ok := s.acquire()
 		if !ok {
-			if !s.awaitSlot(ctx) {
+			if s.allCold() || !s.awaitSlot(ctx) {
 				break
 			}
 			continue
@@ -102,11 +105,31 @@
 	return !s.mayHaveRun || s.request.Resumable
 }
 
-func (s *streamExchange) acquire() (fleet.Engine, bool) {
-	return s.forwarder.config.Directory.Acquire(fleet.Want{
-		Pool: s.request.Pool, Regions: s.request.Regions, Model: s.request.Model, Exclude: s.tried, Zone: s.forwarder.config.Zone,
+// want returns the requirements of the stream, without the engines that were tried.
+func (s *streamExchange) want() fleet.Want {
+	return fleet.Want{
+		Pool: s.request.Pool, Regions: s.request.Regions, Model: s.request.Model, Zone: s.forwarder.config.Zone,
 		NoTrial: !s.request.Resumable,
-	})
+	}
+}
+
+func (s *streamExchange) acquire() (fleet.Engine, bool) {
+	want := s.want()
+	want.Exclude = s.tried
+	return s.forwarder.config.Directory.Acquire(want)
+}
+
+// allCold reports whether the stream has not run and all engines that may run it are cold.
+func (s *streamExchange) allCold() bool {
+	if s.mayHaveRun {
+		return false
+	}
+	wait, allCold := s.forwarder.config.Directory.AllCold(s.want())
+	if allCold {
+		s.retryAfter = coldRetryAfter(wait)
+		s.cause = causeCold
+	}
+	return allCold
 }
 
 func (s *streamExchange) awaitSlot(ctx context.Context) bool {
@@ -209,7 +232,7 @@
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
 	case !s.mayHaveRun:
-		return Answer{Outcome: NotRun, RetryAfter: retryAfter, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
+		return Answer{Outcome: NotRun, RetryAfter: cmp.Or(s.retryAfter, retryAfter), Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	case ctx.Err() != nil:
 		return Answer{Outcome: TimedOut, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	default:
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -224,7 +224,7 @@
 			pause.For(ctx, withheldPollInterval)
 			continue
 		}
-		if runCtx.Err() != nil {
+		if runCtx.Err() != nil || !e.runner.config.Directory.MayStart(slot.Engine.ID, e.view.Spec.Model) {
 			e.runner.config.Quarantine.ReportNotRun(e.call())
 			cancel()
 			slot.Release()
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -69,7 +69,7 @@
 	s.queue.mutex.Lock()
 	_, held := s.queue.slots[s]
 	delete(s.queue.slots, s)
-	handedOver := held && s.reservation != nil && !s.reservation.dropped
+	handedOver := held && s.reservation != nil && !s.reservation.dropped && s.queue.directory.HandOver(s.Engine.ID)
 	if handedOver {
 		s.reservation.handover <- s.queue.addSlot(s.Engine, s.reservation.rank, nil)
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/uptime"
 )
 
 // Holder starts the work that belongs to the ownership of a partition.
@@ -74,8 +75,10 @@
 	held       map[keyedlog.Partition]*holding
 	// heldCount is the number of partitions held, for Holds, which is called from any goroutine.
 	heldCount atomic.Int32
-	// lastJoin is when the last join that was answered was sent.
+	// lastJoin is when the last join that was answered was sent; confirmed is the same including suspensions, for
+	// ConfirmedUntil, which is called from any goroutine.
 	lastJoin  time.Time
+	confirmed atomic.Pointer[uptime.Mark]
 	connected bool
 }
 
@@ -99,6 +102,17 @@
 	return m.heldCount.Load() > 0
 }
 
+// ConfirmedUntil returns the time until which the partitions held are certainly assigned to no other process: the store
+// reassigns them a lifetime after the last join that it received. It is zero before the first join, and safe for
+// concurrent use.
+func (m *Manager) ConfirmedUntil() time.Time {
+	mark := m.confirmed.Load()
+	if mark == nil {
+		return time.Time{}
+	}
+	return mark.At().Add(m.config.Lifetime)
+}
+
 // Participates reports whether the process is a member of the group or is trying to join it. It is safe for concurrent
 // use.
 func (m *Manager) Participates() bool {
@@ -161,7 +175,7 @@
 
 // join renews the membership and reports whether partitions were released.
 func (m *Manager) join(ctx context.Context) bool {
-	sent := time.Now()
+	sent, mark := time.Now(), uptime.Meter(uptime.Suspended).Mark()
 	membership, err := m.config.Log.Join(ctx, keyedlog.JoinRequest{
 		Group: m.config.Group, Member: m.member, Topics: m.config.Topics, Lifetime: m.config.Lifetime,
 		Generation: m.generation,
@@ -171,6 +185,7 @@
 		return false
 	}
 	m.lastJoin = sent
+	m.confirmed.Store(&mark)
 	if !m.connected {
 		m.connected = true
 		m.config.Logger.Info("group joined", "group", m.config.Group, "generation", membership.Generation)
--- a/internal/replica/engines.go
+++ b/internal/replica/engines.go
@@ -23,26 +23,42 @@
 
 // holdings tracks the partitions that this process holds. It is safe for concurrent use.
 type holdings struct {
-	mutex   sync.Mutex
-	held    map[keyedlog.Partition]int
-	changed broadcast.Signal
+	mutex sync.Mutex
+	held  map[keyedlog.Partition]int
+	// gainedAt is when each partition held was gained.
+	gainedAt map[keyedlog.Partition]time.Time
+	changed  broadcast.Signal
 }
 
 func newHoldings() *holdings {
-	return &holdings{held: make(map[keyedlog.Partition]int), changed: broadcast.New()}
+	return &holdings{
+		held: make(map[keyedlog.Partition]int), gainedAt: make(map[keyedlog.Partition]time.Time), changed: broadcast.New(),
+	}
 }
 
 // add adds count, 1 or -1, to the number of times that a partition is held.
 func (h *holdings) add(partition keyedlog.Partition, count int) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if h.held[partition] == 0 {
+		h.gainedAt[partition] = time.Now()
+	}
 	h.held[partition] += count
 	if h.held[partition] == 0 {
 		delete(h.held, partition)
+		delete(h.gainedAt, partition)
 	}
 	h.changed.Notify()
 }
 
+// since returns when a partition was gained, false if it is not held.
+func (h *holdings) since(partition keyedlog.Partition) (time.Time, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	at, held := h.gainedAt[partition]
+	return at, held
+}
+
 // any reports whether a partition is held that satisfies a condition.
 func (h *holdings) any(condition func(partition keyedlog.Partition) bool) bool {
 	h.mutex.Lock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -139,6 +139,7 @@
 		Node: memberName(config.Settings), Lease: config.Settings.OrderLease, OnVersionServed: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.joinGroups(runners, rollers, reporting)
+	r.limitColdSenders()
 	return r
 }
 
--- a/internal/replica/steploads.go
+++ b/internal/replica/steploads.go
@@ -4,12 +4,17 @@
 	"slices"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // models returns the models of all pools, sorted.
 func (r *Replica) models() []string {
-	current := r.catalog.Current()
+	return modelsOf(r.catalog.Current())
+}
+
+// modelsOf returns the models of all pools of a catalog, sorted.
+func modelsOf(current *catalog.Catalog) []string {
 	if current == nil {
 		return nil
 	}
