Count cold engines with what they can handle

Cause: Shares of models, orders of engines and the choice of an engine for an item counted a cold engine with all its slots, which short items can't fill at its cold rate. Change: policy.ColdSlots averages what a cold engine can handle over the time for which the decision stands: a step for shares, the delay before engines are returned for orders. policy.ColdForecast expects the engine to be that much slower for the rest of the time. Both need the mean time that items hold a slot, which StepLoad has now. The directory's list of a pool's engines follows a change of coldness alone. Where items are long enough to fill all slots at the cold rate, nothing changes.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -114,6 +114,17 @@
 	d.senderTerm = term
 }
 
+// minColder is how much longer than known an engine must be cold to count as changed: the end is computed anew from each
+// of its records.
+const minColder = 500 * time.Millisecond
+
+// turnsCold reports whether an engine is cold by a new record for longer than is known, in a pool that limits the work of
+// cold engines. The mutex must be held.
+func (d *Directory) turnsCold(found *entry, engine Engine) bool {
+	_, limited := d.coldLimits[engine.Pool]
+	return limited && engine.ColdUntil.After(found.coldUntil().Add(minColder))
+}
+
 // coldLimited reports whether a cold engine takes no more work of this kind now, and requests a health check where the
 // engine may be cold. Only one process may send a cold engine any work, as its SenderTerm says. It uses the whole rate of
 // the engine, so that processes need not coordinate. The mutex must be held.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -145,7 +145,7 @@
 	engine.Versions = mergeVersions(found.engine.Versions, engine.Versions)
 	engine.Draining = engine.Draining || found.engine.Draining
 	same := engine.Draining == found.engine.Draining && engine.Address == found.engine.Address &&
-		maps.Equal(engine.Versions, found.engine.Versions)
+		maps.Equal(engine.Versions, found.engine.Versions) && !d.turnsCold(found, engine)
 	if engine.Address != found.engine.Address {
 		// The failures occurred at the old address.
 		found.breaker = policy.Breaker{}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -121,6 +121,7 @@
 	if limit, limited := d.coldLimits[found.engine.Pool]; limited {
 		delay := time.Duration(found.rank * float64(limit.Duration))
 		found.cold.suspect(now, limit.Duration, delay)
+		d.engineChanged(found)
 	}
 }
 
@@ -139,6 +140,7 @@
 func (d *Directory) suspectEjected(found *entry, now time.Time) {
 	if d.coldLimits[found.engine.Pool].Checked {
 		found.cold.suspect(now, maxSuspicion, 0)
+		d.engineChanged(found)
 	}
 }
 
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -278,7 +278,7 @@
 		candidates = append(candidates, Candidate{
 			Engine: engine, AssignedModel: assigned[engine.ID], InFlight: found.inFlight, PeerHeld: d.peers.held[engine.ID],
 			Avoided: now.Before(found.avoidUntil), ColdLimited: d.coldLimited(found, want, now), Cold: d.isCold(found, now),
-			Loading: now.Before(found.loadingUntil[want.Model]), Forecast: d.forecast(found, now), Latency: found.latency,
+			Loading: now.Before(found.loadingUntil[want.Model]), Forecast: d.forecastFor(found, want, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -164,6 +164,17 @@
 	return policy.ConstantPace(d.peers.paces[found.engine.ID])
 }
 
+// forecastFor returns the pace forecast of an engine for a piece of work, with the engine's coldness taken into account.
+// The mutex must be held, and peers refreshed.
+func (d *Directory) forecastFor(found *entry, want Want, now time.Time) policy.Forecast {
+	forecast := d.forecast(found, now)
+	limit, limited := d.coldLimits[found.engine.Pool]
+	if !limited {
+		return forecast
+	}
+	return policy.ColdForecast(forecast, want.Events, found.engine.Slots, limit.Rate, found.coldUntil().Sub(now))
+}
+
 // UsualPaces returns the known usual paces of a pool's engines, measured here or by peers, by engine ID.
 func (d *Directory) UsualPaces(pool string) map[string]time.Duration {
 	d.mutex.Lock()
--- a/internal/policy/deal.go
+++ b/internal/policy/deal.go
@@ -14,6 +14,8 @@
 	// Longest is the time for which the longest item that the trainer waits for holds its slot. More engines don't
 	// shorten it.
 	Longest time.Duration
+	// Item is the mean time for which an item holds its slot, 0 if it is not known.
+	Item time.Duration
 	// Interval is the time between two steps, 0 if it is not known.
 	Interval time.Duration
 	// Priority is the rank of the model's jobs, 0 first.
--- a/internal/policy/demand.go
+++ b/internal/policy/demand.go
@@ -14,6 +14,8 @@
 	// Items is the total time for which its items held slots, Longest the time of the longest one; 0 if not known.
 	Items   time.Duration
 	Longest time.Duration
+	// Count is the number of its items.
+	Count int
 	// Open means that it has not ended.
 	Open bool
 }
@@ -107,6 +109,7 @@
 	measuredTokens float64
 	itemTime       time.Duration
 	longest        time.Duration
+	measuredItems  int
 }
 
 func sumSteps(steps []Step) stepTotals {
@@ -119,6 +122,7 @@
 			totals.measuredTokens += step.Tokens
 			totals.itemTime += step.Items
 			totals.longest += step.Longest
+			totals.measuredItems += step.Count
 		}
 	}
 	return totals
@@ -131,6 +135,7 @@
 	o.measuredTokens += other.measuredTokens
 	o.itemTime += other.itemTime
 	o.longest += other.longest
+	o.measuredItems += other.measuredItems
 }
 
 // load returns the expected load of a step. Where the model's own steps were not measured it is based on those of all
@@ -151,6 +156,9 @@
 	}
 	load.Work = time.Duration(tokens * float64(known.itemTime) / known.measuredTokens)
 	load.Longest = known.longest / time.Duration(known.measured)
+	if known.measuredItems > 0 {
+		load.Item = known.itemTime / time.Duration(known.measuredItems)
+	}
 	return load
 }
 
--- a/internal/replica/steploads.go
+++ b/internal/replica/steploads.go
@@ -38,7 +38,8 @@
 		for _, status := range jobs {
 			steps[model] = append(steps[model], policy.Step{
 				At: status.AcceptedAt, Tokens: float64(status.Entry.Work), Items: status.SlotTime.Items, Longest: status.SlotTime.Longest,
-				Open: !status.Ended && !status.Settled,
+				Count: status.Entry.Items,
+				Open:  !status.Ended && !status.Settled,
 			})
 		}
 		if current != nil {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -161,7 +161,8 @@
 
 // plan returns the pending orders of a pool.
 func (t *term) plan(pool catalog.Pool, loads map[string]policy.StepLoad) []Order {
-	zones, slots := t.zones(pool)
+	poolLoads := loadsOf(pool, loads)
+	zones, slots := t.zones(pool, policy.MeanItem(poolLoads))
 	if slots == 0 {
 		return nil
 	}
@@ -169,7 +170,7 @@
 	for _, zone := range zones {
 		regular += zone.Regular
 	}
-	wanted := policy.EnginesWanted(slots, loadsOf(pool, loads), regular, len(zones)*pool.Scaling.MaxPerZone)
+	wanted := policy.EnginesWanted(slots, poolLoads, regular, len(zones)*pool.Scaling.MaxPerZone)
 	counts := policy.ScaleOrders(wanted, pool.Scaling.MaxPerZone, zones)
 	if !t.mayShrink(pool.Name, zones, counts) {
 		return nil
@@ -208,14 +209,15 @@
 }
 
 // zones returns the zones in which engines of a pool are available, sorted by name and with their engine counts, and
-// the average number of slots of an engine, 0 if the pool has none.
-func (t *term) zones(pool catalog.Pool) (zones []policy.ZoneEngines, slots float64) {
+// the average number of slots of an engine, 0 if the pool has none. Cold engines count with what they can handle until
+// surplus engines could be returned, given the mean time for which an item holds a slot.
+func (t *term) zones(pool catalog.Pool, item time.Duration) (zones []policy.ZoneEngines, slots float64) {
 	now := time.Now()
 	regular := make(map[string]int)
 	engines := t.config.Directory.Pool(pool.Name)
-	total := 0
+	total := 0.0
 	for _, engine := range engines {
-		total += engine.Slots
+		total += policy.ColdSlots(engine.Slots, pool.ColdRate, item, engine.ColdUntil.Sub(now), shrinkDelay)
 		if !engine.Preemptible && !engine.Draining {
 			regular[engine.Zone]++
 		}
@@ -226,7 +228,7 @@
 			Refused: now.Before(t.refusedUntil[poolZone{pool.Name, name}]),
 		})
 	}
-	return zones, float64(total) / float64(max(1, len(engines)))
+	return zones, total / float64(max(1, len(engines)))
 }
 
 func loadsOf(pool catalog.Pool, loads map[string]policy.StepLoad) []policy.StepLoad {
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -83,6 +83,7 @@
 	directory *fleet.Directory
 	mutex     sync.Mutex
 	work      time.Duration
+	item      time.Duration
 }
 
 func newTestEnv() *testEnv {
@@ -112,7 +113,7 @@
 func (env *testEnv) loads() map[string]policy.StepLoad {
 	env.mutex.Lock()
 	defer env.mutex.Unlock()
-	return map[string]policy.StepLoad{"m": {Work: env.work, Longest: 4 * time.Second, Interval: 4 * time.Second}}
+	return map[string]policy.StepLoad{"m": {Work: env.work, Item: env.item, Longest: 4 * time.Second, Interval: 4 * time.Second}}
 }
 
 // holdDuty makes a machine the holder of the duty and returns a function that releases it.
@@ -260,3 +261,29 @@
 		release()
 	})
 }
+
+// TestColdEnginesAreCountedByTheirRate guards against orders that count on engines which are cold for as long as orders
+// stand: they take 10 items of 0.2 s a second, a third of what their six slots take. Their record changes in nothing else.
+func TestColdEnginesAreCountedByTheirRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env := newTestEnv()
+		env.item = 200 * time.Millisecond
+		pool := env.catalog.Current().Pools[poolName]
+		pool.ColdRate = 10
+		env.catalog.Set(catalog.New(2, nil, map[string]catalog.Pool{poolName: pool}, catalog.Limits{}))
+		env.directory.SetColdLimit(poolName, fleet.ColdLimit{Rate: pool.ColdRate})
+		env.setWork(60 * time.Second)
+		release := env.holdDuty(t, "one", 1)
+		defer release()
+		time.Sleep(2 * time.Second)
+		before, _, _ := env.provider.snapshot()
+		for _, engine := range env.directory.Pool(poolName) {
+			engine.ColdUntil = time.Now().Add(time.Minute)
+			env.directory.Upsert(engine)
+		}
+		time.Sleep(2 * time.Second)
+		after, _, _ := env.provider.snapshot()
+		is.True(after > before)
+	})
+}
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -112,11 +112,7 @@
 		current[i] = r.shares[pool][model]
 		total += current[i]
 	}
-	slots := 0
-	for _, engine := range engines {
-		slots += engine.Slots
-	}
-	perEngine := float64(slots) / float64(max(1, len(engines)))
+	perEngine := r.slots(pool, engines, policy.MeanItem(loads)) / float64(max(1, len(engines)))
 	kept := policy.EnginesKept(perEngine, loads, len(engines), total)
 	proposed := policy.AssignEngines(kept, perEngine, loads)
 	unchanged := len(r.shares[pool]) == len(models) && total == kept
@@ -133,6 +129,23 @@
 	return shares
 }
 
+// shareHorizon is the time over which the slots of cold engines are averaged: the assignment has to suit the next step.
+const shareHorizon = 8 * time.Second
+
+// slots returns the number of slots of some engines of a pool, given the mean time for which an item holds one. Cold
+// engines count with what they can handle.
+func (r *roller) slots(pool string, engines []fleet.Engine, item time.Duration) float64 {
+	coldRate := 0.0
+	if current := r.config.Catalog.Current(); current != nil {
+		coldRate = current.Pools[pool].ColdRate
+	}
+	slots := 0.0
+	for _, engine := range engines {
+		slots += policy.ColdSlots(engine.Slots, coldRate, item, time.Until(engine.ColdUntil), shareHorizon)
+	}
+	return slots
+}
+
 // publish writes the newest assignment of a pool for all processes, so that those that run its jobs use their model's
 // engines. A change during a write is written by the next record. The caller must hold the mutex.
 func (r *roller) publish(ctx context.Context, pool string) {
