--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -133,12 +133,13 @@
 	if !limited {
 		return false
 	}
-	term, isSender := d.termOf(found, want)
-	isSender = isSender && now.Before(term.Until)
-	d.checkCold(found, limit, isSender, now)
 	if !d.isCold(found, now) {
+		d.checkSilent(found, limit, now)
 		return false
 	}
+	term, isSender := d.termOf(found, want)
+	isSender = isSender && now.Before(term.Until)
+	d.checkSuspected(found, limit, isSender, now)
 	// What the sender of the previous term has sent counts as a full window.
 	return !isSender || now.Before(term.Since.Add(coldWindow)) || now.Before(found.cold.reassignedAt.Add(reassignDelay)) ||
 		len(found.startsInWindow(now)) >= limit.startsPerWindow()
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -41,6 +41,9 @@
 	latePaceFactor    = 8
 	lateLatencyFactor = 4
 	minLate           = 200 * time.Millisecond
+	// maxFirstChecks is the number of suspected engines that are checked at once where no other engine takes work: enough
+	// for a replica's requests, and few if all replicas lose all engines at once.
+	maxFirstChecks = 3
 )
 
 // HealthChecks returns a channel that receives a value when health checks are requested.
@@ -96,20 +99,40 @@
 	d.engineChanged(found)
 }
 
-// checkCold requests a health check of an engine that is suspected to be cold, or responds late. isSender means that
-// this process may send the engine work while it is cold. The mutex must be held.
-func (d *Directory) checkCold(found *entry, limit ColdLimit, isSender bool, now time.Time) {
-	if !limit.Checked {
+// checkSuspected requests a health check of an engine that is suspected to be cold. isSender means that this process may
+// send the engine work while it is cold. The mutex must be held.
+func (d *Directory) checkSuspected(found *entry, limit ColdLimit, isSender bool, now time.Time) {
+	if !limit.Checked || !now.Before(found.cold.suspectedUntil) || found.breaker.State(now) == policy.BreakerOpen {
 		return
 	}
-	cold := &found.cold
-	switch {
-	case now.Before(cold.suspectedUntil):
-		if found.breaker.State(now) != policy.BreakerOpen && (isSender || now.Sub(cold.suspectedAt) >= cold.checkDelay) {
+	if isSender || now.Sub(found.cold.suspectedAt) >= found.cold.checkDelay {
+		d.requestCheck(found, CheckReturned)
+	}
+}
+
+// checkSilent requests a health check of an engine that has responded to nothing for much longer than usual. The mutex
+// must be held.
+func (d *Directory) checkSilent(found *entry, limit ColdLimit, now time.Time) {
+	since := found.cold.silentSince
+	if limit.Checked && !since.IsZero() && d.isLate(found, now.Sub(since), now) {
+		d.requestCheck(found, CheckLate)
+	}
+}
+
+// checkFirstSuspected requests health checks of the first engines that may run work for which no engine was found, and
+// are suspected to be cold: this process does not wait for its turn where it has no other engine. The mutex must be held.
+func (d *Directory) checkFirstSuspected(want Want, now time.Time) {
+	if !d.coldLimits[want.Pool].Checked {
+		return
+	}
+	checks := 0
+	for _, found := range d.considered(want) {
+		if now.Before(found.cold.suspectedUntil) && fits(d.effectiveEngine(found), want) {
 			d.requestCheck(found, CheckReturned)
+			if checks++; checks == maxFirstChecks {
+				return
+			}
 		}
-	case !now.Before(found.coldUntil()) && !cold.silentSince.IsZero() && d.isLate(found, now.Sub(cold.silentSince), now):
-		d.requestCheck(found, CheckLate)
 	}
 }
 
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -25,6 +25,7 @@
 	want.probing = d.peers.mayProbe(want, now)
 	picked, ok := Pick(d.candidates(want, now), want, now)
 	if !ok {
+		d.checkFirstSuspected(want, now)
 		return Engine{}, false
 	}
 	d.begin(picked.Engine, want, now)
