--- a/internal/policy/cold_test.go
+++ b/internal/policy/cold_test.go
@@ -24,4 +24,5 @@
 		is.Equal(ColdSlots(8, test.rate, test.item, test.coldFor, test.horizon), test.slots)
 		is.Equal(ColdForecast(ConstantPace(pace), float64(test.item/pace), 8, test.rate, test.coldFor).Current, test.slowness*pace)
 	}
+	is.New(t).Equal(MeanItem([]StepLoad{{Item: s}, {}, {Item: 3 * s}}), 2*s)
 }
--- a/internal/weightroll/share_test.go
+++ b/internal/weightroll/share_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/matryer/is"
 )
@@ -95,3 +96,16 @@
 		only.release()
 	})
 }
+
+// TestColdEnginesAreSharedByTheirRate guards against shares that count on slots of cold engines that can't be filled.
+func TestColdEnginesAreSharedByTheirRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		holder := catalog.NewHolder()
+		holder.Set(catalog.New(1, nil, map[string]catalog.Pool{"cold": {ColdRate: 10}, "other": {}}, catalog.Limits{}))
+		r := &roller{config: Config{Catalog: holder}}
+		engines := []fleet.Engine{{Slots: 8}, {Slots: 8, ColdUntil: time.Now().Add(shareHorizon)}}
+		is.Equal(r.slots("cold", engines, 200*time.Millisecond), 10.0)
+		is.Equal(r.slots("other", engines, 200*time.Millisecond), 16.0)
+	})
+}
