Send fewer health checks where a zone or a link returns

Cause: All replicas checked each engine of a returning zone within coldStartS, and each ejected engine before its trial: some 20 to 60 requests a second to a cold engine, beside the work at its rate. Change: After the return of a zone only the sender of an engine checks it, and replicas that have no other engine. Checks before trials are spread over 8 s. Figures: none; 70 replicas over 8 s are 9 a second, by count. Conclusion: TestZoneThatReturnsCountsAsColdUntilChecked holds as before.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -65,8 +65,8 @@
 	// before the engine turned cold does not change it.
 	statedUntil time.Time
 	// suspectedAt is when the engine began to be suspected of being cold, and suspectedUntil the time until which it
-	// counts as cold if no health response clears it. checkDelay is how long processes that send it no work of its model
-	// wait before they check it.
+	// counts as cold if no health response clears it. checkDelay is how long a process that is not the engine's sender
+	// waits before it checks the engine.
 	suspectedAt    time.Time
 	suspectedUntil time.Time
 	checkDelay     time.Duration
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -35,6 +35,9 @@
 	// unreachable engine can't be observed, so the suspicion must outlast the usual outage of a zone; it has to end in
 	// case that the engine never responds to health checks.
 	maxSuspicion = 30 * time.Second
+	// ejectedSpread is the time over which processes that are not the sender of an ejected engine spread their first
+	// checks: with 70 of them, checks and work at the cold rate together stay within one and a half times that rate and 5.
+	ejectedSpread = 8 * time.Second
 	// latePaceFactor and lateLatencyFactor are the multiples of an engine's usual pace, or of the latency of its complete
 	// responses if it has no pace, from which its response counts as late. minLate bounds both from below: a long prompt
 	// delays the first event by some tenths of a second at most.
@@ -137,13 +140,11 @@
 }
 
 // suspectReturned makes an engine count as cold until a health response clears it, at most for the time for which
-// engines of its pool are cold, because it returned together with its zone. Processes that send it no work of its model
-// spread their checks over that time, each in its own order of engines: all processes see the zone return at once. The
-// mutex must be held.
+// engines of its pool are cold, because it returned together with its zone. All processes see the zone return at once, so
+// only its sender checks it, and those that have no other engine. The mutex must be held.
 func (d *Directory) suspectReturned(found *entry, now time.Time) {
 	if limit, limited := d.coldLimits[found.engine.Pool]; limited {
-		delay := time.Duration(found.rank * float64(limit.Duration))
-		found.cold.suspect(now, limit.Duration, delay)
+		found.cold.suspect(now, limit.Duration, limit.Duration)
 		d.engineChanged(found)
 	}
 }
@@ -162,7 +163,7 @@
 // and return cold, when every process would send it a trial. The mutex must be held.
 func (d *Directory) suspectEjected(found *entry, now time.Time) {
 	if d.coldLimits[found.engine.Pool].Checked {
-		found.cold.suspect(now, maxSuspicion, 0)
+		found.cold.suspect(now, maxSuspicion, time.Duration(found.rank*float64(ejectedSpread)))
 		d.engineChanged(found)
 	}
 }
