--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -339,3 +339,26 @@
 		after.stop()
 	})
 }
+
+// TestReaderLearnsThatARunningEngineTurnsCold guards against full load on a cold engine from processes that read the list
+// only: the engine's record changes in nothing else. Heartbeats that say the same again must not be written.
+func TestReaderLearnsThatARunningEngineTurnsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		owner, reader := startProcess(t, store, "owner", true), startProcess(t, store, "reader", false)
+		defer owner.stop()
+		defer reader.stop()
+		owner.directory.SetColdLimit(pool, fleet.ColdLimit{Rate: 8.6})
+		owner.keeper.Gained(t.Context(), partition, 1)
+		next, end := engine(1), time.Now().Add(4*time.Second)
+		for heartbeat, coldUntil := range []time.Time{{}, end, end.Add(200 * time.Millisecond), end.Add(-200 * time.Millisecond), {}} {
+			next.ColdUntil = coldUntil
+			owner.readOwnRecords(int64(heartbeat), next)
+			time.Sleep(time.Second)
+		}
+		known, _ := reader.directory.Engine(next.ID)
+		is.True(known.ColdUntil.Equal(end.Truncate(time.Millisecond)))
+		is.Equal(owner.keeper.Written(), int64(3)) // the engine, that all were written, and its change
+	})
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -25,6 +25,7 @@
 	want.probing = d.peers.mayProbe(want, now)
 	picked, ok := Pick(d.candidates(want, now), want, now)
 	if !ok {
+		d.checkFirstSuspected(want, now)
 		return Engine{}, false
 	}
 	d.begin(picked.Engine, want, now)
@@ -290,8 +291,8 @@
 		candidates = append(candidates, Candidate{
 			Engine: engine, AssignedModel: assigned[engine.ID], OtherRegion: region != "" && engine.Region != "" && engine.Region != region,
 			InFlight: found.inFlight, PeerHeld: d.peers.held[engine.ID],
-			Avoided: now.Before(found.avoidUntil), ColdLimited: d.coldLimited(found, want, now),
-			Loading: now.Before(found.loadingUntil[want.Model]), Forecast: d.forecast(found, now), Latency: found.latency,
+			Avoided: now.Before(found.avoidUntil), ColdLimited: d.coldLimited(found, want, now), Cold: d.isCold(found, now),
+			Loading: now.Before(found.loadingUntil[want.Model]), Forecast: d.forecastFor(found, want, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
 	}
@@ -304,6 +305,9 @@
 	defer d.mutex.Unlock()
 	if found, ok := d.engines[id]; ok && found.inFlight > 0 {
 		found.inFlight--
+		if found.inFlight == 0 {
+			found.cold.silentSince = time.Time{}
+		}
 		d.changed.Notify()
 	}
 }
@@ -318,6 +322,7 @@
 			found.pace.Seed(d.peers.paces[id])
 		}
 		found.pace.Add(gap, now)
+		found.cold.silentSince = time.Time{}
 		found.paceMeasuredAt = now
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -146,6 +147,9 @@
 	retryAfter = 250 * time.Millisecond
 	// homeRetryAfter is the retry delay for a caller whose request has no engine in its regions: engines take seconds to come back.
 	homeRetryAfter = time.Second
+	// maxColdRetryAfter limits the retry delay where all engines are cold: they are cold for some seconds, and another
+	// process may be the one that sends requests to one of them.
+	maxColdRetryAfter = 2 * time.Second
 	// maxRejections is the number of rejected attempts after which a request is no longer sent to engines.
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
@@ -158,6 +162,11 @@
 	hedgeLatencyFactor = 3
 )
 
+// coldRetryAfter returns the retry delay for a refused caller where the first engine is warm after wait.
+func coldRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, retryAfter), maxColdRetryAfter)
+}
+
 // Do sends a request and returns its complete response.
 func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
 	if f.cut.Err() != nil {
@@ -189,9 +198,9 @@
 	return request.Regions != nil && !f.config.Directory.MayServe(request.Pool, request.Regions)
 }
 
-// refuse completes the answer to a request that no engine has run.
-func (f *Forwarder) refuse(request Request, answer Answer) Answer {
-	answer.Outcome, answer.RetryAfter = NotRun, retryAfter
+// refuse completes the answer to a request that no engine has run. wait is the retry delay, 0 for the default.
+func (f *Forwarder) refuse(request Request, answer Answer, wait time.Duration) Answer {
+	answer.Outcome, answer.RetryAfter = NotRun, cmp.Or(wait, retryAfter)
 	if f.homeless(request) {
 		answer.RetryAfter, answer.Cause = homeRetryAfter, causeNoHome
 	}
@@ -243,6 +252,7 @@
 const (
 	causeNoEngine = "no engine of the pool takes work"
 	causeNoHome   = "no engine of the request's regions stays"
+	causeCold     = "all engines of the pool are cold"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
 	causeStopped  = "the process stops"
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/healthcheck"
 	"github.com/hillfork/hillfork/internal/ingress"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/jobrun"
@@ -37,6 +38,8 @@
 	Client   engineapi.Client
 	// Connections knows the connections of Client, nil if they are not known.
 	Connections engineapi.Connections
+	// Health sends health checks, nil if none can be sent.
+	Health healthcheck.Client
 	// Prober checks whether engines have ended.
 	Prober  quarantine.Prober
 	Decoder RecordDecoder
@@ -79,6 +82,8 @@
 	// viewPublisher and viewReader share views of engines with other owners.
 	viewPublisher *engineview.Publisher
 	viewReader    *engineview.Reader
+	// checker makes health checks of engines that may be cold.
+	checker *healthcheck.Checker
 	// teller publishes the usage of tenants' requests that this process has run, nil if it is not reported.
 	teller  *usage.Publisher
 	metrics *metrics
@@ -101,6 +106,7 @@
 	if config.Connections != nil {
 		r.metrics.connections(config.Connections.Stats)
 	}
+	r.checkCold()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
@@ -143,6 +149,7 @@
 		Node: memberName(config.Settings), Lease: config.Settings.OrderLease, OnVersionServed: r.metrics.rolled, Logger: config.Logger,
 	})
 	r.joinGroups(rollers, reporting)
+	r.limitColdSenders()
 	return r
 }
 
@@ -262,6 +269,7 @@
 	running.Go(func() { r.quarantine.Run(followCtx) })
 	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
+	running.Go(func() { r.checker.Run(followCtx) })
 	if r.teller != nil {
 		running.Go(func() { r.teller.Run(followCtx) })
 	}
--- a/internal/replica/steploads.go
+++ b/internal/replica/steploads.go
@@ -4,12 +4,17 @@
 	"slices"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/policy"
 )
 
 // models returns the models of all pools, sorted.
 func (r *Replica) models() []string {
-	current := r.catalog.Current()
+	return modelsOf(r.catalog.Current())
+}
+
+// modelsOf returns the models of all pools of a catalog, sorted.
+func modelsOf(current *catalog.Catalog) []string {
 	if current == nil {
 		return nil
 	}
@@ -33,7 +38,8 @@
 		for _, status := range jobs {
 			steps[model] = append(steps[model], policy.Step{
 				At: status.AcceptedAt, Tokens: float64(status.Entry.Work), Items: status.SlotTime.Items, Longest: status.SlotTime.Longest,
-				Open: !status.Ended && !status.Settled,
+				Count: status.Entry.Items,
+				Open:  !status.Ended && !status.Settled,
 			})
 		}
 		if current != nil {
