Move runs off engines that have announced that they leave

Cause: a run at an engine that leaves stayed until it broke off. Change: policy.Departures decides which runs move, the longest remaining first; runs that end in time stay. jobrun.Mover asks each leaving engine with runs once for the time left, requests slots through the queue in the order of the latest start, and cuts a run only once it holds its slot. Texts of one version move only to an engine that serves it. Runs of an evacuated zone stay, since its engines complete what they run. The condition on failed engines that AcquireBetter kept as a list of IDs is now the field HealthyOnly of fleet.Want, which both kinds of moves use.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -130,6 +130,10 @@
 	Sequence int64
 	Waiting  int
 	Running  int
+	// Leaving reports whether the engine leaves. LeavesIn is the time until it ends, as of the report, if LeavesKnown is set.
+	Leaving     bool
+	LeavesKnown bool
+	LeavesIn    time.Duration
 }
 
 // Client sends requests and orders to engines.
--- /dev/null
+++ b/internal/fleet/leaving.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "time"
+
+// Leaving returns those of the given engines that have announced that they leave. Engines of an evacuated zone are not among
+// them unless they announce it themselves: they complete what they run.
+func (d *Directory) Leaving(ids []string) []Engine {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var leaving []Engine
+	for _, id := range ids {
+		if found, ok := d.engines[id]; ok && found.engine.Draining {
+			leaving = append(leaving, found.engine)
+		}
+	}
+	return leaving
+}
+
+// FreeSlots returns the number of free slots at engines that take the work now, given the slots known to be held by other
+// processes. Slots of engines that are assigned to other models count only if the model of the work has no engine of its own.
+func (d *Directory) FreeSlots(want Want) int {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	candidates := d.candidates(want, now)
+	stats := newCandidateStats(candidates, want)
+	free := 0
+	for _, candidate := range candidates {
+		if mayRun(candidate, want) && !blocked(candidate, stats) && modelAllows(candidate, stats, want, now) {
+			free += max(0, candidate.Engine.Slots-candidate.InFlight-candidate.PeerHeld)
+		}
+	}
+	return free
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -99,7 +99,7 @@
 }
 
 func newCandidateSet(candidates []Candidate, want Want) *candidateSet {
-	want.Exclude = nil
+	want.Exclude, want.HealthyOnly = nil, false
 	set := &candidateSet{stats: newCandidateStats(candidates, want)}
 	for _, candidate := range candidates {
 		if !mayRun(candidate, want) || !withinShare(candidate.InFlight, candidate, want) {
@@ -162,14 +162,9 @@
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
+	// The work already runs and is not sent as a trial. Engines that failed are idle, and would be picked before working ones.
+	want.HealthyOnly = true
 	candidates := d.candidates(want, now)
-	for _, candidate := range candidates {
-		// The work already runs and is not sent as a trial. Such engines are idle, and would be picked before working
-		// ones.
-		if candidate.Avoided || candidate.Trial {
-			want.Exclude = append(want.Exclude, candidate.Engine.ID)
-		}
-	}
 	picked, found := Pick(candidates, want, now)
 	if !found || !policy.WorthMoving(want.Events, current, picked.Forecast, want.Slack) {
 		return Engine{}, false
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -61,6 +61,8 @@
 	OwnOnly bool
 	// NoTrial means that the work should not be the trial of an ejected engine, such as work that can't be repeated.
 	NoTrial bool
+	// HealthyOnly excludes engines that failed recently, for work that already runs at another engine.
+	HealthyOnly bool
 	// probing means that the work ignores the slots that other processes report to hold.
 	probing bool
 }
@@ -221,7 +223,8 @@
 }
 
 func mayRun(candidate Candidate, want Want) bool {
-	return !candidate.Loading && !candidate.ColdLimited && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID)
+	return !candidate.Loading && !candidate.ColdLimited && fits(candidate.Engine, want) && !slices.Contains(want.Exclude, candidate.Engine.ID) &&
+		!(want.HealthyOnly && (candidate.Avoided || candidate.Trial))
 }
 
 // fits reports whether an engine's own record allows the work.
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -91,6 +91,8 @@
 	// pending is progress of another owner that replaces the item's own before the next run; interrupt cancels the current run.
 	pending   *job.Progress
 	interrupt context.CancelFunc
+	// departure is the slot that the current run moves to because its engine leaves, nil if there is none.
+	departure *Slot
 
 	// The fields below are accessed by the goroutine of run only, except yields.
 	engine         fleet.Engine
@@ -250,7 +252,9 @@
 	waitingSince := e.waitingSince
 	e.waitingSince = time.Time{}
 	e.markSlotHeld()
+	e.runner.config.Mover.begin(e, slot)
 	result := e.runOnEngine(ctx, engine, route)
+	e.runner.config.Mover.end(e)
 	e.dropReservation()
 	cancel()
 	slot.Release()
@@ -342,6 +346,11 @@
 	now := time.Now()
 	e.recordEvent(now)
 	e.mutex.Lock()
+	if e.departure != nil {
+		// The slot was acquired for the text without this event, whose version the other engine may not serve.
+		e.mutex.Unlock()
+		return errMove
+	}
 	e.events = append(e.events, event.Data)
 	if e.currentVersion != 0 && !slices.Contains(e.versions, e.currentVersion) {
 		e.versions = append(e.versions, e.currentVersion)
--- a/internal/jobrun/measures.go
+++ b/internal/jobrun/measures.go
@@ -10,6 +10,8 @@
 	Listed func(time.Duration)
 	// Resumed is the time from the end of a broken run to the first event of the next.
 	Resumed func(time.Duration)
+	// Moved is called for each run that moves off an engine that leaves.
+	Moved func()
 }
 
 func (m *Metrics) firstEvent(d time.Duration) {
@@ -29,3 +31,9 @@
 		m.Resumed(d)
 	}
 }
+
+func (m *Metrics) moved() {
+	if m != nil && m.Moved != nil {
+		m.Moved()
+	}
+}
--- a/internal/jobrun/move.go
+++ b/internal/jobrun/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/catalog"
@@ -66,6 +67,47 @@
 	}
 }
 
+// leavingWant returns the requirements of the run if it moves off an engine that leaves, false if the item needs no engine any
+// more or has no route. It is safe to call from any goroutine.
+func (e *execution) leavingWant(pool string) (fleet.Want, bool) {
+	route, ok := e.route()
+	if !ok {
+		return fleet.Want{}, false
+	}
+	e.mutex.Lock()
+	made, versions, done := len(e.events), slices.Clone(e.versions), e.complete || e.finished
+	e.mutex.Unlock()
+	want := e.wantInPool(route, pool, e.runner.expectedEvents(e.item.LengthHint, made), versions)
+	want.NoTrial, want.HealthyOnly = true, true
+	return want, !done
+}
+
+// moveTo makes the current run end and continue in a slot. It returns false if the text must not mix versions and has begun with
+// another one than the slot's engine serves. It must be called only while the item runs.
+func (e *execution) moveTo(slot *Slot) bool {
+	route, ok := e.itemRoute()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !ok || e.interrupt == nil || e.departure != nil {
+		return false
+	}
+	if route.SingleVersion && len(e.versions) > 0 && e.versions[0] != slot.Engine.ServedVersion(e.view.Spec.Model) {
+		return false
+	}
+	e.departure = slot
+	e.interrupt()
+	return true
+}
+
+// takeDeparture returns the slot that moveTo was called with and clears it; it returns nil if there is none.
+func (e *execution) takeDeparture() *Slot {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	slot := e.departure
+	e.departure = nil
+	return slot
+}
+
 // releaseNextSlot releases the slot that the item was to move to, if it does not move.
 func (e *execution) releaseNextSlot() {
 	if next := e.takeNextSlot(); next != nil {
@@ -73,9 +115,16 @@
 	}
 }
 
-// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none.
+// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has slots at
+// a better engine and for its departure, it uses the former.
 func (e *execution) takeNextSlot() *Slot {
-	next := e.nextSlot
+	next, departure := e.nextSlot, e.takeDeparture()
 	e.nextSlot = nil
+	if next == nil {
+		return departure
+	}
+	if departure != nil {
+		departure.Release()
+	}
 	return next
 }
--- /dev/null
+++ b/internal/jobrun/mover.go
@@ -0,0 +1,377 @@
+package jobrun
+
+import (
+	"context"
+	"math"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/errorlog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+const (
+	// minMoverInterval is the minimum time between two decisions on runs at leaving engines. Slots are released up to some
+	// hundred times a second, and the shortest notices are of two seconds.
+	minMoverInterval = 50 * time.Millisecond
+	// leavingCheckInterval is how often decisions are made while runs are at leaving engines and nothing else changes, since runs
+	// turn out longer or shorter than expected.
+	leavingCheckInterval = 200 * time.Millisecond
+	// noticeTimeout limits the wait for the report of a leaving engine. Its runs are not moved until then.
+	noticeTimeout = 300 * time.Millisecond
+	// maxNoticeAttempts is how often the report of a leaving engine is requested until one arrives.
+	maxNoticeAttempts = 2
+)
+
+// MoverConfig configures a Mover.
+type MoverConfig struct {
+	Directory *fleet.Directory
+	Queue     *Queue
+	Client    engineapi.Client
+	Metrics   *Metrics
+	Logger    *log.Logger
+}
+
+// Mover moves runs of this process off engines that have announced that they leave. Package policy decides which runs move. A
+// run keeps its engine until it is assigned a slot elsewhere, in the order of the queue, so that it takes no slot from more
+// urgent items. The Mover needs no store: it uses the directory and one report of each leaving engine. A nil *Mover moves
+// nothing. It is safe for concurrent use.
+type Mover struct {
+	config MoverConfig
+	wake   chan struct{}
+	active sync.WaitGroup
+
+	mutex sync.Mutex
+	runs  map[*execution]*movableRun
+	// notices holds what the leaving engines with runs have reported, by engine ID.
+	notices map[string]*notice
+}
+
+// movableRun is a run that holds a slot. Its fields are guarded by the mutex of the Mover.
+type movableRun struct {
+	slot *Slot
+	// cancelRequest withdraws the pending request of another slot, nil if there is none.
+	cancelRequest context.CancelFunc
+	// moved reports that the run has been assigned another slot and is about to end.
+	moved bool
+}
+
+// notice is the time at which an engine ends, as far as it has reported it.
+type notice struct {
+	engine   fleet.Engine
+	attempts int
+	pending  bool
+	received bool
+	known    bool
+	endsAt   time.Time
+}
+
+// NewMover returns a Mover. It moves runs while Run is running.
+func NewMover(config MoverConfig) *Mover {
+	return &Mover{
+		config: config, wake: make(chan struct{}, 1), runs: make(map[*execution]*movableRun), notices: make(map[string]*notice),
+	}
+}
+
+// begin records that a run starts in a slot, and end that it ended. Between the two calls the run may be moved.
+func (m *Mover) begin(e *execution, slot *Slot) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	m.runs[e] = &movableRun{slot: slot}
+	m.mutex.Unlock()
+	if len(m.config.Directory.Leaving([]string{slot.Engine.ID})) > 0 {
+		m.notify()
+	}
+}
+
+func (m *Mover) end(e *execution) {
+	if m == nil {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if run := m.runs[e]; run != nil && run.cancelRequest != nil {
+		run.cancelRequest()
+	}
+	delete(m.runs, e)
+}
+
+func (m *Mover) notify() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Left returns the number of runs of this process at engines that leave or whose zone is evacuated.
+func (m *Mover) Left() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	left := 0
+	for _, run := range m.runs {
+		if engine, ok := m.config.Directory.Engine(run.slot.Engine.ID); ok && engine.Draining {
+			left++
+		}
+	}
+	return left
+}
+
+// Run moves runs until the context ends.
+func (m *Mover) Run(ctx context.Context) {
+	defer m.active.Wait()
+	for ctx.Err() == nil {
+		changed := m.config.Directory.Changed()
+		var timer <-chan time.Time
+		if m.check(ctx) {
+			timer = time.After(leavingCheckInterval)
+		}
+		if !pause.For(ctx, minMoverInterval) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-m.wake:
+		case <-timer:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// check decides on the runs at leaving engines, and reports whether there are any.
+func (m *Mover) check(ctx context.Context) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	leaving := m.leavingEngines()
+	if len(leaving) == 0 {
+		clear(m.notices)
+		return false
+	}
+	m.updateNotices(ctx, leaving)
+	for kind, group := range m.groups(time.Now()) {
+		m.decide(ctx, kind, group)
+	}
+	return true
+}
+
+// leavingEngines returns the leaving engines that have runs of this process, by ID. The mutex must be held.
+func (m *Mover) leavingEngines() map[string]fleet.Engine {
+	used := make(map[string]bool)
+	for _, run := range m.runs {
+		used[run.slot.Engine.ID] = true
+	}
+	ids := make([]string, 0, len(used))
+	for id := range used {
+		ids = append(ids, id)
+	}
+	leaving := make(map[string]fleet.Engine)
+	for _, engine := range m.config.Directory.Leaving(ids) {
+		leaving[engine.ID] = engine
+	}
+	return leaving
+}
+
+// updateNotices requests the reports of leaving engines that have not been requested, and forgets those of other engines. The
+// mutex must be held.
+func (m *Mover) updateNotices(ctx context.Context, leaving map[string]fleet.Engine) {
+	for id, known := range m.notices {
+		if engine, ok := leaving[id]; !ok || engine.Restarted(known.engine) {
+			delete(m.notices, id)
+		}
+	}
+	for id, engine := range leaving {
+		known := m.notices[id]
+		if known == nil {
+			known = &notice{engine: engine}
+			m.notices[id] = known
+		}
+		if known.received || known.pending || known.attempts == maxNoticeAttempts {
+			continue
+		}
+		known.pending = true
+		known.attempts++
+		m.active.Go(func() { m.requestNotice(ctx, known) })
+	}
+}
+
+// requestNotice requests the report of a leaving engine.
+func (m *Mover) requestNotice(ctx context.Context, known *notice) {
+	callCtx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	report, err := m.config.Client.Report(callCtx, known.engine)
+	now := time.Now()
+	if err != nil && ctx.Err() == nil {
+		errorlog.Debug(m.config.Logger, "report of a leaving engine failed", err, "engine", known.engine.ID)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known.pending = false
+	known.received = err == nil
+	known.known = err == nil && report.LeavesKnown
+	known.endsAt = now.Add(report.LeavesIn)
+	runs := 0
+	for _, run := range m.runs {
+		if run.slot.Engine.ID == known.engine.ID {
+			runs++
+		}
+	}
+	m.config.Logger.Info("engine with runs leaves", "engine", known.engine.ID, "zone", known.engine.Zone, "runs", runs,
+		"reported", known.received, "leaves_known", known.known, "leaves_in", report.LeavesIn.Round(time.Millisecond))
+	m.notify()
+}
+
+// runKind is what runs have in common that may use the same slots.
+type runKind struct {
+	pool, model       string
+	minVersion, exact int64
+	anywhere          bool
+	regions           string
+	// reclaimed is the zone whose preemptible engines the runs do not use, empty if there is none.
+	reclaimed string
+}
+
+// runGroup is the runs of one kind.
+type runGroup struct {
+	// want is the requirements of any of the runs.
+	want    fleet.Want
+	leaving []leavingRun
+	// requested is the number of runs that have already requested another slot.
+	requested int
+}
+
+// leavingRun is a run at a leaving engine and its requirements elsewhere.
+type leavingRun struct {
+	execution *execution
+	want      fleet.Want
+	policy.LeavingRun
+}
+
+// groups returns the runs by kind. It omits runs of leaving engines whose report is pending. The mutex must be held.
+func (m *Mover) groups(now time.Time) map[runKind]*runGroup {
+	groups := make(map[runKind]*runGroup)
+	for execution, run := range m.runs {
+		engine := run.slot.Engine
+		notice := m.notices[engine.ID]
+		want, ok := execution.leavingWant(engine.Pool)
+		if !ok || notice == nil || notice.pending || run.moved {
+			continue
+		}
+		kind := kindOf(want)
+		if engine.Preemptible {
+			kind.reclaimed = engine.Zone
+			want.Exclude = m.preemptibleEngines(engine.Pool, engine.Zone)
+		}
+		group := groups[kind]
+		if group == nil {
+			group = &runGroup{want: want}
+			groups[kind] = group
+		}
+		if run.cancelRequest != nil {
+			group.requested++
+			continue
+		}
+		group.leaving = append(group.leaving, leavingRun{execution, want, policy.LeavingRun{
+			Events: want.Events, Pace: m.config.Directory.Pace(engine.ID), Slack: want.Slack,
+			Leaves: notice.endsAt.Sub(now), LeavesKnown: notice.known,
+		}})
+	}
+	return groups
+}
+
+// kindOf returns the kind of the runs with the given requirements.
+func kindOf(want fleet.Want) runKind {
+	return runKind{
+		pool: want.Pool, model: want.Model, minVersion: want.MinVersion, exact: want.ExactVersion,
+		anywhere: want.Regions == nil, regions: strings.Join(want.Regions, " "),
+	}
+}
+
+// preemptibleEngines returns the IDs of the preemptible engines of a pool in a zone. They are reclaimed together, and the notices
+// of some are read later than those of others.
+func (m *Mover) preemptibleEngines(pool, zone string) []string {
+	var ids []string
+	for _, engine := range m.config.Directory.Pool(pool) {
+		if engine.Preemptible && engine.Zone == zone {
+			ids = append(ids, engine.ID)
+		}
+	}
+	return ids
+}
+
+// releases returns the times after which runs at engines that stay are expected to release slots for runs of a kind. The mutex
+// must be held.
+func (m *Mover) releases(kind runKind) []time.Duration {
+	var released []time.Duration
+	for execution, run := range m.runs {
+		engine, ok := m.config.Directory.Engine(run.slot.Engine.ID)
+		if !ok || engine.Draining || engine.Preemptible && engine.Zone == kind.reclaimed {
+			continue
+		}
+		want, ok := execution.leavingWant(engine.Pool)
+		pace := m.config.Directory.Pace(engine.ID)
+		if ok && want.Pool == kind.pool && want.Model == kind.model && want.Events > 0 && pace > 0 {
+			released = append(released, time.Duration(want.Events*float64(pace)))
+		}
+	}
+	return released
+}
+
+// decide requests slots for the runs of a group that are to move. The mutex must be held.
+func (m *Mover) decide(ctx context.Context, kind runKind, group *runGroup) {
+	if len(group.leaving) == 0 {
+		return
+	}
+	runs := make([]policy.LeavingRun, len(group.leaving))
+	for i, run := range group.leaving {
+		runs[i] = run.LeavingRun
+	}
+	free := max(0, m.config.Directory.FreeSlots(group.want)-group.requested)
+	for i, departure := range policy.Departures(runs, free, m.releases(kind)) {
+		if departure != policy.DepartureStay {
+			m.request(ctx, group.leaving[i], departure)
+		}
+	}
+}
+
+// request starts to request a slot for a run. Only a run that requests the next slots may make other runs yield. The mutex must
+// be held.
+func (m *Mover) request(ctx context.Context, leaving leavingRun, departure policy.Departure) {
+	requestCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	run := m.runs[leaving.execution]
+	run.cancelRequest = cancel
+	rank := leaving.execution.rankOf(leaving.want)
+	rank.MayBeCritical = rank.MayBeCritical && departure == policy.DepartureRequest
+	m.active.Go(func() {
+		defer cancel()
+		slot, _ := m.config.Queue.Acquire(requestCtx, rank, leaving.want, nil)
+		m.handOver(leaving, run, slot)
+		m.notify()
+	})
+}
+
+// handOver moves a run to a slot, nil if none was assigned. It releases the slot if the run has ended in the meantime.
+func (m *Mover) handOver(leaving leavingRun, run *movableRun, slot *Slot) {
+	m.mutex.Lock()
+	run.cancelRequest = nil
+	run.moved = slot != nil && m.runs[leaving.execution] == run && leaving.execution.moveTo(slot)
+	moved := run.moved
+	m.mutex.Unlock()
+	if slot == nil {
+		return
+	}
+	if !moved {
+		slot.Release()
+		return
+	}
+	e := leaving.execution
+	m.config.Metrics.moved()
+	m.config.Logger.Info("run moves off a leaving engine", "job", e.view.Spec.ID, "item", e.item.ID, "engine", run.slot.Engine.ID,
+		"to", slot.Engine.ID, "left", math.Round(leaving.Events), "leaves_known", leaving.LeavesKnown,
+		"leaves_in", leaving.Leaves.Round(time.Millisecond), "slack", leaving.Slack.Round(time.Millisecond))
+}
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -75,13 +75,21 @@
 }
 
 func (e *execution) want(route catalog.Route) fleet.Want {
+	want := e.wantInPool(route, e.runner.config.Splitter.Pick(route), e.expectedEvents(), e.versions)
+	want.Exclude, want.Since = e.exclude, e.waitingSince
+	return want
+}
+
+// wantInPool returns the requirements of an item with a number of further events, whose text has the given versions so far. It
+// is safe to call from any goroutine.
+func (e *execution) wantInPool(route catalog.Route, pool string, events float64, versions []int64) fleet.Want {
 	want := fleet.Want{
-		Pool: e.runner.config.Splitter.Pick(route), Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
-		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Exclude: e.exclude, Events: e.expectedEvents(), Since: e.waitingSince,
+		Pool: pool, Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
+		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Events: events,
 	}
 	want.Slack = policy.Slack(e.critical.Value(), e.runner.config.Directory.FastestPace(want.Pool, want.Model))
-	if route.SingleVersion && len(e.versions) > 0 {
-		want.ExactVersion = e.versions[0]
+	if route.SingleVersion && len(versions) > 0 {
+		want.ExactVersion = versions[0]
 	}
 	return want
 }
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -46,8 +46,10 @@
 	Splitter        *catalog.Splitter
 	Directory       *fleet.Directory
 	Queue           *Queue
-	Client          engineapi.Client
-	Forwarder       *forward.Forwarder
+	// Mover moves runs off engines that leave, nil for none.
+	Mover     *Mover
+	Client    engineapi.Client
+	Forwarder *forward.Forwarder
 	// Quarantine withholds items that crash engines, nil for none.
 	Quarantine *quarantine.Quarantine
 	Zone       string
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -46,8 +46,10 @@
 	singleVersion bool
 	// withoutRoutes starts nodes without a catalog.
 	withoutRoutes bool
-	ctx           context.Context
-	running       *sync.WaitGroup
+	// withoutMover starts nodes that move no runs off leaving engines.
+	withoutMover bool
+	ctx          context.Context
+	running      *sync.WaitGroup
 }
 
 func newWorld(t *testing.T, modelCount int) *world {
@@ -82,6 +84,7 @@
 	directory *fleet.Directory
 	log       keyedlog.Log
 	holder    *jobrun.Holder
+	mover     *jobrun.Mover
 	routes    *catalog.Holder
 	work      ownership.Work
 	cancel    context.CancelFunc
@@ -126,12 +129,16 @@
 	}
 	queue := jobrun.NewQueue(n.directory)
 	w.running.Go(func() { queue.Run(w.ctx) })
+	n.mover = jobrun.NewMover(jobrun.MoverConfig{Directory: n.directory, Queue: queue, Client: w.engines, Logger: logger})
+	if !w.withoutMover {
+		w.running.Go(func() { n.mover.Run(w.ctx) })
+	}
 	held := quarantine.New(quarantine.Config{Log: n.log, Prober: w.engines, Directory: n.directory, Machine: name, Logger: logger})
 	held.Attach(follower(keyedlog.Crashes, held))
 	w.running.Go(func() { held.Run(w.ctx) })
 	n.holder = jobrun.NewHolder(jobrun.Config{
 		Log: n.log, Index: n.index, IndexFollower: indexFollower, Catalog: n.routes, CatalogFollower: operator, Splitter: catalog.NewSplitter(func() float64 { return 0 }),
-		Directory: n.directory, Queue: queue, Client: w.engines,
+		Directory: n.directory, Queue: queue, Mover: n.mover, Client: w.engines,
 		Forwarder:  forward.New(forward.Config{Client: w.engines, Directory: n.directory, Quarantine: held, Logger: logger}),
 		Quarantine: held,
 		Limits:     jobrun.Limits{RecordBytes: 1 << 18, CallBytes: 1 << 21}, Retention: time.Minute, Logger: logger,
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -23,6 +23,7 @@
 	listed     prometheus.Histogram
 	resumed    prometheus.Histogram
 	weights    prometheus.Histogram
+	moved      prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -36,8 +37,11 @@
 		listed:     histogram("item_listed_seconds", "Time from an item's last event and score to its durable listing."),
 		resumed:    histogram("item_resumed_seconds", "Time from the break of a run to the first event of the next."),
 		weights:    histogram("weights_served_seconds", "Time from learning a named version to an engine serving it."),
+		moved: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "runs_moved_total", Help: "Runs that moved off engines that leave.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstEvent, m.listed, m.resumed, m.weights,
+	m.registry.MustRegister(m.requests, m.firstEvent, m.listed, m.resumed, m.weights, m.moved,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -58,7 +62,7 @@
 
 func (m *metrics) measures() *jobrun.Metrics {
 	return &jobrun.Metrics{
-		FirstEvent: observer(m.firstEvent), Listed: observer(m.listed), Resumed: observer(m.resumed),
+		FirstEvent: observer(m.firstEvent), Listed: observer(m.listed), Resumed: observer(m.resumed), Moved: m.moved.Inc,
 	}
 }
 
@@ -95,6 +99,11 @@
 	})
 }
 
+// leaving registers the number of runs of this process at engines that leave or whose zone is evacuated.
+func (m *metrics) leaving(runs func() int) {
+	m.gauge("leaving_engine_runs", "Runs of items at engines that leave or whose zone is evacuated.", func() float64 { return float64(runs()) })
+}
+
 // member registers whether this replica is a member of the group that owns the partitions of jobs.
 func (m *metrics) member(participates func() bool) {
 	m.gauge("jobs_member", "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.", func() float64 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,8 @@
 	ingress       *ingress.Ingress
 	jobs          *jobs.Service
 	queue         *jobrun.Queue
+	// mover moves runs off engines that leave.
+	mover *jobrun.Mover
 	// quarantine withholds requests that crash engines.
 	quarantine *quarantine.Quarantine
 	// followers run for the lifetime of the process; weights, by partition, run while a pool of models has its orders
@@ -108,6 +110,10 @@
 	})
 	r.metrics.unread(r.ingress.Unread().Stats)
 	r.queue = jobrun.NewQueue(r.directory)
+	r.mover = jobrun.NewMover(jobrun.MoverConfig{
+		Directory: r.directory, Queue: r.queue, Client: config.Client, Metrics: r.metrics.measures(), Logger: config.Logger,
+	})
+	r.metrics.leaving(r.mover.Left)
 	r.shareViews()
 	board := weightroll.NewOrderTable(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
@@ -123,7 +129,7 @@
 	})
 	runners := jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
-		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
+		Splitter: splitter, Directory: r.directory, Queue: r.queue, Mover: r.mover, Client: config.Client, Forwarder: forwarder,
 		Quarantine: r.quarantine, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
 		Retention: config.Settings.Retention, Metrics: r.metrics.measures(), Logger: config.Logger,
 	})
@@ -248,6 +254,7 @@
 	running.Go(func() { r.keeper.Run(followCtx) })
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
+	running.Go(func() { r.mover.Run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
 	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
--- a/internal/standin/memoryengine/memoryengine.go
+++ b/internal/standin/memoryengine/memoryengine.go
@@ -68,6 +68,9 @@
 	// Crashes tells which calls crash the engine: its process ends once it has worked on one for Work or Pace, whichever the answer
 	// takes, and refuses connections from then on. Nil for none.
 	Crashes func(call engineapi.Call) bool
+	// Leaving reports that the engine leaves, LeavesAt when it ends, zero if it does not say.
+	Leaving  bool
+	LeavesAt time.Time
 }
 
 type engine struct {
@@ -86,6 +89,7 @@
 	engines map[string]*engine
 	runs    []Run
 	orders  []Order
+	reports []string
 	// running counts requests under way by id.
 	running map[string]int
 	// readers is how many engines load at full speed together, 0 for any number.
@@ -158,6 +162,13 @@
 	return append([]Order(nil), e.orders...)
 }
 
+// Reports returns the IDs of the engines whose reports were requested so far.
+func (e *Engines) Reports() []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]string(nil), e.reports...)
+}
+
 // Running returns how many runs of a request are under way.
 func (e *Engines) Running(requestID string) int {
 	e.mutex.Lock()
@@ -418,6 +429,11 @@
 	report := engineapi.Report{
 		Versions: maps.Clone(found.Versions), Busy: time.Now().Before(found.busyUntil), Sequence: found.sequence,
 	}
+	report.Leaving = found.behaviour.Leaving
+	if report.Leaving && !found.behaviour.LeavesAt.IsZero() {
+		report.LeavesKnown, report.LeavesIn = true, time.Until(found.behaviour.LeavesAt)
+	}
+	e.reports = append(e.reports, target.ID)
 	if report.Busy {
 		// The version is told once it is served.
 		report.Versions = nil
