Assign engines for the capacity that remains

Cause: shares and assignments already left leaving engines out, but an engine that serves its model's newest version kept it while another model had lost its engines, an order that was being announced was sent to an engine that had announced that it leaves, and engines that returned got any model. Change: if engines have left and a model has less than half of its share, only loading engines keep their models beyond their share. An order is not sent to an engine that leaves. Engines that return get their earlier model if that lacks engines. A successor does not know the earlier models of departed engines.

--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -46,10 +46,8 @@
 	singleVersion bool
 	// withoutRoutes starts nodes without a catalog.
 	withoutRoutes bool
-	// withoutMover starts nodes that move no runs off leaving engines.
-	withoutMover bool
-	ctx          context.Context
-	running      *sync.WaitGroup
+	ctx           context.Context
+	running       *sync.WaitGroup
 }
 
 func newWorld(t *testing.T, modelCount int) *world {
@@ -130,9 +128,7 @@
 	queue := jobrun.NewQueue(n.directory)
 	w.running.Go(func() { queue.Run(w.ctx) })
 	n.mover = jobrun.NewMover(jobrun.MoverConfig{Directory: n.directory, Queue: queue, Client: w.engines, Logger: logger})
-	if !w.withoutMover {
-		w.running.Go(func() { n.mover.Run(w.ctx) })
-	}
+	w.running.Go(func() { n.mover.Run(w.ctx) })
 	held := quarantine.New(quarantine.Config{Log: n.log, Prober: w.engines, Directory: n.directory, Machine: name, Logger: logger})
 	held.Attach(follower(keyedlog.Crashes, held))
 	w.running.Go(func() { held.Run(w.ctx) })
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -15,6 +15,9 @@
 // errOrderFailed means that an engine did not accept an order, or did not load the version.
 var errOrderFailed = errors.New("engine did not carry out the order")
 
+// errEngineLeaves means that an order was not sent because the engine leaves.
+var errEngineLeaves = errors.New("engine leaves")
+
 // order announces and sends an order and waits until the engine serves the version. It returns how long the engine took
 // to load, 0 if it already served the version or is not known to have begun when the order was sent.
 func (r *roller) order(ctx context.Context, pool string, step Step, mode engineapi.LoadMode) (time.Duration, error) {
@@ -35,6 +38,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
+		// The engine has announced during the calls above that it leaves.
+		return 0, errEngineLeaves
+	}
 	sent := time.Now()
 	outcome, err := r.send(ctx, step, mode, sequence, window)
 	switch outcome {
--- a/internal/weightroll/roller.go
+++ b/internal/weightroll/roller.go
@@ -92,6 +92,7 @@
 		assignments: make(map[string]Assignment), shares: make(map[string]map[string]int),
 		shareChecks: make(map[string]shareCheck), balancedAt: make(map[string]time.Time), publishing: make(map[string]bool), loading: make(map[string]map[string]string),
 		loadLimit: make(map[string]*concurrency), waiting: make(map[string]int),
+		departed:  make(map[string]Assignment),
 		sequences: make(map[string]sequence), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 		typicalLoad: defaultLoadTime, shortestLoad: defaultLoadTime, latestTargets: make(map[string]versionTarget),
 	}
@@ -112,6 +113,8 @@
 
 	mutex       sync.Mutex
 	assignments map[string]Assignment
+	// departed holds, by pool, the models of engines that are draining or whose zone is evacuated.
+	departed map[string]Assignment
 	// shares maps pools to the number of engines that each model is to have.
 	shares map[string]map[string]int
 	// shareChecks maps pools to the last computation of shares, balancedAt to the last comparison of engines by pace.
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -29,7 +29,9 @@
 
 // assign moves the number of engines of each model towards its share. An engine that is loading, or that serves the
 // newest version a trainer has published, keeps its model until a newer version is published: moving it then costs no
-// additional load.
+// additional load. If engines have left and a model has less than half of its share, only loading engines keep their
+// models: its steps would otherwise wait for the trainers of the others. An engine that returns, such as one of an
+// evacuated zone, gets its earlier model if that lacks engines.
 func (r *roller) assign(ctx context.Context, pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
 	previous, known := r.assignments[pool]
 	if !known {
@@ -43,19 +45,22 @@
 		return previous
 	}
 	shares := r.updateShares(pool, engines, targets)
-	engines = candidateEngines(engines, previous, shares)
-	assignment := Assign(engines, targets, previous, shares, func(engine fleet.Engine, model string) bool {
+	left := r.recordDepartures(pool, engines, previous)
+	restored, returned := r.withReturned(pool, engines, previous)
+	deprived := left > 0 && isDeprived(engines, previous, shares)
+	engines = candidateEngines(engines, restored, shares)
+	assignment := Assign(engines, targets, restored, shares, func(engine fleet.Engine, model string) bool {
 		if _, loading := r.loading[pool][engine.ID]; loading {
 			return true
 		}
-		return targets[model] > 0 && engine.ServedVersion(model) >= targets[model]
+		return !deprived && !returned[engine.ID] && targets[model] > 0 && engine.ServedVersion(model) >= targets[model]
 	})
 	assignment, swapped := r.balance(pool, assignment, engines, shares)
 	if !maps.Equal(assignment, previous) {
 		r.assignments[pool] = assignment
 		r.publish(ctx, pool)
 		r.config.Logger.Info("engines dealt to models", "pool", pool, "engines", len(engines), "counts", assignment.counts(),
-			"shares", shares, "moved", countMoved(previous, assignment), "swapped_for_pace", swapped)
+			"shares", shares, "moved", countMoved(previous, assignment), "swapped_for_pace", swapped, "left", left)
 	}
 	return assignment
 }
