Show the progress of an evacuation

Cause: a replica logged that a zone was evacuated and taken back, but not whether anything still ran there.

--- a/internal/explain/fleet.go
+++ b/internal/explain/fleet.go
@@ -66,6 +66,17 @@
 	started, ready, stopped bool
 	owned, gained           map[string]bool
 	lost                    map[string]time.Time
+	evacuated               map[string]EvacuatedZone
+}
+
+// EvacuatedZone is a zone that the operator evacuates.
+type EvacuatedZone struct {
+	Zone string `json:"zone"`
+	// Since is when the first replica learned of it.
+	Since time.Time `json:"since"`
+	// Replicas is the number of running replicas that know of it, Runs what their lines last said to be left in the zone.
+	Replicas int `json:"replicas"`
+	Runs     int `json:"runs"`
 }
 
 // Fleet is the state of all replicas according to the lines.
@@ -73,6 +84,8 @@
 	// Replicas are in the order of their states. Within a state, those whose configuration is the furthest behind come first, then
 	// those with the oldest loss.
 	Replicas []*Replica `json:"replicas"`
+	// Evacuated are the zones that are evacuated, by name.
+	Evacuated []EvacuatedZone `json:"evacuated,omitempty"`
 	// Last is the time of the last line.
 	Last time.Time `json:"last"`
 }
@@ -99,10 +112,14 @@
 	"store partition regained": func(r *Replica, line Line) { delete(r.lost, line.Fields["partition"]) },
 	"group joined":             func(r *Replica, line Line) { delete(r.lost, line.Fields["group"]) },
 	"request settled":          (*Replica).recordSettled,
+
+	"zone evacuated":                  (*Replica).recordEvacuation,
+	"evacuated zone has runs left":    (*Replica).recordRunsLeft,
+	"evacuated zone has no runs left": (*Replica).recordRunsLeft,
 }
 
 // fleetKeys are the keys that are read from these messages.
-var fleetKeys = []string{"version", "partition", "group", "confirmed_ago", "heard_ago", "outcome"}
+var fleetKeys = []string{"version", "partition", "group", "confirmed_ago", "heard_ago", "outcome", "zone", "evacuated", "runs"}
 
 // ReadFleet reads the states of replicas from log lines that are prefixed with the name of their replica. It skips lines that are not
 // log lines.
@@ -151,7 +168,7 @@
 }
 
 func newReplica(name string) *Replica {
-	return &Replica{Name: name, State: StateServing, owned: make(map[string]bool), gained: make(map[string]bool), lost: make(map[string]time.Time)}
+	return &Replica{Name: name, State: StateServing, owned: make(map[string]bool), gained: make(map[string]bool), lost: make(map[string]time.Time), evacuated: make(map[string]EvacuatedZone)}
 }
 
 // apply updates the replica by the next line that affects its state.
@@ -198,6 +215,7 @@
 	clear(r.owned)
 	clear(r.gained)
 	clear(r.lost)
+	clear(r.evacuated)
 }
 
 func (r *Replica) recordConfiguration(line Line) {
@@ -234,8 +252,55 @@
 	}
 }
 
+// recordEvacuation records that the evacuation of a zone begins or ends.
+func (r *Replica) recordEvacuation(line Line) {
+	zone := line.Fields["zone"]
+	if line.Fields["evacuated"] != "true" {
+		delete(r.evacuated, zone)
+		return
+	}
+	if _, known := r.evacuated[zone]; !known {
+		r.evacuated[zone] = EvacuatedZone{Zone: zone, Since: line.Time}
+	}
+	r.recordRunsLeft(line)
+}
+
+// recordRunsLeft records how many runs the replica has in an evacuated zone. Lines that state no number mean none.
+func (r *Replica) recordRunsLeft(line Line) {
+	if zone, known := r.evacuated[line.Fields["zone"]]; known {
+		zone.Runs, _ = strconv.Atoi(line.Fields["runs"])
+		r.evacuated[zone.Zone] = zone
+	}
+}
+
+// evacuatedZones returns the zones that running replicas know to be evacuated, by name.
+func (f *Fleet) evacuatedZones() []EvacuatedZone {
+	zones := make(map[string]EvacuatedZone)
+	for _, replica := range f.Replicas {
+		if replica.State == StateStopped {
+			continue
+		}
+		for name, evacuated := range replica.evacuated {
+			total, known := zones[name]
+			if !known || evacuated.Since.Before(total.Since) {
+				total.Since = evacuated.Since
+			}
+			total.Zone = name
+			total.Replicas++
+			total.Runs += evacuated.Runs
+			zones[name] = total
+		}
+	}
+	var sorted []EvacuatedZone
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		sorted = append(sorted, zones[name])
+	}
+	return sorted
+}
+
 // finish sets the fields that depend on the lines of all replicas, and sorts the replicas.
 func (f *Fleet) finish() {
+	f.Evacuated = f.evacuatedZones()
 	newest := int64(0)
 	for _, replica := range f.Replicas {
 		newest = max(newest, replica.Configuration)
@@ -313,6 +378,12 @@
 	if _, err := fmt.Fprintf(output, "configurations: %s\n", f.configurations()); err != nil {
 		return err
 	}
+	for _, zone := range f.Evacuated {
+		if _, err := fmt.Fprintf(output, "evacuated: %s for %s s, known to %d replicas, %d runs left there\n", zone.Zone,
+			seconds(f.Last.Sub(zone.Since)), zone.Replicas, zone.Runs); err != nil {
+			return err
+		}
+	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "replica\tstate\tfor\tquiet\tstarts\tconfiguration\tsettled\trefused\tlosses\toldest loss\tlost\tgained\towned")
 	listed := make(map[State]int)
--- a/internal/explain/fleet_test.go
+++ b/internal/explain/fleet_test.go
@@ -127,3 +127,19 @@
 	is.True(strings.HasPrefix(lines[9], "front-598 "))
 	is.Equal(lines[len(lines)-1], "and 580 more cut off")
 }
+
+// TestFleetShowsEvacuatedZones checks that a zone is shown until all replicas have taken it back, with the runs that the replicas
+// last said to be left there. A replica that has stopped has none.
+func TestFleetShowsEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	const begun = "started; ready; zone evacuated zone=a evacuated=true runs=5"
+	input := logOf("busy", begun+"; evacuated zone has runs left zone=a runs=2") +
+		logOf("done", begun+"; evacuated zone has no runs left zone=a") +
+		logOf("stopped", begun+"; stopped") +
+		logOf("taken-back", begun+"; zone evacuated zone=a evacuated=false runs=1")
+	fleet, err := explain.ReadFleet(strings.NewReader(input))
+	is.NoErr(err)
+	var output bytes.Buffer
+	is.NoErr(fleet.WriteFleet(&output))
+	is.True(strings.Contains(output.String(), "evacuated: a for 1.00 s, known to 2 replicas, 2 runs left there\n"))
+}
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -32,3 +32,35 @@
 	}
 	return free
 }
+
+// InFlightInZone returns how much work of this process is in flight at the engines of a zone.
+func (d *Directory) InFlightInZone(zone string) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	inFlight := 0
+	for _, found := range d.engines {
+		if found.engine.Zone == zone {
+			inFlight += found.inFlight
+		}
+	}
+	return inFlight
+}
+
+// AllLeave reports whether engines of a pool in the given regions are known, and all of them leave or are in evacuated zones.
+// Nil regions stand for all.
+func (d *Directory) AllLeave(pool string, regions []string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	want := Want{Regions: regions}
+	known := false
+	for _, found := range d.poolOf(pool).order {
+		if !want.allows(found.engine.Region) {
+			continue
+		}
+		if !d.effectiveEngine(found).Draining {
+			return false
+		}
+		known = true
+	}
+	return known
+}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -39,10 +39,11 @@
 
 // operatorApplier applies the operator's records.
 type operatorApplier struct {
-	decoder   RecordDecoder
-	holder    *catalog.Holder
-	directory *fleet.Directory
-	logger    *log.Logger
+	decoder     RecordDecoder
+	holder      *catalog.Holder
+	directory   *fleet.Directory
+	evacuations *evacuations
+	logger      *log.Logger
 }
 
 func (a *operatorApplier) Apply(record keyedlog.Record, recovered bool) {
@@ -64,9 +65,7 @@
 
 // evacuate marks a zone as evacuated, or as back in use if the record was dropped.
 func (a *operatorApplier) evacuate(record keyedlog.Record, zone string) {
-	evacuated := record.Value != nil
-	a.directory.SetEvacuated(zone, evacuated)
-	a.logger.Info("zone evacuated", "zone", zone, "evacuated", evacuated, "offset", record.Offset)
+	a.evacuations.set(zone, record.Value != nil, record.Offset)
 }
 
 func (a *operatorApplier) configure(record keyedlog.Record, recovered bool) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -63,7 +63,8 @@
 	jobs          *jobs.Service
 	queue         *jobrun.Queue
 	// mover moves runs off engines that leave.
-	mover *jobrun.Mover
+	mover       *jobrun.Mover
+	evacuations *evacuations
 	// quarantine withholds requests that crash engines.
 	quarantine *quarantine.Quarantine
 	// followers run for the lifetime of the process; weights, by partition, run while a pool of models has its orders
@@ -91,6 +92,7 @@
 		metrics: newMetrics(), holdings: newHoldings(),
 	}
 	r.directory.SetRegions(config.Settings.Regions)
+	r.evacuations = newEvacuations(r.directory, config.Logger)
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
@@ -100,7 +102,7 @@
 		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
-		decoder: config.Decoder, holder: r.catalog, directory: r.directory, logger: config.Logger,
+		decoder: config.Decoder, holder: r.catalog, directory: r.directory, evacuations: r.evacuations, logger: config.Logger,
 	})
 	reporting, meter := r.countUsage()
 	r.ingress = ingress.New(ingress.Config{
@@ -255,6 +257,7 @@
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
 	running.Go(func() { r.mover.Run(followCtx) })
+	running.Go(func() { r.evacuations.run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
 	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
