Order reclaimed engines in other zones

Cause: the duty of ordering engines did not look at preemptible engines that exist: after a zone was reclaimed its order stood, and the provider had no replacements for 8 to 11 s. A zone that was asked again had the orders of the others reduced in the same pass, also if it then refused. Change: reclaimed engines, and those of evacuated zones, are ordered in other zones. Increases are sent first; reductions that only move engines follow 7 s later and are dropped after a refusal. A refused repetition of an order sets the zone to what serves there. Orders of 0 are repeated by successors too. Conclusion: TestReclaimedEnginesAreOrderedInOtherZones, TestEnginesOfAnEvacuatedZoneAreOrderedElsewhere and TestSuccessorCompletesReplacements fail with their part switched off. The delays of 12 s and 7 s are not measured.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -64,3 +64,10 @@
 	}
 	return known
 }
+
+// Evacuated reports whether a zone is evacuated.
+func (d *Directory) Evacuated(zone string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.evacuated[zone]
+}
--- a/internal/policy/scale.go
+++ b/internal/policy/scale.go
@@ -88,6 +88,16 @@
 	Refused bool
 }
 
+// Reclaimed returns how many of the preemptible engines ordered in a zone the provider takes away, given how many were present,
+// are present now and have announced that they leave. Engines that are missing without an announcement boot or are replaced by
+// the provider.
+func Reclaimed(ordered, before, present, leaving int) int {
+	if leaving == 0 {
+		return 0
+	}
+	return max(0, min(ordered, before)-present)
+}
+
 // ScaleOrders returns how many preemptible engines to order in each zone, in the order of zones, so that a pool reaches
 // the wanted number together with its regular engines. zoneLimit is the maximum number of engines in a zone. Orders are
 // distributed evenly, the cheapest zone first, since a zone loses all its preemptible engines at once. A zone without
--- /dev/null
+++ b/internal/scaler/reclaimed.go
@@ -0,0 +1,141 @@
+package scaler
+
+import (
+	"time"
+
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
+)
+
+const (
+	// reclaimBackoff is how long no engines are ordered in a zone whose engines the provider takes away. Providers have no
+	// replacements for 8 to 11 s.
+	reclaimBackoff = 12 * time.Second
+	// rebalanceDelay is how long a zone keeps engines that are ordered in another zone instead, so that most of these have booted.
+	rebalanceDelay = 7 * time.Second
+)
+
+// presence is the number of preemptible engines of a zone.
+type presence struct {
+	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving engines so far.
+	serving, leaving, most int
+}
+
+// heldOrder is a reduced order that is sent once it is due.
+type heldOrder struct {
+	count int
+	dueAt time.Time
+}
+
+// observe counts the preemptible engines of a pool, and records the zones whose engines the provider takes away.
+func (t *term) observe(pool catalog.Pool, engines []fleet.Engine, now time.Time) {
+	for zone := range pool.Scaling.ZonePrices {
+		key := poolZone{pool.Name, zone}
+		t.present[key] = presence{most: t.present[key].most}
+	}
+	for _, engine := range engines {
+		key := poolZone{pool.Name, engine.Zone}
+		zone, scaled := t.present[key]
+		if !engine.Preemptible || !scaled || t.config.Directory.Evacuated(engine.Zone) {
+			continue
+		}
+		if engine.Draining {
+			zone.leaving++
+		} else {
+			zone.serving++
+		}
+		t.present[key] = zone
+	}
+	for zone := range pool.Scaling.ZonePrices {
+		key := poolZone{pool.Name, zone}
+		current := t.present[key]
+		lost := policy.Reclaimed(t.ordered[pool.Name][zone], current.most, current.serving, current.leaving)
+		if lost > 0 && !t.reclaimed[key] {
+			t.reclaimed[key] = true
+			t.refusedUntil[key] = now.Add(reclaimBackoff)
+			t.config.Logger.Info("engines are reclaimed", "pool", pool.Name, "zone", zone, "ordered", t.ordered[pool.Name][zone], "lost", lost)
+		}
+		current.most = max(current.most, current.serving)
+		t.present[key] = current
+	}
+}
+
+// servingOrder returns how many of the preemptible engines ordered in a zone count as engines that serve or will, and whether
+// further ones may be ordered there. In an evacuated zone none do, although its order stays. Orders that are about to be reduced
+// count as reduced.
+func (t *term) servingOrder(key poolZone) (count int, available bool) {
+	ordered := t.ordered[key.pool][key.zone]
+	if t.config.Directory.Evacuated(key.zone) {
+		return 0, false
+	}
+	if t.reclaimed[key] {
+		return min(ordered, t.present[key].serving), false
+	}
+	if held, found := t.held[key]; found {
+		return min(ordered, held.count), true
+	}
+	return ordered, true
+}
+
+// holdReductions replaces the counts of zones whose orders are not to be reduced yet by their last orders: evacuated zones, zones
+// of which some engines still announce that they leave, and zones whose engines move to other zones. If engines are released
+// because they are surplus, all orders are reduced at once.
+func (t *term) holdReductions(pool string, zones []policy.ZoneEngines, counts []int) {
+	now := time.Now()
+	_, shrinks := t.surplusSince[pool]
+	for i, zone := range zones {
+		key := poolZone{pool, zone.Zone}
+		ordered := t.ordered[pool][zone.Zone]
+		held, found := t.held[key]
+		switch {
+		case counts[i] >= ordered:
+			delete(t.held, key)
+		case t.config.Directory.Evacuated(zone.Zone):
+			counts[i] = ordered
+		case t.reclaimed[key]:
+			if present := t.present[key]; present.leaving > 0 && present.serving > 0 {
+				counts[i] = ordered
+			}
+		case shrinks:
+			delete(t.held, key)
+		case !found:
+			t.held[key] = heldOrder{count: counts[i], dueAt: now.Add(rebalanceDelay)}
+			counts[i] = ordered
+		case now.Before(held.dueAt):
+			counts[i] = ordered
+		}
+	}
+}
+
+// dropHeld drops the reduced orders of a pool, because engines that were to replace the others were refused.
+func (t *term) dropHeld(pool string) {
+	for key := range t.held {
+		if key.pool == pool {
+			delete(t.held, key)
+		}
+	}
+}
+
+// orderTaken records that the provider has accepted the last order of a zone.
+func (t *term) orderTaken(key poolZone) {
+	ordered := t.ordered[key.pool][key.zone]
+	current := t.present[key]
+	if t.reclaimed[key] && ordered <= current.serving {
+		delete(t.reclaimed, key)
+	}
+	current.most = min(current.most, ordered)
+	t.present[key] = current
+	if held, found := t.held[key]; found && ordered <= held.count {
+		delete(t.held, key)
+	}
+}
+
+// orderedAfterRefusal returns the number of engines that a zone has after it refused an order. If it refused to repeat its last
+// order, it has lost engines that it cannot replace.
+func (t *term) orderedAfterRefusal(order Order, previous int) int {
+	if order.Count > previous {
+		return previous
+	}
+	return min(previous, t.present[poolZone{order.Pool, order.Zone}].serving)
+}
--- /dev/null
+++ b/internal/scaler/reclaimed_test.go
@@ -0,0 +1,133 @@
+package scaler_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
+)
+
+// newPreemptibleEnv returns an environment whose ordered engines have booted, three in each zone, and the function that releases
+// the duty.
+func newPreemptibleEnv(t *testing.T) (*testEnv, func()) {
+	env := newTestEnv()
+	env.setWork(166 * time.Second)
+	release := env.holdDuty(t, "one", 1)
+	time.Sleep(2 * time.Second)
+	_, byZone, _ := env.provider.snapshot()
+	for zone, count := range byZone {
+		for i := range count {
+			env.directory.Upsert(fleet.Engine{ID: fmt.Sprint("spot", zone, i), Pool: poolName, Zone: zone, Slots: 6, Preemptible: true})
+		}
+	}
+	time.Sleep(2 * time.Second)
+	is.New(t).Equal(byZone, map[string]int{"a": 3, "b": 3, "c": 3})
+	return env, release
+}
+
+// reclaim gives notice of the preemptible engines of a zone, which has no others, and ends them 2 s later.
+func (env *testEnv) reclaim(zone string) {
+	for i := range 3 {
+		id := fmt.Sprint("spot", zone, i)
+		engine, _ := env.directory.Engine(id)
+		engine.Draining = true
+		env.directory.Upsert(engine)
+		time.AfterFunc(2*time.Second, func() { env.directory.Remove(id) })
+	}
+	time.AfterFunc(2*time.Second, func() {
+		env.provider.mutex.Lock()
+		defer env.provider.mutex.Unlock()
+		env.provider.ordered[zone] = 0
+	})
+}
+
+// TestReclaimedEnginesAreOrderedInOtherZones reclaims the engines of a zone. They are missing for the time in which the provider
+// has no others there. Once it has, the other zones must keep theirs until those of the first have booted.
+func TestReclaimedEnginesAreOrderedInOtherZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env, release := newPreemptibleEnv(t)
+		env.provider.setFaults(false, "a")
+		env.reclaim("a")
+		time.Sleep(time.Second)
+		total, byZone, _ := env.provider.snapshot()
+		is.Equal(total, 9)
+		is.Equal(byZone["a"], 0)
+		time.Sleep(10 * time.Second)
+		_, later, _ := env.provider.snapshot()
+		is.Equal(later, byZone)
+		env.provider.setFaults(false)
+		time.Sleep(4 * time.Second)
+		_, later, _ = env.provider.snapshot()
+		is.Equal(later, map[string]int{"a": 3, "b": byZone["b"], "c": byZone["c"]})
+		time.Sleep(8 * time.Second)
+		_, later, _ = env.provider.snapshot()
+		is.Equal(later, map[string]int{"a": 3, "b": 3, "c": 3})
+		release()
+	})
+}
+
+// TestEnginesOfAnEvacuatedZoneAreOrderedElsewhere evacuates a zone. Its engines take no work, but come back: their order stays.
+func TestEnginesOfAnEvacuatedZoneAreOrderedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env, release := newPreemptibleEnv(t)
+		env.directory.SetEvacuated("a", true)
+		time.Sleep(time.Second)
+		_, byZone, _ := env.provider.snapshot()
+		// Four regular and three preemptible engines of the zone are missing; the others have six preemptible engines at most.
+		is.Equal(byZone, map[string]int{"a": 3, "b": 6, "c": 6})
+		release()
+	})
+}
+
+// TestSuccessorCompletesReplacements kills the holder between its record and its calls, and after a refusal before its second
+// record. The successor must not count what was never ordered, nor order more than is missing.
+func TestSuccessorCompletesReplacements(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(env *testEnv)
+		want  map[string]int
+	}{
+		{"before the calls", func(env *testEnv) { env.provider.setFaults(true) }, map[string]int{"a": 0, "b": 5, "c": 4}},
+		{"after a refusal", func(env *testEnv) {
+			env.provider.setFaults(false, "b")
+			env.provider.onRefusal = func() {
+				env.store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Silent })
+			}
+		}, map[string]int{"a": 0, "b": 3, "c": 6}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				env, release := newPreemptibleEnv(t)
+				test.fault(env)
+				env.reclaim("a")
+				time.Sleep(time.Second)
+				release()
+				env.store.Heal()
+				env.provider.onRefusal = nil
+				env.provider.setFaults(false, "a")
+				if test.want["b"] == 3 {
+					env.provider.setFaults(false, "a", "b")
+				}
+				release = env.holdDuty(t, "two", 2)
+				most := 0
+				for range 9 {
+					time.Sleep(time.Second)
+					total, _, _ := env.provider.snapshot()
+					most = max(most, total)
+				}
+				_, byZone, _ := env.provider.snapshot()
+				is.Equal(byZone, test.want)
+				is.True(most <= 10)
+				release()
+			})
+		})
+	}
+}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -6,6 +6,7 @@
 package scaler
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -96,6 +97,7 @@
 	t := &term{
 		config: s.config, tenure: tenure, ordered: make(map[string]map[string]int), accepted: make(map[poolZone]bool),
 		refusedUntil: make(map[poolZone]time.Time), surplusSince: make(map[string]time.Time),
+		present: make(map[poolZone]presence), reclaimed: make(map[poolZone]bool), held: make(map[poolZone]heldOrder),
 	}
 	t.restore()
 	for {
@@ -122,6 +124,12 @@
 	refusedUntil map[poolZone]time.Time
 	// surplusSince maps pools to the time since which they have had surplus engines.
 	surplusSince map[string]time.Time
+	// present holds the preemptible engines known in each zone; reclaimed holds the zones whose engines the provider takes away
+	// and whose orders have not been reduced yet.
+	present   map[poolZone]presence
+	reclaimed map[poolZone]bool
+	// held holds the reduced orders of zones that wait for engines of other zones.
+	held map[poolZone]heldOrder
 }
 
 // restore reads the orders of earlier holders.
@@ -174,13 +182,18 @@
 	if !t.mayShrink(pool.Name, zones, counts) {
 		return nil
 	}
+	t.holdReductions(pool.Name, zones, counts)
 	var pending []Order
 	for i, zone := range zones {
 		key := poolZone{pool.Name, zone.Zone}
-		if counts[i] != zone.Preemptible || zone.Preemptible > 0 && !t.accepted[key] {
+		ordered, recorded := t.ordered[pool.Name][zone.Zone]
+		if counts[i] != ordered || recorded && !t.accepted[key] {
 			pending = append(pending, Order{Pool: pool.Name, Zone: zone.Zone, Preemptible: true, Count: counts[i]})
 		}
 	}
+	slices.SortStableFunc(pending, func(a, b Order) int {
+		return cmp.Compare(t.ordered[b.Pool][b.Zone]-b.Count, t.ordered[a.Pool][a.Zone]-a.Count)
+	})
 	if len(pending) > 0 {
 		t.config.Logger.Info("engines are to be ordered", "pool", pool.Name, "regular", regular, "wanted", wanted, "orders", pending,
 			"loads", loads)
@@ -213,6 +226,7 @@
 	now := time.Now()
 	regular := make(map[string]int)
 	engines := t.config.Directory.Pool(pool.Name)
+	t.observe(pool, engines, now)
 	total := 0
 	for _, engine := range engines {
 		total += engine.Slots
@@ -221,9 +235,11 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(pool.Scaling.ZonePrices)) {
+		key := poolZone{pool.Name, name}
+		serving, available := t.servingOrder(key)
 		zones = append(zones, policy.ZoneEngines{
-			Zone: name, Regular: regular[name], Preemptible: t.ordered[pool.Name][name], Price: pool.Scaling.ZonePrices[name],
-			Refused: now.Before(t.refusedUntil[poolZone{pool.Name, name}]),
+			Zone: name, Regular: regular[name], Preemptible: serving, Price: pool.Scaling.ZonePrices[name],
+			Refused: !available || now.Before(t.refusedUntil[key]),
 		})
 	}
 	return zones, float64(total) / float64(max(1, len(engines)))
@@ -258,10 +274,14 @@
 		key := poolZone{order.Pool, order.Zone}
 		outcome := t.order(windowCtx, order, previous[key])
 		t.accepted[key] = outcome == Taken
-		if outcome == NoneLeft {
+		switch outcome {
+		case NoneLeft:
 			t.refusedUntil[key] = time.Now().Add(refusalBackoff)
-			t.setOrdered(key, previous[key])
+			t.setOrdered(key, t.orderedAfterRefusal(order, previous[key]))
+			t.dropHeld(order.Pool)
 			refused = true
+		case Taken:
+			t.orderTaken(key)
 		}
 	}
 	if refused {
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -38,6 +38,8 @@
 	tokens    []int64
 	exhausted map[string]bool
 	refuses   bool
+	// onRefusal is called when a zone has no more engines, nil for no call.
+	onRefusal func()
 }
 
 func (p *provider) OrderEngines(_ context.Context, token int64, order scaler.Order) (scaler.Outcome, error) {
@@ -49,6 +51,9 @@
 		return scaler.Unknown, errors.New("refused")
 	}
 	if p.exhausted[order.Zone] && order.Count > p.ordered[order.Zone] {
+		if p.onRefusal != nil {
+			p.onRefusal()
+		}
 		return scaler.NoneLeft, nil
 	}
 	p.ordered[order.Zone] = order.Count
