Keep the order of reclaimed engines that no other zone takes

Cause: the order of a reclaimed zone was reduced also where the other zones were full or refused. The provider would then replace nothing until the zone was asked again, although it can after 8 to 11 s. Change: what other zones cannot take stays ordered in the reclaimed zone and is ordered again after the backoff; no order is reduced in a pass in which an increase of its pool was not accepted; increases come first. Conclusion: TestReclaimedEnginesThatNoZoneTakesStayOrdered fails with each of the three parts switched off.

--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -56,11 +56,31 @@
 			t.refusedUntil[key] = now.Add(reclaimBackoff)
 			t.config.Logger.Info("engines are reclaimed", "pool", pool.Name, "zone", zone, "ordered", t.ordered[pool.Name][zone], "lost", lost)
 		}
+		if t.reclaimed[key] && current.leaving == 0 && !now.Before(t.refusedUntil[key]) {
+			// The provider replaces by now what was not ordered elsewhere. The order is repeated in case it does not.
+			delete(t.reclaimed, key)
+			t.accepted[key] = false
+		}
 		current.most = max(current.most, current.serving)
 		t.present[key] = current
 	}
 }
 
+// keepUnplaced adds to the counts of zones with reclaimed engines what other zones cannot take, up to their last orders: the
+// provider replaces these engines itself once it can.
+func (t *term) keepUnplaced(pool string, zones []policy.ZoneEngines, counts []int, missing int) {
+	for _, count := range counts {
+		missing -= count
+	}
+	for i, zone := range zones {
+		key := poolZone{pool, zone.Zone}
+		if kept := min(missing, t.ordered[pool][zone.Zone]-counts[i]); t.reclaimed[key] && kept > 0 {
+			counts[i] += kept
+			missing -= kept
+		}
+	}
+}
+
 // servingOrder returns how many of the preemptible engines ordered in a zone count as engines that serve or will, and whether
 // further ones may be ordered there. In an evacuated zone none do, although its order stays. Orders that are about to be reduced
 // count as reduced.
--- a/internal/scaler/reclaimed_test.go
+++ b/internal/scaler/reclaimed_test.go
@@ -71,6 +71,28 @@
 	})
 }
 
+// TestReclaimedEnginesThatNoZoneTakesStayOrdered reclaims the engines of a zone while no zone has others. An order that is reduced
+// here has to wait for the end of the backoff, while the provider replaces the engines of one that stands; the order is repeated
+// in case the provider does not.
+func TestReclaimedEnginesThatNoZoneTakesStayOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env, release := newPreemptibleEnv(t)
+		_, before, _ := env.provider.snapshot()
+		env.provider.setFaults(false, zoneNames...)
+		env.reclaim("a")
+		time.Sleep(1900 * time.Millisecond)
+		_, byZone, _ := env.provider.snapshot()
+		is.Equal(byZone, before)
+		time.Sleep(6 * time.Second)
+		env.provider.setFaults(false, "b", "c")
+		time.Sleep(20 * time.Second)
+		_, byZone, _ = env.provider.snapshot()
+		is.Equal(byZone, before)
+		release()
+	})
+}
+
 // TestEnginesOfAnEvacuatedZoneAreOrderedElsewhere evacuates a zone. Its engines take no work, but come back: their order stays.
 func TestEnginesOfAnEvacuatedZoneAreOrderedElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -182,6 +182,7 @@
 	if !t.mayShrink(pool.Name, zones, counts) {
 		return nil
 	}
+	t.keepUnplaced(pool.Name, zones, counts, wanted-regular)
 	t.holdReductions(pool.Name, zones, counts)
 	var pending []Order
 	for i, zone := range zones {
@@ -191,8 +192,9 @@
 			pending = append(pending, Order{Pool: pool.Name, Zone: zone.Zone, Preemptible: true, Count: counts[i]})
 		}
 	}
+	// Increases come first.
 	slices.SortStableFunc(pending, func(a, b Order) int {
-		return cmp.Compare(t.ordered[b.Pool][b.Zone]-b.Count, t.ordered[a.Pool][a.Zone]-a.Count)
+		return cmp.Compare(t.ordered[a.Pool][a.Zone]-a.Count, t.ordered[b.Pool][b.Zone]-b.Count)
 	})
 	if len(pending) > 0 {
 		t.config.Logger.Info("engines are to be ordered", "pool", pool.Name, "regular", regular, "wanted", wanted, "orders", pending,
@@ -270,10 +272,18 @@
 	windowCtx, cancel := window.Context(ctx)
 	defer cancel()
 	refused := false
+	// failed holds the pools of which an increase was not accepted. None of their other orders is reduced until then.
+	failed := make(map[string]bool)
 	for _, order := range pending {
 		key := poolZone{order.Pool, order.Zone}
+		if order.Count < previous[key] && failed[order.Pool] {
+			t.setOrdered(key, previous[key])
+			refused = true
+			continue
+		}
 		outcome := t.order(windowCtx, order, previous[key])
 		t.accepted[key] = outcome == Taken
+		failed[order.Pool] = failed[order.Pool] || outcome != Taken && order.Count > previous[key]
 		switch outcome {
 		case NoneLeft:
 			t.refusedUntil[key] = time.Now().Add(refusalBackoff)
