Refuse requests at once when all engines of their pool leave

Cause: a request that found all engines of its pool leaving or in evacuated zones waited for a slot until its time for that was over, and was then refused with the cause of a full pool. Change: it is refused at once, to be repeated after 2 s, and the cause names the reason. Requests that may have run go on as before. Conclusion: TestRequestIsRefusedAtOnceWhenAllEnginesLeave fails with the check switched off.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -50,6 +50,8 @@
 	// offered holds the engine of every attempt; cause is why the last attempt to end failed.
 	offered []string
 	cause   string
+	// allLeave is set once all engines that may run the request leave.
+	allLeave bool
 }
 
 // run starts attempts and handles their results until the request has an outcome.
@@ -117,8 +119,12 @@
 	return true
 }
 
-// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has ended.
+// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has
+// ended, and at once if the request has not run and all engines leave.
 func (e *exchange) awaitSlot(ctx context.Context) bool {
+	if e.allLeave = !e.mayHaveRun && e.forwarder.allLeave(e.request); e.allLeave {
+		return false
+	}
 	if time.Since(e.started) >= e.request.MaxSlotWait || ctx.Err() != nil {
 		return false
 	}
@@ -266,6 +272,9 @@
 		answer.Outcome = NotRun
 		answer.RetryAfter = retryAfter
 	}
+	if e.allLeave {
+		answer.Cause, answer.RetryAfter = causeAllLeave, allLeaveRetryAfter
+	}
 	return answer
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -144,6 +144,8 @@
 const (
 	// retryAfter is the retry delay for a refused caller: engines free slots within fractions of a second.
 	retryAfter = 250 * time.Millisecond
+	// allLeaveRetryAfter is the retry delay where all engines of the pool leave: others need some seconds to start.
+	allLeaveRetryAfter = 2 * time.Second
 	// maxRejections is the number of rejected attempts after which a request is no longer sent to engines.
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
@@ -181,6 +183,11 @@
 	return answer
 }
 
+// allLeave reports whether all known engines that may run a request leave, so that waiting for a slot is of no use.
+func (f *Forwarder) allLeave(request Request) bool {
+	return f.config.Directory.AllLeave(request.Pool, request.Regions)
+}
+
 // send makes one attempt and reads the complete response.
 func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, crashLimit int) attempt {
 	started := time.Now()
@@ -225,6 +232,7 @@
 // Causes of outcomes that don't come from the error of an attempt.
 const (
 	causeNoEngine = "no engine of the pool takes work"
+	causeAllLeave = "all engines of the pool leave or are in evacuated zones"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
 	causeStopped  = "the process stops"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -75,6 +75,8 @@
 	// offered holds the engine of every attempt; cause is how the last attempt ended, empty if its stream was complete.
 	offered []string
 	cause   string
+	// allLeave is set once all engines that may run the request leave.
+	allLeave bool
 }
 
 func (s *streamExchange) run(ctx context.Context) Answer {
@@ -110,6 +112,9 @@
 }
 
 func (s *streamExchange) awaitSlot(ctx context.Context) bool {
+	if s.allLeave = !s.mayHaveRun && s.forwarder.allLeave(s.request.Request); s.allLeave {
+		return false
+	}
 	if ctx.Err() != nil || (time.Since(s.started) >= s.request.MaxSlotWait && !s.headSent) {
 		return false
 	}
@@ -208,6 +213,8 @@
 
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
+	case s.allLeave:
+		return Answer{Outcome: NotRun, RetryAfter: allLeaveRetryAfter, Attempts: s.sent, Tried: s.offered, Cause: causeAllLeave}
 	case !s.mayHaveRun:
 		return Answer{Outcome: NotRun, RetryAfter: retryAfter, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	case ctx.Err() != nil:
