Split the notices of leaving engines from the Mover

Cause: mover.go held the decision, the notices and a second copy of what makes pieces of work of one kind.

--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -61,9 +61,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	assigned := make([]Engine, len(wants))
-	sets := make(map[workKind]*candidateSet)
+	sets := make(map[WorkKind]*candidateSet)
 	for i, want := range wants {
-		key := workKind{want.Pool, want.Model, want.MinVersion, want.ExactVersion, want.Regions == nil, strings.Join(want.Regions, " ")}
+		key := want.Kind()
 		set, ok := sets[key]
 		if !ok {
 			set = newCandidateSet(d.candidates(want, now), want)
@@ -81,13 +81,21 @@
 	return assigned
 }
 
-// workKind is the part of the requirements that pieces of work share if the same engines may run them.
-type workKind struct {
-	pool, model       string
-	minVersion, exact int64
-	// anywhere means that the work is not bound to regions; otherwise regions names the allowed ones.
-	anywhere bool
-	regions  string
+// WorkKind is the part of the requirements that pieces of work share if the same engines may run them.
+type WorkKind struct {
+	Pool, Model       string
+	MinVersion, Exact int64
+	// Anywhere means that the work is not bound to regions; otherwise Regions names the allowed ones.
+	Anywhere bool
+	Regions  string
+}
+
+// Kind returns the kind of a piece of work.
+func (w Want) Kind() WorkKind {
+	return WorkKind{
+		Pool: w.Pool, Model: w.Model, MinVersion: w.MinVersion, Exact: w.ExactVersion,
+		Anywhere: w.Regions == nil, Regions: strings.Join(w.Regions, " "),
+	}
 }
 
 // candidateSet holds the engines with free slots for work of one kind: own are those assigned to its model or to none,
--- a/internal/jobrun/mover.go
+++ b/internal/jobrun/mover.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/engineapi"
-	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
@@ -22,10 +20,6 @@
 	// leavingCheckInterval is how often decisions are made while runs are at leaving engines and nothing else changes, since runs
 	// turn out longer or shorter than expected.
 	leavingCheckInterval = 200 * time.Millisecond
-	// noticeTimeout limits the wait for the report of a leaving engine. Its runs are not moved until then.
-	noticeTimeout = 300 * time.Millisecond
-	// maxNoticeAttempts is how often the report of a leaving engine is requested until one arrives.
-	maxNoticeAttempts = 2
 )
 
 // MoverConfig configures a Mover.
@@ -61,16 +55,6 @@
 	moved bool
 }
 
-// notice is the time at which an engine ends, as far as it has reported it.
-type notice struct {
-	engine   fleet.Engine
-	attempts int
-	pending  bool
-	received bool
-	known    bool
-	endsAt   time.Time
-}
-
 // NewMover returns a Mover. It moves runs while Run is running.
 func NewMover(config MoverConfig) *Mover {
 	return &Mover{
@@ -167,7 +151,7 @@
 	m.updateNotices(ctx, leaving)
 	released := m.releases()
 	for kind, group := range m.groups(time.Now()) {
-		m.decide(ctx, group, released[poolModel{kind.pool, kind.model}])
+		m.decide(ctx, group, released[poolModel{kind.Pool, kind.Model}])
 	}
 	return true
 }
@@ -189,62 +173,9 @@
 	return leaving
 }
 
-// updateNotices requests the reports of leaving engines that have not been requested, and forgets those of other engines. The
-// mutex must be held.
-func (m *Mover) updateNotices(ctx context.Context, leaving map[string]fleet.Engine) {
-	for id, known := range m.notices {
-		if engine, ok := leaving[id]; !ok || engine.Restarted(known.engine) {
-			delete(m.notices, id)
-		}
-	}
-	for id, engine := range leaving {
-		known := m.notices[id]
-		if known == nil {
-			known = &notice{engine: engine}
-			m.notices[id] = known
-		}
-		if known.received || known.pending || known.attempts == maxNoticeAttempts {
-			continue
-		}
-		known.pending = true
-		known.attempts++
-		m.active.Go(func() { m.requestNotice(ctx, known) })
-	}
-}
-
-// requestNotice requests the report of a leaving engine.
-func (m *Mover) requestNotice(ctx context.Context, known *notice) {
-	callCtx, cancel := context.WithTimeout(ctx, noticeTimeout)
-	defer cancel()
-	// The time left is counted from here, since the process may be paused before it handles the report.
-	requestedAt := time.Now()
-	report, err := m.config.Client.Report(callCtx, known.engine)
-	if err != nil && ctx.Err() == nil {
-		errorlog.Debug(m.config.Logger, "report of a leaving engine failed", err, "engine", known.engine.ID)
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	known.pending = false
-	known.received = err == nil
-	known.known = err == nil && report.LeavesKnown
-	known.endsAt = requestedAt.Add(report.LeavesIn)
-	runs := 0
-	for _, run := range m.runs {
-		if run.slot.Engine.ID == known.engine.ID {
-			runs++
-		}
-	}
-	m.config.Logger.Info("engine with runs leaves", "engine", known.engine.ID, "zone", known.engine.Zone, "runs", runs,
-		"reported", known.received, "leaves_known", known.known, "leaves_in", report.LeavesIn.Round(time.Millisecond))
-	m.notify()
-}
-
 // runKind is what runs have in common that may use the same slots.
 type runKind struct {
-	pool, model       string
-	minVersion, exact int64
-	anywhere          bool
-	regions           string
+	fleet.WorkKind
 	// reclaimed is the zone whose preemptible engines the runs do not use, empty if there is none.
 	reclaimed string
 }
@@ -275,7 +206,7 @@
 		if !ok || notice == nil || notice.pending || run.moved {
 			continue
 		}
-		kind := kindOf(want)
+		kind := runKind{WorkKind: want.Kind()}
 		if engine.Preemptible {
 			kind.reclaimed = engine.Zone
 			want.Exclude = m.preemptibleEngines(engine.Pool, engine.Zone)
@@ -297,14 +228,6 @@
 	return groups
 }
 
-// kindOf returns the kind of the runs with the given requirements.
-func kindOf(want fleet.Want) runKind {
-	return runKind{
-		pool: want.Pool, model: want.Model, minVersion: want.MinVersion, exact: want.ExactVersion,
-		anywhere: want.Regions == nil, regions: strings.Join(want.Regions, " "),
-	}
-}
-
 // preemptibleEngines returns the IDs of the preemptible engines of a pool in a zone. They are reclaimed together, and the notices
 // of some are read later than those of others.
 func (m *Mover) preemptibleEngines(pool, zone string) []string {
