--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -132,6 +132,10 @@
 	Sequence int64
 	Waiting  int
 	Running  int
+	// Leaving reports whether the engine leaves. LeavesIn is the time until it ends, as of the report, if LeavesKnown is set.
+	Leaving     bool
+	LeavesKnown bool
+	LeavesIn    time.Duration
 }
 
 // Health is what an engine states of itself in a health response.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -62,9 +62,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	assigned := make([]Engine, len(wants))
-	sets := make(map[workKind]*candidateSet)
+	sets := make(map[WorkKind]*candidateSet)
 	for i, want := range wants {
-		key := workKind{want.Pool, want.Model, want.MinVersion, want.ExactVersion, want.Regions == nil, strings.Join(want.Regions, " ")}
+		key := want.Kind()
 		set, ok := sets[key]
 		if !ok {
 			set = newCandidateSet(d.candidates(want, now), want)
@@ -82,13 +82,21 @@
 	return assigned
 }
 
-// workKind is the part of the requirements that pieces of work share if the same engines may run them.
-type workKind struct {
-	pool, model       string
-	minVersion, exact int64
-	// anywhere means that the work is not bound to regions; otherwise regions names the allowed ones.
-	anywhere bool
-	regions  string
+// WorkKind is the part of the requirements that pieces of work share if the same engines may run them.
+type WorkKind struct {
+	Pool, Model       string
+	MinVersion, Exact int64
+	// Anywhere means that the work is not bound to regions; otherwise Regions names the allowed ones.
+	Anywhere bool
+	Regions  string
+}
+
+// Kind returns the kind of a piece of work.
+func (w Want) Kind() WorkKind {
+	return WorkKind{
+		Pool: w.Pool, Model: w.Model, MinVersion: w.MinVersion, Exact: w.ExactVersion,
+		Anywhere: w.Regions == nil, Regions: strings.Join(w.Regions, " "),
+	}
 }
 
 // candidateSet holds the engines with free slots for work of one kind: own are those assigned to its model or to none,
@@ -100,7 +108,7 @@
 }
 
 func newCandidateSet(candidates []Candidate, want Want) *candidateSet {
-	want.Exclude = nil
+	want.Exclude, want.HealthyOnly = nil, false
 	set := &candidateSet{stats: newCandidateStats(candidates, want)}
 	for _, candidate := range candidates {
 		if !mayRun(candidate, want) || !withinShare(candidate.InFlight, candidate, want) {
@@ -163,14 +171,9 @@
 	want.Since = time.Time{}
 	want.OwnOnly = true
 	want.Exclude = []string{id}
+	// The work already runs and is not sent as a trial. Engines that failed are idle, and would be picked before working ones.
+	want.HealthyOnly = true
 	candidates := d.candidates(want, now)
-	for _, candidate := range candidates {
-		// The work already runs and is not sent as a trial. Such engines are idle, and would be picked before working
-		// ones.
-		if candidate.Avoided || candidate.Trial {
-			want.Exclude = append(want.Exclude, candidate.Engine.ID)
-		}
-	}
 	picked, found := Pick(candidates, want, now)
 	if !found || !policy.WorthMoving(want.Events, current, picked.Forecast, want.Slack) {
 		return Engine{}, false
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -50,8 +50,8 @@
 	// offered holds the engine of every attempt; cause is why the last attempt to end failed.
 	offered []string
 	cause   string
-	// retryAfter is the retry delay for a request that was not run, 0 for the default.
-	retryAfter time.Duration
+	// refusal is why no engine will run the request soon.
+	refusal refusal
 }
 
 // run starts attempts and handles their results until the request has an outcome.
@@ -61,7 +61,7 @@
 			if !e.mayStart() {
 				return e.settle()
 			}
-			if !e.start(ctx) && (e.allCold() || !e.awaitSlot(ctx)) {
+			if !e.start(ctx) && (e.unservable() || !e.awaitSlot(ctx)) {
 				return e.settle()
 			}
 			continue
@@ -101,18 +101,14 @@
 	}
 }
 
-// allCold reports whether the request has not run and all engines that may run it are cold. Waiting for one would take longer than a caller
-// needs to be sent elsewhere.
-func (e *exchange) allCold() bool {
+// unservable reports whether the request has not run and no engine will run it soon.
+func (e *exchange) unservable() bool {
 	if e.mayHaveRun {
 		return false
 	}
-	wait, allCold := e.forwarder.config.Directory.AllCold(e.want())
-	if allCold {
-		e.retryAfter = coldRetryAfter(wait)
-		e.cause = causeCold
-	}
-	return allCold
+	var found bool
+	e.refusal, found = e.forwarder.unservable(e.want())
+	return found
 }
 
 // start sends the request to the best engine that was not tried. It returns false if there is none.
@@ -139,10 +135,9 @@
 	return true
 }
 
-// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has ended,
-// and at once if no engine is left in the request's regions.
+// awaitSlot waits for a free slot after all available engines were tried. It returns false once MaxSlotWait has passed or ctx has ended.
 func (e *exchange) awaitSlot(ctx context.Context) bool {
-	if time.Since(e.started) >= e.request.MaxSlotWait || ctx.Err() != nil || e.forwarder.homeless(e.request) {
+	if time.Since(e.started) >= e.request.MaxSlotWait || ctx.Err() != nil {
 		return false
 	}
 	// Every available engine was tried, so each may be tried again.
@@ -286,7 +281,7 @@
 		answer.Cause = causeNoEngine
 	}
 	if !e.mayHaveRun {
-		return e.forwarder.refuse(e.request, answer, e.retryAfter)
+		return e.refusal.complete(answer)
 	}
 	return answer
 }
@@ -300,7 +295,7 @@
 		answer.Cause = causeSilent
 	}
 	if e.running == 0 && !e.mayHaveRun {
-		return e.forwarder.refuse(e.request, answer, e.retryAfter)
+		return e.refusal.complete(answer)
 	}
 	return answer
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,7 +4,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -143,13 +142,6 @@
 }
 
 const (
-	// retryAfter is the retry delay for a refused caller: engines free slots within fractions of a second.
-	retryAfter = 250 * time.Millisecond
-	// homeRetryAfter is the retry delay for a caller whose request has no engine in its regions: engines take seconds to come back.
-	homeRetryAfter = time.Second
-	// maxColdRetryAfter limits the retry delay where all engines are cold: they are cold for some seconds, and another
-	// process may be the one that sends requests to one of them.
-	maxColdRetryAfter = 2 * time.Second
 	// maxRejections is the number of rejected attempts after which a request is no longer sent to engines.
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
@@ -162,11 +154,6 @@
 	hedgeLatencyFactor = 3
 )
 
-// coldRetryAfter returns the retry delay for a refused caller where the first engine is warm after wait.
-func coldRetryAfter(wait time.Duration) time.Duration {
-	return min(max(wait, retryAfter), maxColdRetryAfter)
-}
-
 // Do sends a request and returns its complete response.
 func (f *Forwarder) Do(ctx context.Context, request Request) Answer {
 	if f.cut.Err() != nil {
@@ -192,21 +179,6 @@
 	return answer
 }
 
-// homeless reports whether a request is bound to regions in which its pool has no engine that stays. Waiting for a slot is of no
-// use then.
-func (f *Forwarder) homeless(request Request) bool {
-	return request.Regions != nil && !f.config.Directory.MayServe(request.Pool, request.Regions)
-}
-
-// refuse completes the answer to a request that no engine has run. wait is the retry delay, 0 for the default.
-func (f *Forwarder) refuse(request Request, answer Answer, wait time.Duration) Answer {
-	answer.Outcome, answer.RetryAfter = NotRun, cmp.Or(wait, retryAfter)
-	if f.homeless(request) {
-		answer.RetryAfter, answer.Cause = homeRetryAfter, causeNoHome
-	}
-	return answer
-}
-
 // send makes one attempt and reads the complete response.
 func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, crashLimit int) attempt {
 	started := time.Now()
@@ -253,6 +225,7 @@
 	causeNoEngine = "no engine of the pool takes work"
 	causeNoHome   = "no engine of the request's regions stays"
 	causeCold     = "all engines of the pool are cold"
+	causeAllLeave = "all engines of the pool leave or are in evacuated zones"
 	causeSilent   = "the engine had not answered"
 	causeWithheld = "engines ended under the same request"
 	causeStopped  = "the process stops"
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -75,15 +75,15 @@
 	// offered holds the engine of every attempt; cause is how the last attempt ended, empty if its stream was complete.
 	offered []string
 	cause   string
-	// retryAfter is the retry delay for a stream that was not run, 0 for the default.
-	retryAfter time.Duration
+	// refusal is why no engine will run the stream soon.
+	refusal refusal
 }
 
 func (s *streamExchange) run(ctx context.Context) Answer {
 	for s.mayStart() {
 		engine, ok := s.acquire()
 		if !ok {
-			if s.allCold() || !s.awaitSlot(ctx) {
+			if s.unservable() || !s.awaitSlot(ctx) {
 				break
 			}
 			continue
@@ -118,24 +118,18 @@
 	return s.forwarder.config.Directory.Acquire(want)
 }
 
-// allCold reports whether the stream has not run and all engines that may run it are cold.
-func (s *streamExchange) allCold() bool {
+// unservable reports whether the stream has not run and no engine will run it soon.
+func (s *streamExchange) unservable() bool {
 	if s.mayHaveRun {
 		return false
 	}
-	wait, allCold := s.forwarder.config.Directory.AllCold(s.want())
-	if allCold {
-		s.retryAfter = coldRetryAfter(wait)
-		s.cause = causeCold
-	}
-	return allCold
+	var found bool
+	s.refusal, found = s.forwarder.unservable(s.want())
+	return found
 }
 
 func (s *streamExchange) awaitSlot(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if !s.headSent && (time.Since(s.started) >= s.request.MaxSlotWait || s.forwarder.homeless(s.request.Request)) {
+	if ctx.Err() != nil || (time.Since(s.started) >= s.request.MaxSlotWait && !s.headSent) {
 		return false
 	}
 	s.tried = nil
@@ -234,7 +228,7 @@
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
 	case !s.mayHaveRun:
-		return s.forwarder.refuse(s.request.Request, Answer{Attempts: s.sent, Tried: s.offered, Cause: s.cause}, s.retryAfter)
+		return s.refusal.complete(Answer{Attempts: s.sent, Tried: s.offered, Cause: s.cause})
 	case ctx.Err() != nil:
 		return Answer{Outcome: TimedOut, Attempts: s.sent, Tried: s.offered, Cause: s.cause}
 	default:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -67,6 +67,9 @@
 	ingress       *ingress.Ingress
 	jobs          *jobs.Service
 	queue         *jobrun.Queue
+	// mover moves runs off engines that leave.
+	mover       *jobrun.Mover
+	evacuations *evacuations
 	// quarantine withholds requests that crash engines.
 	quarantine *quarantine.Quarantine
 	// followers run for the lifetime of the process; weights, by partition, run while a pool of models has its orders
@@ -98,6 +101,7 @@
 		metrics: newMetrics(), holdings: newHoldings(),
 	}
 	r.directory.SetRegions(config.Settings.Regions)
+	r.evacuations = newEvacuations(r.directory, config.Logger)
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
@@ -113,7 +117,7 @@
 		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Zone: config.Settings.Zone, Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
-		decoder: config.Decoder, holder: r.catalog, directory: r.directory, logger: config.Logger,
+		decoder: config.Decoder, holder: r.catalog, directory: r.directory, evacuations: r.evacuations, logger: config.Logger,
 	})
 	reporting, meter := r.countUsage()
 	r.ingress = ingress.New(ingress.Config{
@@ -123,6 +127,10 @@
 	})
 	r.metrics.unread(r.ingress.Unread().Stats)
 	r.queue = jobrun.NewQueue(r.directory)
+	r.mover = jobrun.NewMover(jobrun.MoverConfig{
+		Directory: r.directory, Queue: r.queue, Client: config.Client, Metrics: r.metrics.measures(), Logger: config.Logger,
+	})
+	r.metrics.leaving(r.mover.Left)
 	r.shareViews()
 	board := weightroll.NewOrderTable(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
@@ -139,7 +147,7 @@
 	})
 	r.runners = jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
-		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
+		Splitter: splitter, Directory: r.directory, Queue: r.queue, Mover: r.mover, Client: config.Client, Forwarder: forwarder,
 		Quarantine: r.quarantine, Zone: config.Settings.Zone, Limits: jobrun.Limits{RecordBytes: config.RecordBytes, CallBytes: config.CallBytes},
 		Retention: config.Settings.Retention, Metrics: r.metrics.measures(), Logger: config.Logger,
 	})
@@ -266,6 +274,8 @@
 	running.Go(func() { r.keeper.Run(followCtx) })
 	running.Go(func() { r.followWeights(followCtx) })
 	running.Go(func() { r.queue.Run(followCtx) })
+	running.Go(func() { r.mover.Run(followCtx) })
+	running.Go(func() { r.evacuations.run(followCtx) })
 	running.Go(func() { r.quarantine.Run(followCtx) })
 	running.Go(func() { r.viewPublisher.Run(followCtx) })
 	running.Go(func() { r.viewReader.Run(followCtx) })
