Mark the result that completes a trainer's step

Cause: a replica that reads results can't tell when the groups that the trainer waits for are complete, so it can't hold a read until then. Change: the owner marks the result whose listing makes the wanted groups complete, the carried ones among them (job.Result.CompletesStep). An owner that takes over counts what is listed already. The index entry has the number of wanted groups (job.Entry.Desired), and job.Ledger.Readable tells whether a marked result was read. Both fields are omitted where they are empty, so records of jobs without a trainer and unmarked results are stored byte for byte as before.

--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -350,7 +350,7 @@
 func NewEntry(spec Spec, partition keyedlog.Partition, offset, next int64, size int) Entry {
 	entry := Entry{
 		JobID: spec.ID, Host: spec.Host, Model: spec.Model, SubmittedAt: spec.SubmittedAt,
-		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items), Tenant: spec.Tenant,
+		Offset: offset, Next: next, Bytes: size, Items: len(spec.Items), Tenant: spec.Tenant, Desired: spec.Desired,
 	}
 	entry.setPartition(partition)
 	for _, item := range spec.Items {
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -119,6 +119,36 @@
 	return found.visible, found.changed.Changed()
 }
 
+// Readable is what a read of a job's results from a position on can return.
+type Readable struct {
+	// Listed is the number of results that can be read, including those before the position.
+	Listed int
+	// Full reports that the results from the position on take more than the limit.
+	Full bool
+	// StepComplete reports that the groups that the trainer waits for are complete, according to the results that this ledger
+	// holds; those before StartAt are not among them.
+	StepComplete bool
+}
+
+// Readable returns what a read of a job's results from a position on can return, of at most limit bytes. The channel is closed
+// at the next change of the job.
+func (l *Ledger) Readable(id string, from, limit int) (Readable, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found := l.fold.job(id)
+	readable := Readable{Listed: found.visible}
+	size := 0
+	for position := found.base; position < found.visible; position++ {
+		result := found.results[position]
+		readable.StepComplete = readable.StepComplete || result.CompletesStep
+		if position >= from {
+			size += result.Size()
+		}
+	}
+	readable.Full = size > limit
+	return readable, found.changed.Changed()
+}
+
 // FirstGap returns the first position of a job without a result, and the number of results after it.
 func (l *Ledger) FirstGap(id string) (position, behind int) {
 	l.mutex.Lock()
--- a/internal/job/records.go
+++ b/internal/job/records.go
@@ -86,8 +86,14 @@
 	Tenant string `msg:"tenant"`
 	// Homes is the keyedlog.HomeSet that the job is bound to, empty if it is bound to no region. It never changes.
 	Homes string `msg:"homes"`
+	// Desired is the number of complete groups that the trainer waits for. It is 0 and omitted for a job without a trainer, and
+	// 0 in entries that builds before this field wrote.
+	Desired int `msg:"want,omitempty"`
 }
 
+// HasTrainer reports whether the trainer of the job waits for complete groups.
+func (e *Entry) HasTrainer() bool { return e.Model != "" && e.Desired > 0 }
+
 // Settled is the index record which states that no more results of a job are listed: all are listed, or the job has ended.
 type Settled struct {
 	// End is the offset in the job's partition below which all its results lie.
@@ -116,6 +122,10 @@
 	// Versions are the weight versions that produced events of the text, in order of their first event.
 	Versions []int64 `msg:"versions"`
 	Score    string  `msg:"score"`
+	// CompletesStep reports that the groups that the trainer waits for are complete once this result is listed. An owner
+	// sets it on one result of a job at most, and on none if they were complete when it took over. The field is omitted where it
+	// is false; builds before this field neither write nor read it.
+	CompletesStep bool `msg:"completes,omitempty"`
 }
 
 // Progress is the partial output of an item that is not listed yet, from which the next owner resumes. It is a hint that any
--- a/internal/job/records_gen.go
+++ b/internal/job/records_gen.go
@@ -102,6 +102,12 @@
 				err = msgp.WrapError(err, "Homes")
 				return
 			}
+		case "want":
+			z.Desired, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Desired")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -115,136 +121,164 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Entry) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
-	// write "id"
-	err = en.Append(0x8d, 0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.JobID)
-	if err != nil {
-		err = msgp.WrapError(err, "JobID")
-		return
-	}
-	// write "host"
-	err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Host)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	// write "path"
-	err = en.Append(0xa4, 0x70, 0x61, 0x74, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Path)
-	if err != nil {
-		err = msgp.WrapError(err, "Path")
-		return
-	}
-	// write "model"
-	err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Model)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	// write "at"
-	err = en.Append(0xa2, 0x61, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.SubmittedAt)
-	if err != nil {
-		err = msgp.WrapError(err, "SubmittedAt")
-		return
-	}
-	// write "part"
-	err = en.Append(0xa4, 0x70, 0x61, 0x72, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Partition")
-		return
-	}
-	// write "from"
-	err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Offset)
-	if err != nil {
-		err = msgp.WrapError(err, "Offset")
-		return
-	}
-	// write "next"
-	err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Next)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
-	}
-	// write "bytes"
-	err = en.Append(0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Bytes)
-	if err != nil {
-		err = msgp.WrapError(err, "Bytes")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Desired == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
 	}
-	// write "items"
-	err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Items)
-	if err != nil {
-		err = msgp.WrapError(err, "Items")
-		return
-	}
-	// write "work"
-	err = en.Append(0xa4, 0x77, 0x6f, 0x72, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.Work)
-	if err != nil {
-		err = msgp.WrapError(err, "Work")
-		return
-	}
-	// write "tenant"
-	err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Tenant)
-	if err != nil {
-		err = msgp.WrapError(err, "Tenant")
-		return
-	}
-	// write "homes"
-	err = en.Append(0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Homes)
-	if err != nil {
-		err = msgp.WrapError(err, "Homes")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.JobID)
+		if err != nil {
+			err = msgp.WrapError(err, "JobID")
+			return
+		}
+		// write "host"
+		err = en.Append(0xa4, 0x68, 0x6f, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Host)
+		if err != nil {
+			err = msgp.WrapError(err, "Host")
+			return
+		}
+		// write "path"
+		err = en.Append(0xa4, 0x70, 0x61, 0x74, 0x68)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Path)
+		if err != nil {
+			err = msgp.WrapError(err, "Path")
+			return
+		}
+		// write "model"
+		err = en.Append(0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Model)
+		if err != nil {
+			err = msgp.WrapError(err, "Model")
+			return
+		}
+		// write "at"
+		err = en.Append(0xa2, 0x61, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.SubmittedAt)
+		if err != nil {
+			err = msgp.WrapError(err, "SubmittedAt")
+			return
+		}
+		// write "part"
+		err = en.Append(0xa4, 0x70, 0x61, 0x72, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Partition")
+			return
+		}
+		// write "from"
+		err = en.Append(0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Offset)
+		if err != nil {
+			err = msgp.WrapError(err, "Offset")
+			return
+		}
+		// write "next"
+		err = en.Append(0xa4, 0x6e, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "bytes"
+		err = en.Append(0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Bytes)
+		if err != nil {
+			err = msgp.WrapError(err, "Bytes")
+			return
+		}
+		// write "items"
+		err = en.Append(0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Items)
+		if err != nil {
+			err = msgp.WrapError(err, "Items")
+			return
+		}
+		// write "work"
+		err = en.Append(0xa4, 0x77, 0x6f, 0x72, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.Work)
+		if err != nil {
+			err = msgp.WrapError(err, "Work")
+			return
+		}
+		// write "tenant"
+		err = en.Append(0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Tenant)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenant")
+			return
+		}
+		// write "homes"
+		err = en.Append(0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Homes)
+		if err != nil {
+			err = msgp.WrapError(err, "Homes")
+			return
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// write "want"
+			err = en.Append(0xa4, 0x77, 0x61, 0x6e, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Desired)
+			if err != nil {
+				err = msgp.WrapError(err, "Desired")
+				return
+			}
+		}
 	}
 	return
 }
@@ -252,46 +286,64 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
-	// string "id"
-	o = append(o, 0x8d, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.JobID)
-	// string "host"
-	o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Host)
-	// string "path"
-	o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
-	o = msgp.AppendString(o, z.Path)
-	// string "model"
-	o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
-	o = msgp.AppendString(o, z.Model)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.SubmittedAt)
-	// string "part"
-	o = append(o, 0xa4, 0x70, 0x61, 0x72, 0x74)
-	o = msgp.AppendInt(o, z.Partition)
-	// string "from"
-	o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-	o = msgp.AppendInt64(o, z.Offset)
-	// string "next"
-	o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
-	o = msgp.AppendInt64(o, z.Next)
-	// string "bytes"
-	o = append(o, 0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
-	o = msgp.AppendInt(o, z.Bytes)
-	// string "items"
-	o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
-	o = msgp.AppendInt(o, z.Items)
-	// string "work"
-	o = append(o, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
-	o = msgp.AppendInt64(o, z.Work)
-	// string "tenant"
-	o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
-	o = msgp.AppendString(o, z.Tenant)
-	// string "homes"
-	o = append(o, 0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
-	o = msgp.AppendString(o, z.Homes)
+	// check for omitted fields
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
+	_ = zb0001Mask
+	if z.Desired == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.JobID)
+		// string "host"
+		o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+		o = msgp.AppendString(o, z.Host)
+		// string "path"
+		o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
+		o = msgp.AppendString(o, z.Path)
+		// string "model"
+		o = append(o, 0xa5, 0x6d, 0x6f, 0x64, 0x65, 0x6c)
+		o = msgp.AppendString(o, z.Model)
+		// string "at"
+		o = append(o, 0xa2, 0x61, 0x74)
+		o = msgp.AppendInt64(o, z.SubmittedAt)
+		// string "part"
+		o = append(o, 0xa4, 0x70, 0x61, 0x72, 0x74)
+		o = msgp.AppendInt(o, z.Partition)
+		// string "from"
+		o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
+		o = msgp.AppendInt64(o, z.Offset)
+		// string "next"
+		o = append(o, 0xa4, 0x6e, 0x65, 0x78, 0x74)
+		o = msgp.AppendInt64(o, z.Next)
+		// string "bytes"
+		o = append(o, 0xa5, 0x62, 0x79, 0x74, 0x65, 0x73)
+		o = msgp.AppendInt(o, z.Bytes)
+		// string "items"
+		o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.Items)
+		// string "work"
+		o = append(o, 0xa4, 0x77, 0x6f, 0x72, 0x6b)
+		o = msgp.AppendInt64(o, z.Work)
+		// string "tenant"
+		o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+		o = msgp.AppendString(o, z.Tenant)
+		// string "homes"
+		o = append(o, 0xa5, 0x68, 0x6f, 0x6d, 0x65, 0x73)
+		o = msgp.AppendString(o, z.Homes)
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "want"
+			o = append(o, 0xa4, 0x77, 0x61, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.Desired)
+		}
+	}
 	return
 }
 
@@ -391,6 +443,12 @@
 				err = msgp.WrapError(err, "Homes")
 				return
 			}
+		case "want":
+			z.Desired, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Desired")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -405,7 +463,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Entry) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant) + 6 + msgp.StringPrefixSize + len(z.Homes)
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.JobID) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 6 + msgp.StringPrefixSize + len(z.Model) + 3 + msgp.Int64Size + 5 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.Int64Size + 6 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Tenant) + 6 + msgp.StringPrefixSize + len(z.Homes) + 5 + msgp.IntSize
 	return
 }
 
@@ -1212,6 +1270,12 @@
 				err = msgp.WrapError(err, "Score")
 				return
 			}
+		case "completes":
+			z.CompletesStep, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "CompletesStep")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1225,63 +1289,91 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Result) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "item"
-	err = en.Append(0x85, 0xa4, 0x69, 0x74, 0x65, 0x6d)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.CompletesStep == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteString(z.ItemID)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "ItemID")
 		return
 	}
-	// write "dead"
-	err = en.Append(0xa4, 0x64, 0x65, 0x61, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Dead)
-	if err != nil {
-		err = msgp.WrapError(err, "Dead")
-		return
-	}
-	// write "text"
-	err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Text)
-	if err != nil {
-		err = msgp.WrapError(err, "Text")
-		return
-	}
-	// write "versions"
-	err = en.Append(0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Versions)))
-	if err != nil {
-		err = msgp.WrapError(err, "Versions")
-		return
-	}
-	for za0001 := range z.Versions {
-		err = en.WriteInt64(z.Versions[za0001])
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "item"
+		err = en.Append(0xa4, 0x69, 0x74, 0x65, 0x6d)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
 			return
 		}
-	}
-	// write "score"
-	err = en.Append(0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Score)
-	if err != nil {
-		err = msgp.WrapError(err, "Score")
-		return
+		err = en.WriteString(z.ItemID)
+		if err != nil {
+			err = msgp.WrapError(err, "ItemID")
+			return
+		}
+		// write "dead"
+		err = en.Append(0xa4, 0x64, 0x65, 0x61, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Dead)
+		if err != nil {
+			err = msgp.WrapError(err, "Dead")
+			return
+		}
+		// write "text"
+		err = en.Append(0xa4, 0x74, 0x65, 0x78, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Text)
+		if err != nil {
+			err = msgp.WrapError(err, "Text")
+			return
+		}
+		// write "versions"
+		err = en.Append(0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Versions)))
+		if err != nil {
+			err = msgp.WrapError(err, "Versions")
+			return
+		}
+		for za0001 := range z.Versions {
+			err = en.WriteInt64(z.Versions[za0001])
+			if err != nil {
+				err = msgp.WrapError(err, "Versions", za0001)
+				return
+			}
+		}
+		// write "score"
+		err = en.Append(0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Score)
+		if err != nil {
+			err = msgp.WrapError(err, "Score")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "completes"
+			err = en.Append(0xa9, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.CompletesStep)
+			if err != nil {
+				err = msgp.WrapError(err, "CompletesStep")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1289,25 +1381,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Result) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "item"
-	o = append(o, 0x85, 0xa4, 0x69, 0x74, 0x65, 0x6d)
-	o = msgp.AppendString(o, z.ItemID)
-	// string "dead"
-	o = append(o, 0xa4, 0x64, 0x65, 0x61, 0x64)
-	o = msgp.AppendBool(o, z.Dead)
-	// string "text"
-	o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
-	o = msgp.AppendString(o, z.Text)
-	// string "versions"
-	o = append(o, 0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0001 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.CompletesStep == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "item"
+		o = append(o, 0xa4, 0x69, 0x74, 0x65, 0x6d)
+		o = msgp.AppendString(o, z.ItemID)
+		// string "dead"
+		o = append(o, 0xa4, 0x64, 0x65, 0x61, 0x64)
+		o = msgp.AppendBool(o, z.Dead)
+		// string "text"
+		o = append(o, 0xa4, 0x74, 0x65, 0x78, 0x74)
+		o = msgp.AppendString(o, z.Text)
+		// string "versions"
+		o = append(o, 0xa8, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+		for za0001 := range z.Versions {
+			o = msgp.AppendInt64(o, z.Versions[za0001])
+		}
+		// string "score"
+		o = append(o, 0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
+		o = msgp.AppendString(o, z.Score)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "completes"
+			o = append(o, 0xa9, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65, 0x73)
+			o = msgp.AppendBool(o, z.CompletesStep)
+		}
 	}
-	// string "score"
-	o = append(o, 0xa5, 0x73, 0x63, 0x6f, 0x72, 0x65)
-	o = msgp.AppendString(o, z.Score)
 	return
 }
 
@@ -1372,6 +1482,12 @@
 				err = msgp.WrapError(err, "Score")
 				return
 			}
+		case "completes":
+			z.CompletesStep, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CompletesStep")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1386,7 +1502,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.ItemID) + 5 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Text) + 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 6 + msgp.StringPrefixSize + len(z.Score)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.ItemID) + 5 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Text) + 9 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 6 + msgp.StringPrefixSize + len(z.Score) + 10 + msgp.BoolSize
 	return
 }
 
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -244,12 +244,13 @@
 
 // startJob starts all items of a job that are not listed.
 func (r *runner) startJob(ctx context.Context, view job.View) *runningJob {
-	r.writer.setPosition(view.Spec.ID, view.Listed)
+	carried := r.carriedGroups(view.Spec)
+	r.writer.startJob(view.Spec.ID, view.Listed, newWantedGroups(view.Spec, carried, r.ledger.Results(view.Spec.ID, 0, math.MaxInt)))
 	r.recordListedLengths(view)
 	jobCtx, cancel := context.WithCancel(ctx)
 	running := &runningJob{
 		cancel: cancel, spec: view.Spec, items: make(map[string]*execution), progressSeen: view.ProgressCount,
-		ranFromStart: view.Listed == 0 && view.ProgressCount == 0, carried: r.carriedGroups(view.Spec), critical: &criticalEvents{},
+		ranFromStart: view.Listed == 0 && view.ProgressCount == 0, carried: carried, critical: &criticalEvents{},
 	}
 	openItems := r.ledger.Open(view.Spec.ID)
 	for _, open := range openItems {
--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -31,7 +31,9 @@
 	// positions is the number of results that have been assigned a position, by job.
 	positions map[string]int
 	// closed holds the jobs of which no further results are listed.
-	closed  map[string]bool
+	closed map[string]bool
+	// wanted holds the groups that trainers wait for, by job, until they are complete or the job is closed.
+	wanted  map[string]*wantedGroups
 	pending []entry
 	wakeup  chan struct{}
 	// idle is closed once all pending entries are written; nil while no call of flush waits for that.
@@ -52,16 +54,21 @@
 func newWriter(fenced *fencing.Writer, limits Limits, logger *log.Logger) *writer {
 	return &writer{
 		Writer: fenced, limits: limits, logger: logger, positions: make(map[string]int), closed: make(map[string]bool),
-		wakeup: make(chan struct{}, 1),
+		wanted: make(map[string]*wantedGroups), wakeup: make(chan struct{}, 1),
 	}
 }
 
-// setPosition sets the number of results of a job that are listed already, unless that number is known.
-func (w *writer) setPosition(jobID string, listed int) {
+// startJob sets the number of results of a job that are listed already, and the groups that its trainer waits for after these
+// results, unless this is known.
+func (w *writer) startJob(jobID string, listed int, wanted *wantedGroups) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if _, known := w.positions[jobID]; !known {
-		w.positions[jobID] = listed
+	if _, known := w.positions[jobID]; known {
+		return
+	}
+	w.positions[jobID] = listed
+	if !wanted.complete() {
+		w.wanted[jobID] = wanted
 	}
 }
 
@@ -75,6 +82,7 @@
 func (w *writer) closeJob(jobID string, obsoleteKeys []string, done func(end int64)) {
 	w.mutex.Lock()
 	w.closed[jobID] = true
+	delete(w.wanted, jobID)
 	w.mutex.Unlock()
 	for _, records := range job.SplitAppends(tombstones(obsoleteKeys), w.limits.CallBytes) {
 		w.enqueue(entry{records: records})
@@ -143,7 +151,7 @@
 			break
 		}
 		if next.result != nil {
-			w.positions[next.jobID]++
+			w.countListed(next.jobID, next.result.ItemID)
 		}
 		size += job.Size(encoded)
 		records = append(records, encoded...)
@@ -164,7 +172,19 @@
 	if next.result == nil {
 		return next.records, nil
 	}
-	return job.EncodeResult(next.jobID, w.positions[next.jobID], *next.result, w.limits.RecordBytes)
+	result := *next.result
+	result.CompletesStep = w.wanted[next.jobID].completedBy(result.ItemID)
+	return job.EncodeResult(next.jobID, w.positions[next.jobID], result, w.limits.RecordBytes)
+}
+
+// countListed counts a result that is being listed. The mutex must be held.
+func (w *writer) countListed(jobID, itemID string) {
+	w.positions[jobID]++
+	wanted := w.wanted[jobID]
+	wanted.list(itemID)
+	if wanted.complete() {
+		delete(w.wanted, jobID)
+	}
 }
 
 // flush waits until all pending entries are written, the owner is superseded, or the context ends.
