Hold waiting reads of a step's results until the step is complete

Cause: a waiting read is answered with the first result, so the one that completes a step waits a quarter of a second on average for the trainer's next read. Change: a waiting read of a job whose trainer waits for groups is held for up to 0.45 s. It ends when the step is complete, when the job has ended or has all its results, when the answer is full, and 0.1 s before the run deadline of the job's route (holdTime). Metrics of held reads and of those that a complete step ended.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -78,6 +78,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	owners owners
+	holds  HoldStats
 
 	mutex   sync.Mutex
 	readers map[string]*reader
@@ -311,8 +312,16 @@
 // listingBytes limits the text of one listing; the platform's callers accept 1 MB.
 const listingBytes = 900 << 10
 
+// resultsCall is a call of Results.
+type resultsCall struct {
+	from    int
+	wait    time.Duration
+	started time.Time
+}
+
 // Results returns the results of a job from a position on. If there are none yet, it waits for the first one for at most
-// wait.
+// wait. If the job has a trainer, it holds the read a part of that time while results arrive, and answers at once when the
+// trainer can act on the answer (see holdTime).
 func (s *Service) Results(ctx context.Context, id string, from int, wait time.Duration) (Listing, Outcome) {
 	status, outcome := s.lookUp(ctx, id)
 	if outcome != Done {
@@ -333,7 +342,9 @@
 			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
 		return Listing{}, Unsure
 	}
-	reader.waitResult(ctx, from, wait)
+	ready := time.Now()
+	s.hold(ctx, reader, resultsCall{from: from, wait: wait, started: started})
+	reader.waitResult(ctx, from, wait-time.Since(ready))
 	s.logMissingResults(reader)
 	results := reader.ledger.Results(id, from, listingBytes)
 	return Listing{Total: status.Entry.Items, Results: results, Next: from + len(results)}, Done
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/jobrun"
+	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/unread"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -102,6 +103,16 @@
 	})
 }
 
+// holds registers the counts of held reads of results.
+func (m *metrics) holds(stats *jobs.HoldStats) {
+	m.counter("result_reads_held_total", "Reads of results of jobs with a trainer that were held while results arrived.", func() float64 {
+		return float64(stats.Held())
+	})
+	m.counter("result_reads_held_step_complete_total", "Held reads that were answered because the trainer's step was complete.", func() float64 {
+		return float64(stats.StepComplete())
+	})
+}
+
 // member registers whether this replica is a member of the group that owns the partitions of jobs.
 func (m *metrics) member(participates func() bool) {
 	m.gauge("jobs_member", "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.", func() float64 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -126,6 +126,7 @@
 		Regions:     config.Settings.regions(),
 		RecordBytes: config.RecordBytes, CallBytes: config.CallBytes, Logger: config.Logger,
 	})
+	r.metrics.holds(r.jobs.HoldStats())
 	r.runners = jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
