--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -44,9 +44,11 @@
 // entry is one unit to write: a result, or records that need no position.
 type entry struct {
 	// jobID is the job after whose close the entry is dropped instead of queued; empty if it is always written.
-	jobID   string
-	result  *job.Result
-	records []keyedlog.Record
+	jobID  string
+	result *job.Result
+	// completesStep reports that the result makes the wanted groups complete. It is set when the result is encoded.
+	completesStep bool
+	records       []keyedlog.Record
 	// done is called once the entry is durable, with an offset that is higher than those of its records.
 	done func(end int64)
 }
@@ -126,6 +128,9 @@
 			return
 		}
 		for _, written := range batch {
+			if written.completesStep {
+				w.logger.Info("step complete", "job", written.jobID, "item", written.result.ItemID)
+			}
 			if written.done != nil {
 				written.done(end)
 			}
@@ -140,7 +145,8 @@
 	w.appending = false
 	var records []keyedlog.Record
 	size, count := 0, 0
-	for _, next := range w.pending {
+	for i := range w.pending {
+		next := &w.pending[i]
 		encoded, err := w.encode(next)
 		if err != nil {
 			errorlog.Error(w.logger, "record does not encode", err, "job", next.jobID)
@@ -168,12 +174,15 @@
 	return batch, records
 }
 
-func (w *writer) encode(next entry) ([]keyedlog.Record, error) {
+// encode returns the records of an entry. A result gets the next position of its job, and the mark if it completes the step. The
+// mutex must be held.
+func (w *writer) encode(next *entry) ([]keyedlog.Record, error) {
 	if next.result == nil {
 		return next.records, nil
 	}
 	result := *next.result
-	result.CompletesStep = w.wanted[next.jobID].completedBy(result.ItemID)
+	next.completesStep = w.wanted[next.jobID].completedBy(result.ItemID)
+	result.CompletesStep = next.completesStep
 	return job.EncodeResult(next.jobID, w.positions[next.jobID], result, w.limits.RecordBytes)
 }
 
