Use package slices in policy.PickEngine

Cause: policy had its own search in a slice of names. Change: slices.Contains and slices.Index. Of the rest of PickEngine and fleet.Pick nothing is the same: filters, weights, the slots assumed where their number is unknown, and affinity (the same for all processes here, per process there) differ. Conclusion: the tests of PickEngine pass unchanged.

--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -1,6 +1,9 @@
 package policy
 
-import "strconv"
+import (
+	"slices"
+	"strconv"
+)
 
 // EngineState is a gateway's view of one engine. It lags behind the engine.
 type EngineState struct {
@@ -110,25 +113,16 @@
 }
 
 func mayRun(engine *EngineState, request Request) bool {
-	if engine.Leaving || engine.Quarantined || indexOf(request.Pools, engine.Pool) < 0 {
+	if engine.Leaving || engine.Quarantined || !slices.Contains(request.Pools, engine.Pool) {
 		return false
 	}
-	if indexOf(request.Exclude, engine.ID) >= 0 {
+	if slices.Contains(request.Exclude, engine.ID) {
 		return false
 	}
 	version, known := engine.Served[request.Model]
 	return !known || request.Versions.Accept(version)
 }
 
-func indexOf(names []string, wanted string) int {
-	for i, name := range names {
-		if name == wanted {
-			return i
-		}
-	}
-	return -1
-}
-
 // load returns the ratio of streams in flight to slots.
 func load(engine *EngineState) float64 {
 	slots := engine.Slots
@@ -157,7 +151,7 @@
 
 func scoreEngine(request Request, scored candidate, affine string) float64 {
 	score := -loadWeight*load(scored.engine) - scored.distance
-	score -= poolWeight * float64(indexOf(request.Pools, scored.engine.Pool))
+	score -= poolWeight * float64(slices.Index(request.Pools, scored.engine.Pool))
 	if request.PrefixHash != 0 && scored.engine.ID == affine {
 		score += affinityWeight
 	}
