Bound the share of early cancelled runs more tightly

Cause: the bound of TestOverlappingSteps held without batches. Change: 0.8% in place of 2%, and the harder of its two deployments alone, which halves its time. Conclusion: the test fails where items of a job are assigned as they arrive.

--- a/internal/jobrun/connections_test.go
+++ b/internal/jobrun/connections_test.go
@@ -159,10 +159,10 @@
 	}
 }
 
-// Bounds of TestOverlappingSteps. Without its mechanisms 20% to 27% of the runs are cancelled early, and 42% to 49% open a
-// connection.
+// Bounds of TestOverlappingSteps. Where runs yield to work that does not take their slot, 25% to 27% of the runs are cancelled
+// early and 47% to 49% open a connection. Where items of a job are assigned as they arrive, 1.1% are cancelled early.
 const (
-	maxEarlyShare  = 0.02
+	maxEarlyShare  = 0.008
 	maxOpenedShare = 0.25
 	// maxStepTime is the time after which a step is late.
 	maxStepTime = 7500 * time.Millisecond
@@ -172,42 +172,32 @@
 // one run. Items used to be asked to yield as soon as they had a slot, by items that did not take the slot: engines of another
 // model, slower engines, and items of the same pass. Each such run opens a connection and breaks it.
 func TestOverlappingSteps(t *testing.T) {
-	tests := []struct {
-		name                   string
-		engines, slots, groups int
-	}{
-		{"full", 12, 16, 40},
-		{"overfull", 12, 15, 42},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, 0)
-				counter := &connectionCounter{Client: w.engines, idle: make(map[string]int)}
-				w.client = counter
-				assigned := w.addModelEngines(test.engines, test.slots)
-				owner := w.newNode("owner")
-				counter.onIdle = owner.directory.SetIdleConnections
-				owner.directory.SetAssignedModels("models", assigned)
-				owner.own(1)
-				time.Sleep(time.Second)
-				took := runTrainers(owner, deployment{groups: test.groups, hint: hintHalf})
-				mean := sum(took) / time.Duration(len(took))
-				t.Logf("%d runs, %d opened a connection, %d were cancelled early; steps took %v on average, %v at most",
-					counter.runs, counter.opened, counter.early, mean, slices.Max(took))
-				if float64(counter.early) > maxEarlyShare*float64(counter.runs) {
-					t.Errorf("%d of %d runs were cancelled early", counter.early, counter.runs)
-				}
-				if float64(counter.opened) > maxOpenedShare*float64(counter.runs) {
-					t.Errorf("%d of %d runs opened a connection", counter.opened, counter.runs)
-				}
-				if slices.Max(took) > maxStepTime {
-					t.Errorf("a step took %v", slices.Max(took))
-				}
-				owner.release()
-			})
-		})
-	}
+	const engines, slots, groups = 12, 15, 42
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0)
+		counter := &connectionCounter{Client: w.engines, idle: make(map[string]int)}
+		w.client = counter
+		assigned := w.addModelEngines(engines, slots)
+		owner := w.newNode("owner")
+		counter.onIdle = owner.directory.SetIdleConnections
+		owner.directory.SetAssignedModels("models", assigned)
+		owner.own(1)
+		time.Sleep(time.Second)
+		took := runTrainers(owner, deployment{groups: groups, hint: hintHalf})
+		mean := sum(took) / time.Duration(len(took))
+		t.Logf("%d runs, %d opened a connection, %d were cancelled early; steps took %v on average, %v at most",
+			counter.runs, counter.opened, counter.early, mean, slices.Max(took))
+		if float64(counter.early) > maxEarlyShare*float64(counter.runs) {
+			t.Errorf("%d of %d runs were cancelled early", counter.early, counter.runs)
+		}
+		if float64(counter.opened) > maxOpenedShare*float64(counter.runs) {
+			t.Errorf("%d of %d runs opened a connection", counter.opened, counter.runs)
+		}
+		if slices.Max(took) > maxStepTime {
+			t.Errorf("a step took %v", slices.Max(took))
+		}
+		owner.release()
+	})
 }
 
 // sharedModels is the number of models that share the engines.
