Let runs yield to each model's items

Cause: requests to yield ended at the first waiting item for which no run yields. Since runs yield only at engines that take the item, such an item of one model kept the runs of all other models from yielding. Change: it ends the requests for items of its own pool and model only, which are behind it for a free slot. Conclusion: TestRunsYieldToEachModel fails without it.

--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -227,20 +227,32 @@
 			pendingYields++
 		}
 	}
+	blocked := make(map[engineKind]bool)
 	for _, next := range waiting {
 		if pendingYields > 0 {
 			pendingYields--
 			continue
 		}
+		kind := engineKind{next.want.Pool, next.want.Model}
+		if blocked[kind] {
+			continue
+		}
 		slot := q.leastUrgentFor(next)
 		if slot == nil {
-			return
+			blocked[kind] = true
+			continue
 		}
 		slot.yieldRequested = true
 		slot.yield()
 	}
 }
 
+// engineKind identifies items that wait for the same engines. An item for which no run yields is the first to take a free slot
+// of its kind, so no run yields to those behind it.
+type engineKind struct {
+	pool, model string
+}
+
 // leastUrgentFor returns the slot of the run that can wait longest among those that yield to a waiting item, nil if there is
 // none.
 func (q *Queue) leastUrgentFor(next *waiter) *Slot {
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -297,3 +297,43 @@
 		})
 	}
 }
+
+// TestRunsYieldToEachModel makes the longest items of two models wait, of which the more urgent one finds only runs that cannot
+// wait. The run that can wait must yield to the item of the other model, which otherwise waits as long as the first one.
+func TestRunsYieldToEachModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue, stop := newTestQueue(1)
+		defer stop()
+		assigned := map[string]string{"engineA": "a", "engineB": "b"}
+		for id := range assigned {
+			queue.directory.Upsert(fleet.Engine{ID: id, Pool: "p", Slots: 1, Versions: map[string]int64{"a": 1, "b": 1}})
+			queue.directory.RecordGap(id, testPace)
+		}
+		queue.directory.SetAssignedModels("p", assigned)
+		acquire := func(model string, events float64, yield func()) <-chan *Slot {
+			granted := make(chan *Slot, 1)
+			rank := Rank{LatestStart: policy.LatestStart(time.Now(), events, testPace), MayBeCritical: policy.MayBeCritical(events, testCritical)}
+			want := fleet.Want{Pool: "p", Model: model, MinVersion: 1, Share: 1, Events: events, Since: time.Now()}
+			go func() {
+				slot, _ := queue.Acquire(t.Context(), rank, want, yield)
+				granted <- slot
+			}()
+			return granted
+		}
+		yields := make(map[string]int)
+		running := <-acquire("a", 170, func() { yields["a"]++ })
+		short := <-acquire("b", 10, func() { yields["b"]++ })
+		time.Sleep(time.Millisecond)
+		batch := queue.BeginBatch()
+		urgent, other := acquire("a", 170, nil), acquire("b", 150, nil)
+		synctest.Wait()
+		batch.Close()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(yields, map[string]int{"b": 1})
+		short.Release()
+		(<-other).Release()
+		running.Release()
+		(<-urgent).Release()
+	})
+}
