Count yields in tests of the queue atomically

Cause: the queue's goroutine wrote the counts that two tests read; with -race TestRunsYieldToEachModel failed once. Change: atomic counters. Conclusion: both pass 30 times with -race.

--- a/internal/jobrun/batch_test.go
+++ b/internal/jobrun/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,8 +80,8 @@
 				defer stop()
 				since := time.Now()
 				time.Sleep(time.Millisecond)
-				yields := 0
-				short := <-acquire(queue, time.Now(), 10, func() { yields++ })
+				var yields atomic.Int32
+				short := <-acquire(queue, time.Now(), 10, func() { yields.Add(1) })
 				if !waitedBefore {
 					since = time.Now().Add(time.Millisecond)
 				}
@@ -89,7 +90,7 @@
 				rank := Rank{LatestStart: policy.LatestStart(time.Now(), 150, testPace), MayBeCritical: true}
 				_, err := queue.Acquire(ctx, rank, fleet.Want{Pool: "p", Share: 1, Events: 150, Since: since}, nil)
 				is.True(err != nil)
-				is.Equal(yields == 0, waitedBefore)
+				is.Equal(yields.Load() == 0, waitedBefore)
 				short.Release()
 			})
 		})
--- a/internal/jobrun/queue_test.go
+++ b/internal/jobrun/queue_test.go
@@ -321,16 +321,17 @@
 			}()
 			return granted
 		}
-		yields := make(map[string]int)
-		running := <-acquire("a", 170, func() { yields["a"]++ })
-		short := <-acquire("b", 10, func() { yields["b"]++ })
+		var urgentYields, shortYields atomic.Int32
+		running := <-acquire("a", 170, func() { urgentYields.Add(1) })
+		short := <-acquire("b", 10, func() { shortYields.Add(1) })
 		time.Sleep(time.Millisecond)
 		batch := queue.BeginBatch()
 		urgent, other := acquire("a", 170, nil), acquire("b", 150, nil)
 		synctest.Wait()
 		batch.Close()
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(yields, map[string]int{"b": 1})
+		is.Equal(urgentYields.Load(), int32(0))
+		is.Equal(shortYields.Load(), int32(1))
 		short.Release()
 		(<-other).Release()
 		running.Release()
