--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -139,6 +139,9 @@
 	candidates := *from
 	engine := candidates[index].Engine
 	candidates[index].InFlight++
+	if candidates[index].IdleConnections > 0 {
+		candidates[index].IdleConnections--
+	}
 	if !withinShare(candidates[index].InFlight, candidates[index], want) {
 		*from = slices.Delete(candidates, index, index+1)
 	}
@@ -294,7 +297,8 @@
 		candidates = append(candidates, Candidate{
 			Engine: engine, AssignedModel: assigned[engine.ID], OtherRegion: region != "" && engine.Region != "" && engine.Region != region,
 			InFlight: found.inFlight, PeerHeld: d.peers.held[engine.ID],
-			Avoided: now.Before(found.avoidUntil), ColdLimited: d.coldLimited(found, want, now), Cold: d.isCold(found, now),
+			IdleConnections: found.idleConnections,
+			Avoided:         now.Before(found.avoidUntil), ColdLimited: d.coldLimited(found, want, now), Cold: d.isCold(found, now),
 			Loading: now.Before(found.loadingUntil[want.Model]), Forecast: d.forecastFor(found, want, now), Latency: found.latency,
 			Ejected: state == policy.BreakerOpen || trial && want.NoTrial && !found.breaker.TrialOverdue(now), Trial: trial,
 		})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -109,6 +109,7 @@
 	config.Client = r.config.Client
 	if config.Connections != nil {
 		r.metrics.connections(config.Connections.Stats)
+		config.Connections.OnIdle(r.directory.SetIdleConnections)
 	}
 	r.checkCold()
 	splitter := catalog.NewSplitter(rand.Float64)
