Count reads of results at the tail, and estimate its size within the read

Cause: nothing told how often the tail of a partition suffices. A tail of records much larger than those before was read to its limit and missed. Change: metrics hillfork_results_tail_reads_total, hillfork_results_tail_misses_total and hillfork_results_read_bytes_total, and the key `tail` of the line `results of a job read slowly`. The size of records is estimated by those of the same read once it has eight, and by those of all partitions before that; a tail that is expected to exceed its limit begins later. Records before it are read for 32 KB and more only.

--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -16,6 +16,8 @@
 	maxTailBytes = 3 * tailBytes
 	// tailMargin is the factor by which a read may exceed the expected size of its records before it is cut short.
 	tailMargin = 1.25
+	// minExtensionBytes is the minimum size for which records before a tail are read.
+	minExtensionBytes = 32 << 10
 )
 
 // OffsetRange is a range of offsets from From up to, but not including, To.
@@ -33,13 +35,13 @@
 	Covered func() bool
 	// Skip returns ranges of offsets that contain no record that matters, in order of their offsets; nil for none.
 	Skip func() []OffsetRange
-	// RecordSize estimates the size of the partition's records. Followers of the same partition share it.
+	// RecordSize estimates the size of records. Followers of partitions with similar records share it.
 	RecordSize *RecordSize
 	// OnDone is called with whether the tail sufficed; nil if nobody needs to know.
 	OnDone func(covered bool)
 }
 
-// RecordSize estimates the mean size of the records of a partition outside of skipped ranges. The zero value is ready for use. It is
+// RecordSize estimates the mean size of the records of partitions outside of skipped ranges. The zero value is ready for use. It is
 // safe for concurrent use.
 type RecordSize struct {
 	mutex sync.Mutex
@@ -87,6 +89,19 @@
 	low, high int64
 	skipped   []OffsetRange
 	readBytes int
+	// records and recordBytes count the records read outside of skipped ranges.
+	records, recordBytes int
+}
+
+// minSampleRecords is the number of records of a tail from which on their mean size is a better estimate than that of earlier tails.
+const minSampleRecords = 8
+
+// meanBytes returns the expected mean size of records outside of skipped ranges.
+func (t *tailReader) meanBytes() float64 {
+	if t.records < minSampleRecords {
+		return t.config.RecordSize.bytes()
+	}
+	return max(1, float64(t.recordBytes)/float64(t.records))
 }
 
 // errTailTooLong is returned when the tail that was read does not suffice.
@@ -137,7 +152,7 @@
 // readForward applies the records from high up to the end, and later ones that the last read returns.
 func (t *tailReader) readForward(ctx context.Context, apply func(keyedlog.Record)) error {
 	for t.high < t.end {
-		t.skipTo(t.nextUnskipped(t.high))
+		t.high = t.nextUnskipped(t.high)
 		if t.high >= t.end {
 			return nil
 		}
@@ -148,7 +163,7 @@
 		t.high = next
 		// If the records are larger than expected, the tail begins later.
 		left := maxTailBytes - t.readBytes
-		if !t.covered() && float64(t.count(t.high, t.end))*t.config.RecordSize.bytes() > float64(left) {
+		if !t.covered() && float64(t.count(t.high, t.end))*t.meanBytes() > float64(left) {
 			t.low = t.windowStart(t.end, min(left, tailBytes))
 			t.high = t.low
 		}
@@ -156,18 +171,14 @@
 	return nil
 }
 
-// skipTo continues at an offset, since there is nothing to read before it.
-func (t *tailReader) skipTo(offset int64) {
-	if t.low == t.high {
-		t.low = offset
-	}
-	t.high = offset
-}
-
 // readBackward applies records before low for as many bytes as are left.
 func (t *tailReader) readBackward(ctx context.Context, apply func(keyedlog.Record)) error {
 	t.updateSkipped()
-	start := t.windowStart(t.low, int(float64(maxTailBytes-t.readBytes)/tailMargin))
+	left := maxTailBytes - t.readBytes
+	if left < minExtensionBytes {
+		return errTailTooLong
+	}
+	start := t.windowStart(t.low, int(float64(left)/tailMargin))
 	if start >= t.low {
 		return errTailTooLong
 	}
@@ -188,7 +199,7 @@
 	if t.readBytes >= maxTailBytes && !t.covered() {
 		return from, errTailTooLong
 	}
-	size := int(tailMargin * float64(to-from) * t.config.RecordSize.bytes())
+	size := int(tailMargin * float64(to-from) * t.meanBytes())
 	batch, err := t.log.Read(ctx, t.partition, keyedlog.Span{From: from, MaxBytes: min(max(size, minTailReadBytes), maxTailBytes)})
 	if err != nil {
 		return from, err
@@ -207,6 +218,8 @@
 		}
 		apply(record)
 	}
+	t.records += within
+	t.recordBytes += withinBytes
 	t.config.RecordSize.observe(within, withinBytes)
 	return from + int64(len(batch.Records)), nil
 }
@@ -217,7 +230,7 @@
 // windowStart returns the offset from which on, up to before to, the partition is expected to have records of the given size in bytes
 // outside of skipped ranges. It is not lower than the first offset that matters.
 func (t *tailReader) windowStart(to int64, size int) int64 {
-	count := max(1, int64(float64(size)/t.config.RecordSize.bytes()))
+	count := max(1, int64(float64(size)/t.meanBytes()))
 	for i := len(t.skipped) - 1; i >= 0; i-- {
 		skipped := t.skipped[i]
 		if skipped.From >= to {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -77,9 +77,10 @@
 	parked map[string]*reader
 	// recentJobs holds the jobs whose last call is less than returnWindow ago, each with the timer that removes it.
 	recentJobs map[string]*time.Timer
-	// recordSizes holds the estimated size of the records of each partition that was read.
-	recordSizes map[keyedlog.Partition]*follow.RecordSize
-	reading     sync.WaitGroup
+	// recordSize is the estimated size of the records of jobs.
+	recordSize follow.RecordSize
+	stats      counters
+	reading    sync.WaitGroup
 }
 
 // New returns a service without readers; they start with the first calls.
@@ -87,7 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
 		config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader),
-		recentJobs: make(map[string]*time.Timer), recordSizes: make(map[keyedlog.Partition]*follow.RecordSize),
+		recentJobs: make(map[string]*time.Timer),
 	}
 }
 
@@ -310,7 +311,7 @@
 	if elapsed := time.Since(started); err == nil && elapsed > slowReadThreshold {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry),
 			"took", elapsed.Round(time.Millisecond), "position", from, "records", reader.readLog.records.Load(), "bytes", reader.readLog.bytes.Load(),
-			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
+			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd, "tail", reader.tail)
 	}
 	if err != nil {
 		errorlog.Warn(s.config.Logger, "results of a job were not read in time", err, "job", id, "partition", partitionOf(status.Entry),
--- a/internal/jobs/position_test.go
+++ b/internal/jobs/position_test.go
@@ -42,6 +42,12 @@
 	}
 }
 
+func (l *countingLog) reset() {
+	l.calls.Store(0)
+	l.records.Store(0)
+	l.bytes.Store(0)
+}
+
 // listedJob is a job with many items in a store, with results listed from position 0 on.
 type listedJob struct {
 	store  *memorylog.Store
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -47,6 +47,8 @@
 	base     int
 	ledger   *job.Ledger
 	follower *follow.Follower
+	// tail is nil if the reader does not begin with the tail of the partition.
+	tail *resultTail
 	// readLog counts the records and bytes that the follower has read.
 	readLog *countingLog
 	cancel  context.CancelFunc
@@ -127,13 +129,13 @@
 func (s *Service) newReader(status job.Status, from int) *reader {
 	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, status.Entry.Partition)
 	ledger.StartAt(id, from)
-	size, readLog := runningReadBytes, &countingLog{Log: s.config.Log}
+	size, readLog := runningReadBytes, &countingLog{Log: s.config.Log, stats: &s.stats}
 	if status.Settled {
 		size = settledReadBytes
 	}
 	tail := s.newTail(status, from, ledger)
 	return &reader{
-		entry: status.Entry, base: from, ledger: ledger, readLog: readLog, lastCall: time.Now(),
+		entry: status.Entry, base: from, ledger: ledger, tail: tail, readLog: readLog, lastCall: time.Now(),
 		complete: make(chan struct{}), stopped: make(chan struct{}),
 		follower: follow.New(follow.Config{
 			Log: readLog, Partition: partitionOf(status.Entry), From: startOffset(status, from), Wait: longPollTimeout, MinReadInterval: minReadInterval,
@@ -150,7 +152,7 @@
 // resumed returns a reader that continues where a parked one stopped.
 func (r *reader) resumed() *reader {
 	return &reader{
-		entry: r.entry, base: r.base, ledger: r.ledger, readLog: r.readLog, follower: r.follower, predecessor: r.stopped, lastCall: time.Now(),
+		entry: r.entry, base: r.base, ledger: r.ledger, tail: r.tail, readLog: r.readLog, follower: r.follower, predecessor: r.stopped, lastCall: time.Now(),
 		complete: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -1,9 +1,10 @@
 package jobs
 
 import (
+	"sync/atomic"
+
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/job"
-	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
 // minSkippedBytes is the size from which on a submission in the tail of a partition is skipped: reading it takes longer than the
@@ -20,6 +21,39 @@
 	from    int
 	// first is the lowest position of a result that was read. Only the follower's goroutine uses it.
 	first int
+	// state is accessed by any goroutine.
+	state atomic.Int32
+}
+
+// tailState is how far the read of a tail is.
+type tailState int32
+
+// States of the read of a tail.
+const (
+	tailReading tailState = iota
+	tailSufficed
+	tailMissed
+)
+
+var tailStateNames = [...]string{"reading", "sufficed", "missed"}
+
+// String returns the name of the state in logs; "none" if the tail is nil.
+func (t *resultTail) String() string {
+	if t == nil {
+		return "none"
+	}
+	return tailStateNames[t.state.Load()]
+}
+
+// done records whether the tail sufficed.
+func (t *resultTail) done(covered bool) {
+	if covered {
+		t.state.Store(int32(tailSufficed))
+		t.service.stats.tailReads.Add(1)
+		return
+	}
+	t.state.Store(int32(tailMissed))
+	t.service.stats.tailMisses.Add(1)
 }
 
 // newTail returns the tail of a read of results from a position on, nil if the read does not begin with the tail: a position after
@@ -66,16 +100,7 @@
 		return nil
 	}
 	return &follow.Tail{
-		First: t.entry.Next, Covered: t.covered, Skip: t.submissions, RecordSize: t.service.recordSize(partitionOf(t.entry)),
-	}
-}
-
-// recordSize returns the estimate of the size of a partition's records. The mutex must be held.
-func (s *Service) recordSize(partition keyedlog.Partition) *follow.RecordSize {
-	found, ok := s.recordSizes[partition]
-	if !ok {
-		found = new(follow.RecordSize)
-		s.recordSizes[partition] = found
+		First: t.entry.Next, Covered: t.covered, Skip: t.submissions, RecordSize: &t.service.recordSize,
+		OnDone: t.done,
 	}
-	return found
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/jobrun"
+	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/unread"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -95,6 +96,19 @@
 	})
 }
 
+// results registers what reads of jobs' results take from the store.
+func (m *metrics) results(stats func() jobs.Stats) {
+	m.counter("results_tail_reads_total", "Reads of results that needed only the last records of a partition.", func() float64 {
+		return float64(stats().TailReads)
+	})
+	m.counter("results_tail_misses_total", "Reads of results for which the last records of a partition did not suffice.", func() float64 {
+		return float64(stats().TailMisses)
+	})
+	m.counter("results_read_bytes_total", "Bytes of records read from the store for results.", func() float64 {
+		return float64(stats().Bytes)
+	})
+}
+
 // member registers whether this replica is a member of the group that owns the partitions of jobs.
 func (m *metrics) member(participates func() bool) {
 	m.gauge("jobs_member", "1 if the replica takes part in owning partitions of jobs, 0 if it stands by.", func() float64 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -121,6 +121,7 @@
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Models: r.models,
 		RecordBytes: config.RecordBytes, CallBytes: config.CallBytes, Logger: config.Logger,
 	})
+	r.metrics.results(r.jobs.Stats)
 	runners := jobrun.NewHolder(jobrun.Config{
 		Log: config.Log, Index: r.index, IndexFollower: indexFollower, Catalog: r.catalog, CatalogFollower: operator,
 		Splitter: splitter, Directory: r.directory, Queue: r.queue, Client: config.Client, Forwarder: forwarder,
