Time small reads of a topic apart from its pages

Cause: reads of the tail take some milliseconds and lowered the timeout of all reads of the topic to 120 ms. A page of 1 MB takes 0.2 s on a link of 60 Mbit/s, so that the fallback to pages, reads of settled jobs and the reads of an owner that takes a partition over would be abandoned and repeated. Change: requests of a partition's end and reads of at most 288 KB have a timeout of their own for each topic, learnt from such reads. Conclusion: TestSmallReadsHaveSeparateTimeouts fails when either kind of small reads counts as a page.

--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -145,9 +145,6 @@
 	return nil
 }
 
-// lastKey sorts after every key, so a page after it contains no records, only the partition's end.
-const lastKey = "~"
-
 // Reader waits until the records of a partition below an offset have been read.
 type Reader interface {
 	WaitFor(ctx context.Context, end int64) error
@@ -155,7 +152,7 @@
 
 // WaitUntilCurrent waits until a reader has read all records that the partition holds now.
 func WaitUntilCurrent(ctx context.Context, log keyedlog.Log, partition keyedlog.Partition, reader Reader) error {
-	page, err := log.Newest(ctx, partition, lastKey)
+	page, err := log.Newest(ctx, partition, keyedlog.AfterAllKeys)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -111,7 +111,7 @@
 // keyedlog.ErrTrimmed if the store has dropped some of it; after any other error, the next call continues.
 func (t *tailReader) read(ctx context.Context, apply func(keyedlog.Record)) error {
 	if t.end == 0 {
-		page, err := t.log.Newest(ctx, t.partition, lastKey)
+		page, err := t.log.Newest(ctx, t.partition, keyedlog.AfterAllKeys)
 		if err != nil {
 			return err
 		}
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -121,6 +121,9 @@
 // OwnerKey is the key of the record that an owner of a partition writes to set its epoch. Readers ignore its value.
 const OwnerKey = "owner/epoch"
 
+// AfterAllKeys sorts after every key. A page that begins after it contains no records, only the partition's end.
+const AfterAllKeys = "~"
+
 // JobIndex is the only partition of the job index.
 var JobIndex = Partition{Topic: TopicJobIndex}
 
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -28,8 +28,9 @@
 
 	mutex sync.Mutex
 	// reads holds the state of each topic's reads. Topics are kept apart because a page of all engines takes many times as long
-	// as one of the operator's records; with a timeout based on the latter it would be abandoned and requested again.
-	reads map[keyedlog.Topic]*topicReads
+	// as one of the operator's records; with a timeout based on the latter it would be abandoned and requested again. Small reads
+	// of a topic are kept apart from its pages for the same reason.
+	reads map[readKind]*readState
 	// pending holds the calls that wait for an answer. lastAnswer is the time of the last answer, recoveredAt the time of the
 	// last answer that ended an outage of the store.
 	pending     map[*call]struct{}
@@ -73,23 +74,33 @@
 	return answer, err
 }
 
-// topicReads is the state of a topic's reads: their response times, and the number of bytes that are received within the timeout.
-type topicReads struct {
+// smallReadBytes is the maximum size of a small read. Pages have 1 MB and are encoded as text, which takes five times as long.
+const smallReadBytes = 288 << 10
+
+// readKind is a kind of reads whose response times are similar.
+type readKind struct {
+	topic keyedlog.Topic
+	// small is set for reads that request at most smallReadBytes.
+	small bool
+}
+
+// readState is the state of one kind of reads: their response times, and the number of bytes that are received within the timeout.
+type readState struct {
 	estimator
 	window window
 }
 
-// readsOf returns the state of a topic's reads, and creates it if needed.
-func (l *Log) readsOf(topic keyedlog.Topic) *topicReads {
+// readsOf returns the state of a kind of reads, and creates it if needed.
+func (l *Log) readsOf(kind readKind) *readState {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.reads == nil {
-		l.reads = make(map[keyedlog.Topic]*topicReads)
+		l.reads = make(map[readKind]*readState)
 	}
-	found, ok := l.reads[topic]
+	found, ok := l.reads[kind]
 	if !ok {
-		found = &topicReads{}
-		l.reads[topic] = found
+		found = &readState{}
+		l.reads[kind] = found
 	}
 	return found
 }
@@ -143,14 +154,16 @@
 	})
 }
 
-// Newest returns a page of the newest records, with a timeout based on the response times of the topic's pages.
+// Newest returns a page of the newest records, with a timeout based on the response times of the topic's reads of
+// that kind.
 func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
-	return callWithTimeout(ctx, l, &l.readsOf(partition.Topic).estimator, func(ctx context.Context) (keyedlog.Page, error) {
+	reads := l.readsOf(readKind{topic: partition.Topic, small: afterKey == keyedlog.AfterAllKeys})
+	return callWithTimeout(ctx, l, &reads.estimator, func(ctx context.Context) (keyedlog.Page, error) {
 		return l.Log.Newest(ctx, partition, afterKey)
 	})
 }
 
-// Read returns records. Its timeout is the time that the store was asked to wait and the timeout of the topic's pages, and it
+// Read returns records. Its timeout is the time that the store was asked to wait and the timeout of its kind of reads, and it
 // requests no more bytes than are received in that time. A read that is not held open updates the response times as a page does.
 // A held read that times out lengthens the timeout of the reads after it: all processes read the same records at once, and a
 // store whose link is saturated answers late; processes that timed out early and repeated their reads would fill the link with
@@ -158,7 +171,8 @@
 func (l *Log) Read(
 	ctx context.Context, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
-	reads := l.readsOf(partition.Topic)
+	small := span.MaxBytes > 0 && span.MaxBytes <= smallReadBytes
+	reads := l.readsOf(readKind{topic: partition.Topic, small: small})
 	span.MaxBytes = reads.window.size(span.MaxBytes)
 	batch, err := l.readWithin(ctx, reads, partition, span)
 	switch {
@@ -172,7 +186,7 @@
 
 // readWithin makes one read within its timeout.
 func (l *Log) readWithin(
-	ctx context.Context, reads *topicReads, partition keyedlog.Partition, span keyedlog.Span,
+	ctx context.Context, reads *readState, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
 	if span.Wait == 0 {
 		return callWithTimeout(ctx, l, &reads.estimator, func(ctx context.Context) (keyedlog.Batch, error) {
--- a/internal/storetimeout/storetimeout_test.go
+++ b/internal/storetimeout/storetimeout_test.go
@@ -202,6 +202,32 @@
 	})
 }
 
+// TestSmallReadsHaveSeparateTimeouts reads a partition's end and its last records, and then a page and a long read of the same topic,
+// which take more than the minimum timeout. With a timeout based on the small reads, the replicas that poll results would abandon pages,
+// and owners the reads of partitions that they take over.
+func TestSmallReadsHaveSeparateTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 200_000
+		store := memorylog.New(memorylog.Config{Partitions: 1, ReadRate: size * 4, Delay: 4 * time.Millisecond})
+		for _, value := range [][]byte{make([]byte, size), []byte("v")} {
+			_, err := store.For("writer").Append(t.Context(), partition, []keyedlog.Record{{Key: string(value[:1]), Value: value}}, nil)
+			is.NoErr(err)
+		}
+		log := New(store.For("node"))
+		for range 50 {
+			_, err := log.Newest(t.Context(), partition, keyedlog.AfterAllKeys)
+			is.NoErr(err)
+			_, err = log.Read(t.Context(), partition, keyedlog.Span{From: 1, MaxBytes: 8 << 10})
+			is.NoErr(err)
+		}
+		_, err := log.Newest(t.Context(), partition, "")
+		is.NoErr(err)
+		_, err = log.Read(t.Context(), partition, keyedlog.Span{})
+		is.NoErr(err)
+	})
+}
+
 // TestBacklogIsReadOverSlowLink has a process read a backlog of megabytes of records over a link that transfers a fifth of the
 // maximum size of a read within its timeout. The total time may only be little more than the transfer of the bytes takes, and
 // nearly all transferred bytes must be used.
