Finish an interrupted extension of a tail before it counts

Cause: where a read of the records before a tail failed halfway, what it had brought could show that the tail suffices, although records between it and the tail were not read: results were missing from the answer. Change: an extension that failed goes on before anything is concluded. Conclusion: the property test has a third of the reads fail now, found this, and fails without the change.

--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -90,12 +90,19 @@
 	// All records from low to before high are applied except those of skipped ranges. started is set once low and high are set.
 	started   bool
 	low, high int64
+	// extension is the range before low that is being read, nil if there is none.
+	extension *extension
 	skipped   []OffsetRange
 	readBytes int
 	// records and recordBytes count the records read outside of skipped ranges.
 	records, recordBytes int
 }
 
+// extension is a range of records before the tail. Those from start to before next are applied except those of skipped ranges.
+type extension struct {
+	start, next int64
+}
+
 // minSampleRecords is the number of records of a tail from which on their mean size is a better estimate than that of earlier tails.
 const minSampleRecords = 8
 
@@ -138,7 +145,7 @@
 	if err := t.readForward(ctx, apply); err != nil {
 		return err
 	}
-	for !t.covered() {
+	for t.extension != nil || !t.covered() {
 		if err := t.readBackward(ctx, apply); err != nil {
 			return err
 		}
@@ -188,25 +195,31 @@
 	return int(float64(t.count(t.high, t.end)) * t.meanBytes())
 }
 
-// readBackward applies records before low for as many bytes as are left.
+// readBackward applies records before low for as many bytes as are left. After a failure, the next call continues: what the records read
+// so far show holds only once all records up to low are read.
 func (t *tailReader) readBackward(ctx context.Context, apply func(keyedlog.Record)) error {
-	t.updateSkipped()
-	left := maxTailBytes - t.readBytes
-	if left < minExtensionBytes {
-		return errTailTooLong
-	}
-	start := t.windowStart(t.low, int(float64(left)/tailMargin))
-	if start >= t.low {
-		return errTailTooLong
+	if t.extension == nil {
+		t.updateSkipped()
+		left := maxTailBytes - t.readBytes
+		if left < minExtensionBytes {
+			return errTailTooLong
+		}
+		start := t.windowStart(t.low, int(float64(left)/tailMargin))
+		t.extension = &extension{start: start, next: start}
 	}
-	for from := t.nextUnskipped(start); from < t.low; from = t.nextUnskipped(from) {
-		next, err := t.readSpan(ctx, from, min(t.low, t.nextSkipped(from)), apply)
+	for {
+		t.extension.next = t.nextUnskipped(t.extension.next)
+		if t.extension.next >= t.low {
+			break
+		}
+		next, err := t.readSpan(ctx, t.extension.next, min(t.low, t.nextSkipped(t.extension.next)), apply)
 		if err != nil {
 			return err
 		}
-		from = next
+		t.extension.next = next
 	}
-	t.low = start
+	t.low = t.extension.start
+	t.extension = nil
 	return nil
 }
 
