--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -58,6 +58,12 @@
 	// begins after this key, and if that page reaches the last key, also the first page of the partition; empty to read
 	// all. Later records are all read as they are appended.
 	SampleAfterKey string
+	// Tail, if not nil, has a follower that begins with the newest records try the last records of the partition first.
+	Tail *Tail
+	// Block, if not nil, reports whether a record begins a block of records that don't matter, with the distance in offsets to the last
+	// record of the block and that record's key. Where a read was cut short within a block, the next read begins at its last record. If
+	// that has another key, there are other records in between, and all are read.
+	Block func(record keyedlog.Record) (distance int64, lastKey string, ok bool)
 	// NewestOnly reports that only the newest record of each key matters: after a disconnection from the store the
 	// follower need not read all records that it has missed.
 	NewestOnly bool
@@ -90,6 +96,10 @@
 	nextOffset int64
 	tailing    bool
 	offsets    map[string]int64
+	// tail reads the last records and is nil when no such read is in progress.
+	tail *tailReader
+	// block is the block in which the last read was cut short, nil if there is none.
+	block *block
 	// backlog is used if only the newest records matter.
 	backlog backlog
 	// pager reads the newest records and is nil when no such read is in progress; seenKeys holds the keys that it has
@@ -113,10 +123,14 @@
 
 // New returns a follower; Run starts it.
 func New(config Config) *Follower {
-	return &Follower{
+	f := &Follower{
 		config: config, offsets: make(map[string]int64), advanced: broadcast.New(), wake: make(chan struct{}, 1),
 		nextOffset: config.From, tailing: config.From > 0,
 	}
+	if config.Tail != nil && !f.tailing {
+		f.tail = &tailReader{config: *config.Tail, log: config.Log, partition: config.Partition}
+	}
+	return f
 }
 
 // Run follows the partition until the context ends. It may be called again after it has returned, and then resumes at
@@ -125,6 +139,10 @@
 	if f.idle() && f.config.MaxIdleStartDelay > 0 {
 		f.waitIdle(ctx, rand.N(f.config.MaxIdleStartDelay))
 	}
+	if f.tail != nil {
+		// A caller that resumes waits for what was appended until now.
+		f.tail.end = 0
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
@@ -138,8 +156,11 @@
 	}
 }
 
-// step reads the newest records, or one batch of appended records.
+// step reads the tail, the newest records, or one batch of appended records.
 func (f *Follower) step(ctx context.Context) error {
+	if f.tail != nil {
+		return f.readTail(ctx)
+	}
 	if !f.tailing {
 		return f.catchUp(ctx)
 	}
@@ -155,7 +176,16 @@
 	if limit := f.backlog.remaining(); limit > 0 {
 		span.MaxBytes = limit
 	}
+	skipped := f.block
+	f.block = nil
+	if skipped != nil {
+		span.From = skipped.last
+	}
 	batch, err := f.config.Log.Read(ctx, f.config.Partition, span)
+	if skipped != nil && err == nil && !skipped.endsWith(batch.Records) {
+		// The next step reads all records from nextOffset on.
+		return nil
+	}
 	if errors.Is(err, keyedlog.ErrTrimmed) {
 		f.tailing, f.pager = false, nil
 		f.config.Logger.Info("store dropped records that were not read; reading the newest of each key",
@@ -168,7 +198,8 @@
 	for _, record := range batch.Records {
 		f.apply(record, false)
 	}
-	f.nextOffset += int64(len(batch.Records))
+	f.nextOffset = span.From + int64(len(batch.Records))
+	f.block = f.unfinishedBlock(batch)
 	switch missed := batch.End - f.nextOffset; {
 	case missed <= 0:
 		f.backlog.stop()
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -47,10 +47,12 @@
 	return outcomeNames[o]
 }
 
-// Follower waits until a partition was read up to an offset, and reports whether the last call to the store got an answer.
+// Follower waits until a partition was read up to an offset, and reports whether the last call to the store got an answer. Hurry has it
+// read at once if it pauses between reads.
 type Follower interface {
 	WaitFor(ctx context.Context, end int64) error
 	Connected() bool
+	Hurry()
 }
 
 // Config configures the service.
@@ -86,6 +88,9 @@
 	parked map[string]*reader
 	// recentJobs holds the jobs whose last call is less than returnWindow ago, each with the timer that removes it.
 	recentJobs map[string]*time.Timer
+	// recordSize is the estimated size of the records of jobs.
+	recordSize follow.RecordSize
+	stats      counters
 	reading    sync.WaitGroup
 }
 
@@ -335,7 +340,7 @@
 	if elapsed := time.Since(started); err == nil && elapsed > slowReadThreshold {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry),
 			"took", elapsed.Round(time.Millisecond), "position", from, "records", reader.readLog.records.Load(), "bytes", reader.readLog.bytes.Load(),
-			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd)
+			"from", status.Entry.Next, "settled", status.Settled, "settled_end", status.SettledEnd, "tail", reader.tail)
 	}
 	if err != nil {
 		errorlog.Warn(s.config.Logger, "results of a job were not read in time", err, "job", id, "partition", partitionOf(status.Entry),
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -20,6 +20,9 @@
 	// other jobs. A job of several megabytes takes a few reads, and the last one returns some 30 ms too much on a link of 60
 	// Mbit/s. For a job that is not settled, everything after its results has to be read.
 	settledReadBytes = 512 << 10
+	// runningReadBytes is the approximate size of one read for a job that is not settled. Submissions of other jobs have up to a
+	// megabyte, which takes 0.15 s on a link of 60 Mbit/s; a result that is listed after one waits for one read of this size.
+	runningReadBytes = 64 << 10
 	// idleTimeout is how long after the last call on a job its results are kept in this process if its callers return to
 	// this process. Callers read about twice a second.
 	idleTimeout = 2 * time.Second
@@ -44,6 +47,8 @@
 	base     int
 	ledger   *job.Ledger
 	follower *follow.Follower
+	// tail is nil if the reader does not begin with the tail of the partition.
+	tail *resultTail
 	// readLog counts the records and bytes that the follower has read.
 	readLog *countingLog
 	cancel  context.CancelFunc
@@ -68,12 +73,17 @@
 	ledger  *job.Ledger
 	matches func(key, jobID string) bool
 	onError func(record keyedlog.Record, err error)
+	// onMatch is called with each key that matches; nil if nobody needs to know.
+	onMatch func(key string)
 }
 
 func (a *jobApplier) Apply(record keyedlog.Record, _ bool) {
 	if !a.matches(record.Key, a.id) || record.Value == nil {
 		return
 	}
+	if a.onMatch != nil {
+		a.onMatch(record.Key)
+	}
 	if err := a.ledger.Apply(record); err != nil && a.onError != nil {
 		a.onError(record, err)
 	}
@@ -119,17 +129,19 @@
 func (s *Service) newReader(status job.Status, from int) *reader {
 	id, ledger := status.Entry.JobID, job.NewLedger(s.config.Index, partitionOf(status.Entry))
 	ledger.StartAt(id, from)
-	size, readLog := 0, &countingLog{Log: s.config.Log}
+	size, readLog := runningReadBytes, &countingLog{Log: s.config.Log, stats: &s.stats}
 	if status.Settled {
 		size = settledReadBytes
 	}
+	tail := s.newTail(status, from, ledger)
 	return &reader{
-		entry: status.Entry, base: from, ledger: ledger, readLog: readLog, lastCall: time.Now(),
+		entry: status.Entry, base: from, ledger: ledger, tail: tail, readLog: readLog, lastCall: time.Now(),
 		complete: make(chan struct{}), stopped: make(chan struct{}),
 		follower: follow.New(follow.Config{
 			Log: readLog, Partition: partitionOf(status.Entry), From: startOffset(status, from), Wait: longPollTimeout, MinReadInterval: minReadInterval,
 			MaxReadBytes: size, Prefix: job.ResultPrefix(id), AfterKey: job.ResultsAfterKey(id, from),
-			Applier: &jobApplier{id: id, ledger: ledger, matches: job.IsResultKey, onError: func(record keyedlog.Record, err error) {
+			Tail: tail.config(), Block: job.LastItem,
+			Applier: &jobApplier{id: id, ledger: ledger, matches: job.IsResultKey, onMatch: tail.observe, onError: func(record keyedlog.Record, err error) {
 				errorlog.Warn(s.config.Logger, "result skipped", err, "job", id, "key", record.Key)
 			}},
 			Logger: s.config.Logger,
@@ -140,7 +152,7 @@
 // resumed returns a reader that continues where a parked one stopped.
 func (r *reader) resumed() *reader {
 	return &reader{
-		entry: r.entry, base: r.base, ledger: r.ledger, readLog: r.readLog, follower: r.follower, predecessor: r.stopped, lastCall: time.Now(),
+		entry: r.entry, base: r.base, ledger: r.ledger, tail: r.tail, readLog: r.readLog, follower: r.follower, predecessor: r.stopped, lastCall: time.Now(),
 		complete: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
