Refuse reads of jobs soon where the store does not answer the replica

Change: reads of results and of bodies end after 300 ms if the last read of the index failed, as submissions and ends do. A replica learns of a silent cut only when its own read times out.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -118,13 +118,13 @@
 	confirmTimeout = 700 * time.Millisecond
 	// slowReadThreshold is the duration above which reading a job's results is logged.
 	slowReadThreshold = 500 * time.Millisecond
-	// disconnectedTimeout limits a submission or an end while the store does not answer this node. It is long enough for one
-	// append to a store that has recovered, and short enough that the sender, which tries another node next, loses little
-	// time to a node that is disconnected from the store.
+	// disconnectedTimeout limits a call while the store does not answer this node. It is long enough for one call to a store
+	// that has recovered, and short enough that the caller, which tries another node next, loses little time to a node that
+	// is disconnected from the store.
 	disconnectedTimeout = 300 * time.Millisecond
 )
 
-// withStoreTimeout limits the duration of a call that has to append if the store does not answer this node now.
+// withStoreTimeout limits the duration of a call that needs the store if the store does not answer this node now.
 func (s *Service) withStoreTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
 	if s.config.IndexFollower.Connected() {
 		return context.WithCancel(ctx)
@@ -335,7 +335,9 @@
 	from = max(0, from)
 	reader := s.reader(status, from)
 	started := time.Now()
-	err := reader.waitReady(ctx, from, listingBytes)
+	readCtx, cancel := s.withStoreTimeout(ctx)
+	defer cancel()
+	err := reader.waitReady(readCtx, from, listingBytes)
 	defer func() { s.release(reader, err) }()
 	if elapsed := time.Since(started); err == nil && elapsed > slowReadThreshold {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry),
@@ -380,6 +382,8 @@
 	if outcome != Done {
 		return nil, outcome
 	}
+	ctx, cancel := s.withStoreTimeout(ctx)
+	defer cancel()
 	for {
 		item, err := s.item(ctx, status.Entry, itemID)
 		switch {
