Let the test of disconnected replicas know its job before the outage

Cause: the test asked for a job that its node did not know yet, which was refused at once before the change as well, so that it passed without it. Change: a second before the outage. Conclusion: the test guards what its head says.

--- a/internal/jobs/disconnected_test.go
+++ b/internal/jobs/disconnected_test.go
@@ -19,6 +19,8 @@
 		node := newNode(t, store, "node")
 		synctest.Wait()
 		is.Equal(node.service.Submit(t.Context(), spec("one")), jobs.Done)
+		// The job is known before the outage begins.
+		time.Sleep(time.Second)
 		store.SetRule(func(memorylog.Call) memorylog.Fault { return memorylog.Down })
 		// The node learns of the outage by its next read of the index.
 		time.Sleep(2 * time.Second)
