--- a/internal/catalog/homes.go
+++ b/internal/catalog/homes.go
@@ -33,9 +33,10 @@
 // JobRegions returns the regions in which a tenant's job may be held whose items and scorers use some routes, nil for all. An
 // empty result that is not nil means that the routes and the tenant have no region in common.
 func (c *Catalog) JobRegions(routes []Route, tenantName string) []string {
-	var regions []string
+	known, _ := c.Tenants.Named(tenantName)
+	regions := known.Regions
 	for _, route := range routes {
-		regions = commonRegions(regions, c.Regions(route, tenantName))
+		regions = commonRegions(regions, route.Regions)
 	}
 	return regions
 }
--- a/internal/catalog/homes_test.go
+++ b/internal/catalog/homes_test.go
@@ -63,6 +63,16 @@
 	})
 }
 
+// TestTenantBindsJobsWithoutKnownRoute guards against a job of a bound tenant that is stored outside the tenant's regions because its route
+// was removed from the configuration while the job was submitted.
+func TestTenantBindsJobsWithoutKnownRoute(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New(1, nil, nil, catalog.Limits{})
+	c.Tenants = tenant.NewDirectory([]tenant.Tenant{{Name: "one", Regions: []string{"a"}}})
+	is.Equal(c.JobRegions(nil, "one"), []string{"a"})
+	is.Equal(c.JobRegions(nil, ""), nil)
+}
+
 // TestHomeProblems guards against a configuration whose requests are refused without a line that names the route or tenant, and against lines
 // for what the configuration does right.
 func TestHomeProblems(t *testing.T) {
