Keep the suspicion of an ejected engine when its zone returns

The end of an evacuation shortened it from 30 s to the time for which started engines are cold. An engine that was still unreachable then got trials from every process.

--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/matryer/is"
 )
 
@@ -140,3 +141,21 @@
 		is.True(takes(Want{Pool: "p", Model: "b"}))
 	})
 }
+
+// TestReturnOfZoneKeepsLongerSuspicion guards against trials from every process at an engine that was ejected, and may return
+// cold, because the end of its zone's evacuation shortens the suspicion to the time for which started engines are cold.
+func TestReturnOfZoneKeepsLongerSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := NewDirectory()
+		d.SetColdLimit("p", ColdLimit{Rate: 4, Duration: 3 * time.Second, Checked: true})
+		d.Upsert(Engine{ID: "e", Pool: "p", Zone: "a", Slots: 8})
+		d.SetEvacuated("a", true)
+		d.Failed("e", policy.FailureToConnect, "")
+		d.SetEvacuated("a", false)
+		time.Sleep(maxSuspicion - time.Second)
+		is.Equal(d.Cold(), 1)
+		time.Sleep(time.Second)
+		is.Equal(d.Cold(), 0)
+	})
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -168,8 +168,13 @@
 	}
 }
 
+// suspect begins a suspicion that lasts for period. It does not end an earlier one that lasts longer, whose checkDelay then
+// applies: an ejected engine may still be unreachable when the evacuation of its zone ends.
 func (c *coldState) suspect(now time.Time, period, checkDelay time.Duration) {
-	c.suspectedAt, c.suspectedUntil, c.checkDelay = now, now.Add(period), checkDelay
+	c.suspectedAt = now
+	if until := now.Add(period); until.After(c.suspectedUntil) {
+		c.suspectedUntil, c.checkDelay = until, checkDelay
+	}
 }
 
 // reachable records that an engine that was suspected after its ejection has responded to work: it is cold no longer than
