--- a/internal/replica/homecheck.go
+++ b/internal/replica/homecheck.go
@@ -32,10 +32,12 @@
 		select {
 		case <-changed:
 		case <-engineCheck:
-			engineCheck = nil
-			if r.directory.Synced() {
-				r.logHomeProblems(checked, checked.UnservedHomes(r.config.Settings.regions(), r.directory.MayServe))
+			if !r.directory.Synced() {
+				engineCheck = time.After(homeCheckDelay)
+				continue
 			}
+			engineCheck = nil
+			r.logHomeProblems(checked, checked.UnservedHomes(r.config.Settings.regions(), r.directory.MayServe))
 		case <-ctx.Done():
 		}
 	}
