--- a/internal/catalog/homes.go
+++ b/internal/catalog/homes.go
@@ -64,34 +64,40 @@
 	if !c.BindsRegions() {
 		return nil
 	}
-	sets := make(map[keyedlog.HomeSet]bool)
+	sets, bounds := make(map[keyedlog.HomeSet]bool), c.routeRegions()
 	for _, route := range c.Routes {
 		if route.Kind != KindJobs {
 			continue
 		}
 		for _, binding := range c.bindings(route) {
-			c.addHomeSets(sets, binding.Regions, fleet)
+			addHomeSets(sets, binding.Regions, bounds, fleet)
 		}
 	}
+	delete(sets, "")
 	return slices.Sorted(maps.Keys(sets))
 }
 
-// addHomeSets adds the home set of some allowed regions, and those that the route of an item or scorer narrows it to.
-func (c *Catalog) addHomeSets(sets map[keyedlog.HomeSet]bool, allowed, fleet []string) {
+// routeRegions returns the different lists of regions that routes are bound to.
+func (c *Catalog) routeRegions() [][]string {
+	lists := make(map[keyedlog.HomeSet][]string)
+	for _, route := range c.Routes {
+		if route.Regions != nil {
+			lists[keyedlog.NewHomeSet(route.Regions)] = route.Regions
+		}
+	}
+	return slices.Collect(maps.Values(lists))
+}
+
+// addHomeSets adds the home set of some allowed regions, and those to which bounds, the regions of the routes of items and
+// scorers, narrow it. Sets that were added before are not narrowed again.
+func addHomeSets(sets map[keyedlog.HomeSet]bool, allowed []string, bounds [][]string, fleet []string) {
 	homes, possible := Homes(allowed, fleet)
 	if !possible || sets[homes] {
 		return
 	}
-	if homes != "" {
-		sets[homes] = true
-	}
-	for _, route := range c.Routes {
-		if route.Regions == nil {
-			continue
-		}
-		if narrower := commonRegions(allowed, route.Regions); allowed == nil || len(narrower) < len(allowed) {
-			c.addHomeSets(sets, narrower, fleet)
-		}
+	sets[homes] = true
+	for _, bound := range bounds {
+		addHomeSets(sets, commonRegions(allowed, bound), bounds, fleet)
 	}
 }
 
