Confirm a membership only once reassigned partitions are released

A process that rejoined its group after a lost store counted as the sender of cold engines until it had released the partition, up to 0.4 s, beside its successor. The test fails without the change.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -185,12 +185,14 @@
 		return false
 	}
 	m.lastJoin = sent
-	m.confirmed.Store(&mark)
 	if !m.connected {
 		m.connected = true
 		m.config.Logger.Info("group joined", "group", m.config.Group, "generation", membership.Generation)
 	}
-	return m.reconcile(ctx, membership)
+	released := m.reconcile(ctx, membership)
+	// Before, partitions that were reassigned are still held.
+	m.confirmed.Store(&mark)
+	return released
 }
 
 // joinFailed keeps the partitions: a store that is down assigns them to no other member, and a store that is up fences
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -21,11 +21,11 @@
 // testRate is high, so that two senders at once exceed what the platform allows beyond the rate (a half and 5).
 const testRate = 20
 
-// idleHolder does no work.
+// idleHolder does no work. A release takes as long as some writes.
 type idleHolder struct{}
 
 func (h idleHolder) Gained(context.Context, keyedlog.Partition, int64) ownership.Work { return h }
-func (idleHolder) Release(context.Context)                                            {}
+func (idleHolder) Release(context.Context)                                            { time.Sleep(300 * time.Millisecond) }
 func (idleHolder) Superseded() <-chan struct{}                                        { return nil }
 
 // startSender starts a process that knows a cold engine of a pool with models, and one of a pool without.
@@ -68,11 +68,12 @@
 }
 
 // TestSuccessorOfOnlySenderKeepsColdRate guards against twice the rate at a cold engine while its only sender changes in
-// the middle of a second: it is stopped, loses the store, or is paused and sends again as it wakes up, still believing that
-// it owns the partition. The engine must not stay unused for long either.
+// the middle of a second: it is stopped, loses the store for good or for a while, or is paused and sends again as it wakes up, still
+// believing that it owns the partition. With the store back, it learns of its successor, and must not send while it releases
+// the partition. The engine must not stay unused for long either.
 func TestSuccessorOfOnlySenderKeepsColdRate(t *testing.T) {
 	const changeAt, wakeAt, end = 5 * time.Second, 9 * time.Second, 14 * time.Second
-	for _, name := range []string{"stopped", "store lost", "paused"} {
+	for _, name := range []string{"stopped", "store lost", "store back", "paused"} {
 		for _, offset := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, offset), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -89,7 +90,7 @@
 							return
 						}
 						store.SetRule(func(call memorylog.Call) memorylog.Fault {
-							if call.Caller == "first" {
+							if call.Caller == "first" && (name != "store back" || time.Since(begun) < wakeAt) {
 								return memorylog.Silent
 							}
 							return memorylog.None
