Wait for a window at cold engines after a gap in the membership

A process whose partition was reassigned while it could not reach the store, and returned to it before the process released it, went on as the sender without the wait after a takeover. The new case of the test fails without the change.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -75,13 +75,20 @@
 	held       map[keyedlog.Partition]*holding
 	// heldCount is the number of partitions held, for Holds, which is called from any goroutine.
 	heldCount atomic.Int32
-	// lastJoin is when the last join that was answered was sent; confirmed is the same including suspensions, for
-	// ConfirmedUntil, which is called from any goroutine.
+	// lastJoin is when the last join that was answered was sent; confirmed is what the joins confirm, for Confirmed, which
+	// is called from any goroutine.
 	lastJoin  time.Time
-	confirmed atomic.Pointer[uptime.Mark]
+	confirmed atomic.Pointer[confirmation]
 	connected bool
 }
 
+// confirmation is the period for which joins without a gap of a lifetime confirm the membership.
+type confirmation struct {
+	since time.Time
+	// sent marks when the last of the joins was sent, suspensions of the machine included.
+	sent uptime.Mark
+}
+
 type holding struct {
 	generation int64
 	cancel     context.CancelFunc
@@ -102,15 +109,25 @@
 	return m.heldCount.Load() > 0
 }
 
-// ConfirmedUntil returns the time until which the partitions held are certainly assigned to no other process: the store
-// reassigns them a lifetime after the last join that it received. It is zero before the first join, and safe for
-// concurrent use.
-func (m *Manager) ConfirmedUntil() time.Time {
-	mark := m.confirmed.Load()
-	if mark == nil {
-		return time.Time{}
+// Confirmed returns the period in which the partitions held are certainly assigned to no other process: the store
+// reassigns them a lifetime after the last join that it received. Another process may have had them before that period, even
+// if their work was never released here. Both times are zero before the first join. It is safe for concurrent use.
+func (m *Manager) Confirmed() (since, until time.Time) {
+	confirmed := m.confirmed.Load()
+	if confirmed == nil {
+		return time.Time{}, time.Time{}
+	}
+	return confirmed.since, confirmed.sent.At().Add(m.config.Lifetime)
+}
+
+// confirm records that a join that was sent at a mark was answered.
+func (m *Manager) confirm(sent uptime.Mark) {
+	now := time.Now()
+	since, until := m.Confirmed()
+	if !now.Before(until) {
+		since = now
 	}
-	return mark.At().Add(m.config.Lifetime)
+	m.confirmed.Store(&confirmation{since: since, sent: sent})
 }
 
 // Participates reports whether the process is a member of the group or is trying to join it. It is safe for concurrent
@@ -191,7 +208,7 @@
 	}
 	released := m.reconcile(ctx, membership)
 	// Before, partitions that were reassigned are still held.
-	m.confirmed.Store(&mark)
+	m.confirm(mark)
 	return released
 }
 
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -47,8 +47,8 @@
 	catalog    *catalog.Holder
 	holdings   *holdings
 	partitions int
-	// confirmedUntil returns the time until which the partitions held are owned by no other process.
-	confirmedUntil func() time.Time
+	// confirmed returns the period in which the partitions held are owned by no other process.
+	confirmed func() (since, until time.Time)
 
 	mutex sync.Mutex
 	// current is the catalog that models was taken from, and changedAt when models last changed.
@@ -67,10 +67,14 @@
 	if !held {
 		return fleet.SenderTerm{}, false
 	}
+	confirmedSince, until := s.confirmed()
+	if confirmedSince.After(since) {
+		since = confirmedSince
+	}
 	if !changedAt.IsZero() && changedAt.Add(configurationLag).After(since) {
 		since = changedAt.Add(configurationLag)
 	}
-	return fleet.SenderTerm{Since: since, Until: s.confirmedUntil()}, true
+	return fleet.SenderTerm{Since: since, Until: until}, true
 }
 
 // partitionOf returns the partition whose owner is the sender of an engine, and when the models last changed, on which it
@@ -103,7 +107,7 @@
 func (r *Replica) limitColdSenders() {
 	senders := &coldSenders{
 		catalog: r.catalog, holdings: r.holdings, partitions: r.config.Log.Partitions(keyedlog.TopicJobs),
-		confirmedUntil: r.managers[0].ConfirmedUntil,
+		confirmed: r.managers[0].Confirmed,
 	}
 	r.directory.SetColdSenders(senders.term)
 }
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -36,7 +36,7 @@
 		Log: storetimeout.New(store.For(name)), Group: "g", Member: name, Topics: []keyedlog.Topic{keyedlog.TopicJobs},
 		Lifetime: 1250 * time.Millisecond, Holder: trackingHolder{idleHolder{}, held}, Logger: log.New(io.Discard),
 	})
-	senders := &coldSenders{catalog: configuration, holdings: held, partitions: 1, confirmedUntil: manager.ConfirmedUntil}
+	senders := &coldSenders{catalog: configuration, holdings: held, partitions: 1, confirmed: manager.Confirmed}
 	directory.SetColdSenders(senders.term)
 	for pool := range configuration.Current().Pools {
 		directory.SetColdLimit(pool, fleet.ColdLimit{Rate: testRate})
@@ -70,10 +70,10 @@
 // TestSuccessorOfOnlySenderKeepsColdRate guards against twice the rate at a cold engine while its only sender changes in
 // the middle of a second: it is stopped, loses the store for good or for a while, or is paused and sends again as it wakes up, still
 // believing that it owns the partition. With the store back, it learns of its successor, and must not send while it releases
-// the partition. The engine must not stay unused for long either.
+// the partition. If the successor has just stopped, it is the sender again without a release in between. The engine must not stay unused for long either.
 func TestSuccessorOfOnlySenderKeepsColdRate(t *testing.T) {
 	const changeAt, wakeAt, end = 5 * time.Second, 9 * time.Second, 14 * time.Second
-	for _, name := range []string{"stopped", "store lost", "store back", "paused"} {
+	for _, name := range []string{"stopped", "store lost", "store back", "successor stopped", "paused"} {
 		for _, offset := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, offset), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -89,8 +89,16 @@
 							stopFirst()
 							return
 						}
+						back := end
+						switch name {
+						case "store back":
+							back = wakeAt
+						case "successor stopped":
+							back = wakeAt + 400*time.Millisecond
+							time.AfterFunc(wakeAt-time.Since(begun), stopSecond)
+						}
 						store.SetRule(func(call memorylog.Call) memorylog.Fault {
-							if call.Caller == "first" && (name != "store back" || time.Since(begun) < wakeAt) {
+							if call.Caller == "first" && time.Since(begun) < back {
 								return memorylog.Silent
 							}
 							return memorylog.None
