--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -96,7 +96,7 @@
 	defer l.mutex.Unlock()
 	engine.Versions = nil
 	if !l.directory.LimitsCold(engine.Pool) {
-		// Nobody needs to know, and entries would be written for it alone.
+		// No reader uses the time, and each change of it would be written.
 		engine.ColdUntil = time.Time{}
 	}
 	l.ownRecords[engine.ID] = engineState{engine, offset}
--- a/internal/enginelist/sighting.go
+++ b/internal/enginelist/state.go
@@ -15,8 +15,8 @@
 }
 
 // covers reports whether an entry of the list contains everything that a reader of the list needs to know of an engine.
-// A later own record that differs only in its models needs no new entry, nor does one that says the same of the engine's
-// coldness a heartbeat later.
+// A later own record needs no new entry if it differs only in its models, or states an end of the cold period that is at most
+// coldTolerance later.
 func (s engineState) covers(own engineState) bool {
 	if s.offset >= own.offset {
 		return true
@@ -27,8 +27,8 @@
 		!b.ColdUntil.After(a.ColdUntil.Add(coldTolerance))
 }
 
-// coldTolerance is how much longer an engine may be cold than its entry says. The end is computed anew from each record,
-// as the time left when the record is read, which varies by some tenths of a second.
+// coldTolerance is how much longer an engine may be cold than its entry says. A record states the time left, and the end is
+// computed from it when the record is read, which varies by some tenths of a second.
 const coldTolerance = 500 * time.Millisecond
 
 // encode returns the record of an engine.
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -126,7 +126,7 @@
 }
 
 // coldLimited reports whether a cold engine takes no more work of this kind now, and requests a health check where the
-// engine may be cold. Only one process may send a cold engine any work, as its SenderTerm says. It uses the whole rate of
+// engine may be cold. Only the process in its SenderTerm sends work to a cold engine. It uses the whole rate of
 // the engine, so that processes need not coordinate. The mutex must be held.
 func (d *Directory) coldLimited(found *entry, want Want, now time.Time) bool {
 	limit, limited := d.coldLimits[found.engine.Pool]
@@ -140,7 +140,7 @@
 	term, isSender := d.termOf(found, want)
 	isSender = isSender && now.Before(term.Until)
 	d.checkSuspected(found, limit, isSender, now)
-	// What the sender of the previous term has sent counts as a full window.
+	// For one window after the term began, starts of the previous sender may still count against the rate.
 	return !isSender || now.Before(term.Since.Add(coldWindow)) || now.Before(found.cold.reassignedAt.Add(reassignDelay)) ||
 		len(found.startsInWindow(now)) >= limit.startsPerWindow()
 }
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -31,9 +31,9 @@
 }
 
 const (
-	// maxSuspicion is how long an engine that was ejected counts as cold without a health response. The return of an
-	// unreachable engine can't be observed, so the suspicion must outlast the usual outage of a zone; it has to end in
-	// case that the engine never responds to health checks.
+	// maxSuspicion is how long an engine that was ejected counts as cold without a health response. It exceeds the usual
+	// outage of a zone, since the return of an unreachable engine can't be observed. It is limited for engines that never
+	// respond to health checks.
 	maxSuspicion = 30 * time.Second
 	// ejectedSpread is the time over which processes that are not the sender of an ejected engine spread their first
 	// checks: with 70 of them, checks and work at the cold rate together stay within one and a half times that rate and 5.
@@ -44,8 +44,8 @@
 	latePaceFactor    = 8
 	lateLatencyFactor = 4
 	minLate           = 200 * time.Millisecond
-	// maxFirstChecks is the number of suspected engines that are checked at once where no other engine takes work: enough
-	// for a replica's requests, and few if all replicas lose all engines at once.
+	// maxFirstChecks is the number of suspected engines that a process checks without delay where no engine takes its work.
+	// It bounds the checks in case all processes lose all engines at the same time.
 	maxFirstChecks = 3
 )
 
@@ -123,7 +123,7 @@
 }
 
 // checkFirstSuspected requests health checks of the first engines that may run work for which no engine was found, and
-// are suspected to be cold: this process does not wait for its turn where it has no other engine. The mutex must be held.
+// are suspected to be cold. It does not wait for their checkDelay. The mutex must be held.
 func (d *Directory) checkFirstSuspected(want Want, now time.Time) {
 	if !d.coldLimits[want.Pool].Checked {
 		return
@@ -140,8 +140,8 @@
 }
 
 // suspectReturned makes an engine count as cold until a health response clears it, at most for the time for which
-// engines of its pool are cold, because it returned together with its zone. All processes see the zone return at once, so
-// only its sender checks it, and those that have no other engine. The mutex must be held.
+// engines of its pool are cold, because it returned together with its zone. All processes see the return of the zone at the
+// same time, so only the engine's sender and processes without another engine check it. The mutex must be held.
 func (d *Directory) suspectReturned(found *entry, now time.Time) {
 	if limit, limited := d.coldLimits[found.engine.Pool]; limited {
 		found.cold.suspect(now, limit.Duration, limit.Duration)
@@ -149,7 +149,7 @@
 	}
 }
 
-// suspectZone does the same for all engines of a zone, whose evacuation has ended. The mutex must be held.
+// suspectZone calls suspectReturned for all engines of a zone whose evacuation has ended. The mutex must be held.
 func (d *Directory) suspectZone(zone string) {
 	now := time.Now()
 	for _, found := range d.engines {
@@ -159,8 +159,8 @@
 	}
 }
 
-// suspectEjected makes an ejected engine count as cold until a health response clears it: it may have been unreachable
-// and return cold, when every process would send it a trial. The mutex must be held.
+// suspectEjected makes an ejected engine count as cold until a health response clears it, at most for maxSuspicion. It may
+// have been unreachable and return cold, and without the suspicion every process would send it a trial. The mutex must be held.
 func (d *Directory) suspectEjected(found *entry, now time.Time) {
 	if d.coldLimits[found.engine.Pool].Checked {
 		found.cold.suspect(now, maxSuspicion, time.Duration(found.rank*float64(ejectedSpread)))
--- a/internal/healthcheck/healthcheck.go
+++ b/internal/healthcheck/healthcheck.go
@@ -1,7 +1,7 @@
-// Package healthcheck asks engines for how long they stay cold, where the directory requests it: an engine returned
-// together with its zone, is to be tried again after failures, or responds late. A check occupies a slot of the engine
-// for a moment, and all processes may have the same reason at once, so checks are rare: each process sends at most one
-// per interval to each engine, and none to engines of pools without a cold rate.
+// Package healthcheck requests from engines how long they stay cold. The directory requests a check of an engine that
+// returned together with its zone, is to be tried again after failures, or responds late. A check occupies a slot of the
+// engine, and all processes may request one at the same time. So each process sends at most one per interval to each
+// engine, and none to engines of pools without a cold rate.
 package healthcheck
 
 import (
@@ -19,14 +19,14 @@
 const (
 	// minInterval is the minimum time between two checks of an engine.
 	minInterval = time.Second
-	// lateInterval is the same for an engine that responds late and was not cold at its last check: long prompts and
-	// weight loads delay responses too.
+	// lateInterval is the minimum time between two checks of an engine that responds late and was not cold at the first of
+	// them: long prompts and weight loads delay responses too.
 	lateInterval = 5 * time.Second
 	// timeout limits a check. A cold engine responds to it like a warm one.
 	timeout = 400 * time.Millisecond
-	// maxPending limits the checks in progress. More engines than that return together only in zones of hundreds.
+	// maxPending limits the checks in progress, for zones of hundreds of engines that return at the same time.
 	maxPending = 32
-	// maxHistory is the number of engines above which the history of checks is searched for outdated ones.
+	// maxHistory is the number of entries from which the history of checks is pruned.
 	maxHistory = 256
 )
 
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -11,7 +11,7 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
-// EngineDirectory knows which engines there are.
+// EngineDirectory is the list of engines, as far as submissions need it.
 type EngineDirectory interface {
 	// MayServe reports whether a pool has an engine in some regions that does not leave, or may have one.
 	MayServe(pool string, regions []string) bool
@@ -78,32 +78,32 @@
 	return true
 }
 
-// ownersTimeout is how long it is used whether a home set has an owner.
-const ownersTimeout = time.Second
+// ownersLifetime is how long the result of a read of owners is used.
+const ownersLifetime = time.Second
 
-// owners knows which home sets have an owner. It is safe for concurrent use; its lock is not held during calls.
+// owners caches which home sets have an owner. It is safe for concurrent use; its lock is not held during calls.
 type owners struct {
 	config *Config
 	mutex  sync.Mutex
 	known  map[keyedlog.HomeSet]ownersRead
 }
 
-// ownersRead is what a list of owners said and when it was read.
+// ownersRead is the result of a read of the owners of a home set, and when the read was sent.
 type ownersRead struct {
-	owned bool
-	at    time.Time
+	owned  bool
+	sentAt time.Time
 }
 
-// owned reports whether a process owns a partition of a home set. If the store does not answer, it returns true: the
-// submission then fails itself if it can't be stored.
+// owned reports whether a process owns a partition of a home set. If the store does not answer, it returns true, and the append
+// of the submission decides the outcome.
 func (o *owners) owned(ctx context.Context, homes keyedlog.HomeSet) bool {
 	o.mutex.Lock()
 	known := o.known[homes]
 	o.mutex.Unlock()
-	if !known.at.IsZero() && time.Since(known.at) < ownersTimeout {
+	if !known.sentAt.IsZero() && time.Since(known.sentAt) < ownersLifetime {
 		return known.owned
 	}
-	sent := time.Now()
+	sentAt := time.Now()
 	list, err := o.config.Log.Owners(ctx, job.GroupOf(homes))
 	if err != nil {
 		errorlog.Debug(o.config.Logger, "owners of a home set not read", err, "homes", homes)
@@ -111,6 +111,6 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.known[homes] = ownersRead{owned: len(list) > 0, at: sent}
+	o.known[homes] = ownersRead{owned: len(list) > 0, sentAt: sentAt}
 	return len(list) > 0
 }
--- a/internal/jobs/homes_test.go
+++ b/internal/jobs/homes_test.go
@@ -15,10 +15,10 @@
 	"github.com/matryer/is"
 )
 
-// staffedRegions are the regions with an engine of every pool.
-type staffedRegions []string
+// engineRegions are the regions with an engine of every pool.
+type engineRegions []string
 
-func (r staffedRegions) MayServe(_ string, regions []string) bool {
+func (r engineRegions) MayServe(_ string, regions []string) bool {
 	return slices.ContainsFunc(regions, func(region string) bool { return slices.Contains(r, region) })
 }
 
@@ -31,7 +31,7 @@
 		{Name: "score", Host: "h", Prefix: "/score", Kind: catalog.KindRepeatable, Regions: []string{"b", "a"}, Targets: target},
 	}, nil, catalog.Limits{})
 	current.Tenants = tenant.NewDirectory([]tenant.Tenant{{Name: "b-only", Regions: []string{"b"}}, {Name: "c-only", Regions: []string{"c"}}})
-	config.Catalog, config.Regions, config.Engines = catalog.NewHolder(), []string{"a", "b", "c"}, staffedRegions{"a", "b"}
+	config.Catalog, config.Regions, config.Engines = catalog.NewHolder(), []string{"a", "b", "c"}, engineRegions{"a", "b"}
 	config.Catalog.Set(current)
 }
 
--- a/internal/keyedlog/homes.go
+++ b/internal/keyedlog/homes.go
@@ -8,8 +8,8 @@
 )
 
 // HomeSet is a set of regions to which batch jobs are bound: only processes and engines of these regions hold, run or read
-// their items. The zero value means that jobs are bound to no region. Its text is the same for equal sets and becomes part of
-// the names of a topic and a group, so that region names are escaped.
+// their items. The zero value means that jobs are bound to no region. Equal sets have the same text: the sorted region names,
+// joined by dots, with escapes for the bytes that the names of topics and groups must not contain.
 type HomeSet string
 
 const (
@@ -64,7 +64,7 @@
 	return HomeSet(homes), found && homes != ""
 }
 
-// escapeRegion replaces every byte that is no lower-case letter, digit or hyphen.
+// escapeRegion escapes every byte that is not a lower-case letter, digit or hyphen: an underscore and the byte in hexadecimal.
 func escapeRegion(region string) string {
 	var escaped strings.Builder
 	for _, char := range []byte(region) {
@@ -77,7 +77,7 @@
 	return escaped.String()
 }
 
-// unescapeRegion is the inverse of escapeRegion. An escape that is not one of its own stays as it is.
+// unescapeRegion is the inverse of escapeRegion. It keeps underscores that begin no escape.
 func unescapeRegion(escaped string) string {
 	var region strings.Builder
 	for i := 0; i < len(escaped); i++ {
--- a/internal/replica/homes.go
+++ b/internal/replica/homes.go
@@ -25,8 +25,8 @@
 	done   chan struct{}
 }
 
-// runHomeGroups keeps the replica in the group of each home set that includes its region and is in use, until the context
-// ends: that the configuration names, or that a job in the index is bound to. While there is none, nothing is called.
+// runHomeGroups keeps the replica in the groups of home sets until the context ends. These are the sets that include its region
+// and that the configuration names or a job in the index is bound to. Without such sets it makes no calls.
 func (r *Replica) runHomeGroups(ctx context.Context) {
 	groups := homeGroups{replica: r, running: make(map[keyedlog.HomeSet]*homeGroup)}
 	for ctx.Err() == nil {
@@ -44,8 +44,8 @@
 	}
 }
 
-// update joins the groups of home sets that have come into use, and leaves those of sets that are not used any more. It
-// returns after these have been left, so that a set that is used again is joined after that.
+// update joins the groups of home sets that have come into use, and leaves those of sets that are not used any more. It waits
+// until these are left: a process must not be in a group twice.
 func (g *homeGroups) update(ctx context.Context, indexed []keyedlog.HomeSet) {
 	wanted := g.wanted(indexed)
 	for homes, group := range g.running {
