Skip only submissions of a job's own home set, and keep dropped keys dropped

A tail that skipped the offsets of a submission of another home set lost the results at these offsets. An extension of a tail applied older records of keys that the tail had dropped.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -288,8 +288,9 @@
 	if found && record.Offset <= known {
 		return
 	}
-	if record.Value == nil {
-		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again.
+	if record.Value == nil && f.tail == nil {
+		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again. Of a tail,
+		// older records may be read later.
 		delete(f.offsets, record.Key)
 	} else {
 		f.offsets[record.Key] = record.Offset
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -380,3 +380,26 @@
 	}
 	return values
 }
+
+// TestTailKeepsDroppedKeys drops a key within the tail of a partition and puts its record before it, which an extension of the tail reads
+// later. If the extension applied that record, the dropped key would be back.
+func TestTailKeepsDroppedKeys(t *testing.T) {
+	const others = 100
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		put(t, store, "dropped", "old")
+		for range others {
+			put(t, store, "other", "value")
+		}
+		put(t, store, "dropped", "")
+		seen := newState()
+		covered := func() bool { return false }
+		follower := startFollowerWith(t, store, seen, func(config *follow.Config) {
+			config.Tail = &follow.Tail{Covered: covered, RecordSize: new(follow.RecordSize)}
+		})
+		is.NoErr(follower.WaitFor(t.Context(), others+2))
+		is.Equal(seen.read(), map[string]string{"other": "value"})
+		is.Equal(seen.regressions, 0)
+	})
+}
--- a/internal/job/homes_test.go
+++ b/internal/job/homes_test.go
@@ -34,7 +34,8 @@
 }
 
 // TestJobOfHomeSetIsInNoOtherPartition guards against an owner of another home set, or of none, that takes a job for one of its own because
-// the partitions have the same number: it would settle and expire the job.
+// the partitions have the same number: it would settle and expire the job. A read that skips a submission of another home set would lose the
+// results at its offsets.
 func TestJobOfHomeSetIsInNoOtherPartition(t *testing.T) {
 	is := is.New(t)
 	east, both := keyedlog.NewHomeSet([]string{"east"}), keyedlog.NewHomeSet([]string{"east", "west"})
@@ -47,5 +48,6 @@
 	for homes, own := range map[keyedlog.HomeSet]bool{east: true, both: false, "": false} {
 		is.Equal(len(index.Unsettled(in(homes))) == 1, own)
 		is.Equal(index.StartOffset(in(homes), 9) == 0, own)
+		is.Equal(len(index.Submissions(in(homes), 0, 100)) == 1, own)
 	}
 }
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -275,13 +275,13 @@
 
 // Submissions returns the entries of the jobs of a partition whose submissions are larger than minBytes, end after an offset, and
 // contain no records in between that are not theirs, in order of their offsets.
-func (x *Index) Submissions(partition int, after int64, minBytes int) []Entry {
+func (x *Index) Submissions(partition keyedlog.Partition, after int64, minBytes int) []Entry {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var entries []Entry
 	for _, found := range x.jobs {
 		entry := found.status.Entry
-		if found.hasEntry && entry.Partition == partition && entry.Next > after && entry.Bytes > minBytes && entry.contiguous() {
+		if found.hasEntry && entry.StorePartition() == partition && entry.Next > after && entry.Bytes > minBytes && entry.contiguous() {
 			entries = append(entries, entry)
 		}
 	}
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -88,7 +88,7 @@
 // submissions returns the offsets of large submissions in the partition, which contain no results.
 func (t *resultTail) submissions() []follow.OffsetRange {
 	var ranges []follow.OffsetRange
-	for _, entry := range t.service.config.Index.Submissions(t.entry.Partition, t.entry.Next, minSkippedBytes) {
+	for _, entry := range t.service.config.Index.Submissions(t.entry.StorePartition(), t.entry.Next, minSkippedBytes) {
 		ranges = append(ranges, follow.OffsetRange{From: entry.Offset, To: entry.Next})
 	}
 	return ranges
