Read the tail of a settled job's results

A read of a trainer from a position on reads the last records before the offset below which all results of the settled job lie, instead of a page of up to 1 MB.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -128,12 +128,12 @@
 		nextOffset: config.From, tailing: config.From > 0,
 	}
 	if config.Tail != nil && !f.tailing {
-		f.tail = &tailReader{config: *config.Tail, log: config.Log, partition: config.Partition}
+		f.tail = &tailReader{config: *config.Tail, log: config.Log, partition: config.Partition, end: config.Tail.End}
 	}
 	return f
 }
 
-// Run follows the partition until the context ends. It may be called again after it has returned, and then resumes at
+// Run follows the partition until the context ends, or up to the end of Config.Tail if that is set. It may be called again after it has returned, and then resumes at
 // the same offset.
 func (f *Follower) Run(ctx context.Context) {
 	if f.idle() && f.config.MaxIdleStartDelay > 0 {
@@ -141,10 +141,10 @@
 	}
 	if f.tail != nil {
 		// A caller that resumes waits for what was appended until now.
-		f.tail.end = 0
+		f.tail.end = f.config.Tail.End
 	}
 	failures := 0
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.finished() {
 		if err := f.step(ctx); err != nil {
 			failures++
 			f.setConnected(ctx, false, err)
@@ -156,6 +156,11 @@
 	}
 }
 
+// finished reports whether all records that matter have been read.
+func (f *Follower) finished() bool {
+	return f.config.Tail != nil && f.config.Tail.End > 0 && f.tailing && f.nextOffset >= f.config.Tail.End
+}
+
 // step reads the tail, the newest records, or one batch of appended records.
 func (f *Follower) step(ctx context.Context) error {
 	if f.tail != nil {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -403,3 +403,23 @@
 		is.Equal(seen.regressions, 0)
 	})
 }
+
+// TestTailEndsAtItsEnd appends a record after the end of a tail. A follower that went on would read everything that other writers append.
+func TestTailEndsAtItsEnd(t *testing.T) {
+	const end = 3
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		for i := range end {
+			put(t, store, fmt.Sprint("key", i), "value")
+		}
+		seen := newState()
+		follower := startFollowerWith(t, store, seen, func(config *follow.Config) {
+			config.Tail = &follow.Tail{End: end, Covered: func() bool { return false }, RecordSize: new(follow.RecordSize)}
+		})
+		is.NoErr(follower.WaitFor(t.Context(), end))
+		put(t, store, "later", "value")
+		time.Sleep(10 * time.Second)
+		is.Equal(len(seen.read()), end)
+	})
+}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -31,6 +31,9 @@
 type Tail struct {
 	// First is the lowest offset of any record that matters.
 	First int64
+	// End is the offset after the last record that matters, and the follower stops once it has read up to it; 0 if it is not known.
+	// The tail then ends with the partition.
+	End int64
 	// Whole has all records from First on read, or none if they are expected to exceed the maximum size of a tail.
 	Whole bool
 	// Covered reports whether the records applied so far, which are all that matter from some offset on, show that none before that
@@ -85,7 +88,8 @@
 	config    Tail
 	log       keyedlog.Log
 	partition keyedlog.Partition
-	// end is the partition's end when it was last requested, 0 before that. The tail is complete once it is read up to end.
+	// end is Tail.End, or the partition's end when it was last requested, 0 before that. The tail is complete once it is read up
+	// to end.
 	end int64
 	// All records from low to before high are applied except those of skipped ranges. started is set once low and high are set.
 	started   bool
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -19,6 +19,8 @@
 	entry   job.Entry
 	ledger  *job.Ledger
 	from    int
+	// end is the offset below which all results lie, 0 if the job is not settled.
+	end int64
 	// first is the lowest position of a result that was read. Only the follower's goroutine uses it.
 	first int
 	// state is accessed by any goroutine.
@@ -56,12 +58,18 @@
 	t.service.stats.tailMisses.Add(1)
 }
 
-// newTail returns the tail of a read of results from a position on, nil for a settled job. A position after the first shows that the
-// caller has read the results before it, the last of which was listed a short time ago. At the first position there may be no result yet,
-// and only the submission shows that there is none.
+// newTail returns the tail of a read of results from a position on, nil if the read begins with the newest records. A position after the
+// first shows that the caller has read the results before it, the last of which was listed a short time ago. At the first position there
+// may be no result yet, and only the submission shows that there is none. Of a settled job, a trainer that has read some results needs the
+// last ones. Other callers read settled jobs page by page; most of their reads begin far from the last results.
 func (s *Service) newTail(status job.Status, from int, ledger *job.Ledger) *resultTail {
 	if status.Settled {
-		return nil
+		if from == 0 || !status.Entry.HasTrainer() {
+			return nil
+		}
+		return &resultTail{
+			service: s, entry: status.Entry, ledger: ledger, from: from, first: status.Entry.Items, end: status.SettledEnd,
+		}
 	}
 	// While the partition's end is requested, the index learns of the submissions before it.
 	s.config.IndexFollower.Hurry()
@@ -100,7 +108,7 @@
 		return nil
 	}
 	return &follow.Tail{
-		First: t.entry.Next, Whole: t.from == 0, Covered: t.covered, Skip: t.submissions, RecordSize: &t.service.recordSize,
+		First: t.entry.Next, End: t.end, Whole: t.from == 0, Covered: t.covered, Skip: t.submissions, RecordSize: &t.service.recordSize,
 		OnDone: t.done,
 	}
 }
--- a/internal/jobs/tail_test.go
+++ b/internal/jobs/tail_test.go
@@ -79,7 +79,7 @@
 
 // submit submits a job whose items have bodies of a size, in records up to a limit; between, if set, is called between two appends.
 func (h *history) submit(id string, items, bodyBytes, limit int, between func()) {
-	spec := job.Spec{ID: id, Host: "h", Model: "m"}
+	spec := job.Spec{ID: id, Host: "h", Model: "m", Desired: 1}
 	for index := range items {
 		spec.Items = append(spec.Items, job.Item{ID: fmt.Sprint(id, index), Path: "/p", Body: h.text(bodyBytes)})
 	}
@@ -145,15 +145,17 @@
 
 // TestTailReadCost reads the last 3 of 144 results, of four jobs with results of 2 KB in one partition, and a job of which nothing is
 // listed yet. A page of the newest records brings up to 1 MB for either, which takes 0.2 s on a link of 60 Mbit/s; so do submissions in
-// the tail, a tail that is begun for records of another size, and one that is read although it can't suffice.
+// the tail, a tail that is begun for records of another size, one that is read although it can't suffice, and one that ends with the
+// partition although the job is settled.
 func TestTailReadCost(t *testing.T) {
 	const from, wanted, maxCalls = 141, 3, 5
-	for name, test := range map[string]struct{ submissions, largeRecords, later, maxKB int }{
+	for name, test := range map[string]struct{ submissions, largeRecords, later, afterSettled, maxKB int }{
 		"results only":          {maxKB: 160},
 		"submission at the end": {maxKB: 160, submissions: 1},
 		// The index may learn of the last submission only after the first read of the tail.
 		"two submissions":           {maxKB: 300, submissions: 2},
 		"large records":             {maxKB: 300, largeRecords: 60},
+		"settled":                   {maxKB: 160, afterSettled: 100},
 		"before the first result":   {maxKB: 110, later: 10},
 		"long before the first one": {maxKB: 1100, later: 120},
 	} {
@@ -179,6 +181,12 @@
 					h.progress(6 * resultBytes)
 				}
 				listAll(wanted)
+				if test.afterSettled > 0 {
+					settle(t, h.store, measured)
+					for range test.afterSettled {
+						h.progress(6 * resultBytes)
+					}
+				}
 				if test.later > 0 {
 					measured, position = "00", 0
 					h.submit(measured, 10, 100, unsplit, nil)
@@ -208,9 +216,11 @@
 }
 
 // TestTailReadMatchesPages compares reads of running jobs with reads of pages, for random histories with records of all sizes, results in
-// parts, keys of older versions, submissions with results in between and dropped history, while results are listed, the job is settled and reads fail.
+// parts, keys of older versions, submissions with results in between and dropped history, while results are listed and reads fail, and before,
+// while and after the job is settled.
 // A tail that is taken for complete although an earlier record belongs to the results would lose results.
 func TestTailReadMatchesPages(t *testing.T) {
+	const rounds, settledRound = 6, 3
 	for seed := range uint64(24) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -225,17 +235,20 @@
 					}
 					return memorylog.None
 				})
-				for round := range 4 {
+				for round := range rounds {
 					reader := newNode(t, h.store, "reader")
 					time.Sleep(20 * time.Millisecond)
 					from := h.intN(h.listedOf("a") + 3)
 					var listing sync.WaitGroup
 					listing.Go(func() {
+						if round > settledRound {
+							return
+						}
 						for range h.intN(3) {
 							time.Sleep(time.Duration(h.intN(60)) * time.Millisecond)
 							h.list("a", 100, unsplit)
 						}
-						if round == 3 {
+						if round == settledRound {
 							settle(t, h.store, "a")
 						}
 					})
