--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -169,19 +169,7 @@
 	if !f.tailing {
 		return f.catchUp(ctx)
 	}
-	span := keyedlog.Span{From: f.nextOffset, Wait: f.config.Wait, MaxBytes: f.config.MaxReadBytes}
-	if !f.inSync() {
-		// Don't wait for new records: the answer shows at once whether the process has caught up, or that the store is
-		// available again.
-		span.Wait = 0
-	}
-	if f.config.NewestOnly && !f.Connected() {
-		f.backlog.start()
-	}
-	if limit := f.backlog.remaining(); limit > 0 {
-		span.MaxBytes = limit
-	}
-	skipped := f.block
+	span, skipped := f.nextSpan(), f.block
 	f.block = nil
 	if skipped != nil {
 		span.From = skipped.last
@@ -220,6 +208,23 @@
 	return nil
 }
 
+// nextSpan returns the span of the next read of appended records.
+func (f *Follower) nextSpan() keyedlog.Span {
+	span := keyedlog.Span{From: f.nextOffset, Wait: f.config.Wait, MaxBytes: f.config.MaxReadBytes}
+	if !f.inSync() {
+		// Don't wait for new records: the answer shows at once whether the process has caught up, or that the store is
+		// available again.
+		span.Wait = 0
+	}
+	if f.config.NewestOnly && !f.Connected() {
+		f.backlog.start()
+	}
+	if limit := f.backlog.remaining(); limit > 0 {
+		span.MaxBytes = limit
+	}
+	return span
+}
+
 // waitInterval waits before the next read, so that it returns the records of the meantime together. An idle pause ends
 // early if a caller waits for records.
 func (f *Follower) waitInterval(ctx context.Context) {
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -118,10 +118,10 @@
 	return max(1, float64(t.recordBytes)/float64(t.records))
 }
 
-// errTailTooLong is returned when the tail that was read does not suffice.
-var errTailTooLong = errors.New("the last records of the partition do not suffice")
+// errTailInsufficient is returned when the tail that was read does not suffice.
+var errTailInsufficient = errors.New("the last records of the partition do not suffice")
 
-// read applies the tail up to the partition's end. It fails with errTailTooLong if the tail does not suffice, and with
+// read applies the tail up to the partition's end. It fails with errTailInsufficient if the tail does not suffice, and with
 // keyedlog.ErrTrimmed if the store has dropped some of it; after any other error, the next call continues.
 func (t *tailReader) read(ctx context.Context, apply func(keyedlog.Record)) error {
 	if t.end == 0 {
@@ -132,19 +132,10 @@
 		t.end = page.End
 	}
 	if t.end < t.config.First {
-		return errTailTooLong
+		return errTailInsufficient
 	}
-	if !t.started {
-		t.updateSkipped()
-		t.started = true
-		t.low = t.windowStart(t.end, tailBytes)
-		if t.config.Whole {
-			t.low = t.config.First
-		}
-		t.high = t.low
-		if t.config.Whole && t.expectedBytes() > maxTailBytes {
-			return errTailTooLong
-		}
+	if err := t.start(); err != nil {
+		return err
 	}
 	if err := t.readForward(ctx, apply); err != nil {
 		return err
@@ -157,6 +148,24 @@
 	return nil
 }
 
+// start sets the offset at which the tail begins. Later calls have no effect.
+func (t *tailReader) start() error {
+	if t.started {
+		return nil
+	}
+	t.started = true
+	t.updateSkipped()
+	t.low = t.windowStart(t.end, tailBytes)
+	if t.config.Whole {
+		t.low = t.config.First
+	}
+	t.high = t.low
+	if t.config.Whole && t.expectedBytes() > maxTailBytes {
+		return errTailInsufficient
+	}
+	return nil
+}
+
 // updateSkipped updates the skipped ranges.
 func (t *tailReader) updateSkipped() {
 	if t.config.Skip != nil {
@@ -185,7 +194,7 @@
 		case left <= maxTailBytes-t.readBytes, left <= pageBytes && t.config.Covered():
 			continue
 		case t.config.Whole || t.config.Covered():
-			return errTailTooLong
+			return errTailInsufficient
 		}
 		// The records are larger than expected, so the tail begins later.
 		t.low = t.windowStart(t.end, min(maxTailBytes-t.readBytes, tailBytes))
@@ -206,7 +215,7 @@
 		t.updateSkipped()
 		left := maxTailBytes - t.readBytes
 		if left < minExtensionBytes {
-			return errTailTooLong
+			return errTailInsufficient
 		}
 		start := t.windowStart(t.low, int(float64(left)/tailMargin))
 		t.extension = &extension{start: start, next: start}
@@ -231,7 +240,7 @@
 // the offset after the last one.
 func (t *tailReader) readSpan(ctx context.Context, from, to int64, apply func(keyedlog.Record)) (int64, error) {
 	if t.readBytes >= maxTailBytes && !t.config.Covered() {
-		return from, errTailTooLong
+		return from, errTailInsufficient
 	}
 	size := int(tailMargin * float64(to-from) * t.meanBytes())
 	batch, err := t.log.Read(ctx, t.partition, keyedlog.Span{From: from, MaxBytes: min(max(size, minTailReadBytes), maxTailBytes)})
@@ -316,7 +325,7 @@
 	switch {
 	case err == nil:
 		f.nextOffset, f.tailing = f.tail.high, true
-	case !errors.Is(err, errTailTooLong) && !errors.Is(err, keyedlog.ErrTrimmed):
+	case !errors.Is(err, errTailInsufficient) && !errors.Is(err, keyedlog.ErrTrimmed):
 		return err
 	}
 	if f.config.Tail.OnDone != nil {
--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -97,19 +97,6 @@
 	found.base, found.visible = position, position
 }
 
-// ResultsExceed reports whether the results of a job from a position on, up to the first gap, take more than limit bytes.
-// The channel is closed at the next change of the job.
-func (l *Ledger) ResultsExceed(id string, from, limit int) (bool, <-chan struct{}) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	found := l.fold.job(id)
-	size := 0
-	for position := max(found.base, from); position < found.visible && size <= limit; position++ {
-		size += found.results[position].Size()
-	}
-	return size > limit, found.changed.Changed()
-}
-
 // Listed returns the number of results of a job that can be read, and a channel that is closed at the next change of the
 // job.
 func (l *Ledger) Listed(id string) (int, <-chan struct{}) {
--- a/internal/jobs/hold.go
+++ b/internal/jobs/hold.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxHold is how long a read is held while results arrive. A trainer starts a read at most every 0.5 s, so an answer after
-	// 0.45 s and the ways does not delay its next read.
+	// 0.45 s plus the transit times does not delay its next read.
 	maxHold = 450 * time.Millisecond
 	// answerMargin is how long before the run deadline, or the end of the call, a held read is answered: the answer takes some
 	// tens of milliseconds to a caller in another region, more if it is large.
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -283,8 +283,8 @@
 	caughtUp := make(chan error, 1)
 	go func() { caughtUp <- r.waitCaughtUp(ctx) }()
 	for {
-		full, changed := r.ledger.ResultsExceed(r.entry.JobID, from, limit)
-		if full {
+		readable, changed := r.ledger.Readable(r.entry.JobID, from, limit)
+		if readable.Full {
 			return nil
 		}
 		select {
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -63,17 +63,16 @@
 // may be no result yet, and only the submission shows that there is none. Of a settled job, a trainer that has read some results needs the
 // last ones. Other callers read settled jobs page by page; most of their reads begin far from the last results.
 func (s *Service) newTail(status job.Status, from int, ledger *job.Ledger) *resultTail {
-	if status.Settled {
-		if from == 0 || !status.Entry.HasTrainer() {
-			return nil
-		}
-		return &resultTail{
-			service: s, entry: status.Entry, ledger: ledger, from: from, first: status.Entry.Items, end: status.SettledEnd,
-		}
+	if status.Settled && (from == 0 || !status.Entry.HasTrainer()) {
+		return nil
+	}
+	if !status.Settled {
+		// While the partition's end is requested, the index learns of the submissions before it.
+		s.config.IndexFollower.Hurry()
+	}
+	return &resultTail{
+		service: s, entry: status.Entry, ledger: ledger, from: from, first: status.Entry.Items, end: status.SettledEnd,
 	}
-	// While the partition's end is requested, the index learns of the submissions before it.
-	s.config.IndexFollower.Hurry()
-	return &resultTail{service: s, entry: status.Entry, ledger: ledger, from: from, first: status.Entry.Items}
 }
 
 // observe notes the key of a record of a result. It does nothing if the tail is nil.
