--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -128,12 +128,12 @@
 		nextOffset: config.From, tailing: config.From > 0,
 	}
 	if config.Tail != nil && !f.tailing {
-		f.tail = &tailReader{config: *config.Tail, log: config.Log, partition: config.Partition}
+		f.tail = &tailReader{config: *config.Tail, log: config.Log, partition: config.Partition, end: config.Tail.End}
 	}
 	return f
 }
 
-// Run follows the partition until the context ends. It may be called again after it has returned, and then resumes at
+// Run follows the partition until the context ends, or up to the end of Config.Tail if that is set. It may be called again after it has returned, and then resumes at
 // the same offset.
 func (f *Follower) Run(ctx context.Context) {
 	if f.idle() && f.config.MaxIdleStartDelay > 0 {
@@ -141,10 +141,10 @@
 	}
 	if f.tail != nil {
 		// A caller that resumes waits for what was appended until now.
-		f.tail.end = 0
+		f.tail.end = f.config.Tail.End
 	}
 	failures := 0
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.finished() {
 		if err := f.step(ctx); err != nil {
 			failures++
 			f.setConnected(ctx, false, err)
@@ -156,6 +156,11 @@
 	}
 }
 
+// finished reports whether all records that matter have been read.
+func (f *Follower) finished() bool {
+	return f.config.Tail != nil && f.config.Tail.End > 0 && f.tailing && f.nextOffset >= f.config.Tail.End
+}
+
 // step reads the tail, the newest records, or one batch of appended records.
 func (f *Follower) step(ctx context.Context) error {
 	if f.tail != nil {
@@ -164,19 +169,7 @@
 	if !f.tailing {
 		return f.catchUp(ctx)
 	}
-	span := keyedlog.Span{From: f.nextOffset, Wait: f.config.Wait, MaxBytes: f.config.MaxReadBytes}
-	if !f.inSync() {
-		// Don't wait for new records: the answer shows at once whether the process has caught up, or that the store is
-		// available again.
-		span.Wait = 0
-	}
-	if f.config.NewestOnly && !f.Connected() {
-		f.backlog.start()
-	}
-	if limit := f.backlog.remaining(); limit > 0 {
-		span.MaxBytes = limit
-	}
-	skipped := f.block
+	span, skipped := f.nextSpan(), f.block
 	f.block = nil
 	if skipped != nil {
 		span.From = skipped.last
@@ -215,6 +208,23 @@
 	return nil
 }
 
+// nextSpan returns the span of the next read of appended records.
+func (f *Follower) nextSpan() keyedlog.Span {
+	span := keyedlog.Span{From: f.nextOffset, Wait: f.config.Wait, MaxBytes: f.config.MaxReadBytes}
+	if !f.inSync() {
+		// Don't wait for new records: the answer shows at once whether the process has caught up, or that the store is
+		// available again.
+		span.Wait = 0
+	}
+	if f.config.NewestOnly && !f.Connected() {
+		f.backlog.start()
+	}
+	if limit := f.backlog.remaining(); limit > 0 {
+		span.MaxBytes = limit
+	}
+	return span
+}
+
 // waitInterval waits before the next read, so that it returns the records of the meantime together. An idle pause ends
 // early if a caller waits for records.
 func (f *Follower) waitInterval(ctx context.Context) {
@@ -288,8 +298,9 @@
 	if found && record.Offset <= known {
 		return
 	}
-	if record.Value == nil {
-		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again.
+	if record.Value == nil && f.tail == nil {
+		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again. Of a tail,
+		// older records may be read later.
 		delete(f.offsets, record.Key)
 	} else {
 		f.offsets[record.Key] = record.Offset
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -380,3 +380,46 @@
 	}
 	return values
 }
+
+// TestTailKeepsDroppedKeys drops a key within the tail of a partition and puts its record before it, which an extension of the tail reads
+// later. If the extension applied that record, the dropped key would be back.
+func TestTailKeepsDroppedKeys(t *testing.T) {
+	const others = 100
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		put(t, store, "dropped", "old")
+		for range others {
+			put(t, store, "other", "value")
+		}
+		put(t, store, "dropped", "")
+		seen := newState()
+		covered := func() bool { return false }
+		follower := startFollowerWith(t, store, seen, func(config *follow.Config) {
+			config.Tail = &follow.Tail{Covered: covered, RecordSize: new(follow.RecordSize)}
+		})
+		is.NoErr(follower.WaitFor(t.Context(), others+2))
+		is.Equal(seen.read(), map[string]string{"other": "value"})
+		is.Equal(seen.regressions, 0)
+	})
+}
+
+// TestTailEndsAtItsEnd appends a record after the end of a tail. A follower that went on would read everything that other writers append.
+func TestTailEndsAtItsEnd(t *testing.T) {
+	const end = 3
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 4})
+		for i := range end {
+			put(t, store, fmt.Sprint("key", i), "value")
+		}
+		seen := newState()
+		follower := startFollowerWith(t, store, seen, func(config *follow.Config) {
+			config.Tail = &follow.Tail{End: end, Covered: func() bool { return false }, RecordSize: new(follow.RecordSize)}
+		})
+		is.NoErr(follower.WaitFor(t.Context(), end))
+		put(t, store, "later", "value")
+		time.Sleep(10 * time.Second)
+		is.Equal(len(seen.read()), end)
+	})
+}
