Let only batches with items hold assignment back, and check in the pass

Cause: each scan of open jobs began and closed a batch, also where no job started: up to 200 passes of assignment a second per partition that changed nothing. A batch that began between the check for batches and the pass was ignored by that pass. Change: a batch holds assignment back from its first item on, and a pass checks for batches under the mutex under which it assigns. Conclusion: TestBatchWithoutItemsCausesNoPass and TestPassDuringBatchAssignsNothing fail without the change.

--- a/internal/jobrun/batch.go
+++ b/internal/jobrun/batch.go
@@ -15,18 +15,15 @@
 type Batch struct {
 	queue *Queue
 	// missing is the number of items that have not entered the queue, plus one until Close; deadline is when the batch holds
-	// assignment back no longer, zero until Close. The queue's mutex guards both.
+	// assignment back no longer, zero until Close. The queue's mutex guards both. A batch without items is not among the
+	// queue's batches: most scans of open jobs start none, and should not cause a pass of assignment.
 	missing  int
 	deadline time.Time
 }
 
 // BeginBatch returns a batch without items. The caller must call Close once all items were added.
 func (q *Queue) BeginBatch() *Batch {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	batch := &Batch{queue: q, missing: 1}
-	q.batches[batch] = struct{}{}
-	return batch
+	return &Batch{queue: q, missing: 1}
 }
 
 // Add adds an item. It returns the function that the item calls once it waits in the queue, or once it will not enter the queue
@@ -35,6 +32,7 @@
 	b.queue.mutex.Lock()
 	defer b.queue.mutex.Unlock()
 	b.missing++
+	b.queue.batches[b] = struct{}{}
 	return sync.OnceFunc(b.arrived)
 }
 
@@ -49,7 +47,8 @@
 func (b *Batch) arrived() {
 	b.queue.mutex.Lock()
 	b.missing--
-	complete := b.missing == 0
+	_, holds := b.queue.batches[b]
+	complete := holds && b.missing == 0
 	if complete {
 		delete(b.queue.batches, b)
 	}
@@ -59,10 +58,9 @@
 	}
 }
 
-// heldBack returns for how long at most assignment is held back for batches that are incomplete, 0 if it is not.
+// heldBack returns for how long at most assignment is held back for batches that are incomplete, 0 if it is not. The mutex must
+// be held.
 func (q *Queue) heldBack() time.Duration {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
 	var longest time.Duration
 	for batch := range q.batches {
 		remaining := maxBatchHold
--- a/internal/jobrun/batch_test.go
+++ b/internal/jobrun/batch_test.go
@@ -68,6 +68,43 @@
 	}
 }
 
+// TestBatchWithoutItemsCausesNoPass begins and ends batches without items, as scans of open jobs do up to 200 times a second. They
+// used to cause a pass of assignment each.
+func TestBatchWithoutItemsCausesNoPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue, stop := newTestQueue(1, testPace)
+		defer stop()
+		synctest.Wait()
+		passes := queue.pass
+		queue.BeginBatch().Close()
+		synctest.Wait()
+		is.New(t).Equal(queue.pass, passes)
+	})
+}
+
+// TestPassDuringBatchAssignsNothing begins a batch after the queue was woken for a pass. A pass that checked for batches only
+// beforehand assigned slots to the items that had arrived by then.
+func TestPassDuringBatchAssignsNothing(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	directory.Upsert(fleet.Engine{ID: "engine", Pool: "p", Slots: 1})
+	queue := NewQueue(directory)
+	batch := queue.BeginBatch()
+	first, second := batch.Add(), batch.Add()
+	item := queue.enqueue(Rank{}, fleet.Want{Pool: "p", Share: 1}, nil)
+	first()
+	waiting, heldBack := queue.assignSlots()
+	is.Equal(waiting, 1)
+	is.Equal(heldBack, maxBatchHold)
+	is.Equal(len(item.granted), 0)
+	second()
+	batch.Close()
+	waiting, heldBack = queue.assignSlots()
+	is.Equal(waiting, 0)
+	is.Equal(heldBack, time.Duration(0))
+	is.Equal(len(item.granted), 1)
+}
+
 // TestRunKeepsItsSlotFromItemOfItsPass covers an item that waits although a slot was free, since the engine does not take it
 // yet, while a less urgent item of the same pass got the slot. Asking that run to yield at once used to end it before its first
 // event without helping the waiting item. An item that comes later still gets the slot at once.
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -148,8 +148,10 @@
 	timer := time.NewTimer(refreshInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		if remaining := q.heldBack(); remaining > 0 {
-			timer.Reset(remaining)
+		changed := q.directory.Changed()
+		waiting, heldBack := q.assignSlots()
+		if heldBack > 0 {
+			timer.Reset(heldBack)
 			select {
 			case <-q.wakeup:
 			case <-timer.C:
@@ -157,8 +159,7 @@
 			}
 			continue
 		}
-		changed := q.directory.Changed()
-		if q.assignSlots() == 0 {
+		if waiting == 0 {
 			select {
 			case <-q.wakeup:
 			case <-ctx.Done():
@@ -175,10 +176,14 @@
 	}
 }
 
-// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait.
-func (q *Queue) assignSlots() int {
+// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait. If batches hold
+// assignment back, it assigns none and returns for how long at most they do.
+func (q *Queue) assignSlots() (waiting int, heldBack time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	if heldBack = q.heldBack(); heldBack > 0 {
+		return q.waiting.Len(), heldBack
+	}
 	q.pass++
 	ordered := make([]*waiter, 0, q.waiting.Len())
 	wants := make([]fleet.Want, 0, q.waiting.Len())
@@ -197,7 +202,7 @@
 		unassigned = append(unassigned, ordered[i])
 	}
 	q.requestYields(unassigned)
-	return len(unassigned)
+	return len(unassigned), 0
 }
 
 // addSlot records a slot that was acquired in the directory. The mutex must be held.
