Keep the engines of an evacuated zone after a refused order

Cause: a new holder of the duty repeats the last order of each zone. If the provider had taken one engine of an evacuated zone and refused, the order was recorded as 0, since engines of evacuated zones were not counted, and 0 was then ordered: all engines of the zone were returned, which come back with it. Change: after a refusal the engines of an evacuated zone count that have not announced that they leave. Conclusion: TestRefusalKeepsTheOrderOfAnEvacuatedZone fails without the change (0 engines instead of 2).

--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -20,6 +20,8 @@
 type presence struct {
 	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving engines so far.
 	serving, leaving, most int
+	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not counted above.
+	evacuated int
 }
 
 // heldOrder is a reduced order that is sent once it is due.
@@ -37,12 +39,17 @@
 	for _, engine := range engines {
 		key := poolZone{pool.Name, engine.Zone}
 		zone, scaled := t.present[key]
-		if !engine.Preemptible || !scaled || t.config.Directory.Evacuated(engine.Zone) {
+		if !engine.Preemptible || !scaled {
 			continue
 		}
-		if engine.Draining {
+		switch {
+		case t.config.Directory.Evacuated(engine.Zone):
+			if len(t.config.Directory.Leaving([]string{engine.ID})) == 0 {
+				zone.evacuated++
+			}
+		case engine.Draining:
 			zone.leaving++
-		} else {
+		default:
 			zone.serving++
 		}
 		t.present[key] = zone
@@ -152,10 +159,11 @@
 }
 
 // orderedAfterRefusal returns the number of engines that a zone has after it refused an order. If it refused to repeat its last
-// order, it has lost engines that it cannot replace.
+// order, it has lost engines that it cannot replace. Those of an evacuated zone that are left come back with the zone.
 func (t *term) orderedAfterRefusal(order Order, previous int) int {
 	if order.Count > previous {
 		return previous
 	}
-	return min(previous, t.present[poolZone{order.Pool, order.Zone}].serving)
+	present := t.present[poolZone{order.Pool, order.Zone}]
+	return min(previous, present.serving+present.evacuated)
 }
--- a/internal/scaler/reclaimed_test.go
+++ b/internal/scaler/reclaimed_test.go
@@ -107,6 +107,28 @@
 	})
 }
 
+// TestRefusalKeepsTheOrderOfAnEvacuatedZone evacuates a zone whose provider has taken one of its engines away and has no other. A
+// successor repeats the order of the zone, which is refused. It must not return the engines that are left: they come back with
+// the zone.
+func TestRefusalKeepsTheOrderOfAnEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		env, release := newPreemptibleEnv(t)
+		env.directory.SetEvacuated("a", true)
+		env.directory.Remove("spota0")
+		env.provider.mutex.Lock()
+		env.provider.ordered["a"] = 2
+		env.provider.mutex.Unlock()
+		env.provider.setFaults(false, "a")
+		release()
+		release = env.holdDuty(t, "two", 2)
+		time.Sleep(5 * time.Second)
+		_, byZone, _ := env.provider.snapshot()
+		is.Equal(byZone["a"], 2)
+		release()
+	})
+}
+
 // TestSuccessorCompletesReplacements kills the holder between its record and its calls, and after a refusal before its second
 // record. The successor must not count what was never ordered, nor order more than is missing.
 func TestSuccessorCompletesReplacements(t *testing.T) {
