Cancel a run that its receiver ends before its body is closed

Cause: the connection of such a run, as of an item that moves, was closed before the request was cancelled, and could count as broken by the engine instead of cancelled. Change: eventrun cancels the request first. Conclusion: TestRunEndedByReceiverIsCancelled fails without the change.

--- a/internal/eventrun/eventrun.go
+++ b/internal/eventrun/eventrun.go
@@ -110,10 +110,15 @@
 		return Result{Ending: EndedFailed, Status: reply.Status}
 	}
 	if err := receiver.Head(reply); err != nil {
+		cancel()
 		return Result{Ending: EndedByReceiver, Status: reply.Status, Err: err}
 	}
 	result := passEvents(client.Events(reply.Body), call.ResumeAfter, receiver, func() { watchdog.Reset(limits.Gap) })
 	result.Status = reply.Status
+	if result.Ending == EndedByReceiver {
+		// The connection ends with the body. Its client distinguishes cancelled runs from broken connections by the context.
+		cancel()
+	}
 	if result.Ending == EndedBroken {
 		result.Ending = interruption(ctx, &timedOut, EndedBroken)
 	}
