Use one type for pool and model in jobrun, and split term.observe

Cause: jobrun had the same pair of pool and model as two types, and scaler.term.observe counted engines and recorded reclaimed zones in one function. Change: engineKind is replaced by poolModel; observe is split into countPresent and recordReclaimed. Conclusion: no change of behaviour.

--- a/internal/jobrun/mover.go
+++ b/internal/jobrun/mover.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// begin records that a run starts in a slot, and end that it ended. Between the two calls the run may be moved.
+// begin records that a run starts in a slot. The run may be moved until end is called.
 func (m *Mover) begin(e *execution, slot *Slot) {
 	if m == nil {
 		return
@@ -76,6 +76,7 @@
 	}
 }
 
+// end records that a run has ended, and withdraws its pending request of another slot.
 func (m *Mover) end(e *execution) {
 	if m == nil {
 		return
@@ -250,7 +251,7 @@
 	return ids
 }
 
-// poolModel identifies the runs of one model in a pool.
+// poolModel identifies the items of one model in a pool.
 type poolModel struct {
 	pool, model string
 }
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -224,7 +224,8 @@
 }
 
 // requestYields requests runs that can wait to give their slots up to items that can't, which are passed in the order of their
-// rank. Slots that are already being given up are counted for the first of these items. The mutex must be held.
+// rank. Slots that are already being given up are counted for the first of these items. An item for which no run yields is the
+// first to take a free slot of its pool and model, so no run yields to those behind it. The mutex must be held.
 func (q *Queue) requestYields(waiting []*waiter) {
 	pendingYields := 0
 	for slot := range q.slots {
@@ -232,13 +233,13 @@
 			pendingYields++
 		}
 	}
-	blocked := make(map[engineKind]bool)
+	blocked := make(map[poolModel]bool)
 	for _, next := range waiting {
 		if pendingYields > 0 {
 			pendingYields--
 			continue
 		}
-		kind := engineKind{next.want.Pool, next.want.Model}
+		kind := poolModel{next.want.Pool, next.want.Model}
 		if blocked[kind] {
 			continue
 		}
@@ -252,12 +253,6 @@
 	}
 }
 
-// engineKind identifies items that wait for the same engines. An item for which no run yields is the first to take a free slot
-// of its kind, so no run yields to those behind it.
-type engineKind struct {
-	pool, model string
-}
-
 // leastUrgentFor returns the slot of the run that can wait longest among those that yield to a waiting item, nil if there is
 // none.
 func (q *Queue) leastUrgentFor(next *waiter) *Slot {
--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -18,7 +18,8 @@
 
 // presence is the number of preemptible engines of a zone.
 type presence struct {
-	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving engines so far.
+	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving
+	// engines so far, at most the last accepted order.
 	serving, leaving, most int
 	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not counted above.
 	evacuated int
@@ -30,8 +31,8 @@
 	dueAt time.Time
 }
 
-// observe counts the preemptible engines of a pool, and records the zones whose engines the provider takes away.
-func (t *term) observe(pool catalog.Pool, engines []fleet.Engine, now time.Time) {
+// countPresent counts the preemptible engines of a pool in each zone.
+func (t *term) countPresent(pool catalog.Pool, engines []fleet.Engine) {
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
 		t.present[key] = presence{most: t.present[key].most}
@@ -54,6 +55,10 @@
 		}
 		t.present[key] = zone
 	}
+}
+
+// recordReclaimed records the zones of a pool whose engines the provider takes away, and those whose backoff has ended.
+func (t *term) recordReclaimed(pool catalog.Pool, now time.Time) {
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
 		current := t.present[key]
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -230,7 +230,8 @@
 	now := time.Now()
 	regular := make(map[string]int)
 	engines := t.config.Directory.Pool(pool.Name)
-	t.observe(pool, engines, now)
+	t.countPresent(pool, engines)
+	t.recordReclaimed(pool, now)
 	total := 0.0
 	for _, engine := range engines {
 		total += policy.ColdSlots(engine.Slots, pool.ColdRate, item, engine.ColdUntil.Sub(now), shrinkDelay)
