Drop a case of TestDepartures that the random test guards

Cause: the case of a run that moves to a free slot although it is not known when its engine leaves is also checked by TestDeparturesKeepTheirBounds. Change: the case is dropped. Conclusion: TestDeparturesKeepTheirBounds fails if only runs with a known time move to free slots (tried).

--- a/internal/policy/leaving_test.go
+++ b/internal/policy/leaving_test.go
@@ -26,7 +26,6 @@
 		{"ends too late", []LeavingRun{run(201, 0, 2*time.Second)}, 5, nil, []Departure{DepartureMove}},
 		{"longest first", []LeavingRun{run(300, 0, time.Second), run(400, 0, time.Second)}, 1, nil, []Departure{DepartureRequest, DepartureMove}},
 		{"unknown leave, about to end", []LeavingRun{run(40, 0, 0)}, 5, nil, []Departure{DepartureStay}},
-		{"unknown leave, slack, free slot", []LeavingRun{run(100, 9*time.Second, 0)}, 1, nil, []Departure{DepartureMove}},
 		{"unknown leave, slack, no slot", []LeavingRun{run(100, 9*time.Second, 0)}, 0, []time.Duration{1}, []Departure{DepartureStay}},
 		{"unknown leave, no slack", []LeavingRun{run(100, 0, 0)}, 0, nil, []Departure{DepartureRequest}},
 		{"slack, slot released in time", []LeavingRun{run(300, 9*time.Second, time.Second)}, 0, []time.Duration{time.Second / 2}, []Departure{DepartureRequest}},
