Test that an item without targets leaves its batch

Cause: the change that lets such an item leave its batch had no test. Change: TestItemWithoutTargetsLeavesItsBatch. Conclusion: the test fails without that change.

--- a/internal/jobrun/connections_test.go
+++ b/internal/jobrun/connections_test.go
@@ -12,10 +12,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
+	"github.com/matryer/is"
 )
 
 // earlyCancel is the age up to which a cancelled run counts as useless: engines send their first event later.
@@ -245,3 +249,33 @@
 	}
 	return total
 }
+
+// TestItemWithoutTargetsLeavesItsBatch submits an item whose route has no targets while the store does not confirm the catalog. The
+// item waits for targets; the others of its job used to wait with it for 100 ms.
+func TestItemWithoutTargetsLeavesItsBatch(t *testing.T) {
+	const maxStart = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 1)
+		owner := w.newNode("owner")
+		owner.routes.Set(catalog.New(2, []catalog.Route{
+			{Name: "items", Host: "h", Prefix: "/items/", Kind: catalog.KindJobs, Targets: []catalog.Target{{Pool: "models", Weight: 1}}},
+			{Name: "empty", Host: "h", Prefix: "/empty/", Kind: catalog.KindJobs},
+		}, nil, catalog.Limits{}))
+		owner.own(1)
+		time.Sleep(time.Second)
+		w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+			if call.Partition.Topic == keyedlog.TopicOperator {
+				return memorylog.Silent
+			}
+			return memorylog.None
+		})
+		step := hintedSpec("step", 2, eventCount)
+		step.Items[1].Path = "/empty/x"
+		w.submit(step)
+		time.Sleep(maxStart)
+		is.Equal(len(w.engines.Runs()), 1)
+		w.store.Heal()
+		owner.release()
+	})
+}
