Share the check for engines that stay between MayServe and AllLeave

Cause: both functions of fleet.Directory had the same loop over the engines of a pool. Change: both use anyStays; MayServe moves beside AllLeave.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -375,21 +375,6 @@
 	return engine
 }
 
-// MayServe reports whether a pool has an engine in some regions, nil for all, that does not leave. It also returns true while
-// the engines of the pool are not known.
-func (d *Directory) MayServe(pool string, regions []string) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	order := d.poolOf(pool).order
-	want := Want{Regions: regions}
-	for _, found := range order {
-		if !found.engine.Draining && !d.evacuated[found.engine.Zone] && want.allows(found.engine.Region) {
-			return true
-		}
-	}
-	return len(order) == 0 && (d.partial || !d.synced)
-}
-
 // Pool returns the engines of a pool in order of their IDs. The slice must not be changed; it stays the same one while
 // no engine of the pool changes.
 func (d *Directory) Pool(pool string) []Engine {
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -51,18 +51,33 @@
 func (d *Directory) AllLeave(pool string, regions []string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	known, stays := d.anyStays(pool, regions)
+	return known && !stays
+}
+
+// MayServe reports whether a pool has an engine in some regions, nil for all, that does not leave. It also returns true while
+// the engines of the pool are not known.
+func (d *Directory) MayServe(pool string, regions []string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	_, stays := d.anyStays(pool, regions)
+	return stays || len(d.poolOf(pool).order) == 0 && (d.partial || !d.synced)
+}
+
+// anyStays reports whether engines of a pool in the given regions, nil for all, are known, and whether any of them neither leaves
+// nor is in an evacuated zone. The mutex must be held.
+func (d *Directory) anyStays(pool string, regions []string) (known, stays bool) {
 	want := Want{Regions: regions}
-	known := false
 	for _, found := range d.poolOf(pool).order {
 		if !want.allows(found.engine.Region) {
 			continue
 		}
-		if !d.effectiveEngine(found).Draining {
-			return false
+		if !found.engine.Draining && !d.evacuated[found.engine.Zone] {
+			return true, true
 		}
 		known = true
 	}
-	return known
+	return known, false
 }
 
 // Evacuated reports whether a zone is evacuated.
