--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -148,8 +148,10 @@
 	timer := time.NewTimer(refreshInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		if remaining := q.heldBack(); remaining > 0 {
-			timer.Reset(remaining)
+		changed := q.directory.Changed()
+		waiting, heldBack := q.assignSlots()
+		if heldBack > 0 {
+			timer.Reset(heldBack)
 			select {
 			case <-q.wakeup:
 			case <-timer.C:
@@ -157,8 +159,7 @@
 			}
 			continue
 		}
-		changed := q.directory.Changed()
-		if q.assignSlots() == 0 {
+		if waiting == 0 {
 			select {
 			case <-q.wakeup:
 			case <-ctx.Done():
@@ -175,10 +176,14 @@
 	}
 }
 
-// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait.
-func (q *Queue) assignSlots() int {
+// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait. If batches hold
+// assignment back, it assigns none and returns for how long at most they do.
+func (q *Queue) assignSlots() (waiting int, heldBack time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	if heldBack = q.heldBack(); heldBack > 0 {
+		return q.waiting.Len(), heldBack
+	}
 	q.pass++
 	ordered := make([]*waiter, 0, q.waiting.Len())
 	wants := make([]fleet.Want, 0, q.waiting.Len())
@@ -197,7 +202,7 @@
 		unassigned = append(unassigned, ordered[i])
 	}
 	q.requestYields(unassigned)
-	return len(unassigned)
+	return len(unassigned), 0
 }
 
 // addSlot records a slot that was acquired in the directory. The mutex must be held.
@@ -219,7 +224,8 @@
 }
 
 // requestYields requests runs that can wait to give their slots up to items that can't, which are passed in the order of their
-// rank. Slots that are already being given up are counted for the first of these items. The mutex must be held.
+// rank. Slots that are already being given up are counted for the first of these items. An item for which no run yields is the
+// first to take a free slot of its pool and model, so no run yields to those behind it. The mutex must be held.
 func (q *Queue) requestYields(waiting []*waiter) {
 	pendingYields := 0
 	for slot := range q.slots {
@@ -227,13 +233,13 @@
 			pendingYields++
 		}
 	}
-	blocked := make(map[engineKind]bool)
+	blocked := make(map[poolModel]bool)
 	for _, next := range waiting {
 		if pendingYields > 0 {
 			pendingYields--
 			continue
 		}
-		kind := engineKind{next.want.Pool, next.want.Model}
+		kind := poolModel{next.want.Pool, next.want.Model}
 		if blocked[kind] {
 			continue
 		}
@@ -247,12 +253,6 @@
 	}
 }
 
-// engineKind identifies items that wait for the same engines. An item for which no run yields is the first to take a free slot
-// of its kind, so no run yields to those behind it.
-type engineKind struct {
-	pool, model string
-}
-
 // leastUrgentFor returns the slot of the run that can wait longest among those that yield to a waiting item, nil if there is
 // none.
 func (q *Queue) leastUrgentFor(next *waiter) *Slot {
