--- a/internal/catalog/bindings.go
+++ b/internal/catalog/bindings.go
@@ -6,16 +6,17 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
-// Binding is the restriction of a route to regions, for a tenant that is bound itself or for all callers that are not.
+// Binding states the regions in which the requests of some callers to a route may run. The callers are either a tenant that has
+// regions of its own, or all callers without such a tenant.
 type Binding struct {
 	Route Route
-	// Tenant is the first of the tenants with the same regions, empty for callers that are not bound themselves.
+	// Tenant is the first of the tenants with the same regions, empty for callers without a tenant that has regions.
 	Tenant string
 	// Regions are the allowed regions, nil for all.
 	Regions []string
 }
 
-// bindings returns the bindings of a route: that of callers that are not bound themselves, and one for each different list of
+// bindings returns the bindings of a route: one for callers without a tenant that has regions, and one for each different list of
 // regions of tenants.
 func (c *Catalog) bindings(route Route) []Binding {
 	all := []Binding{{Route: route, Regions: route.Regions}}
@@ -105,8 +106,8 @@
 	return HomeProblem{Regions: unknown, Cause: CauseUnknownRegion, Refused: len(unknown) == len(regions)}, len(unknown) > 0
 }
 
-// UnservedHomes returns the bindings of which no pool may serve a request, as mayServe reports for a pool and regions. Those
-// without any region of the fleet are left out.
+// UnservedHomes returns a problem for each binding whose requests no pool may serve. mayServe reports whether a pool may serve
+// requests in some regions. Bindings without any region of the fleet are left out.
 func (c *Catalog) UnservedHomes(fleet []string, mayServe func(pool string, regions []string) bool) []HomeProblem {
 	var problems []HomeProblem
 	for _, binding := range c.Bindings() {
--- a/internal/catalog/homes.go
+++ b/internal/catalog/homes.go
@@ -30,8 +30,8 @@
 	return c.Tenants.BindsRegions() || slices.ContainsFunc(c.Routes, func(route Route) bool { return route.Regions != nil })
 }
 
-// JobRegions returns the regions in which a tenant's job may be held whose items and scorers use some routes, nil for all. An
-// empty result that is not nil means that the routes and the tenant have no region in common.
+// JobRegions returns the regions in which a job of a tenant may be stored and run, nil for all. The routes are those of the job, its
+// items and their scorers. An empty result that is not nil means that the routes and the tenant have no region in common.
 func (c *Catalog) JobRegions(routes []Route, tenantName string) []string {
 	known, _ := c.Tenants.Named(tenantName)
 	regions := known.Regions
@@ -41,8 +41,8 @@
 	return regions
 }
 
-// Homes returns the home set of work that is allowed in some regions, nil for all, in a fleet of the given regions. Work that
-// is allowed in the whole fleet is bound to none. It returns false if the work is allowed nowhere in the fleet.
+// Homes returns the home set of work that is allowed in some regions, nil for all, in a fleet of the given regions. The set is
+// empty if the work is allowed in the whole fleet. It returns false if the work is allowed nowhere in the fleet.
 func Homes(allowed, fleet []string) (homes keyedlog.HomeSet, possible bool) {
 	if allowed == nil {
 		return "", true
@@ -59,7 +59,7 @@
 }
 
 // HomeSets returns the home sets that jobs may have in a fleet of the given regions: those of each route of jobs with each
-// tenant, and what they have in common with the routes that an item or scorer may use.
+// tenant, and their intersections with the regions of the routes that an item or scorer may use.
 func (c *Catalog) HomeSets(fleet []string) []keyedlog.HomeSet {
 	if !c.BindsRegions() {
 		return nil
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -132,7 +132,7 @@
 	Sequence int64
 	Waiting  int
 	Running  int
-	// Leaving reports whether the engine leaves. LeavesIn is the time until it ends, as of the report, if LeavesKnown is set.
+	// Leaving reports whether the engine leaves. LeavesIn is the time from the report to its end; it is valid if LeavesKnown is set.
 	Leaving     bool
 	LeavesKnown bool
 	LeavesIn    time.Duration
@@ -160,16 +160,16 @@
 type ConnectionStats struct {
 	// Opened is the number of connections that were opened, Reused the number of requests that used an idle one.
 	Opened, Reused int64
-	// ClosedCancelled is the number of connections that were closed because their request was cancelled, ClosedIdle of those
-	// closed while no request used them, ClosedBroken of those that ended during a request.
+	// ClosedCancelled is the number of connections that were closed because their request was cancelled, ClosedIdle the number of
+	// those closed while no request used them, ClosedBroken the number of those that ended during a request.
 	ClosedCancelled, ClosedIdle, ClosedBroken int64
 }
 
-// Connections knows the connections to engines.
+// Connections tracks the connections to engines.
 type Connections interface {
 	// Stats returns the counts so far.
 	Stats() ConnectionStats
 	// OnIdle sets the function that is called with the number of idle connections to an engine whenever it changes. The
-	// function must not call back.
+	// function must not call methods of Connections.
 	OnIdle(report func(engineID string, idle int))
 }
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -45,8 +45,8 @@
 	// wrote the record that says so.
 	complete   map[int]bool
 	completeTo map[int]int64
-	// pools holds the pools whose engines are listed, nil while they are not known; required holds those of them that have
-	// to be known before requests are served.
+	// pools holds the pools whose engines are listed, nil while they are not known; required holds those of them whose
+	// engines have to be known before requests are served.
 	pools    map[string]bool
 	required map[string]bool
 	// ownRecords holds the engines by their own records, read up to ownRecordsEnd. They are used while readsOwnRecords
@@ -80,8 +80,8 @@
 	}
 }
 
-// SetPools sets the pools whose engines are listed, and those of them that have to be known before requests are served. An
-// earlier version may list none of the others.
+// SetPools sets the pools whose engines are listed, and those of them whose engines have to be known before requests are
+// served. An earlier version may not list the other pools.
 func (l *List) SetPools(pools, required map[string]bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -64,17 +64,17 @@
 	// statedUntil is the time until which the engine is cold by its last health response. A record that was written
 	// before the engine turned cold does not change it.
 	statedUntil time.Time
-	// suspectedAt is when the engine began to be suspected of being cold, and suspectedUntil the time until which it
-	// counts as cold if no health response clears it. checkDelay is how long a process that is not the engine's sender
-	// waits before it checks the engine.
+	// suspectedAt is when the engine was last suspected to be cold, and suspectedUntil the time until which it counts as
+	// cold if no health response clears it. checkDelay is how long after suspectedAt a process that is not the engine's
+	// sender waits before it checks the engine.
 	suspectedAt    time.Time
 	suspectedUntil time.Time
 	checkDelay     time.Duration
-	// silentSince is when work was started since which the engine has responded to nothing, zero if there is none.
+	// silentSince is when the first work after the engine's last response was started, zero if no response is outstanding.
 	silentSince time.Time
 	// reassignedAt is when the model that the engine is assigned to last changed, zero if it has not.
 	reassignedAt time.Time
-	// recentStarts are the times at which work started there within coldWindow.
+	// recentStarts are the times at which work was started at the engine within the last coldWindow.
 	recentStarts []time.Time
 }
 
@@ -103,11 +103,11 @@
 }
 
 // reassignDelay is how long no work is sent to a cold engine after its model has changed: the sender for the earlier
-// model may read the change a second later, and what it sent then counts for a further window.
+// model may read the change up to a second later, and work that it sent until then counts for a further window.
 const reassignDelay = time.Second + coldWindow
 
-// SetColdSenders sets the function that returns the term in which this process is the only sender of an engine with an
-// assigned model, empty if it has none, and false if it is not the sender. It is called with the directory's mutex held.
+// SetColdSenders sets the function that returns the term in which this process is the only sender of an engine, and false
+// if it is not the sender. The model is the one that the engine is assigned to, empty if there is none. It is called with the directory's mutex held.
 // Without such a function every process counts as the sender for the models whose work it has. It must be set before the
 // first engine is added.
 func (d *Directory) SetColdSenders(term func(engine Engine, model string) (SenderTerm, bool)) {
@@ -118,8 +118,8 @@
 // of its records.
 const minColder = 500 * time.Millisecond
 
-// turnsCold reports whether an engine is cold by a new record for longer than is known, in a pool that limits the work of
-// cold engines. The mutex must be held.
+// turnsCold reports whether a new record of an engine states that it is cold for longer than was known, in a pool that
+// limits the work of cold engines. The mutex must be held.
 func (d *Directory) turnsCold(found *entry, engine Engine) bool {
 	_, limited := d.coldLimits[engine.Pool]
 	return limited && engine.ColdUntil.After(found.coldUntil().Add(minColder))
@@ -176,8 +176,8 @@
 	return isSender && now.Before(term.Until)
 }
 
-// HandOver reports whether other work may take over a slot that this process holds at an engine, and counts its start
-// there: a cold engine takes it only within its rate.
+// HandOver reports whether other work may take over a slot that this process holds at an engine, and if so, counts a start
+// there: at a cold engine, starts in slots that are handed over count against the rate too.
 func (d *Directory) HandOver(id string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,8 +73,8 @@
 	regions  map[string]string
 	// evacuated holds the zones whose engines take no new work.
 	evacuated map[string]bool
-	// coldLimits holds the limits of pools whose cold engines take less work; pendingChecks holds the engines whose
-	// health should be checked, and checksWanted tells that there are any.
+	// coldLimits holds the limits of pools whose cold engines take less work. pendingChecks holds the causes of the health
+	// checks that were requested, by engine ID; checksWanted receives a value when there are any.
 	coldLimits    map[string]ColdLimit
 	pendingChecks map[string]CheckCause
 	checksWanted  chan struct{}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -36,11 +36,12 @@
 	// respond to health checks.
 	maxSuspicion = 30 * time.Second
 	// ejectedSpread is the time over which processes that are not the sender of an ejected engine spread their first
-	// checks: with 70 of them, checks and work at the cold rate together stay within one and a half times that rate and 5.
+	// checks. The platform allows 1.5 times the cold rate plus 5 requests a second; with 70 processes, checks and work at
+	// the cold rate together stay within that.
 	ejectedSpread = 8 * time.Second
-	// latePaceFactor and lateLatencyFactor are the multiples of an engine's usual pace, or of the latency of its complete
-	// responses if it has no pace, from which its response counts as late. minLate bounds both from below: a long prompt
-	// delays the first event by some tenths of a second at most.
+	// latePaceFactor is the multiple of an engine's usual pace from which its response counts as late; lateLatencyFactor is
+	// the multiple of the latency of its complete responses, used if the pace is not known. A response counts as late after
+	// minLate at the earliest: a long prompt delays the first event by some tenths of a second at most.
 	latePaceFactor    = 8
 	lateLatencyFactor = 4
 	minLate           = 200 * time.Millisecond
@@ -186,7 +187,7 @@
 	}
 }
 
-// responded records that an engine responded to work that it had for elapsed, 0 if that is not known, and requests a
+// responded records that an engine responded to work that was sent elapsed ago, 0 if that is not known, and requests a
 // health check if that is much longer than usual. The mutex must be held.
 func (d *Directory) responded(found *entry, elapsed time.Duration, now time.Time) {
 	found.cold.silentSince = time.Time{}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -186,8 +186,8 @@
 }
 
 // SuitableEngines returns the engines that would take a piece of work now if this process released one of its slots there, and
-// at which the work would end about as early as at the fastest one: moving it to the fastest would not pay. A run at another
-// engine would yield for nothing: the work would keep waiting, and a less urgent one would take the slot.
+// at which the work would end about as early as at the fastest one: moving it to the fastest would not pay. If a run at any
+// other engine yielded its slot, the work would keep waiting and less urgent work would take the slot.
 func (d *Directory) SuitableEngines(want Want) map[string]bool {
 	now := time.Now()
 	d.mutex.Lock()
@@ -205,7 +205,7 @@
 	return suitable
 }
 
-// takes reports whether an engine takes a piece of work now, rather than leave it waiting for another.
+// takes reports whether an engine takes a piece of work now. It returns false if the work should wait for a faster engine.
 func takes(candidate Candidate, stats candidateStats, want Want, now time.Time) bool {
 	if !mayRun(candidate, want) || !modelAllows(candidate, stats, want, now) || !hasFreeSlot(candidate, want) {
 		return false
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -16,7 +16,7 @@
 	InFlight      int
 	// PeerHeld is the number of slots that other processes report to hold there.
 	PeerHeld int
-	// OtherRegion means that it is in another region than the preferred zone of the work.
+	// OtherRegion means that the engine is in another region than the preferred zone of the work.
 	OtherRegion bool
 	// Avoided means that the engine failed recently.
 	Avoided bool
@@ -28,10 +28,10 @@
 	Loading bool
 	// ColdLimited means that it is cold and currently takes none of the work.
 	ColdLimited bool
-	// Cold means that it is cold and its pool limits the work of cold engines.
+	// Cold means that the engine is cold and its pool limits the work of cold engines.
 	Cold bool
-	// IdleConnections is the number of idle connections that this process holds to the engine. Its small type keeps the size of
-	// a Candidate, of which choices copy thousands.
+	// IdleConnections is the number of idle connections that this process holds to the engine. It is a uint16 to keep Candidate
+	// small, since a choice copies thousands of them.
 	IdleConnections uint16
 	// Forecast is its expected pace; Latency is the smoothed latency of complete responses.
 	Forecast policy.Forecast
@@ -265,8 +265,9 @@
 }
 
 // Weights of the cost, in units of a full engine, which equals one second: a delay of the work by one second costs as
-// much. Another region replaces the cost of another zone: the way there takes 20 ms instead of 1.4 ms, and its traffic is
-// expensive. It costs less than two of eight slots, so that the load of the regions stays about even.
+// much. regionCost is used instead of zoneCost for engines of other regions: the transit time is 20 ms instead of 1.4 ms, and
+// traffic between regions is expensive. It is less than the cost of two of eight slots, so that the load of the regions stays
+// about even.
 const (
 	avoidedCost  = 100
 	coldCost     = 50
@@ -274,9 +275,9 @@
 	zoneCost     = 0.05
 	regionCost   = 0.15
 	affinityCost = 0.2
-	// spreadCost makes processes differ in their choice among equal engines. connectionCost is that of opening a connection. It
-	// exceeds spreadCost, and both together are less than zoneCost and than a slot of engines with up to 20 slots, so that load
-	// stays even.
+	// spreadCost makes processes differ in their choice among equal engines. connectionCost is the cost of opening a connection.
+	// It exceeds spreadCost. Their sum is less than zoneCost, and less than the cost of a slot of engines with up to 20 slots, so
+	// that the load stays even.
 	spreadCost     = 0.015
 	connectionCost = 0.03
 )
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,9 +60,9 @@
 	SampleAfterKey string
 	// Tail, if not nil, has a follower that begins with the newest records try the last records of the partition first.
 	Tail *Tail
-	// Block, if not nil, reports whether a record begins a block of records that don't matter, with the distance in offsets to the last
-	// record of the block and that record's key. Where a read was cut short within a block, the next read begins at its last record. If
-	// that has another key, there are other records in between, and all are read.
+	// Block, if not nil, reports whether a record begins a block of records that don't matter. It returns the distance in offsets to
+	// the last record of the block, and the key of that record. If a read ends within a block, the next read begins at the last record
+	// of the block. If that record has another key, other records lie in the block, and all records are read.
 	Block func(record keyedlog.Record) (distance int64, lastKey string, ok bool)
 	// NewestOnly reports that only the newest record of each key matters: after a disconnection from the store the
 	// follower need not read all records that it has missed.
@@ -96,7 +96,7 @@
 	nextOffset int64
 	tailing    bool
 	offsets    map[string]int64
-	// tail reads the last records and is nil when no such read is in progress.
+	// tail reads the last records of the partition, nil if no such read is in progress.
 	tail *tailReader
 	// block is the block in which the last read was cut short, nil if there is none.
 	block *block
@@ -133,14 +133,14 @@
 	return f
 }
 
-// Run follows the partition until the context ends, or up to the end of Config.Tail if that is set. It may be called again after it has returned, and then resumes at
-// the same offset.
+// Run follows the partition until the context ends, or up to Tail.End if that is set. It may be called again after it has
+// returned, and then resumes at the same offset.
 func (f *Follower) Run(ctx context.Context) {
 	if f.idle() && f.config.MaxIdleStartDelay > 0 {
 		f.waitIdle(ctx, rand.N(f.config.MaxIdleStartDelay))
 	}
 	if f.tail != nil {
-		// A caller that resumes waits for what was appended until now.
+		// A caller of a resumed follower waits for the records that were appended in the meantime too.
 		f.tail.end = f.config.Tail.End
 	}
 	failures := 0
@@ -299,8 +299,8 @@
 		return
 	}
 	if record.Value == nil && f.tail == nil {
-		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again. Of a tail,
-		// older records may be read later.
+		// A dropped key needs no entry: offsets only increase from here on, so no older record of it is read again. This does
+		// not hold while a tail is read, which may be extended by earlier records.
 		delete(f.offsets, record.Key)
 	} else {
 		f.offsets[record.Key] = record.Offset
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -11,7 +11,8 @@
 
 const (
 	// tailBytes is the approximate size of the records with which a read of a partition's tail begins. If they don't suffice, records
-	// before them are read, up to maxTailBytes in total. A page of the newest records has pageBytes, and takes a third more as text.
+	// before them are read, up to maxTailBytes in total. pageBytes is the size of a page of the newest records, which is a third
+	// larger when encoded as text.
 	tailBytes    = 96 << 10
 	maxTailBytes = 3 * tailBytes
 	pageBytes    = 1 << 20
@@ -34,16 +35,16 @@
 	// End is the offset after the last record that matters, and the follower stops once it has read up to it; 0 if it is not known.
 	// The tail then ends with the partition.
 	End int64
-	// Whole has all records from First on read, or none if they are expected to exceed the maximum size of a tail.
+	// Whole means that the tail begins at First, and is not read if it is expected to exceed the maximum size of a tail.
 	Whole bool
-	// Covered reports whether the records applied so far, which are all that matter from some offset on, show that none before that
-	// offset matters.
+	// Covered reports whether the records applied so far show that no record before them matters. When it is called, all records that
+	// matter from some offset up to the end of the tail are applied.
 	Covered func() bool
 	// Skip returns ranges of offsets that contain no record that matters, in order of their offsets; nil for none.
 	Skip func() []OffsetRange
 	// RecordSize estimates the size of records. Followers of partitions with similar records share it.
 	RecordSize *RecordSize
-	// OnDone is called with whether the tail sufficed; nil if nobody needs to know.
+	// OnDone, if not nil, is called at the end of the read of the tail with whether the tail sufficed.
 	OnDone func(covered bool)
 }
 
@@ -208,8 +209,8 @@
 	return int(float64(t.count(t.high, t.end)) * t.meanBytes())
 }
 
-// readBackward applies records before low for as many bytes as are left. After a failure, the next call continues: what the records read
-// so far show holds only once all records up to low are read.
+// readBackward applies records before low, for as many bytes as are left. After a failure, the next call continues the same range:
+// Covered must not be called before all records up to low are applied.
 func (t *tailReader) readBackward(ctx context.Context, apply func(keyedlog.Record)) error {
 	if t.extension == nil {
 		t.updateSkipped()
@@ -236,8 +237,8 @@
 	return nil
 }
 
-// readSpan reads records from an offset on, with a size that is expected to suffice for those before to, and applies them. It returns
-// the offset after the last one.
+// readSpan reads records from an offset on, as many bytes as the records up to before to are expected to have, and applies them. It
+// returns the offset after the last one.
 func (t *tailReader) readSpan(ctx context.Context, from, to int64, apply func(keyedlog.Record)) (int64, error) {
 	if t.readBytes >= maxTailBytes && !t.config.Covered() {
 		return from, errTailInsufficient
@@ -270,8 +271,8 @@
 // minTailReadBytes is the minimum size of one read, so that few records that are larger than expected need no second one.
 const minTailReadBytes = 8 << 10
 
-// windowStart returns the offset from which on, up to before to, the partition is expected to have records of the given size in bytes
-// outside of skipped ranges. It is not lower than the first offset that matters.
+// windowStart returns the offset such that the records from there to before to, without those of skipped ranges, are expected to have
+// the given size in bytes in total. It is not lower than the first offset that matters.
 func (t *tailReader) windowStart(to int64, size int) int64 {
 	count := max(1, int64(float64(size)/t.meanBytes()))
 	for i := len(t.skipped) - 1; i >= 0; i-- {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -14,13 +14,13 @@
 	homeRetryAfter = time.Second
 	// allLeaveRetryAfter is the retry delay where all engines of the pool leave: others need some seconds to start.
 	allLeaveRetryAfter = 2 * time.Second
-	// maxColdRetryAfter limits the retry delay where all engines are cold: they are cold for some seconds, and another
-	// process may be the one that sends requests to one of them.
+	// maxColdRetryAfter limits the retry delay where all engines are cold: they are cold for some seconds, and the caller may
+	// reach the only sender of one of them if it retries at another process.
 	maxColdRetryAfter = 2 * time.Second
 )
 
-// refusal is why a request that no engine has run is refused, and when its caller should retry. The zero value stands for the
-// cause of the last attempt and the default delay.
+// refusal states why a request that no engine has run is refused, and after which delay its caller should retry. The zero value
+// stands for the cause of the last attempt and the default delay.
 type refusal struct {
 	cause      string
 	retryAfter time.Duration
--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -127,7 +127,7 @@
 	return ""
 }
 
-// countHomes counts a job in another home set than before.
+// countHomes moves a job from the count of one home set to that of another; either may be empty.
 func (x *Index) countHomes(before, after keyedlog.HomeSet) {
 	if before == after {
 		return
@@ -273,8 +273,8 @@
 	return start
 }
 
-// Submissions returns the entries of the jobs of a partition whose submissions are larger than minBytes, end after an offset, and
-// contain no records in between that are not theirs, in order of their offsets.
+// Submissions returns the entries of jobs of a partition, in order of their offsets. It includes submissions that are larger than
+// minBytes, end after an offset, and have no other records between theirs.
 func (x *Index) Submissions(partition keyedlog.Partition, after int64, minBytes int) []Entry {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
@@ -289,7 +289,7 @@
 	return entries
 }
 
-// contiguous reports that no records of others lie between those of the submission: there is at least one record for each item and
+// contiguous reports whether no other records lie between those of the submission: there is at least one record for each item and
 // one for the submission itself, and the range has no more than these.
 func (e *Entry) contiguous() bool {
 	return e.Next-e.Offset == int64(e.Items)+1
@@ -344,9 +344,9 @@
 	return append(keys, settledKey(e.JobID), specKey(e.JobID))
 }
 
-// homePartitionOffset is added to the numbers of partitions of home sets in entries. It exceeds the number of any partition,
-// so that a build that ignores Entry.Homes does not take the job for one in the partition of the same number of TopicJobs: no
-// process owns the partition that it looks in, and the store rejects reads of it.
+// homePartitionOffset is added to the numbers of partitions of home sets in entries. It exceeds the number of any partition.
+// Without it, a build that ignores Entry.Homes would look for the job in the partition of the same number of TopicJobs. With it,
+// that build looks in a partition that no process owns and that the store does not have.
 const homePartitionOffset = 1 << 20
 
 // StorePartition returns the partition that stores the job's records.
--- a/internal/job/keys.go
+++ b/internal/job/keys.go
@@ -48,7 +48,7 @@
 const (
 	jobsGroup       = "hillfork-jobs"
 	homeGroupPrefix = "hillfork-homes-"
-	// homeGroupSuffix keeps the names apart from those that a group derives from its name for other groups.
+	// homeGroupSuffix makes the names differ from those of the groups that are derived from a group's name.
 	homeGroupSuffix = ".jobs"
 )
 
@@ -128,10 +128,11 @@
 	return records, nil
 }
 
-// LastItem returns the distance in offsets from the first record of a submission to its last item, and that item's key, for a submission
-// that is stored without other records in between. Submissions with parts, and those appended in several calls, may be stored otherwise:
-// if and only if the record at that distance has that key, no other records lie in between, since each item has at least one record and
-// the items of one attempt to submit are in order. It returns false for other records.
+// LastItem returns the distance in offsets from the first record of a submission to the record of its last item, and the key of that
+// record, provided that each item has one record and no other records lie in between. This does not hold for submissions with parts, and
+// need not hold for those appended in several calls. It holds if and only if the record at that distance has that key, since each item
+// has at least one record and the items of one attempt to submit are in order. LastItem returns false for a record that does not begin a
+// submission.
 func LastItem(record keyedlog.Record) (distance int64, key string, ok bool) {
 	jobID, isHeader := strings.CutPrefix(record.Key, keySpec+separator)
 	if !isHeader || record.Value == nil {
--- a/internal/jobrun/batch.go
+++ b/internal/jobrun/batch.go
@@ -5,18 +5,18 @@
 	"time"
 )
 
-// maxBatchHold bounds how long a batch holds assignment back once all its items were started. Items enter the queue within
+// maxBatchHold limits how long a batch delays assignment after all its items were started. Items enter the queue within
 // milliseconds, on a throttled machine within tens of milliseconds; those that wait for something else leave the batch.
 const maxBatchHold = 100 * time.Millisecond
 
-// Batch holds the assignment of slots back until the items of the jobs that start have entered the queue, so that one pass
-// assigns slots to all of them in the order of their rank. If items were assigned one by one, short items would begin first and
-// be asked at once to yield to the longest items of their own job, each at the cost of a connection.
+// Batch delays the assignment of slots until the items of the jobs that start have entered the queue, so that one pass assigns
+// slots to all of them in the order of their rank. If slots were assigned to items as they arrive, short items would begin first
+// and be requested at once to yield to the longest items of their own job, each at the cost of a connection.
 type Batch struct {
 	queue *Queue
-	// missing is the number of items that have not entered the queue, plus one until Close; deadline is when the batch holds
-	// assignment back no longer, zero until Close. The queue's mutex guards both. A batch without items is not among the
-	// queue's batches: most scans of open jobs start none, and should not cause a pass of assignment.
+	// missing is the number of items that have not entered the queue, plus one until Close; deadline is when the batch stops
+	// delaying assignment, zero until Close. The queue's mutex guards both. A batch without items is not among the
+	// queue's batches: most scans of open jobs start no items, and should not cause a pass of assignment.
 	missing  int
 	deadline time.Time
 }
@@ -36,7 +36,7 @@
 	return sync.OnceFunc(b.arrived)
 }
 
-// Close ends the adding of items. The batch holds assignment back for maxBatchHold from now on, or until all items arrived.
+// Close states that all items were added. The batch delays assignment for maxBatchHold from now on, or until all items arrived.
 func (b *Batch) Close() {
 	b.queue.mutex.Lock()
 	b.deadline = time.Now().Add(maxBatchHold)
@@ -58,8 +58,7 @@
 	}
 }
 
-// heldBack returns for how long at most assignment is held back for batches that are incomplete, 0 if it is not. The mutex must
-// be held.
+// heldBack returns the maximum remaining delay of assignment for incomplete batches, 0 if there are none. The mutex must be held.
 func (q *Queue) heldBack() time.Duration {
 	var longest time.Duration
 	for batch := range q.batches {
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -69,7 +69,7 @@
 	ordinal  int
 	rank     Rank
 	critical *criticalEvents
-	// queued must be called once the item waits for a slot, or once it will not do so soon (see Batch).
+	// queued must be called once the item waits for a slot, or once it is known that it will not wait for one soon (see Batch).
 	queued func()
 
 	mutex sync.Mutex
@@ -352,7 +352,7 @@
 	e.recordEvent(now)
 	e.mutex.Lock()
 	if e.departure != nil {
-		// The slot was acquired for the text without this event, whose version the other engine may not serve.
+		// The slot was acquired for the text without this event. The other engine may not serve the version of the event.
 		e.mutex.Unlock()
 		return errMove
 	}
--- a/internal/jobrun/move.go
+++ b/internal/jobrun/move.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// leavingWant returns the requirements of the run if it moves off an engine that leaves, false if the item needs no engine any
-// more or has no route. It is safe to call from any goroutine.
+// leavingWant returns the requirements of the run if it moves off an engine that leaves. It returns false if the item no longer
+// needs an engine or has no route. It is safe to call from any goroutine.
 func (e *execution) leavingWant(pool string) (fleet.Want, bool) {
 	route, ok := e.route()
 	if !ok {
@@ -82,8 +82,9 @@
 	return want, !done
 }
 
-// moveTo makes the current run end and continue in a slot. It returns false if the text must not mix versions and has begun with
-// another one than the slot's engine serves. It must be called only while the item runs.
+// moveTo makes the current run end and the item continue in a slot. It returns false if the item does not run or already moves, or
+// if its text must not mix versions and has begun with a version that the slot's engine does not serve. It must be called only while
+// the Mover has the run.
 func (e *execution) moveTo(slot *Slot) bool {
 	route, ok := e.itemRoute()
 	e.mutex.Lock()
@@ -115,8 +116,8 @@
 	}
 }
 
-// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has slots at
-// a better engine and for its departure, it uses the former.
+// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has
+// both a slot at a better engine and one for its departure, the latter is released.
 func (e *execution) takeNextSlot() *Slot {
 	next, departure := e.nextSlot, e.takeDeparture()
 	e.nextSlot = nil
--- a/internal/jobrun/mover.go
+++ b/internal/jobrun/mover.go
@@ -15,10 +15,10 @@
 
 const (
 	// minMoverInterval is the minimum time between two decisions on runs at leaving engines. Slots are released up to some
-	// hundred times a second, and the shortest notices are of two seconds.
+	// hundred times a second, and the shortest notice is two seconds.
 	minMoverInterval = 50 * time.Millisecond
-	// leavingCheckInterval is how often decisions are made while runs are at leaving engines and nothing else changes, since runs
-	// turn out longer or shorter than expected.
+	// leavingCheckInterval is the time between two decisions while runs are at leaving engines and nothing else changes, since
+	// runs may turn out longer or shorter than expected.
 	leavingCheckInterval = 200 * time.Millisecond
 )
 
@@ -174,7 +174,7 @@
 	return leaving
 }
 
-// runKind is what runs have in common that may use the same slots.
+// runKind identifies runs that may use the same slots.
 type runKind struct {
 	fleet.WorkKind
 	// reclaimed is the zone whose preemptible engines the runs do not use, empty if there is none.
@@ -183,7 +183,7 @@
 
 // runGroup is the runs of one kind.
 type runGroup struct {
-	// want is the requirements of any of the runs.
+	// want holds the requirements of one of the runs.
 	want    fleet.Want
 	leaving []leavingRun
 	// requested is the number of runs that have already requested another slot.
--- a/internal/jobrun/notice.go
+++ b/internal/jobrun/notice.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// noticeTimeout limits the wait for the report of a leaving engine. Its runs are not moved until the first one has arrived or
-	// its wait has ended; then they move as runs of an engine that leaves at an unknown time.
+	// noticeTimeout limits the request for the report of a leaving engine. The engine's runs are not moved before its first request
+	// has ended. If that failed, they are treated as runs of an engine that leaves at an unknown time.
 	noticeTimeout = 300 * time.Millisecond
 	// maxNoticeAttempts is how often the report of a leaving engine is requested until one arrives.
 	maxNoticeAttempts = 2
 )
 
-// notice is the time at which an engine ends, as far as it has reported it.
+// notice is what is known of the time at which an engine ends, and the state of the requests for its report.
 type notice struct {
 	engine   fleet.Engine
 	attempts int
@@ -31,7 +31,7 @@
 	return n.pending && n.attempts == 1
 }
 
-// updateNotices requests the reports of leaving engines that have not been requested, and forgets those of other engines. The
+// updateNotices requests the reports of leaving engines where necessary, and deletes those of other engines. The
 // mutex must be held.
 func (m *Mover) updateNotices(ctx context.Context, leaving map[string]fleet.Engine) {
 	for id, known := range m.notices {
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -48,9 +48,9 @@
 	slots    map[*Slot]struct{}
 	wakeup   chan struct{}
 	sequence int
-	// pass counts the passes of assignment.
+	// pass is the number of passes of assignment so far.
 	pass int
-	// batches holds the batches that hold assignment back.
+	// batches holds the batches that delay assignment.
 	batches map[*Batch]struct{}
 }
 
@@ -85,8 +85,8 @@
 	}
 }
 
-// MaySend reports whether the holder may send its request. It returns false if the slot is being given up, which then costs no
-// connection.
+// MaySend reports whether the holder may send its request. It returns false if the holder was requested to yield the slot: sending
+// and cancelling the request would cost a connection.
 func (s *Slot) MaySend() bool {
 	s.queue.mutex.Lock()
 	defer s.queue.mutex.Unlock()
@@ -127,7 +127,7 @@
 	rank  Rank
 	want  fleet.Want
 	yield func()
-	// sequence orders waiters of equal rank by arrival; firstPass is the first pass of assignment after it.
+	// sequence orders waiters of equal rank by arrival; firstPass is the first pass of assignment after the arrival.
 	sequence  int
 	firstPass int
 	heapIndex int
@@ -176,8 +176,8 @@
 	}
 }
 
-// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait. If batches hold
-// assignment back, it assigns none and returns for how long at most they do.
+// assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait. If batches delay
+// assignment, it assigns none and returns the maximum remaining delay.
 func (q *Queue) assignSlots() (waiting int, heldBack time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -224,8 +224,8 @@
 }
 
 // requestYields requests runs that can wait to give their slots up to items that can't, which are passed in the order of their
-// rank. Slots that are already being given up are counted for the first of these items. An item for which no run yields is the
-// first to take a free slot of its pool and model, so no run yields to those behind it. The mutex must be held.
+// rank. Slots that are already being given up are counted for the first of these items. An item for which no run yields takes
+// the next free slot of its pool and model, so no run yields to the items after it. The mutex must be held.
 func (q *Queue) requestYields(waiting []*waiter) {
 	pendingYields := 0
 	for slot := range q.slots {
@@ -265,17 +265,17 @@
 	})
 }
 
-// passInterval is how long a run keeps its slot from an item that waited already when the slot was assigned. The engine did not
-// take that item then and would most likely not take it now either, while the run would lose its connection.
+// passInterval is how long a run does not yield to an item that was already waiting when the run's slot was assigned. The engine
+// did not take that item then and would most likely not take it now either, while the run would lose its connection.
 const passInterval = 250 * time.Millisecond
 
-// waitedBefore reports whether the waiter's item waited already when a slot was assigned.
+// waitedBefore reports whether the waiter's item was already waiting when a slot was assigned.
 func (w *waiter) waitedBefore(slot *Slot) bool {
 	return w.firstPass <= slot.pass || w.want.Since.Before(slot.acquiredAt)
 }
 
 // leastUrgentAt returns the slot of the run that can wait longest among those at the given engines that yield to an item of the
-// given rank, nil if there is none. Slots for which keeps returns true are left to their runs.
+// given rank, nil if there is none. Slots for which keeps returns true are not considered.
 func (q *Queue) leastUrgentAt(engines map[string]bool, rank Rank, keeps func(*Slot) bool) *Slot {
 	now := time.Now()
 	var found *Slot
--- a/internal/jobrun/wanted.go
+++ b/internal/jobrun/wanted.go
@@ -2,8 +2,8 @@
 
 import "github.com/hillfork/hillfork/internal/job"
 
-// wantedGroups tells when the groups of a job that its trainer waits for are complete: all carried groups, and as many groups
-// in all as the job desires. A group is complete once all its items are listed. A nil value belongs to a job whose trainer
+// wantedGroups tracks whether the groups of a job that its trainer waits for are complete: all carried groups, and as many groups
+// in total as the job desires. A group is complete once all its items are listed. A nil value belongs to a job whose trainer
 // waits for no groups; its groups count as complete.
 type wantedGroups struct {
 	// groups holds the group of each item that is not listed.
@@ -41,7 +41,7 @@
 	return g == nil || g.missing <= 0 && g.carriedOpen == 0
 }
 
-// completedBy reports whether the wanted groups are not complete, and are once an item is listed.
+// completedBy reports whether listing an item completes the wanted groups. It returns false if they are complete already.
 func (g *wantedGroups) completedBy(itemID string) bool {
 	if g.complete() {
 		return false
--- a/internal/jobs/hold.go
+++ b/internal/jobs/hold.go
@@ -19,11 +19,11 @@
 	estimatedMargin = 4 * time.Second
 )
 
-// heldRead is what is known of a read that may be held. All times are counted from now on, except waited.
+// heldRead is the state of a read that may be held. All durations except wait and waited are counted from now on.
 type heldRead struct {
 	// trainer reports that the trainer of the job waits for complete groups.
 	trainer bool
-	// wait is the time that the caller allows the read to wait, waited the time since the call began.
+	// wait is the time for which the caller allows the read to wait, waited the time since the call began.
 	wait, waited time.Duration
 	// callEnds is the time until the call ends.
 	callEnds time.Duration
@@ -64,7 +64,7 @@
 // HoldStats returns the counts of held reads.
 func (s *Service) HoldStats() *HoldStats { return &s.holds }
 
-// hold waits while further results make the answer to a read more useful than an answer now, for as long as holdTime says.
+// hold holds a read while results arrive, for as long as holdTime returns a positive duration.
 func (s *Service) hold(ctx context.Context, r *reader, call resultsCall) {
 	held := false
 	for {
@@ -119,7 +119,7 @@
 }
 
 // runDeadline returns the time after a job's acceptance by which its results are expected. It returns false if the
-// configuration does not tell.
+// configuration states none.
 func (s *Service) runDeadline(entry job.Entry) (time.Duration, bool) {
 	if s.config.Catalog == nil {
 		return 0, false
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -11,9 +11,10 @@
 	"github.com/hillfork/hillfork/internal/keyedlog"
 )
 
-// EngineDirectory is the list of engines, as far as submissions need it.
+// EngineDirectory reports which pools can serve work in which regions.
 type EngineDirectory interface {
-	// MayServe reports whether a pool has an engine in some regions that does not leave, or may have one.
+	// MayServe reports whether a pool has an engine in some regions that does not leave. It also returns true while the engines of
+	// the pool are not known.
 	MayServe(pool string, regions []string) bool
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -47,8 +47,8 @@
 	return outcomeNames[o]
 }
 
-// Follower waits until a partition was read up to an offset, and reports whether the last call to the store got an answer. Hurry has it
-// read at once if it pauses between reads.
+// Follower waits until a partition was read up to an offset, and reports whether the last call to the store got an answer. Hurry ends
+// its current pause between reads.
 type Follower interface {
 	WaitFor(ctx context.Context, end int64) error
 	Connected() bool
@@ -325,8 +325,8 @@
 }
 
 // Results returns the results of a job from a position on. If there are none yet, it waits for the first one for at most
-// wait. If the job has a trainer, it holds the read a part of that time while results arrive, and answers at once when the
-// trainer can act on the answer (see holdTime).
+// wait. If the job has a trainer, it may hold the read for a part of that time while results arrive, and answers at once when
+// the trainer can act on the answer (see holdTime).
 func (s *Service) Results(ctx context.Context, id string, from int, wait time.Duration) (Listing, Outcome) {
 	status, outcome := s.lookUp(ctx, id)
 	if outcome != Done {
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -21,7 +21,8 @@
 	// Mbit/s. For a job that is not settled, everything after its results has to be read.
 	settledReadBytes = 512 << 10
 	// runningReadBytes is the approximate size of one read for a job that is not settled. Submissions of other jobs have up to a
-	// megabyte, which takes 0.15 s on a link of 60 Mbit/s; a result that is listed after one waits for one read of this size.
+	// megabyte, which takes 0.15 s on a link of 60 Mbit/s. With this size, a result that is listed after a submission is delayed by
+	// one read of 64 KB instead.
 	runningReadBytes = 64 << 10
 	// idleTimeout is how long after the last call on a job its results are kept in this process if its callers return to
 	// this process. Callers read about twice a second.
@@ -73,7 +74,7 @@
 	ledger  *job.Ledger
 	matches func(key, jobID string) bool
 	onError func(record keyedlog.Record, err error)
-	// onMatch is called with each key that matches; nil if nobody needs to know.
+	// onMatch, if not nil, is called with each key that matches.
 	onMatch func(key string)
 }
 
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -58,16 +58,16 @@
 	t.service.stats.tailMisses.Add(1)
 }
 
-// newTail returns the tail of a read of results from a position on, nil if the read begins with the newest records. A position after the
-// first shows that the caller has read the results before it, the last of which was listed a short time ago. At the first position there
-// may be no result yet, and only the submission shows that there is none. Of a settled job, a trainer that has read some results needs the
-// last ones. Other callers read settled jobs page by page; most of their reads begin far from the last results.
+// newTail returns the tail of a read of results from a position on, nil if the read begins with the newest records. If the position is
+// not 0, the caller has read the results before it, the last of which was listed a short time ago. At position 0 there may be no result
+// yet, which only a read of all records since the submission can show. A trainer that reads a settled job from another position needs its
+// last results. Other callers read settled jobs page by page; most of their reads begin far from the last results.
 func (s *Service) newTail(status job.Status, from int, ledger *job.Ledger) *resultTail {
 	if status.Settled && (from == 0 || !status.Entry.HasTrainer()) {
 		return nil
 	}
 	if !status.Settled {
-		// While the partition's end is requested, the index learns of the submissions before it.
+		// The index is read while the end of the partition is requested, so that it has the submissions before that end.
 		s.config.IndexFollower.Hurry()
 	}
 	return &resultTail{
@@ -85,8 +85,8 @@
 	}
 }
 
-// covered reports whether the records read so far contain all results from the position on: the result before the position is among
-// them, or the one at the position with all its parts.
+// covered reports whether the records read so far contain all results from the position on. They do if they contain the last part of
+// a result before the position, or all parts of the one at the position.
 func (t *resultTail) covered() bool {
 	listed, _ := t.ledger.Listed(t.entry.JobID)
 	return t.first < t.from || listed > t.from
--- a/internal/keyedlog/homes.go
+++ b/internal/keyedlog/homes.go
@@ -8,7 +8,7 @@
 )
 
 // HomeSet is a set of regions to which batch jobs are bound: only processes and engines of these regions hold, run or read
-// their items. The zero value means that jobs are bound to no region. Equal sets have the same text: the sorted region names,
+// their items. The zero value means that jobs are not bound to regions. Equal sets have the same text: the sorted region names,
 // joined by dots, with escapes for the bytes that the names of topics and groups must not contain.
 type HomeSet string
 
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -75,8 +75,8 @@
 	held       map[keyedlog.Partition]*holding
 	// heldCount is the number of partitions held, for Holds, which is called from any goroutine.
 	heldCount atomic.Int32
-	// lastJoin is when the last join that was answered was sent; confirmed is what the joins confirm, for Confirmed, which
-	// is called from any goroutine.
+	// lastJoin is when the last join that was answered was sent; confirmed is the period for which joins confirm the
+	// membership, for Confirmed, which is called from any goroutine.
 	lastJoin  time.Time
 	confirmed atomic.Pointer[confirmation]
 	connected bool
@@ -85,7 +85,7 @@
 // confirmation is the period for which joins without a gap of a lifetime confirm the membership.
 type confirmation struct {
 	since time.Time
-	// sent marks when the last of the joins was sent, suspensions of the machine included.
+	// sent is when the last of the joins was sent; it takes suspensions of the machine into account.
 	sent uptime.Mark
 }
 
@@ -109,9 +109,9 @@
 	return m.heldCount.Load() > 0
 }
 
-// Confirmed returns the period in which the partitions held are certainly assigned to no other process: the store
-// reassigns them a lifetime after the last join that it received. Another process may have had them before that period, even
-// if their work was never released here. Both times are zero before the first join. It is safe for concurrent use.
+// Confirmed returns the period in which the store assigns the partitions held to no other process: it reassigns them a
+// lifetime after the last join that it received. Before that period another process may have owned them, even if this
+// process has held them without interruption. Both times are zero before the first join. It is safe for concurrent use.
 func (m *Manager) Confirmed() (since, until time.Time) {
 	confirmed := m.confirmed.Load()
 	if confirmed == nil {
@@ -207,7 +207,7 @@
 		m.config.Logger.Info("group joined", "group", m.config.Group, "generation", membership.Generation)
 	}
 	released := m.reconcile(ctx, membership)
-	// Before, partitions that were reassigned are still held.
+	// Until reconcile returns, partitions that were reassigned are still held.
 	m.confirm(mark)
 	return released
 }
--- a/internal/policy/cold.go
+++ b/internal/policy/cold.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// ColdSlots returns the mean number of slots that an engine provides within a horizon, of which it is cold for coldFor.
-// While it is cold, it starts at most rate requests per second, each of which holds a slot for item. It counts in full if
-// the rate is not limited or item is not known.
+// ColdSlots returns the mean number of slots that an engine provides from now to a horizon if it is cold for coldFor. While
+// it is cold, it starts at most rate requests per second, each of which holds a slot for item. ColdSlots returns all slots
+// if the rate is not limited or item is not known.
 func ColdSlots(slots int, rate float64, item, coldFor, horizon time.Duration) float64 {
 	if rate <= 0 || item <= 0 || coldFor <= 0 || horizon <= 0 {
 		return float64(slots)
@@ -15,8 +15,8 @@
 }
 
 // ColdForecast returns the pace forecast of an engine that is cold for coldFor and starts at most rate requests per second
-// until then, for work with a number of events. Where that rate keeps fewer slots busy than the engine has, the engine is
-// that much slower for the rest of the time.
+// until then, for work with a number of events. If the rate keeps fewer slots busy than the engine has, the forecast of its
+// current pace is slower by that ratio until the engine is warm.
 func ColdForecast(warm Forecast, events float64, slots int, rate float64, coldFor time.Duration) Forecast {
 	item := ConstantPace(warm.Usual).Time(events)
 	if !warm.Known() || rate <= 0 || item <= 0 || coldFor <= 0 {
--- a/internal/policy/leaving.go
+++ b/internal/policy/leaving.go
@@ -12,7 +12,7 @@
 	Events float64
 	// Pace is the time between two events at the engine, 0 if it is not known.
 	Pace time.Duration
-	// Slack is how long the run may take from now on without delaying its step, 0 if there is no slack or it is not known.
+	// Slack is how long the run may take from now on without delaying its step, 0 if it has none or its slack is not known.
 	Slack time.Duration
 	// Leaves is the time until the engine ends; it is meaningful only if LeavesKnown is set.
 	Leaves      time.Duration
@@ -24,7 +24,7 @@
 	return time.Duration(r.Events * float64(r.Pace))
 }
 
-// endsInTime reports whether the run is expected to end at its engine. If it is not known when the engine leaves, only a run
+// endsInTime reports whether the run is expected to end before its engine. If the end of the engine is not known, only a run
 // that ends within the cost of a move counts as ending in time.
 func (r LeavingRun) endsInTime() bool {
 	limit := minMoveGain
@@ -34,7 +34,8 @@
 	return r.remaining() > 0 && r.remaining() <= limit
 }
 
-// critical reports whether the run delays its step if it breaks off: its slack does not cover the rest of the run and a move.
+// critical reports whether the run would delay its step if it broke off with its engine: its slack does not cover the rest of
+// the run and a move.
 func (r LeavingRun) critical() bool {
 	return r.remaining() > 0 && r.Slack < r.remaining()+minMoveGain
 }
--- a/internal/policy/scale.go
+++ b/internal/policy/scale.go
@@ -89,8 +89,8 @@
 }
 
 // Reclaimed returns how many of the preemptible engines ordered in a zone the provider takes away, given how many were present,
-// are present now and have announced that they leave. Engines that are missing without an announcement boot or are replaced by
-// the provider.
+// are present now and have announced that they leave. Engines that are missing without an announcement are booting or being
+// replaced by the provider.
 func Reclaimed(ordered, before, present, leaving int) int {
 	if leaving == 0 {
 		return 0
--- a/internal/replica/evacuation.go
+++ b/internal/replica/evacuation.go
@@ -18,8 +18,8 @@
 	evacuationLogInterval = 2 * time.Second
 )
 
-// evacuations logs the progress of evacuated zones at this process: when the evacuation begins, how much work is left, when
-// none is left if there was any, and when the evacuation ends. It is safe for concurrent use.
+// evacuations logs the progress of evacuations at this process: the beginning, how much work is left, when none is left (unless
+// there was none at the beginning), and the end. It is safe for concurrent use.
 type evacuations struct {
 	directory *fleet.Directory
 	logger    *log.Logger
--- a/internal/replica/homecheck.go
+++ b/internal/replica/homecheck.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// homeCheckDelay is how long after a configuration came into force its homes are compared with the engines: a process that
-	// has just started knows them after about a second, and a configuration may precede its engines.
+	// homeCheckDelay is the time from the start of a configuration to the comparison of its homes with the engines: a process
+	// that has just started knows the engines after about a second, and engines may start later than the configuration that
+	// names them.
 	homeCheckDelay = 5 * time.Second
 	// maxHomeProblems is the number of problems that are logged of one configuration.
 	maxHomeProblems = 20
--- a/internal/replica/regions.go
+++ b/internal/replica/regions.go
@@ -26,7 +26,7 @@
 	return meter
 }
 
-// Send sends a request.
+// Send implements engineapi.Client and counts the bytes of the body.
 func (m *regionMeter) Send(ctx context.Context, engine fleet.Engine, call engineapi.Call) (*engineapi.Reply, error) {
 	if m.region != "" && engine.Region != "" && engine.Region != m.region {
 		m.sent.Add(int64(len(call.Body)))
--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -12,16 +12,18 @@
 	// reclaimBackoff is how long no engines are ordered in a zone whose engines the provider takes away. Providers have no
 	// replacements for 8 to 11 s.
 	reclaimBackoff = 12 * time.Second
-	// rebalanceDelay is how long a zone keeps engines that are ordered in another zone instead, so that most of these have booted.
+	// rebalanceDelay is how long a zone keeps its engines after replacements were ordered in another zone, so that most of the
+	// replacements have booted.
 	rebalanceDelay = 7 * time.Second
 )
 
 // presence is the number of preemptible engines of a zone.
 type presence struct {
-	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving
-	// engines so far, at most the last accepted order.
+	// serving is the number of engines that stay, leaving the number of those that have announced that they leave. most is the
+	// highest value of serving so far, at most the last accepted order.
 	serving, leaving, most int
-	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not counted above.
+	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not part of the
+	// other numbers.
 	evacuated int
 }
 
@@ -69,7 +71,7 @@
 			t.config.Logger.Info("engines are reclaimed", "pool", pool.Name, "zone", zone, "ordered", t.ordered[pool.Name][zone], "lost", lost)
 		}
 		if t.reclaimed[key] && current.leaving == 0 && !now.Before(t.refusedUntil[key]) {
-			// The provider replaces by now what was not ordered elsewhere. The order is repeated in case it does not.
+			// By now the provider replaces the engines that were not ordered elsewhere. The order is repeated in case it does not.
 			delete(t.reclaimed, key)
 			t.accepted[key] = false
 		}
@@ -93,9 +95,8 @@
 	}
 }
 
-// servingOrder returns how many of the preemptible engines ordered in a zone count as engines that serve or will, and whether
-// further ones may be ordered there. In an evacuated zone none do, although its order stays. Orders that are about to be reduced
-// count as reduced.
+// servingOrder returns how many of the preemptible engines ordered in a zone serve or are expected to, and whether further ones
+// may be ordered there. It returns 0 for an evacuated zone, whose order stays. Orders whose reduction is held count as reduced.
 func (t *term) servingOrder(key poolZone) (count int, available bool) {
 	ordered := t.ordered[key.pool][key.zone]
 	if t.config.Directory.Evacuated(key.zone) {
@@ -110,9 +111,9 @@
 	return ordered, true
 }
 
-// holdReductions replaces the counts of zones whose orders are not to be reduced yet by their last orders: evacuated zones, zones
-// of which some engines still announce that they leave, and zones whose engines move to other zones. If engines are released
-// because they are surplus, all orders are reduced at once.
+// holdReductions sets the counts of zones whose orders must not be reduced yet to their last orders. These are evacuated zones,
+// zones of which some engines serve while others leave, and zones whose engines move to other zones. Orders of the latter are
+// reduced at once if the pool has surplus engines.
 func (t *term) holdReductions(pool string, zones []policy.ZoneEngines, counts []int) {
 	now := time.Now()
 	_, shrinks := t.surplusSince[pool]
@@ -163,8 +164,9 @@
 	}
 }
 
-// orderedAfterRefusal returns the number of engines that a zone has after it refused an order. If it refused to repeat its last
-// order, it has lost engines that it cannot replace. Those of an evacuated zone that are left come back with the zone.
+// orderedAfterRefusal returns the number of engines that count as ordered in a zone after it refused an order. If it refused a
+// repetition of its last order, it has lost engines that it cannot replace. The engines of an evacuated zone that have not left
+// count, since they serve again after the evacuation.
 func (t *term) orderedAfterRefusal(order Order, previous int) int {
 	if order.Count > previous {
 		return previous
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -128,7 +128,7 @@
 	// and whose orders have not been reduced yet.
 	present   map[poolZone]presence
 	reclaimed map[poolZone]bool
-	// held holds the reduced orders of zones that wait for engines of other zones.
+	// held holds the reduced orders of zones whose replacements in other zones are still booting.
 	held map[poolZone]heldOrder
 }
 
@@ -275,7 +275,7 @@
 	windowCtx, cancel := window.Context(ctx)
 	defer cancel()
 	refused := false
-	// failed holds the pools of which an increase was not accepted. None of their other orders is reduced until then.
+	// failed holds the pools of which an increase was not accepted. Their other orders are not reduced in this call.
 	failed := make(map[string]bool)
 	for _, order := range pending {
 		key := poolZone{order.Pool, order.Zone}
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -74,8 +74,8 @@
 	return answer, err
 }
 
-// smallReadBytes is the maximum size of a small read. Pages have up to 1 MB and are encoded as text, so they take up to five
-// times as long as the largest small read.
+// smallReadBytes is the maximum requested size of a small read. Pages have up to 1 MB and are encoded as text, so they take up to
+// five times as long as the largest small read.
 const smallReadBytes = 288 << 10
 
 // readKind is a kind of reads whose response times are similar.
--- a/internal/weightroll/departed.go
+++ b/internal/weightroll/departed.go
@@ -8,8 +8,8 @@
 	"github.com/hillfork/hillfork/internal/fleet"
 )
 
-// recordDepartures keeps the models of assigned engines that are no longer among the engines of the pool, and returns how many
-// these are. It forgets those that the directory no longer knows.
+// recordDepartures records the models of assigned engines that are no longer among the engines of the pool, and returns the number
+// of these engines. It deletes the records of engines that the directory no longer knows.
 func (r *roller) recordDepartures(pool string, engines []fleet.Engine, previous Assignment) int {
 	left := 0
 	for id, model := range previous {
@@ -30,8 +30,8 @@
 	return left
 }
 
-// withReturned returns the previous assignment together with the earlier models of the engines that have returned, and these
-// engines.
+// withReturned returns the previous assignment extended by the earlier models of engines that have returned, and the IDs of these
+// engines. It deletes the records of returned engines.
 func (r *roller) withReturned(pool string, engines []fleet.Engine, previous Assignment) (restored Assignment, returned map[string]bool) {
 	departed := r.departed[pool]
 	if len(departed) == 0 {
--- a/internal/weightroll/order.go
+++ b/internal/weightroll/order.go
@@ -39,7 +39,7 @@
 		return 0, err
 	}
 	if current, ok := r.config.Directory.Engine(step.Engine.ID); !ok || current.Draining {
-		// The engine has announced during the calls above that it leaves.
+		// The engine announced that it leaves, or its record was dropped, during the calls above.
 		return 0, errEngineLeaves
 	}
 	sent := time.Now()
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -30,7 +30,7 @@
 // assign moves the number of engines of each model towards its share. An engine that is loading, or that serves the
 // newest version a trainer has published, keeps its model until a newer version is published: moving it then costs no
 // additional load. If engines have left and a model has less than half of its share, only loading engines keep their
-// models: its steps would otherwise wait for the trainers of the others. An engine that returns, such as one of an
+// models: the steps of that model would otherwise wait until the trainers of the other models publish newer versions. An engine that returns, such as one of an
 // evacuated zone, gets its earlier model if that lacks engines.
 func (r *roller) assign(ctx context.Context, pool string, engines []fleet.Engine, targets map[string]int64) Assignment {
 	previous, known := r.assignments[pool]
@@ -137,8 +137,8 @@
 // shareHorizon is the time over which the slots of cold engines are averaged: the assignment has to suit the next step.
 const shareHorizon = 8 * time.Second
 
-// slots returns the number of slots of some engines of a pool, given the mean time for which an item holds one. Cold
-// engines count with what they can handle.
+// slots returns the number of slots of some engines of a pool, given the mean time for which an item holds one. For cold
+// engines it counts the slots that their rate can keep busy.
 func (r *roller) slots(pool string, engines []fleet.Engine, item time.Duration) float64 {
 	coldRate := 0.0
 	if current := r.config.Catalog.Current(); current != nil {
