Rename what this change names by two words or by halves

Cause: one concept had two names (minColder beside enginelist.coldTolerance, LeavingRun.Leaves beside Report.LeavesIn, WorkKind.Exact beside Want.ExactVersion), and one word several concepts ("held" reads, orders, slots and assignment; "departure" a decision and a slot; HandOver of a slot and handOver of a run). passInterval is no interval between passes, Left no number of what has left, reachable and responded no predicates, and endsWith compared the first record. Texts on the wire, in the store, in logs and metrics stay. Tests change by names only.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -114,15 +114,15 @@
 	d.senderTerm = term
 }
 
-// minColder is how much longer than known an engine must be cold to count as changed: the end is computed anew from each
-// of its records.
-const minColder = 500 * time.Millisecond
+// coldTolerance is how much longer than known an engine must be cold to count as changed: the end of the cold period is
+// computed from each of its records, and varies by some tenths of a second.
+const coldTolerance = 500 * time.Millisecond
 
 // turnsCold reports whether a new record of an engine states that it is cold for longer than was known, in a pool that
 // limits the work of cold engines. The mutex must be held.
 func (d *Directory) turnsCold(found *entry, engine Engine) bool {
 	_, limited := d.coldLimits[engine.Pool]
-	return limited && engine.ColdUntil.After(found.coldUntil().Add(minColder))
+	return limited && engine.ColdUntil.After(found.coldUntil().Add(coldTolerance))
 }
 
 // coldLimited reports whether a cold engine takes no more work of this kind now, and requests a health check where the
--- a/internal/fleet/ejection.go
+++ b/internal/fleet/ejection.go
@@ -96,9 +96,9 @@
 		now := time.Now()
 		if found.breaker.Answer(sentAt, now) {
 			d.readmit(found)
-			d.reachable(found, now)
+			d.recordReachable(found, now)
 		}
-		d.responded(found, now.Sub(sentAt), now)
+		d.recordResponse(found, now.Sub(sentAt), now)
 	}
 }
 
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -178,18 +178,18 @@
 	}
 }
 
-// reachable records that an engine that was suspected after its ejection has responded to work: it is cold no longer than
+// recordReachable records that an engine that was suspected after its ejection has responded to work: it is cold no longer than
 // engines of its pool are after their start. The mutex must be held.
-func (d *Directory) reachable(found *entry, now time.Time) {
+func (d *Directory) recordReachable(found *entry, now time.Time) {
 	until := now.Add(d.coldLimits[found.engine.Pool].Duration)
 	if found.cold.suspectedUntil.After(until) {
 		found.cold.suspectedUntil = until
 	}
 }
 
-// responded records that an engine responded to work that was sent elapsed ago, 0 if that is not known, and requests a
+// recordResponse records that an engine responded to work that was sent elapsed ago, 0 if that is not known, and requests a
 // health check if that is much longer than usual. The mutex must be held.
-func (d *Directory) responded(found *entry, elapsed time.Duration, now time.Time) {
+func (d *Directory) recordResponse(found *entry, elapsed time.Duration, now time.Time) {
 	found.cold.silentSince = time.Time{}
 	limit := d.coldLimits[found.engine.Pool]
 	if limit.Checked && !now.Before(found.coldUntil()) && d.isLate(found, elapsed, now) {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -84,8 +84,8 @@
 
 // WorkKind is the part of the requirements that pieces of work share if the same engines may run them.
 type WorkKind struct {
-	Pool, Model       string
-	MinVersion, Exact int64
+	Pool, Model              string
+	MinVersion, ExactVersion int64
 	// Anywhere means that the work is not bound to regions; otherwise Regions names the allowed ones.
 	Anywhere bool
 	Regions  string
@@ -94,7 +94,7 @@
 // Kind returns the kind of a piece of work.
 func (w Want) Kind() WorkKind {
 	return WorkKind{
-		Pool: w.Pool, Model: w.Model, MinVersion: w.MinVersion, Exact: w.ExactVersion,
+		Pool: w.Pool, Model: w.Model, MinVersion: w.MinVersion, ExactVersion: w.ExactVersion,
 		Anywhere: w.Regions == nil, Regions: strings.Join(w.Regions, " "),
 	}
 }
--- a/internal/follow/block.go
+++ b/internal/follow/block.go
@@ -9,8 +9,8 @@
 	lastKey string
 }
 
-// endsWith reports whether the first of the records is the last record of the block.
-func (b *block) endsWith(records []keyedlog.Record) bool {
+// lastIsFirstOf reports whether the first of the records is the last record of the block.
+func (b *block) lastIsFirstOf(records []keyedlog.Record) bool {
 	return len(records) > 0 && records[0].Offset == b.last && records[0].Key == b.lastKey
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -175,7 +175,7 @@
 		span.From = skipped.last
 	}
 	batch, err := f.config.Log.Read(ctx, f.config.Partition, span)
-	if skipped != nil && err == nil && !skipped.endsWith(batch.Records) {
+	if skipped != nil && err == nil && !skipped.lastIsFirstOf(batch.Records) {
 		// The next step reads all records from nextOffset on.
 		return nil
 	}
--- a/internal/jobrun/batch.go
+++ b/internal/jobrun/batch.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// maxBatchHold limits how long a batch delays assignment after all its items were started. Items enter the queue within
+// maxBatchDelay limits how long a batch delays assignment after all its items were started. Items enter the queue within
 // milliseconds, on a throttled machine within tens of milliseconds; those that wait for something else leave the batch.
-const maxBatchHold = 100 * time.Millisecond
+const maxBatchDelay = 100 * time.Millisecond
 
 // Batch delays the assignment of slots until the items of the jobs that start have entered the queue, so that one pass assigns
 // slots to all of them in the order of their rank. If slots were assigned to items as they arrive, short items would begin first
@@ -36,10 +36,10 @@
 	return sync.OnceFunc(b.arrived)
 }
 
-// Close states that all items were added. The batch delays assignment for maxBatchHold from now on, or until all items arrived.
+// Close states that all items were added. The batch delays assignment for maxBatchDelay from now on, or until all items arrived.
 func (b *Batch) Close() {
 	b.queue.mutex.Lock()
-	b.deadline = time.Now().Add(maxBatchHold)
+	b.deadline = time.Now().Add(maxBatchDelay)
 	b.queue.mutex.Unlock()
 	b.arrived()
 }
@@ -58,11 +58,11 @@
 	}
 }
 
-// heldBack returns the maximum remaining delay of assignment for incomplete batches, 0 if there are none. The mutex must be held.
-func (q *Queue) heldBack() time.Duration {
+// batchDelay returns the maximum remaining delay of assignment for incomplete batches, 0 if there are none. The mutex must be held.
+func (q *Queue) batchDelay() time.Duration {
 	var longest time.Duration
 	for batch := range q.batches {
-		remaining := maxBatchHold
+		remaining := maxBatchDelay
 		if !batch.deadline.IsZero() {
 			remaining = time.Until(batch.deadline)
 		}
--- a/internal/jobrun/batch_test.go
+++ b/internal/jobrun/batch_test.go
@@ -42,7 +42,7 @@
 }
 
 // TestMissingItemOfBatchDelaysOthersBriefly covers an item of a batch that does not enter the queue, such as one that waits
-// for its route. The others must be assigned at once if it says so, and within maxBatchHold if it does not.
+// for its route. The others must be assigned at once if it says so, and within maxBatchDelay if it does not.
 func TestMissingItemOfBatchDelaysOthersBriefly(t *testing.T) {
 	for _, leaves := range []bool{true, false} {
 		t.Run(fmt.Sprint("leaves ", leaves), func(t *testing.T) {
@@ -62,7 +62,7 @@
 				}
 				(<-assigned).Release()
 				is.Equal(time.Since(began) == 0, leaves)
-				is.True(time.Since(began) <= maxBatchHold)
+				is.True(time.Since(began) <= maxBatchDelay)
 			})
 		})
 	}
@@ -93,15 +93,15 @@
 	first, second := batch.Add(), batch.Add()
 	item := queue.enqueue(Rank{}, fleet.Want{Pool: "p", Share: 1}, nil)
 	first()
-	waiting, heldBack := queue.assignSlots()
+	waiting, delay := queue.assignSlots()
 	is.Equal(waiting, 1)
-	is.Equal(heldBack, maxBatchHold)
+	is.Equal(delay, maxBatchDelay)
 	is.Equal(len(item.granted), 0)
 	second()
 	batch.Close()
-	waiting, heldBack = queue.assignSlots()
+	waiting, delay = queue.assignSlots()
 	is.Equal(waiting, 0)
-	is.Equal(heldBack, time.Duration(0))
+	is.Equal(delay, time.Duration(0))
 	is.Equal(len(item.granted), 1)
 }
 
@@ -122,7 +122,7 @@
 				if !waitedBefore {
 					since = time.Now().Add(time.Millisecond)
 				}
-				ctx, cancel := context.WithTimeout(t.Context(), passInterval/2)
+				ctx, cancel := context.WithTimeout(t.Context(), minSlotTime/2)
 				defer cancel()
 				rank := Rank{LatestStart: policy.LatestStart(time.Now(), 150, testPace), MayBeCritical: true}
 				_, err := queue.Acquire(ctx, rank, fleet.Want{Pool: "p", Share: 1, Events: 150, Since: since}, nil)
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -93,8 +93,8 @@
 	// pending is progress of another owner that replaces the item's own before the next run; interrupt cancels the current run.
 	pending   *job.Progress
 	interrupt context.CancelFunc
-	// departure is the slot that the current run moves to because its engine leaves, nil if there is none.
-	departure *Slot
+	// departureSlot is the slot that the current run moves to because its engine leaves, nil if there is none.
+	departureSlot *Slot
 
 	// The fields below are accessed by the goroutine of run only, except yields.
 	engine         fleet.Engine
@@ -351,7 +351,7 @@
 	now := time.Now()
 	e.recordEvent(now)
 	e.mutex.Lock()
-	if e.departure != nil {
+	if e.departureSlot != nil {
 		// The slot was acquired for the text without this event. The other engine may not serve the version of the event.
 		e.mutex.Unlock()
 		return errMove
--- a/internal/jobrun/move.go
+++ b/internal/jobrun/move.go
@@ -89,23 +89,23 @@
 	route, ok := e.itemRoute()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if !ok || e.interrupt == nil || e.departure != nil {
+	if !ok || e.interrupt == nil || e.departureSlot != nil {
 		return false
 	}
 	if route.SingleVersion && len(e.versions) > 0 && e.versions[0] != slot.Engine.ServedVersion(e.view.Spec.Model) {
 		return false
 	}
-	e.departure = slot
+	e.departureSlot = slot
 	e.interrupt()
 	return true
 }
 
-// takeDeparture returns the slot that moveTo was called with and clears it; it returns nil if there is none.
-func (e *execution) takeDeparture() *Slot {
+// takeDepartureSlot returns the slot that moveTo was called with and clears it; it returns nil if there is none.
+func (e *execution) takeDepartureSlot() *Slot {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	slot := e.departure
-	e.departure = nil
+	slot := e.departureSlot
+	e.departureSlot = nil
 	return slot
 }
 
@@ -119,7 +119,7 @@
 // takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has
 // both a slot at a better engine and one for its departure, the latter is released.
 func (e *execution) takeNextSlot() *Slot {
-	next, departure := e.nextSlot, e.takeDeparture()
+	next, departure := e.nextSlot, e.takeDepartureSlot()
 	e.nextSlot = nil
 	if next == nil {
 		return departure
--- a/internal/jobrun/mover.go
+++ b/internal/jobrun/mover.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// Left returns the number of runs of this process at engines that leave or whose zone is evacuated.
-func (m *Mover) Left() int {
+// LeavingRuns returns the number of runs of this process at engines that leave or whose zone is evacuated.
+func (m *Mover) LeavingRuns() int {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	left := 0
@@ -228,7 +228,7 @@
 		}
 		group.leaving = append(group.leaving, leavingRun{execution, want, policy.LeavingRun{
 			Events: want.Events, Pace: m.config.Directory.Pace(engine.ID), Slack: want.Slack,
-			Leaves: notice.endsAt.Sub(now), LeavesKnown: notice.known,
+			LeavesIn: notice.endsAt.Sub(now), LeavesKnown: notice.endKnown,
 		}})
 	}
 	return groups
@@ -308,13 +308,13 @@
 	m.active.Go(func() {
 		defer cancel()
 		slot, _ := m.config.Queue.Acquire(requestCtx, rank, leaving.want, nil)
-		m.handOver(leaving, run, slot)
+		m.moveRun(leaving, run, slot)
 		m.notify()
 	})
 }
 
-// handOver moves a run to a slot, nil if none was assigned. It releases the slot if the run has ended in the meantime.
-func (m *Mover) handOver(leaving leavingRun, run *movableRun, slot *Slot) {
+// moveRun moves a run to a slot, nil if none was assigned. It releases the slot if the run has ended in the meantime.
+func (m *Mover) moveRun(leaving leavingRun, run *movableRun, slot *Slot) {
 	m.mutex.Lock()
 	run.cancelRequest = nil
 	run.moved = slot != nil && m.runs[leaving.execution] == run && leaving.execution.moveTo(slot)
@@ -331,5 +331,5 @@
 	m.config.Metrics.moved()
 	m.config.Logger.Info("run moves off a leaving engine", "job", e.view.Spec.ID, "item", e.item.ID, "engine", run.slot.Engine.ID,
 		"to", slot.Engine.ID, "left", math.Round(leaving.Events), "leaves_known", leaving.LeavesKnown,
-		"leaves_in", leaving.Leaves.Round(time.Millisecond), "slack", leaving.Slack.Round(time.Millisecond))
+		"leaves_in", leaving.LeavesIn.Round(time.Millisecond), "slack", leaving.Slack.Round(time.Millisecond))
 }
--- a/internal/jobrun/notice.go
+++ b/internal/jobrun/notice.go
@@ -22,7 +22,7 @@
 	attempts int
 	pending  bool
 	received bool
-	known    bool
+	endKnown bool
 	endsAt   time.Time
 }
 
@@ -67,7 +67,7 @@
 	m.mutex.Lock()
 	known.pending = false
 	known.received = err == nil
-	known.known = err == nil && report.LeavesKnown
+	known.endKnown = err == nil && report.LeavesKnown
 	known.endsAt = requestedAt.Add(report.LeavesIn)
 	runs := 0
 	for _, run := range m.runs {
--- a/internal/jobrun/queue.go
+++ b/internal/jobrun/queue.go
@@ -149,9 +149,9 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		changed := q.directory.Changed()
-		waiting, heldBack := q.assignSlots()
-		if heldBack > 0 {
-			timer.Reset(heldBack)
+		waiting, delay := q.assignSlots()
+		if delay > 0 {
+			timer.Reset(delay)
 			select {
 			case <-q.wakeup:
 			case <-timer.C:
@@ -178,11 +178,11 @@
 
 // assignSlots assigns slots to as many waiting items as free capacity allows, and returns how many still wait. If batches delay
 // assignment, it assigns none and returns the maximum remaining delay.
-func (q *Queue) assignSlots() (waiting int, heldBack time.Duration) {
+func (q *Queue) assignSlots() (waiting int, delay time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if heldBack = q.heldBack(); heldBack > 0 {
-		return q.waiting.Len(), heldBack
+	if delay = q.batchDelay(); delay > 0 {
+		return q.waiting.Len(), delay
 	}
 	q.pass++
 	ordered := make([]*waiter, 0, q.waiting.Len())
@@ -261,13 +261,13 @@
 	}
 	now := time.Now()
 	return q.leastUrgentAt(q.directory.SuitableEngines(next.want), next.rank, func(slot *Slot) bool {
-		return now.Sub(slot.acquiredAt) < passInterval && next.waitedBefore(slot)
+		return now.Sub(slot.acquiredAt) < minSlotTime && next.waitedBefore(slot)
 	})
 }
 
-// passInterval is how long a run does not yield to an item that was already waiting when the run's slot was assigned. The engine
+// minSlotTime is how long a run does not yield to an item that was already waiting when the run's slot was assigned. The engine
 // did not take that item then and would most likely not take it now either, while the run would lose its connection.
-const passInterval = 250 * time.Millisecond
+const minSlotTime = 250 * time.Millisecond
 
 // waitedBefore reports whether the waiter's item was already waiting when a slot was assigned.
 func (w *waiter) waitedBefore(slot *Slot) bool {
--- a/internal/jobs/tail.go
+++ b/internal/jobs/tail.go
@@ -21,8 +21,8 @@
 	from    int
 	// end is the offset below which all results lie, 0 if the job is not settled.
 	end int64
-	// first is the lowest position of a result that was read. Only the follower's goroutine uses it.
-	first int
+	// lowestPosition is the lowest position of a result that was read. Only the follower's goroutine uses it.
+	lowestPosition int
 	// state is accessed by any goroutine.
 	state atomic.Int32
 }
@@ -71,7 +71,7 @@
 		s.config.IndexFollower.Hurry()
 	}
 	return &resultTail{
-		service: s, entry: status.Entry, ledger: ledger, from: from, first: status.Entry.Items, end: status.SettledEnd,
+		service: s, entry: status.Entry, ledger: ledger, from: from, lowestPosition: status.Entry.Items, end: status.SettledEnd,
 	}
 }
 
@@ -81,7 +81,7 @@
 		return
 	}
 	if position, listed := job.ListedPosition(key, t.entry.JobID); listed {
-		t.first = min(t.first, position)
+		t.lowestPosition = min(t.lowestPosition, position)
 	}
 }
 
@@ -89,7 +89,7 @@
 // a result before the position, or all parts of the one at the position.
 func (t *resultTail) covered() bool {
 	listed, _ := t.ledger.Listed(t.entry.JobID)
-	return t.first < t.from || listed > t.from
+	return t.lowestPosition < t.from || listed > t.from
 }
 
 // submissions returns the offsets of large submissions in the partition, which contain no results.
--- a/internal/policy/leaving.go
+++ b/internal/policy/leaving.go
@@ -14,8 +14,8 @@
 	Pace time.Duration
 	// Slack is how long the run may take from now on without delaying its step, 0 if it has none or its slack is not known.
 	Slack time.Duration
-	// Leaves is the time until the engine ends; it is meaningful only if LeavesKnown is set.
-	Leaves      time.Duration
+	// LeavesIn is the time until the engine ends; it is meaningful only if LeavesKnown is set.
+	LeavesIn    time.Duration
 	LeavesKnown bool
 }
 
@@ -29,7 +29,7 @@
 func (r LeavingRun) endsInTime() bool {
 	limit := minMoveGain
 	if r.LeavesKnown {
-		limit = r.Leaves
+		limit = r.LeavesIn
 	}
 	return r.remaining() > 0 && r.remaining() <= limit
 }
@@ -64,7 +64,7 @@
 	pending := slices.Sorted(slices.Values(released))
 	for _, i := range longestFirst(runs) {
 		run := runs[i]
-		inTime := len(pending) > 0 && run.LeavesKnown && pending[0] < run.Leaves
+		inTime := len(pending) > 0 && run.LeavesKnown && pending[0] < run.LeavesIn
 		switch {
 		case run.endsInTime():
 		case free > 0:
--- a/internal/policy/leaving_test.go
+++ b/internal/policy/leaving_test.go
@@ -13,7 +13,7 @@
 func TestDepartures(t *testing.T) {
 	const pace = 10 * time.Millisecond
 	run := func(events float64, slack, leaves time.Duration) LeavingRun {
-		return LeavingRun{Events: events, Pace: pace, Slack: slack, Leaves: leaves, LeavesKnown: leaves > 0}
+		return LeavingRun{Events: events, Pace: pace, Slack: slack, LeavesIn: leaves, LeavesKnown: leaves > 0}
 	}
 	tests := []struct {
 		name     string
@@ -48,7 +48,7 @@
 		runs, free := make([]LeavingRun, random.IntN(20)), random.IntN(10)
 		for i := range runs {
 			runs[i] = LeavingRun{
-				Events: float64(random.IntN(300)), Pace: milliseconds(50), Slack: milliseconds(5000), Leaves: milliseconds(5000),
+				Events: float64(random.IntN(300)), Pace: milliseconds(50), Slack: milliseconds(5000), LeavesIn: milliseconds(5000),
 				LeavesKnown: random.IntN(2) == 0,
 			}
 		}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -18,8 +18,8 @@
 	return fleet.ColdLimit{Rate: pool.ColdRate, Duration: pool.ColdDuration, Checked: pool.HealthPath != ""}
 }
 
-// checkCold sets up the health checks of engines that may be cold.
-func (r *Replica) checkCold() {
+// setUpHealthChecks sets up the health checks of engines that may be cold.
+func (r *Replica) setUpHealthChecks() {
 	r.checker = healthcheck.New(healthcheck.Config{
 		Client: r.config.Health, Directory: r.directory, Path: r.healthPath, Logger: r.config.Logger,
 	})
--- a/internal/replica/homes.go
+++ b/internal/replica/homes.go
@@ -13,10 +13,10 @@
 type homeGroups struct {
 	replica *Replica
 	running map[keyedlog.HomeSet]*homeGroup
-	// version and named are the configuration whose home sets were computed last, and those of them that include the
-	// region of this replica.
-	version *catalog.Catalog
-	named   []keyedlog.HomeSet
+	// configuration is the one whose home sets were computed last. configured holds those of its home sets that include the region
+	// of this replica.
+	configuration *catalog.Catalog
+	configured    []keyedlog.HomeSet
 }
 
 // homeGroup is a group whose manager runs until cancel is called; done is closed once it has left the group.
@@ -66,10 +66,10 @@
 func (g *homeGroups) wanted(indexed []keyedlog.HomeSet) []keyedlog.HomeSet {
 	settings := g.replica.config.Settings
 	elsewhere := func(homes keyedlog.HomeSet) bool { return !homes.Includes(settings.ownRegion()) }
-	if current := g.replica.catalog.Current(); current != g.version {
-		g.version, g.named = current, slices.DeleteFunc(current.HomeSets(settings.regions()), elsewhere)
+	if current := g.replica.catalog.Current(); current != g.configuration {
+		g.configuration, g.configured = current, slices.DeleteFunc(current.HomeSets(settings.regions()), elsewhere)
 	}
-	return slices.Concat(g.named, slices.DeleteFunc(indexed, elsewhere))
+	return slices.Concat(g.configured, slices.DeleteFunc(indexed, elsewhere))
 }
 
 // start runs the manager of a home set's group.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -111,7 +111,7 @@
 		r.metrics.connections(config.Connections.Stats)
 		config.Connections.OnIdle(r.directory.SetIdleConnections)
 	}
-	r.checkCold()
+	r.setUpHealthChecks()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
@@ -131,7 +131,7 @@
 	r.mover = jobrun.NewMover(jobrun.MoverConfig{
 		Directory: r.directory, Queue: r.queue, Client: config.Client, Metrics: r.metrics.measures(), Logger: config.Logger,
 	})
-	r.metrics.leaving(r.mover.Left)
+	r.metrics.leaving(r.mover.LeavingRuns)
 	r.shareViews()
 	board := weightroll.NewOrderTable(r.directory)
 	indexFollower := r.follow(keyedlog.JobIndex, &indexApplier{index: r.index, logger: config.Logger})
--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -19,16 +19,16 @@
 
 // presence is the number of preemptible engines of a zone.
 type presence struct {
-	// serving is the number of engines that stay, leaving the number of those that have announced that they leave. most is the
+	// serving is the number of engines that stay, leaving the number of those that have announced that they leave. maxServing is the
 	// highest value of serving so far, at most the last accepted order.
-	serving, leaving, most int
+	serving, leaving, maxServing int
 	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not part of the
 	// other numbers.
 	evacuated int
 }
 
-// heldOrder is a reduced order that is sent once it is due.
-type heldOrder struct {
+// delayedReduction is a reduced order that is sent once it is due.
+type delayedReduction struct {
 	count int
 	dueAt time.Time
 }
@@ -37,7 +37,7 @@
 func (t *term) countPresent(pool catalog.Pool, engines []fleet.Engine) {
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
-		t.present[key] = presence{most: t.present[key].most}
+		t.present[key] = presence{maxServing: t.present[key].maxServing}
 	}
 	for _, engine := range engines {
 		key := poolZone{pool.Name, engine.Zone}
@@ -64,7 +64,7 @@
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
 		current := t.present[key]
-		lost := policy.Reclaimed(t.ordered[pool.Name][zone], current.most, current.serving, current.leaving)
+		lost := policy.Reclaimed(t.ordered[pool.Name][zone], current.maxServing, current.serving, current.leaving)
 		if lost > 0 && !t.reclaimed[key] {
 			t.reclaimed[key] = true
 			t.refusedUntil[key] = now.Add(reclaimBackoff)
@@ -75,7 +75,7 @@
 			delete(t.reclaimed, key)
 			t.accepted[key] = false
 		}
-		current.most = max(current.most, current.serving)
+		current.maxServing = max(current.maxServing, current.serving)
 		t.present[key] = current
 	}
 }
@@ -96,7 +96,7 @@
 }
 
 // servingOrder returns how many of the preemptible engines ordered in a zone serve or are expected to, and whether further ones
-// may be ordered there. It returns 0 for an evacuated zone, whose order stays. Orders whose reduction is held count as reduced.
+// may be ordered there. It returns 0 for an evacuated zone, whose order stays. Orders whose reduction is delayed count as reduced.
 func (t *term) servingOrder(key poolZone) (count int, available bool) {
 	ordered := t.ordered[key.pool][key.zone]
 	if t.config.Directory.Evacuated(key.zone) {
@@ -105,25 +105,25 @@
 	if t.reclaimed[key] {
 		return min(ordered, t.present[key].serving), false
 	}
-	if held, found := t.held[key]; found {
-		return min(ordered, held.count), true
+	if reduction, found := t.delayed[key]; found {
+		return min(ordered, reduction.count), true
 	}
 	return ordered, true
 }
 
-// holdReductions sets the counts of zones whose orders must not be reduced yet to their last orders. These are evacuated zones,
+// delayReductions sets the counts of zones whose orders must not be reduced yet to their last orders. These are evacuated zones,
 // zones of which some engines serve while others leave, and zones whose engines move to other zones. Orders of the latter are
 // reduced at once if the pool has surplus engines.
-func (t *term) holdReductions(pool string, zones []policy.ZoneEngines, counts []int) {
+func (t *term) delayReductions(pool string, zones []policy.ZoneEngines, counts []int) {
 	now := time.Now()
 	_, shrinks := t.surplusSince[pool]
 	for i, zone := range zones {
 		key := poolZone{pool, zone.Zone}
 		ordered := t.ordered[pool][zone.Zone]
-		held, found := t.held[key]
+		reduction, found := t.delayed[key]
 		switch {
 		case counts[i] >= ordered:
-			delete(t.held, key)
+			delete(t.delayed, key)
 		case t.config.Directory.Evacuated(zone.Zone):
 			counts[i] = ordered
 		case t.reclaimed[key]:
@@ -131,36 +131,36 @@
 				counts[i] = ordered
 			}
 		case shrinks:
-			delete(t.held, key)
+			delete(t.delayed, key)
 		case !found:
-			t.held[key] = heldOrder{count: counts[i], dueAt: now.Add(rebalanceDelay)}
+			t.delayed[key] = delayedReduction{count: counts[i], dueAt: now.Add(rebalanceDelay)}
 			counts[i] = ordered
-		case now.Before(held.dueAt):
+		case now.Before(reduction.dueAt):
 			counts[i] = ordered
 		}
 	}
 }
 
-// dropHeld drops the reduced orders of a pool, because engines that were to replace the others were refused.
-func (t *term) dropHeld(pool string) {
-	for key := range t.held {
+// dropDelayed drops the reduced orders of a pool, because engines that were to replace the others were refused.
+func (t *term) dropDelayed(pool string) {
+	for key := range t.delayed {
 		if key.pool == pool {
-			delete(t.held, key)
+			delete(t.delayed, key)
 		}
 	}
 }
 
-// orderTaken records that the provider has accepted the last order of a zone.
-func (t *term) orderTaken(key poolZone) {
+// recordAccepted records that the provider has accepted the last order of a zone.
+func (t *term) recordAccepted(key poolZone) {
 	ordered := t.ordered[key.pool][key.zone]
 	current := t.present[key]
 	if t.reclaimed[key] && ordered <= current.serving {
 		delete(t.reclaimed, key)
 	}
-	current.most = min(current.most, ordered)
+	current.maxServing = min(current.maxServing, ordered)
 	t.present[key] = current
-	if held, found := t.held[key]; found && ordered <= held.count {
-		delete(t.held, key)
+	if reduction, found := t.delayed[key]; found && ordered <= reduction.count {
+		delete(t.delayed, key)
 	}
 }
 
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -97,7 +97,7 @@
 	t := &term{
 		config: s.config, tenure: tenure, ordered: make(map[string]map[string]int), accepted: make(map[poolZone]bool),
 		refusedUntil: make(map[poolZone]time.Time), surplusSince: make(map[string]time.Time),
-		present: make(map[poolZone]presence), reclaimed: make(map[poolZone]bool), held: make(map[poolZone]heldOrder),
+		present: make(map[poolZone]presence), reclaimed: make(map[poolZone]bool), delayed: make(map[poolZone]delayedReduction),
 	}
 	t.restore()
 	for {
@@ -128,8 +128,8 @@
 	// and whose orders have not been reduced yet.
 	present   map[poolZone]presence
 	reclaimed map[poolZone]bool
-	// held holds the reduced orders of zones whose replacements in other zones are still booting.
-	held map[poolZone]heldOrder
+	// delayed holds the reduced orders of zones whose replacements in other zones are still booting.
+	delayed map[poolZone]delayedReduction
 }
 
 // restore reads the orders of earlier holders.
@@ -184,7 +184,7 @@
 		return nil
 	}
 	t.keepUnplaced(pool.Name, zones, counts, wanted-regular)
-	t.holdReductions(pool.Name, zones, counts)
+	t.delayReductions(pool.Name, zones, counts)
 	var pending []Order
 	for i, zone := range zones {
 		key := poolZone{pool.Name, zone.Zone}
@@ -291,10 +291,10 @@
 		case NoneLeft:
 			t.refusedUntil[key] = time.Now().Add(refusalBackoff)
 			t.setOrdered(key, t.orderedAfterRefusal(order, previous[key]))
-			t.dropHeld(order.Pool)
+			t.dropDelayed(order.Pool)
 			refused = true
 		case Taken:
-			t.orderTaken(key)
+			t.recordAccepted(key)
 		}
 	}
 	if refused {
--- a/internal/weightroll/departed.go
+++ b/internal/weightroll/departed.go
@@ -58,8 +58,8 @@
 	return found
 }
 
-// isDeprived reports whether a model has less than half of its share of the engines.
-func isDeprived(engines []fleet.Engine, previous Assignment, shares map[string]int) bool {
+// anyBelowHalfShare reports whether a model has less than half of its share of the engines.
+func anyBelowHalfShare(engines []fleet.Engine, previous Assignment, shares map[string]int) bool {
 	counts := make(map[string]int)
 	for _, engine := range engines {
 		if model, assigned := previous[engine.ID]; assigned {
--- a/internal/weightroll/share.go
+++ b/internal/weightroll/share.go
@@ -47,13 +47,13 @@
 	shares := r.updateShares(pool, engines, targets)
 	left := r.recordDepartures(pool, engines, previous)
 	restored, returned := r.withReturned(pool, engines, previous)
-	deprived := left > 0 && isDeprived(engines, previous, shares)
+	belowHalfShare := left > 0 && anyBelowHalfShare(engines, previous, shares)
 	engines = candidateEngines(engines, restored, shares)
 	assignment := Assign(engines, targets, restored, shares, func(engine fleet.Engine, model string) bool {
 		if _, loading := r.loading[pool][engine.ID]; loading {
 			return true
 		}
-		return !deprived && !returned[engine.ID] && targets[model] > 0 && engine.ServedVersion(model) >= targets[model]
+		return !belowHalfShare && !returned[engine.ID] && targets[model] > 0 && engine.ServedVersion(model) >= targets[model]
 	})
 	assignment, swapped := r.balance(pool, assignment, engines, shares)
 	if !maps.Equal(assignment, previous) {
