--- a/internal/catalog/homes_test.go
+++ b/internal/catalog/homes_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// TestEveryHomeSetIsNamed guards against a job whose homes have a group that nobody joins, so that it is refused for ever: whatever route,
-// tenant and scorers a job has, the configuration names its homes.
+// TestEveryHomeSetIsNamed guards against a job whose home set has a group that no replica joins, so that it is always refused: HomeSets must
+// contain the home set of each combination of route, tenant and scorers.
 func TestEveryHomeSetIsNamed(t *testing.T) {
 	fleet := []string{"a", "b", "c", "d"}
 	regions := rapid.Custom(func(t *rapid.T) []string {
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -11,9 +11,9 @@
 	"github.com/matryer/is"
 )
 
-// TestRequestsWhereAllEnginesAreCold guards against requests that wait in vain where all engines are cold, against several
-// processes that send to one cold engine, and against use of a cold engine beside a warm one. The only sender of a serves
-// requests there; all others are refused at once until the first engine is warm.
+// TestRequestsWhereAllEnginesAreCold guards against requests that wait although all engines are cold, against several
+// processes that send to one cold engine, and against use of a cold engine beside a warm one. The only sender of engine a
+// must serve requests there; all other processes must refuse them at once until the first engine is warm.
 func TestRequestsWhereAllEnginesAreCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/forward/leaving_test.go
+++ b/internal/forward/leaving_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 )
 
-// TestRequestIsRefusedAtOnceWhenAllEnginesLeave evacuates the only zones of a pool. A request that waits for a slot there holds its
-// caller for nothing, and is refused all the same. Once a zone is back it must be served.
+// TestRequestIsRefusedAtOnceWhenAllEnginesLeave evacuates the only zones of a pool. If a request waited for a slot
+// there, its caller would be refused only after the wait. Once a zone is back it must be served.
 func TestRequestIsRefusedAtOnceWhenAllEnginesLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/healthcheck/healthcheck_test.go
+++ b/internal/healthcheck/healthcheck_test.go
@@ -57,7 +57,7 @@
 
 // TestEngineThatTurnsColdIsNoticedBeforeItsRecord guards against full load on an engine that turned cold while its record
 // still says that it is warm. Its first event is 20 times as late as its pace suggests, or has not come yet, so it is
-// asked, once a second at most. The response of another engine says nothing.
+// checked, once a second at most. The response of another engine must have no effect.
 func TestEngineThatTurnsColdIsNoticedBeforeItsRecord(t *testing.T) {
 	for _, responds := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
