--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -69,7 +69,7 @@
 	ordinal  int
 	rank     Rank
 	critical *criticalEvents
-	// queued must be called once the item waits for a slot, or once it will not do so soon (see Batch).
+	// queued must be called once the item waits for a slot, or once it is known that it will not wait for one soon (see Batch).
 	queued func()
 
 	mutex sync.Mutex
@@ -93,8 +93,8 @@
 	// pending is progress of another owner that replaces the item's own before the next run; interrupt cancels the current run.
 	pending   *job.Progress
 	interrupt context.CancelFunc
-	// departure is the slot that the current run moves to because its engine leaves, nil if there is none.
-	departure *Slot
+	// departureSlot is the slot that the current run moves to because its engine leaves, nil if there is none.
+	departureSlot *Slot
 
 	// The fields below are accessed by the goroutine of run only, except yields.
 	engine         fleet.Engine
@@ -351,8 +351,8 @@
 	now := time.Now()
 	e.recordEvent(now)
 	e.mutex.Lock()
-	if e.departure != nil {
-		// The slot was acquired for the text without this event, whose version the other engine may not serve.
+	if e.departureSlot != nil {
+		// The slot was acquired for the text without this event. The other engine may not serve the version of the event.
 		e.mutex.Unlock()
 		return errMove
 	}
--- a/internal/jobrun/move.go
+++ b/internal/jobrun/move.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// leavingWant returns the requirements of the run if it moves off an engine that leaves, false if the item needs no engine any
-// more or has no route. It is safe to call from any goroutine.
+// leavingWant returns the requirements of the run if it moves off an engine that leaves. It returns false if the item no longer
+// needs an engine or has no route. It is safe to call from any goroutine.
 func (e *execution) leavingWant(pool string) (fleet.Want, bool) {
 	route, ok := e.route()
 	if !ok {
@@ -82,29 +82,30 @@
 	return want, !done
 }
 
-// moveTo makes the current run end and continue in a slot. It returns false if the text must not mix versions and has begun with
-// another one than the slot's engine serves. It must be called only while the item runs.
+// moveTo makes the current run end and the item continue in a slot. It returns false if the item does not run or already moves, or
+// if its text must not mix versions and has begun with a version that the slot's engine does not serve. It must be called only while
+// the Mover has the run.
 func (e *execution) moveTo(slot *Slot) bool {
 	route, ok := e.itemRoute()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if !ok || e.interrupt == nil || e.departure != nil {
+	if !ok || e.interrupt == nil || e.departureSlot != nil {
 		return false
 	}
 	if route.SingleVersion && len(e.versions) > 0 && e.versions[0] != slot.Engine.ServedVersion(e.view.Spec.Model) {
 		return false
 	}
-	e.departure = slot
+	e.departureSlot = slot
 	e.interrupt()
 	return true
 }
 
-// takeDeparture returns the slot that moveTo was called with and clears it; it returns nil if there is none.
-func (e *execution) takeDeparture() *Slot {
+// takeDepartureSlot returns the slot that moveTo was called with and clears it; it returns nil if there is none.
+func (e *execution) takeDepartureSlot() *Slot {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	slot := e.departure
-	e.departure = nil
+	slot := e.departureSlot
+	e.departureSlot = nil
 	return slot
 }
 
@@ -115,10 +116,10 @@
 	}
 }
 
-// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has slots at
-// a better engine and for its departure, it uses the former.
+// takeNextSlot returns the slot that the item moves to and clears it; it returns nil if there is none. If the item has
+// both a slot at a better engine and one for its departure, the latter is released.
 func (e *execution) takeNextSlot() *Slot {
-	next, departure := e.nextSlot, e.takeDeparture()
+	next, departure := e.nextSlot, e.takeDepartureSlot()
 	e.nextSlot = nil
 	if next == nil {
 		return departure
--- a/internal/jobrun/mover.go
+++ b/internal/jobrun/mover.go
@@ -15,10 +15,10 @@
 
 const (
 	// minMoverInterval is the minimum time between two decisions on runs at leaving engines. Slots are released up to some
-	// hundred times a second, and the shortest notices are of two seconds.
+	// hundred times a second, and the shortest notice is two seconds.
 	minMoverInterval = 50 * time.Millisecond
-	// leavingCheckInterval is how often decisions are made while runs are at leaving engines and nothing else changes, since runs
-	// turn out longer or shorter than expected.
+	// leavingCheckInterval is the time between two decisions while runs are at leaving engines and nothing else changes, since
+	// runs may turn out longer or shorter than expected.
 	leavingCheckInterval = 200 * time.Millisecond
 )
 
@@ -96,8 +96,8 @@
 	}
 }
 
-// Left returns the number of runs of this process at engines that leave or whose zone is evacuated.
-func (m *Mover) Left() int {
+// LeavingRuns returns the number of runs of this process at engines that leave or whose zone is evacuated.
+func (m *Mover) LeavingRuns() int {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	left := 0
@@ -174,7 +174,7 @@
 	return leaving
 }
 
-// runKind is what runs have in common that may use the same slots.
+// runKind identifies runs that may use the same slots.
 type runKind struct {
 	fleet.WorkKind
 	// reclaimed is the zone whose preemptible engines the runs do not use, empty if there is none.
@@ -183,7 +183,7 @@
 
 // runGroup is the runs of one kind.
 type runGroup struct {
-	// want is the requirements of any of the runs.
+	// want holds the requirements of one of the runs.
 	want    fleet.Want
 	leaving []leavingRun
 	// requested is the number of runs that have already requested another slot.
@@ -228,7 +228,7 @@
 		}
 		group.leaving = append(group.leaving, leavingRun{execution, want, policy.LeavingRun{
 			Events: want.Events, Pace: m.config.Directory.Pace(engine.ID), Slack: want.Slack,
-			Leaves: notice.endsAt.Sub(now), LeavesKnown: notice.known,
+			LeavesIn: notice.endsAt.Sub(now), LeavesKnown: notice.endKnown,
 		}})
 	}
 	return groups
@@ -308,13 +308,13 @@
 	m.active.Go(func() {
 		defer cancel()
 		slot, _ := m.config.Queue.Acquire(requestCtx, rank, leaving.want, nil)
-		m.handOver(leaving, run, slot)
+		m.moveRun(leaving, run, slot)
 		m.notify()
 	})
 }
 
-// handOver moves a run to a slot, nil if none was assigned. It releases the slot if the run has ended in the meantime.
-func (m *Mover) handOver(leaving leavingRun, run *movableRun, slot *Slot) {
+// moveRun moves a run to a slot, nil if none was assigned. It releases the slot if the run has ended in the meantime.
+func (m *Mover) moveRun(leaving leavingRun, run *movableRun, slot *Slot) {
 	m.mutex.Lock()
 	run.cancelRequest = nil
 	run.moved = slot != nil && m.runs[leaving.execution] == run && leaving.execution.moveTo(slot)
@@ -331,5 +331,5 @@
 	m.config.Metrics.moved()
 	m.config.Logger.Info("run moves off a leaving engine", "job", e.view.Spec.ID, "item", e.item.ID, "engine", run.slot.Engine.ID,
 		"to", slot.Engine.ID, "left", math.Round(leaving.Events), "leaves_known", leaving.LeavesKnown,
-		"leaves_in", leaving.Leaves.Round(time.Millisecond), "slack", leaving.Slack.Round(time.Millisecond))
+		"leaves_in", leaving.LeavesIn.Round(time.Millisecond), "slack", leaving.Slack.Round(time.Millisecond))
 }
--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -12,21 +12,23 @@
 	// reclaimBackoff is how long no engines are ordered in a zone whose engines the provider takes away. Providers have no
 	// replacements for 8 to 11 s.
 	reclaimBackoff = 12 * time.Second
-	// rebalanceDelay is how long a zone keeps engines that are ordered in another zone instead, so that most of these have booted.
+	// rebalanceDelay is how long a zone keeps its engines after replacements were ordered in another zone, so that most of the
+	// replacements have booted.
 	rebalanceDelay = 7 * time.Second
 )
 
 // presence is the number of preemptible engines of a zone.
 type presence struct {
-	// serving engines stay; leaving ones have announced that they leave. most is the largest number of serving
-	// engines so far, at most the last accepted order.
-	serving, leaving, most int
-	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not counted above.
+	// serving is the number of engines that stay, leaving the number of those that have announced that they leave. maxServing is the
+	// highest value of serving so far, at most the last accepted order.
+	serving, leaving, maxServing int
+	// evacuated is the number of engines of an evacuated zone that have not announced that they leave. They are not part of the
+	// other numbers.
 	evacuated int
 }
 
-// heldOrder is a reduced order that is sent once it is due.
-type heldOrder struct {
+// delayedReduction is a reduced order that is sent once it is due.
+type delayedReduction struct {
 	count int
 	dueAt time.Time
 }
@@ -35,7 +37,7 @@
 func (t *term) countPresent(pool catalog.Pool, engines []fleet.Engine) {
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
-		t.present[key] = presence{most: t.present[key].most}
+		t.present[key] = presence{maxServing: t.present[key].maxServing}
 	}
 	for _, engine := range engines {
 		key := poolZone{pool.Name, engine.Zone}
@@ -62,18 +64,18 @@
 	for zone := range pool.Scaling.ZonePrices {
 		key := poolZone{pool.Name, zone}
 		current := t.present[key]
-		lost := policy.Reclaimed(t.ordered[pool.Name][zone], current.most, current.serving, current.leaving)
+		lost := policy.Reclaimed(t.ordered[pool.Name][zone], current.maxServing, current.serving, current.leaving)
 		if lost > 0 && !t.reclaimed[key] {
 			t.reclaimed[key] = true
 			t.refusedUntil[key] = now.Add(reclaimBackoff)
 			t.config.Logger.Info("engines are reclaimed", "pool", pool.Name, "zone", zone, "ordered", t.ordered[pool.Name][zone], "lost", lost)
 		}
 		if t.reclaimed[key] && current.leaving == 0 && !now.Before(t.refusedUntil[key]) {
-			// The provider replaces by now what was not ordered elsewhere. The order is repeated in case it does not.
+			// By now the provider replaces the engines that were not ordered elsewhere. The order is repeated in case it does not.
 			delete(t.reclaimed, key)
 			t.accepted[key] = false
 		}
-		current.most = max(current.most, current.serving)
+		current.maxServing = max(current.maxServing, current.serving)
 		t.present[key] = current
 	}
 }
@@ -93,9 +95,8 @@
 	}
 }
 
-// servingOrder returns how many of the preemptible engines ordered in a zone count as engines that serve or will, and whether
-// further ones may be ordered there. In an evacuated zone none do, although its order stays. Orders that are about to be reduced
-// count as reduced.
+// servingOrder returns how many of the preemptible engines ordered in a zone serve or are expected to, and whether further ones
+// may be ordered there. It returns 0 for an evacuated zone, whose order stays. Orders whose reduction is delayed count as reduced.
 func (t *term) servingOrder(key poolZone) (count int, available bool) {
 	ordered := t.ordered[key.pool][key.zone]
 	if t.config.Directory.Evacuated(key.zone) {
@@ -104,25 +105,25 @@
 	if t.reclaimed[key] {
 		return min(ordered, t.present[key].serving), false
 	}
-	if held, found := t.held[key]; found {
-		return min(ordered, held.count), true
+	if reduction, found := t.delayed[key]; found {
+		return min(ordered, reduction.count), true
 	}
 	return ordered, true
 }
 
-// holdReductions replaces the counts of zones whose orders are not to be reduced yet by their last orders: evacuated zones, zones
-// of which some engines still announce that they leave, and zones whose engines move to other zones. If engines are released
-// because they are surplus, all orders are reduced at once.
-func (t *term) holdReductions(pool string, zones []policy.ZoneEngines, counts []int) {
+// delayReductions sets the counts of zones whose orders must not be reduced yet to their last orders. These are evacuated zones,
+// zones of which some engines serve while others leave, and zones whose engines move to other zones. Orders of the latter are
+// reduced at once if the pool has surplus engines.
+func (t *term) delayReductions(pool string, zones []policy.ZoneEngines, counts []int) {
 	now := time.Now()
 	_, shrinks := t.surplusSince[pool]
 	for i, zone := range zones {
 		key := poolZone{pool, zone.Zone}
 		ordered := t.ordered[pool][zone.Zone]
-		held, found := t.held[key]
+		reduction, found := t.delayed[key]
 		switch {
 		case counts[i] >= ordered:
-			delete(t.held, key)
+			delete(t.delayed, key)
 		case t.config.Directory.Evacuated(zone.Zone):
 			counts[i] = ordered
 		case t.reclaimed[key]:
@@ -130,41 +131,42 @@
 				counts[i] = ordered
 			}
 		case shrinks:
-			delete(t.held, key)
+			delete(t.delayed, key)
 		case !found:
-			t.held[key] = heldOrder{count: counts[i], dueAt: now.Add(rebalanceDelay)}
+			t.delayed[key] = delayedReduction{count: counts[i], dueAt: now.Add(rebalanceDelay)}
 			counts[i] = ordered
-		case now.Before(held.dueAt):
+		case now.Before(reduction.dueAt):
 			counts[i] = ordered
 		}
 	}
 }
 
-// dropHeld drops the reduced orders of a pool, because engines that were to replace the others were refused.
-func (t *term) dropHeld(pool string) {
-	for key := range t.held {
+// dropDelayed drops the reduced orders of a pool, because engines that were to replace the others were refused.
+func (t *term) dropDelayed(pool string) {
+	for key := range t.delayed {
 		if key.pool == pool {
-			delete(t.held, key)
+			delete(t.delayed, key)
 		}
 	}
 }
 
-// orderTaken records that the provider has accepted the last order of a zone.
-func (t *term) orderTaken(key poolZone) {
+// recordAccepted records that the provider has accepted the last order of a zone.
+func (t *term) recordAccepted(key poolZone) {
 	ordered := t.ordered[key.pool][key.zone]
 	current := t.present[key]
 	if t.reclaimed[key] && ordered <= current.serving {
 		delete(t.reclaimed, key)
 	}
-	current.most = min(current.most, ordered)
+	current.maxServing = min(current.maxServing, ordered)
 	t.present[key] = current
-	if held, found := t.held[key]; found && ordered <= held.count {
-		delete(t.held, key)
+	if reduction, found := t.delayed[key]; found && ordered <= reduction.count {
+		delete(t.delayed, key)
 	}
 }
 
-// orderedAfterRefusal returns the number of engines that a zone has after it refused an order. If it refused to repeat its last
-// order, it has lost engines that it cannot replace. Those of an evacuated zone that are left come back with the zone.
+// orderedAfterRefusal returns the number of engines that count as ordered in a zone after it refused an order. If it refused a
+// repetition of its last order, it has lost engines that it cannot replace. The engines of an evacuated zone that have not left
+// count, since they serve again after the evacuation.
 func (t *term) orderedAfterRefusal(order Order, previous int) int {
 	if order.Count > previous {
 		return previous
