--- a/internal/scaler/reclaimed.go
+++ b/internal/scaler/reclaimed.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// reclaimBackoff is how long no engines are ordered in a zone whose engines the provider takes away. Providers have no
-	// replacements for 8 to 11 s.
+	// reclaimBackoff is how long no engines are ordered in a zone whose engines the provider takes away. A provider that reclaims
+	// engines needs their capacity itself, so it has no replacements for several times as long as an engine boots.
 	reclaimBackoff = 12 * time.Second
 	// rebalanceDelay is how long a zone keeps its engines after replacements were ordered in another zone, so that most of the
 	// replacements have booted.
