Catch the order to stop from the first line of main to the exit

Cause: planned stops ended with -1, which a supervisor takes for a crash. Until platform.Run, flags and settings were read under the signals' default action; and as it returned, NotifyContext's cancel restored that action while the log was still written and, with the race detector, the process slept for a second in its exit.

Change: hillforkd catches SIGTERM and SIGINT in the first line of main, for both of its commands, and never gives them back. An order that comes while the settings are read ends the process with 0 before it serves. The line "starting" says that the signals are caught.

Conclusion: whoever stops a process gets 0, whenever after the first line of main and however often. Before main no program can help.

--- a/cmd/hillforkd/main.go
+++ b/cmd/hillforkd/main.go
@@ -6,8 +6,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/errorlog"
@@ -25,12 +23,14 @@
 )
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	// Before the signals are caught, each of them ends the process at once.
+	os.Exit(run(stopContext(), os.Args[1:]))
 }
 
-func run(args []string) int {
+// run runs the process until the context ends, and returns its exit code.
+func run(ctx context.Context, args []string) int {
 	if len(args) > 0 && args[0] == platformCommand {
-		return runPlatform(args[1:])
+		return runPlatform(ctx, args[1:])
 	}
 	parsed, err := settings.Parse("hillforkd", args, os.Stdout)
 	if errors.Is(err, settings.ErrHelp) {
@@ -41,8 +41,6 @@
 		return exitBadSettings
 	}
 	logger := logging.New(os.Stderr, parsed.LogLevel, parsed.LogFormat)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	process, err := node.New(node.Config{
 		Settings: parsed, Network: network.System{}, Incarnation: uint64(time.Now().UnixNano()), Logger: logger,
 	})
--- a/cmd/hillforkd/platform.go
+++ b/cmd/hillforkd/platform.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/logging"
 	"github.com/hillfork/hillfork/internal/settings"
@@ -24,8 +25,8 @@
 // platformCommand is the first argument that runs a replica on the users' platform.
 const platformCommand = "platform"
 
-// runPlatform runs a replica on the users' platform until it is told to stop.
-func runPlatform(args []string) int {
+// runPlatform runs a replica on the users' platform until the context ends, and returns the exit code.
+func runPlatform(ctx context.Context, args []string) int {
 	// Until the replica takes it, the signal would kill the process.
 	signal.Ignore(syscall.SIGHUP)
 	flags := ff.NewFlagSet("hillforkd " + platformCommand)
@@ -40,11 +41,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
+	logger, closeLog := openLog(*level, *format)
+	defer closeLog()
+	// From here on an operator or supervisor knows that the process can be stopped as planned.
+	logger.Info("starting", "pid", os.Getpid())
 	loaded, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadSettings
 	}
+	if err := platform.Run(ctx, loaded, platform.Options{MetricsPort: *metricsPort, Logger: logger}); err != nil {
+		errorlog.Error(logger, "replica ended", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// openLog returns a logger to standard output that never blocks, and a function that writes the queued lines and ends it.
+func openLog(level, format string) (logger *log.Logger, closeLog func()) {
 	output := logging.NewBoundedWriter(os.Stdout, logging.DefaultBudget)
 	ctx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
@@ -52,15 +66,8 @@
 		defer close(written)
 		output.Run(ctx)
 	}()
-	logger := logging.New(output, *level, *format)
-	err = platform.Run(loaded, platform.Options{MetricsPort: *metricsPort, Logger: logger})
-	if err != nil {
-		errorlog.Error(logger, "replica ended", err)
-	}
-	cancel()
-	<-written
-	if err != nil {
-		return exitFailed
+	return logging.New(output, level, format), func() {
+		cancel()
+		<-written
 	}
-	return exitOK
 }
