--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -39,7 +39,7 @@
 	return limited
 }
 
-// Cold returns the number of engines that are cold, or suspected to be, in pools that limit their work.
+// Cold returns the number of engines that are cold or count as cold, in pools that limit their work.
 func (d *Directory) Cold() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/fleet/unconfirmed.go
+++ b/internal/fleet/unconfirmed.go
@@ -14,20 +14,29 @@
 // changes its sender. A checker sends no second check within this time.
 const confirmationAge = time.Second
 
-// UnconfirmCold marks the coldness of the engines that this process may have missed as unconfirmed: all engines if affected is nil,
-// because records were skipped, or those that this process has become the only sender of, by the engine and the model
-// that it is assigned to. affected is called with the directory's mutex held.
-func (d *Directory) UnconfirmCold(affected func(engine Engine, model string) bool) {
+// UnconfirmCold marks the coldness of all engines as unconfirmed, because records were skipped.
+func (d *Directory) UnconfirmCold() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	for _, found := range d.engines {
+		found.cold.unconfirmedSince = now
+	}
+}
+
+// SenderChanged marks the coldness of the engines that this process has become the only sender of as unconfirmed, unless
+// a health check has just confirmed it. sends reports whether an engine, with the model that it is assigned to, is one of
+// them; it is called with the directory's mutex held.
+func (d *Directory) SenderChanged(sends func(engine Engine, model string) bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := time.Now()
 	for id, found := range d.engines {
-		if affected == nil {
-			found.cold.unconfirmedSince = now
+		pool := found.engine.Pool
+		if !d.coldLimits[pool].Checked || now.Sub(found.cold.confirmedAt) < confirmationAge {
 			continue
 		}
-		recent := now.Sub(found.cold.confirmedAt) < confirmationAge
-		if !recent && affected(found.engine, d.assigned[found.engine.Pool][id]) {
+		if sends(found.engine, d.assigned[pool][id]) {
 			found.cold.unconfirmedSince = now
 		}
 	}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -123,6 +123,6 @@
 func (s *coldSenders) attach(directory *fleet.Directory) {
 	directory.SetColdSenders(s.term)
 	s.holdings.onGained = func(partition keyedlog.Partition) {
-		directory.UnconfirmCold(func(engine fleet.Engine, model string) bool { return s.sends(partition, engine, model) })
+		directory.SenderChanged(func(engine fleet.Engine, model string) bool { return s.sends(partition, engine, model) })
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -241,7 +241,7 @@
 	var onSkipped func()
 	if partition.Topic == keyedlog.TopicOperator {
 		// The skipped records may have begun and ended an evacuation.
-		onSkipped = func() { r.directory.UnconfirmCold(nil) }
+		onSkipped = r.directory.UnconfirmCold
 	}
 	return follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: readWaits[partition.Topic],
