Answer reads without results only from a reader that is up to date

Cause: a read of results at a position that another node had given out more than a second before brought nothing. A call joins the reader that runs for an earlier call, and was answered once that reader had caught up at some moment. A reader that is behind since, or whose first records are still on their way over a slow link, lacks what was listed in between.

Change: a call without a result at its position is answered only if the store has reported within the second before its arrival that the reader had read everything. Otherwise it asks for the end of the partition and waits until the reader is there or has a result; what can't be confirmed in time is refused as unsure. Follower.Confirmed counts from the request of the newest records, not from their arrival.

Answers with results are given as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -204,7 +204,7 @@
 		f.tailing, f.pager = false, nil
 		f.config.Logger.Info("skipping to the newest record of each key", "partition", f.config.Partition, "from", f.nextOffset, "missed", missed)
 	}
-	f.advance(f.nextOffset, f.nextOffset >= batch.End)
+	f.advance(f.nextOffset, f.nextOffset >= batch.End, suspended.Mark())
 	if len(batch.Records) > 0 && f.nextOffset >= batch.End {
 		f.waitInterval(ctx)
 	}
@@ -267,6 +267,7 @@
 func (f *Follower) catchUp(ctx context.Context) error {
 	if f.pager == nil {
 		f.pager, f.seenKeys = newPager(f.config.Log, f.config.Partition, f.config.Prefix, f.config.AfterKey), make(map[string]bool)
+		f.pager.requestedAt = suspended.Mark()
 	}
 	read := f.pager.read
 	if f.config.SampleAfterKey != "" {
@@ -280,7 +281,7 @@
 	if err != nil {
 		return err
 	}
-	pageEnd, seenKeys := f.pager.end, f.seenKeys
+	pageEnd, requestedAt, seenKeys := f.pager.end, f.pager.requestedAt, f.seenKeys
 	f.pager, f.seenKeys = nil, nil
 	if pageEnd < f.nextOffset {
 		return errStale
@@ -295,7 +296,7 @@
 	if f.config.OnSkipped != nil {
 		f.config.OnSkipped()
 	}
-	f.advance(f.nextOffset, f.config.Prefix != "")
+	f.advance(f.nextOffset, f.config.Prefix != "", requestedAt)
 	return nil
 }
 
@@ -317,14 +318,16 @@
 	f.config.Applier.Apply(record, recovered)
 }
 
-func (f *Follower) advance(end int64, caughtUp bool) {
+// advance records that all records below end have been applied. caughtUp means that these were all records of the partition
+// at confirmed.
+func (f *Follower) advance(end int64, caughtUp bool, confirmed uptime.Mark) {
 	f.config.Applier.Advanced(end)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.end = end
 	if caughtUp {
 		f.caughtUp = true
-		f.confirmed = suspended.Mark()
+		f.confirmed = confirmed
 	}
 	f.advanced.Notify()
 }
@@ -395,8 +398,8 @@
 	return f.caughtUp
 }
 
-// Confirmed returns when the store last reported that there were no further records. The time is shifted so that its
-// age by the monotonic clock includes time in suspension.
+// Confirmed returns when the store last reported that there were no further records, or, where the newest records were read
+// since, when they were requested. The time is shifted so that its age by the monotonic clock includes time in suspension.
 func (f *Follower) Confirmed() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/follow/span.go
+++ b/internal/follow/span.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/uptime"
 )
 
 // Range applies the records of a partition from offset from up to, but not including, offset to. If the store has
@@ -84,6 +85,8 @@
 	afterKey string
 	started  bool
 	end      int64
+	// requestedAt is when the first page was requested.
+	requestedAt uptime.Mark
 }
 
 // newPager returns a pager that begins after a key, or with the first key of the prefix if afterKey is empty.
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/uptime"
 )
 
 const (
@@ -92,6 +93,8 @@
 	// end is Tail.End, or the partition's end when it was last requested, 0 before that. The tail is complete once it is read up
 	// to end.
 	end int64
+	// requestedAt is when end was requested.
+	requestedAt uptime.Mark
 	// All records from low to before high are applied except those of skipped ranges. started is set once low and high are set.
 	started   bool
 	low, high int64
@@ -125,6 +128,9 @@
 // read applies the tail up to the partition's end. It fails with errTailInsufficient if the tail does not suffice, and with
 // keyedlog.ErrTrimmed if the store has dropped some of it; after any other error, the next call continues.
 func (t *tailReader) read(ctx context.Context, apply func(keyedlog.Record)) error {
+	if t.end == 0 || t.requestedAt.IsZero() {
+		t.requestedAt = suspended.Mark()
+	}
 	if t.end == 0 {
 		page, err := t.log.Newest(ctx, t.partition, keyedlog.AfterAllKeys)
 		if err != nil {
@@ -332,9 +338,10 @@
 	if f.config.Tail.OnDone != nil {
 		f.config.Tail.OnDone(err == nil)
 	}
+	requestedAt := f.tail.requestedAt
 	f.tail = nil
 	if f.tailing {
-		f.advance(f.nextOffset, true)
+		f.advance(f.nextOffset, true, requestedAt)
 	}
 	return nil
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -338,6 +338,9 @@
 	readCtx, cancel := s.withStoreTimeout(ctx)
 	defer cancel()
 	err := reader.waitReady(readCtx, from, listingBytes)
+	if err == nil {
+		err = s.waitCurrent(readCtx, reader, from, started)
+	}
 	defer func() { s.release(reader, err) }()
 	if elapsed := time.Since(started); err == nil && elapsed > slowReadThreshold {
 		s.config.Logger.Info("results of a job read slowly", "job", id, "partition", partitionOf(status.Entry),
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -36,6 +36,9 @@
 	// that, records of other jobs take many times the size of its results, while reading the newest record of each of its
 	// keys takes two or three calls.
 	freshWindow = time.Second
+	// maxViewAge is how long ago the store may have reported that there are no further records for an answer without results.
+	// A result that a caller has read must be there for all callers a second later.
+	maxViewAge = time.Second
 	// parkedTimeout is how long partially read results are kept for the next call, which usually follows at once.
 	parkedTimeout = 5 * time.Second
 )
@@ -296,6 +299,42 @@
 	}
 }
 
+// waitCurrent waits until a reader that has no result at a position for a call has read what the partition held when the call
+// arrived, or has such a result. A reader that runs for an earlier call may be behind the partition, and an answer without
+// results would deny what other nodes have given out.
+func (s *Service) waitCurrent(ctx context.Context, r *reader, from int, arrivedAt time.Time) error {
+	if arrivedAt.Sub(r.follower.Confirmed()) < maxViewAge || r.isComplete() {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	current := make(chan error, 1)
+	go func() { current <- follow.WaitUntilCurrent(ctx, s.config.Log, partitionOf(r.entry), r.follower) }()
+	for {
+		listed, changed := r.ledger.Listed(r.entry.JobID)
+		if listed > from {
+			return nil
+		}
+		select {
+		case err := <-current:
+			return err
+		case <-r.complete:
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// isComplete reports whether the reader has all results that the job will ever have.
+func (r *reader) isComplete() bool {
+	select {
+	case <-r.complete:
+		return true
+	default:
+		return false
+	}
+}
+
 // waitResult waits until a result at or after a position is listed or no more can be, for at most maxWait or until the
 // context ends.
 func (r *reader) waitResult(ctx context.Context, from int, maxWait time.Duration) {
@@ -331,10 +370,8 @@
 		}
 	}()
 	err := r.follower.WaitFor(ctx, 0)
-	select {
-	case <-r.complete:
+	if r.isComplete() {
 		return nil
-	default:
-		return err
 	}
+	return err
 }
