--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -37,10 +37,10 @@
 	// outage of a zone, since the return of an unreachable engine can't be observed. It is limited for engines that never
 	// respond to health checks.
 	maxSuspicion = 30 * time.Second
-	// ejectedSpread is the time over which processes that are not the sender of an ejected engine spread their first
-	// checks. The platform allows 1.5 times the cold rate plus 5 requests a second; with 70 processes, checks and work at
-	// the cold rate together stay within that.
-	ejectedSpread = 8 * time.Second
+	// checkSpread is the time over which processes that are not the sender of an engine spread their first checks where
+	// all may have the same reason for one. The platform allows 1.5 times the cold rate plus 5 requests a second; with 70
+	// processes, checks and work at the cold rate together stay within that.
+	checkSpread = 8 * time.Second
 	// latePaceFactor is the multiple of an engine's usual pace from which its response counts as late; lateLatencyFactor is
 	// the multiple of the latency of its complete responses, used if the pace is not known. A response counts as late after
 	// minLate at the earliest: a long prompt delays the first event by some tenths of a second at most.
@@ -109,21 +109,37 @@
 	d.engineChanged(found)
 }
 
-// checkSuspected requests a health check of an engine that is suspected to be cold, or whose coldness is not confirmed.
-// isSender means that this process may send the engine work while it is cold. The mutex must be held.
+// suspicion is the reason why an engine that does not state that it is cold counts as cold.
+type suspicion struct {
+	cause CheckCause
+	// since is when it began, and delay how long after that a process that is not the engine's sender checks the engine.
+	since time.Time
+	delay time.Duration
+}
+
+// suspicion returns why the engine counts as cold, and false if a health check would not change that.
+func (e *entry) suspicion(limit ColdLimit, now time.Time) (suspicion, bool) {
+	switch {
+	case !limit.Checked:
+		return suspicion{}, false
+	case now.Before(e.cold.suspectedUntil):
+		return suspicion{CheckReturned, e.cold.suspectedAt, e.cold.checkDelay}, true
+	case e.needsConfirmation(limit, now):
+		return suspicion{CheckUnconfirmed, e.cold.unconfirmedSince, e.spreadDelay()}, true
+	default:
+		return suspicion{}, false
+	}
+}
+
+// checkSuspected requests a health check of an engine that counts as cold because of a suspicion. isSender means that this
+// process may send the engine work while it is cold. The mutex must be held.
 func (d *Directory) checkSuspected(found *entry, limit ColdLimit, isSender bool, now time.Time) {
-	if !limit.Checked || found.breaker.State(now) == policy.BreakerOpen {
+	reason, suspected := found.suspicion(limit, now)
+	if !suspected || found.breaker.State(now) == policy.BreakerOpen {
 		return
 	}
-	cause, since, delay := CheckReturned, found.cold.suspectedAt, found.cold.checkDelay
-	if !now.Before(found.cold.suspectedUntil) {
-		if !found.needsConfirmation(limit, now) {
-			return
-		}
-		cause, since, delay = CheckUnconfirmed, found.cold.unconfirmedSince, found.ejectedDelay()
-	}
-	if isSender || now.Sub(since) >= delay {
-		d.requestCheck(found, cause)
+	if isSender || now.Sub(reason.since) >= reason.delay {
+		d.requestCheck(found, reason.cause)
 	}
 }
 
@@ -137,7 +153,7 @@
 }
 
 // checkFirstSuspected requests health checks of the first engines that may run work for which no engine was found, and
-// are suspected to be cold or not confirmed. It does not wait for the delay of their checks. The mutex must be held.
+// count as cold because of a suspicion. It does not wait for the delay of their checks. The mutex must be held.
 func (d *Directory) checkFirstSuspected(want Want, now time.Time) {
 	limit := d.coldLimits[want.Pool]
 	if !limit.Checked {
@@ -145,17 +161,11 @@
 	}
 	checks := 0
 	for _, found := range d.considered(want) {
-		cause := CheckReturned
-		if !now.Before(found.cold.suspectedUntil) {
-			if !found.needsConfirmation(limit, now) {
-				continue
-			}
-			cause = CheckUnconfirmed
-		}
-		if !fits(d.effectiveEngine(found), want) {
+		reason, suspected := found.suspicion(limit, now)
+		if !suspected || !fits(d.effectiveEngine(found), want) {
 			continue
 		}
-		d.requestCheck(found, cause)
+		d.requestCheck(found, reason.cause)
 		if checks++; checks == maxFirstChecks {
 			return
 		}
@@ -188,7 +198,7 @@
 // have been unreachable and return cold, and without the suspicion every process would send it a trial. The mutex must be held.
 func (d *Directory) suspectEjected(found *entry, now time.Time) {
 	if d.coldLimits[found.engine.Pool].Checked {
-		found.cold.suspect(now, maxSuspicion, found.ejectedDelay())
+		found.cold.suspect(now, maxSuspicion, found.spreadDelay())
 		d.engineChanged(found)
 	}
 }
--- a/internal/fleet/unconfirmed.go
+++ b/internal/fleet/unconfirmed.go
@@ -53,8 +53,8 @@
 	return e.cold.isUnconfirmed(limit, now) && !now.Before(e.statedColdUntil())
 }
 
-// ejectedDelay returns how long this process delays its check of an engine that it is not the sender of, where all
+// spreadDelay returns how long this process delays its check of an engine that it is not the sender of, where all
 // processes may have the same reason for one.
-func (e *entry) ejectedDelay() time.Duration {
-	return time.Duration(e.rank * float64(ejectedSpread))
+func (e *entry) spreadDelay() time.Duration {
+	return time.Duration(e.rank * float64(checkSpread))
 }
