--- a/internal/healthcheck/healthcheck_test.go
+++ b/internal/healthcheck/healthcheck_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// TestStartedProcessesKeepColdRate guards against full load on an engine that turned cold before all processes started, as in soak seed
-// 7012: its record still states that it is warm, and the processes that knew better have ended. Until it is warm, it must receive no more
+// TestStartedProcessesKeepColdRate guards against full load on an engine that turned cold before all processes started:
+// its record still states that it is warm, and the processes that knew better have ended. Until it is warm, it must receive no more
 // than its rate, from its only sender, and that rate must be used. Once it is warm, all processes must use it.
 func TestStartedProcessesKeepColdRate(t *testing.T) {
 	const (
