Count the health checks of a test without a race

Cause: the stand-in of TestStartedProcessesKeepColdRate counted checks of four processes without synchronisation. Change: the counter is atomic; the checks are the same. Conclusion: a fault of the new test alone.

--- a/internal/healthcheck/healthcheck_test.go
+++ b/internal/healthcheck/healthcheck_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,7 +186,7 @@
 			is.True(i < rate || starts[i].Sub(starts[i-rate]) > time.Second)
 		}
 		is.True(len(starts) >= rate)
-		is.True(client.checked <= len(processes))
+		is.True(int(client.checked.Load()) <= len(processes))
 		for _, process := range processes {
 			is.True(takes(process, single))
 		}
@@ -195,11 +196,11 @@
 // coldEngine responds to health checks after a round trip, and counts them.
 type coldEngine struct {
 	coldUntil time.Time
-	checked   int
+	checked   atomic.Int32
 }
 
 func (c *coldEngine) Health(context.Context, fleet.Engine, string) (engineapi.Health, error) {
-	c.checked++
+	c.checked.Add(1)
 	time.Sleep(2 * time.Millisecond)
 	return engineapi.Health{ColdFor: max(0, time.Until(c.coldUntil))}, nil
 }
@@ -235,7 +236,7 @@
 			_, ok := directory.Acquire(want)
 			is.True(ok)
 			if !isSender {
-				is.Equal(client.checked, 3)
+				is.Equal(client.checked.Load(), int32(3))
 				return
 			}
 			time.Sleep(5 * time.Millisecond)
@@ -244,7 +245,7 @@
 				used[engine.ID] = true
 			}
 			is.True(len(used) >= engines-1 && !used[""])
-			is.Equal(client.checked, engines)
+			is.Equal(client.checked.Load(), int32(engines))
 		})
 	}
 }
