--- a/internal/fleet/unconfirmed.go
+++ b/internal/fleet/unconfirmed.go
@@ -3,15 +3,14 @@
 import "time"
 
 // An engine may turn cold at any time, and its record may have been written before that. A process learns of it from the
-// end of an evacuation, from health responses and from failures, and this knowledge ends with the process. So the coldness
-// of an engine is unconfirmed where a process may lack what another one knew: when it gets to know the engine, after it
-// has skipped records of the operator, and when it becomes the only sender of the engine. Until a health response
-// confirms it, such an engine counts as cold, at most for the time for which engines of its pool are cold: an engine that
-// turned cold earlier is warm by then. Engines whose health is not checked are exempt, since their coldness cannot be
-// confirmed.
-
-// confirmationAge is the maximum age of a health check whose response still confirms the coldness of an engine that
-// changes its sender. A checker sends no second check within this time.
+// end of an evacuation, from health responses and from failures, and this knowledge ends with the process. So a process may
+// lack what another one knew: when it gets to know an engine, after it has skipped records of the operator, and when it
+// becomes the only sender of an engine. The coldness of the engine is then unconfirmed, and the engine counts as cold until
+// a health response states its coldness, at most for the time for which engines of its pool are cold after their start.
+// Engines whose health is not checked are exempt, since nothing could confirm their coldness.
+
+// confirmationAge is the maximum age of a health check whose response still confirms the coldness of an engine when its
+// sender changes. A checker sends no second check to an engine within this time.
 const confirmationAge = time.Second
 
 // UnconfirmCold marks the coldness of all engines as unconfirmed, because records were skipped.
