Tell who learns when that an engine leaves, and what is sent to it then

A replica that goes by the engine list names no engine that leaves; nothing says how old such news is when it is read, for how long a partition was not heard of, or whether a request was written to an engine that was known to leave. Change: log lines `listed engines leave`, `request sent to an engine that leaves` (package sendguard, around every request and item), `lapsed engine was not renewed`; keys `max_age` and `unconfirmed_for`; metrics for both. Who is chosen is unchanged.

--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -138,7 +138,7 @@
 	l.directory.SetPartial(true)
 	for id := range l.ownRecords {
 		if _, exists := l.listed[id]; !exists {
-			l.directory.Remove(id)
+			l.directory.Forget(id)
 		}
 	}
 	for _, found := range l.listed {
@@ -149,27 +149,35 @@
 	clear(l.differences)
 }
 
-// apply applies a record of a partition of the list.
-func (l *List) apply(partition int, record keyedlog.Record) error {
+// apply applies a record of a partition of the list. It returns what the record says of an engine that leaves or is gone, nil if
+// there is no such engine or it was listed as such before.
+func (l *List) apply(partition int, record keyedlog.Record) (*departure, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	id := idOf(record.Key)
+	before, isListed := l.listed[id]
 	switch {
 	case record.Key == keyComplete:
 		l.complete[partition] = record.Value != nil
 		l.known[partition] = true
 		l.publishKnown()
-		return nil
+		return nil, nil
 	case record.Value == nil:
 		l.dropEntry(id)
-		return nil
+		if !isListed {
+			return nil, nil
+		}
+		return &departure{engineState: before.engineState, gone: true}, nil
 	}
 	found, err := decode(id, record.Value)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	l.putEntry(found)
-	return nil
+	if !found.engine.Draining || isListed && before.engine.Draining {
+		return nil, nil
+	}
+	return &departure{engineState: found}, nil
 }
 
 // caughtUp notes that the newest entries of a partition were read, all of them if whole is set. Listed engines that are
@@ -178,8 +186,13 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for id, found := range l.listed {
-		if !seen[id] && PartitionOf(found.engine.Pool, l.partitions).Number == partition {
+		if seen[id] || PartitionOf(found.engine.Pool, l.partitions).Number != partition {
+			continue
+		}
+		if whole {
 			l.dropEntry(id)
+		} else {
+			l.forgetEntry(id)
 		}
 	}
 	// An empty partition has not been written yet, so it is not known.
@@ -228,7 +241,7 @@
 	l.compare(id)
 }
 
-// dropEntry removes an entry. The mutex must be held.
+// dropEntry removes an entry that was dropped from the store. The mutex must be held.
 func (l *List) dropEntry(id string) {
 	delete(l.listed, id)
 	if l.usesList(id) {
@@ -238,6 +251,14 @@
 	l.compare(id)
 }
 
+// forgetEntry removes an entry that this process no longer reads. The mutex must be held.
+func (l *List) forgetEntry(id string) {
+	if l.usesList(id) {
+		l.directory.Forget(id)
+	}
+	l.dropEntry(id)
+}
+
 // usesList reports whether the directory's data of an engine is based on the list: this process does not read the
 // engines' own records, or has just begun to and has not read this engine's. The mutex must be held.
 func (l *List) usesList(id string) bool {
--- a/internal/enginelist/reader.go
+++ b/internal/enginelist/reader.go
@@ -1,6 +1,8 @@
 package enginelist
 
 import (
+	"time"
+
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/follow"
@@ -13,6 +15,11 @@
 	partition int
 	whole     bool
 	logger    *log.Logger
+	// Observe, if not nil, is called with the maximum age of each read that says of engines that they leave or are gone.
+	Observe  func(maxAge time.Duration)
+	follower Follower
+	// departures holds the engines of which the current read says that they leave or are gone.
+	departures departureLog
 	// changes counts the records of the current read.
 	changes int
 	// seen holds the engines of the newest entries, until all entries to be read at the start were read.
@@ -31,14 +38,20 @@
 	if r.seen != nil {
 		r.seen[idOf(record.Key)] = true
 	}
-	if err := r.list.apply(r.partition, record); err != nil {
+	departed, err := r.list.apply(r.partition, record)
+	if err != nil {
 		errorlog.Warn(r.logger, "entry of the engine list skipped", err, "key", record.Key, "offset", record.Offset)
+		return
+	}
+	if departed != nil && r.seen == nil {
+		r.departures.add(*departed)
 	}
 }
 
-// Advanced notes that all records below an offset have been applied. It logs their number only: there are too many
-// entries for every process to log each.
+// Advanced notes that all records below an offset have been applied. Of the newest entries it logs the number only: there are too
+// many for every process to log each.
 func (r *Reader) Advanced(end int64) {
+	r.reportDepartures()
 	if r.seen != nil {
 		r.list.caughtUp(r.partition, r.seen, end, r.whole)
 		r.seen = nil
@@ -48,8 +61,33 @@
 	r.list.setReadTo(r.partition, end)
 }
 
+// reportDepartures logs the engines of which the current read says that they leave or are gone.
+func (r *Reader) reportDepartures() {
+	if r.departures.count == 0 {
+		return
+	}
+	confirmed := r.follower.Confirmed()
+	if confirmed.IsZero() {
+		r.departures.write(r.logger, r.partition, 0)
+		return
+	}
+	maxAge := time.Since(confirmed)
+	r.departures.write(r.logger, r.partition, maxAge)
+	if r.Observe != nil {
+		r.Observe(maxAge)
+	}
+}
+
+// Follower delivers the records of a partition.
+type Follower interface {
+	follow.Reader
+	// Confirmed returns when the store last reported that there were no further records.
+	Confirmed() time.Time
+}
+
 // Attach sets the follower that delivers the records. It must be called before the follower runs.
-func (r *Reader) Attach(follower follow.Reader) {
+func (r *Reader) Attach(follower Follower) {
+	r.follower = follower
 	r.list.attach(r.partition, follower)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,7 +94,8 @@
 	onEjection       func(Ejection)
 	pendingEjections []Ejection
 	// peers holds the reports of other processes on engines.
-	peers peers
+	peers      peers
+	departures departures
 }
 
 // NewDirectory returns an empty directory.
@@ -142,6 +143,7 @@
 	if engine.Restarted(found.engine) {
 		oldPool := found.engine.Pool
 		found.restart(engine)
+		d.noteState(engine)
 		d.engineMoved(oldPool, found)
 		return
 	}
@@ -155,6 +157,7 @@
 	}
 	oldPool := found.engine.Pool
 	found.engine = engine
+	d.noteState(engine)
 	if !same || oldPool != engine.Pool {
 		d.engineMoved(oldPool, found)
 	}
@@ -166,6 +169,7 @@
 	added := &entry{engine: engine, rank: unitHash("", engine.ID), loadingUntil: make(map[string]time.Time)}
 	added.cold.unconfirmedSince = now
 	d.engines[engine.ID] = added
+	d.noteState(engine)
 	d.zones.add(engine.Zone, now)
 	if d.zones.returnedWithin(engine.Zone, d.coldLimits[engine.Pool].Duration, now) {
 		d.suspectReturned(added, now)
@@ -214,15 +218,32 @@
 	return merged
 }
 
-// Remove removes an engine together with this node's observations of it.
+// Remove removes an engine that is gone, together with this node's observations of it.
 func (d *Directory) Remove(id string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if found, ok := d.engines[id]; ok {
-		delete(d.engines, id)
-		d.zones.remove(found.engine.Zone)
-		d.poolChanged(found.engine.Pool)
+	if d.remove(id) {
+		d.departures.record(id, true, time.Now())
+	}
+}
+
+// Forget removes an engine that this process no longer needs to know.
+func (d *Directory) Forget(id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.remove(id)
+}
+
+// remove removes an engine and reports whether it was known. The mutex must be held.
+func (d *Directory) remove(id string) bool {
+	found, ok := d.engines[id]
+	if !ok {
+		return false
 	}
+	delete(d.engines, id)
+	d.zones.remove(found.engine.Zone)
+	d.poolChanged(found.engine.Pool)
+	return true
 }
 
 // SetServedVersion records that an engine serves a version of a model.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -115,6 +115,8 @@
 	caughtUp  bool
 	confirmed uptime.Mark
 	connected bool
+	// lostFrom is confirmed as it was when a call failed after others had succeeded.
+	lostFrom uptime.Mark
 	// contacted is set once a call to the store has succeeded or failed; reconnectedAt is when the store last answered
 	// again after failed calls.
 	contacted     bool
@@ -341,7 +343,10 @@
 	if connected && changed && !firstCall {
 		f.reconnectedAt = time.Now()
 	}
-	confirmed := f.confirmed
+	if !connected && changed {
+		f.lostFrom = f.confirmed
+	}
+	lostFrom := f.lostFrom
 	f.mutex.Unlock()
 	if !changed || ctx.Err() != nil {
 		return
@@ -351,10 +356,10 @@
 			f.config.Logger.Debug("following store partition", "partition", f.config.Partition)
 			return
 		}
-		f.config.Logger.Info("store partition regained", "partition", f.config.Partition)
+		f.config.Logger.Info("store partition regained", "partition", f.config.Partition, "unconfirmed_for", ago(lostFrom))
 		return
 	}
-	errorlog.Warn(f.config.Logger, "store partition lost", err, "partition", f.config.Partition, "confirmed_ago", ago(confirmed))
+	errorlog.Warn(f.config.Logger, "store partition lost", err, "partition", f.config.Partition, "confirmed_ago", ago(lostFrom))
 }
 
 // ago returns how long ago a moment was, or "never" for the zero value.
--- a/internal/replica/engines.go
+++ b/internal/replica/engines.go
@@ -195,7 +195,8 @@
 	r.runWhenWanted(ctx, r.actsOnEngines, func(ctx context.Context) {
 		applier := &engineApplier{decoder: r.config.Decoder, directory: r.directory, list: r.list, logger: r.config.Logger}
 		follower := r.follow(keyedlog.Partition{Topic: keyedlog.TopicEngines}, applier)
-		applier.returned = follower.ReconnectedAt
+		applier.returned, applier.confirmed = follower.ReconnectedAt, follower.Confirmed
+		applier.observe = r.metrics.departureNews("record")
 		follower.Run(ctx)
 		applier.stop()
 		r.list.ForgetOwnRecords()
@@ -262,6 +263,7 @@
 		whole := r.needsWholeList(partition)
 		r.runUntilUnwanted(ctx, func() bool { return r.needsWholeList(partition) == whole }, func(ctx context.Context) {
 			reader := enginelist.NewReader(r.list, partition.Number, whole, r.config.Logger)
+			reader.Observe = r.metrics.departureNews("list")
 			defer reader.Close()
 			config := r.followConfig(partition, reader)
 			if !whole {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -26,6 +26,7 @@
 	resumed    prometheus.Histogram
 	weights    prometheus.Histogram
 	moved      prometheus.Counter
+	departures *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -42,8 +43,13 @@
 		moved: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "runs_moved_total", Help: "Runs that moved off engines that leave.",
 		}),
+		departures: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "engine_departure_news_seconds",
+			Help:    "Maximum age of the news, by its source, that engines leave or are gone.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 1.5, 12),
+		}, []string{"source"}),
 	}
-	m.registry.MustRegister(m.requests, m.firstEvent, m.listed, m.resumed, m.weights, m.moved,
+	m.registry.MustRegister(m.requests, m.firstEvent, m.listed, m.resumed, m.weights, m.moved, m.departures,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -68,7 +74,7 @@
 	}
 }
 
-func observer(histogram prometheus.Histogram) func(time.Duration) {
+func observer(histogram prometheus.Observer) func(time.Duration) {
 	return func(took time.Duration) { histogram.Observe(took.Seconds()) }
 }
 
@@ -135,6 +141,19 @@
 	m.gauge("leaving_engine_runs", "Runs of items at engines that leave or whose zone is evacuated.", func() float64 { return float64(runs()) })
 }
 
+// departureNews returns a function that observes the maximum age of what a source says of engines that leave: their own records, or
+// the list.
+func (m *metrics) departureNews(source string) func(maxAge time.Duration) {
+	return observer(m.departures.WithLabelValues(source))
+}
+
+// sentLate registers the number of requests that were written to engines known to leave.
+func (m *metrics) sentLate(count func() int64) {
+	m.counter("requests_to_leaving_engines_total", "Requests written to engines that were known to leave.", func() float64 {
+		return float64(count())
+	})
+}
+
 // holds registers the counts of held reads of results.
 func (m *metrics) holds(stats *jobs.HoldStats) {
 	m.counter("result_reads_held_total", "Reads of results of jobs with a trainer that were held while results arrived.", func() float64 {
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -112,6 +112,12 @@
 	logger *log.Logger
 	// returned returns when the store answered again after an outage.
 	returned func() time.Time
+	// confirmed returns when the store last reported that there were no further records, nil if that is not known.
+	confirmed func() time.Time
+	// observe, if not nil, is called with the maximum age of each read that says of engines that they leave or are gone.
+	observe func(maxAge time.Duration)
+	// departed reports whether the current read says of an engine that it leaves or is gone.
+	departed bool
 	// changes holds the engines that the current read added or changed.
 	changes engineChanges
 
@@ -134,6 +140,7 @@
 	known, found := a.directory.Engine(engine.ID)
 	if !found || known.Draining != engine.Draining {
 		a.changes.add(engine, record.Offset, a.logger)
+		a.departed = a.departed || found && engine.Draining
 	}
 	if found && engine.Restarted(known) {
 		a.logger.Info("engine restarted", "engine", engine.ID, "pool", engine.Pool, "address", engine.Address, "offset", record.Offset)
@@ -148,12 +155,14 @@
 	if _, known := a.directory.Engine(record.Key); !known {
 		return
 	}
+	a.departed = true
 	remaining := renewalWindow - time.Since(a.returned())
 	if remaining <= 0 {
 		a.remove(record)
 		return
 	}
-	a.logger.Info("engine lapsed", "engine", record.Key, "offset", record.Offset, "kept_for", remaining.Round(time.Millisecond))
+	a.logger.Info("engine lapsed", "engine", record.Key, "offset", record.Offset, "kept_for", remaining.Round(time.Millisecond),
+		"max_age", a.maxAge())
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.lapsed == nil {
@@ -165,6 +174,7 @@
 		defer a.mutex.Unlock()
 		if a.lapsed[record.Key] == timer {
 			delete(a.lapsed, record.Key)
+			a.logger.Info("lapsed engine was not renewed", "engine", record.Key, "offset", record.Offset)
 			a.remove(record)
 		}
 	})
@@ -182,14 +192,27 @@
 }
 
 func (a *engineApplier) remove(record keyedlog.Record) {
-	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset)
+	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset, "max_age", a.maxAge())
 	a.directory.Remove(record.Key)
 	a.list.RemoveOwnRecord(record.Key)
 }
 
+// maxAge returns the maximum age of the records of the current read: the store had reported before that there were no further ones. It
+// returns 0 if that is not known.
+func (a *engineApplier) maxAge() time.Duration {
+	if a.confirmed == nil || a.confirmed().IsZero() {
+		return 0
+	}
+	return time.Since(a.confirmed()).Round(time.Millisecond)
+}
+
 // Advanced notes that all records below an offset have been applied.
 func (a *engineApplier) Advanced(end int64) {
 	a.changes.write(a.logger)
+	if a.departed && a.observe != nil {
+		a.observe(a.maxAge())
+	}
+	a.departed = false
 	a.list.OwnRecordsReadTo(end)
 	a.directory.SetSynced()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,7 @@
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/quarantine"
 	"github.com/hillfork/hillfork/internal/scaler"
+	"github.com/hillfork/hillfork/internal/sendguard"
 	"github.com/hillfork/hillfork/internal/storepace"
 	"github.com/hillfork/hillfork/internal/storetimeout"
 	"github.com/hillfork/hillfork/internal/usage"
@@ -105,7 +106,7 @@
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
-	r.config.Client = r.meterRegions(config.Client)
+	r.config.Client = r.meterRegions(r.watchSends(config.Client))
 	config.Client = r.config.Client
 	if config.Connections != nil {
 		r.metrics.connections(config.Connections.Stats)
@@ -177,6 +178,13 @@
 	})
 }
 
+// watchSends returns a client that reports requests to engines that leave.
+func (r *Replica) watchSends(client engineapi.Client) engineapi.Client {
+	watched := sendguard.New(client, r.directory, r.config.Logger)
+	r.metrics.sentLate(watched.Late)
+	return watched
+}
+
 // quarantineCrashes sets up the quarantine of requests that crash engines, and returns the follower of the crash
 // records of all machines.
 func (r *Replica) quarantineCrashes() *follow.Follower {
