--- a/internal/replica/settings.go
+++ b/internal/replica/settings.go
@@ -36,6 +36,8 @@
 	Retention time.Duration
 	// DrainLimit is how long a back end may still receive work after it is known to leave.
 	DrainLimit time.Duration
+	// EngineHeartbeat is how often engines write their records; 0 if the settings don't state it.
+	EngineHeartbeat time.Duration
 	// MinMemberLifetime is the minimum lifetime that the store's groups accept.
 	MinMemberLifetime time.Duration
 	// StoreReadsPerS is the number of reads per second that the store accepts from all replicas together.
