Tell an outage of the store from failed reads of one replica

Cause: an engine whose record is removed up to 2 s after a failed read was kept until 2 s after the next answer, as if the store had been down and the record had lapsed. One refused, throttled or silent read of one replica was enough; where it is in charge of the engine list, the list named the engine that long too. Change: a follower states since when nothing was confirmed, and only a gap of two heartbeats of engines or more is an outage: a record lapses after three heartbeats without a write, so that it can't have lapsed in a shorter one. TestOutageOfTheStoreKeepsEnginesThatLapsed holds the opposite promise; it fails if no gap counts as an outage. Why this works: what one process failed to hear no longer counts for what the engines failed to write. TestLapsedEntriesAreKeptUntilTheyCanBeRenewed unchanged.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -64,6 +64,9 @@
 	// the last record of the block, and the key of that record. If a read ends within a block, the next read begins at the last record
 	// of the block. If that record has another key, other records lie in the block, and all records are read.
 	Block func(record keyedlog.Record) (distance int64, lastKey string, ok bool)
+	// MinOutage is the minimum time for which the store has told nothing before failed calls count as an outage of the store, see
+	// ReconnectedAt; 0 if each failed call counts.
+	MinOutage time.Duration
 	// NewestOnly reports that only the newest record of each key matters: after a disconnection from the store the
 	// follower need not read all records that it has missed.
 	NewestOnly bool
@@ -118,7 +121,7 @@
 	// lostFrom is confirmed as it was when a call failed after others had succeeded.
 	lostFrom uptime.Mark
 	// contacted is set once a call to the store has succeeded or failed; reconnectedAt is when the store last answered
-	// again after failed calls.
+	// again after an outage.
 	contacted     bool
 	reconnectedAt time.Time
 	advanced      broadcast.Signal
@@ -340,7 +343,7 @@
 	firstCall := !f.contacted
 	f.connected = connected
 	f.contacted = true
-	if connected && changed && !firstCall {
+	if connected && changed && !firstCall && f.inOutage() {
 		f.reconnectedAt = time.Now()
 	}
 	if !connected && changed {
@@ -370,18 +373,23 @@
 	return moment.Age().Round(time.Millisecond).String()
 }
 
-// ReconnectedAt returns when the store last answered again after failed calls. While the store is unavailable, and
-// until the records of its first answer have been applied, it returns the current time; the zero time if no call has
-// failed.
+// ReconnectedAt returns when the store last answered again after an outage of at least MinOutage. During an outage, and until the
+// records of the first answer after it have been applied, it returns the current time; the zero time if there was none.
 func (f *Follower) ReconnectedAt() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.contacted && !f.connected {
+	if f.contacted && !f.connected && f.inOutage() {
 		return time.Now()
 	}
 	return f.reconnectedAt
 }
 
+// inOutage reports whether the failed calls up to now are an outage of the store: nothing was confirmed for at least MinOutage. The
+// mutex must be held.
+func (f *Follower) inOutage() bool {
+	return f.lostFrom.IsZero() || f.lostFrom.Age() >= f.config.MinOutage
+}
+
 // Connected reports whether the last call to the store succeeded; true before the first call.
 func (f *Follower) Connected() bool {
 	f.mutex.Lock()
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -226,3 +226,40 @@
 		}
 	})
 }
+
+// TestOutageOfTheStoreKeepsEnginesThatLapsed guards against dropping the engines of a fleet whose records lapsed because no engine could
+// write to the store.
+func TestOutageOfTheStoreKeepsEnginesThatLapsed(t *testing.T) {
+	const (
+		outage  = 4 * time.Second
+		renewed = 1900 * time.Millisecond
+		step    = 10 * time.Millisecond
+	)
+	for fault, name := range faultNames {
+		synctest.Test(t, func(t *testing.T) {
+			s := newDepartureSite(t)
+			defer s.stop()
+			id := s.start()
+			s.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+				if call.Caller == "engine" {
+					return memorylog.None
+				}
+				return fault
+			})
+			time.Sleep(outage)
+			s.put(keyedlog.Partition{Topic: keyedlog.TopicEngines}, id, nil)
+			s.store.Heal()
+			for range renewed / step {
+				time.Sleep(step)
+				if using := s.using(id); len(using) != departureReplicas {
+					t.Fatalf("after an outage with calls %s: %d of %d replicas use the engine", name, len(using), departureReplicas)
+				}
+			}
+			s.engine(id, "application", 100+s.next, "")
+			time.Sleep(5 * time.Second)
+			if using := s.using(id); len(using) != departureReplicas {
+				t.Errorf("after the renewal: %d of %d replicas use the engine", len(using), departureReplicas)
+			}
+		})
+	}
+}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -101,6 +101,11 @@
 // while the store was down. The users' platform guarantees about 2 s.
 const renewalWindow = 2 * time.Second
 
+// minLapseHeartbeats is the minimum duration, in heartbeats of engines, of an outage of the store in which records lapse: a record
+// lapses after three heartbeats without a write, and its last write was at most one heartbeat before the outage. An engine whose
+// record is dropped after a shorter disconnection has left.
+const minLapseHeartbeats = 2
+
 // engineApplier applies the engines' own records. An engine whose record is dropped is gone, unless the store has just
 // returned: then the record may have lapsed while the engine could not renew it, and the engine is kept until it has
 // had time to do so.
@@ -110,7 +115,7 @@
 	// list receives each record.
 	list   *enginelist.List
 	logger *log.Logger
-	// returned returns when the store answered again after an outage.
+	// returned returns when the store last answered again after an outage in which records may have lapsed.
 	returned func() time.Time
 	// confirmed returns when the store last reported that there were no further records, nil if that is not known.
 	confirmed func() time.Time
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -251,10 +251,14 @@
 		// The skipped records may have begun and ended an evacuation.
 		onSkipped = r.directory.UnconfirmCold
 	}
+	var minOutage time.Duration
+	if partition.Topic == keyedlog.TopicEngines {
+		minOutage = minLapseHeartbeats * r.config.Settings.EngineHeartbeat
+	}
 	return follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: readWaits[partition.Topic],
 		MinReadInterval: readSpacings[partition.Topic], NewestOnly: partition.Topic == keyedlog.TopicOperator, Busy: r.busy(partition.Topic), IdleReadInterval: idleSpacing, MaxIdleStartDelay: idleSpread,
-		OnSkipped: onSkipped, Logger: r.config.Logger,
+		OnSkipped: onSkipped, MinOutage: minOutage, Logger: r.config.Logger,
 	}
 }
 
