Let a replica that was cut off leave the engine list to others

Cause: a replica that keeps an engine after an outage of its own, in case the record lapsed, also wrote the engine's entry of the engine list again whenever others had dropped it. All replicas that go by the list used the engine until the first one gave it up, 2 s after its own reconnection. Change: an engine that is kept so counts as lapsed in the list: the replica neither writes nor drops its entry, and takes an entry dropped by another one for the news that the engine is gone. Why this works: those who were in touch decide, and without any the entry stays until each replica has waited for the renewal.

--- a/internal/enginelist/differences.go
+++ b/internal/enginelist/differences.go
@@ -80,6 +80,8 @@
 	entry, isListed := l.listed[id]
 	own, exists := l.ownRecords[id]
 	switch {
+	case l.lapsed[id]:
+		return true
 	case !exists:
 		// An entry that was made from an own record that was not read here yet is not stale.
 		return !isListed || !l.settled && !l.gone[id] || entry.offset >= l.ownRecordsEnd
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -56,8 +56,10 @@
 	readsOwnRecords bool
 	settled         bool
 	readingSince    time.Time
-	// gone holds the engines whose own records were dropped while they were read.
-	gone map[string]bool
+	// gone holds the engines whose own records were dropped while they were read, lapsed those whose own records were dropped just after
+	// an outage of the store and may be written again.
+	gone   map[string]bool
+	lapsed map[string]bool
 	// differences holds the engines whose entries may not match their own records.
 	differences map[string]*difference
 }
@@ -76,7 +78,7 @@
 	return &List{
 		directory: directory, partitions: partitions, listed: make(map[string]listedEntry), known: make(map[int]bool),
 		whole: make(map[int]bool), complete: make(map[int]bool), completeTo: make(map[int]int64), followers: make(map[int]follow.Reader), readTo: make(map[int]int64),
-		ownRecords: make(map[string]engineState), gone: make(map[string]bool), differences: make(map[string]*difference),
+		ownRecords: make(map[string]engineState), gone: make(map[string]bool), lapsed: make(map[string]bool), differences: make(map[string]*difference),
 	}
 }
 
@@ -101,16 +103,32 @@
 	}
 	l.ownRecords[engine.ID] = engineState{engine, offset}
 	delete(l.gone, engine.ID)
+	delete(l.lapsed, engine.ID)
 	l.compare(engine.ID)
 }
 
+// SetLapsed notes that an engine's own record was dropped just after an outage of the store, and may be written again. Until then
+// this process leaves the engine's entry as it is: a process that was not cut off knows whether the engine is gone.
+func (l *List) SetLapsed(id string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lapsed[id] = true
+	l.compare(id)
+}
+
 // RemoveOwnRecord notes that an engine's own record was dropped from the store.
 func (l *List) RemoveOwnRecord(id string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.removeOwnRecord(id)
+	l.compare(id)
+}
+
+// removeOwnRecord removes an engine's own record. The mutex must be held.
+func (l *List) removeOwnRecord(id string) {
 	delete(l.ownRecords, id)
+	delete(l.lapsed, id)
 	l.gone[id] = true
-	l.compare(id)
 }
 
 // OwnRecordsReadTo notes that the engines' own records were read up to an offset. From the first call on they are used
@@ -146,6 +164,7 @@
 	}
 	clear(l.ownRecords)
 	clear(l.gone)
+	clear(l.lapsed)
 	clear(l.differences)
 }
 
@@ -241,9 +260,14 @@
 	l.compare(id)
 }
 
-// dropEntry removes an entry that was dropped from the store. The mutex must be held.
+// dropEntry removes an entry that was dropped from the store. If the engine's own record lapsed, the process that dropped the entry
+// knows that the engine is gone. The mutex must be held.
 func (l *List) dropEntry(id string) {
 	delete(l.listed, id)
+	if l.lapsed[id] {
+		l.removeOwnRecord(id)
+		l.directory.Remove(id)
+	}
 	if l.usesList(id) {
 		l.directory.Remove(id)
 	}
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -263,3 +263,27 @@
 		})
 	}
 }
+
+// TestReplicaAfterOutageKeepsNoEngineInTheList guards against a replica that was cut off naming an engine in the engine list, to all
+// others, that they know to be gone.
+func TestReplicaAfterOutageKeepsNoEngineInTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDepartureSite(t)
+		defer s.stop()
+		_, inCharge := s.owners()
+		engines := keyedlog.Partition{Topic: keyedlog.TopicEngines}
+		for range 20 {
+			id := s.start()
+			s.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+				if call.Caller == inCharge && call.Partition == engines {
+					return memorylog.Down
+				}
+				return memorylog.None
+			})
+			time.Sleep(4 * time.Second)
+			s.store.Heal()
+			time.Sleep(300 * time.Millisecond)
+			s.leave(id, removed, "one replica was cut off before")
+		}
+	})
+}
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -168,6 +168,7 @@
 	}
 	a.logger.Info("engine lapsed", "engine", record.Key, "offset", record.Offset, "kept_for", remaining.Round(time.Millisecond),
 		"max_age", a.maxAge())
+	a.list.SetLapsed(record.Key)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.lapsed == nil {
