Read departures of engines whatever rate of reads is left

Cause: a process limits its reads by the refusals that it gets, of all topics but the operator's together. Seconds after the store had refused calls, reads of the engine list waited behind those of results, at four reads a second, and the store was asked to hold them five times as long. The same holds for a replica that begins to read the whole list as it is assigned a partition. Change: reads of the engines' records and of the engine list count against the rate and never wait for it, as the operator's don't. Why this works: the rate bounds what can wait. These reads are at most five a second and topic, each of what was appended since.

--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/enginelist"
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/standin/memorylog"
 )
 
@@ -126,6 +127,43 @@
 	time.Sleep(6 * time.Second)
 }
 
+// churn has an engine move from address to address, so that the engines' own records and the list are read at their least intervals,
+// until the returned function is called.
+func (s *departureSite) churn() (end func()) {
+	const interval = 70 * time.Millisecond
+	ctx, cancel := context.WithCancel(s.Context())
+	var running sync.WaitGroup
+	running.Go(func() {
+		for number := 1000; pause.For(ctx, interval); number++ {
+			s.engine("moves", "application", number, "")
+		}
+	})
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// readJobs has each replica read results of jobs for several callers, until the returned function is called.
+func (s *departureSite) readJobs() (end func()) {
+	const callers = 10
+	ctx, cancel := context.WithCancel(s.Context())
+	var running sync.WaitGroup
+	for _, r := range s.replicas {
+		for range callers {
+			running.Go(func() {
+				for pause.For(ctx, 50*time.Millisecond) {
+					_, _ = r.config.Log.Read(ctx, keyedlog.Partition{Topic: keyedlog.TopicJobs}, keyedlog.Span{})
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // owners returns the names of the replicas that act on engines and read the engines' own records, followed by the one of them that is
 // in charge of the engine list.
 func (s *departureSite) owners() (names []string, inCharge string) {
@@ -191,6 +229,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newDepartureSite(t)
 		defer s.stop()
+		end := s.churn()
+		defer end()
 		owners, inCharge := s.owners()
 		backup := owners[slices.IndexFunc(owners, func(name string) bool { return name != inCharge })]
 		reader := s.replicas[slices.IndexFunc(s.replicas, func(r *Replica) bool { return !slices.Contains(owners, r.config.Settings.Node) })]
@@ -203,7 +243,7 @@
 		}
 		for _, failing := range calls {
 			for fault, name := range faultNames {
-				for _, before := range []time.Duration{0, 50 * time.Millisecond, 900 * time.Millisecond} {
+				for before := time.Duration(0); before <= 1400*time.Millisecond; before += 100 * time.Millisecond {
 					for _, how := range []departure{announced, removed} {
 						id := s.start()
 						s.failNext(fault, func(call memorylog.Call) bool { return call == failing })
@@ -287,3 +327,35 @@
 		}
 	})
 }
+
+// TestReplicaThatWasThrottledLearnsOfDeparturesInTime guards against reads of departures that wait behind those of other topics, at the
+// rate that is left after the store has refused too many calls.
+func TestReplicaThatWasThrottledLearnsOfDeparturesInTime(t *testing.T) {
+	const (
+		throttled = 4 * time.Second
+		contact   = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newDepartureSite(t)
+		defer s.stop()
+		owners, _ := s.owners()
+		end := s.readJobs()
+		defer end()
+		for _, how := range []departure{announced, removed} {
+			for range 5 {
+				id := s.start()
+				calls := 0
+				s.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+					if calls++; call.Caller != owners[0] && calls%2 == 0 {
+						return memorylog.Throttled
+					}
+					return memorylog.None
+				})
+				time.Sleep(throttled)
+				s.store.Heal()
+				time.Sleep(contact)
+				s.leave(id, how, "the store had refused calls")
+			}
+		}
+	})
+}
--- a/internal/storepace/storepace.go
+++ b/internal/storepace/storepace.go
@@ -1,7 +1,8 @@
 // Package storepace limits a process to its share of the reads that the store serves to all processes together. A process does
 // not know how many others there are; it adapts its rate to refusals, as TCP adapts to the capacity of a path (additive increase,
 // multiplicative decrease): each refusal lowers the rate by a factor, and time without a refusal raises it step by step. Reads of
-// the operator's records are few and are never delayed.
+// the operator's records, of the engines' and of the engine list are few and are never delayed: processes must act on them within
+// seconds.
 package storepace
 
 import (
@@ -64,12 +65,15 @@
 	}
 }
 
-// Read returns records after waiting for the rate limiter. The lower the rate is, the longer the store is asked to hold the read
-// open.
+// Read returns records after waiting for the rate limiter, unless the topic is urgent. The lower the rate is, the longer the store is
+// asked to hold other reads open.
 func (l *Log) Read(
 	ctx context.Context, partition keyedlog.Partition, span keyedlog.Span,
 ) (keyedlog.Batch, error) {
-	if partition.Topic != keyedlog.TopicOperator {
+	if urgent(partition.Topic) {
+		// The read counts, but goes out whether or not the rate allows it.
+		l.limiter.Allow()
+	} else {
 		if err := l.limiter.Wait(ctx); err != nil {
 			return keyedlog.Batch{}, err
 		}
@@ -80,9 +84,14 @@
 	return batch, err
 }
 
-// Newest returns a page of the newest records after waiting for the rate limiter.
+// urgent reports whether reads of a topic are never delayed.
+func urgent(topic keyedlog.Topic) bool {
+	return topic == keyedlog.TopicOperator || topic == keyedlog.TopicEngines || topic == keyedlog.TopicEngineList
+}
+
+// Newest returns a page of the newest records after waiting for the rate limiter, unless the topic is urgent.
 func (l *Log) Newest(ctx context.Context, partition keyedlog.Partition, afterKey string) (keyedlog.Page, error) {
-	if partition.Topic != keyedlog.TopicOperator {
+	if !urgent(partition.Topic) {
 		if err := l.limiter.Wait(ctx); err != nil {
 			return keyedlog.Page{}, err
 		}
