Look at the choice of an engine again before a request is written

Cause: an engine is chosen from what is known at that moment, and a connection to it may take up to 0.8 s. Nobody looked again, so that a request, an item, a hedge or a reward call could reach an engine 0.8 s after the replica had learned that it leaves, on top of the time that the news took. Change: the directory calls whoever waits when it learns of a departure. sendguard, which is around every send, ends the attempt unless it has a connection, and closes a connection that comes at that very moment, so that nothing is written. The attempt counts as not sent, and not as a failure of the engine; what has a connection goes on to its end. Why this works: from the news on nothing is written to the engine, whoever sends. The line `request sent to an engine that leaves` can't be written any more and becomes `request not sent ...`.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -17,6 +17,8 @@
 var (
 	// ErrNotSent means that no byte of the request reached the engine.
 	ErrNotSent = errors.New("engine: request was not sent")
+	// ErrLeaving means that the engine leaves. It is always wrapped together with ErrNotSent.
+	ErrLeaving = errors.New("engine: leaves")
 	// ErrForeignAnswer means that the answer carried the id of another request. The request may have run.
 	ErrForeignAnswer = errors.New("engine: answer belongs to another request")
 	// ErrOtherEngine means that another engine than the intended one answered.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -223,7 +223,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.remove(id) {
-		d.departures.record(id, true, time.Now())
+		d.departures.record(id, time.Now())
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -168,6 +168,8 @@
 	e.cause = result.cause()
 	e.standing = max(e.standing, result.standing)
 	switch {
+	case errors.Is(result.err, engineapi.ErrLeaving):
+		e.recordRejection()
 	case errors.Is(result.err, engineapi.ErrNotSent):
 		directory.Failed(result.engine.ID, result.failure(), e.cause)
 		e.recordRejection()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/engineapi"
@@ -205,9 +206,11 @@
 	case eventrun.EndedNotRun:
 		s.sent--
 		s.rejections++
-		if result.Err != nil {
+		switch {
+		case errors.Is(result.Err, engineapi.ErrLeaving):
+		case result.Err != nil:
 			directory.Failed(engine.ID, policy.FailureToConnect, result.Cause())
-		} else {
+		default:
 			directory.Rejected(engine.ID)
 		}
 	case eventrun.EndedByCaller:
--- a/internal/jobrun/judge.go
+++ b/internal/jobrun/judge.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/eventrun"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
@@ -53,6 +55,9 @@
 	e.exclude, e.rejected = []string{e.engine.ID}, true
 	e.runner.config.Quarantine.ReportNotRun(e.call())
 	directory := e.runner.config.Directory
+	if errors.Is(result.Err, engineapi.ErrLeaving) {
+		return
+	}
 	if result.Err != nil {
 		directory.Failed(e.engine.ID, policy.FailureToConnect, result.Cause())
 		return
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -147,9 +147,9 @@
 	return observer(m.departures.WithLabelValues(source))
 }
 
-// sentLate registers the number of requests that were written to engines known to leave.
-func (m *metrics) sentLate(count func() int64) {
-	m.counter("requests_to_leaving_engines_total", "Requests written to engines that were known to leave.", func() float64 {
+// withheldSends registers the number of requests that were not sent since their engine leaves.
+func (m *metrics) withheldSends(count func() int64) {
+	m.counter("requests_withheld_from_leaving_engines_total", "Requests not sent to the engine that was chosen, since it leaves.", func() float64 {
 		return float64(count())
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -106,7 +106,7 @@
 	r.list = enginelist.NewList(r.directory, r.listPartitions())
 	r.keeper = enginelist.NewKeeper(enginelist.KeeperConfig{Log: config.Log, List: r.list, Logger: config.Logger})
 	r.watchEjections()
-	r.config.Client = r.meterRegions(r.watchSends(config.Client))
+	r.config.Client = r.meterRegions(r.guardSends(config.Client))
 	config.Client = r.config.Client
 	if config.Connections != nil {
 		r.metrics.connections(config.Connections.Stats)
@@ -178,11 +178,11 @@
 	})
 }
 
-// watchSends returns a client that reports requests to engines that leave.
-func (r *Replica) watchSends(client engineapi.Client) engineapi.Client {
-	watched := sendguard.New(client, r.directory, r.config.Logger)
-	r.metrics.sentLate(watched.Late)
-	return watched
+// guardSends returns a client that sends nothing to engines that leave.
+func (r *Replica) guardSends(client engineapi.Client) engineapi.Client {
+	guarded := sendguard.New(client, r.directory, r.config.Logger)
+	r.metrics.withheldSends(guarded.Withheld)
+	return guarded
 }
 
 // quarantineCrashes sets up the quarantine of requests that crash engines, and returns the follower of the crash
--- a/internal/sendguard/sendguard.go
+++ b/internal/sendguard/sendguard.go
@@ -1,10 +1,12 @@
-// Package sendguard watches the requests that are sent to engines: an engine may announce that it leaves between the moment at which it
-// was chosen and the moment at which the request is written, since opening a connection takes time.
+// Package sendguard keeps requests from engines that leave. An engine may announce that it leaves between the moment at which it was
+// chosen and the moment at which the request is written, since opening a connection takes time.
 package sendguard
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,43 +17,94 @@
 
 // Directory knows which engines leave.
 type Directory interface {
-	Departure(id string) (fleet.Departure, bool)
+	// OnDeparture calls a function once when it becomes known that an engine leaves, unless cancel is called before. It returns true
+	// instead if that is known already.
+	OnDeparture(id string, call func()) (cancel func(), leaves bool)
 }
 
-// Client is an engineapi.Client that logs and counts requests which are written to engines that are known to leave.
+// Client is an engineapi.Client that sends no request to an engine that is known to leave.
 type Client struct {
 	engineapi.Client
 	directory Directory
 	logger    *log.Logger
-	late      atomic.Int64
+	withheld  atomic.Int64
 }
 
-// New returns a client that sends by another one.
+// New returns a client that sends by another one, which must call the hooks of package httptrace for its connections.
 func New(client engineapi.Client, directory Directory, logger *log.Logger) *Client {
 	return &Client{Client: client, directory: directory, logger: logger}
 }
 
-// Late returns the number of requests that were written to engines known to leave.
-func (c *Client) Late() int64 {
-	return c.late.Load()
+// Withheld returns the number of requests that were not sent since their engine leaves.
+func (c *Client) Withheld() int64 {
+	return c.withheld.Load()
 }
 
-// Send implements engineapi.Client.
+// Send implements engineapi.Client. If the engine leaves before there is a connection to it, the error wraps engineapi.ErrLeaving.
 func (c *Client) Send(ctx context.Context, engine fleet.Engine, call engineapi.Call) (*engineapi.Reply, error) {
 	chosenAt := time.Now()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { c.report(engine, call, chosenAt) },
-	})
-	return c.Client.Send(ctx, engine, call)
+	ctx, abort := context.WithCancelCause(ctx)
+	waiting := &attempt{abort: abort}
+	cancel, leaves := c.directory.OnDeparture(engine.ID, waiting.engineLeaves)
+	if leaves {
+		abort(nil)
+		return nil, c.withhold(engine, call, chosenAt)
+	}
+	defer cancel()
+	reply, err := c.Client.Send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: waiting.connected}), engine, call)
+	if err != nil {
+		// The context of a reply that was received has to outlive this call.
+		abort(nil)
+	}
+	if err != nil && waiting.withheld() {
+		return nil, c.withhold(engine, call, chosenAt)
+	}
+	return reply, err
+}
+
+// withhold counts and logs a request that is not sent, and returns its error.
+func (c *Client) withhold(engine fleet.Engine, call engineapi.Call, chosenAt time.Time) error {
+	c.withheld.Add(1)
+	c.logger.Info("request not sent to an engine that leaves", "request", call.RequestID, "engine", engine.ID,
+		"chosen_ago", time.Since(chosenAt).Round(time.Millisecond))
+	return fmt.Errorf("%w: %w", engineapi.ErrNotSent, engineapi.ErrLeaving)
+}
+
+// attempt is a request that waits for a connection.
+type attempt struct {
+	abort context.CancelCauseFunc
+
+	mutex sync.Mutex
+	// sending is set once the request has a connection, left once the engine leaves before that.
+	sending, left bool
 }
 
-// report logs a request that is about to be written if its engine is known to leave.
-func (c *Client) report(engine fleet.Engine, call engineapi.Call, chosenAt time.Time) {
-	departure, leaves := c.directory.Departure(engine.ID)
-	if !leaves {
+// engineLeaves aborts the request unless it has a connection.
+func (a *attempt) engineLeaves() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.sending {
 		return
 	}
-	c.late.Add(1)
-	c.logger.Info("request sent to an engine that leaves", "request", call.RequestID, "engine", engine.ID, "gone", departure.Gone,
-		"known_for", time.Since(departure.LearnedAt).Round(time.Millisecond), "chosen_ago", time.Since(chosenAt).Round(time.Millisecond))
+	a.left = true
+	a.abort(engineapi.ErrLeaving)
+}
+
+// connected notes that the request has a connection. The transport may write the request after its context has ended, so the
+// connection of an aborted request is closed.
+func (a *attempt) connected(info httptrace.GotConnInfo) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.left {
+		_ = info.Conn.Close()
+		return
+	}
+	a.sending = true
+}
+
+// withheld reports whether the request was aborted before any of it was sent.
+func (a *attempt) withheld() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.left
 }
