Give departures of engines a budget, with one failed call in it

Cause: each step was short for itself. A replica that goes by the engine list reads what an owner has read and written; a read that is never answered was noticed 1.42 s after it was sent, wherever it happened, and the replicas that stand in for the one in charge of the list waited for up to 1.2 s. The store holds reads of departures open for a quarter of the drain limit (0.5 s of 2 s; 1 s as before on fleets that allow 4 s or more), stand-ins of the list's writer wait for 0.7 s at most, and a replica warns at its start if the sum exceeds its drain limit. Why this works: 0.75 s without a failure, 1.8 s with the worst one, the rest is for machines that are late.

--- a/internal/enginelist/differences.go
+++ b/internal/enginelist/differences.go
@@ -10,16 +10,15 @@
 )
 
 const (
-	// backupDelay and backupJitter determine how long a process that is not the primary of a partition leaves a
-	// difference to others: a random time between backupDelay and their sum. A primary's append is read back within
-	// 0.1 s, and engines that leave go on serving for seconds.
-	backupDelay  = 400 * time.Millisecond
-	backupJitter = 800 * time.Millisecond
+	// backupDelay and MaxBackupDelay limit how long a process that is not the primary of a partition leaves a difference to
+	// others: a random time between them. A primary's append is read back within 0.4 s.
+	backupDelay    = 400 * time.Millisecond
+	MaxBackupDelay = 700 * time.Millisecond
 	// rewriteDelay is how long a completed append is given to be read back. A failed one is repeated after retryDelay
-	// to retryDelay+retryJitter.
-	rewriteDelay = time.Second
-	retryDelay   = 200 * time.Millisecond
-	retryJitter  = 200 * time.Millisecond
+	// to MaxRetryDelay.
+	rewriteDelay  = time.Second
+	retryDelay    = 200 * time.Millisecond
+	MaxRetryDelay = 400 * time.Millisecond
 	// lapsedGrace is how long a process that has begun to read the engines' own records keeps entries of the list that
 	// have no such record. Records that lapsed while the store was down are back within some 2 s of its return, and a
 	// process that has just begun to read can't detect whether it was down.
@@ -71,7 +70,7 @@
 		return
 	}
 	if l.differences[id] == nil {
-		l.differences[id] = &difference{backupAt: time.Now().Add(backupDelay + rand.N(backupJitter))}
+		l.differences[id] = &difference{backupAt: time.Now().Add(backupDelay + rand.N(MaxBackupDelay-backupDelay))}
 	}
 }
 
@@ -179,7 +178,7 @@
 func (l *List) markFailed(records []keyedlog.Record) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	retryAt := time.Now().Add(retryDelay + rand.N(retryJitter))
+	retryAt := time.Now().Add(retryDelay + rand.N(MaxRetryDelay-retryDelay))
 	for _, record := range records {
 		if found := l.differences[idOf(record.Key)]; found != nil {
 			found.retryAt = retryAt
--- a/internal/enginelist/keeper.go
+++ b/internal/enginelist/keeper.go
@@ -15,14 +15,14 @@
 )
 
 const (
-	// repairInterval is the time between two comparisons of the list with the engines' own records. Changes within one
+	// RepairInterval is the time between two comparisons of the list with the engines' own records. Changes within one
 	// interval are written together.
-	repairInterval = 100 * time.Millisecond
+	RepairInterval = 100 * time.Millisecond
 	// maxAppendRecords limits the records of one append to some 60 KB.
 	maxAppendRecords = 1000
-	// confirmTimeout limits how long a process that is not the primary waits to catch up with the list before it
+	// ConfirmTimeout limits how long a process that is not the primary waits to catch up with the list before it
 	// repairs it.
-	confirmTimeout = 300 * time.Millisecond
+	ConfirmTimeout = 300 * time.Millisecond
 )
 
 // errNotRead reports that a partition of the list is not being read.
@@ -59,7 +59,7 @@
 
 // Run keeps the list up to date until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(repairInterval)
+	ticker := time.NewTicker(RepairInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -89,7 +89,7 @@
 	if follower == nil {
 		return errNotRead
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ConfirmTimeout)
 	defer cancel()
 	return follow.WaitUntilCurrent(ctx, k.config.Log, keyedlog.Partition{Topic: keyedlog.TopicEngineList, Number: number}, follower)
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,6 +24,8 @@
 	// minBackoff and maxBackoff bound the pause after a failed call. The log bounds the duration of each call.
 	minBackoff = 40 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
+	// FirstBackoff is the maximum pause after a first failed call.
+	FirstBackoff = 2 * minBackoff
 )
 
 // Applier applies the records of a partition. All calls come from one goroutine.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -162,6 +162,7 @@
 	})
 	r.joinGroups(rollers, reporting)
 	r.limitColdSenders()
+	r.checkDepartureBudget()
 	return r
 }
 
@@ -256,7 +257,7 @@
 		minOutage = minLapseHeartbeats * r.config.Settings.EngineHeartbeat
 	}
 	return follow.Config{
-		Log: r.config.Log, Partition: partition, Applier: applier, Wait: readWaits[partition.Topic],
+		Log: r.config.Log, Partition: partition, Applier: applier, Wait: r.readWait(partition.Topic),
 		MinReadInterval: readSpacings[partition.Topic], NewestOnly: partition.Topic == keyedlog.TopicOperator, Busy: r.busy(partition.Topic), IdleReadInterval: idleSpacing, MaxIdleStartDelay: idleSpread,
 		OnSkipped: onSkipped, MinOutage: minOutage, Logger: r.config.Logger,
 	}
--- a/internal/storetimeout/log.go
+++ b/internal/storetimeout/log.go
@@ -13,6 +13,12 @@
 // readSlack is the time that a read that the store holds open may take beyond the requested wait.
 const readSlack = 300 * time.Millisecond
 
+// MaxSilence returns how long a read of a store that was healthy until then takes to fail if it is not answered. wait is how long the
+// store may hold the read open.
+func MaxSilence(wait time.Duration) time.Duration {
+	return wait + readSlack + minTimeout
+}
+
 // A join may take maxGroupTimeout or the member's lifetime divided by lifetimeDivisor, whichever is shorter, so that another join
 // can reach the store in time once it is back.
 const (
