Keep engines that are gone out of use when the list is used again

Cause: a replica that ends to read the engines' own records, because it has released its partitions, went back to the engine list with all that it names, also engines whose records it had seen dropped and that the list did not lack yet. Evidence: TestEngineThatIsGoneIsNotTakenFromTheListAgain fails on the code before at its first check. Change: an entry that is older than the own record whose removal the replica has seen is not used; for 10 s, so that a replica which was wrong comes back to what those who read the record go on to say. Why this works: the offset in an entry tells whether it is older than the news.

--- a/internal/enginelist/differences.go
+++ b/internal/enginelist/differences.go
@@ -78,12 +78,13 @@
 func (l *List) upToDate(id string) bool {
 	entry, isListed := l.listed[id]
 	own, exists := l.ownRecords[id]
+	_, isGone := l.gone[id]
 	switch {
 	case l.lapsed[id]:
 		return true
 	case !exists:
 		// An entry that was made from an own record that was not read here yet is not stale.
-		return !isListed || !l.settled && !l.gone[id] || entry.offset >= l.ownRecordsEnd
+		return !isListed || !l.settled && !isGone || entry.offset >= l.ownRecordsEnd
 	case !l.pools[own.engine.Pool]:
 		return true
 	default:
--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -362,3 +362,38 @@
 		is.Equal(owner.keeper.Written(), int64(3)) // the engine, that all were written, and its change
 	})
 }
+
+// TestEngineThatIsGoneIsNotTakenFromTheListAgain guards against forgetting a departure as the own records are no longer read, while the
+// list still names the engine.
+func TestEngineThatIsGoneIsNotTakenFromTheListAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		owner, other := startProcess(t, store, "owner", true), startProcess(t, store, "other", true)
+		defer owner.stop()
+		defer other.stop()
+		owner.keeper.Gained(t.Context(), partition, 1)
+		owner.readOwnRecords(0, makeEngines(3)...)
+		other.readOwnRecords(0, makeEngines(3)...)
+		time.Sleep(time.Second)
+		uses := func(id string) bool {
+			_, found := other.directory.Engine(id)
+			return found
+		}
+		for _, id := range []string{"engine-0", "engine-1"} {
+			other.directory.Remove(id)
+			other.list.RemoveOwnRecord(id)
+		}
+		other.list.ForgetOwnRecords()
+		is.True(!uses("engine-0") && !uses("engine-1") && uses("engine-2"))
+
+		returned := engine(1)
+		returned.Slots++
+		owner.readOwnRecords(3, returned)
+		time.Sleep(time.Second)
+		is.True(uses("engine-1"))  // a later record of the same engine counts
+		is.True(!uses("engine-0")) // the list still names it
+		time.Sleep(20 * time.Second)
+		is.True(uses("engine-0")) // those who read its record go on to name it
+	})
+}
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -14,6 +14,7 @@
 package enginelist
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -56,9 +57,10 @@
 	readsOwnRecords bool
 	settled         bool
 	readingSince    time.Time
-	// gone holds the engines whose own records were dropped while they were read, lapsed those whose own records were dropped just after
-	// an outage of the store and may be written again.
-	gone   map[string]bool
+	// gone holds the engines whose own records were dropped while they were read, with the offset of the last one: entries made from it
+	// or earlier ones are out of date. lapsed holds those whose own records were dropped just after an outage of the store and may be
+	// written again.
+	gone   map[string]int64
 	lapsed map[string]bool
 	// differences holds the engines whose entries may not match their own records.
 	differences map[string]*difference
@@ -78,7 +80,7 @@
 	return &List{
 		directory: directory, partitions: partitions, listed: make(map[string]listedEntry), known: make(map[int]bool),
 		whole: make(map[int]bool), complete: make(map[int]bool), completeTo: make(map[int]int64), followers: make(map[int]follow.Reader), readTo: make(map[int]int64),
-		ownRecords: make(map[string]engineState), gone: make(map[string]bool), lapsed: make(map[string]bool), differences: make(map[string]*difference),
+		ownRecords: make(map[string]engineState), gone: make(map[string]int64), lapsed: make(map[string]bool), differences: make(map[string]*difference),
 	}
 }
 
@@ -126,9 +128,9 @@
 
 // removeOwnRecord removes an engine's own record. The mutex must be held.
 func (l *List) removeOwnRecord(id string) {
+	l.gone[id] = l.ownRecords[id].offset
 	delete(l.ownRecords, id)
 	delete(l.lapsed, id)
-	l.gone[id] = true
 }
 
 // OwnRecordsReadTo notes that the engines' own records were read up to an offset. From the first call on they are used
@@ -145,7 +147,12 @@
 	l.compareAll()
 }
 
-// ForgetOwnRecords notes that the engines' own records are not read any more. From here on the list is used.
+// outdatedLifetime is how long an entry that is out of date is not used after the own records are no longer read: much longer than
+// another process takes to repair it.
+const outdatedLifetime = 10 * time.Second
+
+// ForgetOwnRecords notes that the engines' own records are not read any more. From here on the list is used, except for entries of
+// engines that are known to be gone.
 func (l *List) ForgetOwnRecords() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -159,15 +166,38 @@
 			l.directory.Forget(id)
 		}
 	}
-	for _, found := range l.listed {
-		l.directory.Upsert(found.engine)
+	for id, found := range l.listed {
+		if !l.outdated(id) {
+			l.directory.Upsert(found.engine)
+		}
 	}
 	clear(l.ownRecords)
-	clear(l.gone)
+	maps.DeleteFunc(l.gone, func(id string, _ int64) bool { return !l.outdated(id) })
+	time.AfterFunc(outdatedLifetime, l.useOutdated)
 	clear(l.lapsed)
 	clear(l.differences)
 }
 
+// outdated reports whether the entry of an engine is older than the news that the engine is gone. The mutex must be held.
+func (l *List) outdated(id string) bool {
+	last, isGone := l.gone[id]
+	entry, isListed := l.listed[id]
+	return isGone && isListed && entry.offset <= last
+}
+
+// useOutdated has the list used for all engines again, unless the own records are read.
+func (l *List) useOutdated() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.readsOwnRecords {
+		return
+	}
+	clear(l.gone)
+	for _, found := range l.listed {
+		l.directory.Upsert(found.engine)
+	}
+}
+
 // apply applies a record of a partition of the list. It returns what the record says of an engine that leaves or is gone, nil if
 // there is no such engine or it was listed as such before.
 func (l *List) apply(partition int, record keyedlog.Record) (*departure, error) {
@@ -254,7 +284,7 @@
 	id := found.engine.ID
 	newest := max(found.offset, l.listed[id].newest)
 	l.listed[id] = listedEntry{found, newest}
-	if l.usesList(id) && found.offset == newest {
+	if l.usesList(id) && found.offset == newest && !l.outdated(id) {
 		l.directory.Upsert(found.engine)
 	}
 	l.compare(id)
@@ -287,7 +317,8 @@
 // engines' own records, or has just begun to and has not read this engine's. The mutex must be held.
 func (l *List) usesList(id string) bool {
 	_, exists := l.ownRecords[id]
-	return !l.readsOwnRecords || !l.settled && !exists && !l.gone[id]
+	_, isGone := l.gone[id]
+	return !l.readsOwnRecords || !l.settled && !exists && !isGone
 }
 
 // publishKnown marks the directory as known once all engines that requests are sent to are known. The mutex must be
