--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -199,7 +199,7 @@
 }
 
 // apply applies a record of a partition of the list. It returns what the record says of an engine that leaves or is gone, nil if
-// there is no such engine or it was listed as such before.
+// there is no such engine, it was listed as such before, or this process reads the engines' own records.
 func (l *List) apply(partition int, record keyedlog.Record) (*departure, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -213,7 +213,7 @@
 		return nil, nil
 	case record.Value == nil:
 		l.dropEntry(id)
-		if !isListed {
+		if !isListed || l.readsOwnRecords {
 			return nil, nil
 		}
 		return &departure{engineState: before.engineState, gone: true}, nil
@@ -223,7 +223,7 @@
 		return nil, err
 	}
 	l.putEntry(found)
-	if !found.engine.Draining || isListed && before.engine.Draining {
+	if l.readsOwnRecords || !found.engine.Draining || isListed && before.engine.Draining {
 		return nil, nil
 	}
 	return &departure{engineState: found}, nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -254,7 +254,7 @@
 	}
 	var minOutage time.Duration
 	if partition.Topic == keyedlog.TopicEngines {
-		minOutage = minLapseHeartbeats * r.config.Settings.EngineHeartbeat
+		minOutage = minLapseHeartbeats * r.config.Settings.engineHeartbeat()
 	}
 	return follow.Config{
 		Log: r.config.Log, Partition: partition, Applier: applier, Wait: r.readWait(partition.Topic),
--- a/internal/replica/settings.go
+++ b/internal/replica/settings.go
@@ -50,6 +50,17 @@
 	UsageReportLimit time.Duration
 }
 
+// defaultEngineHeartbeat is assumed where the settings don't state how often engines write their records.
+const defaultEngineHeartbeat = time.Second
+
+// engineHeartbeat returns how often engines write their records.
+func (s Settings) engineHeartbeat() time.Duration {
+	if s.EngineHeartbeat <= 0 {
+		return defaultEngineHeartbeat
+	}
+	return s.EngineHeartbeat
+}
+
 // regions returns the regions of the fleet, sorted.
 func (s Settings) regions() []string {
 	regions := slices.Compact(slices.Sorted(maps.Values(s.Regions)))
