--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -173,7 +173,9 @@
 	}
 	clear(l.ownRecords)
 	maps.DeleteFunc(l.gone, func(id string, _ int64) bool { return !l.outdated(id) })
-	time.AfterFunc(outdatedLifetime, l.useOutdated)
+	if len(l.gone) > 0 {
+		time.AfterFunc(outdatedLifetime, l.useOutdated)
+	}
 	clear(l.lapsed)
 	clear(l.differences)
 }
--- a/internal/replica/departurebudget.go
+++ b/internal/replica/departurebudget.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// departureWaitShare is the fraction of Settings.DrainLimit for which the store may hold a read of departures open: a read that is
+	// departureWaitShare divides Settings.DrainLimit into the time for which the store may hold a read of departures open: a read that is
 	// lost is noticed only after that.
 	departureWaitShare = 4
 	// storeCallTime is what a call to a healthy store is allowed.
--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -163,6 +163,7 @@
 	a.departed = true
 	remaining := renewalWindow - time.Since(a.returned())
 	if remaining <= 0 {
+		a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset, "max_age", a.maxAge())
 		a.remove(record)
 		return
 	}
@@ -198,7 +199,6 @@
 }
 
 func (a *engineApplier) remove(record keyedlog.Record) {
-	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset, "max_age", a.maxAge())
 	a.directory.Remove(record.Key)
 	a.list.RemoveOwnRecord(record.Key)
 }
