--- a/internal/sendguard/sendguard.go
+++ b/internal/sendguard/sendguard.go
@@ -93,13 +93,17 @@
 // connected notes that the request has a connection. The transport may write the request after its context has ended, so the
 // connection of an aborted request is closed.
 func (a *attempt) connected(info httptrace.GotConnInfo) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if a.left {
+	if !a.begin() {
 		_ = info.Conn.Close()
-		return
 	}
-	a.sending = true
+}
+
+// begin notes that the request is about to be written, and returns false if it was aborted.
+func (a *attempt) begin() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.sending = !a.left
+	return a.sending
 }
 
 // withheld reports whether the request was aborted before any of it was sent.
--- a/internal/sendguard/sendguard_test.go
+++ b/internal/sendguard/sendguard_test.go
@@ -112,3 +112,29 @@
 		engine.transport.CloseIdleConnections()
 	})
 }
+
+// TestDepartureAtTheMomentOfConnection guards against requests that are reported as not sent and were written.
+func TestDepartureAtTheMomentOfConnection(t *testing.T) {
+	withheld := 0
+	for range 300 {
+		synctest.Test(t, func(t *testing.T) {
+			engine, directory := newSlowEngine(), fleet.NewDirectory()
+			directory.Upsert(fleet.Engine{ID: "e", Pool: "p"})
+			client := New(engine, directory, log.New(io.Discard))
+			time.AfterFunc(dialTime, func() { directory.Remove("e") })
+			reply, err := client.Send(t.Context(), fleet.Engine{ID: "e"}, engineapi.Call{})
+			if err == nil {
+				_, _ = io.Copy(io.Discard, reply.Body)
+				_ = reply.Body.Close()
+			} else {
+				withheld++
+			}
+			time.Sleep(2 * answerTime)
+			if sent := engine.requests.Load() == 1; sent == errors.Is(err, engineapi.ErrNotSent) {
+				t.Errorf("the request was sent: %v, and the error is %v", sent, err)
+			}
+			engine.transport.CloseIdleConnections()
+		})
+	}
+	t.Logf("%d of 300 requests were withheld", withheld)
+}
