--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -363,8 +363,7 @@
 	})
 }
 
-// TestEngineThatIsGoneIsNotTakenFromTheListAgain guards against forgetting a departure as the own records are no longer read, while the
-// list still names the engine.
+// TestEngineThatIsGoneIsNotTakenFromTheListAgain guards against forgetting a departure while the list still names the engine.
 func TestEngineThatIsGoneIsNotTakenFromTheListAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -223,8 +223,7 @@
 	})
 }
 
-// TestDeparturesReachAllReplicasDespiteOneFailure guards against a path from an engine's record to the replicas that takes longer than
-// the limit when one call fails, or one replica stops, on the way.
+// TestDeparturesReachAllReplicasDespiteOneFailure guards against news that exceeds the limit if one call fails, or one replica stops.
 func TestDeparturesReachAllReplicasDespiteOneFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newDepartureSite(t)
@@ -273,8 +272,7 @@
 	})
 }
 
-// TestOutageOfTheStoreKeepsEnginesThatLapsed guards against dropping the engines of a fleet whose records lapsed because no engine could
-// write to the store.
+// TestOutageOfTheStoreKeepsEnginesThatLapsed guards against dropping engines that could not write to the store.
 func TestOutageOfTheStoreKeepsEnginesThatLapsed(t *testing.T) {
 	const (
 		outage  = 4 * time.Second
@@ -310,8 +308,7 @@
 	}
 }
 
-// TestReplicaAfterOutageKeepsNoEngineInTheList guards against a replica that was cut off naming an engine in the engine list, to all
-// others, that they know to be gone.
+// TestReplicaAfterOutageKeepsNoEngineInTheList guards against a replica that was cut off overruling those that were not.
 func TestReplicaAfterOutageKeepsNoEngineInTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newDepartureSite(t)
@@ -334,8 +331,7 @@
 	})
 }
 
-// TestReplicaThatWasThrottledLearnsOfDeparturesInTime guards against reads of departures that wait behind those of other topics, at the
-// rate that is left after the store has refused too many calls.
+// TestReplicaThatWasThrottledLearnsOfDeparturesInTime guards against reads of departures that wait behind those of other topics.
 func TestReplicaThatWasThrottledLearnsOfDeparturesInTime(t *testing.T) {
 	const (
 		throttled = 4 * time.Second
