Let owners remember the engines that they saw go

Cause: a replica that has just begun to read the engines' own records uses entries of the list without a record for 2 s, except for engines whose removal it has read. A drop of the entry made it forget that, so that an entry which a replica that had been turned away wrote again was used. TestOwnerTakesNoEngineBackThatItSawGo fails on the code before. Change: the removal is remembered while the records are read; beyond 1,000 engines those that the list does not name are forgotten. Why this works: the entry is older than the removal, whoever writes it again, also a build before this one.

--- a/internal/enginelist/enginelist_test.go
+++ b/internal/enginelist/enginelist_test.go
@@ -396,3 +396,29 @@
 		is.True(uses("engine-0")) // those who read its record go on to name it
 	})
 }
+
+// TestOwnerTakesNoEngineBackThatItSawGo guards against an entry that a suspended or cut-off writer puts back into the list.
+func TestOwnerTakesNoEngineBackThatItSawGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, PageRecords: 500})
+		owner := startProcess(t, store, "owner", true)
+		defer owner.stop()
+		owner.keeper.Gained(t.Context(), partition, 1)
+		owner.readOwnRecords(0, makeEngines(3)...)
+		time.Sleep(300 * time.Millisecond)
+		former := store.Records(partition)
+		owner.directory.Remove("engine-1")
+		owner.list.RemoveOwnRecord("engine-1")
+		time.Sleep(300 * time.Millisecond)
+		for _, record := range former {
+			_, err := store.For("suspended").Append(t.Context(), partition, []keyedlog.Record{{Key: record.Key, Value: record.Value}}, nil)
+			is.NoErr(err)
+		}
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			_, found := owner.directory.Engine("engine-1")
+			is.True(!found)
+		}
+	})
+}
--- a/internal/enginelist/list.go
+++ b/internal/enginelist/list.go
@@ -128,6 +128,9 @@
 
 // removeOwnRecord removes an engine's own record. The mutex must be held.
 func (l *List) removeOwnRecord(id string) {
+	if len(l.gone) >= maxGone {
+		l.forgetUnlisted()
+	}
 	l.gone[id] = l.ownRecords[id].offset
 	delete(l.ownRecords, id)
 	delete(l.lapsed, id)
@@ -151,6 +154,14 @@
 // another process takes to repair it.
 const outdatedLifetime = 10 * time.Second
 
+// maxGone is the number of engines that are gone from which on those that are not listed are forgotten.
+const maxGone = 1000
+
+// forgetUnlisted forgets the engines that are gone and of which no entry is out of date. The mutex must be held.
+func (l *List) forgetUnlisted() {
+	maps.DeleteFunc(l.gone, func(id string, _ int64) bool { return !l.outdated(id) })
+}
+
 // ForgetOwnRecords notes that the engines' own records are not read any more. From here on the list is used, except for entries of
 // engines that are known to be gone.
 func (l *List) ForgetOwnRecords() {
@@ -172,7 +183,7 @@
 		}
 	}
 	clear(l.ownRecords)
-	maps.DeleteFunc(l.gone, func(id string, _ int64) bool { return !l.outdated(id) })
+	l.forgetUnlisted()
 	if len(l.gone) > 0 {
 		time.AfterFunc(outdatedLifetime, l.useOutdated)
 	}
@@ -303,7 +314,6 @@
 	if l.usesList(id) {
 		l.directory.Remove(id)
 	}
-	delete(l.gone, id)
 	l.compare(id)
 }
 
