--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -73,7 +73,7 @@
 		time.Sleep(5*heartbeat + contact)
 	}
 	const id, count = "step4", 4
-	items := s.itemsOf(model, id, count, func(int) int { return 4 })
+	items := s.itemsOf(id, count, func(int) int { return 4 })
 	var requests []item
 	for i := range count {
 		next := items[fmt.Sprintf("%s.i%02d", id, i)]
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"hash/fnv"
 	"os"
 	"os/signal"
 	"strings"
@@ -22,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(ctx context.Context, s *site, trouble bool) error{"entry": entryCase, "crash": crashCase, "extra": extraCase}
+	cases := map[string]func(ctx context.Context, s *site, trouble bool) error{"late": lateCase, "crash": crashCase, "extra": extraCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -69,9 +68,7 @@
 }
 
 const (
-	// Two models are trained, each by a trainer of its own.
 	model      = "m0"
-	otherModel = "m1"
 	jobsPrefix = "/draft/"
 	syncPrefix = "/sync/"
 	filePrefix = "/file/"
@@ -89,7 +86,7 @@
 	}
 	for i := range 8 {
 		s.samplers = append(s.samplers, &sampler{id: fmt.Sprintf("i-draft%d", i), service: modelPool, slots: 8, pace: 40 * time.Millisecond,
-			versions: map[string]int64{model: 1, otherModel: 1}})
+			versions: map[string]int64{model: 1}})
 	}
 	for i := range 3 {
 		s.samplers = append(s.samplers, &sampler{id: fmt.Sprintf("i-desk%d", i), service: appPool, slots: 6, pace: 25 * time.Millisecond})
@@ -124,7 +121,7 @@
 		"services": []map[string]any{
 			{
 				"name": modelPool, "healthPath": "/health", "maxConns": 150, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 8, "kvCapacity": 103490, "models": []map[string]string{{"name": model}, {"name": otherModel}}},
+				"engine": map[string]any{"slots": 8, "kvCapacity": 103490, "models": []map[string]string{{"name": model}}},
 			},
 			{"name": appPool, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false},
 		},
@@ -137,11 +134,11 @@
 	return s.startAll()
 }
 
-// newItem returns an item of a model whose output has a number of events.
-func newItem(trained, id string, events, group int) item {
+// newItem returns an item whose output has a number of events.
+func newItem(id string, events, group int) item {
 	return item{
 		ID: id, Path: fmt.Sprintf("%s3/%s-%d", jobsPrefix, id, events), Body: encoded("prompt of " + id), Tokens: 16 + 45*events,
-		Headers: map[string]string{"X-Model": trained, "X-Token-Count": fmt.Sprintf("16,%d", 45*events), "X-Prefix-Hash": "9c2e41:16"},
+		Headers: map[string]string{"X-Model": model, "X-Token-Count": fmt.Sprintf("16,%d", 45*events), "X-Prefix-Hash": "9c2e41:16"},
 		Group:   fmt.Sprintf("g%d", group),
 	}
 }
@@ -156,10 +153,3 @@
 func (s *site) holder(group, part string) *replica {
 	return s.byName(machineOf(s.store.Holder(group, part)))
 }
-
-// partitionOf returns the partition that a name is dealt to, of the topics whose partitions are chosen so.
-func partitionOf(topic, name string) string {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(name))
-	return fmt.Sprintf("%s/%d", topic, hash.Sum32()%partitions)
-}
