--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -33,21 +33,19 @@
 
 // replica is one machine of the system with its process.
 type replica struct {
-	site        *site
-	name        string
-	ip          string
-	zone        string
-	front       string
-	ready       string
-	storeAddr   string
-	settings    string
-	mutex       sync.Mutex
-	process     *exec.Cmd
-	done        chan struct{}
-	ordered     bool
-	unexpected  int
-	starts      int
-	startedOnce bool
+	site       *site
+	name       string
+	ip         string
+	zone       string
+	front      string
+	ready      string
+	storeAddr  string
+	settings   string
+	mutex      sync.Mutex
+	process    *exec.Cmd
+	done       chan struct{}
+	ordered    bool
+	unexpected int
 }
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
@@ -173,7 +171,6 @@
 	}
 	done := make(chan struct{})
 	r.process, r.done, r.ordered = command, done, false
-	r.starts++
 	r.site.record.printf("process of %s started, pid %d", r.name, command.Process.Pid)
 	go func() {
 		_ = command.Wait()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -447,44 +446,9 @@
 	answer(w, http.StatusOK, map[string]any{"parts": parts})
 }
 
-// Holder returns the member of a group that holds a partition, and the partitions that each member holds.
+// Holder returns the member of a group that holds a partition, empty if there is none.
 func (s *Store) Holder(groupName, part string) string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.group(groupName).owner[part]
 }
-
-// Find returns the partition and offset of the first record whose key has a prefix, in the partitions of a topic.
-func (s *Store) Find(topic, prefix string) (part string, offset int, found bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for name, p := range s.parts {
-		if !strings.HasPrefix(name, topic+"/") {
-			continue
-		}
-		for i, next := range p.records {
-			if strings.HasPrefix(next.key, prefix) {
-				return name, i, true
-			}
-		}
-	}
-	return "", 0, false
-}
-
-// Offsets lists the offsets of the records of a topic whose keys have a prefix, as text.
-func (s *Store) Offsets(topic, prefix string) string {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var lines []string
-	for name, p := range s.parts {
-		if !strings.HasPrefix(name, topic+"/") {
-			continue
-		}
-		for i, next := range p.records {
-			if strings.HasPrefix(next.key, prefix) {
-				lines = append(lines, fmt.Sprintf("%s@%d", next.key, i))
-			}
-		}
-	}
-	return strings.Join(lines, " ")
-}
