--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -58,12 +58,12 @@
 		})
 	}
 	for wave := range 48 {
-		for i := range 40 {
+		for i := range 36 {
 			send(s.replicas[i%(len(s.replicas)-1)], syncPrefix, fmt.Sprintf("lookup%02d-%02d", wave, i))
 		}
-		time.Sleep(8 * time.Millisecond)
+		time.Sleep(14 * time.Millisecond)
 		send(s.replicas[len(s.replicas)-1], filePrefix, fmt.Sprintf("filing%02d", wave))
-		time.Sleep(142 * time.Millisecond)
+		time.Sleep(136 * time.Millisecond)
 	}
 	answered.Wait()
 	time.Sleep(time.Second)
