Review: a script that is ended ends its processes at once

Cause: a script that got SIGTERM or ran over its time went on to its end. Change: it ends what it started and exits with 2.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,6 +48,17 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	record.printf("trouble: %t", trouble)
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() {
+		select {
+		case <-finished:
+		case <-ctx.Done():
+			record.printf("the case was ended")
+			s.close()
+			os.Exit(2)
+		}
+	}()
 	if err := run(ctx, s, trouble); err != nil {
 		record.printf("the case could not run: %v", err)
 		fmt.Println("the case could not run:", err)
