Run no job again that the index has as settled

Cause: an append of a job's items got no answer and was repeated; the store applied the first call 2.5 s later, behind the job's results. The next owner reads the partition from the newest settled job on, so that it read the copy of the items and no result. A job counted as open if its items were read, it had not ended and not all of its items were listed in what was read. Broken assumption: whoever has read a job's items has read everything before its results.

Ruled out: a second index entry (the script delays an append of items only, and sends the job once), and the reading side (it takes results by key).

Change: a job is open only if the index has it neither as ended nor as settled, and the ledger covers the partition from the job's submission on (Ledger.SetReadFrom). Both places that asked go through one function.

Conclusion: late copies of items and slow processes that store a job again no longer change a settled job.

--- a/internal/job/ledger.go
+++ b/internal/job/ledger.go
@@ -19,6 +19,8 @@
 	mutex   sync.Mutex
 	fold    *fold
 	changed broadcast.Signal
+	// readFrom is the offset from which on the partition is read.
+	readFrom int64
 }
 
 // NewLedger returns an empty ledger for a partition.
@@ -35,6 +37,14 @@
 	return err
 }
 
+// SetReadFrom sets the offset from which on the partition is read, 0 initially. A job whose submission lies below it is not open: its
+// results may lie below it too.
+func (l *Ledger) SetReadFrom(offset int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.readFrom = offset
+}
+
 // Changed returns a channel that is closed when the next record is applied.
 func (l *Ledger) Changed() <-chan struct{} {
 	l.mutex.Lock()
@@ -81,6 +91,13 @@
 	return status, exists && status.Entry.StorePartition() == l.partition
 }
 
+// lookUpOpen returns the status of a job in the index, and false unless the job may get more results and all its results were read.
+// That its items were read is not enough: the store may hold a copy of them behind its results.
+func (l *Ledger) lookUpOpen(id string) (Status, bool) {
+	status, exists := l.lookUp(id)
+	return status, exists && !status.Ended && !status.Settled && status.Entry.Offset >= l.readFrom
+}
+
 func (s *jobState) view(status Status) View {
 	return View{
 		Spec: s.spec, Listed: s.visible, ProgressCount: s.progressCount, Ended: status.Ended, AcceptedAt: status.AcceptedAt,
@@ -194,13 +211,13 @@
 	Progress *Progress
 }
 
-// Open returns the items of a job that are not listed, and none if the job has ended.
+// Open returns the items of a job that are not listed, and none if no more results of the job are listed.
 func (l *Ledger) Open(id string) []OpenItem {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	found, ok := l.fold.jobs[id]
-	status, exists := l.lookUp(id)
-	if !ok || found.spec == nil || !exists || status.Ended {
+	_, isOpen := l.lookUpOpen(id)
+	if !ok || found.spec == nil || !isOpen {
 		return nil
 	}
 	var open []OpenItem
@@ -212,7 +229,7 @@
 	return open
 }
 
-// OpenJobs returns the jobs that have not ended and have items that are not listed, oldest first.
+// OpenJobs returns the jobs that may get more results and have items that are not listed, oldest first.
 func (l *Ledger) OpenJobs() []View {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -221,7 +238,7 @@
 		if job.spec == nil || len(job.listed) == len(job.spec.Items) {
 			continue
 		}
-		if status, exists := l.lookUp(id); exists && !status.Ended {
+		if status, isOpen := l.lookUpOpen(id); isOpen {
 			views = append(views, job.view(status))
 		}
 	}
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -51,6 +51,7 @@
 // follower reads the whole range.
 func (r *runner) follow(ctx context.Context, end int64) *follow.Follower {
 	r.readFrom = r.config.Index.StartOffset(r.partition, end)
+	r.ledger.SetReadFrom(r.readFrom)
 	from := end
 	if err := follow.RangeConcurrently(ctx, r.config.Log, r.partition, r.readFrom, end, applier{r}); err != nil {
 		errorlog.Debug(r.config.Logger, "parallel read failed, reading sequentially", err, "partition", r.partition, "from", r.readFrom, "end", end)
@@ -80,6 +81,7 @@
 		return
 	}
 	r.readFrom = from
+	r.ledger.SetReadFrom(from)
 }
 
 // settleJobs closes jobs that have ended or whose results are all listed, and records this in the index, so that no process
