Store each submission once, and agree on the entry of a job in any order

Cause: an append of an index entry without an answer was repeated under the same key, and the store did the first call seconds later. Processes that were running went by the entry at the lowest offset, a process that started later by the newest record of each key. Where another process had stored an entry in between, they took different entries for the first; the later process read from behind the results and ran the job from position 0. Broken assumption: an append that got no answer is in the log before its repetition, or never.

Change: internal/producer numbers the appends of records that need no owner: a repeated append is stored once, and one that was given up is not stored behind the next one of its sequence (PROTOCOL: producer, epoch and seq of an append). Items, entries, ends, the settled record, tombstones and progress kept at a release go through it. An entry is chosen the same way in whatever order entries are read: the first decides partition and tenant, the lowest submission of those that agree with it decides the offset, so that entries that a build before this one stored twice in the same partition are read rightly too.

Left: a build before this one that stores an entry twice, with one of another partition in between, is read in two ways by processes that start later.

--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -15,7 +15,7 @@
 )
 
 // Prefixes of the keys of the index. The second part of a key is the job's id. The third part of an entry's key is unique to
-// the attempt that wrote the entry, so that every entry of a job is kept and all processes agree on the first one.
+// the attempt that wrote the entry, so that every entry of a job is kept and all processes agree on the one that applies.
 const (
 	indexEntry   = "s"
 	indexEnd     = "e"
@@ -40,9 +40,9 @@
 // indexedJob is one job of the index.
 type indexedJob struct {
 	status Status
-	// hasEntry reports that an entry was read; firstOffset is the offset of the earliest entry.
-	hasEntry    bool
-	firstOffset int64
+	// hasEntry reports that an entry was read.
+	hasEntry bool
+	entries  entries
 	// keys are the keys of the job's records in the index.
 	keys []string
 }
@@ -166,8 +166,7 @@
 	return found
 }
 
-// applyEntry applies an entry unless one at a lower offset is known: of a job that was submitted twice, the first entry
-// counts.
+// applyEntry applies an entry. Of a job that was submitted more than once, the entry that applies is chosen by entries.
 func (x *Index) applyEntry(id string, record keyedlog.Record, recovered bool) error {
 	var entry Entry
 	if _, err := entry.UnmarshalMsg(record.Value); err != nil {
@@ -177,16 +176,20 @@
 		return errIndexKey
 	}
 	found := x.job(id, record.Key)
-	if found.hasEntry && found.firstOffset <= record.Offset {
+	found.entries.add(entry, record.Offset)
+	chosen := found.entries.chosen()
+	if found.hasEntry && found.status.Entry == chosen {
 		return nil
 	}
-	found.hasEntry, found.firstOffset = true, record.Offset
-	found.status.Entry = entry
+	wasAccepted := found.hasEntry
+	found.hasEntry, found.status.Entry = true, chosen
 	now := x.now()
-	found.status.AcceptedAt, found.status.Estimated = now, recovered
-	if recovered {
-		age := max(0, now.Sub(time.UnixMilli(entry.SubmittedAt)))
-		found.status.AcceptedAt = now.Add(-age)
+	switch {
+	case recovered:
+		age := max(0, now.Sub(time.UnixMilli(chosen.SubmittedAt)))
+		found.status.AcceptedAt, found.status.Estimated = now.Add(-age), true
+	case !wasAccepted:
+		found.status.AcceptedAt, found.status.Estimated = now, false
 	}
 	return nil
 }
--- a/internal/job/late_test.go
+++ b/internal/job/late_test.go
@@ -42,6 +42,27 @@
 	return append(read, log[start:]...)
 }
 
+// TestIndexIgnoresLateCopies guards against processes that disagree on a job: whatever record of the index is stored once more behind
+// newer ones, a process that starts at any time has the same state as one that has read every record.
+func TestIndexIgnoresLateCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := indexHistory(t)
+		for i, offset := range []int64{40, 3, 60} {
+			record, err := job.EncodeEntry(job.NewEntry(spec("one", 5), jobsPartition(3), offset, offset+6, 1000), fmt.Sprint("attempt", i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			log = append(log, record)
+		}
+		log = repeatLater(t, log)
+		start := rapid.IntRange(0, len(log)).Draw(t, "start")
+		want, got := describeIndex(newIndex(t, log, false)), describeIndex(newIndex(t, readFrom(log, start), true))
+		if got != want {
+			t.Fatalf("read from %d on:\n%s\nread whole:\n%s", start, got, want)
+		}
+	})
+}
+
 // describeJobs formats what a ledger returns for the jobs of history, except for progress: of that a process that starts late may know
 // less.
 func describeJobs(t interface{ Fatal(...any) }, ledger *job.Ledger) string {
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -115,8 +115,10 @@
 		errorlog.Error(r.config.Logger, "settled job does not encode", err, "job", id)
 		return
 	}
+	pending := r.producer.Begin(keyedlog.JobIndex, []keyedlog.Record{record})
+	defer pending.Close()
 	for {
-		_, err := r.config.Log.Append(ctx, keyedlog.JobIndex, []keyedlog.Record{record}, nil)
+		_, err := pending.Send(ctx)
 		if err == nil {
 			r.config.Logger.Info("job settled", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "end", end,
 				"items_took", usage.Items.Round(time.Millisecond), "longest_took", usage.Longest.Round(time.Millisecond))
@@ -139,7 +141,7 @@
 		if err := r.appendUnfenced(ctx, tombstones(expired.JobKeys)); err != nil {
 			return
 		}
-		if _, err := r.config.Log.Append(ctx, keyedlog.JobIndex, tombstones(expired.IndexKeys), nil); err != nil {
+		if _, err := r.producer.Append(ctx, keyedlog.JobIndex, tombstones(expired.IndexKeys)); err != nil {
 			errorlog.Debug(r.config.Logger, "cannot delete expired job from the index", err, "job", expired.JobID)
 			return
 		}
--- a/internal/jobrun/partition_test.go
+++ b/internal/jobrun/partition_test.go
@@ -39,7 +39,7 @@
 		owner := w.newNode("owner")
 		owner.own(1)
 		time.Sleep(2 * time.Second)
-		w.addToIndex(late, items)
+		w.addToIndex(late, items, "attempt")
 		w.submit(next)
 		time.Sleep(3 * time.Second)
 		owner.checkComplete(late)
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -20,6 +20,7 @@
 	"github.com/hillfork/hillfork/internal/ownership"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
+	"github.com/hillfork/hillfork/internal/producer"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
@@ -62,19 +63,20 @@
 
 // Holder starts the runners of job partitions. It implements ownership.Holder.
 type Holder struct {
-	config Config
+	config   Config
+	producer *producer.Producer
 }
 
 // NewHolder returns a Holder that starts runners with the given configuration.
 func NewHolder(config Config) *Holder {
-	return &Holder{config: config}
+	return &Holder{config: config, producer: producer.New(config.Log)}
 }
 
 // Gained starts a runner for a partition that was assigned to this process with the given generation.
 func (h *Holder) Gained(ctx context.Context, partition keyedlog.Partition, generation int64) ownership.Work {
 	runCtx, cancel := context.WithCancel(ctx)
 	runner := &runner{
-		config: h.config, partition: partition, cancel: cancel, ledger: job.NewLedger(h.config.Index, partition),
+		config: h.config, producer: h.producer, partition: partition, cancel: cancel, ledger: job.NewLedger(h.config.Index, partition),
 		writer: newWriter(fencing.New(fencing.Config{
 			Log: h.config.Log, Partition: partition, Name: writerName, Generation: generation, Logger: h.config.Logger,
 		}), h.config.Limits, h.config.Logger),
@@ -94,8 +96,10 @@
 	config    Config
 	partition keyedlog.Partition
 	writer    *writer
-	cancel    context.CancelFunc
-	active    sync.WaitGroup
+	// producer stores records that need no epoch. All runners of the process share it.
+	producer *producer.Producer
+	cancel   context.CancelFunc
+	active   sync.WaitGroup
 	// ledger holds the records of the partition from the offset readFrom on. readFrom and settling are accessed by the goroutine
 	// of run only.
 	ledger   *job.Ledger
@@ -371,21 +375,31 @@
 	r.config.Logger.Info("progress kept", "partition", r.partition, "epoch", r.writer.Epoch(), "records", len(records), "error", err)
 }
 
-// appendUnfenced appends records without a fence, retrying each call until it succeeds or the context ends.
+// appendUnfenced appends records without the owner's epoch, retrying each call until it succeeds or the context ends.
 func (r *runner) appendUnfenced(ctx context.Context, records []keyedlog.Record) error {
-	calls := job.SplitAppends(records, r.config.Limits.CallBytes)
-	for len(calls) > 0 {
-		if _, err := r.config.Log.Append(ctx, r.partition, calls[0], nil); err != nil {
-			if !pause.For(ctx, appendRetryInterval) {
-				return err
-			}
-			continue
+	for _, call := range job.SplitAppends(records, r.config.Limits.CallBytes) {
+		if err := r.appendCall(ctx, call); err != nil {
+			return err
 		}
-		calls = calls[1:]
 	}
 	return nil
 }
 
+// appendCall appends the records of one call without the owner's epoch, retrying until it succeeds or the context ends.
+func (r *runner) appendCall(ctx context.Context, records []keyedlog.Record) error {
+	pending := r.producer.Begin(r.partition, records)
+	defer pending.Close()
+	for {
+		_, err := pending.Send(ctx)
+		if err == nil {
+			return nil
+		}
+		if !pause.For(ctx, appendRetryInterval) {
+			return err
+		}
+	}
+}
+
 // Release implements ownership.Work: it stops all items, lists the results that are finished, and stores the progress of the
 // others for the next owner.
 func (r *runner) Release(ctx context.Context) {
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -198,7 +198,7 @@
 // submit submits a job like a gateway: first its items, then its entry in the index.
 func (w *world) submit(spec job.Spec) {
 	w.test.Helper()
-	w.addToIndex(spec, w.writeItems(spec))
+	w.addToIndex(spec, w.writeItems(spec), "attempt")
 }
 
 // writeItems appends the items of a job, and returns their offsets.
@@ -208,11 +208,11 @@
 	return w.append(jobsPartition(), records, err)
 }
 
-// addToIndex appends the index entry of a job whose items were written, which makes the job known.
-func (w *world) addToIndex(spec job.Spec, items keyedlog.Appended) {
+// addToIndex appends the index entry of an attempt to submit a job whose items were written, which makes the job known.
+func (w *world) addToIndex(spec job.Spec, items keyedlog.Appended, attemptID string) {
 	w.test.Helper()
 	spec.SubmittedAt = time.Now().UnixMilli()
-	record, err := job.EncodeEntry(job.NewEntry(spec, jobsPartition(), items.Offset, items.End, 1000), "try")
+	record, err := job.EncodeEntry(job.NewEntry(spec, jobsPartition(), items.Offset, items.End, 1000), attemptID)
 	w.append(keyedlog.JobIndex, []keyedlog.Record{record}, err)
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -18,6 +18,7 @@
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/producer"
 )
 
 // Outcome is the result of a call.
@@ -79,8 +80,10 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	owners owners
-	holds  HoldStats
+	// producer stores submissions and the ends of jobs.
+	producer *producer.Producer
+	owners   owners
+	holds    HoldStats
 
 	mutex   sync.Mutex
 	readers map[string]*reader
@@ -98,7 +101,7 @@
 func New(config Config) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
-		config: config, ctx: ctx, cancel: cancel, readers: make(map[string]*reader), parked: make(map[string]*reader),
+		config: config, ctx: ctx, cancel: cancel, producer: producer.New(config.Log), readers: make(map[string]*reader), parked: make(map[string]*reader),
 		recentJobs: make(map[string]*time.Timer),
 	}
 	s.owners = owners{config: &s.config, known: make(map[keyedlog.HomeSet]ownersRead)}
@@ -174,16 +177,9 @@
 func (s *Service) appendSubmission(
 	ctx context.Context, spec job.Spec, partition keyedlog.Partition, records []keyedlog.Record,
 ) Outcome {
-	var offset, next int64
-	for {
-		var err error
-		if offset, next, err = s.appendAll(ctx, partition, records); err == nil {
-			break
-		}
-		errorlog.Debug(s.config.Logger, "append failed", err, "partition", partition)
-		if !pause.For(ctx, appendRetryInterval) {
-			return Refused
-		}
+	offset, next, err := s.appendAll(ctx, partition, records)
+	if err != nil {
+		return Refused
 	}
 	entry, err := job.EncodeEntry(job.NewEntry(spec, partition, offset, next, job.Size(records)), strconv.FormatUint(rand.Uint64(), 36))
 	if err != nil {
@@ -237,11 +233,13 @@
 }
 
 // appendIndex appends a record to the index until the store confirms it, the index contains it as reported by applied, or
-// the context ends. Appending the record twice is harmless.
+// the context ends.
 func (s *Service) appendIndex(ctx context.Context, record keyedlog.Record, applied func() bool) Outcome {
 	uncertain := false
+	pending := s.producer.Begin(keyedlog.JobIndex, []keyedlog.Record{record})
+	defer pending.Close()
 	for {
-		_, err := s.config.Log.Append(ctx, keyedlog.JobIndex, []keyedlog.Record{record}, nil)
+		_, err := pending.Send(ctx)
 		if err == nil {
 			return Done
 		}
@@ -265,13 +263,13 @@
 }
 
 // appendAll appends records, in several calls if they exceed the size of one, and returns the offset of the first record and
-// the offset after the last. Records of other jobs may lie in between.
+// the offset after the last. Records of other jobs may lie in between. It fails only with the context's error.
 func (s *Service) appendAll(
 	ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record,
 ) (offset, next int64, err error) {
 	offset = -1
 	for _, call := range job.SplitAppends(records, s.config.CallBytes) {
-		appended, err := s.config.Log.Append(ctx, partition, call, nil)
+		appended, err := s.appendCall(ctx, partition, call)
 		if err != nil {
 			return 0, 0, err
 		}
@@ -283,6 +281,24 @@
 	return offset, next, nil
 }
 
+// appendCall appends the records of one call, which it retries until the store confirms it or the context ends.
+func (s *Service) appendCall(
+	ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record,
+) (keyedlog.Appended, error) {
+	pending := s.producer.Begin(partition, records)
+	defer pending.Close()
+	for {
+		appended, err := pending.Send(ctx)
+		if err == nil {
+			return appended, nil
+		}
+		errorlog.Debug(s.config.Logger, "append failed", err, "partition", partition)
+		if !pause.For(ctx, appendRetryInterval) {
+			return keyedlog.Appended{}, ctx.Err()
+		}
+	}
+}
+
 // lookUp returns a job, or proves that it does not exist.
 func (s *Service) lookUp(ctx context.Context, id string) (job.Status, Outcome) {
 	if status, known := s.config.Index.Job(id); known {
