Draw late appends, handovers and repeated submissions together in one test

Change: TestPositionsKeepTheirResults. Gateways and owners lose a third of their appends (done later, done without an answer, lost), jobs are sent again at other nodes, owners change as planned; no position may change its result at any node, nor at one that starts later.

--- a/internal/jobrun/late_test.go
+++ b/internal/jobrun/late_test.go
@@ -1,14 +1,22 @@
 package jobrun_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
 	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/jobs"
+	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/standin/memoryengine"
+	"github.com/hillfork/hillfork/internal/standin/memorylog"
 	"github.com/matryer/is"
 )
 
@@ -83,3 +91,100 @@
 		second.release()
 	})
 }
+
+// gateway returns the gateway side of jobs at a node, which is closed at the end of the test.
+func (n *node) gateway() *jobs.Service {
+	gateway := jobs.New(jobs.Config{
+		Log: n.log, Index: n.index, IndexFollower: n.indexFollower, RecordBytes: 1 << 18, CallBytes: 1 << 21, Logger: log.New(io.Discard),
+	})
+	n.world.test.Cleanup(gateway.Close)
+	return gateway
+}
+
+// listings checks that a position of a job never changes its result, whichever node is asked.
+type listings struct {
+	test *testing.T
+	seen map[string]string
+}
+
+// read reads all results of a job at a gateway, and returns how many there are.
+func (l *listings) read(gateway *jobs.Service, id string) int {
+	listing, outcome := gateway.Results(l.test.Context(), id, 0, 0)
+	if outcome != jobs.Done {
+		return 0
+	}
+	for position, result := range listing.Results {
+		key := fmt.Sprint(id, "/", position)
+		if known, found := l.seen[key]; found && known != result.ItemID {
+			l.test.Errorf("position %s holds %s, and held %s", key, result.ItemID, known)
+		}
+		l.seen[key] = result.ItemID
+	}
+	return len(listing.Results)
+}
+
+// TestPositionsKeepTheirResults guards against results that change their positions: a store that applies appends of gateways and owners
+// later or twice, owners that take the partition over as planned, and jobs that are sent again at other nodes.
+func TestPositionsKeepTheirResults(t *testing.T) {
+	for seed := range int64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runLateAppends(t, rand.New(rand.NewSource(seed))) })
+		})
+	}
+}
+
+func runLateAppends(t *testing.T, random *rand.Rand) {
+	w := newWorld(t, 3)
+	var nodes []*node
+	var gateways []*jobs.Service
+	for i := range 3 {
+		started := w.newNode(fmt.Sprint("node", i))
+		nodes, gateways = append(nodes, started), append(gateways, started.gateway())
+	}
+	faults := []memorylog.Fault{memorylog.LostLate, memorylog.LostAfter, memorylog.LostBefore}
+	losses := rand.New(rand.NewSource(random.Int63()))
+	w.store.SetRule(func(call memorylog.Call) memorylog.Fault {
+		isJob := call.Partition.Topic == keyedlog.TopicJobs || call.Partition.Topic == keyedlog.TopicJobIndex
+		if call.Operation == "append" && isJob && losses.Intn(3) == 0 {
+			return faults[losses.Intn(len(faults))]
+		}
+		return memorylog.None
+	})
+	read := &listings{test: t, seen: make(map[string]string)}
+	submitted := make(map[string]job.Spec)
+	submit := func(id string, gateway *jobs.Service) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		next := spec(id, 6)
+		if gateway.Submit(ctx, next) == jobs.Done {
+			submitted[id] = next
+		}
+	}
+	time.Sleep(time.Second)
+	owner := 0
+	nodes[owner].own(1)
+	for epoch := int64(2); epoch < 7; epoch++ {
+		id := fmt.Sprint("job", epoch)
+		for range 1 + random.Intn(3) {
+			submit(id, gateways[random.Intn(len(gateways))])
+		}
+		for range 20 + random.Intn(20) {
+			read.read(gateways[random.Intn(len(gateways))], fmt.Sprint("job", 2+random.Int63n(epoch-1)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		nodes[owner].release()
+		owner = (owner + 1) % len(nodes)
+		nodes[owner].own(epoch)
+	}
+	w.store.Heal()
+	time.Sleep(6 * time.Second)
+	for id, expected := range submitted {
+		for _, gateway := range append(gateways, w.newNode("late"+id).gateway()) {
+			time.Sleep(time.Second)
+			if listed := read.read(gateway, id); listed != len(expected.Items) {
+				t.Errorf("%d of %d results of %s are listed", listed, len(expected.Items), id)
+			}
+		}
+	}
+	nodes[owner].release()
+}
--- a/internal/jobrun/world_test.go
+++ b/internal/jobrun/world_test.go
@@ -33,6 +33,8 @@
 	maxWait    = 12 * time.Second
 	attempts   = 3
 	eventCount = 20
+	// lateBy is how much later the store applies an append of memorylog.LostLate.
+	lateBy = 2500 * time.Millisecond
 )
 
 // world is the environment of the tests: a store, model engines and scorers, which any number of nodes use.
@@ -55,7 +57,7 @@
 func newWorld(t *testing.T, modelCount int) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
-		test: t, store: memorylog.New(memorylog.Config{Partitions: partitions, Delay: 3 * time.Millisecond}),
+		test: t, store: memorylog.New(memorylog.Config{Partitions: partitions, Delay: 3 * time.Millisecond, Late: lateBy}),
 		engines: memoryengine.New(), ctx: ctx, running: new(sync.WaitGroup),
 	}
 	for i := range modelCount {
@@ -83,11 +85,13 @@
 	ledger    *job.Ledger
 	directory *fleet.Directory
 	log       keyedlog.Log
-	holder    *jobrun.Holder
-	mover     *jobrun.Mover
-	routes    *catalog.Holder
-	work      ownership.Work
-	cancel    context.CancelFunc
+	// indexFollower updates index.
+	indexFollower *follow.Follower
+	holder        *jobrun.Holder
+	mover         *jobrun.Mover
+	routes        *catalog.Holder
+	work          ownership.Work
+	cancel        context.CancelFunc
 }
 
 type ledgerApplier struct {
@@ -121,6 +125,7 @@
 		return started
 	}
 	indexFollower := follower(keyedlog.JobIndex, indexApplier{n.index})
+	n.indexFollower = indexFollower
 	follower(jobsPartition(), ledgerApplier{n.ledger})
 	operator := follower(keyedlog.Partition{Topic: keyedlog.TopicOperator}, ledgerApplier{job.NewLedger(n.index, keyedlog.Partition{Topic: keyedlog.TopicJobs})})
 	n.routes = catalog.NewHolder()
