Choose the connection of a request by the ids that it has carried

Cause: closing a connection that meets an id again costs one for each repeated send. Change: internal/correlate keeps the idle connections itself, each with an http.Transport of its own, and takes the one that was used last of those that have not carried the id; nothing is closed, and nothing is sent again.

--- a/internal/correlate/correlate.go
+++ b/internal/correlate/correlate.go
@@ -5,106 +5,148 @@
 package correlate
 
 import (
-	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"sync"
 )
 
 // ErrOtherAnswer means that the answer belongs to another request. The request may have run.
 var ErrOtherAnswer = errors.New("answer belongs to another request")
 
-// Request is a request whose answer has to be recognized.
-type Request struct {
-	// ID is the id that the peer repeats in its answer, empty for a request without one. Requests without an id count as having the
-	// same one.
+// Identity is what tells the answer to a request from others.
+type Identity struct {
+	// ID is the id that the peer repeats in its answer, empty for a request without one. The answers to two requests without an id
+	// can't be told apart.
 	ID string
-	// AcceptStale reports that an answer to an earlier request without an id may be taken for the answer to this one. Such a request is
-	// sent over any connection.
+	// AcceptStale reports that the answer to an earlier request with AcceptStale may be taken for the answer to this one. The request
+	// has no id.
 	AcceptStale bool
-	// Build returns the HTTP request, with a body that was not read yet. It is called once for each connection that is tried.
-	Build func() (*http.Request, error)
 }
 
-// Transport sends requests. It is safe for concurrent use.
+// mistakable reports whether the answer to an earlier request over the same connection could be taken for the answer to this one.
+func (i Identity) mistakable(earlier Identity) bool {
+	return i.ID == earlier.ID && !(i.AcceptStale && earlier.AcceptStale)
+}
+
+// defaultMaxIdle is the number of idle connections to one host that are kept if the http.Transport states none.
+const defaultMaxIdle = 2
+
+// Transport sends requests. It chooses the connection of each request itself, and has an http.Transport for each connection. It is safe
+// for concurrent use.
 type Transport struct {
 	next     http.RoundTripper
 	idHeader string
+	maxIdle  int
+
+	mutex sync.Mutex
+	// idle holds the idle connections by host. The last one was used last.
+	idle map[string][]*lane
 }
 
-// New returns a transport that sends by next. The peer repeats the id of a request in the header idHeader of its answer. If next is an
-// *http.Transport, Prepare must have been called for it.
+// New returns a transport that sends by next. The peer repeats the id of a request in the header idHeader of its answer. Connections are
+// opened and kept by copies of next if it is an *http.Transport, and are not known otherwise.
 func New(next http.RoundTripper, idHeader string) *Transport {
-	return &Transport{next: next, idHeader: idHeader}
+	t := &Transport{next: next, idHeader: idHeader, maxIdle: defaultMaxIdle, idle: make(map[string][]*lane)}
+	if template, ok := next.(*http.Transport); ok && template.MaxIdleConnsPerHost > 0 {
+		t.maxIdle = template.MaxIdleConnsPerHost
+	}
+	return t
 }
 
-// Prepare makes a transport that has not been used yet remember which ids its connections have carried.
-func Prepare(transport *http.Transport) {
-	dial := transport.DialContext
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		opened, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
+// Do sends a request and returns its answer. It fails with ErrOtherAnswer, or with an error of the http.Transport.
+func (t *Transport) Do(request *http.Request, identity Identity) (*http.Response, error) {
+	used := t.acquire(request.URL.Host, identity)
+	trace := &httptrace.ClientTrace{PutIdleConn: func(err error) {
+		if err == nil {
+			t.finish(used, &used.isParked)
 		}
-		return &conn{Conn: opened}, nil
+	}}
+	answer, err := used.next.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		used.close()
+		return nil, err
 	}
+	if answer.Header.Get(t.idHeader) != identity.ID {
+		// The right answer is still to come on the connection.
+		used.close()
+		_ = answer.Body.Close()
+		return nil, ErrOtherAnswer
+	}
+	t.finish(used, &used.isAccepted)
+	return answer, nil
 }
 
-// Do sends a request and returns its answer. It fails with ErrOtherAnswer, or with an error of Build or of the transport.
-func (t *Transport) Do(request Request) (*http.Response, error) {
-	for {
-		built, err := request.Build()
-		if err != nil {
-			return nil, err
-		}
-		sent := &send{request: &request}
-		answer, err := t.next.RoundTrip(built.WithContext(httptrace.WithClientTrace(built.Context(), &httptrace.ClientTrace{GotConn: sent.connected})))
-		switch {
-		case sent.unwritten():
-			// The connection did not take the request, and was closed. An answer that came all the same is not the request's.
-			if err == nil {
-				_ = answer.Body.Close()
-			}
-		case err != nil:
-			return nil, err
-		case answer.Header.Get(t.idHeader) != request.ID:
-			sent.retire()
-			_ = answer.Body.Close()
-			return nil, ErrOtherAnswer
-		default:
-			return answer, nil
+// acquire returns an idle connection to a host that the request may be sent over, and a new one if there is none.
+func (t *Transport) acquire(host string, identity Identity) *lane {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	found := t.choose(host, identity)
+	if found == nil {
+		found = newLane(t, host)
+	}
+	t.remove(found)
+	found.begin(identity)
+	return found
+}
+
+// choose returns the idle connection to a host that was used last of those that the request may be sent over, nil if there is none. The
+// mutex must be held.
+func (t *Transport) choose(host string, identity Identity) *lane {
+	for _, found := range slices.Backward(t.idle[host]) {
+		if !found.mistakes(identity) {
+			return found
 		}
 	}
+	return nil
 }
 
-// send is one attempt to send a request. The transport calls connected before RoundTrip returns.
-type send struct {
-	request *Request
-	// conn is the connection that the request got last, nil if none is known; use is the number of that use of it.
-	conn *conn
-	use  int
+// finish notes that a step of the current request over a connection has ended, and keeps the connection for the next request once all
+// have.
+func (t *Transport) finish(used *lane, step *bool) {
+	t.mutex.Lock()
+	*step = true
+	surplus := !t.keep(used)
+	t.mutex.Unlock()
+	if surplus {
+		used.close()
+	}
 }
 
-// connected notes the connection that the request got.
-func (s *send) connected(info httptrace.GotConnInfo) {
-	s.conn, _ = info.Conn.(*conn)
-	if s.conn != nil {
-		s.use = s.conn.begin(s.request)
+// keep keeps a connection if its request has ended. It returns false if there are too many. The mutex must be held.
+func (t *Transport) keep(used *lane) bool {
+	if !used.isParked || !used.isAccepted || used.conn == nil {
+		return true
 	}
+	idle := t.idle[used.host]
+	if len(idle) >= t.maxIdle {
+		return false
+	}
+	used.isParked, used.isAccepted = false, false
+	t.idle[used.host] = append(idle, used)
+	return true
 }
 
-// unwritten reports whether nothing of the request was written because its connection takes no more requests.
-func (s *send) unwritten() bool {
-	return s.conn != nil && s.conn.unwritten(s.use)
+// remove forgets a connection. The mutex must be held.
+func (t *Transport) remove(closed *lane) {
+	idle := slices.DeleteFunc(t.idle[closed.host], func(kept *lane) bool { return kept == closed })
+	if len(idle) == 0 {
+		delete(t.idle, closed.host)
+		return
+	}
+	t.idle[closed.host] = idle
 }
 
-// retire keeps further requests from the connection.
-func (s *send) retire() {
-	if s.conn != nil {
-		s.conn.retire(s.use)
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() {
+	t.mutex.Lock()
+	var all []*lane
+	for _, idle := range t.idle {
+		all = append(all, idle...)
+	}
+	t.mutex.Unlock()
+	for _, idle := range all {
+		idle.close()
 	}
 }
--- a/internal/sendguard/sendguard.go
+++ b/internal/sendguard/sendguard.go
@@ -51,7 +51,7 @@
 		return nil, c.withhold(engine, call, chosenAt)
 	}
 	defer cancel()
-	reply, err := c.Client.Send(httptrace.WithClientTrace(ctx, waiting.trace()), engine, call)
+	reply, err := c.Client.Send(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: waiting.connected}), engine, call)
 	if err != nil {
 		// The context of a reply that was received has to outlive this call.
 		abort(nil)
@@ -75,38 +75,19 @@
 	abort context.CancelCauseFunc
 
 	mutex sync.Mutex
-	// sending is set while the request has a connection. departed is set once the engine leaves, left once the request was aborted
-	// for that.
-	sending, departed, left bool
-}
-
-// trace returns the hooks of the attempt. A request that its connection did not take waits for another one.
-func (a *attempt) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GetConn: func(string) { a.wait() }, GotConn: a.connected}
-}
-
-// wait notes that the request has no connection, and aborts it if the engine leaves.
-func (a *attempt) wait() {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.sending = false
-	a.abortIfDeparted()
+	// sending is set once the request has a connection, left once the engine leaves before that.
+	sending, left bool
 }
 
 // engineLeaves aborts the request unless it has a connection.
 func (a *attempt) engineLeaves() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.departed = true
-	a.abortIfDeparted()
-}
-
-// abortIfDeparted aborts the request if the engine leaves and the request has no connection. The mutex must be held.
-func (a *attempt) abortIfDeparted() {
-	if a.departed && !a.sending {
-		a.left = true
-		a.abort(engineapi.ErrLeaving)
+	if a.sending {
+		return
 	}
+	a.left = true
+	a.abort(engineapi.ErrLeaving)
 }
 
 // connected notes that the request has a connection. The transport may write the request after its context has ended, so the
