Reset the connection of a call that is given up

Cause: a call that hung at a sampler that was cut off was given up by closing its connection; the bytes were delivered once the sampler could be reached again. Change: a connection to an engine that is closed while a request is under way is reset.

--- a/internal/correlate/lane.go
+++ b/internal/correlate/lane.go
@@ -81,14 +81,17 @@
 	return l.conn, nil
 }
 
-// closed notes that a connection was closed.
-func (l *lane) closed(closed *conn) {
+// closed notes that a connection was closed, and reports whether a request was under way on it.
+func (l *lane) closed(closed *conn) (abandoned bool) {
 	l.transport.mutex.Lock()
 	defer l.transport.mutex.Unlock()
-	if l.conn == closed {
-		l.conn = nil
-		l.transport.remove(l)
+	if l.conn != closed {
+		return false
 	}
+	l.conn = nil
+	isIdle := slices.Contains(l.transport.idle[l.host], l)
+	l.transport.remove(l)
+	return !isIdle && !l.isParked
 }
 
 // close closes the connection, or keeps it from being opened.
@@ -108,12 +111,30 @@
 	lane *lane
 }
 
-// Close closes the connection, which is not used any more.
+// Close closes the connection, which is not used any more. If a request was under way, the connection is reset: what a partition of the
+// network holds up of an abandoned request must not arrive once the partition has ended.
 func (c *conn) Close() error {
-	c.lane.closed(c)
+	if c.lane.closed(c) {
+		reset(c.Conn)
+	}
 	return c.Conn.Close()
 }
 
+// reset has a connection reset when it is closed, if it is one of TCP.
+func reset(opened net.Conn) {
+	for opened != nil {
+		if tcp, ok := opened.(interface{ SetLinger(seconds int) error }); ok {
+			_ = tcp.SetLinger(0)
+			return
+		}
+		carried, ok := opened.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		opened = carried.NetConn()
+	}
+}
+
 // NetConn returns the connection that carries this one.
 func (c *conn) NetConn() net.Conn {
 	return c.Conn
