Count the end of an engine after each of its starts

Cause: an end was recorded under content and engine id alone, so that the second end of an engine counted for nothing, and the limit of three was never reached. Change: the key of an end names the start of the engine. Tests: TestEndsOfRestartedEngineCount fails without the change, TestEndReportedByBothBuildsCountsOnce guards the mixed case.

--- a/internal/policy/crashes.go
+++ b/internal/policy/crashes.go
@@ -5,7 +5,7 @@
 // Crashes summarizes the engines that terminated while running requests of one content, since such a request was last
 // answered.
 type Crashes struct {
-	// Engines is the number of engines that terminated.
+	// Engines is the number of engines that terminated. An engine that started again and terminated again counts twice.
 	Engines int
 	// Trials is the number of trials granted since.
 	Trials int
--- a/internal/quarantine/history.go
+++ b/internal/quarantine/history.go
@@ -8,8 +8,8 @@
 
 // history contains the events of one content.
 type history struct {
-	// ended holds the engines that ended while they ran a request of this content.
-	ended map[string]bool
+	// ended holds the ends of engines that ran a request of this content.
+	ended map[engineEnd]bool
 	// trials maps the keys of the claims to trials to their offsets in the log.
 	trials map[eventKey]int64
 	// ownClaims holds the claims of this process. lastMade is the number of the last trial that this process made, 0 if
@@ -20,15 +20,21 @@
 	lastEvent time.Time
 }
 
+// engineEnd is the end of an engine that had started at a time, see eventKey.
+type engineEnd struct {
+	engine    string
+	startedAt int64
+}
+
 func newHistory() *history {
-	return &history{ended: make(map[string]bool), trials: make(map[eventKey]int64), ownClaims: make(map[string]bool)}
+	return &history{ended: make(map[engineEnd]bool), trials: make(map[eventKey]int64), ownClaims: make(map[string]bool)}
 }
 
 // add adds an event at an offset of the log. Adding a known event changes nothing.
 func (h *history) add(key eventKey, offset int64, now time.Time) {
 	if key.engine != "" {
-		if !h.ended[key.engine] {
-			h.ended[key.engine] = true
+		if end := key.end(); !h.ended[end] {
+			h.ended[end] = true
 			h.lastEvent = now
 		}
 		return
@@ -40,7 +46,7 @@
 }
 
 func (h *history) remove(key eventKey) {
-	delete(h.ended, key.engine)
+	delete(h.ended, key.end())
 	delete(h.trials, key)
 }
 
@@ -51,8 +57,8 @@
 // keys returns the keys of all events.
 func (h *history) keys(content Content) []eventKey {
 	var keys []eventKey
-	for engine := range h.ended {
-		keys = append(keys, eventKey{content: content, engine: engine})
+	for end := range h.ended {
+		keys = append(keys, eventKey{content: content, engine: end.engine, startedAt: end.startedAt})
 	}
 	for key := range h.trials {
 		keys = append(keys, key)
@@ -62,7 +68,29 @@
 
 // crashes returns a summary of the history. Claims to the same trial count as one.
 func (h *history) crashes() policy.Crashes {
-	return policy.Crashes{Engines: len(h.ended), Trials: h.lastTrial(), Last: h.lastEvent}
+	return policy.Crashes{Engines: h.endCount(), Trials: h.lastTrial(), Last: h.lastEvent}
+}
+
+// endCount returns the number of ends of engines. An end without a known start is not counted beside others of the same engine: a build
+// that knows no starts may have reported one of these.
+func (h *history) endCount() int {
+	count := 0
+	for end := range h.ended {
+		if end.startedAt > 0 || !h.endedAfterKnownStart(end.engine) {
+			count++
+		}
+	}
+	return count
+}
+
+// endedAfterKnownStart reports whether an end of an engine is known with its start.
+func (h *history) endedAfterKnownStart(engine string) bool {
+	for end := range h.ended {
+		if end.engine == engine && end.startedAt > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // lastTrial returns the number of the last trial that was claimed, 0 if there is none.
--- a/internal/quarantine/key_test.go
+++ b/internal/quarantine/key_test.go
@@ -10,7 +10,7 @@
 	is := is.New(t)
 	content := Content{1, 2, 255}
 	for _, key := range []eventKey{
-		{content: content, engine: "i-1"}, {content: content, trial: 2, claim: "front-1@10.1.0.2#x1"},
+		{content: content, engine: "i-1"}, {content: content, engine: "i-1", startedAt: 1700000000123}, {content: content, engine: "i@x"}, {content: content, trial: 2, claim: "front-1@10.1.0.2#x1"},
 	} {
 		parsed, ok := parseKey(key.String())
 		is.True(ok)
@@ -27,6 +27,7 @@
 
 func FuzzParseKey(f *testing.F) {
 	f.Add(eventKey{engine: "i-1"}.String())
+	f.Add(eventKey{engine: "i-1", startedAt: 5}.String())
 	f.Add(eventKey{trial: 1, claim: "c"}.String())
 	f.Fuzz(func(t *testing.T, text string) {
 		key, ok := parseKey(text)
--- a/internal/quarantine/look.go
+++ b/internal/quarantine/look.go
@@ -86,7 +86,7 @@
 	known, listed := q.config.Directory.Engine(found.engine.ID)
 	leaving := !listed || known.Draining
 	if ended && !leaving {
-		published = q.ended(eventKey{content: found.content, engine: found.engine.ID})
+		published = q.ended(endOf(found.content, found.engine))
 	}
 	crashes := q.crashes(found.content)
 	standing = standingOf(crashes, found.strikes)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -96,9 +96,12 @@
 
 // crash ends an engine while it runs a call that this machine has sent.
 func (m *machine) crash(engineID string, crashing engineapi.Call) quarantine.Standing {
-	engine := fleet.Engine{ID: engineID, Pool: "p"}
+	return m.crashEngine(fleet.Engine{ID: engineID, Pool: "p"}, crashing)
+}
+
+func (m *machine) crashEngine(engine fleet.Engine, crashing engineapi.Call) quarantine.Standing {
 	m.directory.Upsert(engine)
-	m.world.end(engineID)
+	m.world.end(engine.ID)
 	standing := m.ReportBroken(m.world.ctx, crashing, engine, errConnReset, policy.RequestCrashLimit)
 	time.Sleep(20 * time.Millisecond)
 	return standing
@@ -134,6 +137,38 @@
 	})
 }
 
+// TestEndsOfRestartedEngineCount guards against a request that crashes engines without end: all of them start again under their ids, and each
+// counted as one crash for ever.
+func TestEndsOfRestartedEngineCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		first, second := w.machine("1"), w.machine("2")
+		time.Sleep(time.Second)
+		engine := fleet.Engine{ID: "a", Pool: "p", StartedAt: time.Now()}
+		first.crashEngine(engine, call("x"))
+		second.crashEngine(engine, call("x"))
+		is.Equal(first.standing("x"), quarantine.Suspect)
+		engine.StartedAt = time.Now().Add(2 * time.Second)
+		is.Equal(second.crashEngine(engine, call("x")), quarantine.Withheld)
+		is.Equal(first.standing("x"), quarantine.Withheld)
+	})
+}
+
+// TestEndReportedByBothBuildsCountsOnce guards against requests that are withheld after one crash: a build that knows no starts and this one
+// report the same end.
+func TestEndReportedByBothBuildsCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		machine := w.machine("1")
+		time.Sleep(time.Second)
+		machine.crash("a", call("x"))
+		machine.crashEngine(fleet.Engine{ID: "a", Pool: "p", StartedAt: time.Now()}, call("x"))
+		is.Equal(machine.standing("x"), quarantine.Suspect)
+	})
+}
+
 // TestEngineEndCountsOnce has several machines report the end of the same engine.
 func TestEngineEndCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/silence.go
+++ b/internal/quarantine/silence.go
@@ -67,7 +67,7 @@
 			return
 		}
 		for _, ended := range q.resolveSilentCalls() {
-			q.ended(eventKey{content: ended.content, engine: ended.engine.ID})
+			q.ended(endOf(ended.content, ended.engine))
 			q.config.Logger.Info("silent engine has ended", "content", ended.content, "engine", ended.engine.ID, "pool", ended.engine.Pool,
 				"address", ended.engine.Address, "given_up_ago", time.Since(ended.since).Round(time.Millisecond))
 		}
