--- a/internal/job/index.go
+++ b/internal/job/index.go
@@ -324,12 +324,17 @@
 	JobKeys   []string
 }
 
-// Expired returns the settled jobs of a partition that were accepted before the given time.
-func (x *Index) Expired(partition keyedlog.Partition, before time.Time) []Expired {
+// Expired returns the settled jobs of a partition that have ended and were accepted before a time, and those that are still open and were
+// accepted before another one: callers may read the results of a job for as long as it is open.
+func (x *Index) Expired(partition keyedlog.Partition, endedBefore, openBefore time.Time) []Expired {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	var all []Expired
 	for id, found := range x.jobs {
+		before := openBefore
+		if found.status.Ended {
+			before = endedBefore
+		}
 		if !found.hasEntry || !found.status.Settled || found.status.Entry.StorePartition() != partition || !found.status.AcceptedAt.Before(before) {
 			continue
 		}
--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -137,7 +137,8 @@
 		return
 	}
 	defer r.expiring.Store(false)
-	for _, expired := range r.config.Index.Expired(r.partition, time.Now().Add(-r.config.Retention-expireSlack)) {
+	now := time.Now()
+	for _, expired := range r.config.Index.Expired(r.partition, now.Add(-r.config.Retention-expireSlack), now.Add(-openRetention)) {
 		if err := r.appendUnfenced(ctx, tombstones(expired.JobKeys)); err != nil {
 			return
 		}
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -147,6 +147,9 @@
 	// retention.
 	expireInterval = 10 * time.Second
 	expireSlack    = 30 * time.Second
+	// openRetention is how long a job is kept whose results are all listed and that its caller does not end. A caller that has not ended
+	// it within a day is gone.
+	openRetention = 24 * time.Hour
 )
 
 // run takes the partition over and runs its items until the context ends or the owner is superseded.
