--- a/internal/jobrun/partition.go
+++ b/internal/jobrun/partition.go
@@ -9,6 +9,7 @@
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/pause"
+	"github.com/hillfork/hillfork/internal/producer"
 )
 
 const (
@@ -115,19 +116,12 @@
 		errorlog.Error(r.config.Logger, "settled job does not encode", err, "job", id)
 		return
 	}
-	pending := r.producer.Begin(keyedlog.JobIndex, []keyedlog.Record{record})
-	defer pending.Close()
-	for {
-		_, err := pending.Send(ctx)
-		if err == nil {
-			r.config.Logger.Info("job settled", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "end", end,
-				"items_took", usage.Items.Round(time.Millisecond), "longest_took", usage.Longest.Round(time.Millisecond))
-			return
-		}
-		if !pause.For(ctx, appendRetryInterval) {
-			return
-		}
+	retry := producer.Retry{Interval: appendRetryInterval}
+	if _, err := r.producer.AppendRetrying(ctx, keyedlog.JobIndex, []keyedlog.Record{record}, retry); err != nil {
+		return
 	}
+	r.config.Logger.Info("job settled", "job", id, "partition", r.partition, "epoch", r.writer.Epoch(), "end", end,
+		"items_took", usage.Items.Round(time.Millisecond), "longest_took", usage.Longest.Round(time.Millisecond))
 }
 
 // dropExpired deletes the records of jobs that are past their retention. Index records are deleted last, so that what remains
--- a/internal/jobrun/runner.go
+++ b/internal/jobrun/runner.go
@@ -381,28 +381,13 @@
 // appendUnfenced appends records without the owner's epoch, retrying each call until it succeeds or the context ends.
 func (r *runner) appendUnfenced(ctx context.Context, records []keyedlog.Record) error {
 	for _, call := range job.SplitAppends(records, r.config.Limits.CallBytes) {
-		if err := r.appendCall(ctx, call); err != nil {
+		if _, err := r.producer.AppendRetrying(ctx, r.partition, call, producer.Retry{Interval: appendRetryInterval}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// appendCall appends the records of one call without the owner's epoch, retrying until it succeeds or the context ends.
-func (r *runner) appendCall(ctx context.Context, records []keyedlog.Record) error {
-	pending := r.producer.Begin(r.partition, records)
-	defer pending.Close()
-	for {
-		_, err := pending.Send(ctx)
-		if err == nil {
-			return nil
-		}
-		if !pause.For(ctx, appendRetryInterval) {
-			return err
-		}
-	}
-}
-
 // Release implements ownership.Work: it stops all items, lists the results that are finished, and stores the progress of the
 // others for the next owner.
 func (r *runner) Release(ctx context.Context) {
--- a/internal/producer/producer.go
+++ b/internal/producer/producer.go
@@ -11,8 +11,10 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/hillfork/hillfork/internal/keyedlog"
+	"github.com/hillfork/hillfork/internal/pause"
 )
 
 // Producer makes appends to any number of partitions. It is safe for concurrent use. While no two appends to a partition are in
@@ -58,6 +60,35 @@
 	return pending.Send(ctx)
 }
 
+// Retry is how an append is repeated.
+type Retry struct {
+	// Interval is the pause after a failure. The log itself limits the duration of each attempt.
+	Interval time.Duration
+	// OnFailure, if not nil, is called with the error of each attempt that failed.
+	OnFailure func(err error)
+}
+
+// AppendRetrying makes one append and sends it until the store confirms it or the context ends. It fails with the context's error, after
+// which the records may still be stored.
+func (p *Producer) AppendRetrying(
+	ctx context.Context, partition keyedlog.Partition, records []keyedlog.Record, retry Retry,
+) (keyedlog.Appended, error) {
+	pending := p.Begin(partition, records)
+	defer pending.Close()
+	for {
+		appended, err := pending.Send(ctx)
+		if err == nil {
+			return appended, nil
+		}
+		if retry.OnFailure != nil {
+			retry.OnFailure(err)
+		}
+		if !pause.For(ctx, retry.Interval) {
+			return keyedlog.Appended{}, ctx.Err()
+		}
+	}
+}
+
 // acquire returns the sequence that was used last of those that are idle, and a new one if there is none.
 func (p *Producer) acquire(partition keyedlog.Partition) *sequence {
 	p.mutex.Lock()
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -8,7 +8,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/errorlog"
 	"github.com/hillfork/hillfork/internal/keyedlog"
-	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/producer"
 )
 
@@ -71,25 +70,17 @@
 			return
 		}
 		records, written := w.drain()
-		if len(records) > 0 && !w.write(ctx, records) {
+		if len(records) > 0 && w.write(ctx, records) != nil {
 			return
 		}
 		close(written)
 	}
 }
 
-// write appends records until the append succeeds. It returns false if the context ends first.
-func (w *writer) write(ctx context.Context, records []keyedlog.Record) bool {
-	pending := w.producer.Begin(keyedlog.Crashes, records)
-	defer pending.Close()
-	for {
-		_, err := pending.Send(ctx)
-		if err == nil {
-			return true
-		}
+// write appends records until the append succeeds or the context ends.
+func (w *writer) write(ctx context.Context, records []keyedlog.Record) error {
+	_, err := w.producer.AppendRetrying(ctx, keyedlog.Crashes, records, producer.Retry{Interval: writeRetryInterval, OnFailure: func(err error) {
 		errorlog.Warn(w.logger, "records of ended engines not written", err, "count", len(records))
-		if !pause.For(ctx, writeRetryInterval) {
-			return false
-		}
-	}
+	}})
+	return err
 }
