--- a/internal/correlate/lane.go
+++ b/internal/correlate/connection.go
@@ -15,8 +15,9 @@
 // errClosed is returned for a connection that was opened after its request had ended.
 var errClosed = errors.New("request has ended")
 
-// lane is one connection to a host, with the http.Transport that opens it and sends one request at a time over it.
-type lane struct {
+// connection is one connection to a host, with the http.Transport that opens it, sends one request at a time over it, and replaces it if
+// the host has closed it.
+type connection struct {
 	transport *Transport
 	host      string
 	next      http.RoundTripper
@@ -26,19 +27,19 @@
 	// recent holds the last requests, of which there were uses.
 	recent [recentRequests]Identity
 	uses   int
-	// isParked is set once the connection is ready for the next request, as far as next knows, and isAccepted once the answer to the
-	// current request was found to be its own.
-	isParked, isAccepted bool
+	// isIdle is set once next has the connection idle again after the current request, and isAccepted once the answer to the request was
+	// found to be its own.
+	isIdle, isAccepted bool
 	// conn is nil while the connection is not open. ended is set once it must not be opened any more.
 	conn  *conn
 	ended bool
 }
 
-func newLane(transport *Transport, host string) *lane {
-	l := &lane{transport: transport, host: host, next: transport.next}
+func newConnection(transport *Transport, host string) *connection {
+	c := &connection{transport: transport, host: host, next: transport.next}
 	template, ok := transport.next.(*http.Transport)
 	if !ok {
-		return l
+		return c
 	}
 	own := template.Clone()
 	dial := own.DialContext
@@ -50,71 +51,71 @@
 		if err != nil {
 			return nil, err
 		}
-		return l.opened(opened)
+		return c.opened(opened)
 	}
-	l.next = own
-	return l
+	c.next = own
+	return c
 }
 
 // begin notes a request that is sent over the connection. The mutex of the transport must be held.
-func (l *lane) begin(identity Identity) {
-	l.recent[l.uses%recentRequests] = identity
-	l.uses++
-	l.isParked, l.isAccepted = false, false
+func (c *connection) begin(identity Identity) {
+	c.recent[c.uses%recentRequests] = identity
+	c.uses++
+	c.isIdle, c.isAccepted = false, false
 }
 
 // mistakes reports whether the answer to one of the last requests could be taken for the answer to another one. The mutex of the
 // transport must be held.
-func (l *lane) mistakes(identity Identity) bool {
-	return slices.ContainsFunc(l.recent[:min(l.uses, recentRequests)], identity.mistakable)
+func (c *connection) mistakes(identity Identity) bool {
+	return slices.ContainsFunc(c.recent[:min(c.uses, recentRequests)], identity.mistakable)
 }
 
 // opened notes the connection, and closes it if its request has ended.
-func (l *lane) opened(opened net.Conn) (net.Conn, error) {
-	l.transport.mutex.Lock()
-	defer l.transport.mutex.Unlock()
-	if l.ended {
+func (c *connection) opened(opened net.Conn) (net.Conn, error) {
+	c.transport.mutex.Lock()
+	defer c.transport.mutex.Unlock()
+	if c.ended {
 		_ = opened.Close()
 		return nil, errClosed
 	}
-	l.conn = &conn{Conn: opened, lane: l}
-	return l.conn, nil
+	c.conn = &conn{Conn: opened, owner: c}
+	return c.conn, nil
 }
 
 // closed notes that a connection was closed, and reports whether a request was under way on it.
-func (l *lane) closed(closed *conn) (abandoned bool) {
-	l.transport.mutex.Lock()
-	defer l.transport.mutex.Unlock()
-	if l.conn != closed {
+func (c *connection) closed(closed *conn) (abandoned bool) {
+	c.transport.mutex.Lock()
+	defer c.transport.mutex.Unlock()
+	if c.conn != closed {
 		return false
 	}
-	l.conn = nil
-	isIdle := slices.Contains(l.transport.idle[l.host], l)
-	l.transport.remove(l)
-	return !isIdle && !l.isParked
+	c.conn = nil
+	isKept := slices.Contains(c.transport.idle[c.host], c)
+	c.transport.remove(c)
+	return !isKept && !c.isIdle
 }
 
 // close closes the connection, or keeps it from being opened.
-func (l *lane) close() {
-	l.transport.mutex.Lock()
-	opened := l.conn
-	l.ended = true
-	l.transport.mutex.Unlock()
+func (c *connection) close() {
+	c.transport.mutex.Lock()
+	opened := c.conn
+	c.ended = true
+	c.transport.mutex.Unlock()
 	if opened != nil {
 		_ = opened.Close()
 	}
 }
 
-// conn is the connection of a lane.
+// conn is a net.Conn that tells its owner when it is closed.
 type conn struct {
 	net.Conn
-	lane *lane
+	owner *connection
 }
 
 // Close closes the connection, which is not used any more. If a request was under way, the connection is reset: what a partition of the
 // network holds up of an abandoned request must not arrive once the partition has ended.
 func (c *conn) Close() error {
-	if c.lane.closed(c) {
+	if c.owner.closed(c) {
 		reset(c.Conn)
 	}
 	return c.Conn.Close()
--- a/internal/correlate/correlate.go
+++ b/internal/correlate/correlate.go
@@ -42,13 +42,13 @@
 
 	mutex sync.Mutex
 	// idle holds the idle connections by host. The last one was used last.
-	idle map[string][]*lane
+	idle map[string][]*connection
 }
 
 // New returns a transport that sends by next. The peer repeats the id of a request in the header idHeader of its answer. Connections are
 // opened and kept by copies of next if it is an *http.Transport, and are not known otherwise.
 func New(next http.RoundTripper, idHeader string) *Transport {
-	t := &Transport{next: next, idHeader: idHeader, maxIdle: defaultMaxIdle, idle: make(map[string][]*lane)}
+	t := &Transport{next: next, idHeader: idHeader, maxIdle: defaultMaxIdle, idle: make(map[string][]*connection)}
 	if template, ok := next.(*http.Transport); ok && template.MaxIdleConnsPerHost > 0 {
 		t.maxIdle = template.MaxIdleConnsPerHost
 	}
@@ -60,7 +60,7 @@
 	used := t.acquire(request.URL.Host, identity)
 	trace := &httptrace.ClientTrace{PutIdleConn: func(err error) {
 		if err == nil {
-			t.finish(used, &used.isParked)
+			t.finish(used, &used.isIdle)
 		}
 	}}
 	answer, err := used.next.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
@@ -79,12 +79,12 @@
 }
 
 // acquire returns an idle connection to a host that the request may be sent over, and a new one if there is none.
-func (t *Transport) acquire(host string, identity Identity) *lane {
+func (t *Transport) acquire(host string, identity Identity) *connection {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	found := t.choose(host, identity)
 	if found == nil {
-		found = newLane(t, host)
+		found = newConnection(t, host)
 	}
 	t.remove(found)
 	found.begin(identity)
@@ -93,7 +93,7 @@
 
 // choose returns the idle connection to a host that was used last of those that the request may be sent over, nil if there is none. The
 // mutex must be held.
-func (t *Transport) choose(host string, identity Identity) *lane {
+func (t *Transport) choose(host string, identity Identity) *connection {
 	for _, found := range slices.Backward(t.idle[host]) {
 		if !found.mistakes(identity) {
 			return found
@@ -104,7 +104,7 @@
 
 // finish notes that a step of the current request over a connection has ended, and keeps the connection for the next request once all
 // have.
-func (t *Transport) finish(used *lane, step *bool) {
+func (t *Transport) finish(used *connection, step *bool) {
 	t.mutex.Lock()
 	*step = true
 	surplus := !t.keep(used)
@@ -115,22 +115,22 @@
 }
 
 // keep keeps a connection if its request has ended. It returns false if there are too many. The mutex must be held.
-func (t *Transport) keep(used *lane) bool {
-	if !used.isParked || !used.isAccepted || used.conn == nil {
+func (t *Transport) keep(used *connection) bool {
+	if !used.isIdle || !used.isAccepted || used.conn == nil {
 		return true
 	}
 	idle := t.idle[used.host]
 	if len(idle) >= t.maxIdle {
 		return false
 	}
-	used.isParked, used.isAccepted = false, false
+	used.isIdle, used.isAccepted = false, false
 	t.idle[used.host] = append(idle, used)
 	return true
 }
 
 // remove forgets a connection. The mutex must be held.
-func (t *Transport) remove(closed *lane) {
-	idle := slices.DeleteFunc(t.idle[closed.host], func(kept *lane) bool { return kept == closed })
+func (t *Transport) remove(closed *connection) {
+	idle := slices.DeleteFunc(t.idle[closed.host], func(kept *connection) bool { return kept == closed })
 	if len(idle) == 0 {
 		delete(t.idle, closed.host)
 		return
@@ -141,7 +141,7 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() {
 	t.mutex.Lock()
-	var all []*lane
+	var all []*connection
 	for _, idle := range t.idle {
 		all = append(all, idle...)
 	}
--- a/internal/job/entries.go
+++ b/internal/job/entries.go
@@ -23,8 +23,8 @@
 }
 
 // chosen returns the entry that applies: the first in the index decides the partition and the tenant. Of the entries that agree with it
-// in these, the one whose submission has the lowest offset is chosen, whatever their order in the index: results lie behind all of
-// them, or only behind that one.
+// in these, the one whose submission has the lowest offset is chosen, whatever their order in the index: all results lie behind that
+// one.
 func (e entries) chosen() Entry {
 	first := e[0]
 	for _, other := range e[1:] {
