--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -30,6 +30,8 @@
 
 // Call is one request as it is sent to an engine.
 type Call struct {
+	// Kind is what the call is for.
+	Kind   CallKind
 	Method string
 	// Target is the path and query, unchanged from the caller.
 	Target string
@@ -165,6 +167,9 @@
 	// ClosedCancelled is the number of connections that were closed because their request was cancelled, ClosedIdle the number of
 	// those closed while no request used them, ClosedBroken the number of those that ended during a request.
 	ClosedCancelled, ClosedIdle, ClosedBroken int64
+	// AbandonedReset is the number of calls of each kind that were abandoned and whose connection was reset, AbandonedClosed the
+	// number of those whose connection was closed in the ordinary way, so that a partition of the network may still deliver them.
+	AbandonedReset, AbandonedClosed [CallKinds]int64
 }
 
 // Connections tracks the connections to engines.
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -296,8 +296,8 @@
 // call returns the request, which is the same for every run of the item except for the fields set by runOnEngine.
 func (e *execution) call() engineapi.Call {
 	return engineapi.Call{
-		Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host, Header: header(e.item.Header),
-		Body: e.item.Body, RequestID: e.item.ID, Tenant: e.view.Spec.Tenant,
+		Kind: engineapi.CallItem, Method: http.MethodPost, Target: e.item.Path, Host: e.view.Spec.Host,
+		Header: header(e.item.Header), Body: e.item.Body, RequestID: e.item.ID, Tenant: e.view.Spec.Tenant,
 	}
 }
 
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -58,7 +58,7 @@
 	return forward.Request{
 		Pool: e.runner.config.Splitter.Pick(route), Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant),
 		Call: engineapi.Call{
-			Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
+			Kind: engineapi.CallScore, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
 			Priority: engineapi.NoPriority,
 		},
 		Deadline: deadline, MaxSlotWait: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -112,6 +112,18 @@
 			ConstLabels: prometheus.Labels{"cause": cause},
 		}, func() float64 { return float64(count()) }))
 	}
+	for kind := range engineapi.CallKinds {
+		m.abandoned(kind, "reset", func() int64 { return stats().AbandonedReset[kind] })
+		m.abandoned(kind, "closed", func() int64 { return stats().AbandonedClosed[kind] })
+	}
+}
+
+// abandoned registers the number of calls of a kind that were abandoned and whose connection ended in the given way.
+func (m *metrics) abandoned(kind engineapi.CallKind, connection string, count func() int64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: metricsNamespace, Name: "engine_calls_abandoned_total", Help: "Calls to engines that were abandoned before their answer was complete.",
+		ConstLabels: prometheus.Labels{"kind": kind.String(), "connection": connection},
+	}, func() float64 { return float64(count()) }))
 }
 
 // cold registers the number of cold engines, and how many health checks were sent.
