Run an item again after a pause, whatever engines crashed under it

Cause: an item under which three engines ended was withheld like a request that crashes engines: tried after 3 s, and then after ten minutes. Where the trial met a crash as well, the item was not placed again while its job was open and engines were free. Change: policy.Crashes.Access knows three classes of work. A caller's request is treated as before. An item pauses for 1 to 3 s and runs again, without a claim in the store, if possible at an engine that runs nothing else.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -21,6 +21,8 @@
 	exact.ExactVersion = 2
 	excluding := want
 	excluding.Exclude = []string{"a"}
+	alone := want
+	alone.Alone = true
 	draining := engine("a", 3)
 	draining.Draining = true
 	otherPool := engine("a", 3)
@@ -45,6 +47,12 @@
 		{"an engine that failed recently rather than none", want, []fleet.Candidate{{Engine: engine("a", 3), Avoided: true}}, "a"},
 		{"the same zone among equals", want, []fleet.Candidate{{Engine: far}, {Engine: engine("b", 3)}}, "b"},
 		{"another zone rather than a busy engine", want, []fleet.Candidate{{Engine: far}, {Engine: engine("b", 3), InFlight: 1}}, "a"},
+		{
+			"an engine without other work, for work that should run alone", alone, []fleet.Candidate{
+				{Engine: engine("a", 3), InFlight: 1}, {Engine: far}, {Engine: engine("c", 3), PeerHeld: 1},
+			}, "a",
+		},
+		{"a busy engine rather than none, for work that should run alone", alone, []fleet.Candidate{{Engine: engine("a", 3), InFlight: 1}}, "a"},
 		{
 			"a slow engine is the last choice", want, []fleet.Candidate{
 				{Engine: engine("a", 3), Forecast: policy.ConstantPace(100 * time.Millisecond)}, {Engine: engine("b", 3), Forecast: policy.ConstantPace(30 * time.Millisecond), InFlight: 3},
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -70,6 +70,8 @@
 	NoTrial bool
 	// HealthyOnly excludes engines that failed recently, for work that already runs at another engine.
 	HealthyOnly bool
+	// Alone means that an engine that runs nothing else is preferred.
+	Alone bool
 	// probing means that the work ignores the slots that other processes report to hold.
 	probing bool
 }
@@ -272,6 +274,7 @@
 	avoidedCost  = 100
 	coldCost     = 50
 	slowCost     = 10
+	sharedCost   = 5
 	zoneCost     = 0.05
 	regionCost   = 0.15
 	affinityCost = 0.2
@@ -289,6 +292,9 @@
 	if candidate.Avoided || candidate.Ejected {
 		total += avoidedCost
 	}
+	if want.Alone && candidate.InFlight+candidate.PeerHeld > 0 {
+		total += sharedCost
+	}
 	if candidate.Cold && want.Model == "" {
 		// Single requests use cold engines only where no other engine may serve them.
 		total += coldCost
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -130,7 +130,7 @@
 	call.Remaining = time.Until(e.request.Deadline)
 	go func() {
 		defer e.forwarder.config.Directory.Release(engine.ID)
-		e.results <- e.forwarder.send(ctx, engine, call, e.request.crashLimit())
+		e.results <- e.forwarder.send(ctx, engine, call, e.request.CrashClass)
 	}()
 	return true
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,16 +58,8 @@
 	MaxAttempts int
 	// MayRepeat allows the request to run more than once.
 	MayRepeat bool
-	// CrashLimit is the number of engines that may crash under requests of this content before such requests are withheld,
-	// 0 for the default.
-	CrashLimit int
-}
-
-func (r Request) crashLimit() int {
-	if r.CrashLimit == 0 {
-		return policy.RequestCrashLimit
-	}
-	return r.CrashLimit
+	// CrashClass says how the request is treated once engines have crashed under requests of its content.
+	CrashClass policy.CrashClass
 }
 
 // Answer is the result of a request.
@@ -164,12 +156,12 @@
 	runCtx, settle := f.withCutOff(deadlineCtx)
 	defer settle(errSettled)
 	f.hedges.earn()
-	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.crashLimit())
-	if standing == quarantine.Withheld {
-		return withheld(request.Call, wait)
+	admission := f.config.Quarantine.Admit(runCtx, request.Call, request.CrashClass)
+	if !admission.MaySend() {
+		return withheld(request.Call, admission.Wait)
 	}
 	exch := &exchange{
-		forwarder: f, request: request, started: time.Now(), standing: standing,
+		forwarder: f, request: request, started: time.Now(), standing: admission.Standing,
 		results: make(chan attempt, maxRejections+request.MaxAttempts),
 	}
 	answer := exch.run(runCtx)
@@ -180,12 +172,12 @@
 }
 
 // send makes one attempt and reads the complete response.
-func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, crashLimit int) attempt {
+func (f *Forwarder) send(ctx context.Context, engine fleet.Engine, call engineapi.Call, class policy.CrashClass) attempt {
 	started := time.Now()
 	reply, err := f.config.Client.Send(ctx, engine, call)
 	if err != nil {
 		elapsed := time.Since(started)
-		return attempt{engine: engine, err: err, sentAt: started, elapsed: elapsed, standing: f.reportBroken(ctx, engine, call, err, crashLimit, elapsed)}
+		return attempt{engine: engine, err: err, sentAt: started, elapsed: elapsed, standing: f.reportBroken(ctx, engine, call, err, class, elapsed)}
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBodyBytes+1))
 	closeErr := reply.Body.Close()
@@ -201,14 +193,14 @@
 	elapsed := time.Since(started)
 	return attempt{
 		engine: engine, reply: reply, body: body, err: err, sentAt: started, elapsed: elapsed,
-		standing: f.reportBroken(ctx, engine, call, err, crashLimit, elapsed),
+		standing: f.reportBroken(ctx, engine, call, err, class, elapsed),
 	}
 }
 
 // reportBroken reports an attempt without a complete response to the quarantine, which checks whether the engine has ended, and returns
 // the request's standing after that.
 func (f *Forwarder) reportBroken(
-	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, crashLimit int, elapsed time.Duration,
+	ctx context.Context, engine fleet.Engine, call engineapi.Call, err error, class policy.CrashClass, elapsed time.Duration,
 ) quarantine.Standing {
 	switch {
 	case err == nil, errors.Is(err, engineapi.ErrNotSent), errors.Is(context.Cause(ctx), errSettled):
@@ -217,7 +209,7 @@
 		f.config.Quarantine.ReportSilent(call, engine, elapsed)
 		return quarantine.Clear
 	}
-	return f.config.Quarantine.ReportBroken(ctx, call, engine, err, crashLimit)
+	return f.config.Quarantine.ReportBroken(ctx, call, engine, err, class)
 }
 
 // Causes of outcomes that don't come from the error of an attempt.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,9 +41,9 @@
 	defer cancel()
 	runCtx, settle := f.withCutOff(deadlineCtx)
 	defer settle(errSettled)
-	standing, wait := f.config.Quarantine.Admit(runCtx, request.Call, request.crashLimit())
-	if standing == quarantine.Withheld {
-		return withheld(request.Call, wait)
+	admission := f.config.Quarantine.Admit(runCtx, request.Call, request.CrashClass)
+	if !admission.MaySend() {
+		return withheld(request.Call, admission.Wait)
 	}
 	exch := &streamExchange{forwarder: f, request: request, receiver: receiver, lastEventID: request.Call.ResumeAfter, started: time.Now()}
 	answer := exch.run(runCtx)
@@ -160,7 +160,7 @@
 	s.sentAt = time.Now()
 	result := eventrun.Run(ctx, s.forwarder.config.Client, engine, call, limits, s)
 	if result.Ending == eventrun.EndedBroken || result.Ending == eventrun.EndedSilent {
-		standing := s.forwarder.config.Quarantine.ReportBroken(ctx, call, engine, result.Err, s.request.crashLimit())
+		standing := s.forwarder.config.Quarantine.ReportBroken(ctx, call, engine, result.Err, s.request.CrashClass)
 		s.withheld = standing == quarantine.Withheld
 	}
 	if result.Ending == eventrun.EndedSilent {
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -18,7 +18,6 @@
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
-	"github.com/hillfork/hillfork/internal/quarantine"
 )
 
 const (
@@ -44,8 +43,8 @@
 	// scoreTimeout bounds one call to a scorer, retries included.
 	scoreTimeout       = 6 * time.Second
 	scoreRetryInterval = 50 * time.Millisecond
-	// withheldPollInterval is how often the quarantine is queried again for an item, or for the scorer call of an item, that is
-	// withheld because engines ended while they ran it.
+	// withheldPollInterval is how often the quarantine is queried again for an item that pauses, or for the scorer call of an item
+	// that is withheld, because engines ended while they ran it.
 	withheldPollInterval = 250 * time.Millisecond
 	// estimateSlack is added to deadlines that are computed from the wall clock of another process.
 	estimateSlack = 4 * time.Second
@@ -112,6 +111,8 @@
 	reservation *Reservation
 	// yields counts how often the item was requested to give its slot up.
 	yields atomic.Int32
+	// alone reports that the next run should use an engine that runs nothing else.
+	alone bool
 	// exclude holds the engine that the next run must not use; rejected reports that this engine rejected the item.
 	exclude  []string
 	rejected bool
@@ -212,6 +213,9 @@
 			}
 			continue
 		}
+		if e.pauses(ctx) {
+			continue
+		}
 		if e.waitingSince.IsZero() {
 			e.waitingSince = time.Now()
 		}
@@ -225,14 +229,7 @@
 			e.includeRejected()
 			continue
 		}
-		if e.withheld(runCtx) {
-			cancel()
-			slot.Release()
-			pause.For(ctx, withheldPollInterval)
-			continue
-		}
-		if runCtx.Err() != nil || !slot.MaySend() || !e.runner.config.Directory.MayStart(slot.Engine.ID, e.view.Spec.Model) {
-			e.runner.config.Quarantine.ReportNotRun(e.call())
+		if runCtx.Err() != nil || !slot.MaySend() || !e.runner.config.Directory.MayStart(slot.Engine.ID, e.view.Spec.Model) || !e.admitted(runCtx) {
 			cancel()
 			slot.Release()
 			continue
@@ -271,11 +268,25 @@
 	return result
 }
 
-// withheld reports whether the item must not be sent because engines ended while they ran it. It is called after a slot was
-// acquired, since a trial that the quarantine grants must then be made.
-func (e *execution) withheld(ctx context.Context) bool {
-	standing, _ := e.runner.config.Quarantine.Admit(ctx, e.call(), policy.ItemCrashLimit)
-	return standing == quarantine.Withheld
+// pauses waits for some time if engines ended while they ran the item and its next run must wait, and reports whether it did. The
+// pause ends early once an item of equal content is complete. An item that has the slot for its next run does not wait here.
+func (e *execution) pauses(ctx context.Context) bool {
+	if e.nextSlot != nil {
+		return false
+	}
+	admission := e.runner.config.Quarantine.ItemPause(e.call())
+	e.alone = admission.Alone
+	if admission.MaySend() {
+		return false
+	}
+	e.queued()
+	pause.For(ctx, min(admission.Wait, withheldPollInterval))
+	return true
+}
+
+// admitted reports whether the quarantine lets the item start now. It is called once the item has a slot.
+func (e *execution) admitted(ctx context.Context) bool {
+	return e.runner.config.Quarantine.Admit(ctx, e.call(), policy.CrashItem).MaySend()
 }
 
 func (e *execution) runOnEngine(ctx context.Context, engine fleet.Engine, route catalog.Route) eventrun.Result {
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -80,7 +80,7 @@
 
 func (e *execution) want(route catalog.Route) fleet.Want {
 	want := e.wantInPool(route, e.runner.config.Splitter.Pick(route), e.expectedEvents(), e.versions)
-	want.Exclude, want.Since = e.exclude, e.waitingSince
+	want.Exclude, want.Since, want.Alone = e.exclude, e.waitingSince, e.alone
 	return want
 }
 
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -62,6 +62,6 @@
 			Priority: engineapi.NoPriority,
 		},
 		Deadline: deadline, MaxSlotWait: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
-		CrashLimit: policy.ItemCrashLimit,
+		CrashClass: policy.CrashScore,
 	}
 }
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -25,52 +25,107 @@
 	// Suspect means that an engine has ended, or may have ended, while it ran the request: the request must be sent to one
 	// engine at a time.
 	Suspect
+	// Paused means that the request must not be sent before a short pause has passed.
+	Paused
 	// Withheld means that the request must not be sent.
 	Withheld
 )
 
-var standingNames = [...]string{"clear", "suspect", "withheld"}
+var standingNames = [...]string{"clear", "suspect", "paused", "withheld"}
 
 // String returns the name used in logs.
 func (s Standing) String() string {
 	return standingNames[s]
 }
 
-// Admit reports whether a call may be sent, and if it is withheld, for how long. strikes is the number of ended engines from
-// which on a request is withheld. A call that is admitted as a trial must be sent to one engine only.
-func (q *Quarantine) Admit(ctx context.Context, call engineapi.Call, strikes int) (Standing, time.Duration) {
+// Admission is the decision whether a call may be sent.
+type Admission struct {
+	Standing Standing
+	// Wait is how long a call that is paused or withheld must wait.
+	Wait time.Duration
+	// Alone reports that the call should be sent to an engine that runs nothing else.
+	Alone bool
+}
+
+// MaySend reports whether the call may be sent.
+func (a Admission) MaySend() bool {
+	return a.Standing < Paused
+}
+
+// Admit decides whether a call may be sent. A call that is admitted as a trial must be sent to one engine only.
+func (q *Quarantine) Admit(ctx context.Context, call engineapi.Call, class policy.CrashClass) Admission {
 	if q == nil || q.Contents() == 0 {
-		return Clear, 0
+		return Admission{}
 	}
 	content := ContentOf(call)
+	if class == policy.CrashItem {
+		return q.startItem(content, call.RequestID)
+	}
 	crashes := q.crashes(content)
-	access, wait := crashes.Access(strikes, time.Now())
+	access, wait := crashes.Access(class, time.Now())
 	switch {
-	case access == policy.AccessAllowed && crashes.Engines == 0:
-		return Clear, 0
 	case access == policy.AccessAllowed:
-		return Suspect, 0
+		return Admission{Standing: standingOf(crashes, class)}
 	case q.takeTrial(content):
-		return Suspect, 0
+		return Admission{Standing: Suspect}
 	case access == policy.AccessTrial && q.claim(ctx, content, crashes.Trials+1, call.RequestID):
-		return Suspect, 0
+		return Admission{Standing: Suspect}
 	case access == policy.AccessTrial:
 		// Another call makes the trial, or it can't be claimed while the store is unavailable.
 		wait = policy.TrialDuration
 	}
-	return Withheld, wait
+	return Admission{Standing: Withheld, Wait: wait}
 }
 
-func standingOf(crashes policy.Crashes, strikes int) Standing {
-	access, _ := crashes.Access(strikes, time.Now())
-	switch {
-	case crashes.Engines == 0:
+// ItemPause decides whether an item may be sent, without starting it. Admit must be called before the item is sent.
+func (q *Quarantine) ItemPause(call engineapi.Call) Admission {
+	if q == nil || q.Contents() == 0 {
+		return Admission{}
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.itemAdmission(ContentOf(call), call.RequestID)
+}
+
+// startItem decides whether an item may be sent, and records its start if it may.
+func (q *Quarantine) startItem(content Content, requestID string) Admission {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	admission := q.itemAdmission(content, requestID)
+	if admission.Alone {
+		q.histories[content].lastItem = itemStart{requestID: requestID, at: time.Now()}
+	}
+	return admission
+}
+
+// itemAdmission decides on an item. Items of equal content start one after another, so that they don't end several engines at
+// once. The mutex must be held.
+func (q *Quarantine) itemAdmission(content Content, requestID string) Admission {
+	known, ok := q.histories[content]
+	if !ok {
+		return Admission{}
+	}
+	crashes := known.crashes()
+	if other := known.lastItem; other.requestID != requestID && other.at.After(crashes.LastEnd) {
+		crashes.LastEnd = other.at
+	}
+	access, wait := crashes.Access(policy.CrashItem, time.Now())
+	return Admission{Standing: standings[access], Wait: wait, Alone: access == policy.AccessAlone}
+}
+
+// standings holds the standing of a request under which engines have ended, by what is allowed.
+var standings = map[policy.Access]Standing{
+	policy.AccessAllowed: Suspect, policy.AccessAlone: Suspect, policy.AccessPaused: Paused,
+	// Only the machine whose claim is the first in the log makes a trial.
+	policy.AccessTrial: Withheld, policy.AccessWithheld: Withheld,
+}
+
+func standingOf(crashes policy.Crashes, class policy.CrashClass) Standing {
+	if crashes.Engines == 0 {
 		return Clear
-	case access == policy.AccessAllowed:
-		return Suspect
-	default:
-		return Withheld
 	}
+	access, _ := crashes.Access(class, time.Now())
+	return standings[access]
 }
 
 // claim claims a trial, and reports whether this claim is the first in the log. Only one call of a content claims a trial at
--- a/internal/quarantine/history.go
+++ b/internal/quarantine/history.go
@@ -16,8 +16,17 @@
 	// there is none.
 	ownClaims map[string]bool
 	lastMade  int
-	// lastEvent is when this process learned of the last end or trial.
+	// lastEvent is when this process learned of the last end or trial, lastEnd when it learned of the last end.
 	lastEvent time.Time
+	lastEnd   time.Time
+	// lastItem is the last item of this process that was started after its pause.
+	lastItem itemStart
+}
+
+// itemStart is the start of a run of an item.
+type itemStart struct {
+	requestID string
+	at        time.Time
 }
 
 // engineEnd is the end of an engine that had started at a time, see eventKey.
@@ -35,7 +44,7 @@
 	if key.engine != "" {
 		if end := key.end(); !h.ended[end] {
 			h.ended[end] = true
-			h.lastEvent = now
+			h.lastEvent, h.lastEnd = now, now
 		}
 		return
 	}
@@ -68,7 +77,7 @@
 
 // crashes returns a summary of the history. Claims to the same trial count as one.
 func (h *history) crashes() policy.Crashes {
-	return policy.Crashes{Engines: h.endCount(), Trials: h.lastTrial(), Last: h.lastEvent}
+	return policy.Crashes{Engines: h.endCount(), Trials: h.lastTrial(), Last: h.lastEvent, LastEnd: h.lastEnd}
 }
 
 // endCount returns the number of ends of engines. An end without a known start is not counted beside others of the same engine: a build
--- a/internal/quarantine/look.go
+++ b/internal/quarantine/look.go
@@ -6,6 +6,7 @@
 
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/policy"
 )
 
 const (
@@ -25,14 +26,14 @@
 }
 
 // ReportBroken reports that a call was sent to an engine and that the engine's answer broke off or never arrived, with the given
-// cause. It checks whether the engine has ended, and returns the standing of the call for that number of strikes. For the
+// cause. It checks whether the engine has ended, and returns the standing of the call for that class of work. For the
 // first broken answer of a content, the check runs in the background while the call continues: if the engine's machine is
 // unreachable, the check takes 150 ms, as long as callers wait for a whole answer.
-func (q *Quarantine) ReportBroken(ctx context.Context, call engineapi.Call, engine fleet.Engine, cause error, strikes int) Standing {
+func (q *Quarantine) ReportBroken(ctx context.Context, call engineapi.Call, engine fleet.Engine, cause error, class policy.CrashClass) Standing {
 	if q == nil {
 		return Clear
 	}
-	found := brokenAnswer{call: call, content: ContentOf(call), engine: engine, cause: cause, strikes: strikes}
+	found := brokenAnswer{call: call, content: ContentOf(call), engine: engine, cause: cause, class: class}
 	if q.beginProbe(found.content) {
 		go func() {
 			defer q.endProbe(found.content)
@@ -54,7 +55,7 @@
 	content Content
 	engine  fleet.Engine
 	cause   error
-	strikes int
+	class   policy.CrashClass
 }
 
 // beginProbe registers the check of an engine. It reports whether the content has no history and no other check in progress.
@@ -89,7 +90,7 @@
 		published = q.ended(endOf(found.content, found.engine))
 	}
 	crashes := q.crashes(found.content)
-	standing = standingOf(crashes, found.strikes)
+	standing = standingOf(crashes, found.class)
 	q.config.Logger.Info("answer broke off", "request", found.call.RequestID, "content", found.content, "engine", found.engine.ID,
 		"pool", found.engine.Pool, "ended", ended, "leaving", leaving, "engines_ended", crashes.Engines, "standing", standing,
 		"cause", found.cause)
