Bound what other machines send by its kind, in bytes and in memory

Cause: readers took for granted that what an engine sends ends by itself. The line of a stream was read to its end before its size was asked, heads up to 10 MB, the body of a refused request up to 64 MB although its head says that it has not run. Callers saw nothing yet; four runs of one engine took over 4 GB where a machine has 304 MB, and the process would end. Change: internal/inbound has the bound of each kind in one place and a budget of 15% of the memory for answers while they are read. The body of a refusal is not read. The text of an item is bounded by what a result can hold, and discarded beyond it. What exceeds its bound counts against its engine, what finds no memory does not.

--- a/internal/eventrun/eventrun.go
+++ b/internal/eventrun/eventrun.go
@@ -14,6 +14,7 @@
 
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/inbound"
 )
 
 // Ending is the way in which a run ended.
@@ -74,6 +75,12 @@
 	}
 }
 
+// EngineAtFault reports whether a run that broke off says that its engine is in trouble: it does not if this process had no memory for
+// an event.
+func (r Result) EngineAtFault() bool {
+	return !errors.Is(r.Err, inbound.ErrNoMemory)
+}
+
 // Receiver handles the answer of an engine.
 type Receiver interface {
 	// Head handles the head of a streamed answer. An error ends the run.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/inbound"
 	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
@@ -173,6 +174,9 @@
 	case errors.Is(result.err, engineapi.ErrNotSent):
 		directory.Failed(result.engine.ID, result.failure(), e.cause)
 		e.recordRejection()
+	case errors.Is(result.err, inbound.ErrNoMemory):
+		// The engine is not to blame.
+		e.mayHaveRun = true
 	case result.err != nil:
 		directory.Failed(result.engine.ID, policy.FailureInWork, e.cause)
 		e.mayHaveRun = true
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/inbound"
 	"github.com/hillfork/hillfork/internal/policy"
 	"github.com/hillfork/hillfork/internal/quarantine"
 )
@@ -92,8 +92,10 @@
 	Directory *fleet.Directory
 	// Quarantine withholds requests that crash engines, nil for none.
 	Quarantine *quarantine.Quarantine
-	Zone       string
-	Logger     *log.Logger
+	// Inbound bounds the memory of answers while they are read, nil for no bound.
+	Inbound *inbound.Budget
+	Zone    string
+	Logger  *log.Logger
 }
 
 // Forwarder sends requests to engines. It is safe for concurrent use.
@@ -138,8 +140,6 @@
 	maxRejections = 12
 	// slotPollInterval is the delay before engines that rejected the request are tried again.
 	slotPollInterval = 15 * time.Millisecond
-	// maxBodyBytes limits a response body, which is buffered completely before it is returned.
-	maxBodyBytes = 64 << 20
 	// hedgeTargetShare is the share of the latency target (Request.Aim) that passes before a hedged attempt at a second engine.
 	hedgeTargetShare = 0.45
 	// hedgeLatencyFactor times the pool's smoothed latency is the minimum delay before a hedged attempt.
@@ -179,17 +179,16 @@
 		elapsed := time.Since(started)
 		return attempt{engine: engine, err: err, sentAt: started, elapsed: elapsed, standing: f.reportBroken(ctx, engine, call, err, class, elapsed)}
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBodyBytes+1))
-	closeErr := reply.Body.Close()
-	if err == nil && len(body) > maxBodyBytes {
-		err = errBodyTooLarge
+	if reply.NotRun {
+		// The head says all. The body may have no end.
+		_ = reply.Body.Close()
+		return attempt{engine: engine, reply: reply, sentAt: started, elapsed: time.Since(started)}
 	}
+	body, err := f.config.Inbound.ReadAll(inbound.Answer, engine.ID, reply.Body)
+	closeErr := reply.Body.Close()
 	if err == nil {
 		err = closeErr
 	}
-	if reply.NotRun {
-		err = nil
-	}
 	elapsed := time.Since(started)
 	return attempt{
 		engine: engine, reply: reply, body: body, err: err, sentAt: started, elapsed: elapsed,
@@ -225,6 +224,3 @@
 
 // errSettled is the cancellation cause of attempts that are still running when the request has its outcome.
 var errSettled = errors.New("request is settled")
-
-// errBodyTooLarge is returned for a response body over maxBodyBytes.
-var errBodyTooLarge = errors.New("answer is too large")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -223,7 +223,9 @@
 		s.status = result.Status
 	default:
 		s.mayHaveRun = true
-		directory.Failed(engine.ID, policy.FailureInWork, result.Cause())
+		if result.EngineAtFault() {
+			directory.Failed(engine.ID, policy.FailureInWork, result.Cause())
+		}
 	}
 	return Answer{}, false
 }
--- a/internal/ingress/bodies.go
+++ b/internal/ingress/bodies.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hillfork/hillfork/internal/catalog"
+	"github.com/hillfork/hillfork/internal/inbound"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -28,13 +30,21 @@
 	return &bodyBudget{free: semaphore.NewWeighted(total), total: total}
 }
 
+// BodyLimit returns the maximum size in bytes of a request's body under a configuration, which may state none.
+func BodyLimit(limits catalog.Limits) int64 {
+	if limits.MaxBodyBytes > 0 {
+		return limits.MaxBodyBytes
+	}
+	return inbound.CallerBody.Limit()
+}
+
 // ReserveBody reserves memory for a body of size bytes, or -1 for a body over SmallBodyBytes of unknown size. ok is false if no memory
 // becomes free in time; the caller then refuses the request before it reads the complete body. release returns the memory.
 func (i *Ingress) ReserveBody(ctx context.Context, size int64) (release func(), ok bool) {
 	if size >= 0 && size <= SmallBodyBytes {
 		return func() {}, true
 	}
-	if limit := i.Limits().MaxBodyBytes; size < 0 || limit > 0 && size > limit {
+	if limit := BodyLimit(i.Limits()); size < 0 || size > limit {
 		size = max(limit, SmallBodyBytes)
 	}
 	size = min(size, i.bodyBudget.total)
--- a/internal/job/compress.go
+++ b/internal/job/compress.go
@@ -11,6 +11,9 @@
 // maxValueBytes limits the size of a value before compression and after decompression, in bytes.
 const maxValueBytes = 8 << 20
 
+// MaxTextBytes is the maximum size in bytes of an item's text that a result can hold, beside its other fields.
+const MaxTextBytes = maxValueBytes - 64<<10
+
 var errTooLarge = errors.New("compressed value is too large")
 
 // deflaters pools compressors, each of which takes several hundred kilobytes.
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -53,12 +53,16 @@
 )
 
 // Errors by which the receiver ends a run: errMove when the item moves to a better engine, errVersion when the engine's weight
-// version is not allowed for the item.
+// version is not allowed for the item, errTextTooLarge when the engine sends more events than a result can hold.
 var (
-	errMove    = errors.New("item moves to a better engine")
-	errVersion = errors.New("weight version is not allowed for the item")
+	errMove         = errors.New("item moves to a better engine")
+	errVersion      = errors.New("weight version is not allowed for the item")
+	errTextTooLarge = errors.New("text is too large for a result")
 )
 
+// maxTextEvents limits the number of events of an item, which take memory also where they are empty.
+const maxTextEvents = 1 << 19
+
 // execution runs one item of a job until it has a result.
 type execution struct {
 	runner *runner
@@ -75,7 +79,9 @@
 	// events holds the data of the item's events so far; versions holds the weight versions that produced them.
 	events   []string
 	versions []int64
-	failures int
+	// textBytes is the size of the text of the events.
+	textBytes int
+	failures  int
 	// checkpointed is the number of events that the store has, and pieces the number of records of the line that hold them. A line
 	// of 0 has not been started.
 	checkpointed int
@@ -367,7 +373,12 @@
 		e.mutex.Unlock()
 		return errMove
 	}
+	if len(e.events) >= maxTextEvents || e.textBytes+len(event.Data)+1 > job.MaxTextBytes {
+		e.mutex.Unlock()
+		return errTextTooLarge
+	}
 	e.events = append(e.events, event.Data)
+	e.textBytes += len(event.Data) + 1
 	if e.currentVersion != 0 && !slices.Contains(e.versions, e.currentVersion) {
 		e.versions = append(e.versions, e.currentVersion)
 	}
--- a/internal/jobrun/judge.go
+++ b/internal/jobrun/judge.go
@@ -36,9 +36,13 @@
 		return e.handleFailure(route, result), false
 	case eventrun.EndedByReceiver:
 		e.exclude = []string{e.engine.ID}
+		if errors.Is(result.Err, errTextTooLarge) {
+			directory.Failed(e.engine.ID, policy.FailureInWork, result.Cause())
+			e.restart(result.Err.Error())
+		}
 	case eventrun.EndedBroken, eventrun.EndedSilent:
 		e.exclude = []string{e.engine.ID}
-		if !directory.Loading(e.engine.ID, e.view.Spec.Model) {
+		if result.EngineAtFault() && !directory.Loading(e.engine.ID, e.view.Spec.Model) {
 			directory.Failed(e.engine.ID, policy.FailureInWork, result.Cause())
 		}
 		e.runner.config.Quarantine.ReportBroken(ctx, e.call(), e.engine, result.Err, policy.CrashItem)
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -104,7 +104,7 @@
 func (e *execution) wantForNextRun(route catalog.Route) fleet.Want {
 	want := e.want(route)
 	if want.ExactVersion != 0 && (!e.versionServed(want) || e.waitedTooLong(want)) {
-		e.restart()
+		e.restart("no engine of its version takes it")
 		want = e.want(route)
 	}
 	if !e.runner.config.Directory.Exists(want) {
@@ -179,12 +179,12 @@
 }
 
 // restart discards the item's events. It must not be called during a run.
-func (e *execution) restart() {
+func (e *execution) restart(cause string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.runner.config.Logger.Info("item starts anew, no engine of its version takes it", "job", e.view.Spec.ID, "item", e.item.ID,
-		"events", len(e.events), "versions", e.versions)
-	e.events, e.versions, e.checkpointed, e.line = nil, nil, 0, 0
+	e.runner.config.Logger.Info("item starts anew", "job", e.view.Spec.ID, "item", e.item.ID, "cause", cause, "events", len(e.events),
+		"versions", e.versions)
+	e.events, e.versions, e.textBytes, e.checkpointed, e.line = nil, nil, 0, 0, 0
 }
 
 func header(fields map[string]string) http.Header {
--- a/internal/jobrun/progress.go
+++ b/internal/jobrun/progress.go
@@ -13,6 +13,10 @@
 // produced the progress may still append to the old one.
 func (e *execution) setProgress(progress *job.Progress) {
 	e.events = slices.Clone(progress.Events)
+	e.textBytes = 0
+	for _, event := range e.events {
+		e.textBytes += len(event) + 1
+	}
 	e.versions = slices.Clone(progress.Versions)
 	e.failures = max(e.failures, progress.Failures)
 	e.complete, e.score = progress.Whole, progress.Score
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
+	"github.com/hillfork/hillfork/internal/inbound"
 	"github.com/hillfork/hillfork/internal/jobrun"
 	"github.com/hillfork/hillfork/internal/jobs"
 	"github.com/hillfork/hillfork/internal/unread"
@@ -141,6 +142,17 @@
 	})
 }
 
+// inbound registers what answers take while they are read, and what was cut.
+func (m *metrics) inbound(stats func() inbound.Stats) {
+	m.gauge("inbound_bytes", "Memory that large answers take while they are read.", func() float64 { return float64(stats().Held) })
+	for kind := range inbound.Kinds {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "inbound_cut_total", Help: "Answers that were not read to their end, since they were too large or had no memory.",
+			ConstLabels: prometheus.Labels{"kind": kind.String()},
+		}, func() float64 { return float64(stats().Cut[kind]) }))
+	}
+}
+
 // otherRegions registers the bytes of requests that were sent to engines in other regions.
 func (m *metrics) otherRegions(sent func() int64) {
 	m.counter("other_region_sent_bytes_total", "Bytes of requests' bodies sent to engines in other regions.", func() float64 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,6 +17,7 @@
 	"github.com/hillfork/hillfork/internal/follow"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/healthcheck"
+	"github.com/hillfork/hillfork/internal/inbound"
 	"github.com/hillfork/hillfork/internal/ingress"
 	"github.com/hillfork/hillfork/internal/job"
 	"github.com/hillfork/hillfork/internal/jobrun"
@@ -44,6 +45,8 @@
 	// Prober checks whether engines have ended.
 	Prober  quarantine.Prober
 	Decoder RecordDecoder
+	// Inbound bounds the memory of answers while they are read, nil for no bound.
+	Inbound *inbound.Budget
 	// Usage receives reports of usage, nil if there is no receiver.
 	Usage usage.Receiver
 	// Engines is the provider that engines are ordered from, nil if none can be ordered.
@@ -112,11 +115,15 @@
 		r.metrics.connections(config.Connections.Stats)
 		config.Connections.OnIdle(r.directory.SetIdleConnections)
 	}
+	if config.Inbound != nil {
+		r.metrics.inbound(config.Inbound.Stats)
+	}
 	r.setUpHealthChecks()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
 	forwarder := forward.New(forward.Config{
-		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Zone: config.Settings.Zone, Logger: config.Logger,
+		Client: config.Client, Directory: r.directory, Quarantine: r.quarantine, Inbound: config.Inbound, Zone: config.Settings.Zone,
+		Logger: config.Logger,
 	})
 	operator := r.follow(keyedlog.Partition{Topic: keyedlog.TopicOperator}, &operatorApplier{
 		decoder: config.Decoder, holder: r.catalog, directory: r.directory, evacuations: r.evacuations, logger: config.Logger,
