Read the store and reports also while engines hold the memory for answers

Cause: answers of the store took the memory that engines' answers share, so that an engine that sends without end could have a process lose the store. Found on reading the diff; not seen. Change: only answers to requests and events share it. Test: TestStoreIsReadWhileEnginesHoldTheMemory fails if all kinds share the memory.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -65,16 +65,16 @@
 // ReadAll reads to the end of an answer. It fails with ErrTooLarge or ErrNoMemory, or with the error of the reader. What it returns
 // is no longer counted.
 func (b *Budget) ReadAll(kind Kind, sender string, answer io.Reader) ([]byte, error) {
-	content, err := b.readAll(kind.Limit(), answer)
+	memory := b.Memory(kind)
+	defer memory.Release()
+	content, err := readAll(answer, kind.Limit(), &memory)
 	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoMemory) {
 		b.Cut(kind, sender, err)
 	}
 	return content, err
 }
 
-func (b *Budget) readAll(limit int64, answer io.Reader) ([]byte, error) {
-	memory := Memory{budget: b}
-	defer memory.Release()
+func readAll(answer io.Reader, limit int64, memory *Memory) ([]byte, error) {
 	content := make([]byte, 0, firstBuffer)
 	for {
 		if len(content) == cap(content) {
@@ -105,8 +105,11 @@
 	held   int64
 }
 
-// Memory returns the memory of one answer. Release must be called.
-func (b *Budget) Memory() Memory {
+// Memory returns the memory of one answer of a kind. Release must be called.
+func (b *Budget) Memory(kind Kind) Memory {
+	if !kind.sharesMemory() {
+		return Memory{}
+	}
 	return Memory{budget: b}
 }
 
--- a/internal/inbound/budget_test.go
+++ b/internal/inbound/budget_test.go
@@ -51,6 +51,21 @@
 	is.Equal(budget.Stats().Cut[Answer], int64(16))
 }
 
+// TestStoreIsReadWhileEnginesHoldTheMemory guards against a process that loses the store since engines send without end.
+func TestStoreIsReadWhileEnginesHoldTheMemory(t *testing.T) {
+	is := is.New(t)
+	budget := NewBudget(304*megabyte, log.New(io.Discard))
+	held := budget.Memory(Event)
+	defer held.Release()
+	is.True(held.Hold(budget.total))
+	answer := strings.Repeat("a", megabyte)
+	_, err := budget.ReadAll(Answer, "engine", strings.NewReader(answer))
+	is.True(errors.Is(err, ErrNoMemory))
+	content, err := budget.ReadAll(StoreAnswer, "store", strings.NewReader(answer))
+	is.NoErr(err)
+	is.Equal(len(content), megabyte)
+}
+
 // TestAnswersAreReadUpToTheirLimit checks what is read of answers about as large as the limit of their kind, with and without a budget.
 func TestAnswersAreReadUpToTheirLimit(t *testing.T) {
 	for _, budget := range []*Budget{nil, NewBudget(0, log.New(io.Discard)), NewBudget(304*megabyte, log.New(io.Discard))} {
--- a/internal/inbound/kind.go
+++ b/internal/inbound/kind.go
@@ -66,6 +66,12 @@
 	return names[k]
 }
 
+// sharesMemory reports whether the kind takes the memory that answers of engines share. Reports and answers of the store don't, so that
+// they are read also while engines send without end.
+func (k Kind) sharesMemory() bool {
+	return k == Answer || k == Event
+}
+
 // Limit returns the maximum size in bytes.
 func (k Kind) Limit() int64 {
 	return limits[k]
