Review: show that a request with an encoded slash runs twice

Cause: the route is chosen by the decoded path, which may begin with the prefix of an idempotent route where the path sent does not.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(*World) bool{
 	"paths":    paths,
+	"encoded":  encoded,
 	"silent":   silent,
 	"unframed": unframed,
 	"reward":   reward,
