Take the epoch after the last owner's, so that a process may start any number of times

Cause: the store says that an epoch is too low, not what the current one is. fencing.Writer.Open doubled its guess at each rejection, and the 2^20 epochs of a generation lasted for 40 starts of a process that keeps its generation. The 41st was told that it is superseded. Change: after three rejections Open reads the newest owner's record, which says the epoch, and takes the next one. An owner of an earlier generation learns of that in five calls instead of some twenty appends. Tests: TestEachStartUsesOneEpoch fails at the 41st start without the change, and TestOwnerOfAnEarlierGenerationLearnsOfItInFewCalls too; TestEpochIsFoundWithoutTheOwnersRecord holds the earlier way. Epochs that an earlier build has used up in the current generation stay used up.

--- a/internal/fencing/fencing.go
+++ b/internal/fencing/fencing.go
@@ -56,6 +56,11 @@
 	// initialSequences is the size of the range from which the first sequence number is drawn. It is large enough that
 	// two processes do not draw the same number.
 	initialSequences = 1 << 50
+	// triedRestarts is how many epochs of a generation are tried one after another before the last owner's is read: a
+	// rejected append costs less than a page of records, and few processes start more often in one generation.
+	triedRestarts = 3
+	// beforeOwnerKey is a key after which keyedlog.OwnerKey is the first.
+	beforeOwnerKey = "owner/epoc"
 )
 
 const (
@@ -83,20 +88,31 @@
 //
 // Open writes a record, because the store checks sequence numbers of appends only. A process that is restarted in the
 // same generation first tries the epoch of the previous process. That epoch's sequence continues from a different
-// number, so the store rejects the append, and Open tries higher epochs, all below those of the next generation.
+// number, so the store rejects the append, and Open tries higher epochs, all below those of the next generation. It
+// takes the one after the last owner's, so that each start uses up one epoch of the generation.
 func (w *Writer) Open(ctx context.Context) (int64, error) {
 	w.sequence = rand.Int64N(initialSequences)
-	for restart := int64(0); restart < 1<<restartBits; {
-		epoch := w.config.Generation<<restartBits + restart
+	first, next := w.config.Generation<<restartBits, (w.config.Generation+1)<<restartBits
+	for epoch := first; epoch < next; {
 		w.epoch.Store(epoch)
 		ownerRecord := keyedlog.Record{Key: keyedlog.OwnerKey, Value: strconv.AppendInt(nil, epoch, 10)}
 		end, err := w.append(ctx, []keyedlog.Record{ownerRecord})
 		var sequenceErr *keyedlog.SequenceError
 		switch {
 		case errors.As(err, &sequenceErr):
-			restart++
+			epoch++
+		case errors.Is(err, keyedlog.ErrFenced) && epoch-first < triedRestarts:
+			epoch++
 		case errors.Is(err, keyedlog.ErrFenced):
-			restart = 2*restart + 1
+			last, err := w.lastEpoch(ctx)
+			if err != nil {
+				return 0, err
+			}
+			if last < epoch {
+				// The record of the owner that has set the epoch is missing or of another form.
+				last = first + 2*(epoch-first)
+			}
+			epoch = last + 1
 		default:
 			return end, err
 		}
@@ -105,6 +121,25 @@
 	return 0, ErrSuperseded
 }
 
+// lastEpoch returns the epoch that the partition's last owner wrote, retrying until the store answers, and 0 if there is
+// none that can be read.
+func (w *Writer) lastEpoch(ctx context.Context) (int64, error) {
+	for {
+		page, err := w.config.Log.Newest(ctx, w.config.Partition, beforeOwnerKey)
+		if err == nil {
+			if len(page.Records) == 0 || page.Records[0].Key != keyedlog.OwnerKey {
+				return 0, nil
+			}
+			epoch, _ := strconv.ParseInt(string(page.Records[0].Value), 10, 64)
+			return epoch, nil
+		}
+		errorlog.Debug(w.config.Logger, "owner not read", err, "partition", w.config.Partition)
+		if !pause.For(ctx, retryInterval) {
+			return 0, ctx.Err()
+		}
+	}
+}
+
 // Append writes records, retrying until the store confirms them, and returns the partition's end. The sequence number
 // makes the store apply them exactly once. It fails with ErrSuperseded, or with the context's error, after which the
 // records may have been written all the same.
--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -143,3 +143,64 @@
 		})
 	}
 }
+
+// TestEachStartUsesOneEpoch guards against a partition that stays with a process and is never served: a process that
+// crashes in a loop keeps its generation, and each start used up as many epochs as all starts before it, so that the
+// 41st found none.
+func TestEachStartUsesOneEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1, Late: time.Second})
+		random := rand.New(rand.NewSource(1))
+		store.SetRule(func(memorylog.Call) memorylog.Fault {
+			return []memorylog.Fault{memorylog.None, memorylog.LostAfter, memorylog.LostBefore, memorylog.LostLate}[random.Intn(4)]
+		})
+		const starts, generation = 300, 3
+		var last int64
+		for start := range starts {
+			writer := openWriter(t, store, fmt.Sprint("process", start), generation)
+			is.True(writer.Epoch() > last)
+			last = writer.Epoch()
+			_, err := writer.Append(t.Context(), record(start))
+			is.NoErr(err)
+		}
+		is.True(last < generation<<20+2*starts) // Late appends of a start may set an epoch that nobody uses.
+		openWriter(t, store, "successor", generation+1)
+		is.Equal(len(writtenRecords(store)), starts)
+	})
+}
+
+// TestEpochIsFoundWithoutTheOwnersRecord guards against an owner that finds no epoch because the record of the last one
+// is missing or of another form.
+func TestEpochIsFoundWithoutTheOwnersRecord(t *testing.T) {
+	for _, value := range [][]byte{nil, []byte("x"), []byte("1")} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := memorylog.New(memorylog.Config{Partitions: 1})
+			for start := range 12 {
+				writer := openWriter(t, store, fmt.Sprint("process", start), 1)
+				_, err := writer.Append(t.Context(), []keyedlog.Record{{Key: keyedlog.OwnerKey, Value: value}})
+				is.NoErr(err)
+			}
+		})
+	}
+}
+
+// TestOwnerOfAnEarlierGenerationLearnsOfItInFewCalls guards against many calls of each process that believes that it owns
+// a partition that has moved on.
+func TestOwnerOfAnEarlierGenerationLearnsOfItInFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1})
+		openWriter(t, store, "next", 4)
+		before, calls := store.Appends(), 0
+		store.SetRule(func(memorylog.Call) memorylog.Fault { calls++; return memorylog.None })
+		late := fencing.New(fencing.Config{
+			Log: store.For("late"), Partition: partition, Name: "owner", Generation: 3, Logger: log.New(io.Discard),
+		})
+		_, err := late.Open(t.Context())
+		is.Equal(err, fencing.ErrSuperseded)
+		is.True(store.Appends()-before <= 4)
+		is.True(calls <= 5)
+	})
+}
