Keep an item while the route of its scorer, or the targets of its own, are away

Cause: requestScore gave an item up as soon as the newest configuration had no route for the scorer, and generate as soon as the item's own route had no target. Configurations add and remove routes; an item may be dead before its time for the end of its own route alone. Change: ownRouteRemoved is the only question that ends an item for a route.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -201,7 +201,7 @@
 		route, ok := e.route()
 		if !ok {
 			e.queued()
-			if e.routeRemoved(ctx, e.route) {
+			if e.ownRouteRemoved(ctx) {
 				e.runner.config.Logger.Info("item given up, its route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
 				return false
 			}
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -37,7 +37,7 @@
 			return
 		}
 		e.queued()
-		if e.routeRemoved(ctx, e.itemRoute) {
+		if e.ownRouteRemoved(ctx) {
 			return
 		}
 	}
@@ -55,10 +55,14 @@
 	return current.Match(host, path)
 }
 
-// routeRemoved reports whether the newest catalog lacks a route. This process may not have read the catalog under which the job
-// was accepted, so it first confirms with the store that its catalog is up to date. It returns false after a short delay if the
-// store does not confirm it.
-func (e *execution) routeRemoved(ctx context.Context, route func() (catalog.Route, bool)) bool {
+// ownRouteRemoved reports whether the newest catalog lacks the item's route, even one without targets. This process may not have
+// read the catalog under which the job was accepted, so it first confirms with the store that its catalog is up to date. It returns
+// false after a short delay if the route is there, or if the store does not confirm that it is not.
+func (e *execution) ownRouteRemoved(ctx context.Context) bool {
+	if _, found := e.itemRoute(); found {
+		pause.For(ctx, maxRetryBackoff)
+		return false
+	}
 	confirmCtx, cancel := context.WithTimeout(ctx, catalogTimeout)
 	defer cancel()
 	operator := keyedlog.Partition{Topic: keyedlog.TopicOperator}
@@ -68,7 +72,7 @@
 		pause.For(ctx, maxRetryBackoff)
 		return false
 	}
-	if _, found := route(); found {
+	if _, found := e.itemRoute(); found {
 		return false
 	}
 	if e.runner.config.Catalog.Current() == nil {
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -21,8 +21,9 @@
 	for ctx.Err() == nil {
 		route, ok := e.scorerRoute()
 		if !ok {
-			if e.routeRemoved(ctx, e.scorerRoute) {
-				e.runner.config.Logger.Info("item given up, its scorer's route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
+			// The scorer's route may come back. Only the end of the item's own route ends the item.
+			if e.ownRouteRemoved(ctx) {
+				e.runner.config.Logger.Info("item given up, its route is gone", "item", e.item.ID, "job", e.view.Spec.ID)
 				return "", false
 			}
 			continue
