Leave connections that may have gone silent after a call that ended in silence

Cause: a run that ends in silence closed its own connection, and the next try went to another kept connection, as silent as the first: all open connections may go silent at one time while new ones work. Change: engineapi.Call.HeardSince states since when the engine must have been heard over the connection. correlate notes when bytes last arrived on each, and opens a new one if none was heard since. Items, resumable streams and calls to scorers state it after a call that ended in silence.

--- a/internal/correlate/connection.go
+++ b/internal/correlate/connection.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
+	"time"
 )
 
 // recentRequests is the number of requests over a connection that it remembers. An extra answer comes in the place of one of the next
@@ -79,6 +81,7 @@
 		return nil, errClosed
 	}
 	c.conn = &conn{Conn: opened, owner: c}
+	c.conn.hear()
 	return c.conn, nil
 }
 
@@ -110,6 +113,26 @@
 type conn struct {
 	net.Conn
 	owner *connection
+	// heard is when the last bytes arrived, or the connection was opened.
+	heard atomic.Pointer[time.Time]
+}
+
+// Read reads bytes and notes when they arrived.
+func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.hear()
+	}
+	return n, err
+}
+
+func (c *conn) hear() {
+	now := time.Now()
+	c.heard.Store(&now)
+}
+
+func (c *conn) heardAt() time.Time {
+	return *c.heard.Load()
 }
 
 // Close closes the connection, which is not used any more. If a request was under way, the connection is reset: what a partition of the
--- a/internal/correlate/correlate.go
+++ b/internal/correlate/correlate.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"time"
 )
 
 // ErrOtherAnswer means that the answer belongs to another request. The request may have run.
@@ -55,9 +56,10 @@
 	return t
 }
 
-// Do sends a request and returns its answer. It fails with ErrOtherAnswer, or with an error of the http.Transport.
-func (t *Transport) Do(request *http.Request, identity Identity) (*http.Response, error) {
-	used := t.acquire(request.URL.Host, identity)
+// Do sends a request and returns its answer. It is not sent over a kept connection on which nothing has arrived since heardSince. Do
+// fails with ErrOtherAnswer, or with an error of the http.Transport.
+func (t *Transport) Do(request *http.Request, identity Identity, heardSince time.Time) (*http.Response, error) {
+	used := t.acquire(request.URL.Host, identity, heardSince)
 	trace := &httptrace.ClientTrace{PutIdleConn: func(err error) {
 		if err == nil {
 			t.finish(used, &used.isIdle)
@@ -79,10 +81,10 @@
 }
 
 // acquire returns an idle connection to a host that the request may be sent over, and a new one if there is none.
-func (t *Transport) acquire(host string, identity Identity) *connection {
+func (t *Transport) acquire(host string, identity Identity, heardSince time.Time) *connection {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	found := t.choose(host, identity)
+	found := t.choose(host, identity, heardSince)
 	if found == nil {
 		found = newConnection(t, host)
 	}
@@ -93,9 +95,9 @@
 
 // choose returns the idle connection to a host that was used last of those that the request may be sent over, nil if there is none. The
 // mutex must be held.
-func (t *Transport) choose(host string, identity Identity) *connection {
+func (t *Transport) choose(host string, identity Identity, heardSince time.Time) *connection {
 	for _, found := range slices.Backward(t.idle[host]) {
-		if !found.mistakes(identity) {
+		if !found.mistakes(identity) && !found.conn.heardAt().Before(heardSince) {
 			return found
 		}
 	}
--- a/internal/correlate/correlate_test.go
+++ b/internal/correlate/correlate_test.go
@@ -119,7 +119,7 @@
 	if identity.ID != "" {
 		request.Header.Set(idHeader, identity.ID)
 	}
-	return transport.Do(request, identity)
+	return transport.Do(request, identity, time.Time{})
 }
 
 // read sends a request and returns the status and body of its answer.
@@ -311,7 +311,7 @@
 		defer cancel()
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host, nil)
 		is.NoErr(err)
-		_, err = transport.Do(request, Identity{ID: "a"})
+		_, err = transport.Do(request, Identity{ID: "a"}, time.Time{})
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		time.Sleep(time.Second)
 		is.Equal(len(transport.idle), 0)
@@ -319,3 +319,36 @@
 		server.set(func() { is.Equal(len(server.conns), 0) })
 	})
 }
+
+// TestSilentConnectionsAreNotUsedAgain guards against calls that are sent over one silent connection after another: connections may go
+// silent without an end, all that are open at the same time, and each takes a timeout to find out. A caller that has met silence asks for
+// a connection on which something has arrived since, and gets a new one if there is none.
+func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
+	run(t, func(t *testing.T, server *peer, transport *Transport) {
+		is := is.New(t)
+		send := func(id string, heardSince time.Time) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+host, nil)
+			is.NoErr(err)
+			request.Header.Set(idHeader, id)
+			answer, err := transport.Do(request, Identity{ID: id}, heardSince)
+			is.NoErr(err)
+			_, _ = io.Copy(io.Discard, answer.Body)
+			is.NoErr(answer.Body.Close())
+			synctest.Wait()
+		}
+		send("a", time.Time{})
+		time.Sleep(time.Second)
+		silentSince := time.Now()
+		time.Sleep(time.Second)
+		send("b", silentSince)
+		is.Equal(server.connections(), 2)
+		send("c", silentSince) // Something has arrived on the second connection.
+		is.Equal(server.connections(), 2)
+		send("d", time.Time{})
+		is.Equal(server.connections(), 2)
+		time.Sleep(time.Second)
+		send("e", time.Now())
+		is.Equal(server.connections(), 3)
+		is.Equal(len(transport.idle[host]), 3)
+	})
+}
--- a/internal/correlate/reset_test.go
+++ b/internal/correlate/reset_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -70,7 +71,7 @@
 						cancel()
 					}()
 				}
-				answer, err := transport.Do(request, Identity{ID: "a"})
+				answer, err := transport.Do(request, Identity{ID: "a"}, time.Time{})
 				if test.end != nil {
 					is.NoErr(err)
 					test.end(answer, cancel)
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -49,6 +49,9 @@
 	Priority int
 	// Tenant is the name of the tenant that sent the request, empty if it belongs to none.
 	Tenant string
+	// HeardSince excludes kept connections over which the engine has sent nothing since then; zero excludes none. A connection may go
+	// silent without an end, together with all others that are open at the time.
+	HeardSince time.Time
 }
 
 // Reply is the status and headers of an engine's answer, with the body still unread.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -164,6 +164,10 @@
 		s.withheld = standing == quarantine.Withheld
 	}
 	if result.Ending == eventrun.EndedSilent {
+		s.request.Call.HeardSince = s.sentAt
+		if !s.lastEventAt.IsZero() {
+			s.request.Call.HeardSince = s.lastEventAt
+		}
 		s.forwarder.config.Quarantine.ReportSilent(call, engine, time.Since(s.sentAt))
 	}
 	return result
--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -94,8 +94,11 @@
 	currentVersion int64
 	sentAt         time.Time
 	lastEventAt    time.Time
-	moveCheckedAt  time.Time
-	runEndedAt     time.Time
+	// heardSince is when the last run that ended in silence was sent, or its last event arrived. Connections over which nothing has
+	// arrived since may be silent too.
+	heardSince    time.Time
+	moveCheckedAt time.Time
+	runEndedAt    time.Time
 	// waitingSince is when the item began to wait for an engine, zero while it does not wait.
 	waitingSince time.Time
 	emptyRuns    int
@@ -152,6 +155,14 @@
 	return time.Since(e.lastEventAt)
 }
 
+// lastSign returns when the current run was sent, or when its last event arrived.
+func (e *execution) lastSign() time.Time {
+	if e.lastEventAt.IsZero() {
+		return e.sentAt
+	}
+	return e.lastEventAt
+}
+
 // withDeadline returns a context that ends when the item may be abandoned.
 func (e *execution) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	route, known := e.itemRoute()
@@ -291,6 +302,7 @@
 	e.sentAt = e.moveCheckedAt
 	call := e.call()
 	call.ResumeAfter = int64(len(e.events))
+	call.HeardSince = e.heardSince
 	call.Priority = min(9, e.runner.config.Catalog.Priority(route, e.view.Spec.Tenant))
 	if deadline, bounded := ctx.Deadline(); bounded {
 		call.Remaining = time.Until(deadline)
--- a/internal/jobrun/judge.go
+++ b/internal/jobrun/judge.go
@@ -47,6 +47,7 @@
 		}
 		e.runner.config.Quarantine.ReportBroken(ctx, e.call(), e.engine, result.Err, policy.CrashItem)
 		if result.Ending == eventrun.EndedSilent {
+			e.heardSince = e.lastSign()
 			e.runner.config.Quarantine.ReportSilent(e.call(), e.engine, minEventGap)
 		}
 	}
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -18,6 +18,7 @@
 	if scorer == nil {
 		return "", true
 	}
+	var heardSince time.Time
 	for ctx.Err() == nil {
 		route, ok := e.scorerRoute()
 		if !ok {
@@ -29,6 +30,8 @@
 			continue
 		}
 		request := e.scoreRequest(ctx, route)
+		request.Call.HeardSince = heardSince
+		sentAt := time.Now()
 		answer := e.runner.config.Forwarder.Do(ctx, request)
 		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
 			return answer.Reply.Stamp, true
@@ -38,6 +41,9 @@
 				"failures", answer.Failures)
 			return "", false
 		}
+		if answer.Outcome == forward.TimedOut {
+			heardSince = sentAt
+		}
 		if answer.Outcome == forward.NotRun {
 			e.runner.config.Quarantine.ReportNotRun(request.Call)
 		}
