Continue a stream without a length before it counts as complete

Cause: a stream without a length ends with its connection, and the end of the engine's process ends the connection in the same way. Change: engineapi.Reply.Unframed; eventrun ends such runs as unconfirmed, and items and resumable streams go on from their last event. They are complete once a run that continues them has no events, or if no engine can tell more (streams).

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -66,6 +66,8 @@
 	Version int64
 	// Body ends with an error other than io.EOF if it was truncated. Closing it early makes the engine cancel the request.
 	Body io.ReadCloser
+	// Unframed reports whether the answer states no length and ends with its connection. Its end may then be that of the engine's process.
+	Unframed bool
 }
 
 // Event is one event of a streamed answer.
--- a/internal/eventrun/eventrun.go
+++ b/internal/eventrun/eventrun.go
@@ -36,9 +36,12 @@
 	EndedByReceiver
 	// EndedByCaller means that the context ended.
 	EndedByCaller
+	// EndedUnconfirmed means that the stream ended normally, but has no end of its own, so that it may lack events: its connection also ends
+	// so if the engine's process ends. A run that continues it tells: it is complete if that one has no events.
+	EndedUnconfirmed
 )
 
-var endingNames = [...]string{"whole", "not_run", "failed", "broken", "silent", "stopped", "cancelled"}
+var endingNames = [...]string{"whole", "not_run", "failed", "broken", "silent", "stopped", "cancelled", "unconfirmed"}
 
 // String returns the name that log lines use.
 func (e Ending) String() string {
@@ -122,6 +125,9 @@
 	}
 	result := passEvents(client.Events(reply.Body), call.ResumeAfter, receiver, func() { watchdog.Reset(limits.Gap) })
 	result.Status = reply.Status
+	if result.Ending == EndedComplete && reply.Unframed && (result.Events > 0 || call.ResumeAfter == 0) {
+		result.Ending = EndedUnconfirmed
+	}
 	if result.Ending == EndedByReceiver {
 		// The connection ends with the body. Its client distinguishes cancelled runs from broken connections by the context.
 		cancel()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -197,6 +197,8 @@
 	breaking := memoryengine.Behaviour{Pace: work, BreakAfter: 4}
 	silent := memoryengine.Behaviour{Pace: time.Hour}
 	full := memoryengine.Behaviour{Full: true}
+	unframed := memoryengine.Behaviour{Pace: work, Unframed: true}
+	ending := memoryengine.Behaviour{Pace: work, Unframed: true, EndAfter: 4}
 	type behaviours = map[string]memoryengine.Behaviour
 	tests := []struct {
 		name      string
@@ -207,6 +209,11 @@
 	}{
 		{"complete", behaviours{"a": good}, false, forward.Answered, events},
 		{"resumed after a break", behaviours{"a": breaking, "b": good}, true, forward.Answered, events},
+		{"continued after an end that is not its own", behaviours{"a": ending, "b": good}, true, forward.Answered, events},
+		{"confirmed after an end that is not its own", behaviours{"a": unframed, "b": good}, true, forward.Answered, events},
+		{"unconfirmed, if no other engine is there", behaviours{"a": unframed}, true, forward.Answered, events},
+		{"unconfirmed, if the other engine is full", behaviours{"a": unframed, "b": full}, true, forward.Answered, events},
+		{"unconfirmed, if not resumable", behaviours{"a": unframed, "b": good}, false, forward.Answered, events},
 		{"lost after a break, if not resumable", behaviours{"a": breaking, "b": good}, false, forward.Lost, 4},
 		{"another engine when one is full", behaviours{"a": full, "b": good}, false, forward.Answered, events},
 		{"not run when all are full", behaviours{"a": full}, false, forward.NotRun, 0},
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -67,6 +67,8 @@
 	withheld bool
 	// headSent is set once the Begin method of the receiver was called.
 	headSent bool
+	// unconfirmed is the engine whose stream ended normally and may lack events, nil if there is none.
+	unconfirmed *fleet.Engine
 	// lastEventID is the ID of the last event passed on.
 	lastEventID int64
 	status      int
@@ -84,7 +86,7 @@
 	for s.mayStart() {
 		engine, ok := s.acquire()
 		if !ok {
-			if s.unservable() || !s.awaitSlot(ctx) {
+			if s.unconfirmed != nil || s.unservable() || !s.awaitSlot(ctx) {
 				break
 			}
 			continue
@@ -202,7 +204,19 @@
 	if result.Ending != eventrun.EndedComplete {
 		s.cause = result.Ending.String()
 	}
+	if result.Events > 0 {
+		s.unconfirmed = nil
+	}
 	switch result.Ending {
+	case eventrun.EndedUnconfirmed:
+		directory.Succeeded(engine.ID, 0)
+		s.forwarder.config.Quarantine.ReportAnswered(s.request.Call)
+		if !s.request.Resumable {
+			// Nothing tells whether it is complete, and it must not run again.
+			s.cause = ""
+			return s.answer(Answered, engine), true
+		}
+		s.mayHaveRun, s.unconfirmed = true, &engine
 	case eventrun.EndedComplete:
 		directory.Succeeded(engine.ID, 0)
 		s.forwarder.config.Quarantine.ReportAnswered(s.request.Call)
@@ -236,6 +250,10 @@
 
 func (s *streamExchange) settle(ctx context.Context) Answer {
 	switch {
+	case s.unconfirmed != nil:
+		// No engine can tell more.
+		s.cause = ""
+		return s.answer(Answered, *s.unconfirmed)
 	case !s.mayHaveRun:
 		return s.refusal.complete(Answer{Attempts: s.sent, Tried: s.offered, Cause: s.cause})
 	case ctx.Err() != nil:
--- a/internal/jobrun/judge.go
+++ b/internal/jobrun/judge.go
@@ -30,6 +30,10 @@
 		e.runner.config.Quarantine.ReportAnswered(e.call())
 		e.runner.recordLength(e.item.LengthHint, len(e.events))
 		return true, true
+	case eventrun.EndedUnconfirmed:
+		// The next run continues the text and finds out whether it is complete.
+		directory.Succeeded(e.engine.ID, 0)
+		e.runner.config.Quarantine.ReportAnswered(e.call())
 	case eventrun.EndedNotRun:
 		e.handleRejection(result)
 	case eventrun.EndedFailed:
--- a/internal/standin/memoryengine/memoryengine.go
+++ b/internal/standin/memoryengine/memoryengine.go
@@ -60,6 +60,10 @@
 	Status int
 	// BreakAfter breaks streams after so many events, once for each request; 0 never.
 	BreakAfter int
+	// Unframed sends answers without a length. EndAfter ends such streams after so many events, once for each request, as the end of the
+	// engine's process does; 0 never.
+	Unframed bool
+	EndAfter int
 	// LoseOrders gives no answer to orders and carries them out after LateOrders; never if that is 0.
 	LoseOrders bool
 	LateOrders time.Duration
@@ -214,7 +218,7 @@
 	}
 	version := found.Versions[call.Header.Get("Model")]
 	e.mutex.Unlock()
-	reply := &engineapi.Reply{Status: http.StatusOK, Stamp: Stamp, Version: version, Header: make(http.Header)}
+	reply := &engineapi.Reply{Status: http.StatusOK, Stamp: Stamp, Version: version, Header: make(http.Header), Unframed: behaviour.Unframed}
 	if behaviour.Full || loading {
 		reply.Status, reply.NotRun, reply.Body = http.StatusServiceUnavailable, true, http.NoBody
 		return reply, nil
@@ -308,9 +312,13 @@
 	if err := b.wait(b.behaviour.Pace); err != nil {
 		return err
 	}
-	if b.breaks() {
+	if b.breaks(b.behaviour.BreakAfter) {
 		return errReset
 	}
+	if b.breaks(b.behaviour.EndAfter) {
+		b.done = true
+		return io.EOF
+	}
 	b.engines.mutex.Lock()
 	version := b.engine.Versions[b.call.Header.Get("Model")]
 	b.engines.mutex.Unlock()
@@ -324,9 +332,9 @@
 	return nil
 }
 
-// breaks tells whether the stream breaks now.
-func (b *body) breaks() bool {
-	if b.behaviour.BreakAfter == 0 || b.next <= int64(b.behaviour.BreakAfter) {
+// breaks tells whether the stream breaks now, which it does after a number of events.
+func (b *body) breaks(after int) bool {
+	if after == 0 || b.next <= int64(after) {
 		return false
 	}
 	b.engines.mutex.Lock()
