Take an engine out of use whose newest entry can't be read

Cause: an entry that can't be read was skipped, and cancelled the removal of an engine whose record had lapsed. The earlier entry stayed in force, for good where the engine was gone. Change: such an entry removes the engine at once, as the drop of its record does; its own next write brings it back. Tests: TestUnreadableEntryNamesNoEngine failed before.

--- a/internal/replica/records.go
+++ b/internal/replica/records.go
@@ -140,6 +140,7 @@
 	engine, err := a.decoder.Engine(record.Key, record.Value)
 	if err != nil {
 		errorlog.Warn(a.logger, "engine record skipped", err, "engine", record.Key, "offset", record.Offset)
+		a.recordReplaced(record)
 		return
 	}
 	known, found := a.directory.Engine(engine.ID)
@@ -154,6 +155,17 @@
 	a.list.PutOwnRecord(engine, record.Offset)
 }
 
+// recordReplaced removes an engine whose record another writer has replaced by one that names no engine to use. If the engine lives, it
+// writes its own again within a heartbeat.
+func (a *engineApplier) recordReplaced(record keyedlog.Record) {
+	if _, known := a.directory.Engine(record.Key); !known {
+		return
+	}
+	a.departed = true
+	a.logger.Info("engine gone", "engine", record.Key, "offset", record.Offset, "max_age", a.maxAge(), "cause", "unreadable")
+	a.remove(record)
+}
+
 // recordDropped removes an engine whose record was dropped, after the rest of renewalWindow if the store has just
 // returned.
 func (a *engineApplier) recordDropped(record keyedlog.Record) {
--- a/internal/replica/records_test.go
+++ b/internal/replica/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -158,3 +159,57 @@
 	engines.Advanced(count + 1)
 	is.Equal(output.Len(), 0)
 }
+
+// strictDecoder decodes the value "x" as an engine of the pool "p", and no other value.
+type strictDecoder struct{ engineDecoder }
+
+func (d strictDecoder) Engine(id string, value []byte) (fleet.Engine, error) {
+	if string(value) != "x" {
+		return fleet.Engine{}, errors.New("no engine")
+	}
+	return d.engineDecoder.Engine(id, value)
+}
+
+// TestUnreadableEntryNamesNoEngine guards against engines that stay in use by an earlier record though the newest one, of another writer, names
+// no engine: one that is gone stayed for good, also where its record had lapsed before.
+func TestUnreadableEntryNamesNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := fleet.NewDirectory()
+		now := time.Now()
+		engines := &engineApplier{
+			decoder: strictDecoder{}, directory: directory, list: enginelist.NewList(directory, 1), logger: log.New(io.Discard),
+			returned: func() time.Time { return now },
+		}
+		defer engines.stop()
+		offset := int64(0)
+		put := func(id, value string) {
+			record := keyedlog.Record{Key: id, Offset: offset}
+			if value != "" {
+				record.Value = []byte(value)
+			}
+			engines.Apply(record, false)
+			engines.Advanced(offset + 1)
+			offset++
+		}
+		known := func(id string) bool {
+			_, found := directory.Engine(id)
+			return found
+		}
+		put("a", "x")
+		put("b", "x")
+		put("a", "not an engine")
+		is.True(!known("a"))
+		is.True(known("b")) // The others hold.
+		put("a", "x")
+		is.True(known("a"))
+		put("b", "") // It may have lapsed while the store was away.
+		is.True(known("b"))
+		put("b", "not an engine")
+		is.True(!known("b"))
+		time.Sleep(2 * renewalWindow)
+		is.True(known("a") && !known("b"))
+		put("c", "not an engine")
+		is.True(!known("c"))
+	})
+}
