List a result that can't be stored as dead

Cause: a result that does not encode was dropped and counted as listed, so that its job never ended. One that is larger than an append was sent to the store for good, and the partition listed nothing more. Change: such a result is listed as dead, without its text, and logged. Tests: TestResultThatCannotBeStoredIsGivenUp, both cases failed before.

--- a/internal/jobrun/writer.go
+++ b/internal/jobrun/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -180,10 +181,28 @@
 	if next.result == nil {
 		return next.records, nil
 	}
+	next.completesStep = w.wanted[next.jobID].completedBy(next.result.ItemID)
+	encoded, err := w.encodeResult(next)
+	if err == nil || next.result.Dead {
+		return encoded, err
+	}
+	errorlog.Error(w.logger, "result cannot be stored, item given up", err, "job", next.jobID, "item", next.result.ItemID)
+	next.result = &job.Result{ItemID: next.result.ItemID, Dead: true}
+	return w.encodeResult(next)
+}
+
+// errResultTooLarge is returned for a result that no append can hold.
+var errResultTooLarge = errors.New("result is larger than an append may be")
+
+// encodeResult returns the records of the result of an entry, which fit one append. The mutex must be held.
+func (w *writer) encodeResult(next *entry) ([]keyedlog.Record, error) {
 	result := *next.result
-	next.completesStep = w.wanted[next.jobID].completedBy(result.ItemID)
 	result.CompletesStep = next.completesStep
-	return job.EncodeResult(next.jobID, w.positions[next.jobID], result, w.limits.RecordBytes)
+	encoded, err := job.EncodeResult(next.jobID, w.positions[next.jobID], result, w.limits.RecordBytes)
+	if err == nil && job.Size(encoded) > w.limits.CallBytes {
+		err = errResultTooLarge
+	}
+	return encoded, err
 }
 
 // countListed counts a result that is being listed. The mutex must be held.
--- a/internal/jobrun/writer_test.go
+++ b/internal/jobrun/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -51,3 +52,43 @@
 		is.True(end >= 2)
 	})
 }
+
+// TestResultThatCannotBeStoredIsGivenUp guards against jobs that never end, and partitions that list nothing more: a result that does not
+// encode was dropped without a word and counted as listed, and one that no append can hold was sent to the store for good.
+func TestResultThatCannotBeStoredIsGivenUp(t *testing.T) {
+	const callBytes = 1 << 16
+	random := rand.New(rand.NewPCG(1, 1))
+	noise := make([]byte, 2*callBytes)
+	for i := range noise {
+		noise[i] = byte(random.Uint32())
+	}
+	for name, text := range map[string]string{"does not encode": strings.Repeat("a", job.MaxTextBytes+1<<20), "fits no append": string(noise)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memorylog.New(memorylog.Config{Partitions: 1})
+				partition := keyedlog.Partition{Topic: keyedlog.TopicJobs}
+				logger := log.New(io.Discard)
+				w := newWriter(fencing.New(fencing.Config{
+					Log: store.For("owner"), Partition: partition, Name: writerName, Generation: 1, Logger: logger,
+				}), Limits{RecordBytes: 1 << 14, CallBytes: callBytes}, logger)
+				listed := 0
+				for _, result := range []*job.Result{{ItemID: "a", Text: text}, {ItemID: "b", Text: "whole"}} {
+					w.list("one", result, func() { listed++ })
+				}
+				go w.run(t.Context())
+				synctest.Wait()
+				is.Equal(listed, 2)
+				ledger := job.NewLedger(job.NewIndex(), partition)
+				for _, record := range store.Records(partition) {
+					is.True(len(record.Value) <= 1<<14)
+					is.NoErr(ledger.Apply(record))
+				}
+				results := ledger.Results("one", 0, 1<<20)
+				is.Equal(len(results), 2)
+				is.True(results[0].ItemID == "a" && results[0].Dead && results[0].Text == "")
+				is.True(results[1].ItemID == "b" && !results[1].Dead && results[1].Text == "whole")
+			})
+		})
+	}
+}
