Take no number for an append that was not sent

Cause: an append that is begun and closed without a send used up a sequence number, and the store refused the next one once. No caller does so. Change: Close leaves the sequence as it is then. Tests: TestAppendThatWasNotSentTakesNoNumber failed before.

--- a/internal/producer/producer.go
+++ b/internal/producer/producer.go
@@ -114,8 +114,8 @@
 	partition keyedlog.Partition
 	records   []keyedlog.Record
 	sequence  *sequence
-	// unconfirmed is set while the append was sent and the store has not confirmed it.
-	unconfirmed bool
+	// sent is set once the append was sent, confirmed while the store has confirmed it.
+	sent, confirmed bool
 }
 
 // Send sends the append. It may be called until it succeeds: however often the append is sent, its records are stored once at most. It
@@ -123,10 +123,10 @@
 // that records of an earlier Send may be stored once more.
 func (a *Append) Send(ctx context.Context) (keyedlog.Appended, error) {
 	fence := &keyedlog.Fence{Writer: a.sequence.writer, Epoch: a.sequence.epoch, Sequence: a.sequence.next}
-	a.unconfirmed = true
+	a.sent, a.confirmed = true, false
 	appended, err := a.producer.log.Append(ctx, a.partition, a.records, fence)
 	if err == nil {
-		a.unconfirmed = false
+		a.confirmed = true
 		return appended, nil
 	}
 	var outOfSequence *keyedlog.SequenceError
@@ -141,11 +141,14 @@
 // Close ends the append. If the store has not confirmed the append, it may still apply it, but not after the next append of its
 // sequence.
 func (a *Append) Close() {
-	if a.unconfirmed {
+	switch {
+	case !a.sent:
+		// The store has not seen its number.
+	case a.confirmed:
+		a.sequence.next++
+	default:
 		a.sequence.epoch++
 		a.sequence.next = 0
-	} else {
-		a.sequence.next++
 	}
 	a.producer.release(a.partition, a.sequence)
 }
--- a/internal/producer/producer_test.go
+++ b/internal/producer/producer_test.go
@@ -129,3 +129,19 @@
 		})
 	}
 }
+
+// TestAppendThatWasNotSentTakesNoNumber guards against an append that the store refuses once as out of sequence: the one before it was begun and
+// closed without a send.
+func TestAppendThatWasNotSentTakesNoNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newStore(func(memorylog.Call) memorylog.Fault { return memorylog.None })
+		tested := producer.New(store.For("process"))
+		for i := range 3 {
+			tested.Begin(partition, record("unsent", i)).Close()
+			_, err := tested.Append(t.Context(), partition, record("sent", i))
+			is.NoErr(err)
+		}
+		is.Equal(len(store.Records(partition)), 3)
+	})
+}
