Play what the pages permit others: one package for stand-ins, in virtual time and in the soak

Change: internal/standin/freedom draws fourteen kinds, each at a rate and from a random stream of its own, and plays those of answers on the connections of a server of HTTP/1.1: late copies, answers that are cut, without a length, trickling, behind or in the place of other bytes, connections that fall silent. TestAnswersWithAllFreedoms plays them in virtual time; the soak draws all of them (-soak-freedoms), beside late orders, entries of other writers, a route that is away, targets of odd forms and bodies in chunks. docs/FREEDOMS.md has a row for each freedom of the pages, with its players; a test compares it with the package. The soak's samplers send events as they are made, and its proxies pass a reset on as one.

--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/hillfork/hillfork/internal/standin/freedom"
 	"github.com/matryer/is"
 )
 
@@ -125,3 +126,24 @@
 	}
 	is.New(t).True(checked > 20)
 }
+
+// TestFreedomsPageNamesEachKind looks for every kind of freedom that stand-ins draw on its page, and for a row that names no player.
+func TestFreedomsPageNamesEachKind(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("FREEDOMS.md")
+	is.NoErr(err)
+	for _, kind := range freedom.Kinds() {
+		if !strings.Contains(string(page), "`"+kind.String()+"`") {
+			t.Errorf("the page does not name %v", kind)
+		}
+	}
+	for line := range strings.Lines(string(page)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		if !strings.HasPrefix(line, "|") || len(cells) != 4 {
+			continue
+		}
+		if strings.TrimSpace(cells[1]) == "" || strings.TrimSpace(cells[2]) == "" {
+			t.Errorf("no player: %s", line)
+		}
+	}
+}
--- a/internal/network/simnet/conn.go
+++ b/internal/network/simnet/conn.go
@@ -191,6 +191,12 @@
 	c.release()
 }
 
+// Reset closes the connection by a reset, behind the data that was written.
+func (c *conn) Reset() error {
+	c.abort(net.ErrClosed)
+	return nil
+}
+
 // dropHeld drops the segments written while the host was paused and not yet transmitted.
 func (p *pipe) dropHeld() {
 	kept := 0
