--- a/internal/standin/freedom/freedom.go
+++ b/internal/standin/freedom/freedom.go
@@ -45,11 +45,17 @@
 	Target
 	// Chunked: a caller sends a body without a length, in chunks.
 	Chunked
+	// Refuse: an engine resets a new connection, as one beyond those that it takes.
+	Refuse
+	// GiveUp: a caller closes its connection before the answer.
+	GiveUp
+	// StoreSilence: all open connections of a machine to the store go silent for good, while new ones work.
+	StoreSilence
 	kinds
 )
 
 var names = [kinds]string{
-	"copy", "cut", "unframed", "unframed-cut", "surplus", "garbage", "trickle", "close", "silence", "late-order", "other-writer", "route-away", "target", "chunked",
+	"copy", "cut", "unframed", "unframed-cut", "surplus", "garbage", "trickle", "close", "silence", "late-order", "other-writer", "route-away", "target", "chunked", "refuse", "give-up", "store-silence",
 }
 
 // String returns the name by which a kind is chosen and reported.
@@ -89,7 +95,7 @@
 // fail an engine are rare, so that engines are not ejected by them.
 var rates = [kinds]float64{
 	Copy: 0.05, Cut: 0.01, Unframed: 0.03, UnframedCut: 0.01, Surplus: 0.02, Garbage: 0.005, Trickle: 0.05, Close: 0.02,
-	Silence: 1, LateOrder: 0.2, OtherWriter: 1, RouteAway: 0.3, Target: 0.15, Chunked: 0.15,
+	Silence: 1, LateOrder: 0.2, OtherWriter: 1, RouteAway: 0.3, Target: 0.15, Chunked: 0.15, Refuse: 0.03, GiveUp: 0.03, StoreSilence: 0.5,
 }
 
 // Draws decides which freedoms are taken. It is safe for concurrent use. The nil *Draws takes none.
--- a/internal/standin/freedom/freedom_test.go
+++ b/internal/standin/freedom/freedom_test.go
@@ -167,6 +167,15 @@
 	}
 }
 
+// TestRefusedConnections checks that a connection which is refused carries nothing.
+func TestRefusedConnections(t *testing.T) {
+	play(t, func(w *world) {
+		_, err := w.dial().Read(make([]byte, 1))
+		w.is.True(err != nil && !errors.Is(err, io.EOF))
+		w.is.True(w.draws.Taken(Refuse) > 0)
+	}, Refuse)
+}
+
 // TestSilentConnections checks that connections which went silent say nothing, and that new ones work.
 func TestSilentConnections(t *testing.T) {
 	play(t, func(w *world) {
--- a/internal/standin/freedom/listener.go
+++ b/internal/standin/freedom/listener.go
@@ -34,9 +34,13 @@
 	return &Listener{Listener: listener, draws: draws, options: options, open: make(map[*conn]bool)}
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection that is not refused.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for err == nil && l.draws.Takes(Refuse) {
+		Reset(accepted)
+		accepted, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
