Start superseded work again while its partition stays assigned under the same generation

Cause: the manager began superseded work anew under a later generation only, as if whoever supersedes an owner had one. An append by which an earlier process of the same member opened the partition may be done seconds later, and sets a higher epoch of the same generation; a build that doubles its epochs may have used up all of them. Change: work that is still assigned a lifetime after it was superseded is started again; if it is superseded again, the member leaves the group and joins it anew, which begins a new generation. TestBuildsTakeEpochsInTurn: the build of production and this one open a partition in turn; passes before too.

--- a/internal/fencing/fencing_test.go
+++ b/internal/fencing/fencing_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,3 +205,41 @@
 		is.True(calls <= 5)
 	})
 }
+
+// openAsProduction sets an epoch as the build does that production runs: it doubles its guess at each rejection and reads nothing.
+func openAsProduction(t *testing.T, store *memorylog.Store, generation int64) int64 {
+	t.Helper()
+	for restart := int64(0); restart < 1<<20; restart = 2*restart + 1 {
+		epoch := generation<<20 + restart
+		_, err := store.For("production").Append(t.Context(), partition,
+			[]keyedlog.Record{{Key: keyedlog.OwnerKey, Value: strconv.AppendInt(nil, epoch, 10)}},
+			&keyedlog.Fence{Writer: "owner", Epoch: epoch, Sequence: rand.Int63n(1 << 50)})
+		if err == nil {
+			return epoch
+		}
+	}
+	t.Fatal("no epoch left")
+	return 0
+}
+
+// TestBuildsTakeEpochsInTurn guards against a process that finds no epoch while machines are upgraded or rolled back: the build in service
+// before this one takes epochs in another way, and a process may be started again with either under the same generation.
+func TestBuildsTakeEpochsInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memorylog.New(memorylog.Config{Partitions: 1})
+		const turns, generation = 15, 3
+		var last int64
+		for turn := range turns {
+			earlier := openAsProduction(t, store, generation)
+			is.True(earlier > last)
+			for start := range 5 {
+				writer := openWriter(t, store, fmt.Sprint("process", turn, "/", start), generation)
+				is.True(writer.Epoch() > earlier)
+				is.True(writer.Epoch() <= earlier+5)
+				last = writer.Epoch()
+			}
+		}
+		is.True(last < (generation+1)<<20)
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -59,6 +59,9 @@
 	joinsPerLifetime = 8
 	// releaseTimeout limits the time for the writes that are made when a partition is released.
 	releaseTimeout = 400 * time.Millisecond
+	// maxStarts is how often the work of a partition is started under one generation before the member leaves the group
+	// to get a new one.
+	maxStarts = 2
 )
 
 // Manager keeps a process in a group and runs the work of its partitions.
@@ -89,10 +92,15 @@
 	sent uptime.Mark
 }
 
+// holding is a partition that is held.
 type holding struct {
 	generation int64
-	cancel     context.CancelFunc
-	work       Work
+	// starts is how often the work was started under the generation.
+	starts int
+	cancel context.CancelFunc
+	work   Work
+	// supersededAt is when the manager noticed that the work is superseded, zero before that.
+	supersededAt time.Time
 }
 
 // New returns a manager. Run starts it.
@@ -235,20 +243,61 @@
 	released := m.releaseUnassigned(assigned)
 	for partition := range assigned {
 		held, ok := m.held[partition]
-		if ok && !superseded(held.work) {
+		if !ok {
+			m.gain(ctx, partition, membership.Generation, 1)
 			continue
 		}
-		if ok {
-			if held.generation >= membership.Generation {
-				continue
+		switch m.handleSuperseded(held, membership.Generation) {
+		case keepWork:
+		case restartWork:
+			starts := 1
+			if held.generation == membership.Generation {
+				starts += held.starts
 			}
 			m.release(partition, held)
+			m.gain(ctx, partition, membership.Generation, starts)
+		case leaveGroup:
+			m.config.Logger.Warn("group left to join it under a new generation, the owner is superseded under the current one",
+				"group", m.config.Group, "partition", partition, "generation", membership.Generation)
+			m.leave()
+			return true
 		}
-		m.gain(ctx, partition, membership.Generation)
 	}
 	return released
 }
 
+// supersededAction is what is done about a partition that is held and assigned.
+type supersededAction int
+
+const (
+	keepWork supersededAction = iota
+	restartWork
+	leaveGroup
+)
+
+// handleSuperseded returns what is done about a partition that is assigned under a generation. The owner that supersedes
+// the work usually has a higher generation, which the next joins return. If they don't within a lifetime, that owner is an
+// earlier process of the same member, of which a late append set an epoch of the same generation, and nobody serves the
+// partition. The work is then started again, with a higher epoch. If the generation has no such epoch, the member leaves
+// the group, since each change of its members begins a new generation.
+func (m *Manager) handleSuperseded(held *holding, generation int64) supersededAction {
+	switch {
+	case !superseded(held.work):
+		return keepWork
+	case held.generation < generation:
+		return restartWork
+	case held.supersededAt.IsZero():
+		held.supersededAt = time.Now()
+		return keepWork
+	case time.Since(held.supersededAt) < m.config.Lifetime:
+		return keepWork
+	case held.starts < maxStarts:
+		return restartWork
+	default:
+		return leaveGroup
+	}
+}
+
 // signalChange makes watch read the group.
 func (m *Manager) signalChange() {
 	select {
@@ -266,12 +315,13 @@
 	}
 }
 
-func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, generation int64) {
+// gain starts the work of a partition, for the given time under a generation.
+func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, generation int64, starts int) {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	m.heldCount.Add(1)
-	m.config.Logger.Info("partition gained", "partition", partition, "generation", generation)
+	m.config.Logger.Info("partition gained", "partition", partition, "generation", generation, "start", starts)
 	m.held[partition] = &holding{
-		generation: generation, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, generation),
+		generation: generation, starts: starts, cancel: cancel, work: m.config.Holder.Gained(workCtx, partition, generation),
 	}
 }
 
