Follow the targets of a scorer's route while an item waits for its score

Cause: a reward call whose route had no target, or one without engines, waited for a slot for its whole time of 6 s, in the pool that the route had named when the call began. An item whose scorer's route moved in between stayed unlisted for up to 6 s more. Change: a scorer's route without a target counts as away, as the item's own does, and a call waits for a slot for 0.3 s before the route is looked up again. Tests: TestItemsFollowTheTargetsOfTheirScorersRoute, both cases failed before (0 of 8 items listed 2 s after the route came back).

--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -43,8 +43,10 @@
 	}
 }
 
+// scorerRoute returns the route of the item's scorer, and false if the catalog has no route for it with a target.
 func (e *execution) scorerRoute() (catalog.Route, bool) {
-	return e.match(e.item.Scorer.Host, e.item.Scorer.Path)
+	route, ok := e.match(e.item.Scorer.Host, e.item.Scorer.Path)
+	return route, ok && len(route.Targets) > 0
 }
 
 func (e *execution) match(host, path string) (catalog.Route, bool) {
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -68,7 +68,7 @@
 			Kind: engineapi.CallScore, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
 			Priority: engineapi.NoPriority,
 		},
-		Deadline: deadline, MaxSlotWait: scoreTimeout, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
+		Deadline: deadline, MaxSlotWait: scoreSlotWait, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
 		CrashClass: policy.CrashScore,
 	}
 }
--- a/internal/jobrun/score_test.go
+++ b/internal/jobrun/score_test.go
@@ -1,6 +1,7 @@
 package jobrun_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +100,35 @@
 		owner.release()
 	})
 }
+
+// TestItemsFollowTheTargetsOfTheirScorersRoute guards against items that are listed as dead, or that wait for the end of a call of 6 s, because
+// the route of their scorer has no target for a time, or one without engines.
+func TestItemsFollowTheTargetsOfTheirScorersRoute(t *testing.T) {
+	for name, targets := range map[string][]catalog.Target{"none": nil, "without engines": {{Pool: "empty", Weight: 1}}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2)
+				owner := w.newNode("owner")
+				owner.own(1)
+				defer owner.release()
+				one := spec("one", 8)
+				w.submit(one)
+				time.Sleep(100 * time.Millisecond)
+				routes := slices.Clone(owner.routes.Current().Routes)
+				for i := range routes {
+					if routes[i].Name == "score" {
+						routes[i].Targets = targets
+					}
+				}
+				owner.routes.Set(catalog.New(2, routes, nil, catalog.Limits{}))
+				time.Sleep(3 * time.Second)
+				if listed := len(owner.results("one")); listed > 0 {
+					t.Errorf("%d items are listed without their score", listed)
+				}
+				owner.setRoutes(3, true, true)
+				time.Sleep(2 * time.Second)
+				owner.checkComplete(one)
+			})
+		})
+	}
+}
