--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -65,8 +65,10 @@
 const (
 	// Unready means that the node has no configuration yet.
 	Unready Match = iota
-	// Unrouted means that no route with a target matches.
+	// Unrouted means that no route matches.
 	Unrouted
+	// Untargeted means that the route has no target at present.
+	Untargeted
 	// Routed means that a route was found.
 	Routed
 )
@@ -78,10 +80,14 @@
 		return catalog.Route{}, catalog.Limits{}, Unready
 	}
 	route, ok := current.Match(hostName(host), path)
-	if !ok || len(route.Targets) == 0 {
+	switch {
+	case !ok:
 		return catalog.Route{}, current.Limits, Unrouted
+	case len(route.Targets) == 0:
+		return catalog.Route{}, current.Limits, Untargeted
+	default:
+		return route, current.Limits, Routed
 	}
-	return route, current.Limits, Routed
 }
 
 // Admission is the result of checking a request's key.
