Keep work of a removed tenant in the regions for which it was accepted

Cause: the regions of a tenant were looked up in the newest configuration, and a tenant that is not found has none, which means all. A job that was accepted for a tenant of one region ran, and was scored, in any region once a configuration lacked the tenant. The same held for a request, or a submission, whose tenant was removed while its body was read. Change: an item of such a job stays in the regions of its partition; a request or a submission is refused, so that its caller retries it and its key decides. Tests: TestItemsOfARemovedTenantStayInItsRegions failed before (items ran at the engine of the other region); TestAdmittedWorkKeepsItsRegions.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -161,6 +161,12 @@
 	return commonRegions(route.Regions, known.Regions)
 }
 
+// HasTenant reports whether the catalog has a tenant of the given name. It is true for an empty name.
+func (c *Catalog) HasTenant(name string) bool {
+	_, known := c.Tenants.Named(name)
+	return known || name == ""
+}
+
 // RequestedPools returns the pools that receive requests of callers, without the pools that only run items of jobs.
 func (c *Catalog) RequestedPools() map[string]bool {
 	pools := make(map[string]bool)
--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -60,6 +60,16 @@
 	return current.Regions(route, tenantName)
 }
 
+// AdmittedRegions returns the regions whose engines may run work on a route that was admitted for a tenant under this catalog or an
+// earlier one, nil for all. The regions of a tenant that was removed since, even for a short time, are not known any more: bound is used
+// in their place, nil for all.
+func (h *Holder) AdmittedRegions(route Route, tenantName string, bound []string) []string {
+	if current := h.Current(); current != nil && !current.HasTenant(tenantName) {
+		return commonRegions(route.Regions, bound)
+	}
+	return h.Regions(route, tenantName)
+}
+
 // SetVersion records a published weight version of a model, and reports whether it is newer than the recorded one.
 func (h *Holder) SetVersion(model string, version int64) bool {
 	h.mutex.Lock()
--- a/internal/catalog/regions_test.go
+++ b/internal/catalog/regions_test.go
@@ -27,3 +27,20 @@
 	is.True(none != nil)
 	is.Equal(len(none), 0)
 }
+
+// TestAdmittedWorkKeepsItsRegions guards against work of a tenant that may run anywhere once the tenant is removed.
+func TestAdmittedWorkKeepsItsRegions(t *testing.T) {
+	is := is.New(t)
+	holder := catalog.NewHolder()
+	route := catalog.Route{Regions: []string{"recife", "fortaleza"}}
+	is.Equal(holder.AdmittedRegions(route, "home", []string{"fortaleza"}), route.Regions)
+	c := catalog.New(1, nil, nil, catalog.Limits{})
+	c.Tenants = tenant.NewDirectory([]tenant.Tenant{{Name: "home", Regions: []string{"recife"}}})
+	holder.Set(c)
+	is.Equal(holder.AdmittedRegions(route, "home", []string{"fortaleza"}), []string{"recife"})
+	is.Equal(holder.AdmittedRegions(route, "", []string{"fortaleza"}), route.Regions)
+	is.Equal(holder.AdmittedRegions(route, "removed", []string{"fortaleza"}), []string{"fortaleza"})
+	is.Equal(holder.AdmittedRegions(route, "removed", nil), route.Regions)
+	is.Equal(len(holder.AdmittedRegions(catalog.Route{}, "removed", []string{})), 0)
+	is.True(holder.AdmittedRegions(catalog.Route{}, "removed", []string{}) != nil)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -165,6 +165,10 @@
 	gapTargets = 2
 )
 
+// noRegion bounds a request whose tenant was removed while its body was read, so that it is refused: its caller may retry it, and then its
+// key decides.
+var noRegion = []string{}
+
 // requestTimeout returns the timeout of a request on a route. budget is the time for which the caller waits, 0 if unknown.
 func requestTimeout(route catalog.Route, budget time.Duration) time.Duration {
 	timeout := defaultRequestTimeout
@@ -185,7 +189,8 @@
 	}
 	call.Priority = engineapi.NoPriority
 	return forward.Request{
-		Pool: i.config.Splitter.Pick(route), Regions: i.config.Catalog.Regions(route, call.Tenant), Call: call, Deadline: received.Add(requestTimeout(route, budget)), MaxSlotWait: slotWait, Aim: route.Aim,
+		Pool: i.config.Splitter.Pick(route), Regions: i.config.Catalog.AdmittedRegions(route, call.Tenant, noRegion), Call: call,
+		Deadline: received.Add(requestTimeout(route, budget)), MaxSlotWait: slotWait, Aim: route.Aim,
 		MaxAttempts: route.MaxAttempts, MayRepeat: route.MayRepeat(),
 	}
 }
--- a/internal/jobrun/homes_test.go
+++ b/internal/jobrun/homes_test.go
@@ -1,6 +1,7 @@
 package jobrun_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,8 @@
 
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/fleet"
+	"github.com/hillfork/hillfork/internal/job"
+	"github.com/hillfork/hillfork/internal/keyedlog"
 	"github.com/hillfork/hillfork/internal/tenant"
 )
 
@@ -45,3 +48,46 @@
 		owner.release()
 	})
 }
+
+// TestItemsOfARemovedTenantStayInItsRegions guards against items that run, and texts that are scored, in any region while a catalog lacks
+// the tenant of their job: the regions of a tenant that is not found were taken for none, though the job was accepted for some.
+func TestItemsOfARemovedTenantStayInItsRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		owner := w.newNode("owner")
+		owner.directory.SetRegions(map[string]string{"zone0": "0", "zone1": "1"})
+		for i := range 2 {
+			for _, engine := range []fleet.Engine{w.models[i], w.scorers[i]} {
+				engine.Zone = fmt.Sprint("zone", i)
+				owner.directory.Upsert(engine)
+			}
+		}
+		homes := jobsPartition()
+		homes.Topic = keyedlog.NewHomeSet([]string{"0"}).Topic()
+		work := owner.holder.Gained(w.ctx, homes, 1)
+		next := catalog.New(2, owner.routes.Current().Routes, nil, catalog.Limits{})
+		next.Tenants = tenant.NewDirectory([]tenant.Tenant{{Name: "other"}})
+		owner.routes.Set(next)
+
+		bound := spec("one", 12)
+		bound.Tenant = "bound"
+		records, err := job.EncodeSpec(bound, 1<<18)
+		items := w.append(homes, records, err)
+		entry, err := job.EncodeEntry(job.NewEntry(bound, homes, items.Offset, items.End, 1000), "attempt")
+		w.append(keyedlog.JobIndex, []keyedlog.Record{entry}, err)
+		time.Sleep(6 * eventCount * pace)
+
+		runs := w.engines.Runs()
+		if len(runs) < 2*len(bound.Items) {
+			t.Errorf("%d runs, want an item and a score for each of %d", len(runs), len(bound.Items))
+		}
+		for _, run := range runs {
+			if !strings.HasSuffix(run.Engine, "0") {
+				t.Errorf("%s ran at %s", run.RequestID, run.Engine)
+			}
+		}
+		ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+		defer cancel()
+		work.Release(ctx)
+	})
+}
--- a/internal/jobrun/place.go
+++ b/internal/jobrun/place.go
@@ -57,6 +57,13 @@
 	return current.Match(host, path)
 }
 
+// regions returns the regions whose engines may run the item or its scorer on a route, nil for all. If the job's tenant was removed, the
+// job stays in the regions of its partition.
+func (e *execution) regions(route catalog.Route) []string {
+	homes, _ := keyedlog.HomeSetOf(e.runner.partition.Topic)
+	return e.runner.config.Catalog.AdmittedRegions(route, e.view.Spec.Tenant, homes.Regions())
+}
+
 // ownRouteRemoved reports whether the newest catalog lacks the item's route, even one without targets. This process may not have
 // read the catalog under which the job was accepted, so it first confirms with the store that its catalog is up to date. It returns
 // false after a short delay if the route is there, or if the store does not confirm that it is not.
@@ -94,7 +101,7 @@
 // is safe to call from any goroutine.
 func (e *execution) wantInPool(route catalog.Route, pool string, events float64, versions []int64) fleet.Want {
 	want := fleet.Want{
-		Pool: pool, Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
+		Pool: pool, Regions: e.regions(route), Model: e.view.Spec.Model, MinVersion: e.view.Spec.MinVersion,
 		Zone: e.runner.config.Zone, Affinity: e.item.Group, Share: 1, Events: events,
 	}
 	want.Slack = policy.Slack(e.critical.Value(), e.runner.config.Directory.FastestPace(want.Pool, want.Model))
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -63,7 +63,7 @@
 		deadline = bound
 	}
 	return forward.Request{
-		Pool: e.runner.config.Splitter.Pick(route), Regions: e.runner.config.Catalog.Regions(route, e.view.Spec.Tenant),
+		Pool: e.runner.config.Splitter.Pick(route), Regions: e.regions(route),
 		Call: engineapi.Call{
 			Kind: engineapi.CallScore, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
 			Priority: engineapi.NoPriority,
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -23,6 +23,7 @@
 	causeNoRegion = "its routes and tenant have no region of the fleet in common"
 	causeNoEngine = "its regions have no engine that stays"
 	causeNoOwner  = "no replica of its regions owns jobs"
+	causeNoTenant = "its tenant was removed while it was read"
 )
 
 // homesOf returns the home set of a submission by the current catalog, and why it can't be accepted now, empty if it can.
@@ -31,7 +32,13 @@
 		return "", ""
 	}
 	current := s.config.Catalog.Current()
-	if current == nil || !current.BindsRegions() {
+	if current == nil {
+		return "", ""
+	}
+	if !current.HasTenant(spec.Tenant) {
+		return "", causeNoTenant
+	}
+	if !current.BindsRegions() {
 		return "", ""
 	}
 	routes := routesOf(current, spec)
