Take the end of an answer without a length for its end only once its request is sent

Callers saw: an engine answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is being written; the caller gets the part as a complete answer, framed as whole (MIXED). With no byte of body a stream ends as whole. Cause: the kernel tells a reset once, to the reader or to the writer, whoever asks first. If it tells the writer, the reader gets an end of file, which was taken for the end of the answer. Change: package answercheck wraps the connections over which answers come (engines, store, provider, the product's own platform interface) and follows both directions by the grammar of HTTP/1.1. An end of file ends an answer without a length if the request was written whole and no write failed; a write in progress is waited for.

--- a/internal/correlate/connection.go
+++ b/internal/correlate/connection.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/hillfork/hillfork/internal/answercheck"
 )
 
 // recentRequests is the number of requests over a connection that it remembers. An extra answer comes in the place of one of the next
@@ -80,7 +82,7 @@
 		_ = opened.Close()
 		return nil, errClosed
 	}
-	c.conn = &conn{Conn: opened, owner: c}
+	c.conn = &conn{Conn: answercheck.Wrap(opened), owner: c}
 	c.conn.hear()
 	return c.conn, nil
 }
--- a/internal/correlate/correlate.go
+++ b/internal/correlate/correlate.go
@@ -1,7 +1,7 @@
 // Package correlate sends HTTP requests over kept connections and finds out whether an answer belongs to its request. A peer may send
 // an extra answer late, in the place where the next answer on the connection is expected. The id that it repeats tells it from the
 // answers to other requests, but not from those to other sends of the same request. So no request is sent over a connection that
-// has carried its id a short time before.
+// has carried its id a short time before. Bytes that are no answer at all end the request with an error of package answercheck.
 package correlate
 
 import (
@@ -57,7 +57,8 @@
 }
 
 // Do sends a request and returns its answer. It is not sent over a kept connection on which nothing has arrived since heardSince. Do
-// fails with ErrOtherAnswer, or with an error of the http.Transport.
+// fails with ErrOtherAnswer, or with an error of the http.Transport, which wraps *answercheck.Error for a broken answer. So may reads of
+// the answer's body.
 func (t *Transport) Do(request *http.Request, identity Identity, heardSince time.Time) (*http.Response, error) {
 	used := t.acquire(request.URL.Host, identity, heardSince)
 	trace := &httptrace.ClientTrace{PutIdleConn: func(err error) {
--- a/internal/platform/connectadapter/adapter.go
+++ b/internal/platform/connectadapter/adapter.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/hillfork/hillfork/internal/answercheck"
 	"github.com/hillfork/hillfork/internal/network"
 	"github.com/hillfork/hillfork/internal/platform"
 )
@@ -46,7 +47,11 @@
 	options = options.withDefaults()
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, address)
+			opened, err := dialer.DialContext(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return answercheck.Wrap(opened), nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: options.MaxIdlePerHost,
--- a/internal/replica/enginemetrics.go
+++ b/internal/replica/enginemetrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hillfork/hillfork/internal/answercheck"
 	"github.com/hillfork/hillfork/internal/engineapi"
 	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/inbound"
@@ -64,6 +65,16 @@
 	}
 }
 
+// brokenAnswers registers the number of broken answers of each kind.
+func (m *metrics) brokenAnswers(count func(answercheck.Kind) int64) {
+	for kind := range answercheck.Kinds {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "broken_answers_total", Help: "Answers of engines, the store and the provider that were no answer, or not whole.",
+			ConstLabels: prometheus.Labels{"kind": kind.String()},
+		}, func() float64 { return float64(count(kind)) }))
+	}
+}
+
 // otherRegions registers the bytes of requests that were sent to engines in other regions.
 func (m *metrics) otherRegions(sent func() int64) {
 	m.counter("other_region_sent_bytes_total", "Bytes of requests' bodies sent to engines in other regions.", func() float64 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/hillfork/hillfork/internal/answercheck"
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/duty"
 	"github.com/hillfork/hillfork/internal/engineapi"
@@ -47,6 +48,8 @@
 	Decoder RecordDecoder
 	// Inbound bounds the memory of answers while they are read, nil for no bound.
 	Inbound *inbound.Budget
+	// BrokenAnswers counts answers that are none, nil for no count.
+	BrokenAnswers *answercheck.Counter
 	// Usage receives reports of usage, nil if there is no receiver.
 	Usage usage.Receiver
 	// Engines is the provider that engines are ordered from, nil if none can be ordered.
@@ -118,6 +121,9 @@
 	if config.Inbound != nil {
 		r.metrics.inbound(config.Inbound.Stats)
 	}
+	if config.BrokenAnswers != nil {
+		r.metrics.brokenAnswers(config.BrokenAnswers.Count)
+	}
 	r.setUpHealthChecks()
 	splitter := catalog.NewSplitter(rand.Float64)
 	crashFollower := r.quarantineCrashes()
