Show that bytes that are no answer are passed on by nobody, and judge a status on both sides

Cause: net/http takes more for an answer than the grammar allows, and each reader took what it returned; a success was each status under 300, a failure each from 500 on. Reply.Succeeded and Reply.Failed judge a status on both sides.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -56,6 +56,7 @@
 
 // Reply is the status and headers of an engine's answer, with the body still unread.
 type Reply struct {
+	// Status is from 200 to 599: the adapter passes nothing else on as an answer.
 	Status int
 	Header http.Header
 	// NotRun reports whether the engine guarantees that it did not run the request.
@@ -64,12 +65,23 @@
 	Stamp string
 	// Version is the weight version of the first event, 0 if none is stated.
 	Version int64
-	// Body ends with an error other than io.EOF if it was truncated. Closing it early makes the engine cancel the request.
+	// Body ends with an error other than io.EOF if it was truncated, or if it ends with its connection and the request could not be sent
+	// whole. Closing it early makes the engine cancel the request.
 	Body io.ReadCloser
 	// Unframed reports whether the answer states no length and ends with its connection. Its end may then be that of the engine's process.
 	Unframed bool
 }
 
+// Succeeded reports whether the status says that the engine has run the request.
+func (r *Reply) Succeeded() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+}
+
+// Failed reports whether the status says that the engine has failed to run the request. A status that has no meaning says so too.
+func (r *Reply) Failed() bool {
+	return r.Status < http.StatusOK || r.Status >= http.StatusInternalServerError
+}
+
 // Event is one event of a streamed answer.
 type Event struct {
 	// ID is the number of the event in its run, from 1.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -183,11 +182,11 @@
 	case result.reply.NotRun:
 		directory.Rejected(result.engine.ID)
 		e.recordRejection()
-	case result.reply.Stamp == "" && result.reply.Status < http.StatusMultipleChoices:
+	case result.reply.Stamp == "" && result.reply.Succeeded():
 		// A success without the engine's signature counts as a failure.
 		directory.Failed(result.engine.ID, policy.FailureInWork, e.cause)
 		e.mayHaveRun = true
-	case result.reply.Status >= http.StatusInternalServerError:
+	case result.reply.Failed():
 		e.failures++
 		e.mayHaveRun = true
 		e.lastFailure = &result
@@ -224,7 +223,7 @@
 		return "turned away with " + strconv.Itoa(a.reply.Status)
 	case a.reply.Stamp == "":
 		return "no signature"
-	case a.reply.Status >= http.StatusInternalServerError:
+	case a.reply.Failed():
 		return "answered " + strconv.Itoa(a.reply.Status)
 	default:
 		return ""
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -33,7 +33,7 @@
 		request.Call.HeardSince = heardSince
 		sentAt := time.Now()
 		answer := e.runner.config.Forwarder.Do(ctx, request)
-		if answer.Outcome == forward.Answered && answer.Reply.Status < http.StatusMultipleChoices {
+		if answer.Outcome == forward.Answered && answer.Reply.Succeeded() {
 			return answer.Reply.Stamp, true
 		}
 		if answer.Failures >= route.MaxAttempts {
--- a/internal/standin/freedom/answer.go
+++ b/internal/standin/freedom/answer.go
@@ -86,6 +86,38 @@
 	return a.rewritten("Connection: close", "Connection")
 }
 
+// bends are the ways in which a head is bent so that it is none. Each gets the lines of the head without their ends, of which the first is the
+// status line.
+var bends = []func(lines []string){
+	func(lines []string) { lines[0] = "HTTP/1.1 000 OK" },
+	func(lines []string) { lines[0] = "HTTP/1.1 099 OK" },
+	func(lines []string) { lines[0] = "HTTP/1.1 101 Switching Protocols" },
+	func(lines []string) { lines[0] = "HTTP/1.1 999 OK" },
+	func(lines []string) { lines[0] = "HTTP/2.0 200 OK" },
+	func(lines []string) { lines[0] += "\r\nBad Name: x" },
+	func(lines []string) { lines[0] += "\r\nBad\x01Name: x" },
+	func(lines []string) { lines[0] += "\r\nName: a\x00b" },
+	func(lines []string) { lines[0] += "\r\n folded" },
+	func(lines []string) { lines[len(lines)-1] += "\r\n folded" },
+	func(lines []string) { lines[0] += "\r\nContent-Length: 1\r\nContent-Length: 2" },
+	func(lines []string) {
+		for i, line := range lines {
+			for _, framing := range []string{"Content-Length", "Transfer-Encoding"} {
+				if value, found := strings.CutPrefix(line, framing+":"); found {
+					lines[i] = framing + " :" + value
+				}
+			}
+		}
+	},
+}
+
+// bent returns the head bent in one of the ways of bends.
+func (a *answer) bent(way int) []byte {
+	lines := strings.Split(strings.TrimSuffix(string(a.head), "\r\n\r\n"), "\r\n")
+	bends[way](lines)
+	return []byte(strings.Join(lines, "\r\n") + "\r\n\r\n")
+}
+
 // rewritten returns the head with one more line and without some headers.
 func (a *answer) rewritten(added string, without ...string) []byte {
 	lines := strings.Split(strings.TrimSuffix(string(a.head), "\r\n\r\n"), "\r\n")
--- a/internal/standin/freedom/freedom.go
+++ b/internal/standin/freedom/freedom.go
@@ -51,11 +51,14 @@
 	GiveUp
 	// StoreSilence: all open connections of a machine to the store go silent for good, while new ones work.
 	StoreSilence
+	// BadHead: an engine sends an answer whose head is none by HTTP's grammar: its status, the name of a field, or what frames the body.
+	BadHead
 	kinds
 )
 
 var names = [kinds]string{
 	"copy", "cut", "unframed", "unframed-cut", "surplus", "garbage", "trickle", "close", "silence", "late-order", "other-writer", "route-away", "target", "chunked", "refuse", "give-up", "store-silence",
+	"bad-head",
 }
 
 // String returns the name by which a kind is chosen and reported.
@@ -96,6 +99,7 @@
 var rates = [kinds]float64{
 	Copy: 0.05, Cut: 0.01, Unframed: 0.03, UnframedCut: 0.01, Surplus: 0.02, Garbage: 0.005, Trickle: 0.05, Close: 0.02,
 	Silence: 1, LateOrder: 0.2, OtherWriter: 1, RouteAway: 0.3, Target: 0.15, Chunked: 0.15, Refuse: 0.03, GiveUp: 0.03, StoreSilence: 0.5,
+	BadHead: 0.01,
 }
 
 // Draws decides which freedoms are taken. It is safe for concurrent use. The nil *Draws takes none.
--- a/internal/standin/freedom/freedom_test.go
+++ b/internal/standin/freedom/freedom_test.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// TestBentHeads checks that each way of bending a head changes it, and leaves its end.
+func TestBentHeads(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 4\r\n\r\n"
+	seen := map[string]bool{head: true}
+	for way := range bends {
+		begun := &answer{}
+		body, ok := begun.begin([]byte(head+"body"), idHeader)
+		is.True(ok)
+		is.Equal(string(body), "body")
+		bent := string(begun.bent(way))
+		is.True(!seen[bent])
+		is.True(strings.HasSuffix(bent, "\r\n\r\n"))
+		seen[bent] = true
+	}
+}
+
 // TestRefusedConnections checks that a connection which is refused carries nothing.
 func TestRefusedConnections(t *testing.T) {
 	play(t, func(w *world) {
--- a/internal/standin/freedom/listener.go
+++ b/internal/standin/freedom/listener.go
@@ -232,6 +232,8 @@
 		return c.end(false)
 	case c.kind == Unframed, c.kind == UnframedCut:
 		head = begun.unframed()
+	case c.kind == BadHead:
+		head = begun.bent(c.listener.draws.Number(BadHead, len(bends)))
 	case c.kind == Close:
 		head = begun.closing()
 	}
@@ -254,7 +256,7 @@
 	}
 	choice := []Kind{Close, Copy}
 	if id != "" {
-		choice = []Kind{Cut, UnframedCut, Garbage, Unframed, Surplus, Trickle, Close, Copy}
+		choice = []Kind{Cut, UnframedCut, Garbage, BadHead, Unframed, Surplus, Trickle, Close, Copy}
 	}
 	c.kind, c.takes = c.listener.draws.First(choice...)
 	if !c.takes {
@@ -291,7 +293,7 @@
 		return nil
 	}
 	switch c.kind {
-	case Unframed, Close:
+	case Unframed, Close, BadHead:
 		return c.end(true)
 	case UnframedCut, Cut:
 		// It was shorter than what was to be sent of it. One without a length would look whole.
