Wait for scorers that are full as before, and for 0.3 s where the pool has none

Cause: since each call to a scorer waited for a slot for 0.3 s at most and was made anew then. Each new call earns a hedged attempt, and hedges at full scorers filled them further. Change: the wait is short only in a pool without engines. Tests: TestItemsFollowTheTargetsOfTheirScorersRoute holds, both cases; the placement by regions that two tests share stands once.

--- a/internal/jobrun/execution.go
+++ b/internal/jobrun/execution.go
@@ -42,8 +42,8 @@
 	// scoreTimeout bounds one call to a scorer, retries included.
 	scoreTimeout       = 6 * time.Second
 	scoreRetryInterval = 50 * time.Millisecond
-	// scoreSlotWait bounds the wait for a slot at a scorer, after which the scorer's route is looked up again.
-	scoreSlotWait = 300 * time.Millisecond
+	// emptyPoolWait bounds the wait for a slot in a pool of scorers without engines, after which the scorer's route is looked up again.
+	emptyPoolWait = 300 * time.Millisecond
 	// withheldPollInterval is how often the quarantine is queried again for an item that pauses, or for the scorer call of an item
 	// that is withheld, because engines ended while they ran it.
 	withheldPollInterval = 250 * time.Millisecond
--- a/internal/jobrun/homes_test.go
+++ b/internal/jobrun/homes_test.go
@@ -15,6 +15,17 @@
 	"github.com/hillfork/hillfork/internal/tenant"
 )
 
+// placeInRegions puts the first model engine and the first scorer into region "0", and the second ones into region "1".
+func (n *node) placeInRegions() {
+	n.directory.SetRegions(map[string]string{"zone0": "0", "zone1": "1"})
+	for i := range 2 {
+		for _, engine := range []fleet.Engine{n.world.models[i], n.world.scorers[i]} {
+			engine.Zone = fmt.Sprint("zone", i)
+			n.directory.Upsert(engine)
+		}
+	}
+}
+
 // TestItemsAndScorersFollowTheRegionsInForce runs jobs of a tenant whose region changes. It guards against texts that are scored outside the
 // region of their tenant, since only the regions of the scorer's own route counted, and against items that go on in a region that the
 // configuration has taken away.
@@ -22,13 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
 		owner := w.newNode("owner")
-		owner.directory.SetRegions(map[string]string{"zone0": "0", "zone1": "1"})
-		for i := range 2 {
-			for _, engine := range []fleet.Engine{w.models[i], w.scorers[i]} {
-				engine.Zone = fmt.Sprint("zone", i)
-				owner.directory.Upsert(engine)
-			}
-		}
+		owner.placeInRegions()
 		owner.own(1)
 		for version, region := range []string{"0", "1"} {
 			next := catalog.New(int64(version+2), owner.routes.Current().Routes, nil, catalog.Limits{})
@@ -55,13 +60,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
 		owner := w.newNode("owner")
-		owner.directory.SetRegions(map[string]string{"zone0": "0", "zone1": "1"})
-		for i := range 2 {
-			for _, engine := range []fleet.Engine{w.models[i], w.scorers[i]} {
-				engine.Zone = fmt.Sprint("zone", i)
-				owner.directory.Upsert(engine)
-			}
-		}
+		owner.placeInRegions()
 		homes := jobsPartition()
 		homes.Topic = keyedlog.NewHomeSet([]string{"0"}).Topic()
 		work := owner.holder.Gained(w.ctx, homes, 1)
--- a/internal/jobrun/score.go
+++ b/internal/jobrun/score.go
@@ -7,6 +7,7 @@
 
 	"github.com/hillfork/hillfork/internal/catalog"
 	"github.com/hillfork/hillfork/internal/engineapi"
+	"github.com/hillfork/hillfork/internal/fleet"
 	"github.com/hillfork/hillfork/internal/forward"
 	"github.com/hillfork/hillfork/internal/pause"
 	"github.com/hillfork/hillfork/internal/policy"
@@ -62,13 +63,23 @@
 	if bound, bounded := ctx.Deadline(); bounded && bound.Before(deadline) {
 		deadline = bound
 	}
+	pool := e.runner.config.Splitter.Pick(route)
 	return forward.Request{
-		Pool: e.runner.config.Splitter.Pick(route), Regions: e.regions(route),
+		Pool: pool, Regions: e.regions(route),
 		Call: engineapi.Call{
 			Kind: engineapi.CallScore, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Body: scorer.Body, RequestID: scorer.ID,
 			Priority: engineapi.NoPriority,
 		},
-		Deadline: deadline, MaxSlotWait: scoreSlotWait, Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
+		Deadline: deadline, MaxSlotWait: e.maxScorerWait(pool), Aim: route.Aim, MaxAttempts: route.MaxAttempts, MayRepeat: true,
 		CrashClass: policy.CrashScore,
 	}
 }
+
+// maxScorerWait returns how long a call waits for a slot at a scorer of a pool. Scorers that are full are waited for; another route may lead
+// past a pool that has none. A new call earns a hedged attempt, so that calls that wait are not made anew.
+func (e *execution) maxScorerWait(pool string) time.Duration {
+	if e.runner.config.Directory.Exists(fleet.Want{Pool: pool}) {
+		return scoreTimeout
+	}
+	return emptyPoolWait
+}
