Count why connections to engines are opened

Tests: TestMissesAreCountedByCause; TestConnectionsToEnginesAreCounted looks at the new counts too. Nothing is saved yet.

--- a/internal/correlate/correlate.go
+++ b/internal/correlate/correlate.go
@@ -44,6 +44,22 @@
 	mutex sync.Mutex
 	// idle holds the idle connections by host. The last one was used last.
 	idle map[string][]*connection
+	// misses counts the requests for which no idle connection could be used.
+	misses Misses
+}
+
+// Misses counts requests for which a connection is opened, by why no idle connection to the host can be used.
+type Misses struct {
+	// NoneIdle counts those without an idle connection, SameIdentity those for which each idle one has lately carried a request whose answer
+	// could be taken for that to this one, and Silent the others: nothing has arrived over some idle one since heardSince.
+	NoneIdle, SameIdentity, Silent int64
+}
+
+// Misses returns the counts so far.
+func (t *Transport) Misses() Misses {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.misses
 }
 
 // New returns a transport that sends by next. The peer repeats the id of a request in the header idHeader of its answer. Connections are
@@ -87,6 +103,7 @@
 	defer t.mutex.Unlock()
 	found := t.choose(host, identity, heardSince)
 	if found == nil {
+		t.countMiss(host, identity)
 		found = newConnection(t, host)
 	}
 	t.remove(found)
@@ -105,6 +122,19 @@
 	return nil
 }
 
+// countMiss counts a request for which no idle connection to a host can be used. The mutex must be held.
+func (t *Transport) countMiss(host string, identity Identity) {
+	idle := t.idle[host]
+	switch {
+	case len(idle) == 0:
+		t.misses.NoneIdle++
+	case !slices.ContainsFunc(idle, func(c *connection) bool { return !c.mistakes(identity) }):
+		t.misses.SameIdentity++
+	default:
+		t.misses.Silent++
+	}
+}
+
 // finish notes that a step of the current request over a connection has ended, and keeps the connection for the next request once all
 // have.
 func (t *Transport) finish(used *connection, step *bool) {
--- a/internal/correlate/correlate_test.go
+++ b/internal/correlate/correlate_test.go
@@ -352,3 +352,24 @@
 		is.Equal(len(transport.idle[host]), 3)
 	})
 }
+
+// TestMissesAreCountedByCause checks why idle connections are not used: none is there, each has carried the identity, or nothing has arrived.
+func TestMissesAreCountedByCause(t *testing.T) {
+	run(t, func(t *testing.T, server *peer, transport *Transport) {
+		is := is.New(t)
+		server.read(t, transport, Identity{ID: "a"}, "")
+		is.Equal(transport.Misses(), Misses{NoneIdle: 1})
+		server.read(t, transport, Identity{ID: "b"}, "")
+		is.Equal(transport.Misses(), Misses{NoneIdle: 1})
+		server.read(t, transport, Identity{ID: "a"}, "")
+		is.Equal(transport.Misses(), Misses{NoneIdle: 1, SameIdentity: 1})
+		time.Sleep(time.Second)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+host, nil)
+		is.NoErr(err)
+		request.Header.Set(idHeader, "c")
+		answer, err := transport.Do(request, Identity{ID: "c"}, time.Now())
+		is.NoErr(err)
+		is.NoErr(answer.Body.Close())
+		is.Equal(transport.Misses(), Misses{NoneIdle: 1, SameIdentity: 1, Silent: 1})
+	})
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -181,6 +181,9 @@
 type ConnectionStats struct {
 	// Opened is the number of connections that were opened, Reused the number of requests that used an idle one.
 	Opened, Reused int64
+	// NoneIdle, SameIdentity and Silent count the requests for which no idle connection could be used: there was none, all had lately carried
+	// a request whose answer could be taken for that to this one, or nothing had arrived over them for too long.
+	NoneIdle, SameIdentity, Silent int64
 	// ClosedCancelled is the number of connections that were closed because their request was cancelled, ClosedIdle the number of
 	// those closed while no request used them, ClosedBroken the number of those that ended during a request.
 	ClosedCancelled, ClosedIdle, ClosedBroken int64
--- a/internal/replica/enginemetrics.go
+++ b/internal/replica/enginemetrics.go
@@ -34,6 +34,16 @@
 			ConstLabels: prometheus.Labels{"cause": cause},
 		}, func() float64 { return float64(count()) }))
 	}
+	for cause, count := range map[string]func() int64{
+		"none_idle":     func() int64 { return stats().NoneIdle },
+		"same_identity": func() int64 { return stats().SameIdentity },
+		"silent":        func() int64 { return stats().Silent },
+	} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "engine_connections_missed_total", Help: "Requests to engines for which no idle connection could be used, by cause.",
+			ConstLabels: prometheus.Labels{"cause": cause},
+		}, func() float64 { return float64(count()) }))
+	}
 	for kind := range engineapi.CallKinds {
 		m.abandoned(kind, "reset", func() int64 { return stats().AbandonedReset[kind] })
 		m.abandoned(kind, "closed", func() int64 { return stats().AbandonedClosed[kind] })
