Name the states of the scanner of answers, and say when a write is waited for

Cause: reading the diff as a newcomer: a parameter had the name of a type, two states had names that say little, a constant was unused. Conclusion: no change of behaviour.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -20,7 +20,7 @@
 	// isWriting is set during a write, writeErr once one has failed.
 	isWriting bool
 	writeErr  error
-	// broken is the error of the answer that is no answer, nil before that.
+	// broken is the error of the bytes that are no answer, nil while there are none. Nothing is read after them.
 	broken error
 }
 
@@ -63,7 +63,7 @@
 
 // Read receives a part of an answer.
 func (c *Conn) Read(buffer []byte) (int, error) {
-	if err := c.fault(); err != nil {
+	if err := c.brokenErr(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(buffer)
@@ -81,7 +81,8 @@
 	}
 }
 
-func (c *Conn) fault() error {
+// brokenErr returns the error of the bytes that are no answer, nil while there are none.
+func (c *Conn) brokenErr() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.broken
@@ -99,12 +100,12 @@
 }
 
 // endOfStream returns what the end of the connection means: io.EOF between answers, and at the end of an answer without a length if its
-// request was sent whole. The kernel reports a reset once, to the reader or to the writer. If it tells the writer, the reader gets an
-// end like that of an answer, so a write in progress is waited for.
+// request was sent whole. The kernel reports a reset once, to the reader or to the writer. If the writer gets it, the reader gets an end like
+// that of an answer, so endOfStream waits until a write in progress has its result.
 func (c *Conn) endOfStream() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.answers.isBetween() {
+	if c.answers.isBetweenMessages() {
 		return io.EOF
 	}
 	if c.answers.next != openBody {
@@ -116,7 +117,7 @@
 	if c.writeErr != nil {
 		return &Error{Kind: Unsent, Err: c.writeErr}
 	}
-	if !c.requests.isBetween() || c.requests.count <= c.answers.count {
+	if !c.requests.isBetweenMessages() || c.requests.count <= c.answers.count {
 		return &Error{Kind: Unsent, Err: io.ErrUnexpectedEOF}
 	}
 	return io.EOF
--- a/internal/answercheck/grammar.go
+++ b/internal/answercheck/grammar.go
@@ -31,8 +31,7 @@
 }
 
 const (
-	versionLength = len("HTTP/1.1")
-	statusDigits  = 3
+	statusDigits = 3
 	// minStatus and maxStatus bound the statuses that have a meaning.
 	minStatus = 100
 	maxStatus = 599
--- a/internal/answercheck/scanner.go
+++ b/internal/answercheck/scanner.go
@@ -38,24 +38,24 @@
 	// line is the line that has not ended yet; remaining is the number of bytes left of the body or chunk.
 	line      []byte
 	remaining int64
-	// isWithin is set from the first informational answer on until the final one has been scanned.
-	isWithin bool
+	// awaitsFinal is set after an informational answer, until the head of the final one has been scanned.
+	awaitsFinal bool
 	// count is the number of whole messages, without informational answers.
 	count int
 }
 
-// isBetween reports whether the last message is whole and nothing of the next one has been scanned.
-func (s *scanner) isBetween() bool {
-	return s.next == startLine && len(s.line) == 0 && !s.isWithin
+// isBetweenMessages reports whether the last message is whole and nothing of the next one has been scanned.
+func (s *scanner) isBetweenMessages() bool {
+	return s.next == startLine && len(s.line) == 0 && !s.awaitsFinal
 }
 
 // scan follows the next bytes. It returns the number of bytes before the fault, all if there is none.
-func (s *scanner) scan(part []byte) (int, *Error) {
-	for at := 0; at < len(part); {
-		rest := part[at:]
+func (s *scanner) scan(passed []byte) (int, *Error) {
+	for at := 0; at < len(passed); {
+		rest := passed[at:]
 		switch s.next {
 		case openBody:
-			return len(part), nil
+			return len(passed), nil
 		case body, chunkData:
 			taken := min(int64(len(rest)), s.remaining)
 			at += int(taken)
@@ -69,7 +69,7 @@
 			at += length
 		}
 	}
-	return len(part), nil
+	return len(passed), nil
 }
 
 // take counts bytes of a body or a chunk.
@@ -152,10 +152,10 @@
 
 // endHead decides what follows the head.
 func (s *scanner) endHead() {
-	s.isWithin = s.head.isInformational()
+	s.awaitsFinal = s.head.isInformational()
 	s.remaining = s.head.length
 	switch {
-	case s.isWithin:
+	case s.awaitsFinal:
 		s.next = startLine
 	case s.head.length == 0, s.bodyless != nil && s.bodyless(&s.head):
 		s.endMessage()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -315,7 +315,7 @@
 	}
 }
 
-// gain starts the work of a partition, for the given time under a generation.
+// gain starts the work of a partition. starts is how often that has been done under the generation, this time included.
 func (m *Manager) gain(ctx context.Context, partition keyedlog.Partition, generation int64, starts int) {
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	m.heldCount.Add(1)
